--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test demo measure slopes
+
+setup: $(VENV)/.ready
+
+$(VENV)/.ready: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --editable '.[dev]'
+	touch $@
+
+test: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/pytest
+
+demo: setup
+	$(BIN)/leadseam-local
+
+measure: setup
+	$(BIN)/python -m tools.measure
+
+slopes: setup
+	$(BIN)/python -m tools.slopes
--- /dev/null
+++ b/src/leadseam/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The binaries."""
--- /dev/null
+++ b/src/leadseam/cli/_client.py
@@ -0,0 +1,116 @@
+"""The operators' client: one RPC at a time against any replica that answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, TypeVar
+
+from grpclib.client import Channel
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from leadseam.clock import Millis, seconds
+from leadseam.errors import LeadseamError
+from leadseam.schema import operator_pb2 as pb
+from leadseam.schema.operator_grpc import OperatorStub
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from leadseam.settings.models import Endpoint
+
+T = TypeVar("T")
+
+CALL_TIMEOUT: Millis = 7_000
+STATUS_TIMEOUT: Millis = 1_500
+
+
+class UnavailableError(LeadseamError):
+    """No replica gave an answer."""
+
+    code = "unavailable"
+
+
+class DeniedError(LeadseamError):
+    """The operator's token is wrong, or the request malformed."""
+
+    code = "denied"
+
+
+class OperatorClient:
+    """Calls the operators' RPC; a failed replica is followed by the next one.
+
+    Every call is safe to repeat: a change is known by its id.
+
+    Args:
+        endpoints: Addresses of the operators' RPC.
+        token: The operator's token.
+    """
+
+    def __init__(self, endpoints: list[Endpoint], token: str) -> None:
+        self._endpoints = endpoints
+        self._metadata = {"authorization": f"Bearer {token}"}
+
+    async def apply(self, request: pb.ApplyRequest) -> pb.ApplyReply:
+        """Apply a change."""
+        return await self._first(
+            lambda stub: stub.Apply(request, metadata=self._metadata)
+        )
+
+    async def get(self) -> pb.Configuration:
+        """Read the configuration in force."""
+        request = pb.GetRequest()
+        return await self._first(
+            lambda stub: stub.Get(request, metadata=self._metadata)
+        )
+
+    async def history(self, limit: int) -> pb.HistoryReply:
+        """List accepted changes."""
+        request = pb.HistoryRequest(limit=limit)
+        return await self._first(
+            lambda stub: stub.History(request, metadata=self._metadata)
+        )
+
+    async def status(self) -> list[tuple[Endpoint, pb.StatusReply | None]]:
+        """Ask every replica; None for one that does not answer."""
+        replies = await asyncio.gather(*map(self._status, self._endpoints))
+        return list(zip(self._endpoints, replies, strict=True))
+
+    async def _status(self, endpoint: Endpoint) -> pb.StatusReply | None:
+        request = pb.StatusRequest()
+        try:
+            return await self._call(
+                endpoint,
+                lambda stub: stub.Status(request, metadata=self._metadata),
+                STATUS_TIMEOUT,
+            )
+        except UnavailableError:
+            return None
+
+    async def _first(self, call: Callable[[OperatorStub], Awaitable[T]]) -> T:
+        failures = []
+        for endpoint in self._endpoints:
+            try:
+                return await self._call(endpoint, call, CALL_TIMEOUT)
+            except UnavailableError as exc:
+                failures.append(exc.message)
+        raise UnavailableError("; ".join(failures))
+
+    async def _call(
+        self,
+        endpoint: Endpoint,
+        call: Callable[[OperatorStub], Awaitable[T]],
+        timeout: Millis,
+    ) -> T:
+        channel = Channel(endpoint.ip, endpoint.port)
+        try:
+            async with asyncio.timeout(seconds(timeout)):
+                return await call(OperatorStub(channel))
+        except GRPCError as exc:
+            if exc.status in (Status.UNAUTHENTICATED, Status.INVALID_ARGUMENT):
+                raise DeniedError(str(exc.message)) from exc
+            raise UnavailableError(f"{endpoint.port}: {exc.message}") from exc
+        except (OSError, TimeoutError, StreamTerminatedError) as exc:
+            raise UnavailableError(f"{endpoint.ip}:{endpoint.port}: {exc!r}") from exc
+        finally:
+            channel.close()
--- /dev/null
+++ b/src/leadseam/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated configuration and claims: consensus, storage, feed, operators' RPC."""
--- /dev/null
+++ b/src/leadseam/control/program.py
@@ -0,0 +1,145 @@
+"""The control program: a replica, its feed, the operators' RPC and admin routes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from grpclib.server import Server
+
+from leadseam.clock import Clock, SystemClock
+from leadseam.control.operator_service import OperatorService
+from leadseam.control.raft import Membership
+from leadseam.control.replica import Replica
+from leadseam.control.storage import Storage, format_folder, read_identity
+from leadseam.errors import StorageError
+from leadseam.feed.server import FeedServer
+from leadseam.runtime.admin import serve_admin
+from leadseam.runtime.metrics import ControlMetrics, Metrics
+from leadseam.wire.link import listen
+
+if TYPE_CHECKING:
+    from aiohttp.web import AppRunner
+    from websockets.asyncio.server import Server as LinkServer
+
+    from leadseam.settings.models import ControlSettings
+
+FIRST_INCARNATION = "first"
+
+
+def first_identity(name: str) -> str:
+    """Return the identity of a box in a newly founded group."""
+    return f"{name}#{FIRST_INCARNATION}"
+
+
+def prepare_folder(settings: ControlSettings, *, found: bool) -> str:
+    """Format the data folder if it is empty.
+
+    Args:
+        settings: The settings.
+        found: Whether to found a new group, rather than join one.
+
+    Returns:
+        The replica's identity.
+
+    Raises:
+        StorageError: If the folder cannot be used, or `found` meets a used one.
+    """
+    folder = Path(settings.data_dir)
+    known = read_identity(folder)
+    if known is not None and found:
+        raise StorageError(f"{folder}: holds {known}; cannot found a group again")
+    if known is not None:
+        return known
+    name = settings.identity.node
+    if found:
+        identity = first_identity(name)
+        voters = tuple(first_identity(box) for box in sorted(settings.replicas))
+        format_folder(folder, identity, Membership(voters))
+    else:
+        identity = f"{name}#{secrets.token_hex(6)}"
+        format_folder(folder, identity, Membership(()))
+    return identity
+
+
+class ControlProgram:
+    """One control replica and everything it serves.
+
+    Args:
+        settings: Its settings.
+        found: Whether to found a new group on an empty folder.
+        clock: Source of time. Defaults to the machine's.
+    """
+
+    def __init__(
+        self,
+        settings: ControlSettings,
+        *,
+        found: bool = False,
+        clock: Clock | None = None,
+    ) -> None:
+        identity = prepare_folder(settings, found=found)
+        metrics = Metrics()
+        control_metrics = ControlMetrics(metrics)
+        self._settings = settings
+        self._metrics = metrics
+        self._storage = Storage(Path(settings.data_dir))
+        self.replica = Replica(
+            name=settings.identity.node,
+            identity=identity,
+            endpoints=settings.replicas,
+            storage=self._storage,
+            recovered=self._storage.open(),
+            clock=clock or SystemClock(),
+            metrics=control_metrics,
+            seed=secrets.randbits(64),
+        )
+        self._feed = FeedServer(self.replica, control_metrics)
+        service = OperatorService(
+            self.replica, self._feed, settings.operators, control_metrics
+        )
+        self._operator = Server([service])
+        self._links: LinkServer | None = None
+        self._admin: AppRunner | None = None
+
+    async def start(self) -> None:
+        """Bind all sockets."""
+        settings = self._settings
+        inner = settings.replicas[settings.identity.node]
+        admin = settings.admin
+        self._links = await listen(inner.ip, inner.port, self._feed.serve)
+        await self._operator.start(settings.operator.ip, settings.operator.port)
+        self._admin = await serve_admin(
+            admin.ip, admin.port, self._metrics, self._readiness
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.replica.run())
+            group.create_task(self._feed.run())
+
+    async def drain(self) -> None:
+        """Nothing is in flight for long; the group elects another leader."""
+
+    async def stop(self) -> None:
+        """Release all sockets and the disk."""
+        self._operator.close()
+        if self._links is not None:
+            self._links.close()
+        if self._admin is not None:
+            await self._admin.cleanup()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1):
+                await self._operator.wait_closed()
+        self._storage.close()
+
+    def _readiness(self) -> str:
+        if self.replica.failure:
+            return f"storage: {self.replica.failure}"
+        if not self.replica.is_current():
+            return "no quorum"
+        return ""
--- /dev/null
+++ b/src/leadseam/control/raft.py
@@ -0,0 +1,707 @@
+"""Raft without I/O: the caller persists, sends and applies what `take_ready` gives.
+
+Follows Ongaro, "Consensus: Bridging Theory and Practice" (2014): pre-vote and
+check-quorum (9.6, 6.2), leases (6.4.1), learners and one-at-a-time membership
+changes (4.1 to 4.2.1), log compaction (5).
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from enum import IntEnum, StrEnum
+from typing import TypeAlias
+
+from leadseam.clock import Millis
+from leadseam.errors import InvariantError
+from leadseam.wire.codec import decode, encode
+from leadseam.wire.messages import (
+    Append,
+    AppendReply,
+    Install,
+    Join,
+    LogEntry,
+    PreVote,
+    PreVoteReply,
+    Record,
+    Vote,
+    VoteReply,
+)
+
+ELECTION_TIMEOUT: Millis = 900
+HEARTBEAT_INTERVAL: Millis = 150
+LEASE: Millis = 800
+CURRENT_LIMIT: Millis = 1_500
+MAX_APPEND_ENTRIES = 256
+CATCH_UP_DISTANCE = 32
+
+_TermMessage: TypeAlias = Vote | VoteReply | Append | AppendReply | Install
+RaftMessage: TypeAlias = PreVote | PreVoteReply | Join | _TermMessage
+
+
+class Role(StrEnum):
+    """What a replica is in its term."""
+
+    FOLLOWER = "follower"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class EntryKind(IntEnum):
+    """What a log entry carries."""
+
+    NOOP = 0
+    COMMAND = 1
+    MEMBERSHIP = 2
+
+
+class Membership(Record, frozen=True, array_like=True):
+    """Replica identities; a learner receives the log and does not vote."""
+
+    voters: tuple[str, ...]
+    learners: tuple[str, ...] = ()
+
+    @property
+    def everyone(self) -> tuple[str, ...]:
+        """Voters, then learners."""
+        return self.voters + self.learners
+
+    def quorum(self, agreed: set[str]) -> bool:
+        """Tell whether a majority of the voters is in `agreed`."""
+        return 2 * len(agreed & set(self.voters)) > len(self.voters)
+
+
+class HardState(Record, frozen=True, array_like=True):
+    """What must be synced before a vote or an acknowledgement is sent."""
+
+    term: int = 0
+    vote: str = ""
+
+
+class SnapshotMark(Record, frozen=True, array_like=True):
+    """Where the compacted part of the log ends."""
+
+    index: int = 0
+    term: int = 0
+    membership: Membership = Membership(())
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """Work that the owner must do, in this order.
+
+    Args:
+        snapshot: A snapshot to store and restore from, with its data, or None.
+        hard_state: State to persist, or None if unchanged.
+        append: Entries to persist; the first may overwrite existing indexes.
+        send: Messages to send once all of the above is synced.
+        commit: Entries to apply, in order.
+    """
+
+    snapshot: tuple[SnapshotMark, bytes] | None
+    hard_state: HardState | None
+    append: tuple[LogEntry, ...]
+    send: tuple[tuple[str, RaftMessage], ...]
+    commit: tuple[LogEntry, ...]
+
+
+@dataclass(slots=True)
+class _Peer:
+    next_index: int
+    match: int = 0
+    heard: Millis = -1
+    acked_sent: Millis = -1
+    echo: Millis = -1
+    in_flight: bool = False
+    sent_at: Millis = -1
+
+
+@dataclass(slots=True)
+class _Pending:
+    snapshot: tuple[SnapshotMark, bytes] | None = None
+    hard_state: bool = False
+    append_from: int | None = None
+    send: list[tuple[str, RaftMessage]] = field(default_factory=list)
+
+
+class Raft:
+    """One replica's consensus state.
+
+    Args:
+        identity: Name and disk incarnation of the replica.
+        hard_state: Persisted term and vote.
+        mark: Persisted snapshot position and membership at it.
+        log: Persisted entries after the mark.
+        now: Current time.
+        seed: Seed of the election jitter.
+    """
+
+    def __init__(
+        self,
+        identity: str,
+        *,
+        hard_state: HardState,
+        mark: SnapshotMark,
+        log: list[LogEntry],
+        now: Millis,
+        seed: int,
+    ) -> None:
+        self.identity = identity
+        self.term = hard_state.term
+        self.vote = hard_state.vote
+        self.mark = mark
+        self.log = log
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.commit_index = mark.index
+        self.membership = mark.membership
+        self._random = random.Random(seed)
+        self._peers: dict[str, _Peer] = {}
+        self._votes: set[str] = set()
+        self._pre_votes: set[str] = set()
+        self._pending = _Pending()
+        self._applied = mark.index
+        self._snapshot_data: bytes = b""
+        self._current_at: Millis = -1
+        # A restarted voter may have heard a leader just before: its lease holds.
+        self._leader_heard: Millis = now
+        self._election_at: Millis = 0
+        self._heartbeat_at: Millis = 0
+        self._elected_at: Millis = 0
+        self._recompute_membership()
+        self._reset_election(now)
+
+    def __repr__(self) -> str:
+        return (
+            f"Raft({self.identity} {self.role} term={self.term}"
+            f" last={self.last_index} commit={self.commit_index})"
+        )
+
+    # Reading
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, or of the mark."""
+        return self.mark.index + len(self.log)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.log[-1].term if self.log else self.mark.term
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this replica counts for quorums."""
+        return self.identity in self.membership.voters
+
+    def holds_lease(self, now: Millis) -> bool:
+        """Tell whether no other leader can exist at this moment."""
+        if self.role is not Role.LEADER:
+            return False
+        if self._term_at(self.commit_index) != self.term:
+            return False
+        return now < self._quorum_ack(now) + LEASE
+
+    def is_current(self, now: Millis) -> bool:
+        """Tell whether the applied state was the fleet's within `CURRENT_LIMIT`."""
+        if self.role is Role.LEADER:
+            return self.holds_lease(now)
+        return self._current_at >= 0 and now - self._current_at < CURRENT_LIMIT
+
+    # Events
+
+    def tick(self, now: Millis) -> None:
+        """Let time pass: elections, heartbeats, loss of quorum."""
+        if self.role is Role.LEADER:
+            self._tick_leader(now)
+        elif now >= self._election_at:
+            self._reset_election(now)
+            if self.is_voter:
+                self._start_pre_vote(now)
+            elif self.membership.voters == () or not self.leader:
+                self._ask_to_join()
+
+    def propose(self, now: Millis, kind: EntryKind, data: bytes) -> int | None:
+        """Append an entry as leader.
+
+        Returns:
+            The entry's index, or None if this replica does not lead.
+        """
+        if self.role is not Role.LEADER:
+            return None
+        index = self.last_index + 1
+        self._append([LogEntry(self.term, index, int(kind), data)])
+        self._broadcast(now)
+        return index
+
+    def receive(self, now: Millis, message: RaftMessage) -> None:
+        """Handle a message of a peer."""
+        match message:
+            case Join():
+                self._on_join(now, message)
+            case PreVote():
+                self._on_pre_vote(now, message)
+            case PreVoteReply():
+                self._on_pre_vote_reply(now, message)
+            case _:
+                if message.term > self.term and not self._adopt_term(now, message):
+                    return
+                if message.term < self.term:
+                    self._reject_stale(message)
+                    return
+                self._receive_in_term(now, message)
+
+    def persisted(self, now: Millis, index: int) -> None:
+        """Tell a leader that its own log is synced up to `index`."""
+        if self.role is Role.LEADER and self.identity in self._peers:
+            peer = self._peers[self.identity]
+            peer.match = max(peer.match, min(index, self.last_index))
+            self._advance_commit(now)
+
+    def take_ready(self) -> Ready:
+        """Return the work since the last call."""
+        pending, self._pending = self._pending, _Pending()
+        append: tuple[LogEntry, ...] = ()
+        if pending.append_from is not None:
+            append = tuple(self._slice(pending.append_from))
+        commit = tuple(self._slice(self._applied + 1, self.commit_index))
+        self._applied = max(self._applied, self.commit_index)
+        return Ready(
+            snapshot=pending.snapshot,
+            hard_state=HardState(self.term, self.vote) if pending.hard_state else None,
+            append=append,
+            send=tuple(pending.send),
+            commit=commit,
+        )
+
+    def compact(self, index: int, data: bytes) -> SnapshotMark:
+        """Drop the log up to an applied index.
+
+        Args:
+            index: Applied index that `data` holds the state of.
+            data: Snapshot of the state machine.
+
+        Returns:
+            The new mark.
+        """
+        if index <= self.mark.index or index > self._applied:
+            raise InvariantError(f"compact to {index} outside the applied log")
+        mark = SnapshotMark(index, self._term_at(index), self._membership_at(index))
+        self.log = self.log[index - self.mark.index :]
+        self.mark = mark
+        self._snapshot_data = data
+        return mark
+
+    def set_snapshot_data(self, data: bytes) -> None:
+        """Provide the data of the mark after a restart."""
+        self._snapshot_data = data
+
+    # Log
+
+    def _term_at(self, index: int) -> int:
+        if index == self.mark.index:
+            return self.mark.term
+        offset = index - self.mark.index - 1
+        return self.log[offset].term if 0 <= offset < len(self.log) else -1
+
+    def _slice(self, first: int, last: int | None = None) -> list[LogEntry]:
+        start = max(first - self.mark.index - 1, 0)
+        stop = len(self.log) if last is None else max(last - self.mark.index, 0)
+        return self.log[start:stop]
+
+    def _append(self, entries: list[LogEntry]) -> None:
+        self.log.extend(entries)
+        self._note_append(entries[0].index)
+        if any(entry.kind == EntryKind.MEMBERSHIP for entry in entries):
+            self._recompute_membership()
+
+    def _truncate(self, index: int) -> None:
+        if index <= self.commit_index:
+            raise InvariantError(f"conflict at committed index {index}")
+        del self.log[index - self.mark.index - 1 :]
+        self._recompute_membership()
+
+    def _note_append(self, index: int) -> None:
+        first = self._pending.append_from
+        self._pending.append_from = index if first is None else min(first, index)
+
+    def _membership_at(self, index: int) -> Membership:
+        for entry in reversed(self._slice(self.mark.index + 1, index)):
+            if entry.kind == EntryKind.MEMBERSHIP:
+                return decode(entry.data, Membership)
+        return self.mark.membership
+
+    def _recompute_membership(self) -> None:
+        self.membership = self._membership_at(self.last_index)
+        if self.role is Role.LEADER:
+            self._sync_peers()
+
+    # Elections
+
+    def _reset_election(self, now: Millis) -> None:
+        jitter = self._random.randrange(ELECTION_TIMEOUT)
+        self._election_at = now + ELECTION_TIMEOUT + jitter
+
+    def _set_term(self, term: int, vote: str) -> None:
+        if (term, vote) != (self.term, self.vote):
+            self.term = term
+            self.vote = vote
+            self._pending.hard_state = True
+
+    def _step_down(self, now: Millis) -> None:
+        if self.role is not Role.FOLLOWER:
+            self.role = Role.FOLLOWER
+            self._reset_election(now)
+        self.leader = ""
+        self._votes.clear()
+        self._pre_votes.clear()
+
+    def _hears_leader(self, now: Millis) -> bool:
+        if self.role is Role.LEADER:
+            return True
+        return now - self._leader_heard < ELECTION_TIMEOUT
+
+    def _log_is_newer(self, last_term: int, last_index: int) -> bool:
+        return (last_term, last_index) >= (self.last_term, self.last_index)
+
+    def _start_pre_vote(self, now: Millis) -> None:
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self._pre_votes = {self.identity}
+        if self.membership.quorum(self._pre_votes):
+            self._start_election(now)
+            return
+        for peer in self._other_voters():
+            request = PreVote(
+                self.identity, self.term + 1, self.last_index, self.last_term
+            )
+            self._send(peer, request)
+
+    def _on_pre_vote(self, now: Millis, message: PreVote) -> None:
+        granted = (
+            message.term > self.term
+            and not self._hears_leader(now)
+            and self._log_is_newer(message.last_term, message.last_index)
+        )
+        reply = PreVoteReply(self.identity, message.term, granted)
+        self._send(message.sender, reply)
+
+    def _on_pre_vote_reply(self, now: Millis, message: PreVoteReply) -> None:
+        expected = self.role is Role.FOLLOWER and message.term == self.term + 1
+        if not (expected and message.granted and self._pre_votes):
+            return
+        self._pre_votes.add(message.sender)
+        if self.membership.quorum(self._pre_votes):
+            self._start_election(now)
+
+    def _start_election(self, now: Millis) -> None:
+        self.role = Role.CANDIDATE
+        self._pre_votes.clear()
+        self._set_term(self.term + 1, self.identity)
+        self._votes = {self.identity}
+        self._reset_election(now)
+        if self.membership.quorum(self._votes):
+            self._become_leader(now)
+            return
+        for peer in self._other_voters():
+            request = Vote(self.identity, self.term, self.last_index, self.last_term)
+            self._send(peer, request)
+
+    def _adopt_term(self, now: Millis, message: _TermMessage) -> bool:
+        """Enter a newer term, unless it is a vote against a leader that is heard."""
+        if isinstance(message, Vote) and self._hears_leader(now):
+            return False
+        self._step_down(now)
+        self._set_term(message.term, "")
+        return True
+
+    def _reject_stale(self, message: _TermMessage) -> None:
+        match message:
+            case Vote():
+                reply = VoteReply(self.identity, self.term, False)
+                self._send(message.sender, reply)
+            case Append() | Install():
+                self._send(message.sender, self._reply(False, 0, message.sent, 0))
+            case _:
+                return
+
+    def _receive_in_term(self, now: Millis, message: _TermMessage) -> None:
+        match message:
+            case Vote():
+                self._on_vote(now, message)
+            case VoteReply():
+                self._on_vote_reply(now, message)
+            case Append():
+                self._on_append(now, message)
+            case AppendReply():
+                self._on_append_reply(now, message)
+            case Install():
+                self._on_install(now, message)
+
+    def _on_vote(self, now: Millis, message: Vote) -> None:
+        granted = self.vote in ("", message.sender) and self._log_is_newer(
+            message.last_term, message.last_index
+        )
+        if granted:
+            self._set_term(self.term, message.sender)
+            self._reset_election(now)
+        self._send(message.sender, VoteReply(self.identity, self.term, granted))
+
+    def _on_vote_reply(self, now: Millis, message: VoteReply) -> None:
+        if self.role is not Role.CANDIDATE or not message.granted:
+            return
+        self._votes.add(message.sender)
+        if self.membership.quorum(self._votes):
+            self._become_leader(now)
+
+    def _become_leader(self, now: Millis) -> None:
+        self.role = Role.LEADER
+        self.leader = self.identity
+        self._elected_at = now
+        self._peers = {}
+        self._sync_peers()
+        self.propose(now, EntryKind.NOOP, b"")
+
+    # Leading
+
+    def _sync_peers(self) -> None:
+        for name in self.membership.everyone:
+            if name not in self._peers:
+                self._peers[name] = _Peer(next_index=self.last_index + 1)
+        for name in set(self._peers) - set(self.membership.everyone):
+            del self._peers[name]
+
+    def _other_voters(self) -> list[str]:
+        return [name for name in self.membership.voters if name != self.identity]
+
+    def _tick_leader(self, now: Millis) -> None:
+        lost = now - max(self._quorum_ack(now), self._elected_at)
+        if lost >= 2 * ELECTION_TIMEOUT:
+            self._step_down(now)
+            return
+        if now >= self._heartbeat_at:
+            self._broadcast(now, heartbeat=True)
+            self._promote_learner(now)
+
+    def _quorum_ack(self, now: Millis) -> Millis:
+        """Return the send time of the newest request that a quorum answered."""
+        acks = [
+            now if name == self.identity else self._peers[name].acked_sent
+            for name in self.membership.voters
+        ]
+        acks.sort(reverse=True)
+        return acks[len(acks) // 2]
+
+    def _broadcast(self, now: Millis, *, heartbeat: bool = False) -> None:
+        if heartbeat:
+            self._heartbeat_at = now + HEARTBEAT_INTERVAL
+        for name, peer in self._peers.items():
+            if name == self.identity:
+                continue
+            stale = now - peer.sent_at >= 2 * HEARTBEAT_INTERVAL
+            if heartbeat or not peer.in_flight or stale:
+                self._replicate(now, name, peer)
+
+    def _replicate(self, now: Millis, name: str, peer: _Peer) -> None:
+        if peer.in_flight and now - peer.sent_at < 2 * HEARTBEAT_INTERVAL:
+            self._send_append(now, name, peer, entries=())
+            return
+        if peer.next_index <= self.mark.index:
+            self._send_install(now, name)
+        else:
+            first = peer.next_index
+            entries = self._slice(first, first + MAX_APPEND_ENTRIES - 1)
+            self._send_append(now, name, peer, entries=tuple(entries))
+            if not entries:
+                return
+        peer.in_flight = True
+        peer.sent_at = now
+
+    def _send_append(
+        self, now: Millis, name: str, peer: _Peer, *, entries: tuple[LogEntry, ...]
+    ) -> None:
+        prev = peer.next_index - 1
+        if prev < self.mark.index:
+            prev = self.mark.index
+            entries = ()
+        request = Append(
+            sender=self.identity,
+            term=self.term,
+            prev_index=prev,
+            prev_term=self._term_at(prev),
+            entries=entries,
+            commit=self.commit_index,
+            sent=now,
+            echo=peer.echo if self.holds_lease(now) else -1,
+        )
+        self._send(name, request)
+
+    def _send_install(self, now: Millis, name: str) -> None:
+        request = Install(
+            sender=self.identity,
+            term=self.term,
+            index=self.mark.index,
+            index_term=self.mark.term,
+            voters=self.mark.membership.voters,
+            learners=self.mark.membership.learners,
+            data=self._snapshot_data,
+            sent=now,
+        )
+        self._send(name, request)
+
+    def _on_append_reply(self, now: Millis, message: AppendReply) -> None:
+        peer = self._peers.get(message.sender)
+        if self.role is not Role.LEADER or peer is None:
+            return
+        peer.acked_sent = max(peer.acked_sent, message.sent)
+        peer.echo = max(peer.echo, message.clock)
+        peer.heard = now
+        if message.success:
+            self._on_match(now, message, peer)
+        else:
+            peer.in_flight = False
+            hint = min(message.match + 1, peer.next_index - 1)
+            peer.next_index = max(peer.match + 1, hint)
+            self._replicate(now, message.sender, peer)
+
+    def _on_match(self, now: Millis, message: AppendReply, peer: _Peer) -> None:
+        if message.match > peer.match:
+            peer.match = message.match
+            peer.in_flight = False
+        peer.next_index = max(peer.next_index, peer.match + 1)
+        self._advance_commit(now)
+        if peer.next_index <= self.last_index and not peer.in_flight:
+            self._replicate(now, message.sender, peer)
+
+    def _advance_commit(self, now: Millis) -> None:
+        matches = sorted(
+            (self._peers[name].match for name in self.membership.voters), reverse=True
+        )
+        index = matches[len(matches) // 2]
+        if index > self.commit_index and self._term_at(index) == self.term:
+            self.commit_index = index
+            self._broadcast(now)
+            if self.identity not in self.membership.voters:
+                self._step_down(now)
+
+    # Membership
+
+    def _ask_to_join(self) -> None:
+        self._send("", Join(self.identity))
+
+    def _on_join(self, now: Millis, message: Join) -> None:
+        if self.role is not Role.LEADER or not self._membership_settled():
+            return
+        if message.sender in self.membership.everyone:
+            return
+        kept = tuple(
+            name for name in self.membership.learners if not same_box(name, message)
+        )
+        changed = Membership(self.membership.voters, (*kept, message.sender))
+        self.propose(now, EntryKind.MEMBERSHIP, encode(changed))
+
+    def _membership_settled(self) -> bool:
+        pending = self._slice(self.commit_index + 1)
+        in_term = self._term_at(self.commit_index) == self.term
+        changing = any(entry.kind == EntryKind.MEMBERSHIP for entry in pending)
+        return in_term and not changing
+
+    def _promote_learner(self, now: Millis) -> None:
+        """Replace a lost identity by its caught-up successor, one step at a time."""
+        if not self._membership_settled():
+            return
+        for name in self.membership.learners:
+            peer = self._peers[name]
+            if peer.match + CATCH_UP_DISTANCE < self.last_index or peer.match == 0:
+                continue
+            voters = self.membership.voters
+            learners = tuple(
+                other for other in self.membership.learners if other != name
+            )
+            old = [other for other in voters if base_name(other) == base_name(name)]
+            if old:
+                kept = tuple(other for other in voters if other not in old)
+                changed = Membership(kept, self.membership.learners)
+            else:
+                changed = Membership((*voters, name), learners)
+            self.propose(now, EntryKind.MEMBERSHIP, encode(changed))
+            return
+
+    # Following
+
+    def _reply(
+        self, success: bool, match: int, sent: Millis, clock: Millis
+    ) -> AppendReply:
+        return AppendReply(self.identity, self.term, success, match, sent, clock)
+
+    def _follow(self, now: Millis, leader: str) -> None:
+        if self.role is Role.LEADER:
+            raise InvariantError(f"two leaders in term {self.term}")
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        self._leader_heard = now
+        self._reset_election(now)
+
+    def _on_append(self, now: Millis, message: Append) -> None:
+        self._follow(now, message.sender)
+        if message.prev_index < self.mark.index:
+            self._on_append_before_mark(now, message)
+            return
+        if self._term_at(message.prev_index) != message.prev_term:
+            hint = min(message.prev_index - 1, self.last_index)
+            hint = max(hint, self.commit_index)
+            self._send(message.sender, self._reply(False, hint, message.sent, now))
+            return
+        self._store_entries(message.entries)
+        match = message.prev_index + len(message.entries)
+        self.commit_index = max(self.commit_index, min(message.commit, match))
+        if message.echo >= 0 and self.commit_index >= message.commit:
+            self._current_at = max(self._current_at, message.echo)
+        self._send(message.sender, self._reply(True, match, message.sent, now))
+
+    def _on_append_before_mark(self, now: Millis, message: Append) -> None:
+        reply = self._reply(True, self.mark.index, message.sent, now)
+        self._send(message.sender, reply)
+
+    def _store_entries(self, entries: tuple[LogEntry, ...]) -> None:
+        for position, entry in enumerate(entries):
+            known = self._term_at(entry.index)
+            if known == entry.term:
+                continue
+            if known >= 0:
+                self._truncate(entry.index)
+            self._append(list(entries[position:]))
+            return
+
+    def _on_install(self, now: Millis, message: Install) -> None:
+        self._follow(now, message.sender)
+        if message.index > self.commit_index:
+            membership = Membership(message.voters, message.learners)
+            mark = SnapshotMark(message.index, message.index_term, membership)
+            self._restore(mark, message.data)
+        match = max(self.commit_index, message.index)
+        self._send(message.sender, self._reply(True, match, message.sent, now))
+
+    def _restore(self, mark: SnapshotMark, data: bytes) -> None:
+        keeps = self._term_at(mark.index) == mark.term
+        self.log = self._slice(mark.index + 1) if keeps else []
+        self.mark = mark
+        self.commit_index = mark.index
+        self._applied = mark.index
+        self._snapshot_data = data
+        self._pending.snapshot = (mark, data)
+        self._pending.append_from = mark.index + 1 if self.log else None
+        self._recompute_membership()
+
+    def _send(self, to: str, message: RaftMessage) -> None:
+        self._pending.send.append((to, message))
+
+
+def base_name(identity: str) -> str:
+    """Return the box's name in a replica identity `name#incarnation`."""
+    return identity.partition("#")[0]
+
+
+def same_box(identity: str, message: Join) -> bool:
+    """Tell whether an identity belongs to the box that asks to join."""
+    return base_name(identity) == base_name(message.sender)
--- /dev/null
+++ b/src/leadseam/control/replica.py
@@ -0,0 +1,407 @@
+"""A control replica: drives the Raft core, owns the disk and the state machine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Clock, Millis, sleep
+from leadseam.control.raft import EntryKind, HardState, Raft, Role, SnapshotMark
+from leadseam.control.state import Command, CommandResult, ControlState, stamp
+from leadseam.errors import StorageError
+from leadseam.runtime.tasks import spawn
+from leadseam.wire.codec import decode, encode
+from leadseam.wire.link import LINK_ERRORS, dial
+from leadseam.wire.messages import (
+    Append,
+    AppendReply,
+    Forward,
+    ForwardReply,
+    Hello,
+    Install,
+    Join,
+    LogEntry,
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from leadseam.control.raft import RaftMessage, Ready
+    from leadseam.control.storage import Recovered, Storage
+    from leadseam.runtime.metrics import ControlMetrics
+    from leadseam.settings.models import Endpoint
+    from leadseam.wire.link import Link
+    from leadseam.wire.messages import AnyMessage
+
+TICK: Millis = 30
+COMPACT_EVERY = 1_000
+MAX_BATCH = 512
+REDIAL_DELAY: Millis = 200
+PROPOSE_TIMEOUT: Millis = 5_000
+RETRY_DELAY: Millis = 100
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class _Received:
+    message: RaftMessage
+
+
+@dataclass(frozen=True, slots=True)
+class _Proposed:
+    command: Command
+    fut: asyncio.Future[CommandResult | None]
+
+
+@dataclass(frozen=True, slots=True)
+class _Tick:
+    pass
+
+
+_Event = _Received | _Proposed | _Tick
+
+
+class Peers:
+    """Outgoing links to the other replicas; each redials for ever.
+
+    Args:
+        name: This replica's box name.
+        endpoints: Inner addresses of all replicas by box name.
+        on_reply: Called with messages that come back on these links.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        endpoints: dict[str, Endpoint],
+        on_reply: Callable[[AnyMessage], None],
+    ) -> None:
+        self._name = name
+        self._endpoints = {
+            other: endpoint for other, endpoint in endpoints.items() if other != name
+        }
+        self._on_reply = on_reply
+        self._links: dict[str, Link] = {}
+
+    def send(self, to: str, message: AnyMessage) -> None:
+        """Send to one box, or to all if `to` is empty; lost if not connected."""
+        names = [to] if to else list(self._links)
+        for name in names:
+            link = self._links.get(name)
+            if link is not None:
+                link.send(message)
+
+    async def run(self) -> None:
+        """Keep the links up until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for name, endpoint in self._endpoints.items():
+                group.create_task(self._keep(name, endpoint))
+
+    async def _keep(self, name: str, endpoint: Endpoint) -> None:
+        while True:
+            with contextlib.suppress(*LINK_ERRORS):
+                async with dial(endpoint.ip, endpoint.port) as link:
+                    link.send(Hello(self._name, 0, 0))
+                    self._links[name] = link
+                    async for message in link.messages():
+                        self._on_reply(message)
+            self._links.pop(name, None)
+            await sleep(REDIAL_DELAY)
+
+
+class Replica:
+    """One member of the control group.
+
+    Args:
+        name: Box name.
+        identity: Name and disk incarnation.
+        endpoints: Inner addresses of all replicas by box name.
+        storage: The opened data folder.
+        recovered: What it held.
+        clock: Source of time.
+        metrics: Counters.
+        seed: Seed of the election jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        identity: str,
+        endpoints: dict[str, Endpoint],
+        storage: Storage,
+        recovered: Recovered,
+        clock: Clock,
+        metrics: ControlMetrics,
+        seed: int,
+    ) -> None:
+        self.state = ControlState()
+        self.state.restore(recovered.data)
+        self.failure = ""
+        self.applied = recovered.mark.index
+        self._clock = clock
+        self._metrics = metrics
+        self._storage = storage
+        self._raft = Raft(
+            identity,
+            hard_state=recovered.hard_state,
+            mark=recovered.mark,
+            log=recovered.log,
+            now=clock.now(),
+            seed=seed,
+        )
+        self._raft.set_snapshot_data(recovered.data)
+        self._peers = Peers(name, endpoints, self._on_peer_message)
+        self._inbox: asyncio.Queue[_Event] = asyncio.Queue()
+        self._waiting: dict[int, tuple[int, asyncio.Future[CommandResult | None]]] = {}
+        self._forwarded: dict[int, asyncio.Future[CommandResult | None]] = {}
+        self._next_ticket = 0
+        self._role = Role.FOLLOWER
+        self._applied_event: asyncio.Future[None] = asyncio.Future()
+
+    def __repr__(self) -> str:
+        return f"Replica({self._raft!r})"
+
+    @property
+    def raft(self) -> Raft:
+        """The consensus core, for reading."""
+        return self._raft
+
+    def is_current(self) -> bool:
+        """Tell whether this replica may speak for the fleet right now."""
+        return not self.failure and self._raft.is_current(self._clock.now())
+
+    async def submit(self, command: Command) -> CommandResult | None:
+        """Have a command committed, through the leader wherever it is.
+
+        Every command is safe to resend, so lost attempts are repeated here.
+
+        Returns:
+            Its outcome, or None if no quorum confirmed it in time. It may still be
+            committed later.
+        """
+        deadline = self._clock.now() + PROPOSE_TIMEOUT
+        while (left := deadline - self._clock.now()) > 0:
+            result = await self._submit_once(command, min(left, PROPOSE_TIMEOUT // 2))
+            if result is not None:
+                return result
+            await sleep(RETRY_DELAY)
+        return None
+
+    async def next_applied(self) -> None:
+        """Wait until the state machine moves on."""
+        await asyncio.shield(self._applied_event)
+
+    def receive(self, link: Link, message: AnyMessage) -> None:
+        """Take a message that another replica sent on its own link."""
+        match message:
+            case Forward():
+                spawn(self._run_forwarded(link, message))
+            case Hello():
+                pass
+            case _:
+                self._on_peer_message(message)
+
+    async def run(self) -> None:
+        """Serve until cancelled; a failed disk ends it with `failure` set."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._peers.run())
+            group.create_task(self._tick())
+            await self._loop()
+
+    # Commands
+
+    async def _submit_once(
+        self, command: Command, timeout: Millis
+    ) -> CommandResult | None:
+        if self.failure:
+            return None
+        fut: asyncio.Future[CommandResult | None] = asyncio.Future()
+        if self._raft.role is Role.LEADER:
+            self._inbox.put_nowait(_Proposed(command, fut))
+        elif self._raft.leader:
+            self._forward(command, fut)
+        else:
+            return None
+        try:
+            return await asyncio.wait_for(fut, timeout / 1_000)
+        except TimeoutError:
+            return None
+
+    def _forward(
+        self, command: Command, fut: asyncio.Future[CommandResult | None]
+    ) -> None:
+        self._next_ticket += 1
+        ticket = self._next_ticket
+        self._forwarded[ticket] = fut
+        fut.add_done_callback(lambda _: self._forwarded.pop(ticket, None))
+        leader = self._raft.leader.partition("#")[0]
+        request = Forward(self._raft.identity, ticket, encode(command))
+        self._peers.send(leader, request)
+
+    async def _run_forwarded(self, link: Link, message: Forward) -> None:
+        result: CommandResult | None = None
+        if self._raft.role is Role.LEADER:
+            command: Command = decode(message.data, Command)  # type: ignore[arg-type]
+            result = await self._submit_once(command, PROPOSE_TIMEOUT // 2)
+        data = encode(result) if result is not None else b""
+        link.send(ForwardReply(message.ticket, data))
+
+    def _on_peer_message(self, message: AnyMessage) -> None:
+        match message:
+            case ForwardReply(ticket=ticket, data=data):
+                fut = self._forwarded.get(ticket)
+                if fut is not None and not fut.done():
+                    fut.set_result(_decode_result(data))
+            case (
+                PreVote()
+                | PreVoteReply()
+                | Vote()
+                | VoteReply()
+                | Append()
+                | AppendReply()
+                | Install()
+                | Join()
+            ):
+                self._inbox.put_nowait(_Received(message))
+            case _:
+                self._metrics.unexpected.inc({})
+
+    # The loop that owns the core and the disk
+
+    async def _tick(self) -> None:
+        while True:
+            await sleep(TICK)
+            if self._inbox.qsize() < MAX_BATCH:
+                self._inbox.put_nowait(_Tick())
+
+    async def _loop(self) -> None:
+        while not self.failure:
+            for event in await self._take_batch():
+                self._handle(event)
+            ready = self._raft.take_ready()
+            try:
+                await self._persist(ready)
+            except StorageError as exc:
+                self._halt(exc)
+                return
+            self._send(ready)
+            self._apply(ready.commit)
+            self._raft.persisted(self._clock.now(), self._raft.last_index)
+            follow_up = self._raft.take_ready()
+            self._send(follow_up)
+            self._apply(follow_up.commit)
+            self._note_role()
+            await self._compact_if_due()
+
+    async def _take_batch(self) -> list[_Event]:
+        events = [await self._inbox.get()]
+        while len(events) < MAX_BATCH and not self._inbox.empty():
+            events.append(self._inbox.get_nowait())
+        return events
+
+    def _handle(self, event: _Event) -> None:
+        now = self._clock.now()
+        match event:
+            case _Tick():
+                self._raft.tick(now)
+            case _Received(message=message):
+                self._raft.receive(now, message)
+            case _Proposed(command=command, fut=fut):
+                data = encode(stamp(command, self._clock.wall()))
+                index = self._raft.propose(now, EntryKind.COMMAND, data)
+                if index is not None:
+                    self._waiting[index] = (self._raft.term, fut)
+                elif not fut.done():
+                    fut.set_result(None)
+
+    async def _persist(self, ready: Ready) -> None:
+        if ready.snapshot is not None:
+            mark, data = ready.snapshot
+            await self._store_snapshot(mark, data, ready)
+            self.state.restore(data)
+            self.applied = mark.index
+            self._announce()
+        elif ready.hard_state is not None or ready.append:
+            write = self._storage.append
+            await asyncio.to_thread(write, ready.hard_state, ready.append)
+
+    async def _store_snapshot(
+        self, mark: SnapshotMark, data: bytes, ready: Ready
+    ) -> None:
+        state = HardState(self._raft.term, self._raft.vote)
+        compact = self._storage.compact
+        await asyncio.to_thread(compact, mark, data, state, ready.append)
+
+    def _send(self, ready: Ready) -> None:
+        for to, message in ready.send:
+            self._peers.send(to.partition("#")[0], message)
+
+    def _apply(self, entries: tuple[LogEntry, ...]) -> None:
+        for entry in entries:
+            self.applied = entry.index
+            result = None
+            if entry.kind == EntryKind.COMMAND:
+                command: Command = decode(entry.data, Command)  # type: ignore[arg-type]
+                result = self.state.apply(command)
+            self._resolve(entry, result)
+        if entries:
+            self._announce()
+
+    def _resolve(self, entry: LogEntry, result: CommandResult | None) -> None:
+        term, fut = self._waiting.pop(entry.index, (0, None))
+        if fut is not None and not fut.done():
+            fut.set_result(result if term == entry.term else None)
+
+    def _announce(self) -> None:
+        done, self._applied_event = self._applied_event, asyncio.Future()
+        done.set_result(None)
+
+    def _note_role(self) -> None:
+        if self._raft.role is self._role:
+            return
+        self._role = self._raft.role
+        self._metrics.role_changes.inc({"role": self._role.value})
+        extra = {"role": self._role.value, "term": self._raft.term}
+        log.info("role changed", extra=extra)
+        if self._role is not Role.LEADER:
+            self._drop_waiting()
+
+    def _drop_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, {}
+        for _, fut in waiting.values():
+            if not fut.done():
+                fut.set_result(None)
+
+    async def _compact_if_due(self) -> None:
+        if self.applied - self._raft.mark.index < COMPACT_EVERY:
+            return
+        data = self.state.save()
+        mark = self._raft.compact(self.applied, data)
+        state = HardState(self._raft.term, self._raft.vote)
+        entries = tuple(self._raft.log)
+        try:
+            await asyncio.to_thread(self._storage.compact, mark, data, state, entries)
+        except StorageError as exc:
+            self._halt(exc)
+
+    def _halt(self, exc: StorageError) -> None:
+        self.failure = exc.message
+        self._drop_waiting()
+        extra = {"code": exc.code, "error": exc.message}
+        log.error("storage failed; replica steps back", extra=extra)
+
+
+def _decode_result(data: bytes) -> CommandResult | None:
+    if not data:
+        return None
+    result: CommandResult = decode(data, CommandResult)  # type: ignore[arg-type]
+    return result
--- /dev/null
+++ b/src/leadseam/control/storage.py
@@ -0,0 +1,347 @@
+"""A replica's data folder: identity, journal and snapshot.
+
+Layout of the folder, `N` being a generation number:
+
+- `identity`: the replica's name and disk incarnation.
+- `snapshot-N`: one record with the compacted state.
+- `journal-N`: records appended since; an entry replaces all with its index or above.
+
+Each record is a header (magic, length, CRC-32) and a CBOR payload. A generation is
+complete once `journal-N` has its final name; the highest complete one counts.
+"""
+
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, TypeAlias
+
+from leadseam.control.raft import HardState, Membership, SnapshotMark
+from leadseam.errors import StorageDamagedError, StorageError, WireError
+from leadseam.wire.codec import decode, encode
+from leadseam.wire.messages import LogEntry, Record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+IDENTITY_FILE = "identity"
+TEMPORARY_SUFFIX = ".tmp"
+
+_MAGIC = b"LSR1"
+_HEADER = struct.Struct(">4sII")
+
+
+class EntryRecord(Record, frozen=True, array_like=True, tag=1):
+    """A log entry in the journal."""
+
+    entry: LogEntry
+
+
+class StateRecord(Record, frozen=True, array_like=True, tag=2):
+    """Term and vote in the journal."""
+
+    state: HardState
+
+
+class SnapshotRecord(Record, frozen=True, array_like=True, tag=3):
+    """The only record of a snapshot file."""
+
+    mark: SnapshotMark
+    data: bytes
+
+
+JournalRecord: TypeAlias = EntryRecord | StateRecord
+
+
+@dataclass(frozen=True, slots=True)
+class Recovered:
+    """What a data folder held when it was opened.
+
+    Args:
+        hard_state: Last synced term and vote.
+        mark: Position of the snapshot.
+        data: State machine at the mark.
+        log: Entries after the mark.
+        cut: Bytes of an unfinished write that were dropped.
+    """
+
+    hard_state: HardState
+    mark: SnapshotMark
+    data: bytes
+    log: list[LogEntry]
+    cut: int
+
+
+def pack(payload: bytes) -> bytes:
+    """Frame a payload as one record."""
+    return _HEADER.pack(_MAGIC, len(payload), zlib.crc32(payload)) + payload
+
+
+def _unpack(data: bytes, offset: int) -> bytes | None:
+    """Return the payload of the record at an offset, or None if it is not whole."""
+    if offset + _HEADER.size > len(data):
+        return None
+    magic, length, checksum = _HEADER.unpack_from(data, offset)
+    start = offset + _HEADER.size
+    payload = data[start : start + length]
+    if magic != _MAGIC or len(payload) != length:
+        return None
+    return payload if zlib.crc32(payload) == checksum else None
+
+
+def _valid_record_after(data: bytes, offset: int) -> bool:
+    position = data.find(_MAGIC, offset + 1)
+    while position >= 0:
+        if _unpack(data, position) is not None:
+            return True
+        position = data.find(_MAGIC, position + 1)
+    return False
+
+
+def unpack_all(data: bytes, name: str) -> tuple[list[bytes], int]:
+    """Split a journal into payloads.
+
+    Args:
+        data: Content of the file.
+        name: Its name, for the error.
+
+    Returns:
+        The payloads, and the offset at which an unfinished write begins.
+
+    Raises:
+        StorageDamagedError: If a broken record is followed by a whole one.
+    """
+    payloads: list[bytes] = []
+    offset = 0
+    while offset < len(data):
+        payload = _unpack(data, offset)
+        if payload is None:
+            if _valid_record_after(data, offset):
+                raise StorageDamagedError(f"{name}: broken record at byte {offset}")
+            return payloads, offset
+        payloads.append(payload)
+        offset += _HEADER.size + len(payload)
+    return payloads, offset
+
+
+def sync_folder(folder: Path) -> None:
+    """Make the names in a folder durable."""
+    fd = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
+
+
+def write_synced(path: Path, data: bytes) -> None:
+    """Write a file so that it exists whole or not at all."""
+    temporary = path.with_name(path.name + TEMPORARY_SUFFIX)
+    with open(temporary, "wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    os.replace(temporary, path)
+    sync_folder(path.parent)
+
+
+def format_folder(folder: Path, identity: str, membership: Membership) -> None:
+    """Prepare an empty data folder.
+
+    Args:
+        folder: The data folder; must exist.
+        identity: The replica's identity.
+        membership: First membership; empty for a replica that has to join.
+
+    Raises:
+        StorageError: If the folder is in use already or cannot be written.
+    """
+    if (folder / IDENTITY_FILE).exists():
+        raise StorageError(f"{folder}: already formatted")
+    try:
+        mark = SnapshotMark(membership=membership)
+        _write_generation(folder, 1, mark, b"", (StateRecord(HardState()),))
+        write_synced(folder / IDENTITY_FILE, identity.encode())
+    except OSError as exc:
+        raise StorageError(f"{folder}: {exc}") from exc
+
+
+def read_identity(folder: Path) -> str | None:
+    """Return the identity on a disk, or None for an empty one."""
+    try:
+        return (folder / IDENTITY_FILE).read_text()
+    except FileNotFoundError:
+        return None
+    except OSError as exc:
+        raise StorageError(f"{folder}: {exc}") from exc
+
+
+def _write_generation(
+    folder: Path,
+    generation: int,
+    mark: SnapshotMark,
+    data: bytes,
+    records: tuple[JournalRecord, ...],
+) -> None:
+    snapshot = pack(encode(SnapshotRecord(mark, data)))
+    write_synced(folder / f"snapshot-{generation}", snapshot)
+    journal = b"".join(pack(encode(record)) for record in records)
+    write_synced(folder / f"journal-{generation}", journal)
+
+
+def _generations(folder: Path, prefix: str) -> list[int]:
+    names = (path.name for path in folder.glob(f"{prefix}-*"))
+    numbers = (name.removeprefix(f"{prefix}-") for name in names)
+    return sorted(int(number) for number in numbers if number.isdigit())
+
+
+class Storage:
+    """An open data folder; not safe for use from two threads at once.
+
+    Args:
+        folder: A formatted data folder.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._generation = 0
+        self._fd = -1
+        self.failed = False
+
+    def __repr__(self) -> str:
+        return f"Storage({self._folder}, generation={self._generation})"
+
+    def open(self) -> Recovered:
+        """Recover the folder's content and make it writable.
+
+        Raises:
+            StorageDamagedError: If anything but an unfinished last write is broken.
+            StorageError: If the folder cannot be read or written.
+        """
+        try:
+            return self._open()
+        except (OSError, WireError) as exc:
+            raise StorageError(f"{self._folder}: {exc}") from exc
+
+    def append(self, state: HardState | None, entries: tuple[LogEntry, ...]) -> None:
+        """Add records and sync them.
+
+        Raises:
+            StorageError: If they may not be durable; no later call succeeds.
+        """
+        records: list[JournalRecord] = [EntryRecord(entry) for entry in entries]
+        if state is not None:
+            records.append(StateRecord(state))
+        block = b"".join(pack(encode(record)) for record in records)
+        self._guard(lambda: self._write(block))
+
+    def compact(
+        self,
+        mark: SnapshotMark,
+        data: bytes,
+        state: HardState,
+        log: tuple[LogEntry, ...],
+    ) -> None:
+        """Start a new generation from a snapshot and the entries after it.
+
+        Raises:
+            StorageError: If it may not be durable; no later call succeeds.
+        """
+        self._guard(lambda: self._compact(mark, data, state, log))
+
+    def close(self) -> None:
+        """Release the journal."""
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
+
+    def _guard(self, work: Callable[[], None]) -> None:
+        if self.failed:
+            raise StorageError(f"{self._folder}: an earlier write failed")
+        try:
+            work()
+        except OSError as exc:
+            # After a failed write or sync nobody knows what the disk holds.
+            self.failed = True
+            raise StorageError(f"{self._folder}: {exc}") from exc
+
+    def _write(self, block: bytes) -> None:
+        view = memoryview(block)
+        while view:
+            view = view[os.write(self._fd, view) :]
+        os.fsync(self._fd)
+
+    def _compact(
+        self,
+        mark: SnapshotMark,
+        data: bytes,
+        state: HardState,
+        log: tuple[LogEntry, ...],
+    ) -> None:
+        entries = tuple(EntryRecord(entry) for entry in log)
+        records: tuple[JournalRecord, ...] = (StateRecord(state), *entries)
+        _write_generation(self._folder, self._generation + 1, mark, data, records)
+        self.close()
+        self._generation += 1
+        self._open_journal()
+        self._remove_old()
+
+    def _open(self) -> Recovered:
+        complete = _generations(self._folder, "journal")
+        if not complete:
+            raise StorageError(f"{self._folder}: no journal")
+        self._generation = complete[-1]
+        snapshot = self._read_snapshot()
+        journal = self._folder / f"journal-{self._generation}"
+        content = journal.read_bytes()
+        payloads, end = unpack_all(content, journal.name)
+        hard_state, log = _replay(payloads, snapshot.mark)
+        self._open_journal()
+        if end < len(content):
+            os.ftruncate(self._fd, end)
+            os.fsync(self._fd)
+        self._remove_old()
+        cut = len(content) - end
+        return Recovered(hard_state, snapshot.mark, snapshot.data, log, cut)
+
+    def _read_snapshot(self) -> SnapshotRecord:
+        path = self._folder / f"snapshot-{self._generation}"
+        try:
+            payload = _unpack(path.read_bytes(), 0)
+        except FileNotFoundError:
+            payload = None
+        if payload is None:
+            raise StorageDamagedError(f"{path.name}: missing or broken")
+        return decode(payload, SnapshotRecord)
+
+    def _open_journal(self) -> None:
+        path = self._folder / f"journal-{self._generation}"
+        self._fd = os.open(path, os.O_WRONLY | os.O_APPEND)
+
+    def _remove_old(self) -> None:
+        for prefix in ("journal", "snapshot"):
+            for number in _generations(self._folder, prefix):
+                if number != self._generation:
+                    (self._folder / f"{prefix}-{number}").unlink()
+        for leftover in self._folder.glob(f"*{TEMPORARY_SUFFIX}"):
+            leftover.unlink()
+
+
+def _replay(
+    payloads: list[bytes], mark: SnapshotMark
+) -> tuple[HardState, list[LogEntry]]:
+    hard_state = HardState()
+    log: list[LogEntry] = []
+    for payload in payloads:
+        match decode(payload, JournalRecord):  # type: ignore[arg-type]
+            case StateRecord(state=state):
+                hard_state = state
+            case EntryRecord(entry=entry):
+                position = entry.index - mark.index - 1
+                if not 0 <= position <= len(log):
+                    raise StorageDamagedError(f"entry {entry.index} leaves a gap")
+                del log[position:]
+                log.append(entry)
+    return hard_state, log
--- /dev/null
+++ b/src/leadseam/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process before callers: authentication, waiting requests, whole answers."""
--- /dev/null
+++ b/src/leadseam/entry/answers.py
@@ -0,0 +1,107 @@
+"""What callers read when there is no whole answer of an upstream."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
+
+if TYPE_CHECKING:
+    from leadseam.clock import Millis
+
+MILLIS_PER_SECOND = 1_000
+
+STATUS = {
+    Reason.NO_KEY: 401,
+    Reason.WRONG_KEY: 401,
+    Reason.MALFORMED_BODY: 400,
+    Reason.MALFORMED_HEADER: 400,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.MODEL_NOT_ALLOWED: 403,
+    Reason.UNKNOWN_SERVICE: 404,
+    Reason.ACCOUNT_QUEUE_FULL: 429,
+    Reason.MEMORY_FULL: 503,
+    Reason.DEADLINE_PASSED: 504,
+    Reason.NO_UPSTREAM: 503,
+    Reason.NO_CONFIGURATION: 503,
+    Reason.UPSTREAM_UNREACHABLE: 502,
+    Reason.UPSTREAM_BROKEN: 502,
+    Reason.RETRIES_EXHAUSTED: 502,
+    Reason.CLAIM_UNAVAILABLE: 503,
+    Reason.CLAIM_HELD: 409,
+    Reason.CLAIM_MISMATCH: 422,
+    Reason.LINK_LOST: 502,
+    Reason.STOPPING: 503,
+}
+
+MESSAGES = {
+    Reason.NO_KEY: "send a key as `Authorization: Bearer KEY`",
+    Reason.WRONG_KEY: "this key belongs to no client account",
+    Reason.MALFORMED_BODY: "the body must be a JSON object with a string `model`",
+    Reason.MALFORMED_HEADER: "a leadseam header has a value that cannot be used",
+    Reason.BODY_TOO_LARGE: "the body is larger than this entry accepts",
+    Reason.UNKNOWN_MODEL: "no such model or version",
+    Reason.MODEL_NOT_ALLOWED: "this client account may not use that",
+    Reason.UNKNOWN_SERVICE: "no such service",
+    Reason.ACCOUNT_QUEUE_FULL: "too many requests of this client account wait",
+    Reason.MEMORY_FULL: "too many requests wait at this entry",
+    Reason.DEADLINE_PASSED: "the deadline has passed",
+    Reason.NO_UPSTREAM: "no upstream can take this now",
+    Reason.NO_CONFIGURATION: "this entry has no confirmed configuration yet",
+    Reason.UPSTREAM_UNREACHABLE: "the upstream could not be reached",
+    Reason.UPSTREAM_BROKEN: "the upstream broke off its answer",
+    Reason.RETRIES_EXHAUSTED: "no further attempt was allowed",
+    Reason.CLAIM_UNAVAILABLE: "the Idempotency-Key could not be claimed",
+    Reason.CLAIM_HELD: "a request with this Idempotency-Key was already accepted",
+    Reason.CLAIM_MISMATCH: "this Idempotency-Key was used for another request",
+    Reason.LINK_LOST: "the connection towards the upstream was lost",
+    Reason.STOPPING: "this entry is stopping",
+}
+
+
+def outcome_name(outcome: Outcome) -> str:
+    """Return the stable name of an outcome."""
+    match outcome:
+        case Answered():
+            return "answered"
+        case NotRun():
+            return "not_run"
+        case Failed():
+            return "failed"
+        case Unknown():
+            return "unknown"
+
+
+def error_body(outcome: NotRun | Failed | Unknown) -> dict[str, object]:
+    """Return the JSON that describes an outcome, in the shape of OpenAI's errors."""
+    error: dict[str, object] = {
+        "message": MESSAGES[outcome.reason],
+        "type": "leadseam_error",
+        "code": outcome.reason.value,
+        "outcome": outcome_name(outcome),
+    }
+    if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+        error["retry_after_ms"] = outcome.retry_after
+    return {"error": error}
+
+
+def error_response(outcome: NotRun | Failed | Unknown) -> web.Response:
+    """Return the HTTP response for an outcome."""
+    headers = {"X-Leadseam-Outcome": outcome_name(outcome)}
+    if isinstance(outcome, NotRun) and outcome.retry_after is not None:
+        headers["Retry-After"] = str(_whole_seconds(outcome.retry_after))
+    status = STATUS[outcome.reason]
+    return web.json_response(error_body(outcome), status=status, headers=headers)
+
+
+def error_event(outcome: Failed | Unknown) -> bytes:
+    """Return the event that ends a broken event stream."""
+    return b"event: error\ndata: " + json.dumps(error_body(outcome)).encode() + b"\n\n"
+
+
+def _whole_seconds(millis: Millis) -> int:
+    return -(-millis // MILLIS_PER_SECOND)
--- /dev/null
+++ b/src/leadseam/entry/dispatcher.py
@@ -0,0 +1,171 @@
+"""The entry's waiting requests and the sidecars that take them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Clock, Millis, sleep
+from leadseam.control.configuration import Configuration
+from leadseam.entry.queue import QueueKey, WaitingQueue
+from leadseam.entry.request import Waiting
+from leadseam.entry.sidecars import SidecarLink
+from leadseam.fairness.merge import ServiceMerge
+from leadseam.outcome import NotRun, Reason
+from leadseam.runtime.tasks import spawn
+from leadseam.wire.messages import Hello
+
+if TYPE_CHECKING:
+    from leadseam.entry.request import CallerRequest
+    from leadseam.runtime.metrics import EntryMetrics
+    from leadseam.settings.models import EntryLimits
+
+REPORT_INTERVAL: Millis = 100
+NO_UPSTREAM_RETRY_AFTER: Millis = 2_000
+
+log = logging.getLogger(__name__)
+
+
+class Dispatcher:
+    """Holds what waits and hands it out as sidecars grant slots.
+
+    Args:
+        node: Name of this process.
+        incarnation: Its incarnation.
+        clock: Source of time.
+        limits: Limits of the entry.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        incarnation: int,
+        clock: Clock,
+        limits: EntryLimits,
+        metrics: EntryMetrics,
+    ) -> None:
+        self.queue = WaitingQueue(max_bytes=limits.waiting_bytes)
+        self.metrics = metrics
+        self.window = limits.window_bytes
+        self._node = node
+        self._incarnation = incarnation
+        self._clock = clock
+        self._configuration = Configuration()
+        self._merges: dict[str, ServiceMerge] = defaultdict(ServiceMerge)
+        self._links: dict[str, SidecarLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._last_seq = 0
+        self._last_attempt = 0
+
+    def __repr__(self) -> str:
+        return f"Dispatcher({self.queue!r}, sidecars={len(self._links)})"
+
+    async def run(self) -> None:
+        """Report merged service until cancelled."""
+        while True:
+            await sleep(REPORT_INTERVAL)
+            for link in self._links.values():
+                link.report_others()
+            self._show()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force: open and close links."""
+        self._configuration = configuration
+        for name, link in list(self._links.items()):
+            if configuration.upstreams.get(name) != link.upstream:
+                self._update_link(name, configuration)
+        for name, upstream in configuration.upstreams.items():
+            if name not in self._links:
+                link = SidecarLink(upstream, self)
+                self._links[name] = link
+                self._tasks[name] = spawn(link.run())
+
+    def submit(self, req: CallerRequest) -> Waiting | NotRun:
+        """Queue a request, or refuse it at once."""
+        if not any(link.usable for link in self._pool_links(req.pool)):
+            return NotRun(Reason.NO_UPSTREAM, NO_UPSTREAM_RETRY_AFTER)
+        self._last_seq += 1
+        item = Waiting(req, self._last_seq)
+        account = self._configuration.accounts.get(req.account)
+        max_waiting = account.max_waiting if account is not None else 1
+        now = self._clock.now()
+        refusal = self.queue.offer(item, max_waiting=max_waiting, now=now)
+        if refusal is not None:
+            return refusal
+        self._touch(req, rises=True)
+        return item
+
+    def requeue(self, item: Waiting) -> None:
+        """Queue a request again for another attempt."""
+        if self._usable(item.req.pool) <= item.avoid:
+            item.avoid.clear()
+        self.queue.put_back(item)
+        self._touch(item.req, rises=True)
+
+    def withdraw(self, item: Waiting) -> None:
+        """Take a request out of the queue, if it still waits."""
+        if item.queued:
+            self.queue.remove(item)
+            self._touch(item.req, rises=False)
+
+    def take(self, key: QueueKey, link: SidecarLink) -> Waiting | None:
+        """Take the next request for a granted slot."""
+        item = self.queue.take(key, upstream=link.upstream.name, now=self.now())
+        if item is not None:
+            self._touch(item.req, rises=False)
+        return item
+
+    def next_attempt(self) -> int:
+        """Return a number for a new attempt, from 1."""
+        self._last_attempt += 1
+        return self._last_attempt
+
+    def hello(self) -> Hello:
+        """Return the first message of a link."""
+        return Hello(self._node, self._incarnation, self._configuration.version)
+
+    def merge(self, pool: str) -> ServiceMerge:
+        """Return the service counters of a pool."""
+        return self._merges[pool]
+
+    def now(self) -> Millis:
+        """Return the time."""
+        return self._clock.now()
+
+    def note_health(self) -> None:
+        """Requests whose only alternatives vanished may use any upstream again."""
+        for pool in {link.upstream.pool for link in self._links.values()}:
+            self.queue.forget_avoided(pool, self._usable(pool))
+
+    def traffic(self) -> tuple[int, int]:
+        """Return bytes sent and received on all links to sidecars so far."""
+        counts = [link.traffic() for link in self._links.values()]
+        return sum(sent for sent, _ in counts), sum(got for _, got in counts)
+
+    def _show(self) -> None:
+        self.metrics.waiting.set({}, len(self.queue))
+        for name, link in self._links.items():
+            self.metrics.usable.set({"upstream": name}, int(link.usable))
+
+    def _usable(self, pool: str) -> set[str]:
+        return {link.upstream.name for link in self._pool_links(pool) if link.usable}
+
+    def _pool_links(self, pool: str) -> list[SidecarLink]:
+        return [link for link in self._links.values() if link.upstream.pool == pool]
+
+    def _update_link(self, name: str, configuration: Configuration) -> None:
+        link = self._links[name]
+        row = configuration.upstreams.get(name)
+        if row is not None and link.same_address(row):
+            link.upstream = row
+            return
+        del self._links[name]
+        self._tasks.pop(name).cancel()
+
+    def _touch(self, req: CallerRequest, *, rises: bool) -> None:
+        for link in self._pool_links(req.pool):
+            link.touch(req.account, rises=rises)
--- /dev/null
+++ b/src/leadseam/entry/intake.py
@@ -0,0 +1,218 @@
+"""From an HTTP request to a checked and routed one. No I/O."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from leadseam.control.configuration import Account, Configuration, PoolKind
+from leadseam.entry.request import CallerRequest, Priority
+from leadseam.outcome import NotRun, Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from leadseam.clock import Millis
+    from leadseam.control.configuration import Pool
+
+AUTHORIZATION = "Authorization"
+BEARER = "Bearer "
+DEADLINE_HEADER = "X-Leadseam-Deadline-Ms"
+CLASS_HEADER = "X-Leadseam-Class"
+REPEATABLE_HEADER = "X-Leadseam-Repeatable"
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_LENGTH = 255
+MAX_DEADLINE: Millis = 24 * 3_600 * 1_000
+VERSION_MARK = ":"
+
+_DROPPED_HEADERS = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        DEADLINE_HEADER.lower(),
+        CLASS_HEADER.lower(),
+        REPEATABLE_HEADER.lower(),
+    }
+)
+_CLASSES = {
+    "interactive": Priority.INTERACTIVE,
+    "normal": Priority.NORMAL,
+    "bulk": Priority.BULK,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may wait.
+
+    Args:
+        req: The request.
+        key: The caller's Idempotency-Key, empty if there is none.
+        digest: Hash of what the key stands for.
+    """
+
+    req: CallerRequest
+    key: str
+    digest: int
+
+
+def authenticate(
+    configuration: Configuration, headers: Mapping[str, str]
+) -> Account | NotRun:
+    """Find the account of a bearer key."""
+    header = headers.get(AUTHORIZATION, "")
+    if not header.startswith(BEARER):
+        return NotRun(Reason.NO_KEY)
+    digest = hashlib.sha256(header.removeprefix(BEARER).encode()).hexdigest()
+    for account in configuration.accounts.values():
+        if digest in account.key_hashes:
+            return account
+    return NotRun(Reason.WRONG_KEY)
+
+
+def route_model(
+    configuration: Configuration, account: Account, body: bytes
+) -> Pool | NotRun:
+    """Choose the pool for an OpenAI-style body.
+
+    The body's `model` is `NAME` or `NAME:VERSION`; without a version, the allowed pool
+    of the highest version is chosen.
+    """
+    model = _model_of(body)
+    if model is None:
+        return NotRun(Reason.MALFORMED_BODY)
+    name, _, version = model.partition(VERSION_MARK)
+    pools = [
+        pool
+        for pool in configuration.pools.values()
+        if pool.kind is PoolKind.ENGINE
+        and pool.model == name
+        and version in ("", pool.version)
+    ]
+    if not pools:
+        return NotRun(Reason.UNKNOWN_MODEL)
+    allowed = [pool for pool in pools if may_use(account, pool)]
+    if not allowed:
+        return NotRun(Reason.MODEL_NOT_ALLOWED)
+    return max(allowed, key=lambda pool: pool.version)
+
+
+def route_service(
+    configuration: Configuration, account: Account, name: str
+) -> Pool | NotRun:
+    """Choose the pool for a plain service."""
+    pool = configuration.pools.get(name)
+    if pool is None or pool.kind is not PoolKind.SERVICE:
+        return NotRun(Reason.UNKNOWN_SERVICE)
+    if name not in account.services:
+        return NotRun(Reason.MODEL_NOT_ALLOWED)
+    return pool
+
+
+def may_use(account: Account, pool: Pool) -> bool:
+    """Tell whether an account may use an engine pool."""
+    return any(
+        grant.model == pool.model
+        and (not grant.versions or pool.version in grant.versions)
+        for grant in account.models
+    )
+
+
+def admit(
+    configuration: Configuration,
+    account: Account,
+    pool: Pool,
+    *,
+    method: str,
+    path: str,
+    headers: Mapping[str, str],
+    body: bytes,
+    now: Millis,
+    default_deadline: Millis,
+) -> Admitted | NotRun:
+    """Check the headers of a routed request and build it.
+
+    Args:
+        configuration: The configuration in force.
+        account: Account that pays.
+        pool: Pool that serves it.
+        method: HTTP method.
+        path: Path and query towards the upstream.
+        headers: The caller's headers.
+        body: The caller's body.
+        now: Current time.
+        default_deadline: Milliseconds for callers that name none.
+    """
+    deadline = _deadline(headers, default_deadline)
+    priority = _CLASSES.get(headers.get(CLASS_HEADER, "normal").lower())
+    marked = headers.get(REPEATABLE_HEADER, "yes").lower()
+    key = headers.get(KEY_HEADER, "")
+    if (
+        deadline is None
+        or priority is None
+        or marked not in ("yes", "no")
+        or len(key) > MAX_KEY_LENGTH
+    ):
+        return NotRun(Reason.MALFORMED_HEADER)
+    ruled = configuration.must_not_repeat(account.name, pool.name, path)
+    req = CallerRequest(
+        account=account.name,
+        pool=pool.name,
+        method=method,
+        path=path,
+        headers=_end_to_end(headers),
+        body=body,
+        priority=priority,
+        deadline=now + deadline,
+        repeatable=marked == "yes" and not ruled,
+        arrived=now,
+    )
+    return Admitted(req, key, _digest(pool.name, method, path, body))
+
+
+def _model_of(body: bytes) -> str | None:
+    try:
+        parsed = json.loads(body)
+    except ValueError:
+        return None
+    model = parsed.get("model") if isinstance(parsed, dict) else None
+    return model if isinstance(model, str) and model else None
+
+
+def _deadline(headers: Mapping[str, str], default: Millis) -> Millis | None:
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > len(str(MAX_DEADLINE)):
+        return None
+    return min(int(text), MAX_DEADLINE)
+
+
+def _end_to_end(headers: Mapping[str, str]) -> tuple[tuple[str, str], ...]:
+    items = headers.items()
+    return tuple(
+        (str(name), str(value))
+        for name, value in items
+        if name.lower() not in _DROPPED_HEADERS
+    )
+
+
+def _digest(pool: str, method: str, path: str, body: bytes) -> int:
+    hasher = xxhash.xxh3_64()
+    for part in (pool.encode(), method.encode(), path.encode(), body):
+        hasher.update(len(part).to_bytes(8, "big"))
+        hasher.update(part)
+    return hasher.intdigest()
--- /dev/null
+++ b/src/leadseam/entry/program.py
@@ -0,0 +1,98 @@
+"""The entry program: callers' interface, links to sidecars, feed, admin routes."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from leadseam.clock import Clock, Millis, SystemClock, sleep
+from leadseam.entry.dispatcher import Dispatcher
+from leadseam.entry.http import Frontend
+from leadseam.feed.client import FeedClient
+from leadseam.runtime.admin import admin_routes, serve_http
+from leadseam.runtime.metrics import EntryMetrics, Metrics
+
+if TYPE_CHECKING:
+    from leadseam.settings.models import EntrySettings
+
+INCARNATION_BITS = 53
+DRAIN_POLL: Millis = 50
+
+
+class EntryProgram:
+    """One entry and everything it serves.
+
+    Args:
+        settings: Its settings.
+        clock: Source of time. Defaults to the machine's.
+    """
+
+    def __init__(self, settings: EntrySettings, *, clock: Clock | None = None) -> None:
+        clock = clock or SystemClock()
+        incarnation = secrets.randbits(INCARNATION_BITS)
+        node = settings.identity.node
+        self._settings = settings
+        self._metrics = Metrics()
+        metrics = EntryMetrics(self._metrics)
+        self.dispatcher = Dispatcher(
+            node=node,
+            incarnation=incarnation,
+            clock=clock,
+            limits=settings.limits,
+            metrics=metrics,
+        )
+        self._feed = FeedClient(
+            node=node,
+            incarnation=incarnation,
+            endpoints=settings.control,
+            clock=clock,
+            on_change=self.dispatcher.configure,
+        )
+        self._frontend = Frontend(
+            dispatcher=self.dispatcher,
+            feed=self._feed,
+            limits=settings.limits,
+            metrics=metrics,
+            clock=clock,
+        )
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Bind the socket."""
+        app = web.Application(client_max_size=self._settings.limits.body_bytes)
+        app.add_routes(self._frontend.routes())
+        app.add_routes(admin_routes(self._metrics, self._readiness))
+        app.on_response_prepare.append(self._frontend.on_prepare)
+        listen = self._settings.listen
+        self._runner = await serve_http(listen.ip, listen.port, app)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.dispatcher.run())
+            group.create_task(self._feed.run())
+
+    async def drain(self) -> None:
+        """Fail the readiness check, then wait for the last response."""
+        self._frontend.stopping = True
+        await sleep(self._settings.drain_delay)
+        assert self._runner is not None
+        for site in list(self._runner.sites):
+            await site.stop()
+        while self._frontend.in_flight:
+            await sleep(DRAIN_POLL)
+
+    async def stop(self) -> None:
+        """Release the socket."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def _readiness(self) -> str:
+        if self._frontend.stopping:
+            return "stopping"
+        if not self._feed.confirmed:
+            return "no confirmed configuration"
+        return ""
--- /dev/null
+++ b/src/leadseam/entry/queue.py
@@ -0,0 +1,154 @@
+"""Waiting requests of an entry, with their limits. No I/O."""
+
+from __future__ import annotations
+
+import bisect
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, NamedTuple
+
+from leadseam.outcome import NotRun, Reason
+
+if TYPE_CHECKING:
+    from leadseam.clock import Millis
+    from leadseam.entry.request import Waiting
+
+MIN_RETRY_AFTER: Millis = 1_000
+MAX_RETRY_AFTER: Millis = 60_000
+RATE_WINDOW: Millis = 10_000
+
+
+class QueueKey(NamedTuple):
+    """A queue: requests of one account for one pool."""
+
+    pool: str
+    account: str
+
+
+@dataclass(slots=True)
+class _DrainRate:
+    """How fast a queue empties, as a decaying count."""
+
+    taken: float = 0.0
+    at: Millis = 0
+
+    def note(self, now: Millis) -> None:
+        self.taken = self._decayed(now) + 1
+        self.at = now
+
+    def millis_for(self, count: int, now: Millis) -> Millis:
+        """Estimate how long `count` requests take."""
+        taken = self._decayed(now)
+        if taken < 1:
+            return MAX_RETRY_AFTER
+        return round(count * RATE_WINDOW / taken)
+
+    def _decayed(self, now: Millis) -> float:
+        left = max(0.0, 1 - (now - self.at) / RATE_WINDOW)
+        return self.taken * left
+
+
+class WaitingQueue:
+    """All waiting requests, ordered within each account and pool.
+
+    Args:
+        max_bytes: Limit of the bodies held together.
+    """
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._bytes = 0
+        self._queues: dict[QueueKey, list[Waiting]] = defaultdict(list)
+        self._rates: dict[QueueKey, _DrainRate] = defaultdict(_DrainRate)
+
+    def __repr__(self) -> str:
+        return f"WaitingQueue({len(self)} requests, {self._bytes} bytes)"
+
+    def __len__(self) -> int:
+        return sum(map(len, self._queues.values()))
+
+    def offer(self, item: Waiting, *, max_waiting: int, now: Millis) -> NotRun | None:
+        """Add a request, or refuse it at once.
+
+        Args:
+            item: The request.
+            max_waiting: Requests that the account may have waiting here.
+            now: Current time.
+
+        Returns:
+            None if it waits now, else the refusal.
+        """
+        key = QueueKey(item.req.pool, item.req.account)
+        waiting = self.account_waiting(key.account)
+        if waiting >= max_waiting:
+            return NotRun(Reason.ACCOUNT_QUEUE_FULL, self._retry_after(key, now))
+        if self._bytes + item.size > self._max_bytes:
+            return NotRun(Reason.MEMORY_FULL, self._retry_after(key, now))
+        self.put_back(item)
+        return None
+
+    def put_back(self, item: Waiting) -> None:
+        """Add a request without regard to limits, as for a retry."""
+        key = QueueKey(item.req.pool, item.req.account)
+        bisect.insort(self._queues[key], item, key=lambda other: other.order)
+        self._bytes += item.size
+        item.queued = True
+
+    def take(self, key: QueueKey, *, upstream: str, now: Millis) -> Waiting | None:
+        """Take the first request that may go to an upstream."""
+        queue = self._queues.get(key)
+        if not queue:
+            return None
+        fitting = (item for item in queue if upstream not in item.avoid)
+        item = next(fitting, None)
+        if item is None:
+            return None
+        self.remove(item)
+        self._rates[key].note(now)
+        return item
+
+    def remove(self, item: Waiting) -> None:
+        """Remove a request that waits."""
+        key = QueueKey(item.req.pool, item.req.account)
+        queue = self._queues[key]
+        position = bisect.bisect_left(queue, item.order, key=lambda other: other.order)
+        assert queue[position] is item
+        del queue[position]
+        self._bytes -= item.size
+        item.queued = False
+        if not queue:
+            del self._queues[key]
+
+    def count(self, key: QueueKey) -> int:
+        """Return the number of waiting requests of a queue."""
+        return len(self._queues.get(key, ()))
+
+    def count_for(self, key: QueueKey, upstream: str) -> int:
+        """Return how many of them may go to an upstream."""
+        queue = self._queues.get(key, ())
+        return sum(upstream not in item.avoid for item in queue)
+
+    def forget_avoided(self, pool: str, usable: set[str]) -> None:
+        """Let requests that avoid every usable upstream go anywhere."""
+        for key in self.keys(pool):
+            for item in self._queues[key]:
+                if item.avoid and usable <= item.avoid:
+                    item.avoid.clear()
+
+    def account_waiting(self, account: str) -> int:
+        """Return the number of waiting requests of an account over all pools."""
+        return sum(
+            len(queue) for key, queue in self._queues.items() if key.account == account
+        )
+
+    def oldest(self, key: QueueKey) -> Millis:
+        """Return when the oldest request of a non-empty queue arrived."""
+        return min(item.req.arrived for item in self._queues[key])
+
+    def keys(self, pool: str) -> list[QueueKey]:
+        """List the non-empty queues of a pool."""
+        return [key for key in self._queues if key.pool == pool]
+
+    def _retry_after(self, key: QueueKey, now: Millis) -> Millis:
+        estimate = self._rates[key].millis_for(self.count(key), now)
+        return min(max(estimate, MIN_RETRY_AFTER), MAX_RETRY_AFTER)
--- /dev/null
+++ b/src/leadseam/entry/relay.py
@@ -0,0 +1,251 @@
+"""One request's way: attempts until it is answered, refused or given up."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from leadseam.clock import Clock, Millis, seconds
+from leadseam.entry.answers import error_event
+from leadseam.entry.request import (
+    CallerRequest,
+    Dispatched,
+    LinkLost,
+    NeverStarted,
+    Waiting,
+)
+from leadseam.entry.retry import (
+    Deliver,
+    Ending,
+    Finish,
+    Retry,
+    RetryBudget,
+    decide,
+    exhausted,
+)
+from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
+from leadseam.wire.messages import Accepted, Chunk, Final, Head, Refused
+
+if TYPE_CHECKING:
+    from leadseam.entry.dispatcher import Dispatcher
+    from leadseam.entry.request import AttemptEvent
+    from leadseam.runtime.metrics import EntryMetrics
+    from leadseam.settings.models import EntryLimits
+
+EVENT_STREAM = "text/event-stream"
+MAX_KEPT_BODY = 4_096
+DEADLINE_GRACE: Millis = 50
+
+
+class CallerGoneError(ConnectionError):
+    """The caller closed its connection."""
+
+
+class Relay:
+    """Carries one request and writes its response.
+
+    Args:
+        http: The caller's HTTP request.
+        req: What it asks for.
+        dispatcher: Owner of the queue.
+        budget: Retry budget of the entry.
+        limits: Limits of the entry.
+        metrics: Counters.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        http: web.Request,
+        req: CallerRequest,
+        *,
+        dispatcher: Dispatcher,
+        budget: RetryBudget,
+        limits: EntryLimits,
+        metrics: EntryMetrics,
+        clock: Clock,
+    ) -> None:
+        self.response: web.StreamResponse | None = None
+        self.kept = bytearray()
+        self.content_type = ""
+        self._http = http
+        self._req = req
+        self._dispatcher = dispatcher
+        self._budget = budget
+        self._limits = limits
+        self._metrics = metrics
+        self._clock = clock
+        self._item: Waiting | None = None
+        self._dispatched: Dispatched | None = None
+        self._accepted = False
+        self._attempts = 0
+        self._last_sidecar = ""
+
+    async def run(self) -> Outcome:
+        """Carry the request to its outcome.
+
+        A response has been written in full only if the outcome is `Answered`.
+        """
+        admitted = self._dispatcher.submit(self._req)
+        if isinstance(admitted, NotRun):
+            return admitted
+        self._item = admitted
+        try:
+            return await self._attempt_until_done(admitted)
+        finally:
+            self._dispatcher.withdraw(admitted)
+            self._drop_attempt()
+
+    async def _attempt_until_done(self, item: Waiting) -> Outcome:
+        while True:
+            if not await self._wait_for_grant(item):
+                return NotRun(Reason.DEADLINE_PASSED)
+            ending = await self._first_sign(item)
+            decision = decide(self._req, ending, accepted=self._accepted)
+            match decision:
+                case Deliver():
+                    return await self._deliver(item, ending)
+                case Finish(outcome=outcome):
+                    self._budget.failed()
+                    return outcome
+                case Retry():
+                    if not self._may_retry(decision):
+                        return exhausted(self._req, ending)
+                    self._prepare_retry(item, decision)
+
+    async def _wait_for_grant(self, item: Waiting) -> bool:
+        self._accepted = False
+        left = self._req.deadline - self._clock.now()
+        try:
+            async with asyncio.timeout(seconds(left)):
+                event = await item.events.get()
+        except TimeoutError:
+            self._dispatcher.withdraw(item)
+            if item.events.empty():
+                return False
+            event = item.events.get_nowait()
+        assert isinstance(event, Dispatched)
+        self._dispatched = event
+        self._last_sidecar = event.link.upstream.name
+        self._attempts += 1
+        return True
+
+    async def _first_sign(self, item: Waiting) -> Ending:
+        """Wait until the attempt has a head, or has ended without one."""
+        while True:
+            event = await self._next_event(item)
+            match event:
+                case Accepted():
+                    self._accepted = True
+                case Refused() | LinkLost() | NeverStarted() | Final():
+                    self._dispatched = None
+                    return event
+                case Head():
+                    return event
+                case _:
+                    raise AssertionError(f"unexpected {event!r}")
+
+    async def _next_event(self, item: Waiting) -> AttemptEvent:
+        """Return the next event; a deadline counts as a lost answer."""
+        left = self._req.deadline - self._clock.now()
+        try:
+            async with asyncio.timeout(seconds(max(left, 0) + DEADLINE_GRACE)):
+                return await item.events.get()
+        except TimeoutError:
+            self._drop_attempt()
+            return Final(0, 0, 0, Reason.DEADLINE_PASSED, True)
+
+    # Retries
+
+    def _may_retry(self, retry: Retry) -> bool:
+        if not retry.costs:
+            return self._clock.now() < self._req.deadline
+        self._budget.failed()
+        allowed = (
+            self._attempts < self._limits.max_attempts
+            and self._budget.allows()
+            and self._clock.now() < self._req.deadline
+        )
+        if not allowed:
+            self._metrics.retries_denied.inc({"reason": retry.reason})
+        return allowed
+
+    def _prepare_retry(self, item: Waiting, retry: Retry) -> None:
+        self._metrics.retries.inc({"reason": retry.reason})
+        if retry.avoid and self._last_sidecar:
+            item.avoid.add(self._last_sidecar)
+        self._drop_attempt()
+        item.events = asyncio.Queue()
+        self._dispatcher.requeue(item)
+
+    def _drop_attempt(self) -> None:
+        if self._dispatched is not None:
+            self._dispatched.link.cancel(self._dispatched.attempt)
+            self._dispatched = None
+
+    # The response
+
+    async def _deliver(self, item: Waiting, ending: Ending) -> Outcome:
+        assert isinstance(ending, Head)
+        response = web.StreamResponse(status=ending.status)
+        for name, value in ending.headers:
+            response.headers.add(name, value)
+        self.response = response
+        self.content_type = response.headers.get("Content-Type", "")
+        try:
+            return await self._stream(item, response)
+        except (ConnectionError, RuntimeError) as exc:
+            raise CallerGoneError from exc
+
+    async def _stream(self, item: Waiting, response: web.StreamResponse) -> Outcome:
+        await response.prepare(self._http)
+        chunks = 0
+        size = 0
+        while True:
+            event = await self._next_event(item)
+            match event:
+                case Chunk(seq=seq, data=data) if seq == chunks:
+                    await response.write(data)
+                    self._keep(data)
+                    self._credit(len(data))
+                    chunks += 1
+                    size += len(data)
+                case Final(error="") if (event.chunks, event.size) == (chunks, size):
+                    self._dispatched = None
+                    await response.write_eof()
+                    self._budget.succeeded()
+                    return Answered(response.status)
+                case _:
+                    return await self._break_off(response, event)
+
+    async def _break_off(
+        self, response: web.StreamResponse, event: AttemptEvent
+    ) -> Outcome:
+        """End a response so that no caller can take it for a whole one."""
+        self._budget.failed()
+        reason = Reason.UPSTREAM_BROKEN
+        match event:
+            case Final(error=error) if error:
+                reason = Reason(error)
+            case LinkLost():
+                reason = Reason.LINK_LOST
+            case _:
+                pass
+        outcome = Failed(reason) if self._req.repeatable else Unknown(reason)
+        if self.content_type.startswith(EVENT_STREAM):
+            with contextlib.suppress(ConnectionError):
+                await response.write(error_event(outcome))
+        if self._http.transport is not None:
+            self._http.transport.abort()
+        return outcome
+
+    def _keep(self, data: bytes) -> None:
+        if len(self.kept) <= MAX_KEPT_BODY:
+            self.kept += data
+
+    def _credit(self, size: int) -> None:
+        if self._dispatched is not None:
+            self._dispatched.link.credit(self._dispatched.attempt, size)
--- /dev/null
+++ b/src/leadseam/entry/retry.py
@@ -0,0 +1,131 @@
+"""Whether an attempt is repeated, and what the caller is told if not. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from leadseam.entry.request import LinkLost, NeverStarted
+from leadseam.outcome import Failed, NotRun, Outcome, Reason, Unknown
+from leadseam.wire.messages import Final, Head, Refused
+
+if TYPE_CHECKING:
+    from leadseam.entry.request import CallerRequest
+
+RETRY_STATUSES = frozenset({502, 503, 504})
+RETRY_AFTER_BROKEN = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Retry:
+    """Try again.
+
+    Args:
+        reason: Why, for the counter.
+        avoid: Whether to avoid the same upstream.
+        costs: Whether it uses up the retry budget.
+    """
+
+    reason: str
+    avoid: bool
+    costs: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Pass the upstream's own answer on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Tell the caller how it ended."""
+
+    outcome: Outcome
+
+
+Decision: TypeAlias = Retry | Deliver | Finish
+Ending: TypeAlias = Refused | LinkLost | NeverStarted | Final | Head
+
+
+def decide(req: CallerRequest, ending: Ending, *, accepted: bool) -> Decision:
+    """Decide after an attempt that has given the caller no byte.
+
+    Args:
+        req: The request.
+        ending: How the attempt ended; a `Head` stands for its status.
+        accepted: Whether the sidecar had said that it starts the attempt.
+
+    Returns:
+        A retry where that is safe, subject to budget and limit of attempts.
+    """
+    match ending:
+        case Refused(reason=reason):
+            return Retry(reason, avoid=False, costs=False)
+        case NeverStarted():
+            return Retry("link_lost", avoid=True, costs=False)
+        case Final(started=False, error=error):
+            return Retry(error, avoid=True, costs=True)
+        case LinkLost():
+            return _ran(req, Reason.LINK_LOST, Unknown(Reason.LINK_LOST))
+        case Final(error=Reason.DEADLINE_PASSED):
+            outcome: Outcome = Failed(Reason.DEADLINE_PASSED)
+            return Finish(
+                outcome if req.repeatable else Unknown(Reason.DEADLINE_PASSED)
+            )
+        case Final(error=error) if error:
+            reason = Reason(error)
+            outcome = Failed(reason) if req.repeatable else Unknown(reason)
+            return _ran(req, reason, outcome)
+        case Head(status=status) if status in RETRY_STATUSES and req.repeatable:
+            return Retry(f"status_{status}", avoid=True, costs=True)
+        case _:
+            return Deliver()
+
+
+def _ran(req: CallerRequest, reason: Reason, outcome: Outcome) -> Decision:
+    if req.repeatable:
+        return Retry(reason.value, avoid=True, costs=True)
+    return Finish(outcome)
+
+
+def exhausted(req: CallerRequest, ending: Ending) -> Outcome:
+    """Return the outcome when a retry is wanted but not allowed."""
+    match ending:
+        case Refused() | NeverStarted() | Final(started=False):
+            return NotRun(Reason.RETRIES_EXHAUSTED, RETRY_AFTER_BROKEN)
+        case _ if req.repeatable:
+            return Failed(Reason.RETRIES_EXHAUSTED)
+        case _:
+            return Unknown(Reason.RETRIES_EXHAUSTED)
+
+
+class RetryBudget:
+    """Token bucket that bounds retries to a part of the requests.
+
+    A success adds `ratio` tokens and a failure takes one; a retry is allowed while
+    more than half of the bucket is left (Related paper: tRPC-Go slime, "Throttle").
+
+    Args:
+        size: Tokens of a full bucket.
+        ratio: Tokens that a success adds.
+    """
+
+    def __init__(self, *, size: float = 20, ratio: float = 0.1) -> None:
+        self._size = size
+        self._ratio = ratio
+        self._tokens = size
+
+    def __repr__(self) -> str:
+        return f"RetryBudget({self._tokens:.1f}/{self._size})"
+
+    def allows(self) -> bool:
+        """Tell whether a retry may be made now."""
+        return self._tokens > self._size / 2
+
+    def succeeded(self) -> None:
+        """Note an attempt that ended well."""
+        self._tokens = min(self._tokens + self._ratio, self._size)
+
+    def failed(self) -> None:
+        """Note an attempt that failed."""
+        self._tokens = max(self._tokens - 1, 0)
--- /dev/null
+++ b/src/leadseam/entry/sidecars.py
@@ -0,0 +1,293 @@
+"""The entry's links to sidecars: backlog out, grants in, attempts in flight."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Millis, sleep
+from leadseam.entry.queue import QueueKey
+from leadseam.entry.request import Dispatched, LinkLost, NeverStarted, Waiting
+from leadseam.runtime.tasks import spawn
+from leadseam.wire.link import LINK_ERRORS, dial
+from leadseam.wire.messages import (
+    Accepted,
+    Backlog,
+    BacklogRow,
+    Cancel,
+    Chunk,
+    Credit,
+    Decline,
+    Dispatch,
+    Final,
+    Free,
+    Grant,
+    Head,
+    Hello,
+    Leaving,
+    OthersService,
+    Query,
+    Refused,
+    Service,
+    Testimony,
+)
+
+if TYPE_CHECKING:
+    from leadseam.control.configuration import Upstream
+    from leadseam.entry.dispatcher import Dispatcher
+    from leadseam.wire.link import Link
+    from leadseam.wire.messages import AnyMessage
+
+REDIAL_DELAY: Millis = 200
+QUERY_LIMIT: Millis = 2_500
+FALL_INTERVAL: Millis = 50
+RISE_INTERVAL: Millis = 2
+
+
+class SidecarLink:
+    """One sidecar as seen by an entry.
+
+    Args:
+        upstream: Its row in the configuration.
+        dispatcher: Owner of the queue.
+    """
+
+    def __init__(self, upstream: Upstream, dispatcher: Dispatcher) -> None:
+        self.upstream = upstream
+        self.healthy = False
+        self.leaving = False
+        self._dispatcher = dispatcher
+        self._link: Link | None = None
+        self._incarnation = 0
+        self._attempts: dict[int, tuple[Waiting, bool]] = {}
+        self._lost: dict[int, tuple[Waiting, int]] = {}
+        self._announced: dict[str, int] = {}
+        self._dirty: set[str] = set()
+        self._flush_task: asyncio.Task[None] | None = None
+        self._flush_soon = asyncio.Event()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def __repr__(self) -> str:
+        return f"SidecarLink({self.upstream.name}, healthy={self.healthy})"
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may come to run there."""
+        return self._link is not None and self.healthy and not self.leaving
+
+    def same_address(self, row: Upstream) -> bool:
+        """Tell whether a changed row leads to the same sidecar and pool."""
+        old = self.upstream
+        return (old.sidecar_ip, old.sidecar_port, old.pool) == (
+            row.sidecar_ip,
+            row.sidecar_port,
+            row.pool,
+        )
+
+    def traffic(self) -> tuple[int, int]:
+        """Return bytes sent and received on this link so far."""
+        sent, received = self.bytes_sent, self.bytes_received
+        if self._link is not None:
+            sent += self._link.bytes_sent
+            received += self._link.bytes_received
+        return sent, received
+
+    async def run(self) -> None:
+        """Keep the link up until cancelled."""
+        while True:
+            with contextlib.suppress(*LINK_ERRORS):
+                await self._connect()
+            await sleep(REDIAL_DELAY)
+
+    def touch(self, account: str, *, rises: bool) -> None:
+        """Note that an account's backlog changed."""
+        self._dirty.add(account)
+        if rises:
+            self._flush_soon.set()
+
+    def report_others(self) -> None:
+        """Tell the sidecar what others gave the accounts that wait here."""
+        if self._link is None:
+            return
+        keys = self._dispatcher.queue.keys(self.upstream.pool)
+        accounts = [key.account for key in keys]
+        merge = self._dispatcher.merge(self.upstream.pool)
+        rows = merge.report(self.upstream.name, accounts)
+        if rows:
+            self._link.send(OthersService(rows))
+
+    def credit(self, attempt: int, size: int) -> None:
+        """Let the sidecar send more of an attempt."""
+        if self._link is not None:
+            self._link.send(Credit(attempt, size))
+
+    def cancel(self, attempt: int) -> None:
+        """Stop caring for an attempt."""
+        self._attempts.pop(attempt, None)
+        self._lost.pop(attempt, None)
+        if self._link is not None:
+            self._link.send(Cancel(attempt))
+
+    async def _connect(self) -> None:
+        row = self.upstream
+        async with dial(row.sidecar_ip, row.sidecar_port) as link:
+            link.send(self._dispatcher.hello())
+            messages = link.messages()
+            hello = await anext(messages, None)
+            if not isinstance(hello, Hello):
+                return
+            self._open(link, hello)
+            try:
+                async for message in messages:
+                    self._handle(message)
+            finally:
+                self._close(link)
+
+    def _open(self, link: Link, hello: Hello) -> None:
+        if hello.incarnation != self._incarnation:
+            self.leaving = False
+        self._incarnation = hello.incarnation
+        self._dispatcher.merge(self.upstream.pool).connect(
+            self.upstream.name, hello.incarnation
+        )
+        self._link = link
+        self._announced = {}
+        for key in self._dispatcher.queue.keys(self.upstream.pool):
+            self._dirty.add(key.account)
+        self._flush_soon.set()
+        self._flush_task = spawn(self._flush_loop(link))
+        self._ask_about_lost(link)
+
+    def _close(self, link: Link) -> None:
+        self.bytes_sent += link.bytes_sent
+        self.bytes_received += link.bytes_received
+        self._link = None
+        self.healthy = False
+        if self._flush_task is not None:
+            self._flush_task.cancel()
+        attempts, self._attempts = self._attempts, {}
+        for attempt, (item, accepted) in attempts.items():
+            self._lose(attempt, item, accepted)
+
+    # Attempts whose link broke
+
+    def _lose(self, attempt: int, item: Waiting, accepted: bool) -> None:
+        if accepted or item.req.repeatable:
+            item.events.put_nowait(LinkLost())
+            return
+        self._lost[attempt] = (item, self._incarnation)
+        spawn(self._give_up_later(attempt))
+
+    def _ask_about_lost(self, link: Link) -> None:
+        for attempt, (_, incarnation) in list(self._lost.items()):
+            if incarnation == self._incarnation:
+                link.send(Query(attempt))
+            else:
+                self._end_lost(attempt, started=True)
+
+    async def _give_up_later(self, attempt: int) -> None:
+        await sleep(QUERY_LIMIT)
+        self._end_lost(attempt, started=True)
+
+    def _end_lost(self, attempt: int, *, started: bool) -> None:
+        item, _ = self._lost.pop(attempt, (None, 0))
+        if item is not None:
+            item.events.put_nowait(LinkLost() if started else NeverStarted())
+
+    # Messages
+
+    def _handle(self, message: AnyMessage) -> None:
+        match message:
+            case Chunk() | Head():
+                self._pass_on(message.attempt, message)
+            case Accepted(attempt=attempt):
+                self._accept(attempt, message)
+            case Final() | Refused():
+                self._pass_on(message.attempt, message)
+                self._attempts.pop(message.attempt, None)
+            case Grant():
+                self._on_grant(message)
+            case Free(healthy=healthy):
+                self.healthy = healthy
+                self._dispatcher.note_health()
+            case Service(rows=rows):
+                merge = self._dispatcher.merge(self.upstream.pool)
+                merge.update(self.upstream.name, rows)
+            case Leaving():
+                self.leaving = True
+                self._dispatcher.note_health()
+            case Testimony(attempt=attempt, started=started):
+                self._end_lost(attempt, started=started)
+            case _:
+                return
+
+    def _accept(self, attempt: int, message: Accepted) -> None:
+        if attempt in self._attempts:
+            item, _ = self._attempts[attempt]
+            self._attempts[attempt] = (item, True)
+            item.events.put_nowait(message)
+
+    def _pass_on(self, attempt: int, message: Chunk | Head | Final | Refused) -> None:
+        if attempt in self._attempts:
+            item, _ = self._attempts[attempt]
+            item.events.put_nowait(message)
+
+    def _on_grant(self, grant: Grant) -> None:
+        assert self._link is not None
+        key = QueueKey(self.upstream.pool, grant.account)
+        item = self._dispatcher.take(key, self)
+        if item is None:
+            self._dispatcher.metrics.grants_declined.inc({})
+            self._link.send(Decline(grant.grant))
+            self.touch(grant.account, rises=False)
+            return
+        attempt = self._dispatcher.next_attempt()
+        self._attempts[attempt] = (item, False)
+        item.events.put_nowait(Dispatched(self, attempt))
+        self._link.send(self._dispatch(attempt, grant.grant, item))
+
+    def _dispatch(self, attempt: int, grant: int, item: Waiting) -> Dispatch:
+        req = item.req
+        return Dispatch(
+            attempt=attempt,
+            grant=grant,
+            account=req.account,
+            method=req.method,
+            path=req.path,
+            headers=req.headers,
+            body=req.body,
+            repeatable=req.repeatable,
+            priority=int(req.priority),
+            deadline=max(req.deadline - self._dispatcher.now(), 1),
+            window=self._dispatcher.window,
+        )
+
+    # Backlog
+
+    async def _flush_loop(self, link: Link) -> None:
+        """Send changed rows: rising ones at once, falling ones now and then."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FALL_INTERVAL / 1_000):
+                    await self._flush_soon.wait()
+            self._flush_soon.clear()
+            self._flush(link)
+            await sleep(RISE_INTERVAL)
+
+    def _flush(self, link: Link) -> None:
+        dirty, self._dirty = self._dirty, set()
+        rows = [row for account in sorted(dirty) if (row := self._row(account))]
+        if rows:
+            link.send(Backlog(tuple(rows)))
+
+    def _row(self, account: str) -> BacklogRow | None:
+        queue = self._dispatcher.queue
+        key = QueueKey(self.upstream.pool, account)
+        waiting = queue.count_for(key, self.upstream.name)
+        if waiting == self._announced.get(account, 0):
+            return None
+        self._announced[account] = waiting
+        age = self._dispatcher.now() - queue.oldest(key) if waiting else 0
+        return BacklogRow(account, waiting, age)
--- /dev/null
+++ b/src/leadseam/feed/__init__.py
@@ -0,0 +1,1 @@
+"""How configuration reaches entries and sidecars, and claims reach the log."""
--- /dev/null
+++ b/src/leadseam/feed/server.py
@@ -0,0 +1,233 @@
+"""The replica's side of the feed: subscribers, deltas, heartbeats and claims."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Millis, sleep
+from leadseam.control.claims import Acquire, ClaimResult, Complete, Release, Verdict
+from leadseam.control.state import ClaimResults, Claims
+from leadseam.runtime.tasks import spawn
+from leadseam.wire.codec import encode
+from leadseam.wire.messages import (
+    Claim,
+    ClaimDone,
+    ClaimRelease,
+    ClaimReply,
+    Current,
+    Delta,
+    Hello,
+    InForce,
+    Snapshot,
+    Subscribe,
+)
+
+if TYPE_CHECKING:
+    from leadseam.control.claims import ClaimCommand
+    from leadseam.control.replica import Replica
+    from leadseam.runtime.metrics import ControlMetrics
+    from leadseam.wire.link import Link
+    from leadseam.wire.messages import AnyMessage
+
+HEARTBEAT_INTERVAL: Millis = 500
+MAX_CLAIM_BATCH = 256
+
+
+@dataclass(slots=True)
+class Subscriber:
+    """A node on the feed.
+
+    Args:
+        node: Its name.
+        link: Its link.
+        sent: Highest version sent.
+        in_force: Highest version that it reported.
+    """
+
+    node: str
+    link: Link
+    sent: int
+    in_force: int = 0
+
+
+@dataclass(slots=True)
+class _QueuedClaim:
+    command: ClaimCommand
+    fut: asyncio.Future[ClaimResult] = field(default_factory=asyncio.Future)
+
+
+class ClaimBatcher:
+    """Commits claims in batches: one in flight, the next one collecting.
+
+    Args:
+        replica: Where to submit.
+        metrics: Counters.
+    """
+
+    def __init__(self, replica: Replica, metrics: ControlMetrics) -> None:
+        self._replica = replica
+        self._metrics = metrics
+        self._queue: asyncio.Queue[_QueuedClaim] = asyncio.Queue()
+
+    async def run(self) -> None:
+        """Submit batches until cancelled."""
+        while True:
+            batch = [await self._queue.get()]
+            while len(batch) < MAX_CLAIM_BATCH and not self._queue.empty():
+                batch.append(self._queue.get_nowait())
+            await self._commit(batch)
+
+    async def submit(self, command: ClaimCommand) -> ClaimResult:
+        """Commit one command; the verdict is UNAVAILABLE without a quorum."""
+        queued = _QueuedClaim(command)
+        self._queue.put_nowait(queued)
+        result = await queued.fut
+        self._metrics.claims.inc({"verdict": result.verdict})
+        return result
+
+    async def _commit(self, batch: list[_QueuedClaim]) -> None:
+        command = Claims(tuple(queued.command for queued in batch))
+        outcome = await self._replica.submit(command)
+        results: tuple[ClaimResult, ...]
+        if isinstance(outcome, ClaimResults):
+            results = outcome.results
+        else:
+            results = (ClaimResult(Verdict.UNAVAILABLE),) * len(batch)
+        for queued, result in zip(batch, results, strict=True):
+            queued.fut.set_result(result)
+
+
+class FeedServer:
+    """Serves subscribers of one replica.
+
+    Args:
+        replica: Source of the configuration.
+        metrics: Counters.
+    """
+
+    def __init__(self, replica: Replica, metrics: ControlMetrics) -> None:
+        self._replica = replica
+        self._metrics = metrics
+        self._subscribers: dict[int, Subscriber] = {}
+        self._next_id = 0
+        self._claims = ClaimBatcher(replica, metrics)
+
+    @property
+    def subscribers(self) -> list[Subscriber]:
+        """Nodes on the feed now."""
+        return list(self._subscribers.values())
+
+    async def run(self) -> None:
+        """Push until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._claims.run())
+            group.create_task(self._push_changes())
+            group.create_task(self._push_heartbeats())
+
+    async def serve(self, link: Link) -> None:
+        """Handle one inner link: of another replica, or of a subscriber."""
+        async for message in link.messages():
+            match message:
+                case Subscribe():
+                    await self._serve_subscriber(link, message)
+                    return
+                case Hello():
+                    await self._serve_replica(link)
+                    return
+                case _:
+                    self._metrics.unexpected.inc({})
+                    return
+
+    async def _serve_replica(self, link: Link) -> None:
+        async for message in link.messages():
+            self._replica.receive(link, message)
+
+    async def _serve_subscriber(self, link: Link, message: Subscribe) -> None:
+        subscriber = Subscriber(message.node, link, message.version, message.version)
+        self._next_id += 1
+        number = self._next_id
+        self._subscribers[number] = subscriber
+        try:
+            self._push(subscriber)
+            async for request in link.messages():
+                self._handle(subscriber, request)
+        finally:
+            del self._subscribers[number]
+
+    def _handle(self, subscriber: Subscriber, message: AnyMessage) -> None:
+        match message:
+            case InForce(version=version):
+                subscriber.in_force = max(subscriber.in_force, version)
+            case Claim():
+                spawn(self._acquire(subscriber, message))
+            case ClaimDone():
+                spawn(self._claims.submit(_complete(message)))
+            case ClaimRelease(account=account, key=key, owner=owner):
+                spawn(self._claims.submit(Release(account, key, owner)))
+            case _:
+                self._metrics.unexpected.inc({})
+
+    async def _acquire(self, subscriber: Subscriber, message: Claim) -> None:
+        command = Acquire(message.account, message.key, message.digest, message.owner)
+        result = await self._claims.submit(command)
+        reply = ClaimReply(
+            message.ticket,
+            result.verdict,
+            result.status,
+            result.content_type,
+            result.body,
+        )
+        subscriber.link.send(reply)
+
+    async def _push_changes(self) -> None:
+        while True:
+            await self._replica.next_applied()
+            for subscriber in self.subscribers:
+                self._push(subscriber)
+
+    async def _push_heartbeats(self) -> None:
+        while True:
+            await sleep(HEARTBEAT_INTERVAL)
+            for subscriber in self.subscribers:
+                self._push(subscriber)
+                self._send_heartbeat(subscriber)
+
+    def _send_heartbeat(self, subscriber: Subscriber) -> None:
+        if self._replica.is_current():
+            version = self._replica.state.configuration.version
+            subscriber.link.send(Current(version))
+
+    def _push(self, subscriber: Subscriber) -> None:
+        """Send what a subscriber lacks, if this replica is current."""
+        state = self._replica.state
+        version = state.configuration.version
+        if subscriber.sent >= version or not self._replica.is_current():
+            return
+        deltas = state.deltas_after(subscriber.sent)
+        if deltas is None or subscriber.sent == 0:
+            data = encode(state.configuration)
+            self._send(subscriber, Snapshot(version, data), len(data))
+        else:
+            for delta in deltas:
+                data = encode(delta.operations)
+                self._send(subscriber, Delta(delta.version, data), len(data))
+        subscriber.sent = version
+
+    def _send(
+        self, subscriber: Subscriber, message: Snapshot | Delta, size: int
+    ) -> None:
+        subscriber.link.send(message)
+        self._metrics.feed_bytes.add({}, size)
+
+
+def _complete(message: ClaimDone) -> Complete:
+    return Complete(
+        message.account,
+        message.key,
+        message.owner,
+        message.status,
+        message.content_type,
+        message.body,
+    )
--- /dev/null
+++ b/src/leadseam/outcome.py
@@ -0,0 +1,83 @@
+"""Final results of a caller's request, and the reasons for a refusal."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from leadseam.clock import Millis
+
+
+class Reason(StrEnum):
+    """Why a request was refused or ended badly; stable codes for callers."""
+
+    NO_KEY = "no_key"
+    WRONG_KEY = "wrong_key"
+    MALFORMED_BODY = "malformed_body"
+    MALFORMED_HEADER = "malformed_header"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_MODEL = "unknown_model"
+    MODEL_NOT_ALLOWED = "model_not_allowed"
+    UNKNOWN_SERVICE = "unknown_service"
+    ACCOUNT_QUEUE_FULL = "account_queue_full"
+    MEMORY_FULL = "memory_full"
+    DEADLINE_PASSED = "deadline_passed"
+    NO_UPSTREAM = "no_upstream"
+    NO_CONFIGURATION = "no_configuration"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_BROKEN = "upstream_broken"
+    RETRIES_EXHAUSTED = "retries_exhausted"
+    CLAIM_UNAVAILABLE = "claim_unavailable"
+    CLAIM_HELD = "claim_held"
+    CLAIM_MISMATCH = "claim_mismatch"
+    LINK_LOST = "link_lost"
+    STOPPING = "stopping"
+
+
+class RefusalReason(StrEnum):
+    """Why a sidecar did not start an attempt."""
+
+    GRANT_EXPIRED = "grant_expired"
+    LEAVING = "leaving"
+    DUPLICATE = "duplicate"
+    TOMBSTONE = "tombstone"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The whole answer of the upstream reached the entry."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The request did not run, and never will.
+
+    Args:
+        reason: Why.
+        retry_after: When to come back, or None where it makes no sense.
+    """
+
+    reason: Reason
+    retry_after: Millis | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The request ran, at least in part, and did not end well."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Unknown:
+    """Nobody can say whether the request ran."""
+
+    reason: Reason
+
+
+Outcome: TypeAlias = Answered | NotRun | Failed | Unknown
--- /dev/null
+++ b/src/leadseam/runtime/metrics.py
@@ -0,0 +1,117 @@
+"""Counters and gauges of every program, in Prometheus' format."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from aioprometheus import Counter, Gauge, Registry, render
+
+
+@dataclass(frozen=True, slots=True)
+class Metrics:
+    """All counters; one for each refusal and each retry reason, by label.
+
+    Args:
+        registry: Where they are registered; one for each process role.
+    """
+
+    registry: Registry = field(default_factory=Registry)
+
+    def counter(self, name: str, doc: str) -> Counter:
+        """Register a counter `leadseam_NAME`."""
+        return Counter(f"leadseam_{name}", doc, registry=self.registry)
+
+    def gauge(self, name: str, doc: str) -> Gauge:
+        """Register a gauge `leadseam_NAME`."""
+        return Gauge(f"leadseam_{name}", doc, registry=self.registry)
+
+    def render(self) -> bytes:
+        """Return all values in the text format."""
+        content, _ = render(self.registry, ["text/plain"])
+        return content
+
+
+class LinkMetrics:
+    """Traffic of a process on inner links.
+
+    Args:
+        metrics: Where to register.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.control_bytes = metrics.counter(
+            "control_bytes_total", "Bytes of inner control messages sent."
+        )
+        self.unexpected = metrics.counter(
+            "unexpected_messages_total", "Messages of a type not expected on a link."
+        )
+
+
+class EntryMetrics:
+    """Counters of an entry.
+
+    Args:
+        metrics: Where to register.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.requests = metrics.counter(
+            "requests_total", "Requests of callers by outcome."
+        )
+        self.refusals = metrics.counter(
+            "refusals_total", "Requests refused or ended badly, by reason."
+        )
+        self.retries = metrics.counter("retries_total", "Attempts repeated, by reason.")
+        self.retries_denied = metrics.counter(
+            "retries_denied_total", "Retries that the budget or a rule forbade."
+        )
+        self.grants_declined = metrics.counter(
+            "grants_declined_total", "Grants that came with nothing waiting."
+        )
+        self.usable = metrics.gauge(
+            "sidecar_usable", "1 where new work may go, by upstream."
+        )
+        self.waiting = metrics.gauge("waiting_requests", "Requests that wait now.")
+
+
+class SidecarMetrics:
+    """Counters of a sidecar.
+
+    Args:
+        metrics: Where to register.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.attempts = metrics.counter("attempts_total", "Attempts by ending.")
+        self.refusals = metrics.counter(
+            "attempt_refusals_total", "Attempts not started, by reason."
+        )
+        self.grants = metrics.counter("grants_total", "Grants by ending.")
+        self.busy = metrics.gauge("busy_slots", "Slots in use or granted.")
+        self.service = metrics.counter(
+            "service_total", "Measured service by client account."
+        )
+        self.probes = metrics.counter("probes_total", "Health probes by result.")
+
+
+class ControlMetrics:
+    """Counters of a control replica.
+
+    Args:
+        metrics: Where to register.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.role_changes = metrics.counter(
+            "role_changes_total", "Changes of the replica's role."
+        )
+        self.changes = metrics.counter(
+            "changes_total", "Configuration changes by status."
+        )
+        self.claims = metrics.counter("claims_total", "Claims by verdict.")
+        self.feed_bytes = metrics.counter(
+            "feed_bytes_total", "Bytes of configuration sent to subscribers."
+        )
+        self.unexpected = metrics.counter(
+            "unexpected_messages_total", "Messages of a type not expected on a link."
+        )
--- /dev/null
+++ b/src/leadseam/runtime/process.py
@@ -0,0 +1,94 @@
+"""Start-up and stop of a program."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import sys
+from typing import TYPE_CHECKING, NoReturn, Protocol
+
+import aiomisc
+
+from leadseam.errors import LeadseamError, SettingsError, StorageError
+from leadseam.runtime.logs import configure_logs
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_STORAGE = 4
+
+log = logging.getLogger(__name__)
+
+
+class Program(Protocol):
+    """What a binary runs."""
+
+    async def start(self) -> None:
+        """Bind sockets and start tasks."""
+
+    async def run(self) -> None:
+        """Serve until the program is done or cancelled."""
+
+    async def drain(self) -> None:
+        """Finish what is in flight after a request to stop."""
+
+    async def stop(self) -> None:
+        """Release everything."""
+
+
+def run_program(node: str, make: Callable[[], Program], *, level: str) -> NoReturn:
+    """Run a program until it ends or SIGTERM or SIGINT has been served.
+
+    Args:
+        node: Name for the logs.
+        make: Builds the program, called with the loop running.
+        level: Log level.
+    """
+    configure_logs(node, level=level)
+    with aiomisc.entrypoint(log_config=False, pool_size=4) as loop:
+        code = loop.run_until_complete(_supervise(make))
+    sys.exit(code)
+
+
+async def _supervise(make: Callable[[], Program]) -> int:
+    loop = asyncio.get_running_loop()
+    stopping = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    try:
+        program = make()
+        await program.start()
+    except StorageError as exc:
+        log.error("cannot start", extra={"code": exc.code, "error": exc.message})
+        return EXIT_STORAGE
+    except (LeadseamError, OSError) as exc:
+        log.error("cannot start", extra={"error": str(exc)})
+        return EXIT_FAILED
+    log.info("started")
+    return await _serve(program, stopping)
+
+
+async def _serve(program: Program, stopping: asyncio.Event) -> int:
+    running = asyncio.create_task(program.run())
+    stop = asyncio.create_task(stopping.wait())
+    await asyncio.wait({running, stop}, return_when=asyncio.FIRST_COMPLETED)
+    if running.done() and (exc := running.exception()) is not None:
+        log.critical("stopped by an error", exc_info=exc)
+        return EXIT_FAILED
+    if not running.done():
+        log.info("stopping")
+        await program.drain()
+        running.cancel()
+    await program.stop()
+    log.info("stopped")
+    return EXIT_OK
+
+
+def fail_on_settings(exc: SettingsError) -> NoReturn:
+    """Print a settings fault as one line and exit with `EXIT_USAGE`."""
+    print(f"settings: {exc.message}", file=sys.stderr)
+    sys.exit(EXIT_USAGE)
--- /dev/null
+++ b/src/leadseam/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: their shapes and how they are read."""
--- /dev/null
+++ b/src/leadseam/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each upstream: slots, grants, attempts, metering, health."""
--- /dev/null
+++ b/src/leadseam/sidecar/meter.py
@@ -0,0 +1,154 @@
+"""Metering of a response as it streams by. No I/O."""
+
+from __future__ import annotations
+
+import json
+from typing import Protocol
+
+from leadseam.clock import Millis
+from leadseam.fairness.service import OUTPUT_TOKEN, engine_service
+
+EVENT_STREAM = "text/event-stream"
+MAX_LINE = 1024 * 1024
+
+_DATA = b"data:"
+_DONE = b"data: [DONE]"
+_USAGE = b'"usage"'
+
+
+class Meter(Protocol):
+    """Turns what an upstream sends into service."""
+
+    def feed(self, data: bytes, now: Millis) -> int:
+        """Take body bytes and return the service that they add."""
+
+    def finish(self, now: Millis) -> int:
+        """Return the service still to be charged at the end; may be negative."""
+
+    @property
+    def complete(self) -> bool:
+        """Whether the body ended the way its format demands."""
+
+
+class SlotTimeMeter:
+    """Charges plain services by the milliseconds of their slot.
+
+    Args:
+        start: When the slot was taken.
+    """
+
+    def __init__(self, start: Millis) -> None:
+        self._last = start
+
+    @property
+    def complete(self) -> bool:
+        """Always true: HTTP itself marks the end."""
+        return True
+
+    def feed(self, data: bytes, now: Millis) -> int:
+        """Charge the time since the last call."""
+        return self.finish(now)
+
+    def finish(self, now: Millis) -> int:
+        """Charge the time since the last call."""
+        elapsed, self._last = now - self._last, now
+        return elapsed
+
+
+class EventStreamMeter:
+    """Charges a streamed completion by its events, corrected by its usage record."""
+
+    def __init__(self) -> None:
+        self._rest = b""
+        self._events = 0
+        self._usage: int | None = None
+        self._done = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether the closing event was seen."""
+        return self._done
+
+    def feed(self, data: bytes, now: Millis) -> int:
+        """Charge one output token for each event."""
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()[-MAX_LINE:]
+        events = sum(self._is_event(line) for line in lines)
+        self._events += events
+        return events * OUTPUT_TOKEN
+
+    def finish(self, now: Millis) -> int:
+        """Return the difference to the usage that the engine reported, if any."""
+        if self._usage is None:
+            return 0
+        return self._usage - self._events * OUTPUT_TOKEN
+
+    def _is_event(self, line: bytes) -> bool:
+        if not line.startswith(_DATA):
+            return False
+        if line.rstrip() == _DONE:
+            self._done = True
+            return False
+        if _USAGE in line:
+            usage = parse_usage(line[len(_DATA) :])
+            self._usage = usage if usage is not None else self._usage
+        return True
+
+
+class BodyMeter:
+    """Charges a whole completion by the usage in its JSON body."""
+
+    def __init__(self) -> None:
+        self._body = bytearray()
+
+    @property
+    def complete(self) -> bool:
+        """Always true: HTTP itself marks the end."""
+        return True
+
+    def feed(self, data: bytes, now: Millis) -> int:
+        """Collect; nothing is known before the end."""
+        if len(self._body) < MAX_LINE:
+            self._body += data
+        return 0
+
+    def finish(self, now: Millis) -> int:
+        """Return the service of the reported usage, at least one token."""
+        usage = parse_usage(bytes(self._body))
+        return usage if usage is not None else OUTPUT_TOKEN
+
+
+def parse_usage(data: bytes) -> int | None:
+    """Return the service in an OpenAI-style `usage` record.
+
+    Args:
+        data: JSON of a completion or of a chunk.
+
+    Returns:
+        Service, or None if the record is missing or malformed.
+    """
+    try:
+        usage = json.loads(data)["usage"]
+        details = usage.get("prompt_tokens_details") or {}
+        return engine_service(
+            output_tokens=int(usage["completion_tokens"]),
+            input_tokens=int(usage["prompt_tokens"]),
+            cached_tokens=int(details.get("cached_tokens") or 0),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError):
+        return None
+
+
+def meter_for(*, engine: bool, content_type: str, start: Millis) -> Meter:
+    """Choose the meter for a response.
+
+    Args:
+        engine: Whether a model engine answers.
+        content_type: Content type of the response.
+        start: When the slot was taken.
+    """
+    if not engine:
+        return SlotTimeMeter(start)
+    if content_type.startswith(EVENT_STREAM):
+        return EventStreamMeter()
+    return BodyMeter()
--- /dev/null
+++ b/src/leadseam/sidecar/program.py
@@ -0,0 +1,95 @@
+"""The sidecar program: agent, links of entries, feed and admin routes."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Clock, SystemClock, sleep
+from leadseam.feed.client import FeedClient
+from leadseam.runtime.admin import serve_admin
+from leadseam.runtime.metrics import Metrics, SidecarMetrics
+from leadseam.sidecar.agent import Agent
+from leadseam.wire.link import listen
+
+if TYPE_CHECKING:
+    from aiohttp.web import AppRunner
+    from websockets.asyncio.server import Server
+
+    from leadseam.settings.models import SidecarSettings
+
+INCARNATION_BITS = 53
+
+
+class SidecarProgram:
+    """One sidecar and everything it serves.
+
+    Args:
+        settings: Its settings.
+        clock: Source of time. Defaults to the machine's.
+    """
+
+    def __init__(
+        self, settings: SidecarSettings, *, clock: Clock | None = None
+    ) -> None:
+        clock = clock or SystemClock()
+        incarnation = secrets.randbits(INCARNATION_BITS)
+        self._settings = settings
+        self._metrics = Metrics()
+        self.agent = Agent(
+            node=settings.identity.node,
+            incarnation=incarnation,
+            upstream_name=settings.upstream,
+            clock=clock,
+            metrics=SidecarMetrics(self._metrics),
+        )
+        self._feed = FeedClient(
+            node=settings.identity.node,
+            incarnation=incarnation,
+            endpoints=settings.control,
+            clock=clock,
+            on_change=self.agent.configure,
+        )
+        self._links: Server | None = None
+        self._admin: AppRunner | None = None
+
+    async def start(self) -> None:
+        """Bind all sockets."""
+        settings = self._settings
+        self._links = await listen(
+            settings.listen.ip, settings.listen.port, self.agent.serve
+        )
+        self._admin = await serve_admin(
+            settings.admin.ip, settings.admin.port, self._metrics, self._readiness
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.agent.run())
+            group.create_task(self._feed.run())
+
+    async def drain(self) -> None:
+        """Leave, and wait for what runs."""
+        self.agent.leave("stop requested")
+        await sleep(self._settings.leave_delay)
+        await self.agent.wait_idle()
+
+    async def stop(self) -> None:
+        """Release all sockets."""
+        if self._links is not None:
+            self._links.close()
+            await self._links.wait_closed()
+        if self._admin is not None:
+            await self._admin.cleanup()
+        await self.agent.close()
+
+    def _readiness(self) -> str:
+        if not self._feed.confirmed:
+            return "no confirmed configuration"
+        if not self.agent.ready:
+            return f"upstream {self._settings.upstream!r} is not configured"
+        if self.agent.leaving:
+            return "leaving"
+        return ""
--- /dev/null
+++ b/src/leadseam/sidecar/scheduler.py
@@ -0,0 +1,217 @@
+"""Slots of one upstream and the grants on them. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from leadseam.fairness.service import normalise
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from leadseam.clock import Millis
+    from leadseam.fairness.ledger import Ledger
+    from leadseam.fairness.picker import Picker
+    from leadseam.wire.messages import BacklogRow
+
+GRANT_LEASE: Millis = 500
+FIRST_ESTIMATE = 200
+ESTIMATE_WEIGHT = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """A slot promised to an entry for one request of an account.
+
+    Args:
+        grant: Its number.
+        entry: Entry that holds it.
+        account: Account that it is for.
+        reserved: Normalised service put aside for it.
+        expires: When it ends unused.
+    """
+
+    grant: int
+    entry: str
+    account: str
+    reserved: int
+    expires: Millis
+
+
+@dataclass(slots=True)
+class _Queue:
+    waiting: int
+    since: Millis
+    granted: int = 0
+
+
+@dataclass(slots=True)
+class _AccountState:
+    queues: dict[str, _Queue] = field(default_factory=dict)
+    running: int = 0
+    estimate: float = FIRST_ESTIMATE
+
+    @property
+    def waits(self) -> bool:
+        """Whether some entry has a request that no grant covers."""
+        return any(queue.waiting > queue.granted for queue in self.queues.values())
+
+
+class Scheduler:
+    """Decides which account at which entry gets a free slot.
+
+    Args:
+        ledger: Service counters.
+        picker: Chooses among accounts.
+        share_of: Returns the share of an account.
+    """
+
+    def __init__(
+        self, ledger: Ledger, picker: Picker, share_of: Callable[[str], int]
+    ) -> None:
+        self.slots = 0
+        self.running = 0
+        self.open = True
+        self._ledger = ledger
+        self._picker = picker
+        self._share_of = share_of
+        self._accounts: dict[str, _AccountState] = {}
+        self._leases: dict[int, Lease] = {}
+        self._next_grant = 0
+
+    def __repr__(self) -> str:
+        return f"Scheduler({self.busy}/{self.slots}, leases={len(self._leases)})"
+
+    @property
+    def busy(self) -> int:
+        """Slots in use or granted."""
+        return self.running + len(self._leases)
+
+    def schedule(self, now: Millis) -> list[Lease]:
+        """Grant every free slot for which work waits."""
+        leases = []
+        while self.open and self.busy < self.slots:
+            account = self._picker.pick(self._eligible())
+            if account is None:
+                break
+            leases.append(self._grant(account, now))
+        return leases
+
+    def expire(self, now: Millis) -> list[Lease]:
+        """End the leases whose time is over and return them."""
+        due = [lease for lease in self._leases.values() if lease.expires <= now]
+        for lease in due:
+            self._end(lease)
+        return due
+
+    def set_backlog(self, entry: str, row: BacklogRow, now: Millis) -> None:
+        """Take one row of an entry's backlog."""
+        state = self._accounts.get(row.account)
+        if state is None:
+            if not row.waiting:
+                return
+            state = self._accounts.setdefault(row.account, _AccountState())
+        was_idle = not state.running and not state.queues
+        if row.waiting:
+            queue = state.queues.setdefault(entry, _Queue(0, now))
+            queue.waiting = row.waiting
+            queue.since = now - row.age
+            if was_idle:
+                self._picker.join(row.account)
+        else:
+            self._drop_queue(state, entry)
+
+    def drop_entry(self, entry: str) -> None:
+        """Forget an entry whose link is lost, with its leases."""
+        for lease in [held for held in self._leases.values() if held.entry == entry]:
+            self._end(lease)
+        for state in self._accounts.values():
+            state.queues.pop(entry, None)
+
+    def decline(self, entry: str, grant: int) -> None:
+        """Take a lease back that its entry has no use for."""
+        lease = self._leases.get(grant)
+        if lease is None or lease.entry != entry:
+            return
+        queue = self._accounts[lease.account].queues.get(entry)
+        if queue is not None:
+            # The row that led to this grant was out of date.
+            queue.waiting = min(queue.waiting, queue.granted - 1)
+        self._end(lease)
+
+    def start(self, entry: str, grant: int, account: str) -> Lease | None:
+        """Turn a lease into a running request.
+
+        Returns:
+            The lease, or None if it is not held any more.
+        """
+        lease = self._leases.get(grant)
+        if lease is None or (lease.entry, lease.account) != (entry, account):
+            return None
+        del self._leases[grant]
+        state = self._accounts[account]
+        state.running += 1
+        self.running += 1
+        queue = state.queues.get(entry)
+        if queue is not None:
+            queue.granted -= 1
+            queue.waiting = max(queue.waiting - 1, 0)
+            self._drop_if_done(state, entry, queue)
+        return lease
+
+    def finish(self, account: str, service: int | None) -> None:
+        """Free the slot of a running request.
+
+        Args:
+            account: Its account.
+            service: Measured service, or None if it never started.
+        """
+        state = self._accounts[account]
+        state.running -= 1
+        self.running -= 1
+        if service is not None:
+            state.estimate += ESTIMATE_WEIGHT * (service - state.estimate)
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing runs and nothing is granted."""
+        return self.busy == 0
+
+    def _eligible(self) -> list[str]:
+        return [name for name, state in self._accounts.items() if state.waits]
+
+    def _grant(self, account: str, now: Millis) -> Lease:
+        state = self._accounts[account]
+        open_queues = (
+            (queue.since, entry)
+            for entry, queue in state.queues.items()
+            if queue.waiting > queue.granted
+        )
+        _, entry = min(open_queues)
+        state.queues[entry].granted += 1
+        self._next_grant += 1
+        reserved = normalise(round(state.estimate), self._share_of(account))
+        lease = Lease(self._next_grant, entry, account, reserved, now + GRANT_LEASE)
+        self._leases[lease.grant] = lease
+        self._ledger.reserve(account, reserved)
+        return lease
+
+    def _end(self, lease: Lease) -> None:
+        del self._leases[lease.grant]
+        self._ledger.reserve(lease.account, -lease.reserved)
+        state = self._accounts[lease.account]
+        queue = state.queues.get(lease.entry)
+        if queue is not None:
+            queue.granted -= 1
+            self._drop_if_done(state, lease.entry, queue)
+
+    def _drop_queue(self, state: _AccountState, entry: str) -> None:
+        queue = state.queues.get(entry)
+        if queue is not None:
+            queue.waiting = 0
+            self._drop_if_done(state, entry, queue)
+
+    @staticmethod
+    def _drop_if_done(state: _AccountState, entry: str, queue: _Queue) -> None:
+        if queue.waiting <= 0 and queue.granted <= 0:
+            del state.queues[entry]
--- /dev/null
+++ b/src/leadseam/sidecar/upstream.py
@@ -0,0 +1,246 @@
+"""The only conversation with the upstream: requests and probes over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+from yarl import URL
+
+from leadseam.clock import Clock, Millis, seconds
+from leadseam.outcome import Reason
+from leadseam.sidecar.meter import meter_for
+from leadseam.wire.messages import Chunk, Final, Head
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from leadseam.sidecar.meter import Meter
+    from leadseam.wire.messages import Dispatch
+
+CONNECT_TIMEOUT: Millis = 1_000
+PROBE_TIMEOUT: Millis = 1_500
+PROBE_PATH = "/health"
+READ_SIZE = 64 * 1024
+FIRST_SERVER_ERROR = 500
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "content-encoding",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAddress:
+    """Where an upstream listens, and what it is.
+
+    Args:
+        ip: IP number.
+        port: Port.
+        engine: Whether it is a model engine.
+    """
+
+    ip: str
+    port: int
+    engine: bool
+
+
+class Window:
+    """Bytes that may still be sent to an entry ahead of its credit.
+
+    Args:
+        size: Initial window.
+    """
+
+    def __init__(self, size: int) -> None:
+        self._left = size
+        self._open = asyncio.Event()
+        self._open.set()
+
+    async def take(self, size: int) -> None:
+        """Wait for a positive window, then use some of it."""
+        await self._open.wait()
+        self._left -= size
+        if self._left <= 0:
+            self._open.clear()
+
+    def give(self, size: int) -> None:
+        """Add credit."""
+        self._left += size
+        if self._left > 0:
+            self._open.set()
+
+
+class Upstream:
+    """HTTP client of one upstream.
+
+    Args:
+        address: Where it is.
+        clock: Source of time.
+    """
+
+    def __init__(self, address: UpstreamAddress, clock: Clock) -> None:
+        self.address = address
+        self._clock = clock
+        self._timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=seconds(CONNECT_TIMEOUT)
+        )
+        self._pooled = self._session(force_close=False)
+        # A reused connection may make the client library send a request twice.
+        self._single_use = self._session(force_close=True)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pooled.close()
+        await self._single_use.close()
+
+    async def probe(self) -> bool:
+        """Ask whether the upstream works."""
+        timeout = aiohttp.ClientTimeout(total=seconds(PROBE_TIMEOUT))
+        try:
+            async with self._single_use.get(
+                self._url(PROBE_PATH), timeout=timeout
+            ) as resp:
+                return resp.status < FIRST_SERVER_ERROR
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return False
+
+    async def run(
+        self,
+        req: Dispatch,
+        *,
+        window: Window,
+        send: Callable[[Head | Chunk], None],
+        charge: Callable[[int], None],
+    ) -> Final:
+        """Run a request to its end.
+
+        Args:
+            req: The request.
+            window: Flow control towards the entry.
+            send: Takes the head and the chunks.
+            charge: Takes service as it is measured.
+
+        Returns:
+            The end of the response, with an error if it is not whole.
+        """
+        stream = _Stream(self, req, window, send, charge)
+        try:
+            async with asyncio.timeout(seconds(req.deadline) if req.deadline else None):
+                await stream.run()
+        except aiohttp.ClientConnectorError:
+            return stream.final(Reason.UPSTREAM_UNREACHABLE, started=False)
+        except TimeoutError:
+            return stream.final(Reason.DEADLINE_PASSED)
+        except (aiohttp.ClientError, OSError, ValueError):
+            return stream.final(Reason.UPSTREAM_BROKEN)
+        if not stream.complete:
+            return stream.final(Reason.UPSTREAM_BROKEN)
+        return stream.final("")
+
+    def open(self, req: Dispatch) -> aiohttp.client._RequestContextManager:
+        """Start the HTTP request of a dispatch."""
+        session = self._pooled if req.repeatable else self._single_use
+        return session.request(
+            req.method,
+            self._url(req.path),
+            data=req.body or None,
+            headers=list(req.headers),
+            allow_redirects=False,
+        )
+
+    def new_meter(self, content_type: str) -> Meter:
+        """Return a meter for a response."""
+        return meter_for(
+            engine=self.address.engine,
+            content_type=content_type,
+            start=self._clock.now(),
+        )
+
+    def now(self) -> Millis:
+        """Return the time."""
+        return self._clock.now()
+
+    def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+            timeout=self._timeout,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept-Encoding", "Content-Type"),
+        )
+
+    def _url(self, path: str) -> URL:
+        host = f"[{self.address.ip}]" if ":" in self.address.ip else self.address.ip
+        return URL(f"http://{host}:{self.address.port}{path}", encoded=True)
+
+
+class _Stream:
+    """One response on its way to an entry."""
+
+    def __init__(
+        self,
+        upstream: Upstream,
+        req: Dispatch,
+        window: Window,
+        send: Callable[[Head | Chunk], None],
+        charge: Callable[[int], None],
+    ) -> None:
+        self._upstream = upstream
+        self._req = req
+        self._window = window
+        self._send = send
+        self._charge = charge
+        # Until the head shows otherwise, the time in the slot is what is known.
+        self._meter: Meter = upstream.new_meter("")
+        self._chunks = 0
+        self._size = 0
+        self._status = 0
+
+    @property
+    def complete(self) -> bool:
+        """Whether the body ended the way its format demands."""
+        return self._status >= FIRST_SERVER_ERROR or self._meter.complete
+
+    async def run(self) -> None:
+        try:
+            async with self._upstream.open(self._req) as resp:
+                self._status = resp.status
+                self._meter = self._upstream.new_meter(resp.content_type)
+                self._send(Head(self._req.attempt, resp.status, _end_to_end(resp)))
+                while data := await resp.content.readany():
+                    await self._forward(data)
+        finally:
+            self._charge(self._meter.finish(self._upstream.now()))
+
+    def final(self, error: str, *, started: bool = True) -> Final:
+        return Final(self._req.attempt, self._chunks, self._size, error, started)
+
+    async def _forward(self, data: bytes) -> None:
+        self._charge(self._meter.feed(data, self._upstream.now()))
+        for start in range(0, len(data), READ_SIZE):
+            part = data[start : start + READ_SIZE]
+            await self._window.take(len(part))
+            self._send(Chunk(self._req.attempt, self._chunks, part))
+            self._chunks += 1
+            self._size += len(part)
+
+
+def _end_to_end(resp: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+    kept = HOP_BY_HOP - {"content-encoding"}
+    items = resp.headers.items()
+    return tuple(
+        (str(name), str(value)) for name, value in items if name.lower() not in kept
+    )
--- /dev/null
+++ b/src/leadseam/standin/engine.py
@@ -0,0 +1,113 @@
+"""A fake model engine: OpenAI-style completions, tokens at a set rate, batch slots."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING, Any
+
+from aiohttp import web
+
+from leadseam.clock import Millis, sleep
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+DEFAULT_TOKENS = 16
+PROMPT_TOKEN_CHARS = 4
+
+
+class EngineStandin:
+    """Answers with `t0 t1 ...`, as many tokens as `max_tokens` says.
+
+    Args:
+        slots: Requests that run at once; more wait inside.
+        token_interval: Milliseconds between tokens.
+    """
+
+    def __init__(self, *, slots: int, token_interval: Millis) -> None:
+        self.mode = "normal"
+        self.started = 0
+        self.cancelled = 0
+        self._batch = asyncio.Semaphore(slots)
+        self._token_interval = token_interval
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the engine's routes."""
+        return [
+            web.post("/v1/chat/completions", self._complete),
+            web.post("/v1/completions", self._complete),
+            web.get("/health", self._health),
+            web.get("/standin", self._show),
+            web.put("/standin/mode/{mode}", self._set_mode),
+        ]
+
+    async def _health(self, _: web.Request) -> web.Response:
+        if self.mode == "hang":
+            await asyncio.Event().wait()
+        return web.json_response({}, status=503 if self.mode == "dead" else 200)
+
+    async def _show(self, _: web.Request) -> web.Response:
+        return web.json_response({"started": self.started, "cancelled": self.cancelled})
+
+    async def _set_mode(self, http: web.Request) -> web.Response:
+        self.mode = http.match_info["mode"]
+        return web.json_response({})
+
+    async def _complete(self, http: web.Request) -> web.StreamResponse:
+        body = await http.json()
+        self.started += 1
+        match self.mode:
+            case "hang":
+                await asyncio.Event().wait()
+            case "garbage":
+                assert http.transport is not None
+                http.transport.write(b"\x00garbage\r\n\r\n")
+                http.transport.close()
+            case "dead":
+                return web.json_response({"error": "dead"}, status=503)
+        try:
+            async with self._batch:
+                return await self._answer(http, body)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+
+    async def _answer(
+        self, http: web.Request, body: dict[str, Any]
+    ) -> web.StreamResponse:
+        count = int(body.get("max_tokens", DEFAULT_TOKENS))
+        prompt = len(json.dumps(body.get("messages", ""))) // PROMPT_TOKEN_CHARS
+        usage = {"prompt_tokens": prompt, "completion_tokens": count}
+        if body.get("stream"):
+            return await self._stream(http, count, usage)
+        words = [word async for word in self._tokens(count)]
+        message = {"role": "assistant", "content": "".join(words)}
+        choice = {"index": 0, "message": message, "finish_reason": "stop"}
+        answer = {"object": "chat.completion", "choices": [choice], "usage": usage}
+        return web.json_response(answer)
+
+    async def _stream(
+        self, http: web.Request, count: int, usage: dict[str, int]
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(http)
+        async for word in self._tokens(count):
+            choice = {"index": 0, "delta": {"content": word}}
+            await response.write(_event({"choices": [choice]}))
+            if self.mode == "cut":
+                assert http.transport is not None
+                http.transport.abort()
+        await response.write(_event({"choices": [], "usage": usage}))
+        await response.write(b"data: [DONE]\n\n")
+        await response.write_eof()
+        return response
+
+    async def _tokens(self, count: int) -> AsyncIterator[str]:
+        for number in range(count):
+            await sleep(self._token_interval)
+            yield f"t{number} "
+
+
+def _event(data: dict[str, Any]) -> bytes:
+    return b"data: " + json.dumps(data).encode() + b"\n\n"
--- /dev/null
+++ b/src/leadseam/standin/service.py
@@ -0,0 +1,44 @@
+"""A fake transaction service that counts how often each request ran."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from aiohttp import web
+
+from leadseam.clock import Millis, sleep
+
+
+class ServiceStandin:
+    """Runs `POST /run/{name}` and counts by name.
+
+    Args:
+        service_time: Milliseconds that a call takes.
+    """
+
+    def __init__(self, *, service_time: Millis) -> None:
+        self._service_time = service_time
+        self._runs: Counter[str] = Counter()
+
+    def routes(self) -> list[web.AbstractRouteDef]:
+        """Return the service's routes."""
+        return [
+            web.post("/run/{name}", self._run),
+            web.get("/runs", self._show),
+            web.get("/health", self._health),
+        ]
+
+    async def _run(self, http: web.Request) -> web.Response:
+        name = http.match_info["name"]
+        # It counts before it works, as a real one commits before it answers.
+        self._runs[name] += 1
+        body = await http.read()
+        await sleep(self._service_time)
+        answer = {"name": name, "run": self._runs[name], "size": len(body)}
+        return web.json_response(answer)
+
+    async def _show(self, _: web.Request) -> web.Response:
+        return web.json_response(dict(self._runs))
+
+    async def _health(self, _: web.Request) -> web.Response:
+        return web.json_response({})
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,43 @@
+"""Fixtures: a fleet of real processes, small or at the users' sizes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import settings
+
+from tools.fleet import Fleet
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+settings.load_profile("ci")
+
+MODEL = "rates"
+
+
+@pytest.fixture
+async def fleet(tmp_path: Path) -> AsyncIterator[Fleet]:
+    """An empty fleet whose processes end with the test."""
+    fleet = Fleet(tmp_path)
+    try:
+        yield fleet
+    finally:
+        await fleet.close()
+
+
+@pytest.fixture
+async def small_fleet(fleet: Fleet) -> Fleet:
+    """Three replicas, one entry, one engine, one service, one account; running."""
+    fleet.add_control()
+    fleet.add_pool("rates-1", model=MODEL)
+    fleet.add_pool("slips")
+    fleet.add_upstream("engine-1", pool="rates-1", kind="engine")
+    fleet.add_upstream("slips-1", pool="slips", kind="service")
+    fleet.add_account("tellers", models=(MODEL,), services=("slips",))
+    fleet.add_entry("entry-1")
+    await fleet.start_all()
+    return fleet
--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,441 @@
+"""A fleet of real processes on loopback, for tests and measurements."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+import yaml
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+LOOPBACK = "127.0.0.1"
+OPERATOR_TOKEN = "operator-token"
+CONDITION_TIMEOUT = 60.0
+POLL = 0.05
+
+
+def sha256(text: str) -> str:
+    """Return the hexadecimal SHA-256 of a text."""
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+class PortPool:
+    """Hands out ports that the system reserved; each is used once."""
+
+    def __init__(self) -> None:
+        self._held: dict[int, socket.socket] = {}
+
+    def reserve(self) -> int:
+        """Return a port that nobody else gets before `release`."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((LOOPBACK, 0))
+        port: int = sock.getsockname()[1]
+        self._held[port] = sock
+        return port
+
+    def release(self, port: int) -> None:
+        """Free a port for the process that is to bind it."""
+        sock = self._held.pop(port, None)
+        if sock is not None:
+            sock.close()
+
+
+async def until(
+    condition: Callable[[], Awaitable[bool]],
+    what: str,
+    *,
+    timeout: float = CONDITION_TIMEOUT,
+) -> None:
+    """Wait for a condition.
+
+    Raises:
+        AssertionError: If it does not hold in time.
+    """
+    deadline = time.monotonic() + timeout
+    while time.monotonic() < deadline:
+        if await condition():
+            return
+        await asyncio.sleep(POLL)
+    raise AssertionError(f"timed out waiting until {what}")
+
+
+@dataclass(slots=True)
+class Node:
+    """One process of the fleet.
+
+    Args:
+        name: Its name.
+        program: Module of `leadseam.cli`.
+        settings: Its settings.
+        ports: Ports that it binds.
+        admin: Port of its admin routes, or 0.
+        folder: Where its files are.
+    """
+
+    name: str
+    program: str
+    settings: dict[str, Any]
+    ports: list[int]
+    admin: int
+    folder: Path
+    process: subprocess.Popen[bytes] | None = None
+    extra: list[str] = field(default_factory=list)
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        assert self.process is not None
+        return self.process.pid
+
+    @property
+    def log(self) -> Path:
+        """File with its log lines."""
+        return self.folder / f"{self.name}.log"
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process without warning."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+            self.process = None
+
+    async def wait_exit(self) -> int:
+        """Wait until the process has ended and return its exit code."""
+        process = self.process
+        assert process is not None
+        code = await asyncio.to_thread(process.wait)
+        self.process = None
+        return code
+
+
+class Fleet:
+    """All processes of a test, and their addresses.
+
+    Args:
+        folder: Where settings, logs and data go.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.ports = PortPool()
+        self.nodes: dict[str, Node] = {}
+        self.config: dict[str, list[dict[str, Any]]] = {
+            "accounts": [],
+            "pools": [],
+            "upstreams": [],
+            "never_repeat": [],
+        }
+        self.replicas: dict[str, dict[str, Any]] = {}
+        self.operator_ports: list[int] = []
+        self._http: aiohttp.ClientSession | None = None
+
+    @property
+    def http(self) -> aiohttp.ClientSession:
+        """A client session for the whole test."""
+        if self._http is None:
+            connector = aiohttp.TCPConnector(limit=0)
+            timeout = aiohttp.ClientTimeout(total=120)
+            self._http = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        return self._http
+
+    async def close(self) -> None:
+        """End every process that was started here."""
+        if self._http is not None:
+            await self._http.close()
+        for node in self.nodes.values():
+            if node.process is not None:
+                with contextlib.suppress(ProcessLookupError):
+                    node.signal(signal.SIGCONT)
+                node.kill()
+
+    # Description
+
+    def add_account(
+        self,
+        name: str,
+        *,
+        share: int = 1,
+        models: tuple[str, ...] = (),
+        services: tuple[str, ...] = (),
+        max_waiting: int = 2_000,
+    ) -> None:
+        """Describe a client account whose key is `key-NAME`."""
+        row = {
+            "name": name,
+            "share": share,
+            "key_hashes": [sha256(f"key-{name}")],
+            "models": [{"model": model} for model in models],
+            "services": list(services),
+            "max_waiting": max_waiting,
+        }
+        self.config["accounts"].append(row)
+
+    def add_pool(self, name: str, *, model: str = "") -> None:
+        """Describe a pool: of engines if it has a model, else of services."""
+        row = {"name": name, "kind": "engine" if model else "service"}
+        if model:
+            row |= {"model": model, "version": "1"}
+        self.config["pools"].append(row)
+
+    def add_upstream(
+        self,
+        name: str,
+        *,
+        pool: str,
+        kind: str,
+        slots: int = 4,
+        failure_domain: str = "a",
+        **standin: Any,
+    ) -> None:
+        """Describe an upstream with its stand-in and its sidecar."""
+        port = self.ports.reserve()
+        settings = {"kind": kind, "listen": _at(port), "slots": slots, **standin}
+        self._add(name, "standin", settings, [port], port)
+        inner, admin = self.ports.reserve(), self.ports.reserve()
+        row = {
+            "name": name,
+            "pool": pool,
+            "ip": LOOPBACK,
+            "port": port,
+            "sidecar_ip": LOOPBACK,
+            "sidecar_port": inner,
+            "slots": slots,
+            "box": f"box-{name}",
+            "failure_domain": failure_domain,
+        }
+        self.config["upstreams"].append(row)
+        sidecar = {
+            "identity": self._identity(f"sidecar-{name}", f"box-{name}"),
+            "upstream": name,
+            "listen": _at(inner),
+            "admin": _at(admin),
+            "control": self.control_endpoints(),
+        }
+        self._add(f"sidecar-{name}", "sidecar", sidecar, [inner, admin], admin)
+
+    def add_entry(self, name: str, **settings: Any) -> None:
+        """Describe an entry."""
+        port = self.ports.reserve()
+        data = {
+            "identity": self._identity(name, f"box-{name}"),
+            "listen": _at(port),
+            "control": self.control_endpoints(),
+            **settings,
+        }
+        self._add(name, "entry", data, [port], port)
+
+    def add_control(self, count: int = 3) -> None:
+        """Describe the control replicas; before entries and upstreams."""
+        names = [f"control-{number}" for number in range(1, count + 1)]
+        self.replicas = {name: _at(self.ports.reserve()) for name in names}
+        for name in names:
+            operator, admin = self.ports.reserve(), self.ports.reserve()
+            self.operator_ports.append(operator)
+            data_dir = self.folder / f"data-{name}"
+            data_dir.mkdir()
+            settings = {
+                "identity": self._identity(name, f"box-{name}"),
+                "replicas": self.replicas,
+                "operator": _at(operator),
+                "admin": _at(admin),
+                "data_dir": str(data_dir),
+                "operators": {"anna": sha256(OPERATOR_TOKEN)},
+            }
+            inner = self.replicas[name]["port"]
+            self._add(name, "control", settings, [inner, operator, admin], admin)
+
+    def control_endpoints(self) -> list[dict[str, Any]]:
+        """Return the inner addresses of the replicas."""
+        return list(self.replicas.values())
+
+    # Life
+
+    def start(self, name: str, *extra: str) -> None:
+        """Start a process."""
+        node = self.nodes[name]
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(node.settings))
+        for port in node.ports:
+            self.ports.release(port)
+        module = f"leadseam.cli.{node.program}"
+        command = [sys.executable, "-m", module, *extra, str(path)]
+        with open(node.log, "ab") as log:
+            node.process = subprocess.Popen(
+                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    async def start_all(self) -> None:
+        """Start everything, apply the configuration and wait until all is ready."""
+        control = self.names("control")
+        for name in control:
+            self.start(name, "--found")
+        for name in self.nodes:
+            if name not in control:
+                self.start(name)
+        await self.wait_ready(*control)
+        assert await self.apply() == 0
+        await self.wait_ready(*self.names("sidecar"), *self.names("entry"))
+        await self.wait_healthy()
+
+    def names(self, program: str) -> list[str]:
+        """List the processes of a program."""
+        return [node.name for node in self.nodes.values() if node.program == program]
+
+    async def wait_ready(self, *names: str) -> None:
+        """Wait until processes say that they are ready."""
+        for name in names:
+            await until(partial(self.is_ready, name), f"{name} is ready")
+
+    async def wait_healthy(self) -> None:
+        """Wait until every entry may send work to every upstream."""
+        for name in self.names("entry"):
+            for row in self.config["upstreams"]:
+                upstream = row["name"]
+                check = partial(self._sees, name, upstream)
+                await until(check, f"{name} may use {upstream}")
+
+    async def is_ready(self, name: str) -> bool:
+        """Tell whether a process says that it is ready."""
+        try:
+            async with self.http.get(self.url(name, "/readyz")) as resp:
+                return resp.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    async def metric(self, name: str, metric: str) -> dict[str, float]:
+        """Return the values of a metric by its labels, as text."""
+        async with self.http.get(self.url(name, "/metrics")) as resp:
+            text = await resp.text()
+        values = {}
+        for line in text.splitlines():
+            head, _, value = line.rpartition(" ")
+            base, _, labels = head.partition("{")
+            if base == f"leadseam_{metric}":
+                values[labels.rstrip("}")] = float(value)
+        return values
+
+    def url(self, name: str, path: str) -> str:
+        """Return a URL at the admin port (for an entry, the callers' port)."""
+        return f"http://{LOOPBACK}:{self.nodes[name].admin}{path}"
+
+    # Operators
+
+    async def ctl(self, *args: str, token: str = OPERATOR_TOKEN) -> tuple[int, str]:
+        """Run leadseamctl and return its exit code and output."""
+        ports = ",".join(f"{LOOPBACK}:{port}" for port in self.operator_ports)
+        command = ["-m", "leadseam.cli.ctl", "--control", ports, *args]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *command,
+            env={**os.environ, "LEADSEAM_TOKEN": token},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        out, _ = await process.communicate()
+        assert process.returncode is not None
+        return process.returncode, out.decode()
+
+    async def apply(self) -> int:
+        """Have the described configuration accepted."""
+        path = self.folder / "desired.yaml"
+        path.write_text(yaml.safe_dump(self.config))
+        code, _ = await self.ctl("apply", str(path))
+        return code
+
+    async def wait_in_force(self, version: int) -> None:
+        """Wait until every live node has a version in force."""
+        code, out = await self.ctl("--json", "wait", str(version), "--timeout", "60000")
+        assert code == 0, out
+
+    # Callers
+
+    async def chat(
+        self,
+        entry: str,
+        account: str,
+        model: str,
+        *,
+        tokens: int = 8,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Send a streamed chat request and return status and body."""
+        body = {
+            "model": model,
+            "messages": [{"role": "user", "content": "explain the rate sheet"}],
+            "max_tokens": tokens,
+            "stream": True,
+        }
+        path = "/v1/chat/completions"
+        return await self.post(entry, path, account, json.dumps(body).encode(), headers)
+
+    async def post(
+        self,
+        entry: str,
+        path: str,
+        account: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Send a POST of an account and return status and body."""
+        all_headers = {
+            "Authorization": f"Bearer key-{account}",
+            "Content-Type": "application/json",
+            **(headers or {}),
+        }
+        async with self.http.post(
+            self.url(entry, path), data=body, headers=all_headers
+        ) as resp:
+            return resp.status, await resp.read()
+
+    async def runs(self) -> dict[str, int]:
+        """Return how often each named call ran, over all service stand-ins."""
+        total: dict[str, int] = {}
+        for node in self.nodes.values():
+            if node.program != "standin" or node.settings["kind"] != "service":
+                continue
+            async with self.http.get(self.url(node.name, "/runs")) as resp:
+                for key, count in (await resp.json()).items():
+                    total[key] = total.get(key, 0) + count
+        return total
+
+    async def _sees(self, entry: str, upstream: str) -> bool:
+        values = await self.metric(entry, "sidecar_usable")
+        return values.get(f'upstream="{upstream}"') == 1.0
+
+    def _identity(self, node: str, box: str) -> dict[str, str]:
+        return {"node": node, "box": box, "failure_domain": "a"}
+
+    def _add(
+        self,
+        name: str,
+        program: str,
+        settings: dict[str, Any],
+        ports: list[int],
+        admin: int,
+    ) -> None:
+        self.nodes[name] = Node(name, program, settings, ports, admin, self.folder)
+
+
+def _at(port: int) -> dict[str, Any]:
+    return {"ip": LOOPBACK, "port": port}
