--- /dev/null
+++ b/src/leadseam/local/__init__.py
@@ -0,0 +1,1 @@
+"""All roles and the stand-ins in one process and one loop."""
