--- a/src/leadseam/control/program.py
+++ b/src/leadseam/control/program.py
@@ -95,6 +95,7 @@
             recovered=self._storage.open(),
             clock=clock or SystemClock(),
             metrics=control_metrics,
+            traffic=metrics.traffic,
             seed=secrets.randbits(64),
         )
         self._feed = FeedServer(self.replica, control_metrics)
@@ -110,7 +111,9 @@
         settings = self._settings
         inner = settings.replicas[settings.identity.node]
         admin = settings.admin
-        self._links = await listen(inner.ip, inner.port, self._feed.serve)
+        self._links = await listen(
+            inner.ip, inner.port, self._feed.serve, self._metrics.traffic
+        )
         await self._operator.start(settings.operator.ip, settings.operator.port)
         self._admin = await serve_admin(
             admin.ip, admin.port, self._metrics, self._readiness
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -39,6 +39,7 @@
     from leadseam.settings.models import Endpoint
     from leadseam.wire.link import Link
     from leadseam.wire.messages import AnyMessage
+    from leadseam.wire.traffic import Traffic
 
 TICK: Millis = 30
 COMPACT_EVERY = 1_000
@@ -76,6 +77,7 @@
         name: This replica's box name.
         endpoints: Inner addresses of all replicas by box name.
         on_reply: Called with messages that come back on these links.
+        traffic: Bytes on inner links.
     """
 
     def __init__(
@@ -83,12 +85,14 @@
         name: str,
         endpoints: dict[str, Endpoint],
         on_reply: Callable[[AnyMessage], None],
+        traffic: Traffic,
     ) -> None:
         self._name = name
         self._endpoints = {
             other: endpoint for other, endpoint in endpoints.items() if other != name
         }
         self._on_reply = on_reply
+        self._traffic = traffic
         self._links: dict[str, Link] = {}
 
     def send(self, to: str, message: AnyMessage) -> None:
@@ -108,7 +112,7 @@
     async def _keep(self, name: str, endpoint: Endpoint) -> None:
         while True:
             with contextlib.suppress(*LINK_ERRORS):
-                async with dial(endpoint.ip, endpoint.port) as link:
+                async with dial(endpoint.ip, endpoint.port, self._traffic) as link:
                     link.send(Hello(self._name, 0, 0))
                     self._links[name] = link
                     async for message in link.messages():
@@ -128,6 +132,7 @@
         recovered: What it held.
         clock: Source of time.
         metrics: Counters.
+        traffic: Bytes on inner links.
         seed: Seed of the election jitter.
     """
 
@@ -141,6 +146,7 @@
         recovered: Recovered,
         clock: Clock,
         metrics: ControlMetrics,
+        traffic: Traffic,
         seed: int,
     ) -> None:
         self.state = ControlState()
@@ -159,7 +165,7 @@
             seed=seed,
         )
         self._raft.set_snapshot_data(recovered.data)
-        self._peers = Peers(name, endpoints, self._on_peer_message)
+        self._peers = Peers(name, endpoints, self._on_peer_message, traffic)
         self._inbox: asyncio.Queue[_Event] = asyncio.Queue()
         self._waiting: dict[int, tuple[int, asyncio.Future[CommandResult | None]]] = {}
         self._forwarded: dict[int, asyncio.Future[CommandResult | None]] = {}
--- a/src/leadseam/entry/dispatcher.py
+++ b/src/leadseam/entry/dispatcher.py
@@ -21,6 +21,7 @@
     from leadseam.entry.request import CallerRequest
     from leadseam.runtime.metrics import EntryMetrics
     from leadseam.settings.models import EntryLimits
+    from leadseam.wire.traffic import Traffic
 
 REPORT_INTERVAL: Millis = 100
 NO_UPSTREAM_RETRY_AFTER: Millis = 2_000
@@ -37,6 +38,7 @@
         clock: Source of time.
         limits: Limits of the entry.
         metrics: Counters.
+        traffic: Bytes on inner links.
     """
 
     def __init__(
@@ -47,9 +49,11 @@
         clock: Clock,
         limits: EntryLimits,
         metrics: EntryMetrics,
+        traffic: Traffic,
     ) -> None:
         self.queue = WaitingQueue(max_bytes=limits.waiting_bytes)
         self.metrics = metrics
+        self.traffic = traffic
         self.window = limits.window_bytes
         self._node = node
         self._incarnation = incarnation
@@ -141,11 +145,6 @@
         for pool in {link.upstream.pool for link in self._links.values()}:
             self.queue.forget_avoided(pool, self._usable(pool))
 
-    def traffic(self) -> tuple[int, int]:
-        """Return bytes sent and received on all links to sidecars so far."""
-        counts = [link.traffic() for link in self._links.values()]
-        return sum(sent for sent, _ in counts), sum(got for _, got in counts)
-
     def _show(self) -> None:
         self.metrics.waiting.set({}, len(self.queue))
         for name, link in self._links.items():
--- a/src/leadseam/entry/program.py
+++ b/src/leadseam/entry/program.py
@@ -43,12 +43,14 @@
             clock=clock,
             limits=settings.limits,
             metrics=metrics,
+            traffic=self._metrics.traffic,
         )
         self._feed = FeedClient(
             node=node,
             incarnation=incarnation,
             endpoints=settings.control,
             clock=clock,
+            traffic=self._metrics.traffic,
             on_change=self.dispatcher.configure,
         )
         self._frontend = Frontend(
--- a/src/leadseam/entry/sidecars.py
+++ b/src/leadseam/entry/sidecars.py
@@ -66,8 +66,6 @@
         self._dirty: set[str] = set()
         self._flush_task: asyncio.Task[None] | None = None
         self._flush_soon = asyncio.Event()
-        self.bytes_sent = 0
-        self.bytes_received = 0
 
     def __repr__(self) -> str:
         return f"SidecarLink({self.upstream.name}, healthy={self.healthy})"
@@ -86,14 +84,6 @@
             row.pool,
         )
 
-    def traffic(self) -> tuple[int, int]:
-        """Return bytes sent and received on this link so far."""
-        sent, received = self.bytes_sent, self.bytes_received
-        if self._link is not None:
-            sent += self._link.bytes_sent
-            received += self._link.bytes_received
-        return sent, received
-
     async def run(self) -> None:
         """Keep the link up until cancelled."""
         while True:
@@ -132,7 +122,9 @@
 
     async def _connect(self) -> None:
         row = self.upstream
-        async with dial(row.sidecar_ip, row.sidecar_port) as link:
+        async with dial(
+            row.sidecar_ip, row.sidecar_port, self._dispatcher.traffic
+        ) as link:
             link.send(self._dispatcher.hello())
             messages = link.messages()
             hello = await anext(messages, None)
@@ -161,8 +153,6 @@
         self._ask_about_lost(link)
 
     def _close(self, link: Link) -> None:
-        self.bytes_sent += link.bytes_sent
-        self.bytes_received += link.bytes_received
         self._link = None
         self.healthy = False
         if self._flush_task is not None:
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -31,6 +31,7 @@
     from leadseam.settings.models import Endpoint
     from leadseam.wire.link import Link
     from leadseam.wire.messages import AnyMessage
+    from leadseam.wire.traffic import Traffic
 
 SILENCE_LIMIT: Millis = 2_000
 REDIAL_DELAY: Millis = 200
@@ -48,6 +49,7 @@
         incarnation: Its incarnation.
         endpoints: Inner addresses of the control replicas.
         clock: Source of time.
+        traffic: Bytes on inner links.
         on_change: Called with each configuration put in force.
     """
 
@@ -58,6 +60,7 @@
         incarnation: int,
         endpoints: tuple[Endpoint, ...],
         clock: Clock,
+        traffic: Traffic,
         on_change: Callable[[Configuration], None],
     ) -> None:
         self.configuration = Configuration()
@@ -66,11 +69,11 @@
         self._incarnation = incarnation
         self._endpoints = list(endpoints)
         self._clock = clock
+        self._traffic = traffic
         self._on_change = on_change
         self._link: Link | None = None
         self._replies: dict[int, asyncio.Future[ClaimReply]] = {}
         self._next_ticket = 0
-        self.bytes_received = 0
         random.shuffle(self._endpoints)
 
     def __repr__(self) -> str:
@@ -132,7 +135,7 @@
         return ClaimReply(request.ticket, Verdict.UNAVAILABLE)
 
     async def _follow(self, endpoint: Endpoint) -> None:
-        async with dial(endpoint.ip, endpoint.port) as link:
+        async with dial(endpoint.ip, endpoint.port, self._traffic) as link:
             link.send(Subscribe(self._node, self._incarnation, self.version))
             messages = link.messages()
             while True:
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -6,6 +6,8 @@
 
 from aioprometheus import Counter, Gauge, Registry, render
 
+from leadseam.wire.traffic import Traffic
+
 
 @dataclass(frozen=True, slots=True)
 class Metrics:
@@ -13,9 +15,11 @@
 
     Args:
         registry: Where they are registered; one for each process role.
+        traffic: Bytes on inner links, shown as gauges.
     """
 
     registry: Registry = field(default_factory=Registry)
+    traffic: Traffic = field(default_factory=Traffic)
 
     def counter(self, name: str, doc: str) -> Counter:
         """Register a counter `leadseam_NAME`."""
@@ -28,23 +32,16 @@
     def render(self) -> bytes:
         """Return all values in the text format."""
         content, _ = render(self.registry, ["text/plain"])
-        return content
-
-
-class LinkMetrics:
-    """Traffic of a process on inner links.
-
-    Args:
-        metrics: Where to register.
-    """
-
-    def __init__(self, metrics: Metrics) -> None:
-        self.control_bytes = metrics.counter(
-            "control_bytes_total", "Bytes of inner control messages sent."
-        )
-        self.unexpected = metrics.counter(
-            "unexpected_messages_total", "Messages of a type not expected on a link."
-        )
+        return content + self._render_traffic()
+
+    def _render_traffic(self) -> bytes:
+        """Render the traffic, which is counted too often for the registry."""
+        lines = []
+        for name in self.traffic.__slots__:
+            full = f"leadseam_link_{name}_bytes_total"
+            lines.append(f"# TYPE {full} counter")
+            lines.append(f"{full} {getattr(self.traffic, name)}")
+        return "\n".join([*lines, ""]).encode()
 
 
 class EntryMetrics:
--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -318,7 +318,6 @@
         self._scheduler.finish(running.req.account, running.service)
         ending = "cancelled" if final is None else final.error or "whole"
         self._metrics.attempts.inc({"ending": ending})
-        self._metrics.service.add({"account": running.req.account}, running.service)
         if final is not None:
             self._note_health(final)
         self._grant()
@@ -329,6 +328,7 @@
         """Charge measured service, and release as much of what was reserved."""
         running.service += service
         account = running.req.account
+        self._metrics.service.add({"account": account}, max(service, 0))
         amount = normalise(service, self._share_of(account))
         self._ledger.charge(account, max(amount, 0))
         self._release(running, running.released + amount)
--- a/src/leadseam/sidecar/program.py
+++ b/src/leadseam/sidecar/program.py
@@ -49,6 +49,7 @@
             incarnation=incarnation,
             endpoints=settings.control,
             clock=clock,
+            traffic=self._metrics.traffic,
             on_change=self.agent.configure,
         )
         self._links: Server | None = None
@@ -58,7 +59,10 @@
         """Bind all sockets."""
         settings = self._settings
         self._links = await listen(
-            settings.listen.ip, settings.listen.port, self.agent.serve
+            settings.listen.ip,
+            settings.listen.port,
+            self.agent.serve,
+            self._metrics.traffic,
         )
         self._admin = await serve_admin(
             settings.admin.ip, settings.admin.port, self._metrics, self._readiness
--- a/src/leadseam/wire/link.py
+++ b/src/leadseam/wire/link.py
@@ -23,6 +23,7 @@
     from websockets.asyncio.server import Server
 
     from leadseam.wire.messages import AnyMessage
+    from leadseam.wire.traffic import Traffic
 
 MAX_FRAME = 64 * 1024 * 1024
 MAX_QUEUED = 20_000
@@ -40,18 +41,16 @@
 
     Args:
         conn: The open websocket.
+        traffic: Counters of the process.
     """
 
-    def __init__(self, conn: Connection) -> None:
+    def __init__(self, conn: Connection, traffic: Traffic) -> None:
         self._conn = conn
+        self._traffic = traffic
         self._queue: deque[AnyMessage] = deque()
         self._wake = asyncio.Event()
         self._writer = spawn(self._write())
         self._aborted = False
-        self.bytes_sent = 0
-        self.bytes_received = 0
-        self.messages_sent = 0
-        self.messages_received = 0
 
     def __repr__(self) -> str:
         return f"Link({self._conn.remote_address}, queued={len(self._queue)})"
@@ -76,9 +75,9 @@
             async for data in self._conn:
                 if isinstance(data, str):
                     raise WireError("text frame")
-                self.bytes_received += len(data)
-                for message in decode_frame(data):
-                    self.messages_received += 1
+                messages = decode_frame(data)
+                self._traffic.received(len(data), messages)
+                for message in messages:
                     yield message
         except websockets.ConnectionClosed:
             return
@@ -115,19 +114,20 @@
 
     async def _flush(self) -> None:
         count = min(len(self._queue), MAX_PER_FRAME)
-        frame = encode_frame(self._queue.popleft() for _ in range(count))
-        self.messages_sent += count
-        self.bytes_sent += len(frame)
+        messages = [self._queue.popleft() for _ in range(count)]
+        frame = encode_frame(messages)
+        self._traffic.sent(len(frame), messages)
         await self._conn.send(frame)
 
 
 @contextlib.asynccontextmanager
-async def dial(ip: str, port: int) -> AsyncIterator[Link]:
+async def dial(ip: str, port: int, traffic: Traffic) -> AsyncIterator[Link]:
     """Open a link to a peer.
 
     Args:
         ip: IP number of the peer.
         port: Its port.
+        traffic: Counters of the process.
 
     Raises:
         OSError: If the peer cannot be reached.
@@ -144,7 +144,7 @@
         close_timeout=1,
         proxy=None,
     ) as conn:
-        link = Link(conn)
+        link = Link(conn, traffic)
         try:
             yield link
         finally:
@@ -152,7 +152,10 @@
 
 
 async def listen(
-    ip: str, port: int, handler: Callable[[Link], Awaitable[None]]
+    ip: str,
+    port: int,
+    handler: Callable[[Link], Awaitable[None]],
+    traffic: Traffic,
 ) -> Server:
     """Serve links.
 
@@ -160,13 +163,14 @@
         ip: IP number to bind.
         port: Port to bind; 0 lets the system choose.
         handler: Called with each new link; the link ends when it returns.
+        traffic: Counters of the process.
 
     Returns:
         The listening server.
     """
 
     async def run(conn: Connection) -> None:
-        link = Link(conn)
+        link = Link(conn, traffic)
         try:
             await handler(link)
         except WireError:
