make measure: gap, utilisation, control traffic and waits against two push policies

Riga's sizes (6 engines of 4 slots and unequal speed, 3 services, 3 entries, 16 accounts; one account floods with 200 open requests of 40 to 160 tokens, five are tied to one entry with 12 callers each). Before: nothing measured.

--- a/src/leadseam/standin/engine.py
+++ b/src/leadseam/standin/engine.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from leadseam.clock import Millis, sleep
+from leadseam.clock import Millis, SystemClock, sleep
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -28,6 +28,10 @@
     def __init__(self, *, slots: int, token_interval: Millis) -> None:
         self.mode = "normal"
         self.started = 0
+        self._busy = 0
+        self._busy_time: Millis = 0
+        self._changed: Millis = 0
+        self._clock = SystemClock()
         self.cancelled = 0
         self._batch = asyncio.Semaphore(slots)
         self._token_interval = token_interval
@@ -48,7 +52,14 @@
         return web.json_response({}, status=503 if self.mode == "dead" else 200)
 
     async def _show(self, _: web.Request) -> web.Response:
-        return web.json_response({"started": self.started, "cancelled": self.cancelled})
+        self._note_busy(0)
+        values = {
+            "started": self.started,
+            "cancelled": self.cancelled,
+            "busy": self._busy,
+            "busy_time": self._busy_time,
+        }
+        return web.json_response(values)
 
     async def _set_mode(self, http: web.Request) -> web.Response:
         self.mode = http.match_info["mode"]
@@ -68,11 +79,22 @@
                 return web.json_response({"error": "dead"}, status=503)
         try:
             async with self._batch:
-                return await self._answer(http, body)
+                self._note_busy(1)
+                try:
+                    return await self._answer(http, body)
+                finally:
+                    self._note_busy(-1)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
 
+    def _note_busy(self, change: int) -> None:
+        """Add up the milliseconds that slots were busy."""
+        now = self._clock.now()
+        self._busy_time += self._busy * (now - self._changed)
+        self._changed = now
+        self._busy += change
+
     async def _answer(
         self, http: web.Request, body: dict[str, Any]
     ) -> web.StreamResponse:
--- /dev/null
+++ b/tools/gap.py
@@ -0,0 +1,53 @@
+"""The fairness gap and utilisation from samples of service over time."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class ServiceSamples:
+    """Cumulative tokens of each account at points in time.
+
+    Args:
+        shares: Share of each backlogged account.
+    """
+
+    shares: dict[str, int]
+    rows: list[dict[str, float]] = field(default_factory=list)
+
+    def add(self, tokens: dict[str, float]) -> None:
+        """Add a sample of cumulative tokens by account."""
+        row = {name: tokens.get(name, 0.0) / share for name, share in self._items()}
+        self.rows.append(row)
+
+    def gap(self) -> float:
+        """Return the largest gap between two accounts over any interval.
+
+        The gap over an interval is the difference of what the two got in it, each
+        divided by its share; over all intervals that is the spread of the running
+        difference.
+        """
+        names = list(self.shares)
+        worst = 0.0
+        for position, one in enumerate(names):
+            for other in names[position + 1 :]:
+                series = [row[one] - row[other] for row in self.rows]
+                worst = max(worst, max(series) - min(series))
+        return worst
+
+    def totals(self) -> dict[str, float]:
+        """Return what each account got over the run, divided by its share."""
+        first, last = self.rows[0], self.rows[-1]
+        return {name: last[name] - first[name] for name in self.shares}
+
+    def _items(self) -> list[tuple[str, int]]:
+        return list(self.shares.items())
+
+
+def percentile(values: list[float], fraction: float) -> float:
+    """Return a percentile by the nearest rank; 0 for no values."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * fraction), len(ordered) - 1)]
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,200 @@
+"""A load driver: closed-loop callers of several accounts, and what they saw."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Protocol
+
+import aiohttp
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+CHUNK_END = b"data: [DONE]\n\n"
+
+
+@dataclass(frozen=True, slots=True)
+class AccountLoad:
+    """What one account asks for.
+
+    Args:
+        account: Its name.
+        callers: Requests that it keeps open at any time.
+        entries: Entries that its callers use.
+        tokens: Least and most tokens of a request.
+        hint_error: Factor by which `max_tokens` would be wrong as a hint; unused by
+            the product, which measures.
+    """
+
+    account: str
+    callers: int
+    entries: tuple[str, ...]
+    tokens: tuple[int, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """One request as its caller saw it.
+
+    Args:
+        account: Its account.
+        start: When it was sent, in seconds.
+        first: When the first byte came, or 0.
+        end: When it ended.
+        status: HTTP status; 0 for a broken connection.
+        whole: Whether the answer was complete.
+        tokens: Tokens received.
+        code: Stable code of an error, or empty.
+    """
+
+    account: str
+    start: float
+    first: float
+    end: float
+    status: int
+    whole: bool
+    tokens: int
+    code: str = ""
+
+
+class Route(Protocol):
+    """Where a request goes: through an entry, or straight to an upstream."""
+
+    async def __call__(self, load: AccountLoad, tokens: int) -> Seen:
+        """Send one request and return what was seen."""
+
+
+@dataclass(slots=True)
+class Driver:
+    """Keeps every account's callers busy until stopped.
+
+    Args:
+        loads: The accounts.
+        route: How requests are sent.
+        seed: Seed of the requests' sizes.
+    """
+
+    loads: Sequence[AccountLoad]
+    route: Route
+    seed: int = 1
+    seen: list[Seen] = field(default_factory=list)
+    stopping: bool = False
+    open_requests: int = 0
+
+    async def run_for(self, seconds: float) -> None:
+        """Run all callers for a time, then until their last request has ended."""
+        callers = [
+            asyncio.create_task(self._caller(load, number))
+            for load in self.loads
+            for number in range(load.callers)
+        ]
+        await asyncio.sleep(seconds)
+        self.stopping = True
+        await asyncio.gather(*callers)
+
+    async def _caller(self, load: AccountLoad, number: int) -> None:
+        rng = random.Random(f"{self.seed}/{load.account}/{number}")
+        while not self.stopping:
+            self.open_requests += 1
+            result = await self.route(load, rng.randint(*load.tokens))
+            self.open_requests -= 1
+            self.seen.append(result)
+            if result.status not in (200,):
+                await asyncio.sleep(0.1)
+
+
+def chat_body(model: str, tokens: int) -> bytes:
+    """Return a streamed chat request."""
+    body = {"model": model, "max_tokens": tokens, "stream": True, "messages": []}
+    return json.dumps(body).encode()
+
+
+async def stream_chat(
+    session: aiohttp.ClientSession, url: str, key: str, account: str, body: bytes
+) -> Seen:
+    """Send a streamed chat and read its answer to the end."""
+    headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+    start = time.monotonic()
+    first = 0.0
+    status = 0
+    data = bytearray()
+    with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+        async with session.post(url, data=body, headers=headers) as resp:
+            status = resp.status
+            async for part in resp.content.iter_any():
+                first = first or time.monotonic()
+                data += part
+    end = time.monotonic()
+    whole = status == 200 and data.endswith(CHUNK_END)
+    tokens = data.count(b'"delta"')
+    code = _code(bytes(data)) if status not in (0, 200) else ""
+    return Seen(account, start, first, end, status, whole, tokens, code)
+
+
+def _code(data: bytes) -> str:
+    with contextlib.suppress(ValueError, KeyError, TypeError):
+        return str(json.loads(data)["error"]["code"])
+    return "unreadable"
+
+
+def entry_route(
+    session: aiohttp.ClientSession, urls: dict[str, str], model: str
+) -> Route:
+    """Send through entries, in turn for each account."""
+    turns: dict[str, int] = {}
+
+    async def send(load: AccountLoad, tokens: int) -> Seen:
+        turn = turns.get(load.account, 0)
+        turns[load.account] = turn + 1
+        url = urls[load.entries[turn % len(load.entries)]]
+        key = f"key-{load.account}"
+        body = chat_body(model, tokens)
+        return await stream_chat(session, url, key, load.account, body)
+
+    return send
+
+
+def push_route(
+    session: aiohttp.ClientSession,
+    upstreams: Sequence[str],
+    model: str,
+    choose: Callable[[dict[str, int]], str],
+) -> Route:
+    """Send straight to an upstream chosen on arrival, as a pushing entry would.
+
+    Args:
+        session: Client session.
+        upstreams: URLs of the upstreams.
+        model: Model to ask for.
+        choose: Picks a URL from the requests in flight at each, as one entry sees
+            them.
+    """
+    in_flight: dict[str, dict[str, int]] = {}
+
+    async def send(load: AccountLoad, tokens: int) -> Seen:
+        entry = load.entries[0]
+        counts = in_flight.setdefault(entry, dict.fromkeys(upstreams, 0))
+        url = choose(counts)
+        counts[url] += 1
+        body = chat_body(model, tokens)
+        try:
+            return await stream_chat(session, url, "", load.account, body)
+        finally:
+            counts[url] -= 1
+
+    return send
+
+
+def least_in_flight(counts: dict[str, int]) -> str:
+    """Choose the upstream with the fewest requests of this entry in flight."""
+    return min(counts, key=lambda url: (counts[url], random.random()))
+
+
+def at_random(counts: dict[str, int]) -> str:
+    """Choose any upstream."""
+    return random.choice(list(counts))
--- /dev/null
+++ b/tools/measure.py
@@ -0,0 +1,274 @@
+"""Measure fairness gap, utilisation, control traffic and waits, policy by policy.
+
+Usage:
+  measure [--seconds N] [--case NAME]
+  measure (-h | --help)
+
+Options:
+  --seconds N  Length of each run [default: 12].
+  --case NAME  Only this case.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from docopt import docopt
+
+from tools.fleet import Fleet
+from tools.gap import ServiceSamples, percentile
+from tools.load import (
+    AccountLoad,
+    Driver,
+    Route,
+    at_random,
+    entry_route,
+    least_in_flight,
+    push_route,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+MODEL = "rates"
+ENGINES = 6
+SLOTS = 4
+TOKEN_INTERVALS = (8, 8, 10, 10, 14, 20)
+ENTRIES = ("entry-1", "entry-2", "entry-3")
+FLOOD = "menus"
+OUTPUT_TOKEN = 4
+SAMPLE_INTERVAL = 0.2
+WARM_UP = 2.0
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """One row of the report."""
+
+    case: str
+    gap: float
+    utilisation: float
+    control_bytes: float
+    cpu: float
+    wait_p50: float
+    wait_p95: float
+    requests: int
+    broken: int
+
+
+def riga(folder: Path) -> Fleet:
+    """Describe Riga: 6 engines, 3 services, 3 domains, 16 accounts, 3 entries."""
+    fleet = Fleet(folder)
+    domains = ("centrs", "pardaugava", "purvciems")
+    fleet.add_control()
+    fleet.add_pool("rates-1", model=MODEL)
+    fleet.add_pool("kiosk")
+    for number in range(ENGINES):
+        fleet.add_upstream(
+            f"engine-{number + 1}",
+            pool="rates-1",
+            kind="engine",
+            slots=SLOTS,
+            failure_domain=domains[number % 3],
+            token_interval=TOKEN_INTERVALS[number],
+        )
+    for number in range(3):
+        fleet.add_upstream(
+            f"kiosk-{number + 1}",
+            pool="kiosk",
+            kind="service",
+            failure_domain=domains[number],
+        )
+    for load in loads():
+        fleet.add_account(load.account, models=(MODEL,), services=("kiosk",))
+    for name in ENTRIES:
+        fleet.add_entry(name)
+    return fleet
+
+
+def loads() -> list[AccountLoad]:
+    """One flood of long requests, five backlogged accounts, ten small ones."""
+    flood = AccountLoad(FLOOD, 200, ENTRIES, (40, 160))
+    tied = [
+        AccountLoad(f"desk-{number}", 12, (ENTRIES[number % 3],), (5, 60))
+        for number in range(5)
+    ]
+    small = [
+        AccountLoad(f"kiosk-{number}", 1, (ENTRIES[number % 3],), (4, 12))
+        for number in range(10)
+    ]
+    return [flood, *tied, *small]
+
+
+def backlogged() -> dict[str, int]:
+    """Return the shares of the accounts that always have work waiting."""
+    return {load.account: 1 for load in loads() if load.callers >= 12}
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+class Observer:
+    """Samples service and costs while a driver runs."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.samples = ServiceSamples(backlogged())
+        self._fleet = fleet
+        self._nodes = fleet.names("entry") + fleet.names("sidecar")
+
+    async def tokens_at_sidecars(self) -> dict[str, float]:
+        """Return cumulative tokens by account, summed over the sidecars."""
+        totals: dict[str, float] = {}
+        for name in self._fleet.names("sidecar"):
+            if not name.startswith("sidecar-engine"):
+                continue
+            for label, value in (
+                await self._fleet.metric(name, "service_total")
+            ).items():
+                account = label.split('"')[1]
+                totals[account] = totals.get(account, 0.0) + value / OUTPUT_TOKEN
+        return totals
+
+    async def busy_seconds(self) -> float:
+        """Return the time that the engines' slots were busy, as they count it."""
+        total = 0.0
+        for row in self._fleet.config["upstreams"]:
+            if row["pool"] == "kiosk":
+                continue
+            url = self._fleet.url(row["name"], "/standin")
+            async with self._fleet.http.get(url) as resp:
+                total += (await resp.json())["busy_time"] / 1_000
+        return total
+
+    async def control_bytes(self) -> float:
+        """Return control bytes sent by entries and sidecars so far."""
+        total = 0.0
+        for name in self._nodes:
+            sent = await self._fleet.metric(name, "link_control_sent_bytes_total")
+            total += sum(sent.values())
+        return total
+
+    def cpu(self) -> float:
+        """Return processor seconds of entries and sidecars so far."""
+        return sum(cpu_seconds(self._fleet.nodes[name].pid) for name in self._nodes)
+
+    @property
+    def count(self) -> int:
+        """Number of nodes observed."""
+        return len(self._nodes)
+
+
+async def sample_callers(driver: Driver, samples: ServiceSamples) -> None:
+    """Sample service by what callers received in full; for pushing policies."""
+    while not driver.stopping:
+        totals: dict[str, float] = {}
+        for seen in driver.seen:
+            totals[seen.account] = totals.get(seen.account, 0.0) + seen.tokens
+        samples.add(totals)
+        await asyncio.sleep(SAMPLE_INTERVAL)
+
+
+async def run_case(
+    fleet: Fleet,
+    case: str,
+    route: Route,
+    seconds: float,
+    disturb: Callable[[Fleet], Coroutine[None, None, None]] | None = None,
+) -> Result:
+    """Run one case against a running fleet."""
+    driver = Driver(loads(), route)
+    observer = Observer(fleet)
+    running = asyncio.create_task(driver.run_for(seconds + WARM_UP))
+    await asyncio.sleep(WARM_UP)
+    start = time.monotonic()
+    bytes_before, cpu_before = await observer.control_bytes(), observer.cpu()
+    busy_before = await observer.busy_seconds()
+    disturbance = asyncio.create_task(disturb(fleet)) if disturb else None
+    await sample_callers(driver, observer.samples)
+    end = time.monotonic()
+    elapsed = end - start
+    busy = (await observer.busy_seconds() - busy_before) / elapsed
+    control = (await observer.control_bytes() - bytes_before) / elapsed
+    cpu = (observer.cpu() - cpu_before) / elapsed
+    await running
+    if disturbance is not None:
+        await disturbance
+    waits = [one.first - one.start for one in driver.seen if one.first]
+    totals = {name: round(got) for name, got in observer.samples.totals().items()}
+    print(f"{case}: tokens by account {totals}")
+    return Result(
+        case=case,
+        gap=observer.samples.gap(),
+        utilisation=busy / (ENGINES * SLOTS),
+        control_bytes=control / observer.count,
+        cpu=100 * cpu / observer.count,
+        wait_p50=percentile(waits, 0.5),
+        wait_p95=percentile(waits, 0.95),
+        requests=len(driver.seen),
+        broken=sum(not one.whole for one in driver.seen),
+    )
+
+
+def report(results: list[Result]) -> str:
+    """Format the results as a table."""
+    lines = [
+        "| case | gap, tokens | utilisation | control B/s a node | CPU % a node |"
+        " wait p50 s | wait p95 s | requests | not whole |",
+        "|---|---|---|---|---|---|---|---|---|",
+    ]
+    for row in results:
+        lines.append(
+            f"| {row.case} | {row.gap:.0f} | {row.utilisation:.3f} |"
+            f" {row.control_bytes:.0f} | {row.cpu:.1f} | {row.wait_p50:.2f} |"
+            f" {row.wait_p95:.2f} | {row.requests} | {row.broken} |"
+        )
+    return "\n".join(lines)
+
+
+async def main_async(seconds: float, only: str | None) -> None:
+    """Run all cases and print the table."""
+    results = []
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = riga(Path(folder))
+        try:
+            await fleet.start_all()
+            path = "/v1/chat/completions"
+            urls = {name: fleet.url(name, path) for name in ENTRIES}
+            engines = [
+                fleet.url(f"engine-{number + 1}", path) for number in range(ENGINES)
+            ]
+            cases: list[tuple[str, Route]] = [
+                ("push at random", push_route(fleet.http, engines, MODEL, at_random)),
+                (
+                    "push, least in flight",
+                    push_route(fleet.http, engines, MODEL, least_in_flight),
+                ),
+                ("late binding", entry_route(fleet.http, urls, MODEL)),
+            ]
+            for case, route in cases:
+                if only in (None, case):
+                    results.append(await run_case(fleet, case, route, seconds))
+                    print(report(results[-1:]).splitlines()[-1], flush=True)
+        finally:
+            await fleet.close()
+    print(report(results))
+
+
+def main() -> None:
+    """Entry point of `make measure`."""
+    args = docopt(__doc__)
+    asyncio.run(main_async(float(args["--seconds"]), args["--case"]))
+
+
+if __name__ == "__main__":
+    main()
