Send a backlog row again after each used or declined grant

Cause: a sidecar counts a used grant off its copy of the row, but the entry sent rows only when its own count differed from the last one sent. With a constant backlog (200 open callers) the copy drifted to nothing. Ruled out: a leak of reservations and a wrong merge, by dumping the ledgers of two sidecars: at the end of the run the levels of all accounts were within 100 tokens. The cause: the flood arrived first, took all 24 slots while nobody else waited, and the others caught up with that during the run. It is the filling of the fleet, K slots times the unknown rest of a request, inside the bound. So the report now gives the gap over the whole run and once filled (after 8 s), from tokens as callers receive them.

--- a/src/leadseam/entry/sidecars.py
+++ b/src/leadseam/entry/sidecars.py
@@ -44,6 +44,8 @@
 FALL_INTERVAL: Millis = 50
 RISE_INTERVAL: Millis = 2
 
+_UNKNOWN = -1
+
 
 class SidecarLink:
     """One sidecar as seen by an entry.
@@ -231,12 +233,13 @@
         if item is None:
             self._dispatcher.metrics.grants_declined.inc({})
             self._link.send(Decline(grant.grant))
-            self.touch(grant.account, rises=False)
+            self._forget_announced(grant.account)
             return
         attempt = self._dispatcher.next_attempt()
         self._attempts[attempt] = (item, False)
         item.events.put_nowait(Dispatched(self, attempt))
         self._link.send(self._dispatch(attempt, grant.grant, item))
+        self._forget_announced(grant.account)
 
     def _dispatch(self, attempt: int, grant: int, item: Waiting) -> Dispatch:
         req = item.req
@@ -256,6 +259,14 @@
 
     # Backlog
 
+    def _forget_announced(self, account: str) -> None:
+        """Have a row sent even if the count is as last announced.
+
+        The sidecar counts a used or declined grant off its own copy of the row.
+        """
+        self._announced[account] = _UNKNOWN
+        self._dirty.add(account)
+
     async def _flush_loop(self, link: Link) -> None:
         """Send changed rows: rising ones at once, falling ones now and then."""
         while True:
--- a/tools/gap.py
+++ b/tools/gap.py
@@ -21,18 +21,22 @@
         row = {name: tokens.get(name, 0.0) / share for name, share in self._items()}
         self.rows.append(row)
 
-    def gap(self) -> float:
+    def gap(self, *, skip: int = 0) -> float:
         """Return the largest gap between two accounts over any interval.
 
+        Args:
+            skip: Samples at the start to leave out. Defaults to 0.
+
         The gap over an interval is the difference of what the two got in it, each
         divided by its share; over all intervals that is the spread of the running
         difference.
         """
         names = list(self.shares)
+        rows = self.rows[skip:]
         worst = 0.0
         for position, one in enumerate(names):
             for other in names[position + 1 :]:
-                series = [row[one] - row[other] for row in self.rows]
+                series = [row[one] - row[other] for row in rows]
                 worst = max(worst, max(series) - min(series))
         return worst
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -7,6 +7,7 @@
 import json
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
@@ -16,6 +17,7 @@
     from collections.abc import Callable, Sequence
 
 CHUNK_END = b"data: [DONE]\n\n"
+TOKEN = b'"delta"'
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,8 +29,6 @@
         callers: Requests that it keeps open at any time.
         entries: Entries that its callers use.
         tokens: Least and most tokens of a request.
-        hint_error: Factor by which `max_tokens` would be wrong as a hint; unused by
-            the product, which measures.
     """
 
     account: str
@@ -65,8 +65,8 @@
 class Route(Protocol):
     """Where a request goes: through an entry, or straight to an upstream."""
 
-    async def __call__(self, load: AccountLoad, tokens: int) -> Seen:
-        """Send one request and return what was seen."""
+    async def __call__(self, load: AccountLoad, tokens: int, got: Counter[str]) -> Seen:
+        """Send one request and return what was seen; counts tokens as they come."""
 
 
 @dataclass(slots=True)
@@ -84,7 +84,7 @@
     seed: int = 1
     seen: list[Seen] = field(default_factory=list)
     stopping: bool = False
-    open_requests: int = 0
+    tokens: Counter[str] = field(default_factory=Counter)
 
     async def run_for(self, seconds: float) -> None:
         """Run all callers for a time, then until their last request has ended."""
@@ -100,9 +100,8 @@
     async def _caller(self, load: AccountLoad, number: int) -> None:
         rng = random.Random(f"{self.seed}/{load.account}/{number}")
         while not self.stopping:
-            self.open_requests += 1
-            result = await self.route(load, rng.randint(*load.tokens))
-            self.open_requests -= 1
+            size = rng.randint(*load.tokens)
+            result = await self.route(load, size, self.tokens)
             self.seen.append(result)
             if result.status not in (200,):
                 await asyncio.sleep(0.1)
@@ -115,9 +114,23 @@
 
 
 async def stream_chat(
-    session: aiohttp.ClientSession, url: str, key: str, account: str, body: bytes
+    session: aiohttp.ClientSession,
+    url: str,
+    key: str,
+    account: str,
+    body: bytes,
+    got: Counter[str],
 ) -> Seen:
-    """Send a streamed chat and read its answer to the end."""
+    """Send a streamed chat and read its answer to the end.
+
+    Args:
+        session: Client session.
+        url: Where to.
+        key: Bearer key.
+        account: Account of the key.
+        body: The request.
+        got: Tokens by account, counted as they come.
+    """
     headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
     start = time.monotonic()
     first = 0.0
@@ -129,9 +142,10 @@
             async for part in resp.content.iter_any():
                 first = first or time.monotonic()
                 data += part
+                got[account] += part.count(TOKEN)
     end = time.monotonic()
     whole = status == 200 and data.endswith(CHUNK_END)
-    tokens = data.count(b'"delta"')
+    tokens = data.count(TOKEN)
     code = _code(bytes(data)) if status not in (0, 200) else ""
     return Seen(account, start, first, end, status, whole, tokens, code)
 
@@ -148,13 +162,13 @@
     """Send through entries, in turn for each account."""
     turns: dict[str, int] = {}
 
-    async def send(load: AccountLoad, tokens: int) -> Seen:
+    async def send(load: AccountLoad, tokens: int, got: Counter[str]) -> Seen:
         turn = turns.get(load.account, 0)
         turns[load.account] = turn + 1
         url = urls[load.entries[turn % len(load.entries)]]
         key = f"key-{load.account}"
         body = chat_body(model, tokens)
-        return await stream_chat(session, url, key, load.account, body)
+        return await stream_chat(session, url, key, load.account, body, got)
 
     return send
 
@@ -176,14 +190,14 @@
     """
     in_flight: dict[str, dict[str, int]] = {}
 
-    async def send(load: AccountLoad, tokens: int) -> Seen:
+    async def send(load: AccountLoad, tokens: int, got: Counter[str]) -> Seen:
         entry = load.entries[0]
         counts = in_flight.setdefault(entry, dict.fromkeys(upstreams, 0))
         url = choose(counts)
         counts[url] += 1
         body = chat_body(model, tokens)
         try:
-            return await stream_chat(session, url, "", load.account, body)
+            return await stream_chat(session, url, "", load.account, body, got)
         finally:
             counts[url] -= 1
 
