--- a/src/leadseam/entry/dispatcher.py
+++ b/src/leadseam/entry/dispatcher.py
@@ -100,7 +100,7 @@
         refusal = self.queue.offer(item, max_waiting=max_waiting, now=now)
         if refusal is not None:
             return refusal
-        self._touch(req, rises=True)
+        self._touch(req, urgent=True)
         return item
 
     def requeue(self, item: Waiting) -> None:
@@ -108,19 +108,19 @@
         if self._usable(item.req.pool) <= item.avoid:
             item.avoid.clear()
         self.queue.put_back(item)
-        self._touch(item.req, rises=True)
+        self._touch(item.req, urgent=True)
 
     def withdraw(self, item: Waiting) -> None:
         """Take a request out of the queue, if it still waits."""
         if item.queued:
             self.queue.remove(item)
-            self._touch(item.req, rises=False)
+            self._touch(item.req, urgent=False)
 
     def take(self, key: QueueKey, link: SidecarLink) -> Waiting | None:
         """Take the next request for a granted slot."""
         item = self.queue.take(key, upstream=link.upstream.name, now=self.now())
         if item is not None:
-            self._touch(item.req, rises=False)
+            self._touch(item.req, urgent=not self.queue.count(key))
         return item
 
     def next_attempt(self) -> int:
@@ -165,6 +165,6 @@
         del self._links[name]
         self._tasks.pop(name).cancel()
 
-    def _touch(self, req: CallerRequest, *, rises: bool) -> None:
+    def _touch(self, req: CallerRequest, *, urgent: bool) -> None:
         for link in self._pool_links(req.pool):
-            link.touch(req.account, rises=rises)
+            link.touch(req.account, urgent=urgent)
--- a/src/leadseam/entry/sidecars.py
+++ b/src/leadseam/entry/sidecars.py
@@ -93,10 +93,14 @@
                 await self._connect()
             await sleep(REDIAL_DELAY)
 
-    def touch(self, account: str, *, rises: bool) -> None:
-        """Note that an account's backlog changed."""
+    def touch(self, account: str, *, urgent: bool) -> None:
+        """Note that an account's backlog changed.
+
+        A row that rises or ends is urgent: the one starts idle slots, the other keeps
+        them from being granted in vain.
+        """
         self._dirty.add(account)
-        if rises:
+        if urgent:
             self._flush_soon.set()
 
     def report_others(self) -> None:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -137,6 +137,15 @@
                 total += (await resp.json())["busy_time"] / 1_000
         return total
 
+    async def grants(self) -> dict[str, float]:
+        """Return grants so far by how they ended, summed over the sidecars."""
+        totals: dict[str, float] = {}
+        for name in self._fleet.names("sidecar"):
+            values = await self._fleet.metric(name, "grants_total")
+            for label, value in values.items():
+                totals[label] = totals.get(label, 0.0) + value
+        return totals
+
     async def control_bytes(self) -> float:
         """Return control bytes sent by entries and sidecars so far."""
         total = 0.0
@@ -189,6 +198,7 @@
     await running
     if disturbance is not None:
         await disturbance
+    print(f"{case}: grants {await observer.grants()}")
     waits = [one.first - one.start for one in driver.seen if one.first]
     totals = {name: round(got) for name, got in observer.samples.totals().items()}
     print(f"{case}: tokens by account {totals}")
