Proof: not-repeatable runs at most once and "not run" is true

Real processes; links cut behind the proxy 2000 calls long, sidecars and entries killed and restarted under load, a sidecar frozen and woken, two resends at once through two entries (100 keys), no quorum, a dead upstream. The transaction stand-in's own count is the judge.

Also: one request is fetched ahead of the slots, and the load driver hangs up at the end instead of waiting for its deep queue. Cause of idle slots: the round trip between a freed slot and the next dispatch.

--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -16,6 +16,7 @@
 from leadseam.runtime.tasks import spawn
 from leadseam.sidecar.attempts import AttemptKey, AttemptState, AttemptTable
 from leadseam.sidecar.breaker import Breaker, Health
+from leadseam.sidecar.gate import Gate
 from leadseam.sidecar.scheduler import Scheduler
 from leadseam.sidecar.upstream import Upstream, UpstreamAddress, Window
 from leadseam.wire.messages import (
@@ -119,6 +120,7 @@
         self._upstream: Upstream | None = None
         self._ledger = Ledger()
         self._scheduler = Scheduler(self._ledger, Picker(self._ledger), self._share_of)
+        self._gate = Gate()
         self._attempts = AttemptTable()
         self._peers: dict[str, EntryPeer] = {}
         self._last_free: Free | None = None
@@ -301,9 +303,10 @@
 
         final: Final | None = None
         try:
-            final = await self._upstream.run(
-                req, window=running.window, send=send, charge=charge
-            )
+            async with self._gate:
+                final = await self._upstream.run(
+                    req, window=running.window, send=send, charge=charge
+                )
         finally:
             peer.running.pop(req.attempt, None)
             self._finish(running, key, final)
@@ -372,6 +375,7 @@
         slots = self.breaker.allowed_slots(row.slots) if row is not None else 0
         draining = row is None or row.draining
         self._scheduler.slots = slots
+        self._gate.resize(slots)
         self._scheduler.open = not (self.leaving or draining)
         free = self._free()
         if free != self._last_free:
--- /dev/null
+++ b/src/leadseam/sidecar/gate.py
@@ -0,0 +1,62 @@
+"""Admission of fetched requests to the upstream's slots, in order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+
+class Gate:
+    """A semaphore whose size may change while it is in use."""
+
+    def __init__(self) -> None:
+        self._size = 0
+        self._inside = 0
+        self._waiting: deque[asyncio.Future[None]] = deque()
+
+    def __repr__(self) -> str:
+        return f"Gate({self._inside}/{self._size}, waiting={len(self._waiting)})"
+
+    def resize(self, size: int) -> None:
+        """Set how many may be inside; those inside stay."""
+        self._size = size
+        self._admit()
+
+    async def __aenter__(self) -> None:
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(fut)
+        self._admit()
+        try:
+            await fut
+        except asyncio.CancelledError:
+            self._withdraw(fut)
+            raise
+
+    async def __aexit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._leave()
+
+    def _admit(self) -> None:
+        while self._waiting and self._inside < self._size:
+            fut = self._waiting.popleft()
+            if not fut.done():
+                self._inside += 1
+                fut.set_result(None)
+
+    def _withdraw(self, fut: asyncio.Future[None]) -> None:
+        if fut.done() and not fut.cancelled():
+            self._leave()
+        elif fut in self._waiting:
+            self._waiting.remove(fut)
+
+    def _leave(self) -> None:
+        self._inside -= 1
+        self._admit()
--- a/src/leadseam/sidecar/scheduler.py
+++ b/src/leadseam/sidecar/scheduler.py
@@ -17,6 +17,7 @@
 
 GRANT_LEASE: Millis = 500
 FIRST_ESTIMATE = 200
+AHEAD = 1
 ESTIMATE_WEIGHT = 0.2
 
 
@@ -83,15 +84,20 @@
     def __repr__(self) -> str:
         return f"Scheduler({self.busy}/{self.slots}, leases={len(self._leases)})"
 
+    @property
+    def capacity(self) -> int:
+        """Slots, and the requests fetched ahead so that none idles for a round trip."""
+        return self.slots + AHEAD if self.slots > 1 else self.slots
+
     @property
     def busy(self) -> int:
-        """Slots in use or granted."""
+        """Requests that run, are fetched ahead or granted."""
         return self.running + len(self._leases)
 
     def schedule(self, now: Millis) -> list[Lease]:
         """Grant every free slot for which work waits."""
         leases = []
-        while self.open and self.busy < self.slots:
+        while self.open and self.busy < self.capacity:
             account = self._picker.pick(self._eligible())
             if account is None:
                 break
--- /dev/null
+++ b/tests/failures/test_at_most_once.py
@@ -0,0 +1,213 @@
+"""Not-repeatable requests run at most once, and "not run" is true.
+
+The judge is the transaction stand-in's own count of executions.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tools.faults import before_sidecar
+from tools.fleet import until
+
+if TYPE_CHECKING:
+    from tools.fleet import Fleet
+
+ONCE = {"X-Leadseam-Repeatable": "no"}
+BROKEN = "broken"
+
+
+def describe(fleet: Fleet, *, upstreams: int = 2, entries: int = 2) -> None:
+    """Describe a fleet of plain services."""
+    fleet.add_control()
+    fleet.add_pool("slips")
+    for number in range(1, upstreams + 1):
+        fleet.add_upstream(
+            f"slips-{number}", pool="slips", kind="service", service_time=20
+        )
+    fleet.add_account("tellers", services=("slips",))
+    for number in range(1, entries + 1):
+        fleet.add_entry(f"entry-{number}")
+
+
+async def print_slip(
+    fleet: Fleet, entry: str, name: str, headers: dict[str, str] | None = None
+) -> str:
+    """Send one call and return its outcome, as the caller was told."""
+    path = f"/services/slips/run/{name}"
+    try:
+        status, body = await fleet.post(
+            entry, path, "tellers", b"{}", {**ONCE, **(headers or {})}
+        )
+    except (aiohttp.ClientError, OSError):
+        return BROKEN
+    if status == 200:
+        return "answered"
+    outcome: str = json.loads(body)["error"]["outcome"]
+    return outcome
+
+
+async def check(fleet: Fleet, told: dict[str, list[str]]) -> None:
+    """Hold every caller's outcomes against what truly ran."""
+    runs = await fleet.runs()
+    assert max(runs.values()) == 1
+    for name, outcomes in told.items():
+        ran = runs.get(name, 0)
+        if set(outcomes) == {"not_run"}:
+            assert ran == 0, f"{name} was told not_run, but ran"
+        if "answered" in outcomes:
+            assert ran == 1, f"{name} was told answered, but did not run"
+
+
+async def run_calls(
+    fleet: Fleet, count: int, *, parallel: int, entries: int
+) -> dict[str, list[str]]:
+    """Send many calls, each once, and return what each caller was told."""
+    told: dict[str, list[str]] = {}
+    numbers = iter(range(count))
+
+    async def caller() -> None:
+        for number in numbers:
+            entry = f"entry-{number % entries + 1}"
+            told[f"n{number}"] = [await print_slip(fleet, entry, f"n{number}")]
+
+    await asyncio.gather(*(caller() for _ in range(parallel)))
+    return told
+
+
+async def test_links_cut_again_and_again(fleet: Fleet) -> None:
+    describe(fleet)
+    links = [await before_sidecar(fleet, f"slips-{number}") for number in (1, 2)]
+    await fleet.start_all()
+    calls = asyncio.create_task(run_calls(fleet, 2_000, parallel=24, entries=2))
+    cuts = 0
+    while not calls.done():
+        await links[cuts % 2].cut()
+        cuts += 1
+        await asyncio.sleep(0.15)
+    told = await calls
+    await check(fleet, told)
+    counts = Counter(outcome for outcomes in told.values() for outcome in outcomes)
+    assert counts["answered"] > 0
+    assert BROKEN not in counts
+
+
+async def test_sidecar_killed_under_load(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    calls = asyncio.create_task(run_calls(fleet, 1_000, parallel=24, entries=2))
+    for number in range(4):
+        name = f"sidecar-slips-{number % 2 + 1}"
+        await until(lambda: some_ran(fleet, 20), "calls run")
+        fleet.nodes[name].kill()
+        fleet.start(name)
+        await fleet.wait_ready(name)
+    await check(fleet, await calls)
+
+
+async def test_entry_killed_under_load(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    calls = asyncio.create_task(run_calls(fleet, 600, parallel=24, entries=2))
+    for _ in range(3):
+        await until(lambda: some_ran(fleet, 20), "calls run")
+        fleet.nodes["entry-1"].kill()
+        fleet.start("entry-1")
+        await fleet.wait_ready("entry-1")
+    await check(fleet, await calls)
+
+
+async def test_sidecar_frozen_and_woken(fleet: Fleet) -> None:
+    describe(fleet, upstreams=1, entries=1)
+    await fleet.start_all()
+    sidecar = fleet.nodes["sidecar-slips-1"]
+    calls = asyncio.create_task(run_calls(fleet, 60, parallel=8, entries=1))
+    await until(lambda: some_ran(fleet, 5), "calls run")
+    sidecar.signal(signal.SIGSTOP)
+    await until(lambda: lost_sight(fleet, "slips-1"), "the entry gave the link up")
+    sidecar.signal(signal.SIGCONT)
+    await check(fleet, await calls)
+
+
+async def test_resend_through_another_entry_gets_the_first_answer(
+    fleet: Fleet,
+) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    key = {"Idempotency-Key": "slip-7"}
+    first = await fleet.post(
+        "entry-1", "/services/slips/run/a", "tellers", b"{}", ONCE | key
+    )
+    await until(lambda: answer_recorded(fleet, first[1], key), "the answer is recorded")
+    assert await fleet.runs() == {"a": 1}
+
+
+async def test_two_resends_at_once_run_once(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    told: dict[str, list[str]] = {}
+    for number in range(100):
+        name = f"k{number}"
+        headers = {"Idempotency-Key": name}
+        told[name] = list(
+            await asyncio.gather(
+                print_slip(fleet, "entry-1", name, headers),
+                print_slip(fleet, "entry-2", name, headers),
+            )
+        )
+    runs = await fleet.runs()
+    assert set(runs.values()) == {1}
+    assert len(runs) == 100
+    assert all("not_run" not in outcomes for outcomes in told.values())
+
+
+async def test_key_of_another_request_is_refused(fleet: Fleet) -> None:
+    describe(fleet, entries=1)
+    await fleet.start_all()
+    headers = {"Idempotency-Key": "slip-8"}
+    assert await print_slip(fleet, "entry-1", "a", headers) == "answered"
+    assert await print_slip(fleet, "entry-1", "b", headers) == "not_run"
+    assert await fleet.runs() == {"a": 1}
+
+
+async def test_no_quorum_means_not_run(fleet: Fleet) -> None:
+    describe(fleet, entries=1)
+    await fleet.start_all()
+    for name in ("control-1", "control-2"):
+        fleet.nodes[name].kill()
+    headers = {"Idempotency-Key": "slip-9"}
+    assert await print_slip(fleet, "entry-1", "a", headers) == "not_run"
+    assert await fleet.runs() == {}
+
+
+async def test_unreachable_upstream_means_not_run(fleet: Fleet) -> None:
+    describe(fleet, upstreams=1, entries=1)
+    await fleet.start_all()
+    fleet.nodes["slips-1"].kill()
+    outcomes = {await print_slip(fleet, "entry-1", f"u{n}") for n in range(3)}
+    assert outcomes == {"not_run"}
+
+
+async def some_ran(fleet: Fleet, count: int) -> bool:
+    """Tell whether so many calls have run."""
+    return len(await fleet.runs()) >= count
+
+
+async def lost_sight(fleet: Fleet, upstream: str) -> bool:
+    """Tell whether the first entry sends no more work to an upstream."""
+    values = await fleet.metric("entry-1", "sidecar_usable")
+    return values[f'upstream="{upstream}"'] == 0.0
+
+
+async def answer_recorded(fleet: Fleet, first: bytes, key: dict[str, str]) -> bool:
+    """Tell whether a resend through the second entry gets the first answer."""
+    status, body = await fleet.post(
+        "entry-2", "/services/slips/run/a", "tellers", b"{}", ONCE | key
+    )
+    return (status, body) == (200, first)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -149,6 +149,7 @@
         self.replicas: dict[str, dict[str, Any]] = {}
         self.operator_ports: list[int] = []
         self._http: aiohttp.ClientSession | None = None
+        self._closers: list[Callable[[], Awaitable[None]]] = []
 
     @property
     def http(self) -> aiohttp.ClientSession:
@@ -163,12 +164,18 @@
         """End every process that was started here."""
         if self._http is not None:
             await self._http.close()
+        for closer in self._closers:
+            await closer()
         for node in self.nodes.values():
             if node.process is not None:
                 with contextlib.suppress(ProcessLookupError):
                     node.signal(signal.SIGCONT)
                 node.kill()
 
+    def on_close(self, closer: Callable[[], Awaitable[None]]) -> None:
+        """Have something closed with the fleet."""
+        self._closers.append(closer)
+
     # Description
 
     def add_account(
--- a/tools/load.py
+++ b/tools/load.py
@@ -87,7 +87,7 @@
     tokens: Counter[str] = field(default_factory=Counter)
 
     async def run_for(self, seconds: float) -> None:
-        """Run all callers for a time, then until their last request has ended."""
+        """Run all callers for a time, then have them hang up."""
         callers = [
             asyncio.create_task(self._caller(load, number))
             for load in self.loads
@@ -95,7 +95,9 @@
         ]
         await asyncio.sleep(seconds)
         self.stopping = True
-        await asyncio.gather(*callers)
+        for caller in callers:
+            caller.cancel()
+        await asyncio.gather(*callers, return_exceptions=True)
 
     async def _caller(self, load: AccountLoad, number: int) -> None:
         rng = random.Random(f"{self.seed}/{load.account}/{number}")
