Proof: accepted configuration is in force everywhere and never reverts

Real replicas on real disks: leader killed; leader frozen and woken; a replica silently cut off in one direction; a disk lost and repaired, then a second box lost, then its disk too; operators racing with equal versions; a resend after the leader's loss; all replicas killed at once; a node restarted without a quorum; a wrong token; an invalid change. Every node's log is read for versions that only rise. No change of the product was needed.

--- /dev/null
+++ b/tests/failures/test_configuration.py
@@ -0,0 +1,279 @@
+"""Accepted configuration is in force everywhere and never reverts.
+
+After each failure: every acknowledged change is in force on all live nodes, and the
+version that each node reports never fell.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import shutil
+import signal
+from typing import TYPE_CHECKING, Any
+
+from tools.faults import before_replica
+from tools.fleet import until
+
+if TYPE_CHECKING:
+    from tools.fleet import Fleet
+
+CONTROL = ("control-1", "control-2", "control-3")
+
+
+def describe(fleet: Fleet) -> None:
+    """Describe a small fleet."""
+    fleet.add_control()
+    fleet.add_pool("slips")
+    fleet.add_upstream("slips-1", pool="slips", kind="service")
+    fleet.add_account("tellers", services=("slips",))
+    fleet.add_entry("entry-1")
+    fleet.add_entry("entry-2")
+
+
+async def change(fleet: Fleet, share: int, *extra: str) -> tuple[int, dict[str, Any]]:
+    """Have a share changed and return exit code and reply."""
+    fleet.config["accounts"][0]["share"] = share
+    path = fleet.folder / f"desired-{share}.yaml"
+    path.write_text(json.dumps(fleet.config))
+    code, out = await fleet.ctl("--json", "apply", str(path), *extra)
+    return code, json.loads(out) if out else {}
+
+
+async def status(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return what each replica says of itself."""
+    _, out = await fleet.ctl("--json", "status")
+    rows: list[dict[str, Any]] = json.loads(out)
+    return rows
+
+
+async def leader(fleet: Fleet) -> str:
+    """Wait for a leader with a lease and return its name."""
+    found: list[str] = []
+
+    async def known() -> bool:
+        rows = await status(fleet)
+        found[:] = [
+            row["identity"].partition("#")[0]
+            for row in rows
+            if row["role"] == "leader" and row["current"]
+        ]
+        return len(found) == 1
+
+    await until(known, "one replica leads")
+    return found[0]
+
+
+async def share_in_force(fleet: Fleet) -> int:
+    """Return the share that operators read."""
+    code, out = await fleet.ctl("--json", "get")
+    assert code == 0
+    share: int = json.loads(out)["accounts"][0]["share"]
+    return share
+
+
+def assert_never_fell(fleet: Fleet) -> None:
+    """Read in every node's log that versions only rose within one run."""
+    for name in (*fleet.names("entry"), *fleet.names("sidecar")):
+        version = 0
+        for line in fleet.nodes[name].log.read_text().splitlines():
+            if '"message": "started"' in line:
+                version = 0
+            match = re.search(
+                r'"message": "configuration in force", "version": (\d+)', line
+            )
+            if match:
+                assert int(match[1]) > version
+                version = int(match[1])
+
+
+async def test_leader_killed(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    old = await leader(fleet)
+    code, reply = await change(fleet, 2)
+    assert code == 0
+    fleet.nodes[old].kill()
+    code, reply = await change(fleet, 3)
+    assert (code, reply["status"]) == (0, "accepted")
+    await fleet.wait_in_force(reply["version"])
+    fleet.start(old)
+    await fleet.wait_ready(old)
+    assert await share_in_force(fleet) == 3
+    assert_never_fell(fleet)
+
+
+async def test_leader_frozen_and_woken(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    old = await leader(fleet)
+    fleet.nodes[old].signal(signal.SIGSTOP)
+    code, reply = await change(fleet, 4)
+    assert code == 0
+    await fleet.wait_in_force(reply["version"])
+    fleet.nodes[old].signal(signal.SIGCONT)
+    await fleet.wait_ready(old)
+    code, reply = await change(fleet, 5)
+    assert code == 0
+    await fleet.wait_in_force(reply["version"])
+    assert await share_in_force(fleet) == 5
+    assert_never_fell(fleet)
+
+
+async def test_replica_cut_off_silently_feeds_nobody(fleet: Fleet) -> None:
+    describe(fleet)
+    links = {name: await before_replica(fleet, name) for name in CONTROL}
+    await fleet.start_all()
+    old = await leader(fleet)
+    links[old].hold(towards=True, back=False)
+    code, reply = await change(fleet, 6)
+    assert code == 0
+    await fleet.wait_in_force(reply["version"])
+    links[old].release()
+    await fleet.wait_ready(old)
+    code, reply = await change(fleet, 7)
+    assert code == 0
+    await fleet.wait_in_force(reply["version"])
+    assert_never_fell(fleet)
+
+
+async def test_disk_lost_then_a_second_box(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    code, reply = await change(fleet, 8)
+    assert code == 0
+    leading = await leader(fleet)
+    first, second = (name for name in CONTROL if name != leading)
+    lose_disk(fleet, first)
+    fleet.start(first)
+    await until(lambda: replaced(fleet, first), f"{first} votes on its new disk")
+    fleet.nodes[second].kill()
+    code, reply = await change(fleet, 9)
+    assert code == 0
+    await fleet.wait_in_force(reply["version"])
+    lose_disk(fleet, second)
+    fleet.start(second)
+    await until(lambda: replaced(fleet, second), f"{second} votes on its new disk")
+    assert await share_in_force(fleet) == 9
+    assert_never_fell(fleet)
+
+
+async def test_a_lost_disk_cannot_found_again(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    fleet.nodes["control-1"].kill()
+    fleet.start("control-1", "--found")
+    assert await fleet.nodes["control-1"].wait_exit() != 0
+
+
+async def test_operators_race_with_equal_versions(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    for share in range(10, 20, 2):
+        results = await asyncio.gather(change(fleet, share), change(fleet, share + 1))
+        codes = sorted(code for code, _ in results)
+        assert codes[0] == 0
+        assert codes[1] in (0, 3)
+        accepted = [reply for code, reply in results if code == 0]
+        versions = [reply["version"] for reply in accepted]
+        assert len(set(versions)) == len(versions)
+    assert_never_fell(fleet)
+
+
+async def test_resend_gets_the_first_answer(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    code, first = await change(fleet, 20, "--change-id", "once")
+    assert code == 0
+    code, _ = await change(fleet, 21)
+    assert code == 0
+    old = await leader(fleet)
+    fleet.nodes[old].kill()
+    code, again = await change(fleet, 22, "--change-id", "once")
+    assert (code, again) == (0, first)
+    assert await share_in_force(fleet) == 21
+
+
+async def test_all_replicas_killed_at_once(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    code, reply = await change(fleet, 23)
+    assert code == 0
+    for name in CONTROL:
+        fleet.nodes[name].kill()
+    status_code, _ = await fleet.post(
+        "entry-1", "/services/slips/run/a", "tellers", b"{}"
+    )
+    assert status_code == 200
+    for name in CONTROL:
+        fleet.start(name)
+    await fleet.wait_ready(*CONTROL)
+    await fleet.wait_in_force(reply["version"])
+    assert await share_in_force(fleet) == 23
+    assert_never_fell(fleet)
+
+
+async def test_node_without_control_is_not_ready(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    for name in CONTROL[:2]:
+        fleet.nodes[name].kill()
+    fleet.nodes["entry-1"].kill()
+    fleet.start("entry-1")
+    await until(lambda: answers(fleet, "entry-1"), "entry-1 answers")
+    assert not await fleet.is_ready("entry-1")
+    status_code, body = await fleet.post(
+        "entry-1", "/services/slips/run/a", "tellers", b"{}"
+    )
+    assert (status_code, json.loads(body)["error"]["code"]) == (
+        503,
+        "no_configuration",
+    )
+    for name in CONTROL[:2]:
+        fleet.start(name)
+    await fleet.wait_ready("entry-1")
+
+
+async def test_wrong_token_gets_nowhere(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    code, _ = await fleet.ctl("get", token="wrong")
+    assert code == 5
+
+
+async def test_invalid_change_is_refused_whole(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    fleet.config["accounts"][0]["max_waiting"] = 0
+    fleet.config["upstreams"][0]["pool"] = "nowhere"
+    code, reply = await change(fleet, 0)
+    assert code == 1
+    assert len(reply["faults"]) == 3
+    assert await share_in_force(fleet) == 1
+
+
+def lose_disk(fleet: Fleet, name: str) -> None:
+    """Kill a replica and remove its data."""
+    fleet.nodes[name].kill()
+    folder = fleet.folder / f"data-{name}"
+    shutil.rmtree(folder)
+    folder.mkdir()
+
+
+async def replaced(fleet: Fleet, name: str) -> bool:
+    """Tell whether a box votes under a new identity and its old one is gone."""
+    for row in await status(fleet):
+        if row["role"] == "leader" and row["current"]:
+            mine = [voter for voter in row["voters"] if voter.startswith(f"{name}#")]
+            return len(row["voters"]) == 3 and mine != [f"{name}#first"]
+    return False
+
+
+async def answers(fleet: Fleet, name: str) -> bool:
+    """Tell whether a process answers at all."""
+    try:
+        async with fleet.http.get(fleet.url(name, "/healthz")) as resp:
+            return resp.status == 200
+    except OSError:
+        return False
--- /dev/null
+++ b/tests/test_storage.py
@@ -0,0 +1,131 @@
+"""The data folder: what is acknowledged survives, damage is refused by name."""
+
+from __future__ import annotations
+
+import os
+from typing import TYPE_CHECKING
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from leadseam.control.raft import HardState, Membership, SnapshotMark
+from leadseam.control.storage import Storage, format_folder, read_identity
+from leadseam.errors import StorageDamagedError, StorageError
+from leadseam.wire.messages import LogEntry
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+VOTERS = Membership(("a#first",))
+
+
+def entries(first: int, last: int, *, term: int = 1) -> tuple[LogEntry, ...]:
+    """Return log entries."""
+    return tuple(LogEntry(term, n, 1, b"x%d" % n) for n in range(first, last + 1))
+
+
+def opened(folder: Path) -> Storage:
+    """Return an open storage on a formatted folder."""
+    if read_identity(folder) is None:
+        format_folder(folder, "a#first", VOTERS)
+    storage = Storage(folder)
+    storage.open()
+    return storage
+
+
+def test_what_was_appended_is_recovered(tmp_path: Path) -> None:
+    storage = opened(tmp_path)
+    storage.append(HardState(3, "b#first"), entries(1, 5))
+    storage.append(None, entries(4, 4, term=2))
+    storage.close()
+    recovered = Storage(tmp_path).open()
+    assert recovered.hard_state == HardState(3, "b#first")
+    assert recovered.log == [*entries(1, 3), *entries(4, 4, term=2)]
+    assert recovered.mark.membership == VOTERS
+
+
+def test_compaction_keeps_state_and_rest(tmp_path: Path) -> None:
+    storage = opened(tmp_path)
+    storage.append(HardState(1, ""), entries(1, 9))
+    mark = SnapshotMark(6, 1, VOTERS)
+    storage.compact(mark, b"state", HardState(1, ""), entries(7, 9))
+    storage.append(None, entries(10, 10))
+    storage.close()
+    recovered = Storage(tmp_path).open()
+    assert (recovered.mark, recovered.data) == (mark, b"state")
+    assert recovered.log == list(entries(7, 10))
+    assert sorted(path.name for path in tmp_path.iterdir()) == [
+        "identity",
+        "journal-2",
+        "snapshot-2",
+    ]
+
+
+@given(cut=st.integers(1, 60))
+def test_a_torn_tail_is_cut(tmp_path_factory: pytest.TempPathFactory, cut: int) -> None:
+    folder = tmp_path_factory.mktemp("data")
+    storage = opened(folder)
+    storage.append(None, entries(1, 3))
+    synced = (folder / "journal-1").stat().st_size
+    storage.append(None, entries(4, 6))
+    storage.close()
+    journal = folder / "journal-1"
+    os.truncate(journal, max(journal.stat().st_size - cut, synced))
+    recovered = Storage(folder).open()
+    assert recovered.log[:3] == list(entries(1, 3))
+    again = Storage(folder).open()
+    assert (again.log, again.cut) == (recovered.log, 0)
+
+
+@given(position=st.integers(0, 10_000))
+def test_damage_in_the_middle_is_refused(
+    tmp_path_factory: pytest.TempPathFactory, position: int
+) -> None:
+    folder = tmp_path_factory.mktemp("data")
+    storage = opened(folder)
+    storage.append(None, entries(1, 3))
+    damaged_end = (folder / "journal-1").stat().st_size
+    storage.append(None, entries(4, 6))
+    storage.close()
+    journal = folder / "journal-1"
+    content = bytearray(journal.read_bytes())
+    content[position % damaged_end] ^= 0x40
+    journal.write_bytes(content)
+    with pytest.raises(StorageDamagedError):
+        Storage(folder).open()
+
+
+def test_a_broken_snapshot_is_refused(tmp_path: Path) -> None:
+    opened(tmp_path).close()
+    snapshot = tmp_path / "snapshot-1"
+    snapshot.write_bytes(snapshot.read_bytes()[:-1] + b"?")
+    with pytest.raises(StorageDamagedError):
+        Storage(tmp_path).open()
+
+
+def test_an_unfinished_generation_is_ignored(tmp_path: Path) -> None:
+    storage = opened(tmp_path)
+    storage.append(None, entries(1, 2))
+    storage.close()
+    (tmp_path / "snapshot-2").write_bytes(b"half")
+    (tmp_path / "journal-2.tmp").write_bytes(b"half")
+    assert Storage(tmp_path).open().log == list(entries(1, 2))
+    assert not (tmp_path / "snapshot-2").exists()
+
+
+def test_after_a_failed_write_nothing_is_promised(tmp_path: Path) -> None:
+    storage = opened(tmp_path)
+    storage.append(None, entries(1, 2))
+    storage.close()
+    with pytest.raises(StorageError):
+        storage.append(None, entries(3, 3))
+    with pytest.raises(StorageError, match="earlier write failed"):
+        storage.append(None, entries(3, 3))
+    assert Storage(tmp_path).open().log == list(entries(1, 2))
+
+
+def test_a_folder_is_formatted_once(tmp_path: Path) -> None:
+    opened(tmp_path).close()
+    with pytest.raises(StorageError, match="already formatted"):
+        format_folder(tmp_path, "a#second", VOTERS)
