Proof: whole answers, leaving and planned stops; fairness without I/O; broken variants

Whole answers: 120 streams of different lengths on one link, links cut in mid-stream, an upstream that cuts, answers garbage or hangs, a slow caller beside fast ones, a caller that goes away. Leaving by SIGTERM, by an operator and by the platform's list (which then shows the box as live again); every entry and sidecar stopped in turn under load. Added on the way: the sidecar reads the platform's list; repeatable work is taken from an upstream whose probes fail; an upstream gets the class as X-Priority.

--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -78,6 +78,7 @@
         window: Flow control of its response.
         service: Service measured so far, not normalised.
         released: Reserved service given back so far.
+        broken: Whether it was ended because the upstream hangs.
         task: The task that runs it.
     """
 
@@ -86,6 +87,7 @@
     window: Window
     service: int = 0
     released: int = 0
+    broken: bool = False
     task: asyncio.Task[None] | None = None
 
 
@@ -307,6 +309,10 @@
                 final = await self._upstream.run(
                     req, window=running.window, send=send, charge=charge
                 )
+        except asyncio.CancelledError:
+            if not running.broken:
+                raise
+            final = Final(req.attempt, 0, 0, Reason.UPSTREAM_BROKEN, True)
         finally:
             peer.running.pop(req.attempt, None)
             self._finish(running, key, final)
@@ -430,12 +436,17 @@
         self._metrics.probes.inc({"result": "good" if good else "bad"})
         if self.breaker.health is not before:
             log.info("upstream health", extra={"health": self.breaker.health.value})
-        if self.breaker.health is Health.OUT:
-            self._abort_silent()
+        if self.breaker.health is Health.OUT and not good:
+            self._abort_hanging()
         self._update_slots()
 
-    def _abort_silent(self) -> None:
+    def _abort_hanging(self) -> None:
         """End repeatable attempts that a dead upstream would hold for ever."""
+        for peer in self._peers.values():
+            for running in peer.running.values():
+                if running.req.repeatable and running.task is not None:
+                    running.broken = True
+                    running.task.cancel()
 
     async def _retire(self, upstream: Upstream) -> None:
         await self.wait_idle()
--- /dev/null
+++ b/src/leadseam/sidecar/platform.py
@@ -0,0 +1,50 @@
+"""The platform's list of live and leaving boxes, as a sidecar reads it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import aiohttp
+import msgspec
+
+from leadseam.clock import Millis, seconds, sleep
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+POLL_INTERVAL: Millis = 1_000
+FETCH_TIMEOUT: Millis = 1_000
+LEAVING = "leaving"
+
+
+class BoxList(msgspec.Struct, frozen=True):
+    """The list: state by box, `live` or `leaving`."""
+
+    boxes: dict[str, str] = {}
+
+
+async def watch_platform(url: str, box: str, on_leaving: Callable[[], None]) -> None:
+    """Poll the list until the box is listed as leaving.
+
+    The list lags and may show the box as live again later; leaving is final, so the
+    watch ends there. A list that cannot be read changes nothing.
+
+    Args:
+        url: Where the list is.
+        box: Box to look for.
+        on_leaving: Called once.
+    """
+    timeout = aiohttp.ClientTimeout(total=seconds(FETCH_TIMEOUT))
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while not await _is_leaving(session, url, box):
+            await sleep(POLL_INTERVAL)
+    on_leaving()
+
+
+async def _is_leaving(session: aiohttp.ClientSession, url: str, box: str) -> bool:
+    try:
+        async with session.get(url) as resp:
+            listed = msgspec.json.decode(await resp.read(), type=BoxList)
+    except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError):
+        return False
+    return listed.boxes.get(box) == LEAVING
--- a/src/leadseam/sidecar/program.py
+++ b/src/leadseam/sidecar/program.py
@@ -11,6 +11,7 @@
 from leadseam.runtime.admin import serve_admin
 from leadseam.runtime.metrics import Metrics, SidecarMetrics
 from leadseam.sidecar.agent import Agent
+from leadseam.sidecar.platform import watch_platform
 from leadseam.wire.link import listen
 
 if TYPE_CHECKING:
@@ -73,6 +74,16 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.agent.run())
             group.create_task(self._feed.run())
+            if self._settings.platform_list:
+                group.create_task(self._watch_platform())
+
+    async def _watch_platform(self) -> None:
+        settings = self._settings
+        await watch_platform(
+            settings.platform_list,
+            settings.identity.box,
+            lambda: self.agent.leave("platform list"),
+        )
 
     async def drain(self) -> None:
         """Leave, and wait for what runs."""
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -23,6 +23,7 @@
 CONNECT_TIMEOUT: Millis = 1_000
 PROBE_TIMEOUT: Millis = 1_500
 PROBE_PATH = "/health"
+PRIORITY_HEADER = "X-Priority"
 READ_SIZE = 64 * 1024
 FIRST_SERVER_ERROR = 500
 
@@ -157,7 +158,7 @@
             req.method,
             self._url(req.path),
             data=req.body or None,
-            headers=list(req.headers),
+            headers=[*req.headers, (PRIORITY_HEADER, str(req.priority))],
             allow_redirects=False,
         )
 
--- /dev/null
+++ b/tools/broken_variants.py
@@ -0,0 +1,234 @@
+"""Show that each proof fails on a variant of the code without its mechanism.
+
+Usage:
+  broken_variants [NAME ...]
+  broken_variants --list
+
+Each variant is a copy of the sources with one replacement. A proof that still passes on
+its variant proves nothing, and is reported as MISSED.
+"""
+
+from __future__ import annotations
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from docopt import docopt
+
+ROOT = Path(__file__).resolve().parent.parent
+LIMIT = 240
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """One mechanism taken away.
+
+    Args:
+        name: Its name.
+        file: Source file below `src/leadseam`.
+        old: Text that stands there once.
+        new: What it becomes.
+        test: Test that must fail.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+AT_MOST_ONCE = "tests/failures/test_at_most_once.py"
+CONFIGURATION = "tests/failures/test_configuration.py"
+LEAVING = "tests/failures/test_leaving.py"
+WHOLE = "tests/failures/test_whole_answers.py"
+
+VARIANTS = (
+    Variant(
+        "lost links are retried",
+        "entry/retry.py",
+        "    if req.repeatable:\n        return Retry(reason.value",
+        "    if True:\n        return Retry(reason.value",
+        f"{AT_MOST_ONCE}::test_links_cut_again_and_again",
+    ),
+    Variant(
+        "a lost link counts as not run",
+        "entry/sidecars.py",
+        "item.events.put_nowait(LinkLost() if started else NeverStarted())",
+        "item.events.put_nowait(NeverStarted())",
+        f"{AT_MOST_ONCE}::test_sidecar_frozen_and_woken",
+    ),
+    Variant(
+        "a question leaves no tombstone",
+        "sidecar/attempts.py",
+        "        self.refuse(key)\n",
+        "        self._states.setdefault(key, AttemptState.NEVER)\n"
+        "        if self._states[key] is AttemptState.NEVER:\n"
+        "            del self._states[key]\n"
+        "            return False\n",
+        "tests/test_attempts.py",
+    ),
+    Variant(
+        "a held claim is granted again",
+        "control/claims.py",
+        "        return ClaimResult(Verdict.HELD)\n\n    def _complete",
+        "        return ClaimResult(Verdict.GRANTED)\n\n    def _complete",
+        f"{AT_MOST_ONCE}::test_two_resends_at_once_run_once",
+    ),
+    Variant(
+        "runs unclaimed without a quorum",
+        "entry/http.py",
+        "            case Verdict.GRANTED:",
+        "            case Verdict.GRANTED | Verdict.UNAVAILABLE:",
+        f"{AT_MOST_ONCE}::test_no_quorum_means_not_run",
+    ),
+    Variant(
+        "leaving does not end grants",
+        "sidecar/agent.py",
+        "not (self.leaving or draining)",
+        "True",
+        f"{LEAVING}::test_no_new_work_and_nothing_cut",
+    ),
+    Variant(
+        "a stopping sidecar does not wait",
+        "sidecar/program.py",
+        "        await self.agent.wait_idle()\n",
+        "",
+        f"{LEAVING}::test_planned_stop_of_every_entry_and_sidecar_in_turn",
+    ),
+    Variant(
+        "a broken answer ends like a whole one",
+        "entry/relay.py",
+        "                    return await self._break_off(response, event)",
+        "                    await response.write_eof()\n"
+        "                    return Answered(response.status)",
+        f"{WHOLE}::test_upstream_cut_in_mid_stream_is_an_explicit_error",
+    ),
+    Variant(
+        "hanging work is not ended",
+        "sidecar/agent.py",
+        "            self._abort_hanging()\n",
+        "            pass\n",
+        f"{WHOLE}::test_hanging_upstream_is_taken_out_and_its_work_moves",
+    ),
+    Variant(
+        "a caller that goes away is not noticed",
+        "sidecar/agent.py",
+        "        if running.req.repeatable:\n            running.task.cancel()",
+        "        if False:\n            running.task.cancel()",
+        f"{WHOLE}::test_caller_that_goes_away_frees_its_slot",
+    ),
+    Variant(
+        "a stale replica feeds its nodes",
+        "control/replica.py",
+        "return not self.failure and self._raft.is_current(self._clock.now())",
+        "return not self.failure",
+        f"{CONFIGURATION}::test_replica_cut_off_silently_feeds_nobody",
+    ),
+    Variant(
+        "equal versions both win",
+        "control/state.py",
+        "        if change.expect_version != version:",
+        "        if change.expect_version < version - 1:",
+        f"{CONFIGURATION}::test_operators_race_with_equal_versions",
+    ),
+    Variant(
+        "a resend is a new change",
+        "control/state.py",
+        "        if known is not None:\n            return known\n",
+        "",
+        f"{CONFIGURATION}::test_resend_gets_the_first_answer",
+    ),
+    Variant(
+        "acknowledged before it is synced",
+        "control/storage.py",
+        "        while view:\n            view = view[os.write(self._fd, view) :]\n",
+        "        return\n",
+        f"{CONFIGURATION}::test_all_replicas_killed_at_once",
+    ),
+    Variant(
+        "votes without a look at the log",
+        "control/raft.py",
+        "return (last_term, last_index) >= (self.last_term, self.last_index)",
+        "return True",
+        "tests/test_raft.py",
+    ),
+    Variant(
+        "checksums are not compared",
+        "control/storage.py",
+        "return payload if zlib.crc32(payload) == checksum else None",
+        "return payload",
+        "tests/test_storage.py",
+    ),
+    Variant(
+        "idle accounts keep their credit",
+        "fairness/picker.py",
+        "        self._ledger.raise_to(account, self._level)\n",
+        "        return\n",
+        "tests/test_fairness.py",
+    ),
+    Variant(
+        "sidecars do not hear of each other",
+        "fairness/ledger.py",
+        "            if row.served >= known[0]:",
+        "            if False:",
+        "tests/test_fairness.py",
+    ),
+)
+
+
+def run_variant(variant: Variant) -> bool:
+    """Run a variant's test and tell whether it failed."""
+    with tempfile.TemporaryDirectory() as folder:
+        copy = Path(folder)
+        for name in ("src", "tests", "tools"):
+            shutil.copytree(ROOT / name, copy / name)
+        shutil.copy(ROOT / "pyproject.toml", copy)
+        source = copy / "src" / "leadseam" / variant.file
+        text = source.read_text()
+        if text.count(variant.old) != 1:
+            raise SystemExit(f"{variant.name}: the text does not stand there once")
+        source.write_text(text.replace(variant.old, variant.new))
+        command = [sys.executable, "-m", "pytest", "-x", "-q", variant.test]
+        path = os.pathsep.join([str(copy / "src"), str(copy)])
+        env = {**os.environ, "PYTHONPATH": path}
+        process = subprocess.Popen(
+            command,
+            cwd=copy,
+            env=env,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        try:
+            return process.wait(LIMIT) == 1
+        except subprocess.TimeoutExpired:
+            # A proof that never ends does not pass either; let it clean up.
+            process.terminate()
+            process.wait()
+            return True
+
+
+def main() -> None:
+    """Entry point of `make broken-variants`."""
+    args = docopt(__doc__)
+    missed = 0
+    for variant in VARIANTS:
+        if args["--list"]:
+            print(f"{variant.name}: {variant.test}")
+            continue
+        if args["NAME"] and variant.name not in args["NAME"]:
+            continue
+        failed = run_variant(variant)
+        missed += not failed
+        verdict = "failed as it must" if failed else "MISSED"
+        print(f"{variant.name}: {variant.test}: {verdict}", flush=True)
+    raise SystemExit(1 if missed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
+import psutil
 from aiomisc_pytest import TCPProxy
 
 from tools.fleet import LOOPBACK
@@ -12,6 +14,8 @@
 if TYPE_CHECKING:
     from tools.fleet import Fleet
 
+SCAN_INTERVAL = 0.02
+
 
 class FaultyLink:
     """A proxy before one listening address.
@@ -61,6 +65,19 @@
         self._proxy.set_content_processors(self._pass, self._pass)
         self._flows.set()
 
+    async def hold_peer(self, pid: int, seconds: float) -> None:
+        """Silently hold the connections of one process, new ones too, for a time."""
+        self._flows.clear()
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            ports = {conn.laddr.port for conn in psutil.Process(pid).net_connections()}
+            for client in self._proxy.clients:
+                if client.client_writer.get_extra_info("peername")[1] in ports:
+                    client.read_processor = self._wait
+                    client.write_processor = self._wait
+            await asyncio.sleep(SCAN_INTERVAL)
+        self.release()
+
     async def _wait(self, chunk: bytes) -> bytes:
         await self._flows.wait()
         return chunk
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -148,6 +148,7 @@
         }
         self.replicas: dict[str, dict[str, Any]] = {}
         self.operator_ports: list[int] = []
+        self.platform_list = ""
         self._http: aiohttp.ClientSession | None = None
         self._closers: list[Callable[[], Awaitable[None]]] = []
 
@@ -238,9 +239,17 @@
             "listen": _at(inner),
             "admin": _at(admin),
             "control": self.control_endpoints(),
+            "platform_list": self.platform_list,
         }
         self._add(f"sidecar-{name}", "sidecar", sidecar, [inner, admin], admin)
 
+    def add_platform(self) -> None:
+        """Describe the platform's list; before the upstreams that read it."""
+        port = self.ports.reserve()
+        settings = {"kind": "platform", "listen": _at(port)}
+        self._add("platform", "standin", settings, [port], port)
+        self.platform_list = self.url("platform", "/boxes")
+
     def add_entry(self, name: str, **settings: Any) -> None:
         """Describe an entry."""
         port = self.ports.reserve()
--- a/tools/gap.py
+++ b/tools/gap.py
@@ -49,6 +49,26 @@
         return list(self.shares.items())
 
 
+def gap_bound(
+    *, slots: int, sidecars: int, longest: int, rate: float, lag: float
+) -> float:
+    """Return the stated bound of the gap, in tokens at equal shares.
+
+    At a grant, the chosen account is behind every other as far as the sidecar knows; it
+    knows all but the service of the last `lag` seconds. What the account then has in
+    flight may turn out longer than reserved, on every slot at the most. Either account
+    of a pair may be the one ahead. See docs/design/fairness.md.
+
+    Args:
+        slots: Slots of the pool.
+        sidecars: Sidecars, each of which fetches one request ahead.
+        longest: Tokens of the longest request.
+        rate: Tokens a second of the whole pool.
+        lag: Seconds until service is known everywhere.
+    """
+    return 2 * ((slots + sidecars) * longest + rate * lag)
+
+
 def percentile(values: list[float], fraction: float) -> float:
     """Return a percentile by the nearest rank; 0 for no values."""
     if not values:
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -15,14 +15,15 @@
 import os
 import tempfile
 import time
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 from docopt import docopt
 
+from tools.faults import before_sidecar
 from tools.fleet import Fleet
-from tools.gap import ServiceSamples, percentile
+from tools.gap import ServiceSamples, gap_bound, percentile
 from tools.load import (
     AccountLoad,
     Driver,
@@ -33,9 +34,6 @@
     push_route,
 )
 
-if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
-
 MODEL = "rates"
 ENGINES = 6
 SLOTS = 4
@@ -43,10 +41,16 @@
 ENTRIES = ("entry-1", "entry-2", "entry-3")
 FLOOD = "menus"
 SAMPLE_INTERVAL = 0.2
+LAG = 0.3
+CUT = 6.0
+CUT_ENGINES = ("engine-1", "engine-2", "engine-3")
 FILLING = 6.0
 TICKS = os.sysconf("SC_CLK_TCK")
 
 
+Disturbance = Callable[[Fleet], Coroutine[None, None, None]]
+
+
 @dataclass(frozen=True, slots=True)
 class Result:
     """One row of the report."""
@@ -93,6 +97,24 @@
     return fleet
 
 
+async def restart_entry(fleet: Fleet) -> None:
+    """Kill an entry and start it without state."""
+    await restart(fleet, "entry-2")
+
+
+async def restart_sidecar(fleet: Fleet) -> None:
+    """Kill a sidecar and start it without state."""
+    await restart(fleet, "sidecar-engine-4")
+
+
+async def restart(fleet: Fleet, name: str) -> None:
+    """Kill a process and start it again."""
+    await asyncio.sleep(1)
+    fleet.nodes[name].kill()
+    fleet.start(name)
+    await fleet.wait_ready(name)
+
+
 def loads() -> list[AccountLoad]:
     """One flood of long requests, five backlogged accounts, ten small ones."""
     flood = AccountLoad(FLOOD, 200, ENTRIES, (40, 160))
@@ -177,7 +199,7 @@
     case: str,
     route: Route,
     seconds: float,
-    disturb: Callable[[Fleet], Coroutine[None, None, None]] | None = None,
+    disturb: Disturbance | None = None,
 ) -> Result:
     """Run one case against a running fleet."""
     driver = Driver(loads(), route)
@@ -192,12 +214,12 @@
     await sample(driver, observer.samples, seconds)
     end = time.monotonic()
     elapsed = end - start
+    if disturbance is not None:
+        await disturbance
     busy = (await observer.busy_seconds() - busy_before) / elapsed
     control = (await observer.control_bytes() - bytes_before) / elapsed
     cpu = (observer.cpu() - cpu_before) / elapsed
     await running
-    if disturbance is not None:
-        await disturbance
     print(f"{case}: grants {await observer.grants()}")
     waits = [one.first - one.start for one in driver.seen if one.first]
     totals = {name: round(got) for name, got in observer.samples.totals().items()}
@@ -238,6 +260,7 @@
     results = []
     with tempfile.TemporaryDirectory() as folder:
         fleet = riga(Path(folder))
+        links = [await before_sidecar(fleet, name) for name in CUT_ENGINES]
         try:
             await fleet.start_all()
             path = "/v1/chat/completions"
@@ -245,21 +268,35 @@
             engines = [
                 fleet.url(f"engine-{number + 1}", path) for number in range(ENGINES)
             ]
-            cases: list[tuple[str, Route]] = [
-                ("push at random", push_route(fleet.http, engines, MODEL, at_random)),
-                (
-                    "push, least in flight",
-                    push_route(fleet.http, engines, MODEL, least_in_flight),
-                ),
-                ("late binding", entry_route(fleet.http, urls, MODEL)),
+            http = fleet.http
+            bound = entry_route(http, urls, MODEL)
+            random_push = push_route(http, engines, MODEL, at_random)
+            least_push = push_route(http, engines, MODEL, least_in_flight)
+
+            async def cut(fleet: Fleet) -> None:
+                pid = fleet.nodes["entry-2"].pid
+                await asyncio.gather(*(link.hold_peer(pid, CUT) for link in links))
+
+            cases: list[tuple[str, Route, Disturbance | None]] = [
+                ("push at random", random_push, None),
+                ("push, least in flight", least_push, None),
+                ("late binding", bound, None),
+                ("late binding, entry restarted", bound, restart_entry),
+                ("late binding, sidecar restarted", bound, restart_sidecar),
+                ("late binding, entry cut from half", bound, cut),
             ]
-            for case, route in cases:
+            for case, route, disturb in cases:
                 if only in (None, case):
-                    results.append(await run_case(fleet, case, route, seconds))
-                    print(report(results[-1:]).splitlines()[-1], flush=True)
+                    result = await run_case(fleet, case, route, seconds, disturb)
+                    results.append(result)
+                    print(report([result]).splitlines()[-1], flush=True)
         finally:
             await fleet.close()
     print(report(results))
+    slots = ENGINES * SLOTS
+    rate = SLOTS * sum(1_000 / interval for interval in TOKEN_INTERVALS)
+    limit = gap_bound(slots=slots, sidecars=ENGINES, longest=160, rate=rate, lag=LAG)
+    print(f"Stated bound of the gap: {limit:.0f} tokens.")
 
 
 def main() -> None:
