Grant nothing more to an entry whose lease ran out, until it is heard

Ruled out: the other entries lacking work (they had waiting requests throughout). What remains is the first lease of each slot and the callers that hang on the cut links.

--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -228,6 +228,7 @@
         self._grant()
 
     def _handle(self, peer: EntryPeer, message: AnyMessage) -> None:
+        self._scheduler.heard(peer.hello.node)
         match message:
             case Backlog(rows=rows):
                 for row in rows:
--- a/src/leadseam/sidecar/scheduler.py
+++ b/src/leadseam/sidecar/scheduler.py
@@ -53,10 +53,17 @@
     running: int = 0
     estimate: float = FIRST_ESTIMATE
 
-    @property
-    def waits(self) -> bool:
-        """Whether some entry has a request that no grant covers."""
-        return any(queue.waiting > queue.granted for queue in self.queues.values())
+    def open_queues(self, silent: set[str]) -> list[tuple[Millis, str]]:
+        """List entries with a request that no grant covers, by age of their oldest.
+
+        Args:
+            silent: Entries to leave out.
+        """
+        return [
+            (queue.since, entry)
+            for entry, queue in self.queues.items()
+            if queue.waiting > queue.granted and entry not in silent
+        ]
 
 
 class Scheduler:
@@ -79,6 +86,7 @@
         self._share_of = share_of
         self._accounts: dict[str, _AccountState] = {}
         self._leases: dict[int, Lease] = {}
+        self._silent: set[str] = set()
         self._next_grant = 0
 
     def __repr__(self) -> str:
@@ -108,9 +116,15 @@
         """End the leases whose time is over and return them."""
         due = [lease for lease in self._leases.values() if lease.expires <= now]
         for lease in due:
+            # Its entry may be cut off: no more slots for it until it is heard.
+            self._silent.add(lease.entry)
             self._end(lease)
         return due
 
+    def heard(self, entry: str) -> None:
+        """Note that an entry has sent something."""
+        self._silent.discard(entry)
+
     def set_backlog(self, entry: str, row: BacklogRow, now: Millis) -> None:
         """Take one row of an entry's backlog."""
         state = self._accounts.get(row.account)
@@ -184,16 +198,13 @@
         return self.busy == 0
 
     def _eligible(self) -> list[str]:
-        return [name for name, state in self._accounts.items() if state.waits]
+        silent = self._silent
+        accounts = self._accounts.items()
+        return [name for name, state in accounts if state.open_queues(silent)]
 
     def _grant(self, account: str, now: Millis) -> Lease:
         state = self._accounts[account]
-        open_queues = (
-            (queue.since, entry)
-            for entry, queue in state.queues.items()
-            if queue.waiting > queue.granted
-        )
-        _, entry = min(open_queues)
+        _, entry = min(state.open_queues(self._silent))
         state.queues[entry].granted += 1
         self._next_grant += 1
         reserved = normalise(round(state.estimate), self._share_of(account))
