--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo measure slopes
+.PHONY: setup test demo measure slopes broken-variants
 
 setup: $(VENV)/.ready
 
@@ -22,6 +22,11 @@
 
 measure: setup
 	$(BIN)/python -m tools.measure
+	$(BIN)/python -m tools.measure_control
 
 slopes: setup
 	$(BIN)/python -m tools.slopes
+	$(BIN)/python -m tools.path_cost
+
+broken-variants: setup
+	$(BIN)/python -m tools.broken_variants
--- a/src/leadseam/cli/_client.py
+++ b/src/leadseam/cli/_client.py
@@ -49,6 +49,7 @@
 
     def __init__(self, endpoints: list[Endpoint], token: str) -> None:
         self._endpoints = endpoints
+        self._ordered = False
         self._metadata = {"authorization": f"Bearer {token}"}
 
     async def apply(self, request: pb.ApplyRequest) -> pb.ApplyReply:
@@ -88,14 +89,30 @@
             return None
 
     async def _first(self, call: Callable[[OperatorStub], Awaitable[T]]) -> T:
+        if not self._ordered:
+            await self._put_live_first()
         failures = []
         for endpoint in self._endpoints:
             try:
                 return await self._call(endpoint, call, CALL_TIMEOUT)
             except UnavailableError as exc:
+                self._ordered = False
                 failures.append(exc.message)
         raise UnavailableError("; ".join(failures))
 
+    async def _put_live_first(self) -> None:
+        """Spare the caller a long wait for a replica that is frozen or cut off."""
+        statuses = await self.status()
+        live = {reply.identity for _, reply in statuses if reply and reply.current}
+        self._endpoints = [
+            endpoint
+            for endpoint, _ in sorted(
+                statuses,
+                key=lambda row: row[1] is None or row[1].identity not in live,
+            )
+        ]
+        self._ordered = bool(live)
+
     async def _call(
         self,
         endpoint: Endpoint,
--- a/src/leadseam/control/operator_service.py
+++ b/src/leadseam/control/operator_service.py
@@ -77,7 +77,7 @@
         """Send the configuration in force."""
         self._authenticate(stream)
         await _request(stream)
-        self._require_current()
+        await self._catch_up()
         configuration = self._replica.state.configuration
         await stream.send_message(configuration_to_message(configuration))
 
@@ -85,7 +85,7 @@
         """Send accepted changes, the newest first."""
         self._authenticate(stream)
         request = await _request(stream)
-        self._require_current()
+        await self._catch_up()
         limit = request.limit or DEFAULT_HISTORY
         newest = self._replica.state.history[: -limit - 1 : -1]
         rows = [
@@ -127,9 +127,10 @@
             failure=self._replica.failure,
         )
 
-    def _require_current(self) -> None:
-        if not self._replica.is_current():
-            raise GRPCError(Status.UNAVAILABLE, "this replica may not be current")
+    async def _catch_up(self) -> None:
+        """Have reads show every change that was acknowledged before."""
+        if not await self._replica.catch_up():
+            raise GRPCError(Status.UNAVAILABLE, "no quorum confirmed what is newest")
 
     def _authenticate(self, stream: Stream[Any, Any]) -> str:
         metadata = stream.metadata
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -10,7 +10,14 @@
 
 from leadseam.clock import Clock, Millis, sleep
 from leadseam.control.raft import EntryKind, HardState, Raft, Role, SnapshotMark
-from leadseam.control.state import Command, CommandResult, ControlState, stamp
+from leadseam.control.state import (
+    Barrier,
+    BarrierResult,
+    Command,
+    CommandResult,
+    ControlState,
+    stamp,
+)
 from leadseam.errors import StorageError
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.codec import decode, encode
@@ -202,6 +209,19 @@
             await sleep(RETRY_DELAY)
         return None
 
+    async def catch_up(self) -> bool:
+        """Wait until every change acknowledged before this call is applied here.
+
+        Returns:
+            False if no quorum confirmed what the newest is.
+        """
+        result = await self.submit(Barrier())
+        if not isinstance(result, BarrierResult):
+            return False
+        while self.state.configuration.version < result.version:
+            await self.next_applied()
+        return True
+
     async def next_applied(self) -> None:
         """Wait until the state machine moves on."""
         await asyncio.shield(self._applied_event)
--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -55,7 +55,17 @@
     at: int = 0
 
 
-Command: TypeAlias = Change | Claims
+class Barrier(Record, frozen=True, array_like=True, tag=3):
+    """Changes nothing; its result is read after all that came before.
+
+    Args:
+        at: Wall time stamped by the leader.
+    """
+
+    at: int = 0
+
+
+Command: TypeAlias = Change | Claims | Barrier
 
 
 class ChangeResult(Record, frozen=True, array_like=True, tag=1):
@@ -78,7 +88,13 @@
     results: tuple[ClaimResult, ...]
 
 
-CommandResult: TypeAlias = ChangeResult | ClaimResults
+class BarrierResult(Record, frozen=True, array_like=True, tag=3):
+    """Version in force when the barrier was committed."""
+
+    version: int
+
+
+CommandResult: TypeAlias = ChangeResult | ClaimResults | BarrierResult
 
 
 class HistoryRow(Record, frozen=True, array_like=True):
@@ -132,6 +148,8 @@
             case Claims(commands=commands, at=at):
                 results = (self._claims.apply(one, at) for one in commands)
                 return ClaimResults(tuple(results))
+            case Barrier():
+                return BarrierResult(self.configuration.version)
 
     def result_of(self, change_id: str) -> ChangeResult | None:
         """Return the remembered outcome of a change."""
--- a/src/leadseam/entry/http.py
+++ b/src/leadseam/entry/http.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import secrets
 from typing import TYPE_CHECKING
 
@@ -21,9 +23,12 @@
 from leadseam.entry.relay import CallerGoneError, Relay
 from leadseam.entry.retry import RetryBudget
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
+from leadseam.runtime.tasks import spawn
 from leadseam.wire.messages import ClaimDone, ClaimRelease
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from leadseam.control.configuration import Account, Pool
     from leadseam.entry.dispatcher import Dispatcher
     from leadseam.feed.client import FeedClient
@@ -145,23 +150,34 @@
         )
         if isinstance(admitted, NotRun):
             return self._refuse(admitted)
-        self.in_flight += 1
-        try:
-            return await self._carry(http, admitted)
-        finally:
-            self.in_flight -= 1
+        return await self._carry(http, admitted)
 
     async def _carry(self, http: web.Request, admitted: Admitted) -> web.StreamResponse:
         if admitted.key and not admitted.req.repeatable:
             return await self._carry_claimed(http, admitted)
         relay = self._relay(http, admitted)
-        outcome = await self._run(relay)
+        with self._counted():
+            outcome = await self._run(relay)
         return self._finish(relay, outcome)
 
     async def _carry_claimed(
         self, http: web.Request, admitted: Admitted
     ) -> web.StreamResponse:
-        """Run a request only under the claim on its Idempotency-Key."""
+        """Run a request only under the claim on its Idempotency-Key.
+
+        It goes on if the caller hangs up, so that a resend gets its answer.
+        """
+        return await asyncio.shield(spawn(self._run_claimed(http, admitted)))
+
+    async def _run_claimed(
+        self, http: web.Request, admitted: Admitted
+    ) -> web.StreamResponse:
+        with self._counted():
+            return await self._claim_and_run(http, admitted)
+
+    async def _claim_and_run(
+        self, http: web.Request, admitted: Admitted
+    ) -> web.StreamResponse:
         account = admitted.req.account
         owner = secrets.token_hex(16)
         reply = await self._feed.claim(
@@ -180,7 +196,7 @@
                 self._feed.release(ClaimRelease(account, admitted.key, owner))
                 refusal = NotRun(Reason.CLAIM_UNAVAILABLE, CLAIM_RETRY_AFTER)
                 return self._refuse(refusal)
-        relay = self._relay(http, admitted)
+        relay = self._relay(http, admitted, outlives_caller=True)
         outcome: Outcome = Unknown(Reason.LINK_LOST)
         try:
             outcome = await self._run(relay)
@@ -209,7 +225,9 @@
             headers["Content-Type"] = reply.content_type
         return web.Response(status=reply.status, body=reply.body, headers=headers)
 
-    def _relay(self, http: web.Request, admitted: Admitted) -> Relay:
+    def _relay(
+        self, http: web.Request, admitted: Admitted, *, outlives_caller: bool = False
+    ) -> Relay:
         return Relay(
             http,
             admitted.req,
@@ -218,12 +236,22 @@
             limits=self._limits,
             metrics=self._metrics,
             clock=self._clock,
+            outlives_caller=outlives_caller,
         )
 
+    @contextlib.contextmanager
+    def _counted(self) -> Iterator[None]:
+        """Have a planned stop wait for what happens inside."""
+        self.in_flight += 1
+        try:
+            yield
+        finally:
+            self.in_flight -= 1
+
     async def _run(self, relay: Relay) -> Outcome:
         try:
             return await relay.run()
-        except CallerGoneError:
+        except (CallerGoneError, asyncio.CancelledError):
             self._metrics.requests.inc({"outcome": "caller_gone"})
             raise
 
--- a/src/leadseam/entry/relay.py
+++ b/src/leadseam/entry/relay.py
@@ -30,6 +30,8 @@
 from leadseam.wire.messages import Accepted, Chunk, Final, Head, Refused
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from leadseam.entry.dispatcher import Dispatcher
     from leadseam.entry.request import AttemptEvent
     from leadseam.runtime.metrics import EntryMetrics
@@ -56,6 +58,7 @@
         limits: Limits of the entry.
         metrics: Counters.
         clock: Source of time.
+        outlives_caller: Whether the answer is wanted even if the caller has gone.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         limits: EntryLimits,
         metrics: EntryMetrics,
         clock: Clock,
+        outlives_caller: bool,
     ) -> None:
         self.response: web.StreamResponse | None = None
         self.kept = bytearray()
@@ -83,6 +87,7 @@
         self._dispatched: Dispatched | None = None
         self._accepted = False
         self._attempts = 0
+        self._outlives_caller = outlives_caller
         self._uncredited = 0
         self._last_sidecar = ""
 
@@ -197,32 +202,41 @@
             response.headers.add(name, value)
         self.response = response
         self.content_type = response.headers.get("Content-Type", "")
-        try:
-            return await self._stream(item, response)
-        except (ConnectionError, RuntimeError) as exc:
-            raise CallerGoneError from exc
+        return await self._stream(item, response)
 
     async def _stream(self, item: Waiting, response: web.StreamResponse) -> Outcome:
-        await response.prepare(self._http)
+        await self._towards_caller(response.prepare(self._http))
         chunks = 0
         size = 0
         while True:
             event = await self._next_event(item)
             match event:
                 case Chunk(seq=seq, data=data) if seq == chunks:
-                    await response.write(data)
+                    await self._towards_caller(response.write(data))
                     self._keep(data)
                     self._credit(len(data))
                     chunks += 1
                     size += len(data)
                 case Final(error="") if (event.chunks, event.size) == (chunks, size):
                     self._dispatched = None
-                    await response.write_eof()
+                    await self._towards_caller(response.write_eof())
                     self._budget.succeeded()
                     return Answered(response.status)
                 case _:
                     return await self._break_off(response, event)
 
+    async def _towards_caller(self, writing: Awaitable[object]) -> None:
+        """Write to the caller.
+
+        Raises:
+            CallerGoneError: If it has gone and nothing else wants the answer.
+        """
+        try:
+            await writing
+        except (ConnectionError, RuntimeError) as exc:
+            if not self._outlives_caller:
+                raise CallerGoneError from exc
+
     async def _break_off(
         self, response: web.StreamResponse, event: AttemptEvent
     ) -> Outcome:
@@ -238,7 +252,7 @@
                 pass
         outcome = Failed(reason) if self._req.repeatable else Unknown(reason)
         if self.content_type.startswith(EVENT_STREAM):
-            with contextlib.suppress(ConnectionError):
+            with contextlib.suppress(ConnectionError, RuntimeError):
                 await response.write(error_event(outcome))
         if self._http.transport is not None:
             self._http.transport.abort()
--- a/src/leadseam/entry/sidecars.py
+++ b/src/leadseam/entry/sidecars.py
@@ -6,7 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from leadseam.clock import Millis, sleep
+from leadseam.clock import Millis, seconds, sleep
 from leadseam.entry.queue import QueueKey
 from leadseam.entry.request import Dispatched, LinkLost, NeverStarted, Waiting
 from leadseam.runtime.tasks import spawn
@@ -68,6 +68,7 @@
         self._dirty: set[str] = set()
         self._flush_task: asyncio.Task[None] | None = None
         self._flush_soon = asyncio.Event()
+        self._flush_timer: asyncio.TimerHandle | None = None
 
     def __repr__(self) -> str:
         return f"SidecarLink({self.upstream.name}, healthy={self.healthy})"
@@ -102,6 +103,8 @@
         self._dirty.add(account)
         if urgent:
             self._flush_soon.set()
+        else:
+            self._flush_later()
 
     def report_others(self) -> None:
         """Tell the sidecar what others gave the accounts that wait here."""
@@ -270,14 +273,22 @@
         """
         self._announced[account] = _UNKNOWN
         self._dirty.add(account)
+        self._flush_later()
+
+    def _flush_later(self) -> None:
+        if self._flush_timer is None:
+            loop = asyncio.get_running_loop()
+            delay = seconds(FALL_INTERVAL)
+            self._flush_timer = loop.call_later(delay, self._flush_soon.set)
 
     async def _flush_loop(self, link: Link) -> None:
-        """Send changed rows: rising ones at once, falling ones now and then."""
+        """Send changed rows: urgent ones at once, the others now and then."""
         while True:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(FALL_INTERVAL / 1_000):
-                    await self._flush_soon.wait()
+            await self._flush_soon.wait()
             self._flush_soon.clear()
+            if self._flush_timer is not None:
+                self._flush_timer.cancel()
+                self._flush_timer = None
             self._flush(link)
             await sleep(RISE_INTERVAL)
 
--- a/src/leadseam/runtime/admin.py
+++ b/src/leadseam/runtime/admin.py
@@ -57,7 +57,9 @@
     Returns:
         The runner, for `cleanup`.
     """
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=grace)
+    runner = web.AppRunner(
+        app, access_log=None, shutdown_timeout=grace, handler_cancellation=True
+    )
     await runner.setup()
     site = web.TCPSite(runner, ip, port, backlog=1_024)
     await site.start()
--- a/src/leadseam/standin/engine.py
+++ b/src/leadseam/standin/engine.py
@@ -75,7 +75,7 @@
                 assert http.transport is not None
                 http.transport.write(b"\x00garbage\r\n\r\n")
                 http.transport.close()
-            case "dead":
+            case "dead" | "refuse":
                 return web.json_response({"error": "dead"}, status=503)
         try:
             async with self._batch:
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -148,6 +148,22 @@
     assert await fleet.runs() == {"a": 1}
 
 
+async def test_a_caller_that_hung_up_gets_its_answer_by_a_resend(fleet: Fleet) -> None:
+    describe(fleet, upstreams=1)
+    fleet.nodes["slips-1"].settings["service_time"] = 500
+    await fleet.start_all()
+    key = {"Idempotency-Key": "slip-5"}
+    path = "/services/slips/run/a"
+    task = asyncio.create_task(
+        fleet.post("entry-1", path, "tellers", b"{}", ONCE | key)
+    )
+    await until(lambda: some_ran(fleet, 1), "the call runs")
+    task.cancel()
+    answer = b'{"name": "a", "run": 1, "size": 2}'
+    await until(lambda: answer_recorded(fleet, answer, key), "the answer is recorded")
+    assert await fleet.runs() == {"a": 1}
+
+
 async def test_two_resends_at_once_run_once(fleet: Fleet) -> None:
     describe(fleet)
     await fleet.start_all()
--- a/tests/failures/test_configuration.py
+++ b/tests/failures/test_configuration.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING, Any
 
 from tools.faults import before_replica
-from tools.fleet import until
+from tools.fleet import LOOPBACK, until
 
 if TYPE_CHECKING:
     from tools.fleet import Fleet
@@ -181,6 +181,18 @@
     assert_never_fell(fleet)
 
 
+async def test_a_read_shows_what_was_acknowledged_before(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    for share in range(2, 12):
+        code, reply = await change(fleet, share)
+        assert (code, reply["status"]) == (0, "accepted")
+        for port in fleet.operator_ports:
+            address = f"{LOOPBACK}:{port}"
+            code, out = await fleet.ctl("--json", "--control", address, "get")
+            assert json.loads(out)["accounts"][0]["share"] == share
+
+
 async def test_resend_gets_the_first_answer(fleet: Fleet) -> None:
     describe(fleet)
     await fleet.start_all()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -360,7 +360,8 @@
     async def ctl(self, *args: str, token: str = OPERATOR_TOKEN) -> tuple[int, str]:
         """Run leadseamctl and return its exit code and output."""
         ports = ",".join(f"{LOOPBACK}:{port}" for port in self.operator_ports)
-        command = ["-m", "leadseam.cli.ctl", "--control", ports, *args]
+        control = () if "--control" in args else ("--control", ports)
+        command = ["-m", "leadseam.cli.ctl", *control, *args]
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             *command,
--- /dev/null
+++ b/tools/measure_control.py
@@ -0,0 +1,224 @@
+"""Measure the control plane: time until in force, failover, feed bytes, storms.
+
+Usage:
+  measure_control [--changes N]
+  measure_control (-h | --help)
+
+Options:
+  --changes N  Changes of each case [default: 60].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import re
+import signal
+import tempfile
+import time
+from pathlib import Path
+
+from docopt import docopt
+
+from leadseam.cli._client import OperatorClient, UnavailableError
+from leadseam.control.configuration import Drain
+from leadseam.schema import operator_pb2 as pb
+from leadseam.schema.convert import operation_to_message
+from leadseam.settings.models import Endpoint
+from tools.fleet import LOOPBACK, OPERATOR_TOKEN, Fleet
+from tools.gap import percentile
+from tools.load import chat_body
+from tools.measure import cpu_seconds, riga
+
+IN_FORCE = re.compile(r'"time": (\d+).*"configuration in force", "version": (\d+)')
+PAUSE = 0.05
+STORM_CALLS = 200
+
+
+def client(fleet: Fleet) -> OperatorClient:
+    """Return a client of all replicas."""
+    ends = [Endpoint(ip=LOOPBACK, port=port) for port in fleet.operator_ports]
+    return OperatorClient(ends, OPERATOR_TOKEN)
+
+
+async def change(operator: OperatorClient, turn: int) -> tuple[int, float, float]:
+    """Make one change; return its version, when it was sent and acknowledged (ms)."""
+    current = await operator.get()
+    operation = Drain("kiosk-1", turn % 2 == 0)
+    request = pb.ApplyRequest(
+        change_id=f"m{time.monotonic_ns()}",
+        expect_version=current.version,
+        operations=[operation_to_message(operation)],
+    )
+    sent = time.time() * 1_000
+    reply = await operator.apply(request)
+    assert reply.status == "accepted", reply
+    return reply.version, sent, time.time() * 1_000
+
+
+def in_force_times(fleet: Fleet) -> dict[int, float]:
+    """Return when each version was in force on the last node (ms), from the logs."""
+    last: dict[int, float] = {}
+    for name in (*fleet.names("entry"), *fleet.names("sidecar")):
+        for when, version in IN_FORCE.findall(fleet.nodes[name].log.read_text()):
+            number = int(version)
+            last[number] = max(last.get(number, 0.0), float(when))
+    return last
+
+
+async def leader_name(fleet: Fleet) -> str:
+    """Return the name of the leader."""
+    while True:
+        for _, reply in await client(fleet).status():
+            if reply is not None and reply.role == "leader" and reply.current:
+                return str(reply.identity).partition("#")[0]
+        await asyncio.sleep(PAUSE)
+
+
+async def propagation(fleet: Fleet, case: str, count: int) -> str:
+    """Make changes and describe how long they took to be in force everywhere."""
+    operator = client(fleet)
+    made = []
+    for turn in range(count):
+        made.append(await change(operator, turn))
+        await asyncio.sleep(PAUSE)
+    await fleet.wait_in_force(made[-1][0])
+    last = in_force_times(fleet)
+    delays = [last[version] - acked for version, _, acked in made if version in last]
+    acks = [acked - sent for _, sent, acked in made]
+    return (
+        f"{case}: {len(delays)} changes, in force on the last node after the"
+        f" acknowledgement: p50 {percentile(delays, 0.5):.0f} ms,"
+        f" p99 {percentile(delays, 0.99):.0f} ms, worst {max(delays):.0f} ms;"
+        f" acknowledged after p50 {percentile(acks, 0.5):.0f} ms,"
+        f" worst {max(acks):.0f} ms"
+    )
+
+
+async def failover(fleet: Fleet, rounds: int) -> str:
+    """Kill the leader and time the next acknowledged change."""
+    times = []
+    operator = client(fleet)
+    for turn in range(rounds):
+        old = await leader_name(fleet)
+        fleet.nodes[old].kill()
+        start = time.monotonic()
+        await change_until_accepted(operator, turn)
+        times.append(time.monotonic() - start)
+        fleet.start(old)
+        await fleet.wait_ready(old)
+    listed = ", ".join(f"{one:.2f}" for one in sorted(times))
+    return f"failover, kill to next acknowledged change: {listed} s"
+
+
+async def change_until_accepted(operator: OperatorClient, turn: int) -> None:
+    """Repeat a change until it is acknowledged."""
+    while True:
+        try:
+            await change(operator, turn)
+            return
+        except UnavailableError:
+            await asyncio.sleep(PAUSE)
+
+
+async def idle_cost(fleet: Fleet, seconds: float) -> str:
+    """Describe control bytes and processor time of each program without load."""
+    lines = []
+    for program in ("entry", "sidecar", "control"):
+        names = fleet.names(program)
+        before = {name: await node_cost(fleet, name) for name in names}
+        await asyncio.sleep(seconds)
+        after = {name: await node_cost(fleet, name) for name in names}
+        sent = [(after[n][0] - before[n][0]) / seconds for n in names]
+        cpu = [100 * (after[n][1] - before[n][1]) / seconds for n in names]
+        lines.append(
+            f"idle {program}: worst {max(sent):.0f} B/s sent, {max(cpu):.1f}% of a core"
+        )
+    return "\n".join(lines)
+
+
+async def node_cost(fleet: Fleet, name: str) -> tuple[float, float]:
+    """Return control bytes sent and processor seconds so far."""
+    sent = await fleet.metric(name, "link_control_sent_bytes_total")
+    return sum(sent.values()), cpu_seconds(fleet.nodes[name].pid)
+
+
+async def feed_bytes(fleet: Fleet, count: int) -> str:
+    """Describe the bytes that a change costs each subscriber."""
+    operator = client(fleet)
+    before = await all_feed_bytes(fleet)
+    for turn in range(count):
+        version, _, _ = await change(operator, turn)
+    await fleet.wait_in_force(version)
+    nodes = len(fleet.names("entry")) + len(fleet.names("sidecar"))
+    each = (await all_feed_bytes(fleet) - before) / count / nodes
+    return f"feed: {each:.0f} B for each change and node"
+
+
+async def all_feed_bytes(fleet: Fleet) -> float:
+    """Return feed bytes sent so far by all replicas."""
+    values = [await fleet.metric(n, "feed_bytes_total") for n in fleet.names("control")]
+    return sum(sum(value.values()) for value in values)
+
+
+async def retry_storm(fleet: Fleet) -> str:
+    """Have every engine fail and count attempts for each caller's request."""
+    engines = [n for n in fleet.names("standin") if n.startswith("engine")]
+    for name in engines:
+        await fleet.http.put(fleet.url(name, "/standin/mode/refuse"))
+    before = await all_started(fleet, engines)
+    url = fleet.url("entry-1", "/v1/chat/completions")
+    headers = {"Authorization": "Bearer key-menus"}
+
+    async def call() -> None:
+        async with fleet.http.post(
+            url, data=chat_body("rates", 4), headers=headers
+        ) as resp:
+            await resp.read()
+
+    for _ in range(STORM_CALLS // 10):
+        await asyncio.gather(*(call() for _ in range(10)))
+    started = await all_started(fleet, engines) - before
+    for name in engines:
+        await fleet.http.put(fleet.url(name, "/standin/mode/normal"))
+    return f"retry storm: {started / STORM_CALLS:.2f} attempts for each request"
+
+
+async def all_started(fleet: Fleet, engines: list[str]) -> int:
+    """Return requests that the engines have started."""
+    total = 0
+    for name in engines:
+        async with fleet.http.get(fleet.url(name, "/standin")) as resp:
+            total += json.loads(await resp.read())["started"]
+    return total
+
+
+async def main_async(count: int) -> None:
+    """Measure and print everything."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = riga(Path(folder))
+        try:
+            await fleet.start_all()
+            print(await idle_cost(fleet, 5), flush=True)
+            print(await propagation(fleet, "all replicas well", count), flush=True)
+            print(await feed_bytes(fleet, 10), flush=True)
+            frozen = await leader_name(fleet)
+            fleet.nodes[frozen].signal(signal.SIGSTOP)
+            await change_until_accepted(client(fleet), 1)
+            print(await propagation(fleet, "one replica frozen", count), flush=True)
+            fleet.nodes[frozen].signal(signal.SIGCONT)
+            await fleet.wait_ready(frozen)
+            print(await failover(fleet, 5), flush=True)
+            print(await retry_storm(fleet), flush=True)
+        finally:
+            await fleet.close()
+
+
+def main() -> None:
+    """Entry point; part of `make measure`."""
+    args = docopt(__doc__)
+    asyncio.run(main_async(int(args["--changes"])))
+
+
+if __name__ == "__main__":
+    main()
