--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -18,6 +18,7 @@
 import platform
 import resource
 import statistics
+import sys
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
@@ -370,18 +371,29 @@
     return await with_links(count, work)
 
 
-async def memory_links(count: int) -> float:
-    """Return resident bytes that so many links add; both ends counted."""
-    process = psutil.Process()
-    before = process.memory_info().rss
+async def resident_with_links(count: int) -> float:
+    """Return resident bytes of this process while it holds so many links."""
 
     async def work(near: list[Link], far: list[Link]) -> float:
         del near, far
-        return float(process.memory_info().rss - before)
+        return float(psutil.Process().memory_info().rss)
 
     return await with_links(count, work)
 
 
+async def memory_links(count: int) -> float:
+    """Return resident bytes of a fresh process that holds both ends of links."""
+    code = (
+        "import asyncio; from tools.slopes import resident_with_links as run;"
+        f"print(asyncio.run(run({count})))"
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
+    )
+    out, _ = await process.communicate()
+    return float(out)
+
+
 async def cpu_heartbeats(count: int) -> float:
     """Send a feed heartbeat to so many subscribers; cost of one round, both ends."""
 
