Work that nobody reads may not hold its slot; requests that must not repeat are not cut

Cause (found by reading): a request that must not repeat runs on after its entry is gone, but its answer went on waiting for flow-control credit, so with an answer over 256 KB the slot was held for ever. And its deadline cut it off in mid-run. Now the window opens when nobody reads, and the deadline of such a request only ends the caller's wait. Shown by: test_large_answer_to_a_dead_entry_frees_its_slot; it must fail on the variant "an answer nobody reads keeps its window". Also dropped: two fields that nobody read.

--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -120,7 +120,7 @@
         while True:
             with contextlib.suppress(*LINK_ERRORS):
                 async with dial(endpoint.ip, endpoint.port, self._traffic) as link:
-                    link.send(Hello(self._name, 0, 0))
+                    link.send(Hello(self._name, 0))
                     self._links[name] = link
                     async for message in link.messages():
                         self._on_reply(message)
--- a/src/leadseam/entry/dispatcher.py
+++ b/src/leadseam/entry/dispatcher.py
@@ -130,7 +130,7 @@
 
     def hello(self) -> Hello:
         """Return the first message of a link."""
-        return Hello(self._node, self._incarnation, self._configuration.version)
+        return Hello(self._node, self._incarnation)
 
     def merge(self, pool: str) -> ServiceMerge:
         """Return the service counters of a pool."""
--- a/src/leadseam/entry/relay.py
+++ b/src/leadseam/entry/relay.py
@@ -85,7 +85,6 @@
         self._clock = clock
         self._item: Waiting | None = None
         self._dispatched: Dispatched | None = None
-        self._accepted = False
         self._attempts = 0
         self._outlives_caller = outlives_caller
         self._uncredited = 0
@@ -111,7 +110,7 @@
             if not await self._wait_for_grant(item):
                 return NotRun(Reason.DEADLINE_PASSED)
             ending = await self._first_sign(item)
-            decision = decide(self._req, ending, accepted=self._accepted)
+            decision = decide(self._req, ending)
             match decision:
                 case Deliver():
                     return await self._deliver(item, ending)
@@ -124,7 +123,6 @@
                     self._prepare_retry(item, decision)
 
     async def _wait_for_grant(self, item: Waiting) -> bool:
-        self._accepted = False
         left = self._req.deadline - self._clock.now()
         try:
             async with asyncio.timeout(seconds(left)):
@@ -146,7 +144,7 @@
             event = await self._next_event(item)
             match event:
                 case Accepted():
-                    self._accepted = True
+                    pass
                 case Refused() | LinkLost() | NeverStarted() | Final():
                     self._dispatched = None
                     return event
--- a/src/leadseam/entry/retry.py
+++ b/src/leadseam/entry/retry.py
@@ -47,13 +47,12 @@
 Ending: TypeAlias = Refused | LinkLost | NeverStarted | Final | Head
 
 
-def decide(req: CallerRequest, ending: Ending, *, accepted: bool) -> Decision:
+def decide(req: CallerRequest, ending: Ending) -> Decision:
     """Decide after an attempt that has given the caller no byte.
 
     Args:
         req: The request.
         ending: How the attempt ended; a `Head` stands for its status.
-        accepted: Whether the sidecar had said that it starts the attempt.
 
     Returns:
         A retry where that is safe, subject to budget and limit of attempts.
--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -210,8 +210,7 @@
             old.link.abort()
             self._disconnect(old)
         self._peers[peer.hello.node] = peer
-        version = self._configuration.version
-        peer.link.send(Hello(self._node, self._incarnation, version))
+        peer.link.send(Hello(self._node, self._incarnation))
         peer.link.send(Service(self._ledger.all_rows()))
         peer.link.send(self._free())
         if self.leaving:
@@ -223,8 +222,7 @@
         del self._peers[peer.hello.node]
         self._scheduler.drop_entry(peer.hello.node)
         for running in peer.running.values():
-            if running.req.repeatable and running.task is not None:
-                running.task.cancel()
+            self._abandon(running)
         self._grant()
 
     def _handle(self, peer: EntryPeer, message: AnyMessage) -> None:
@@ -245,7 +243,8 @@
                 if (running := peer.running.get(attempt)) is not None:
                     running.window.give(size)
             case Cancel(attempt=attempt):
-                self._cancel(peer, attempt)
+                if (running := peer.running.get(attempt)) is not None:
+                    self._abandon(running)
             case Query(attempt=attempt):
                 started = self._attempts.has_started(self._key(peer, attempt))
                 peer.link.send(Testimony(attempt, started))
@@ -348,15 +347,12 @@
         self._ledger.reserve(running.req.account, running.released - target)
         running.released = target
 
-    def _cancel(self, peer: EntryPeer, attempt: int) -> None:
-        running = peer.running.get(attempt)
-        if running is None or running.task is None:
-            return
-        if running.req.repeatable:
+    def _abandon(self, running: RunningAttempt) -> None:
+        """Stop work that nobody waits for, unless it must run to its end."""
+        if not running.req.repeatable:
+            running.window.open()
+        elif running.task is not None:
             running.task.cancel()
-        else:
-            # It must run to its end; nobody reads what it still sends.
-            running.window.give(1 << 62)
 
     def _note_health(self, final: Final) -> None:
         match final.error:
@@ -393,7 +389,7 @@
 
     def _free(self) -> Free:
         healthy = self._scheduler.open and self._scheduler.slots > 0
-        return Free(self._scheduler.slots, 0, healthy)
+        return Free(self._scheduler.slots, healthy)
 
     def _share_of(self, account: str) -> int:
         row = self._configuration.accounts.get(account)
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -67,6 +67,7 @@
 
     def __init__(self, size: int) -> None:
         self._left = size
+        self._unlimited = False
         self._open = asyncio.Event()
         self._open.set()
 
@@ -74,7 +75,7 @@
         """Wait for a positive window, then use some of it."""
         await self._open.wait()
         self._left -= size
-        if self._left <= 0:
+        if self._left <= 0 and not self._unlimited:
             self._open.clear()
 
     def give(self, size: int) -> None:
@@ -83,6 +84,11 @@
         if self._left > 0:
             self._open.set()
 
+    def open(self) -> None:
+        """Take away the limit, as nobody reads what is sent."""
+        self._unlimited = True
+        self._open.set()
+
 
 class Upstream:
     """HTTP client of one upstream.
@@ -139,7 +145,7 @@
         """
         stream = _Stream(self, req, window, send, charge)
         try:
-            async with asyncio.timeout(seconds(req.deadline) if req.deadline else None):
+            async with asyncio.timeout(_time_limit(req)):
                 await stream.run()
         except aiohttp.ClientConnectorError:
             return stream.final(Reason.UPSTREAM_UNREACHABLE, started=False)
@@ -239,6 +245,11 @@
             self._size += len(part)
 
 
+def _time_limit(req: Dispatch) -> float | None:
+    """Return the seconds after which a request may be cut off, or None."""
+    return seconds(req.deadline) if req.deadline and req.repeatable else None
+
+
 def _end_to_end(resp: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
     kept = HOP_BY_HOP - {"content-encoding"}
     items = resp.headers.items()
--- a/src/leadseam/standin/service.py
+++ b/src/leadseam/standin/service.py
@@ -10,7 +10,7 @@
 
 
 class ServiceStandin:
-    """Runs `POST /run/{name}` and counts by name.
+    """Runs `POST /run/{name}` and counts by name; `?padding=N` lengthens the answer.
 
     Args:
         service_time: Milliseconds that a call takes.
@@ -35,6 +35,8 @@
         body = await http.read()
         await sleep(self._service_time)
         answer = {"name": name, "run": self._runs[name], "size": len(body)}
+        if "padding" in http.query:
+            answer["padding"] = "x" * int(http.query["padding"])
         return web.json_response(answer)
 
     async def _show(self, _: web.Request) -> web.Response:
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -25,25 +25,21 @@
     Args:
         node: Name of the sending process.
         incarnation: Random number drawn when that process started.
-        config_version: Version of the configuration in force there.
     """
 
     node: str
     incarnation: int
-    config_version: int
 
 
 class Free(Message, frozen=True, array_like=True, tag=2):
     """State of a sidecar's slots.
 
     Args:
-        slots: All slots of the upstream.
-        busy: Slots in use or granted.
+        slots: Slots that may be used now.
         healthy: Whether the upstream takes work.
     """
 
     slots: int
-    busy: int
     healthy: bool
 
 
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -123,6 +123,19 @@
     await check(fleet, await calls)
 
 
+async def test_large_answer_to_a_dead_entry_frees_its_slot(fleet: Fleet) -> None:
+    describe(fleet, upstreams=1)
+    fleet.config["upstreams"][0]["slots"] = 1
+    await fleet.start_all()
+    path = "/services/slips/run/a?padding=3000000"
+    call = asyncio.create_task(fleet.post("entry-1", path, "tellers", b"{}", ONCE))
+    await until(lambda: some_ran(fleet, 1), "the call runs")
+    fleet.nodes["entry-1"].kill()
+    await asyncio.gather(call, return_exceptions=True)
+    assert await print_slip(fleet, "entry-2", "b") == "answered"
+    assert await fleet.runs() == {"a": 1, "b": 1}
+
+
 async def test_sidecar_frozen_and_woken(fleet: Fleet) -> None:
     describe(fleet, upstreams=1, entries=1)
     await fleet.start_all()
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -40,7 +40,7 @@
 
 @pytest.mark.parametrize("ending", [LinkLost(), BROKEN])
 def test_what_may_have_run_is_unknown_and_not_repeated(ending: Ending) -> None:
-    decision = decide(request(repeatable=False), ending, accepted=True)
+    decision = decide(request(repeatable=False), ending)
     assert isinstance(decision, Finish)
     assert isinstance(decision.outcome, Unknown)
 
@@ -51,12 +51,12 @@
     ending: Ending, repeatable: bool
 ) -> None:
     req = request(repeatable=repeatable)
-    assert isinstance(decide(req, ending, accepted=False), Retry)
+    assert isinstance(decide(req, ending), Retry)
     assert isinstance(exhausted(req, ending), NotRun)
 
 
 def test_repeatable_work_is_retried_elsewhere() -> None:
-    decision = decide(request(repeatable=True), BROKEN, accepted=True)
+    decision = decide(request(repeatable=True), BROKEN)
     assert decision == Retry("upstream_broken", avoid=True, costs=True)
     assert exhausted(request(repeatable=True), BROKEN) == Failed(
         Reason.RETRIES_EXHAUSTED
@@ -66,8 +66,8 @@
 @pytest.mark.parametrize("status", [502, 503, 504])
 def test_a_gateway_error_is_passed_on_if_not_repeatable(status: int) -> None:
     head = Head(1, status, ())
-    assert decide(request(repeatable=False), head, accepted=True) == Deliver()
-    assert isinstance(decide(request(repeatable=True), head, accepted=True), Retry)
+    assert decide(request(repeatable=False), head) == Deliver()
+    assert isinstance(decide(request(repeatable=True), head), Retry)
 
 
 def test_budget_ends_a_storm_and_recovers() -> None:
--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -64,6 +64,13 @@
         "item.events.put_nowait(NeverStarted())",
         f"{AT_MOST_ONCE}::test_sidecar_frozen_and_woken",
     ),
+    Variant(
+        "an answer nobody reads keeps its window",
+        "sidecar/agent.py",
+        "            running.window.open()\n",
+        "            pass\n",
+        f"{AT_MOST_ONCE}::test_large_answer_to_a_dead_entry_frees_its_slot",
+    ),
     Variant(
         "a question leaves no tombstone",
         "sidecar/attempts.py",
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -26,6 +26,7 @@
 from pathlib import Path
 
 import psutil
+import uvloop
 from docopt import docopt
 
 from leadseam.control.claims import Acquire
@@ -384,8 +385,8 @@
 async def memory_links(count: int) -> float:
     """Return resident bytes of a fresh process that holds both ends of links."""
     code = (
-        "import asyncio; from tools.slopes import resident_with_links as run;"
-        f"print(asyncio.run(run({count})))"
+        "import uvloop; from tools.slopes import resident_with_links as run;"
+        f"print(uvloop.run(run({count})))"
     )
     process = await asyncio.create_subprocess_exec(
         sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
@@ -559,7 +560,7 @@
 def main() -> None:
     """Entry point of `make slopes`."""
     args = docopt(__doc__)
-    asyncio.run(main_async(args["--only"]))
+    uvloop.run(main_async(args["--only"]))
 
 
 if __name__ == "__main__":
