Take the log out of the consensus core into a module of its own

Nothing changes in what it does. Shown by: pytest tests/test_raft.py tests/test_storage.py, 14 passed; mypy strict and ruff clean.

--- a/src/leadseam/control/program.py
+++ b/src/leadseam/control/program.py
@@ -12,7 +12,7 @@
 
 from leadseam.clock import Clock, SystemClock
 from leadseam.control.operator_service import OperatorService
-from leadseam.control.raft import Membership
+from leadseam.control.raft_log import Membership
 from leadseam.control.replica import Replica
 from leadseam.control.storage import Storage, format_folder, read_identity
 from leadseam.errors import StorageError
--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -9,12 +9,20 @@
 
 import random
 from dataclasses import dataclass, field
-from enum import IntEnum, StrEnum
+from enum import StrEnum
 from typing import TypeAlias
 
 from leadseam.clock import Millis
+from leadseam.control.raft_log import (
+    EntryKind,
+    HardState,
+    Membership,
+    RaftLog,
+    SnapshotMark,
+    same_box,
+)
 from leadseam.errors import InvariantError
-from leadseam.wire.codec import decode, encode
+from leadseam.wire.codec import encode
 from leadseam.wire.messages import (
     Append,
     AppendReply,
@@ -23,7 +31,6 @@
     LogEntry,
     PreVote,
     PreVoteReply,
-    Record,
     Vote,
     VoteReply,
 )
@@ -47,45 +54,6 @@
     LEADER = "leader"
 
 
-class EntryKind(IntEnum):
-    """What a log entry carries."""
-
-    NOOP = 0
-    COMMAND = 1
-    MEMBERSHIP = 2
-
-
-class Membership(Record, frozen=True, array_like=True):
-    """Replica identities; a learner receives the log and does not vote."""
-
-    voters: tuple[str, ...]
-    learners: tuple[str, ...] = ()
-
-    @property
-    def everyone(self) -> tuple[str, ...]:
-        """Voters, then learners."""
-        return self.voters + self.learners
-
-    def quorum(self, agreed: set[str]) -> bool:
-        """Tell whether a majority of the voters is in `agreed`."""
-        return 2 * len(agreed & set(self.voters)) > len(self.voters)
-
-
-class HardState(Record, frozen=True, array_like=True):
-    """What must be synced before a vote or an acknowledgement is sent."""
-
-    term: int = 0
-    vote: str = ""
-
-
-class SnapshotMark(Record, frozen=True, array_like=True):
-    """Where the compacted part of the log ends."""
-
-    index: int = 0
-    term: int = 0
-    membership: Membership = Membership(())
-
-
 @dataclass(frozen=True, slots=True)
 class Ready:
     """Work that the owner must do, in this order.
@@ -149,8 +117,7 @@
         self.identity = identity
         self.term = hard_state.term
         self.vote = hard_state.vote
-        self.mark = mark
-        self.log = log
+        self.log = RaftLog(mark, log)
         self.role = Role.FOLLOWER
         self.leader = ""
         self.commit_index = mark.index
@@ -175,21 +142,11 @@
     def __repr__(self) -> str:
         return (
             f"Raft({self.identity} {self.role} term={self.term}"
-            f" last={self.last_index} commit={self.commit_index})"
+            f" last={self.log.last_index} commit={self.commit_index})"
         )
 
     # Reading
 
-    @property
-    def last_index(self) -> int:
-        """Index of the last entry, or of the mark."""
-        return self.mark.index + len(self.log)
-
-    @property
-    def last_term(self) -> int:
-        """Term of the last entry."""
-        return self.log[-1].term if self.log else self.mark.term
-
     @property
     def is_voter(self) -> bool:
         """Whether this replica counts for quorums."""
@@ -199,7 +156,7 @@
         """Tell whether no other leader can exist at this moment."""
         if self.role is not Role.LEADER:
             return False
-        if self._term_at(self.commit_index) != self.term:
+        if self.log.term_at(self.commit_index) != self.term:
             return False
         return now < self._quorum_ack(now) + LEASE
 
@@ -230,7 +187,7 @@
         """
         if self.role is not Role.LEADER:
             return None
-        index = self.last_index + 1
+        index = self.log.last_index + 1
         self._append([LogEntry(self.term, index, int(kind), data)])
         self._broadcast(now)
         return index
@@ -256,7 +213,7 @@
         """Tell a leader that its own log is synced up to `index`."""
         if self.role is Role.LEADER and self.identity in self._peers:
             peer = self._peers[self.identity]
-            peer.match = max(peer.match, min(index, self.last_index))
+            peer.match = max(peer.match, min(index, self.log.last_index))
             self._advance_commit(now)
 
     def take_ready(self) -> Ready:
@@ -264,8 +221,8 @@
         pending, self._pending = self._pending, _Pending()
         append: tuple[LogEntry, ...] = ()
         if pending.append_from is not None:
-            append = tuple(self._slice(pending.append_from))
-        commit = tuple(self._slice(self._applied + 1, self.commit_index))
+            append = tuple(self.log.between(pending.append_from))
+        commit = tuple(self.log.between(self._applied + 1, self.commit_index))
         self._applied = max(self._applied, self.commit_index)
         return Ready(
             snapshot=pending.snapshot,
@@ -285,11 +242,9 @@
         Returns:
             The new mark.
         """
-        if index <= self.mark.index or index > self._applied:
-            raise InvariantError(f"compact to {index} outside the applied log")
-        mark = SnapshotMark(index, self._term_at(index), self._membership_at(index))
-        self.log = self.log[index - self.mark.index :]
-        self.mark = mark
+        if index > self._applied:
+            raise InvariantError(f"compact to {index}, applied {self._applied}")
+        mark = self.log.compact(index)
         self._snapshot_data = data
         return mark
 
@@ -299,19 +254,8 @@
 
     # Log
 
-    def _term_at(self, index: int) -> int:
-        if index == self.mark.index:
-            return self.mark.term
-        offset = index - self.mark.index - 1
-        return self.log[offset].term if 0 <= offset < len(self.log) else -1
-
-    def _slice(self, first: int, last: int | None = None) -> list[LogEntry]:
-        start = max(first - self.mark.index - 1, 0)
-        stop = len(self.log) if last is None else max(last - self.mark.index, 0)
-        return self.log[start:stop]
-
     def _append(self, entries: list[LogEntry]) -> None:
-        self.log.extend(entries)
+        self.log.entries.extend(entries)
         self._note_append(entries[0].index)
         if any(entry.kind == EntryKind.MEMBERSHIP for entry in entries):
             self._recompute_membership()
@@ -319,21 +263,15 @@
     def _truncate(self, index: int) -> None:
         if index <= self.commit_index:
             raise InvariantError(f"conflict at committed index {index}")
-        del self.log[index - self.mark.index - 1 :]
+        self.log.truncate(index)
         self._recompute_membership()
 
     def _note_append(self, index: int) -> None:
         first = self._pending.append_from
         self._pending.append_from = index if first is None else min(first, index)
 
-    def _membership_at(self, index: int) -> Membership:
-        for entry in reversed(self._slice(self.mark.index + 1, index)):
-            if entry.kind == EntryKind.MEMBERSHIP:
-                return decode(entry.data, Membership)
-        return self.mark.membership
-
     def _recompute_membership(self) -> None:
-        self.membership = self._membership_at(self.last_index)
+        self.membership = self.log.membership_at(self.log.last_index)
         if self.role is Role.LEADER:
             self._sync_peers()
 
@@ -363,7 +301,8 @@
         return now - self._leader_heard < ELECTION_TIMEOUT
 
     def _log_is_newer(self, last_term: int, last_index: int) -> bool:
-        return (last_term, last_index) >= (self.last_term, self.last_index)
+        mine = (self.log.last_term, self.log.last_index)
+        return (last_term, last_index) >= mine
 
     def _start_pre_vote(self, now: Millis) -> None:
         self.role = Role.FOLLOWER
@@ -374,7 +313,7 @@
             return
         for peer in self._other_voters():
             request = PreVote(
-                self.identity, self.term + 1, self.last_index, self.last_term
+                self.identity, self.term + 1, self.log.last_index, self.log.last_term
             )
             self._send(peer, request)
 
@@ -405,7 +344,9 @@
             self._become_leader(now)
             return
         for peer in self._other_voters():
-            request = Vote(self.identity, self.term, self.last_index, self.last_term)
+            request = Vote(
+                self.identity, self.term, self.log.last_index, self.log.last_term
+            )
             self._send(peer, request)
 
     def _adopt_term(self, now: Millis, message: _TermMessage) -> bool:
@@ -468,7 +409,7 @@
     def _sync_peers(self) -> None:
         for name in self.membership.everyone:
             if name not in self._peers:
-                self._peers[name] = _Peer(next_index=self.last_index + 1)
+                self._peers[name] = _Peer(next_index=self.log.last_index + 1)
         for name in set(self._peers) - set(self.membership.everyone):
             del self._peers[name]
 
@@ -507,11 +448,11 @@
         if peer.in_flight and now - peer.sent_at < 2 * HEARTBEAT_INTERVAL:
             self._send_append(now, name, peer, entries=())
             return
-        if peer.next_index <= self.mark.index:
+        if peer.next_index <= self.log.mark.index:
             self._send_install(now, name)
         else:
             first = peer.next_index
-            entries = self._slice(first, first + MAX_APPEND_ENTRIES - 1)
+            entries = self.log.between(first, first + MAX_APPEND_ENTRIES - 1)
             self._send_append(now, name, peer, entries=tuple(entries))
             if not entries:
                 return
@@ -522,14 +463,14 @@
         self, now: Millis, name: str, peer: _Peer, *, entries: tuple[LogEntry, ...]
     ) -> None:
         prev = peer.next_index - 1
-        if prev < self.mark.index:
-            prev = self.mark.index
+        if prev < self.log.mark.index:
+            prev = self.log.mark.index
             entries = ()
         request = Append(
             sender=self.identity,
             term=self.term,
             prev_index=prev,
-            prev_term=self._term_at(prev),
+            prev_term=self.log.term_at(prev),
             entries=entries,
             commit=self.commit_index,
             sent=now,
@@ -541,10 +482,10 @@
         request = Install(
             sender=self.identity,
             term=self.term,
-            index=self.mark.index,
-            index_term=self.mark.term,
-            voters=self.mark.membership.voters,
-            learners=self.mark.membership.learners,
+            index=self.log.mark.index,
+            index_term=self.log.mark.term,
+            voters=self.log.mark.membership.voters,
+            learners=self.log.mark.membership.learners,
             data=self._snapshot_data,
             sent=now,
         )
@@ -571,7 +512,7 @@
             peer.in_flight = False
         peer.next_index = max(peer.next_index, peer.match + 1)
         self._advance_commit(now)
-        if peer.next_index <= self.last_index and not peer.in_flight:
+        if peer.next_index <= self.log.last_index and not peer.in_flight:
             self._replicate(now, message.sender, peer)
 
     def _advance_commit(self, now: Millis) -> None:
@@ -579,7 +520,7 @@
             (self._peers[name].match for name in self.membership.voters), reverse=True
         )
         index = matches[len(matches) // 2]
-        if index > self.commit_index and self._term_at(index) == self.term:
+        if index > self.commit_index and self.log.term_at(index) == self.term:
             self.commit_index = index
             self._broadcast(now)
             if self.identity not in self.membership.voters:
@@ -598,14 +539,16 @@
         if message.sender in self.membership.everyone:
             return
         kept = tuple(
-            name for name in self.membership.learners if not same_box(name, message)
+            name
+            for name in self.membership.learners
+            if not same_box(name, message.sender)
         )
         changed = Membership(self.membership.voters, (*kept, message.sender))
         self.propose(now, EntryKind.MEMBERSHIP, encode(changed))
 
     def _membership_settled(self) -> bool:
-        pending = self._slice(self.commit_index + 1)
-        in_term = self._term_at(self.commit_index) == self.term
+        pending = self.log.between(self.commit_index + 1)
+        in_term = self.log.term_at(self.commit_index) == self.term
         changing = any(entry.kind == EntryKind.MEMBERSHIP for entry in pending)
         return in_term and not changing
 
@@ -615,13 +558,13 @@
             return
         for name in self.membership.learners:
             peer = self._peers[name]
-            if peer.match + CATCH_UP_DISTANCE < self.last_index or peer.match == 0:
+            if peer.match + CATCH_UP_DISTANCE < self.log.last_index or peer.match == 0:
                 continue
             voters = self.membership.voters
             learners = tuple(
                 other for other in self.membership.learners if other != name
             )
-            old = [other for other in voters if base_name(other) == base_name(name)]
+            old = [other for other in voters if same_box(other, name)]
             if old:
                 kept = tuple(other for other in voters if other not in old)
                 changed = Membership(kept, self.membership.learners)
@@ -647,11 +590,11 @@
 
     def _on_append(self, now: Millis, message: Append) -> None:
         self._follow(now, message.sender)
-        if message.prev_index < self.mark.index:
+        if message.prev_index < self.log.mark.index:
             self._on_append_before_mark(now, message)
             return
-        if self._term_at(message.prev_index) != message.prev_term:
-            hint = min(message.prev_index - 1, self.last_index)
+        if self.log.term_at(message.prev_index) != message.prev_term:
+            hint = min(message.prev_index - 1, self.log.last_index)
             hint = max(hint, self.commit_index)
             self._send(message.sender, self._reply(False, hint, message.sent, now))
             return
@@ -663,12 +606,12 @@
         self._send(message.sender, self._reply(True, match, message.sent, now))
 
     def _on_append_before_mark(self, now: Millis, message: Append) -> None:
-        reply = self._reply(True, self.mark.index, message.sent, now)
+        reply = self._reply(True, self.log.mark.index, message.sent, now)
         self._send(message.sender, reply)
 
     def _store_entries(self, entries: tuple[LogEntry, ...]) -> None:
         for position, entry in enumerate(entries):
-            known = self._term_at(entry.index)
+            known = self.log.term_at(entry.index)
             if known == entry.term:
                 continue
             if known >= 0:
@@ -686,25 +629,13 @@
         self._send(message.sender, self._reply(True, match, message.sent, now))
 
     def _restore(self, mark: SnapshotMark, data: bytes) -> None:
-        keeps = self._term_at(mark.index) == mark.term
-        self.log = self._slice(mark.index + 1) if keeps else []
-        self.mark = mark
+        self.log.restore(mark)
         self.commit_index = mark.index
         self._applied = mark.index
         self._snapshot_data = data
         self._pending.snapshot = (mark, data)
-        self._pending.append_from = mark.index + 1 if self.log else None
+        self._pending.append_from = mark.index + 1 if self.log.entries else None
         self._recompute_membership()
 
     def _send(self, to: str, message: RaftMessage) -> None:
         self._pending.send.append((to, message))
-
-
-def base_name(identity: str) -> str:
-    """Return the box's name in a replica identity `name#incarnation`."""
-    return identity.partition("#")[0]
-
-
-def same_box(identity: str, message: Join) -> bool:
-    """Tell whether an identity belongs to the box that asks to join."""
-    return base_name(identity) == base_name(message.sender)
--- /dev/null
+++ b/src/leadseam/control/raft_log.py
@@ -0,0 +1,127 @@
+"""The replicated log of one replica in memory: entries after a snapshot mark."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+
+from leadseam.errors import InvariantError
+from leadseam.wire.codec import decode
+from leadseam.wire.messages import LogEntry, Record
+
+
+class EntryKind(IntEnum):
+    """What a log entry carries."""
+
+    NOOP = 0
+    COMMAND = 1
+    MEMBERSHIP = 2
+
+
+class Membership(Record, frozen=True, array_like=True):
+    """Replica identities; a learner receives the log and does not vote."""
+
+    voters: tuple[str, ...]
+    learners: tuple[str, ...] = ()
+
+    @property
+    def everyone(self) -> tuple[str, ...]:
+        """Voters, then learners."""
+        return self.voters + self.learners
+
+    def quorum(self, agreed: set[str]) -> bool:
+        """Tell whether a majority of the voters is in `agreed`."""
+        return 2 * len(agreed & set(self.voters)) > len(self.voters)
+
+
+class HardState(Record, frozen=True, array_like=True):
+    """What must be synced before a vote or an acknowledgement is sent."""
+
+    term: int = 0
+    vote: str = ""
+
+
+class SnapshotMark(Record, frozen=True, array_like=True):
+    """Where the compacted part of the log ends."""
+
+    index: int = 0
+    term: int = 0
+    membership: Membership = Membership(())
+
+
+class RaftLog:
+    """Entries that follow a snapshot, by index.
+
+    Args:
+        mark: Where the compacted part ends.
+        entries: Entries after it, without a gap.
+    """
+
+    def __init__(self, mark: SnapshotMark, entries: list[LogEntry]) -> None:
+        self.mark = mark
+        self.entries = entries
+
+    def __repr__(self) -> str:
+        return f"RaftLog({self.mark.index}..{self.last_index})"
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry, or of the mark."""
+        return self.mark.index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry, or of the mark."""
+        return self.entries[-1].term if self.entries else self.mark.term
+
+    def term_at(self, index: int) -> int:
+        """Return the term of an index, or -1 where it is not held."""
+        if index == self.mark.index:
+            return self.mark.term
+        offset = index - self.mark.index - 1
+        return self.entries[offset].term if 0 <= offset < len(self.entries) else -1
+
+    def between(self, first: int, last: int | None = None) -> list[LogEntry]:
+        """Return the entries from `first` to `last`, or to the end."""
+        start = max(first - self.mark.index - 1, 0)
+        stop = len(self.entries) if last is None else max(last - self.mark.index, 0)
+        return self.entries[start:stop]
+
+    def membership_at(self, index: int) -> Membership:
+        """Return the membership that the log gives at an index."""
+        for entry in reversed(self.between(self.mark.index + 1, index)):
+            if entry.kind == EntryKind.MEMBERSHIP:
+                return decode(entry.data, Membership)
+        return self.mark.membership
+
+    def truncate(self, index: int) -> None:
+        """Remove an index and all after it."""
+        del self.entries[index - self.mark.index - 1 :]
+
+    def compact(self, index: int) -> SnapshotMark:
+        """Drop the entries up to an index that is held.
+
+        Returns:
+            The new mark.
+        """
+        if not self.mark.index < index <= self.last_index:
+            raise InvariantError(f"compact to {index} outside {self!r}")
+        mark = SnapshotMark(index, self.term_at(index), self.membership_at(index))
+        self.entries = self.between(index + 1)
+        self.mark = mark
+        return mark
+
+    def restore(self, mark: SnapshotMark) -> None:
+        """Take over a snapshot's mark; entries after it stay if they fit."""
+        fits = self.term_at(mark.index) == mark.term
+        self.entries = self.between(mark.index + 1) if fits else []
+        self.mark = mark
+
+
+def base_name(identity: str) -> str:
+    """Return the box's name in a replica identity `name#incarnation`."""
+    return identity.partition("#")[0]
+
+
+def same_box(identity: str, other: str) -> bool:
+    """Tell whether two identities belong to one box."""
+    return base_name(identity) == base_name(other)
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -9,7 +9,8 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, sleep
-from leadseam.control.raft import EntryKind, HardState, Raft, Role, SnapshotMark
+from leadseam.control.raft import Raft, Role
+from leadseam.control.raft_log import EntryKind, HardState, SnapshotMark, base_name
 from leadseam.control.state import (
     Barrier,
     BarrierResult,
@@ -272,7 +273,7 @@
         ticket = self._next_ticket
         self._forwarded[ticket] = fut
         fut.add_done_callback(lambda _: self._forwarded.pop(ticket, None))
-        leader = self._raft.leader.partition("#")[0]
+        leader = base_name(self._raft.leader)
         request = Forward(self._raft.identity, ticket, encode(command))
         self._peers.send(leader, request)
 
@@ -324,7 +325,7 @@
                 return
             self._send(ready)
             self._apply(ready.commit)
-            self._raft.persisted(self._clock.now(), self._raft.last_index)
+            self._raft.persisted(self._clock.now(), self._raft.log.last_index)
             follow_up = self._raft.take_ready()
             self._send(follow_up)
             self._apply(follow_up.commit)
@@ -372,7 +373,7 @@
 
     def _send(self, ready: Ready) -> None:
         for to, message in ready.send:
-            self._peers.send(to.partition("#")[0], message)
+            self._peers.send(base_name(to), message)
 
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
         for entry in entries:
@@ -411,12 +412,12 @@
                 fut.set_result(None)
 
     async def _compact_if_due(self) -> None:
-        if self.applied - self._raft.mark.index < COMPACT_EVERY:
+        if self.applied - self._raft.log.mark.index < COMPACT_EVERY:
             return
         data = self.state.save()
         mark = self._raft.compact(self.applied, data)
         state = HardState(self._raft.term, self._raft.vote)
-        entries = tuple(self._raft.log)
+        entries = tuple(self._raft.log.entries)
         try:
             await asyncio.to_thread(self._storage.compact, mark, data, state, entries)
         except StorageError as exc:
--- a/src/leadseam/control/storage.py
+++ b/src/leadseam/control/storage.py
@@ -19,7 +19,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, TypeAlias
 
-from leadseam.control.raft import HardState, Membership, SnapshotMark
+from leadseam.control.raft_log import HardState, Membership, SnapshotMark
 from leadseam.errors import StorageDamagedError, StorageError, WireError
 from leadseam.wire.codec import decode, encode
 from leadseam.wire.messages import LogEntry, Record
--- a/tests/failures/test_storage_killed.py
+++ b/tests/failures/test_storage_killed.py
@@ -18,7 +18,7 @@
 WRITER = f"""
 import sys
 from pathlib import Path
-from leadseam.control.raft import HardState, Membership, SnapshotMark
+from leadseam.control.raft_log import HardState, Membership, SnapshotMark
 from leadseam.control.storage import Storage, format_folder, read_identity
 from leadseam.wire.messages import LogEntry
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -17,14 +17,11 @@
     rule,
 )
 
-from leadseam.control.raft import (
-    ELECTION_TIMEOUT,
+from leadseam.control.raft import ELECTION_TIMEOUT, Raft, RaftMessage, Role
+from leadseam.control.raft_log import (
     EntryKind,
     HardState,
     Membership,
-    Raft,
-    RaftMessage,
-    Role,
     SnapshotMark,
     base_name,
 )
@@ -109,11 +106,11 @@
                 mark, data = ready.snapshot
                 box.disk.mark, box.disk.snapshot = mark, data
                 box.applied = decode_applied(data)
-            box.disk.log = list(box.raft.log)
+            box.disk.log = list(box.raft.log.entries)
             for to, message in ready.send:
                 self._send(name, to, message)
             self._apply(box, ready.commit)
-            box.raft.persisted(self.now, box.raft.last_index)
+            box.raft.persisted(self.now, box.raft.log.last_index)
             self._note_leader(box.raft)
 
     def _persist(self, box: Box, raft: Raft) -> None:
@@ -250,12 +247,12 @@
         if box.raft is None or not box.applied:
             return
         index = box.raft.commit_index
-        if index <= box.raft.mark.index:
+        if index <= box.raft.log.mark.index:
             return
         data = encode_applied(box.applied)
         box.disk.mark = box.raft.compact(index, data)
         box.disk.snapshot = data
-        box.disk.log = list(box.raft.log)
+        box.disk.log = list(box.raft.log.entries)
 
     @rule(name=st.sampled_from(BOXES))
     def lose_disk(self, name: str) -> None:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from leadseam.control.raft import HardState, Membership, SnapshotMark
+from leadseam.control.raft_log import HardState, Membership, SnapshotMark
 from leadseam.control.storage import Storage, format_folder, read_identity
 from leadseam.errors import StorageDamagedError, StorageError
 from leadseam.wire.messages import LogEntry
--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -162,7 +162,7 @@
     Variant(
         "votes without a look at the log",
         "control/raft.py",
-        "return (last_term, last_index) >= (self.last_term, self.last_index)",
+        "return (last_term, last_index) >= mine",
         "return True",
         "tests/test_raft.py",
     ),
