Do not lift an account before the others' service of it is known

Cause: a restarted sidecar lifted accounts to the level served last before it had heard what the others gave them, so it counted their whole past service as missing. Offsets are merged by maximum and never taken back, so four of six accounts were held back everywhere. Now an entry sends the others' rows of an account before its first backlog row, and without them nothing is lifted. The new test fails on the code before.

--- a/src/leadseam/entry/sidecars.py
+++ b/src/leadseam/entry/sidecars.py
@@ -298,6 +298,12 @@
         dirty, self._dirty = self._dirty, set()
         rows = [row for account in sorted(dirty) if (row := self._row(account))]
         if rows:
+            # A sidecar judges a new account by what the others gave it.
+            accounts = [row.account for row in rows if row.waiting]
+            merge = self._dispatcher.merge(self.upstream.pool)
+            news = merge.introduce(self.upstream.name, accounts)
+            if news:
+                link.send(OthersService(news))
             link.send(Backlog(tuple(rows)))
 
     def _row(self, account: str) -> BacklogRow | None:
--- a/src/leadseam/fairness/ledger.py
+++ b/src/leadseam/fairness/ledger.py
@@ -6,8 +6,6 @@
 
 from leadseam.wire.messages import ServiceRow
 
-_EMPTY_SERVED = 0
-
 
 @dataclass(slots=True)
 class _Own:
@@ -49,7 +47,13 @@
         row.reserved = max(row.reserved + amount, 0)
 
     def raise_to(self, account: str, level: int) -> None:
-        """Lift an account that was idle, so that it brings no old credit."""
+        """Lift an account that was idle, so that it brings no old credit.
+
+        Nothing is done before the others' service is known: what seems missing may
+        have been served elsewhere, and an offset is never taken back.
+        """
+        if account not in self._others:
+            return
         missing = level - self.level(account)
         if missing > 0:
             self._offsets[account] = self._offsets.get(account, 0) + missing
--- a/src/leadseam/fairness/merge.py
+++ b/src/leadseam/fairness/merge.py
@@ -58,6 +58,13 @@
                 changed.append(row)
         return tuple(changed)
 
+    def introduce(
+        self, sidecar: str, accounts: Iterable[str]
+    ) -> tuple[ServiceRow, ...]:
+        """Return rows of accounts that a connected sidecar has not heard of."""
+        sent = self._sent.setdefault(sidecar, {})
+        return self.report(sidecar, [name for name in accounts if name not in sent])
+
     def _others(self, sidecar: str, account: str) -> ServiceRow:
         served = 0
         reserved = 0
--- a/tests/failures/test_configuration.py
+++ b/tests/failures/test_configuration.py
@@ -22,9 +22,12 @@
 from tools.fleet import LOOPBACK, OPERATOR_TOKEN, until
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from tools.fleet import Fleet
 
 FEED_WATCHED = 1.5
+MANY_CHANGES = 1_100
 CONTROL = ("control-1", "control-2", "control-3")
 
 
@@ -260,6 +263,33 @@
     await fleet.wait_ready("entry-1")
 
 
+async def test_restarts_after_hundreds_of_changes(fleet: Fleet) -> None:
+    describe(fleet)
+    await fleet.start_all()
+    leading = await leader(fleet)
+    away = next(name for name in CONTROL if name != leading)
+    fleet.nodes[away].kill()
+    ends = [Endpoint(ip=LOOPBACK, port=port) for port in fleet.operator_ports]
+    operator = OperatorClient(ends, OPERATOR_TOKEN)
+    # More than a compaction, so that the one that was away needs a snapshot.
+    for version in range(1, 1 + MANY_CHANGES):
+        reply = await operator.apply(drain(f"many-{version}", version))
+        assert (reply.status, reply.version) == ("accepted", version + 1)
+    fleet.start(away)
+    await fleet.wait_ready(away)
+    nodes = [*CONTROL, *fleet.names("sidecar"), *fleet.names("entry")]
+    for name in nodes:
+        fleet.nodes[name].kill()
+    for name in nodes:
+        fleet.start(name)
+    await fleet.wait_ready(*nodes)
+    await fleet.wait_in_force(1 + MANY_CHANGES)
+    again = await operator.apply(drain("many-7", 7))
+    assert (again.status, again.version) == ("accepted", 8)
+    assert sorted(path.name for path in data_files(fleet, away)) != ["journal-1"]
+    assert_never_fell(fleet)
+
+
 async def test_wrong_token_gets_nowhere(fleet: Fleet) -> None:
     describe(fleet)
     await fleet.start_all()
@@ -286,6 +316,11 @@
     )
 
 
+def data_files(fleet: Fleet, name: str) -> list[Path]:
+    """List the journals of a replica; a number above 1 shows a compaction."""
+    return list((fleet.folder / f"data-{name}").glob("journal-*"))
+
+
 def lose_disk(fleet: Fleet, name: str) -> None:
     """Kill a replica and remove its data."""
     fleet.nodes[name].kill()
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -181,6 +181,16 @@
     assert 2.5 < ratio < 3.5
 
 
+def test_what_is_not_known_yet_is_not_lifted() -> None:
+    ledger = Ledger()
+    picker = Picker(ledger)
+    ledger.merge_others((ServiceRow("a", 20_000, 0, 0),))
+    assert picker.pick(["a"]) == "a"
+    picker.join("b")
+    ledger.merge_others((ServiceRow("b", 20_000, 0, 0),))
+    assert ledger.level("b") == 20_000
+
+
 def test_reports_may_come_late_and_twice() -> None:
     ledger = Ledger()
     new = ServiceRow("a", 900, 0, 50)
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -1,11 +1,12 @@
 """Measure the control plane: time until in force, failover, feed bytes, storms.
 
 Usage:
-  measure_control [--changes N]
+  measure_control [--changes N] [--storm]
   measure_control (-h | --help)
 
 Options:
   --changes N  Changes of each case [default: 60].
+  --storm      Only the retry storm.
 """
 
 from __future__ import annotations
@@ -193,12 +194,15 @@
     return total
 
 
-async def main_async(count: int) -> None:
+async def main_async(count: int, only_storm: bool) -> None:
     """Measure and print everything."""
     with tempfile.TemporaryDirectory() as folder:
         fleet = riga(Path(folder))
         try:
             await fleet.start_all()
+            if only_storm:
+                print(await retry_storm(fleet))
+                return
             print(await idle_cost(fleet, 5), flush=True)
             print(await propagation(fleet, "all replicas well", count), flush=True)
             print(await feed_bytes(fleet, 10), flush=True)
@@ -217,7 +221,7 @@
 def main() -> None:
     """Entry point; part of `make measure`."""
     args = docopt(__doc__)
-    asyncio.run(main_async(int(args["--changes"])))
+    asyncio.run(main_async(int(args["--changes"]), args["--storm"]))
 
 
 if __name__ == "__main__":
--- a/tools/path_cost.py
+++ b/tools/path_cost.py
@@ -131,6 +131,44 @@
     return PathCost(streams, got / elapsed, entry, sidecar)
 
 
+async def request_cost(folder: Path, parallel: int, seconds: float) -> str:
+    """Measure short calls of a plain service, so many at a time."""
+    fleet = Fleet(folder)
+    fleet.add_control()
+    fleet.add_pool("slips")
+    fleet.add_upstream(
+        "engine-1", pool="slips", kind="service", slots=64, service_time=0
+    )
+    fleet.add_account("tellers", services=("slips",))
+    fleet.add_entry("entry-1")
+    done = 0
+
+    async def caller(end: float) -> None:
+        nonlocal done
+        while time.monotonic() < end:
+            status, _ = await fleet.post(
+                "entry-1", "/services/slips/run/a", "tellers", b"{}"
+            )
+            done += status == 200
+
+    try:
+        await fleet.start_all()
+        before = costs(fleet)
+        end = time.monotonic() + seconds
+        await asyncio.gather(*(caller(end) for _ in range(parallel)))
+        after = costs(fleet)
+    finally:
+        await fleet.close()
+    entry, sidecar = (
+        (late - early) / done * 1_000_000
+        for late, early in zip(after, before, strict=True)
+    )
+    return (
+        f"{parallel} callers of short calls: {done / seconds:.0f} requests/s,"
+        f" entry {entry:.0f} us/request, sidecar {sidecar:.0f} us/request"
+    )
+
+
 def costs(fleet: Fleet) -> tuple[float, float]:
     """Return processor seconds of the entry and of the sidecar so far."""
     entry = cpu_seconds(fleet.nodes["entry-1"].pid)
@@ -142,6 +180,9 @@
     """Measure and print everything."""
     with tempfile.TemporaryDirectory() as folder:
         print(await added_latency(Path(folder)), flush=True)
+    for parallel in (4, 16, 64):
+        with tempfile.TemporaryDirectory() as folder:
+            print(await request_cost(Path(folder), parallel, seconds), flush=True)
     for streams in (4, 16, 48):
         with tempfile.TemporaryDirectory() as folder:
             print(await token_cost(Path(folder), streams, seconds, 20), flush=True)
