Remove what nobody uses; one gap for tests and measurements

Cause: a look for names that occur once (dead reasons, two unused methods, a logger), and duplicated lines between tests/test_fairness.py and tools/gap.py. GET /v1/models now also says no_configuration on an entry that has none. Shown by: mypy strict, ruff, pytest tests/test_fairness.py tests/test_path.py.

--- a/src/leadseam/control/configuration.py
+++ b/src/leadseam/control/configuration.py
@@ -170,10 +170,6 @@
             f" upstreams={len(self.upstreams)})"
         )
 
-    def pool_upstreams(self, pool: str) -> list[Upstream]:
-        """List the upstreams of a pool."""
-        return [row for row in self.upstreams.values() if row.pool == pool]
-
     def must_not_repeat(self, account: str, pool: str, path: str) -> bool:
         """Tell whether an operator's rule forbids to run a request twice."""
         return any(
--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -151,10 +151,6 @@
             case Barrier():
                 return BarrierResult(self.configuration.version)
 
-    def result_of(self, change_id: str) -> ChangeResult | None:
-        """Return the remembered outcome of a change."""
-        return self._changes.get(change_id)
-
     def deltas_after(self, version: int) -> list[VersionedOperations] | None:
         """Return the operations since a version, or None if some are forgotten."""
         if version == self.configuration.version:
--- a/src/leadseam/entry/answers.py
+++ b/src/leadseam/entry/answers.py
@@ -35,7 +35,6 @@
     Reason.CLAIM_HELD: 409,
     Reason.CLAIM_MISMATCH: 422,
     Reason.LINK_LOST: 502,
-    Reason.STOPPING: 503,
 }
 
 MESSAGES = {
@@ -59,7 +58,6 @@
     Reason.CLAIM_HELD: "a request with this Idempotency-Key was already accepted",
     Reason.CLAIM_MISMATCH: "this Idempotency-Key was used for another request",
     Reason.LINK_LOST: "the connection towards the upstream was lost",
-    Reason.STOPPING: "this entry is stopping",
 }
 
 
--- a/src/leadseam/entry/dispatcher.py
+++ b/src/leadseam/entry/dispatcher.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 from collections import defaultdict
 from typing import TYPE_CHECKING
 
@@ -26,8 +25,6 @@
 REPORT_INTERVAL: Millis = 100
 NO_UPSTREAM_RETRY_AFTER: Millis = 2_000
 
-log = logging.getLogger(__name__)
-
 
 class Dispatcher:
     """Holds what waits and hands it out as sidecars grant slots.
--- a/src/leadseam/entry/http.py
+++ b/src/leadseam/entry/http.py
@@ -84,7 +84,7 @@
             response.force_close()
 
     async def _models(self, http: web.Request) -> web.StreamResponse:
-        account = authenticate(self._feed.configuration, http.headers)
+        account = self._account(http)
         if isinstance(account, NotRun):
             return self._refuse(account)
         data = [
--- a/src/leadseam/entry/relay.py
+++ b/src/leadseam/entry/relay.py
@@ -83,7 +83,6 @@
         self._limits = limits
         self._metrics = metrics
         self._clock = clock
-        self._item: Waiting | None = None
         self._dispatched: Dispatched | None = None
         self._attempts = 0
         self._outlives_caller = outlives_caller
@@ -98,7 +97,6 @@
         admitted = self._dispatcher.submit(self._req)
         if isinstance(admitted, NotRun):
             return admitted
-        self._item = admitted
         try:
             return await self._attempt_until_done(admitted)
         finally:
--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -33,14 +33,12 @@
     CLAIM_HELD = "claim_held"
     CLAIM_MISMATCH = "claim_mismatch"
     LINK_LOST = "link_lost"
-    STOPPING = "stopping"
 
 
 class RefusalReason(StrEnum):
     """Why a sidecar did not start an attempt."""
 
     GRANT_EXPIRED = "grant_expired"
-    LEAVING = "leaving"
     DUPLICATE = "duplicate"
     TOMBSTONE = "tombstone"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -14,6 +14,7 @@
 from leadseam.fairness.service import NORMAL_SCALE, normalise
 from leadseam.sidecar.scheduler import Lease, Scheduler
 from leadseam.wire.messages import BacklogRow, ServiceRow
+from tools.gap import ServiceSamples
 
 ENTRY = "entry-1"
 LONGEST = 400
@@ -87,7 +88,7 @@
 
     def run(self, steps: int, waiting: set[str]) -> float:
         """Run and return the normalised gap of the accounts that wait throughout."""
-        series: list[dict[str, float]] = []
+        samples = ServiceSamples({name: self.shares[name] for name in waiting})
         for _ in range(steps):
             self.now += 1
             for side in self.sides:
@@ -95,9 +96,8 @@
                     self.got[account] += amount
             if self.now % REPORT_EVERY == 0:
                 self.report()
-            shares = self.shares
-            series.append({name: self.got[name] / shares[name] for name in waiting})
-        return gap(series, sorted(waiting))
+            samples.add({name: float(got) for name, got in self.got.items()})
+        return samples.gap()
 
     def report(self) -> None:
         """Merge all rows and hand each sidecar what the others gave."""
@@ -115,16 +115,6 @@
         self.report()
 
 
-def gap(series: list[dict[str, float]], names: list[str]) -> float:
-    """Return the largest spread of the difference of two accounts."""
-    worst = 0.0
-    for position, one in enumerate(names):
-        for other in names[position + 1 :]:
-            differences = [row[one] - row[other] for row in series]
-            worst = max(worst, max(differences) - min(differences))
-    return worst
-
-
 def bound(count: int, shares: dict[str, int]) -> float:
     """Return the stated bound at the least share; see docs/design/fairness.md."""
     slots = count * (SLOTS + 1)
