Work fetched ahead of a dead upstream is "not run", at once

Cause (found by reading): a request that must not repeat, fetched ahead, waited for a slot of an upstream that had been taken out, without end; a planned stop of that sidecar then never ended either. It has not reached the upstream, so it is given back as not started.

--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -78,6 +78,7 @@
         window: Flow control of its response.
         service: Service measured so far, not normalised.
         released: Reserved service given back so far.
+        entered: Whether it may have reached the upstream.
         broken: Whether it was ended because the upstream hangs.
         task: The task that runs it.
     """
@@ -87,6 +88,7 @@
     window: Window
     service: int = 0
     released: int = 0
+    entered: bool = False
     broken: bool = False
     task: asyncio.Task[Final] | None = None
 
@@ -305,6 +307,7 @@
             self._charge(running, service)
 
         async with self._gate:
+            running.entered = True
             return await self._upstream.run(
                 running.req, window=running.window, send=send, charge=charge
             )
@@ -435,10 +438,14 @@
         self._update_slots()
 
     def _abort_hanging(self) -> None:
-        """End repeatable attempts that a dead upstream would hold for ever."""
+        """End attempts that a dead upstream would hold for ever.
+
+        One that must not repeat is ended only if it has not reached the upstream.
+        """
         for peer in self._peers.values():
             for running in peer.running.values():
-                if running.req.repeatable and running.task is not None:
+                may_end = running.req.repeatable or not running.entered
+                if may_end and running.task is not None:
                     running.broken = True
                     running.task.cancel()
 
@@ -453,4 +460,5 @@
         return task.result()
     if task.cancelled() and not running.broken:
         return None
-    return Final(running.req.attempt, 0, 0, Reason.UPSTREAM_BROKEN, True)
+    reason = Reason.UPSTREAM_BROKEN
+    return Final(running.req.attempt, 0, 0, reason, started=running.entered)
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import asyncio
 
 from leadseam.clock import ManualClock
 from leadseam.control.configuration import Configuration, Pool, PoolKind, Upstream
 from leadseam.runtime.metrics import Metrics, SidecarMetrics
 from leadseam.sidecar.agent import Agent
+from leadseam.sidecar.breaker import MAX_FAILURES
 from leadseam.wire.link import Link, dial, listen
-from leadseam.wire.messages import Backlog, BacklogRow, Dispatch, Grant, Hello
+from leadseam.wire.messages import (
+    Accepted,
+    Backlog,
+    BacklogRow,
+    Dispatch,
+    Final,
+    Grant,
+    Hello,
+)
 from leadseam.wire.traffic import Traffic
 from tools.fleet import LOOPBACK
 
-if TYPE_CHECKING:
-    from leadseam.wire.messages import AnyMessage
+HANG = 60
 
 
 def agent() -> Agent:
@@ -43,19 +51,38 @@
     raise AssertionError("the link ended")
 
 
+async def test_work_fetched_ahead_of_a_dead_upstream_is_not_run() -> None:
+    made = agent()
+    traffic = Traffic()
+    server = await listen(LOOPBACK, 0, made.serve, traffic)
+    port = next(iter(server.sockets)).getsockname()[1]
+    async with asyncio.timeout(HANG), dial(LOOPBACK, port, traffic) as link:
+        grant = await grant_of(link)
+        for _ in range(MAX_FAILURES):
+            made.breaker.request_failed(0)
+        made._update_slots()
+        link.send(Dispatch(1, grant, "a", "POST", "/", (), b"", False, 1, 0, 1_000))
+        async for message in link.messages():
+            if isinstance(message, Accepted):
+                made._abort_hanging()
+            if isinstance(message, Final):
+                assert message == Final(1, 0, 0, "upstream_broken", started=False)
+                break
+        await made.wait_idle()
+    server.close()
+    await made.close()
+
+
 async def test_an_attempt_cancelled_before_its_first_step_frees_its_slot() -> None:
     made = agent()
     traffic = Traffic()
     server = await listen(LOOPBACK, 0, made.serve, traffic)
     port = next(iter(server.sockets)).getsockname()[1]
-    async with dial(LOOPBACK, port, traffic) as link:
+    async with asyncio.timeout(HANG), dial(LOOPBACK, port, traffic) as link:
         grant = await grant_of(link)
         peer = next(iter(made._peers.values()))
-        messages: list[AnyMessage] = [
-            Dispatch(1, grant, "a", "POST", "/", (), b"", True, 1, 0, 1_000)
-        ]
-        for message in messages:
-            made._handle(peer, message)
+        req = Dispatch(1, grant, "a", "POST", "/", (), b"", True, 1, 0, 1_000)
+        made._handle(peer, req)
         assert made.scheduler.running == 1
         made._disconnect(peer)
         await made.wait_idle()
