Hold a small answer until it is whole before the caller gets a byte of it

Since the end of an attempt became a callback, its Final travels a frame after the last chunk, so a cut can fall between them; before, they shared a frame by luck. Ruled out: runs and outcomes (the stand-in's counts were right). Now an answer that is no event stream is held up to 64 KB until its end is known: a lost one is tried again if it may, and else reported as `unknown` in full. The test is as it was.

--- a/src/leadseam/entry/relay.py
+++ b/src/leadseam/entry/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections import deque
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -39,6 +40,7 @@
 
 EVENT_STREAM = "text/event-stream"
 MAX_KEPT_BODY = 4_096
+HELD_BYTES = 64 * 1024
 DEADLINE_GRACE: Millis = 50
 CREDIT_PARTS = 4
 
@@ -87,6 +89,7 @@
         self._attempts = 0
         self._outlives_caller = outlives_caller
         self._uncredited = 0
+        self._held: deque[AttemptEvent] = deque()
         self._last_sidecar = ""
 
     async def run(self) -> Outcome:
@@ -109,6 +112,10 @@
                 return NotRun(Reason.DEADLINE_PASSED)
             ending = await self._first_sign(item)
             decision = decide(self._req, ending)
+            if isinstance(decision, Deliver) and isinstance(ending, Head):
+                broken = await self._hold(item, ending)
+                if broken is not None:
+                    ending, decision = broken, decide(self._req, broken)
             match decision:
                 case Deliver():
                     return await self._deliver(item, ending)
@@ -151,8 +158,41 @@
                 case _:
                     raise AssertionError(f"unexpected {event!r}")
 
+    async def _hold(self, item: Waiting, head: Head) -> Final | LinkLost | None:
+        """Wait for the end of a small answer before the caller gets a byte of it.
+
+        Until then a lost answer can be tried again, or be reported in full. Event
+        streams are never held.
+
+        Returns:
+            How the attempt ended badly, or None if the answer may be delivered.
+        """
+        size = 0
+        if _content_type(head).startswith(EVENT_STREAM):
+            return None
+        while size < HELD_BYTES:
+            event = await self._receive(item)
+            match event:
+                case Chunk(data=data):
+                    self._held.append(event)
+                    size += len(data)
+                case Final(error=""):
+                    self._held.append(event)
+                    return None
+                case Final() | LinkLost():
+                    self._held.clear()
+                    self._dispatched = None
+                    return event
+                case _:
+                    raise AssertionError(f"unexpected {event!r}")
+        return None
+
     async def _next_event(self, item: Waiting) -> AttemptEvent:
-        """Return the next event; a deadline counts as a lost answer."""
+        """Return the next event, those held first."""
+        return self._held.popleft() if self._held else await self._receive(item)
+
+    async def _receive(self, item: Waiting) -> AttemptEvent:
+        """Wait for an event; a deadline counts as a lost answer."""
         left = self._req.deadline - self._clock.now()
         try:
             async with asyncio.timeout(seconds(max(left, 0) + DEADLINE_GRACE)):
@@ -265,3 +305,8 @@
         if due and self._dispatched is not None:
             self._dispatched.link.credit(self._dispatched.attempt, self._uncredited)
             self._uncredited = 0
+
+
+def _content_type(head: Head) -> str:
+    names = (value for name, value in head.headers if name.lower() == "content-type")
+    return next(names, "")
