An entry is ready only once it has tried its sidecars; a test that waits for its condition

Cause: a restarted entry said it was ready with a confirmed configuration but before its first link to a sidecar was up. Ruled out: requests cut by the stop itself (each was answered, as not_run). Now ready means that every sidecar was reached or found unreachable. 2. test_failure_before_the_first_byte: engine-1 was never taken out. Cause: in the test. Ten calls one after another all went to the other engine, so engine-1 failed none and waiting brought no more. Now it goes on asking, four at a time, until it is out; every answer must still be whole, as before.

--- a/src/leadseam/entry/dispatcher.py
+++ b/src/leadseam/entry/dispatcher.py
@@ -85,6 +85,11 @@
                 self._links[name] = link
                 self._tasks[name] = spawn(link.run())
 
+    @property
+    def connected(self) -> bool:
+        """Whether every sidecar has been reached, or was found to be unreachable."""
+        return all(link.tried for link in self._links.values())
+
     def submit(self, req: CallerRequest) -> Waiting | NotRun:
         """Queue a request, or refuse it at once."""
         if not any(link.usable for link in self._pool_links(req.pool)):
--- a/src/leadseam/entry/program.py
+++ b/src/leadseam/entry/program.py
@@ -104,4 +104,6 @@
             return "stopping"
         if not self._feed.confirmed:
             return "no confirmed configuration"
+        if not self.dispatcher.connected:
+            return "connecting to sidecars"
         return ""
--- a/src/leadseam/entry/sidecars.py
+++ b/src/leadseam/entry/sidecars.py
@@ -59,6 +59,7 @@
         self.upstream = upstream
         self.healthy = False
         self.leaving = False
+        self.tried = False
         self._dispatcher = dispatcher
         self._link: Link | None = None
         self._incarnation = 0
@@ -93,6 +94,7 @@
         while True:
             with contextlib.suppress(*LINK_ERRORS):
                 await self._connect()
+            self.tried = True
             await self._backoff.wait()
 
     def touch(self, account: str, *, urgent: bool) -> None:
@@ -212,6 +214,7 @@
                 self._on_grant(message)
             case Free(healthy=healthy):
                 self.healthy = healthy
+                self.tried = True
                 self._dispatcher.note_health()
             case Service(rows=rows):
                 merge = self._dispatcher.merge(self.upstream.pool)
--- a/tests/failures/test_whole_answers.py
+++ b/tests/failures/test_whole_answers.py
@@ -110,11 +110,7 @@
     describe(fleet, engines=2)
     await fleet.start_all()
     await set_mode(fleet, "engine-1", "garbage")
-    for _ in range(10):
-        whole, data = await ask(fleet, 5)
-        assert whole
-        assert words(data) == expected(5)
-    await until(lambda: is_out(fleet, "engine-1"), "engine-1 is taken out")
+    await until(lambda: out_after_asking(fleet), "engine-1 is taken out")
     await set_mode(fleet, "engine-1", "normal")
     await until(lambda: is_back(fleet, "engine-1"), "engine-1 is probed back in")
 
@@ -158,6 +154,14 @@
     await until(lambda: is_idle(fleet, "engine-1"), "the work was cancelled")
 
 
+async def out_after_asking(fleet: Fleet) -> bool:
+    """Ask some more; tell whether the first engine gets no more work."""
+    for whole, data in await asyncio.gather(*(ask(fleet, 5) for _ in range(4))):
+        assert whole
+        assert words(data) == expected(5)
+    return await is_out(fleet, "engine-1")
+
+
 async def is_out(fleet: Fleet, engine: str) -> bool:
     """Tell whether the entry sends no work to an engine."""
     values = await fleet.metric("entry-1", "sidecar_usable")
