--- a/tests/failures/test_whole_answers.py
+++ b/tests/failures/test_whole_answers.py
@@ -110,6 +110,10 @@
     describe(fleet, engines=2)
     await fleet.start_all()
     await set_mode(fleet, "engine-1", "garbage")
+    for _ in range(10):
+        whole, data = await ask(fleet, 5)
+        assert whole
+        assert words(data) == expected(5)
     await until(lambda: out_after_asking(fleet), "engine-1 is taken out")
     await set_mode(fleet, "engine-1", "normal")
     await until(lambda: is_back(fleet, "engine-1"), "engine-1 is probed back in")
