--- /dev/null
+++ b/src/leadseam/cli/node.py
@@ -0,0 +1,69 @@
+"""Run one process on the users' platform.
+
+Usage:
+  leadseam-node [--check] (entry | control)
+  leadseam-node (-h | --help)
+
+The platform names the settings file in the environment.
+
+Options:
+  --check    Check the settings and exit.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from docopt import docopt
+
+from leadseam.errors import SettingsError
+from leadseam.platform.settings import load_node_settings, settings_path
+from leadseam.runtime.process import fail_on_settings, run_program
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from leadseam.platform.settings import NodeSettings
+    from leadseam.runtime.process import Program
+
+
+def main() -> None:
+    """Entry point of `leadseam-node`."""
+    args = docopt(__doc__)
+    entry = bool(args["entry"])
+    try:
+        path = settings_path()
+        settings = load_node_settings(path)
+        _check(settings, entry=entry)
+    except SettingsError as exc:
+        fail_on_settings(exc)
+    if args["--check"]:
+        print(f"{path}: ok")
+        return
+    run_program(
+        settings.node,
+        lambda: _make(settings, path, entry=entry),
+        level="info",
+    )
+
+
+def _check(settings: NodeSettings, *, entry: bool) -> None:
+    if entry and (settings.front is None or settings.ready is None):
+        raise SettingsError("an entry needs addresses for callers and readiness")
+    if not entry and (settings.control is None or settings.data_dir is None):
+        raise SettingsError("a control replica needs an address and a data folder")
+
+
+def _make(settings: NodeSettings, path: Path, *, entry: bool) -> Program:
+    # Imported here, so that neither role pays for the modules of the other.
+    if entry:
+        from leadseam.platform.entry_node import EntryNode
+
+        return EntryNode(settings, path)
+    from leadseam.platform.control_node import ControlNode
+
+    return ControlNode(settings, path)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/leadseam/control/configuration.py
+++ b/src/leadseam/control/configuration.py
@@ -12,6 +12,13 @@
 
 import msgspec
 
+from leadseam.control.routes import (
+    CallerLimits,
+    EngineProfile,
+    Route,
+    route_faults,
+)
+
 MAX_SHARE = 1_000
 MAX_SLOTS = 1_024
 ANY = "*"
@@ -59,6 +66,7 @@
         models: Models it may use.
         services: Plain services it may call.
         max_waiting: Waiting requests allowed at one entry.
+        priority: Rank of its requests, in place of the route's; None leaves that.
     """
 
     name: str
@@ -67,6 +75,7 @@
     models: tuple[ModelGrant, ...] = ()
     services: tuple[str, ...] = ()
     max_waiting: int = 1_000
+    priority: int | None = None
 
 
 class Pool(_ConfigRecord, frozen=True, tag="pool"):
@@ -77,12 +86,16 @@
         kind: What serves it.
         model: Model that its engines run; empty for services.
         version: Version of that model.
+        max_connections: Connections that one upstream takes from all callers.
+        engine: What is stated about its engines; None where nothing is.
     """
 
     name: str
     kind: PoolKind
     model: str = ""
     version: str = ""
+    max_connections: int = 1_000
+    engine: EngineProfile | None = None
 
 
 class Upstream(_ConfigRecord, frozen=True, tag="upstream"):
@@ -156,13 +169,27 @@
 
 
 class Configuration(msgspec.Struct, frozen=True):
-    """All tables at one version; each maps names to rows."""
+    """All tables at one version; each maps names to rows.
+
+    Args:
+        version: Grows with each accepted change.
+        accounts: Client accounts.
+        pools: Pools of upstreams.
+        upstreams: Upstreams that operators list; registered ones are not here.
+        never_repeat: Rules on requests that must run at most once.
+        routes: Routes by name; only a whole configuration brings them.
+        limits: Bounds on what callers may send.
+        document: Bytes of the operator's document that this was read from, if any.
+    """
 
     version: int = 0
     accounts: dict[str, Account] = {}
     pools: dict[str, Pool] = {}
     upstreams: dict[str, Upstream] = {}
     never_repeat: dict[str, NeverRepeat] = {}
+    routes: dict[str, Route] = {}
+    limits: CallerLimits = CallerLimits()
+    document: bytes = b""
 
     def __repr__(self) -> str:
         return (
@@ -187,7 +214,9 @@
         for operation in operations:
             _apply_one(tables, operation)
         merged = {section.value: tables[section] for section in Section}
-        return Configuration(version=self.version + 1, **merged)  # type: ignore[arg-type]
+        return msgspec.structs.replace(
+            self, version=self.version + 1, document=b"", **merged
+        )
 
     def table(self, section: Section) -> dict[str, ConfigRecord]:
         """Return one table."""
@@ -205,6 +234,7 @@
             found += _upstream_faults(upstream, self.pools)
         for rule in self.never_repeat.values():
             found += self._rule_faults(rule)
+        found += route_faults(self.routes.values(), self.pools)
         found += _duplicate_keys(self.accounts)
         found += _duplicate_sidecars(self.upstreams)
         return tuple(found)
--- a/src/leadseam/control/program.py
+++ b/src/leadseam/control/program.py
@@ -11,10 +11,10 @@
 from grpclib.server import Server
 
 from leadseam.clock import Clock, SystemClock
+from leadseam.control.folder import prepare_folder
 from leadseam.control.operator_service import OperatorService
-from leadseam.control.raft_log import Membership
 from leadseam.control.replica import Replica
-from leadseam.control.storage import Storage, format_folder, read_identity
+from leadseam.control.storage import Storage, read_identity
 from leadseam.errors import StorageError
 from leadseam.feed.server import FeedServer
 from leadseam.runtime.admin import serve_admin
@@ -27,15 +27,8 @@
 
     from leadseam.settings.models import ControlSettings
 
-FIRST_INCARNATION = "first"
 
-
-def first_identity(name: str) -> str:
-    """Return the identity of a box in a newly founded group."""
-    return f"{name}#{FIRST_INCARNATION}"
-
-
-def prepare_folder(settings: ControlSettings, *, found: bool) -> str:
+def open_folder(settings: ControlSettings, *, found: bool) -> str:
     """Format the data folder if it is empty.
 
     Args:
@@ -52,17 +45,8 @@
     known = read_identity(folder)
     if known is not None and found:
         raise StorageError(f"{folder}: holds {known}; cannot found a group again")
-    if known is not None:
-        return known
-    name = settings.identity.node
-    if found:
-        identity = first_identity(name)
-        voters = tuple(first_identity(box) for box in sorted(settings.replicas))
-        format_folder(folder, identity, Membership(voters))
-    else:
-        identity = f"{name}#{secrets.token_hex(6)}"
-        format_folder(folder, identity, Membership(()))
-    return identity
+    founders = tuple(settings.replicas) if found else ()
+    return prepare_folder(folder, settings.identity.node, founders=founders)
 
 
 class ControlProgram:
@@ -81,7 +65,7 @@
         found: bool = False,
         clock: Clock | None = None,
     ) -> None:
-        identity = prepare_folder(settings, found=found)
+        identity = open_folder(settings, found=found)
         metrics = Metrics()
         control_metrics = ControlMetrics(metrics)
         self._settings = settings
--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -41,6 +41,15 @@
 CURRENT_LIMIT: Millis = 1_500
 MAX_APPEND_ENTRIES = 256
 CATCH_UP_DISTANCE = 32
+FOUNDING_DELAY: Millis = 150
+"""Longest wait for the first election of a group that never had a leader."""
+JOIN_INTERVAL: Millis = 300
+"""Pause between requests to be taken in; a new box should count within seconds."""
+VOTER_SILENCE: Millis = 2_500
+"""Silence after which a caught-up newcomer takes a voter's place; above the longest
+election, so that a change of leader alone replaces nobody."""
+MAX_VOTERS = 7
+"""Voters at the most; further boxes hold the log and do not vote."""
 
 _TermMessage: TypeAlias = Vote | VoteReply | Append | AppendReply | Install
 RaftMessage: TypeAlias = PreVote | PreVoteReply | Join | _TermMessage
@@ -138,6 +147,8 @@
         self._join_at: Millis = 0
         self._recompute_membership()
         self._reset_election(now)
+        if self.term == 0 and not log:
+            self._found(now)
 
     def __repr__(self) -> str:
         return (
@@ -277,6 +288,11 @@
 
     # Elections
 
+    def _found(self, now: Millis) -> None:
+        """Elect soon: nobody can hold a lease in a group that was just founded."""
+        self._leader_heard = now - ELECTION_TIMEOUT
+        self._election_at = now + self._random.randrange(1, FOUNDING_DELAY)
+
     def _reset_election(self, now: Millis) -> None:
         jitter = self._random.randrange(ELECTION_TIMEOUT)
         self._election_at = now + ELECTION_TIMEOUT + jitter
@@ -318,6 +334,9 @@
             self._send(peer, request)
 
     def _on_pre_vote(self, now: Millis, message: PreVote) -> None:
+        if message.sender not in self.membership.everyone:
+            # A voter that was replaced while it was away; it has to join again.
+            self._on_join(now, Join(message.sender))
         granted = (
             message.term > self.term
             and not self._hears_leader(now)
@@ -530,11 +549,15 @@
 
     def _ask_to_join(self, now: Millis) -> None:
         if now >= self._join_at:
-            self._join_at = now + ELECTION_TIMEOUT
+            self._join_at = now + JOIN_INTERVAL
             self._send("", Join(self.identity))
 
     def _on_join(self, now: Millis, message: Join) -> None:
-        if self.role is not Role.LEADER or not self._membership_settled():
+        if self.role is not Role.LEADER:
+            if self.leader:
+                self._send(self.leader, message)
+            return
+        if not self._membership_settled():
             return
         if message.sender in self.membership.everyone:
             return
@@ -553,25 +576,44 @@
         return in_term and not changing
 
     def _promote_learner(self, now: Millis) -> None:
-        """Replace a lost identity by its caught-up successor, one step at a time."""
+        """Make one caught-up learner a voter, one step at a time."""
         if not self._membership_settled():
             return
         for name in self.membership.learners:
-            peer = self._peers[name]
-            if peer.match + CATCH_UP_DISTANCE < self.log.last_index or peer.match == 0:
+            if not self._caught_up(name):
                 continue
-            voters = self.membership.voters
-            learners = tuple(
-                other for other in self.membership.learners if other != name
-            )
-            old = [other for other in voters if same_box(other, name)]
-            if old:
-                kept = tuple(other for other in voters if other not in old)
-                changed = Membership(kept, self.membership.learners)
-            else:
-                changed = Membership((*voters, name), learners)
-            self.propose(now, EntryKind.MEMBERSHIP, encode(changed))
-            return
+            changed = self._membership_with(now, name)
+            if changed is not None:
+                self.propose(now, EntryKind.MEMBERSHIP, encode(changed))
+                return
+
+    def _caught_up(self, name: str) -> bool:
+        match = self._peers[name].match
+        return match > 0 and match + CATCH_UP_DISTANCE >= self.log.last_index
+
+    def _membership_with(self, now: Millis, learner: str) -> Membership | None:
+        """Return the next step towards a voter, or None if there is no room.
+
+        A voter leaves only for a newcomer: an identity of the same box whose disk is
+        gone, or else a voter that has long been silent.
+        """
+        voters, learners = self.membership.voters, self.membership.learners
+        leaving = [name for name in voters if same_box(name, learner)]
+        leaving = leaving or self._silent_voters(now)[:1]
+        if leaving:
+            kept = tuple(name for name in voters if name not in leaving)
+            return Membership(kept, learners)
+        if len(voters) >= MAX_VOTERS:
+            return None
+        others = tuple(name for name in learners if name != learner)
+        return Membership((*voters, learner), others)
+
+    def _silent_voters(self, now: Millis) -> list[str]:
+        return [
+            name
+            for name in self._other_voters()
+            if now - max(self._peers[name].heard, self._elected_at) > VOTER_SILENCE
+        ]
 
     # Following
 
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -80,11 +80,12 @@
 
 
 class Peers:
-    """Outgoing links to the other replicas; each redials for ever.
+    """Outgoing links to the other replicas; each redials until it is dropped.
 
     Args:
         name: This replica's box name.
-        endpoints: Inner addresses of all replicas by box name.
+        endpoints: Inner addresses of the replicas known at the start, by box name.
+        address_of: Returns the inner address of a box that joined later, or None.
         on_reply: Called with messages that come back on these links.
         traffic: Bytes on inner links.
     """
@@ -93,16 +94,17 @@
         self,
         name: str,
         endpoints: dict[str, Endpoint],
+        address_of: Callable[[str], Endpoint | None],
         on_reply: Callable[[AnyMessage], None],
         traffic: Traffic,
     ) -> None:
         self._name = name
-        self._endpoints = {
-            other: endpoint for other, endpoint in endpoints.items() if other != name
-        }
+        self._endpoints = dict(endpoints)
+        self._address_of = address_of
         self._on_reply = on_reply
         self._traffic = traffic
         self._links: dict[str, Link] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
 
     def send(self, to: str, message: AnyMessage) -> None:
         """Send to one box, or to all if `to` is empty; lost if not connected."""
@@ -112,11 +114,20 @@
             if link is not None:
                 link.send(message)
 
-    async def run(self) -> None:
-        """Keep the links up until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            for name, endpoint in self._endpoints.items():
-                group.create_task(self._keep(name, endpoint))
+    def add_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
+        """Know further boxes; a link to each is kept from the next `follow` on."""
+        self._endpoints.update(endpoints)
+
+    def follow(self, members: set[str]) -> None:
+        """Keep links to the members of the group and to the boxes of the settings."""
+        wanted = (members | set(self._endpoints)) - {self._name}
+        for name in wanted - set(self._tasks):
+            endpoint = self._endpoints.get(name) or self._address_of(name)
+            if endpoint is not None:
+                self._tasks[name] = spawn(self._keep(name, endpoint))
+        for name in set(self._tasks) - wanted:
+            self._tasks.pop(name).cancel()
+            self._links.pop(name, None)
 
     async def _keep(self, name: str, endpoint: Endpoint) -> None:
         backoff = Backoff(last=MAX_REDIAL_PAUSE)
@@ -138,7 +149,8 @@
     Args:
         name: Box name.
         identity: Name and disk incarnation.
-        endpoints: Inner addresses of all replicas by box name.
+        endpoints: Inner addresses of the replicas known at the start, by box name.
+        address_of: Returns the inner address of a box that joined later, or None.
         storage: The opened data folder.
         recovered: What it held.
         clock: Source of time.
@@ -159,6 +171,7 @@
         metrics: ControlMetrics,
         traffic: Traffic,
         seed: int,
+        address_of: Callable[[str], Endpoint | None] = lambda _: None,
     ) -> None:
         self.state = ControlState()
         self.state.restore(recovered.data)
@@ -176,11 +189,12 @@
             seed=seed,
         )
         self._raft.set_snapshot_data(recovered.data)
-        self._peers = Peers(name, endpoints, self._on_peer_message, traffic)
+        self._peers = Peers(name, endpoints, address_of, self._on_peer_message, traffic)
         self._inbox: asyncio.Queue[_Event] = asyncio.Queue()
         self._waiting: dict[int, tuple[int, asyncio.Future[CommandResult | None]]] = {}
         self._forwarded: dict[int, asyncio.Future[CommandResult | None]] = {}
         self._next_ticket = 0
+        self._followed: set[str] | None = None
         self._role = Role.FOLLOWER
         self._applied_event: asyncio.Future[None] = asyncio.Future()
 
@@ -243,8 +257,8 @@
     async def run(self) -> None:
         """Serve until cancelled; a failed disk ends it with `failure` set."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._peers.run())
             group.create_task(self._tick())
+            self._follow_members()
             await self._loop()
 
     # Commands
@@ -313,10 +327,31 @@
             if self._inbox.qsize() < MAX_BATCH:
                 self._inbox.put_nowait(_Tick())
 
+    @property
+    def members(self) -> set[str]:
+        """Names of the boxes in the group, learners included."""
+        return {base_name(name) for name in self._raft.membership.everyone}
+
+    @property
+    def voters(self) -> int:
+        """Number of voters as far as this replica knows."""
+        return len(self._raft.membership.voters)
+
+    def add_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
+        """Reach further boxes besides the members of the group."""
+        self._peers.add_endpoints(endpoints)
+        self._followed = None
+
+    def _follow_members(self) -> None:
+        if self._followed != self.members:
+            self._followed = self.members
+            self._peers.follow(self._followed)
+
     async def _loop(self) -> None:
         while not self.failure:
             for event in await self._take_batch():
                 self._handle(event)
+            self._follow_members()
             ready = self._raft.take_ready()
             try:
                 await self._persist(ready)
@@ -400,7 +435,12 @@
             return
         self._role = self._raft.role
         self._metrics.role_changes.inc({"role": self._role.value})
-        extra = {"role": self._role.value, "term": self._raft.term}
+        extra = {
+            "role": self._role.value,
+            "term": self._raft.term,
+            "leader": self._raft.leader,
+            "voters": self._raft.membership.voters,
+        }
         log.info("role changed", extra=extra)
         if self._role is not Role.LEADER:
             self._drop_waiting()
--- /dev/null
+++ b/src/leadseam/control/service.py
@@ -0,0 +1,143 @@
+"""What a control replica does for operators and registering upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+from leadseam.clock import Clock, Millis, seconds, sleep
+from leadseam.control.state import ChangeResult, Leave, LeaveResult, Replace
+
+if TYPE_CHECKING:
+    from leadseam.control.configuration import Configuration
+    from leadseam.control.replica import Replica
+    from leadseam.control.state import Command, CommandResult
+    from leadseam.errors import DocumentError
+    from leadseam.feed.server import FeedServer
+    from leadseam.wire.messages import Registration
+
+ANSWER_LIMIT: Millis = 900
+"""Time for one call: callers turn to another replica after a second of silence."""
+GATHER_LIMIT: Millis = 2_500
+"""How long after its start a replica waits for enough voters before it commits. The
+group normally gathers within a second; a change should not wait for four."""
+GATHER_POLL: Millis = 20
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Accepted:
+    """It is committed and will not be lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """It cannot be accepted by any replica at any time."""
+
+    faults: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """Nobody can say what became of it; it may be sent again."""
+
+    reason: str
+
+
+Reply: TypeAlias = Accepted | Invalid | Unavailable
+
+
+class ControlService:
+    """Configuration and membership at one replica.
+
+    Args:
+        replica: The replica.
+        feed: Where entries are told.
+        clock: Source of time.
+        min_voters: Voters wanted before the first commit, so that the tolerated
+            losses right after it take no copy that counts.
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        feed: FeedServer,
+        clock: Clock,
+        *,
+        min_voters: int,
+    ) -> None:
+        self._replica = replica
+        self._feed = feed
+        self._clock = clock
+        self._min_voters = min_voters
+        self._started = clock.now()
+
+    async def replace(self, configuration: Configuration) -> Reply:
+        """Commit a whole configuration if its version is above the one held."""
+        faults = configuration.faults()
+        if faults:
+            extra = {"version": configuration.version, "faults": faults[:5]}
+            log.info("configuration refused", extra=extra)
+            return Invalid(faults)
+        result = await self._submit(Replace(configuration))
+        if not isinstance(result, ChangeResult):
+            extra = {"version": configuration.version}
+            log.warning("configuration not committed in time", extra=extra)
+            return Unavailable("no quorum confirmed it in time")
+        extra = {"version": configuration.version, "held": result.version}
+        log.info("configuration acknowledged", extra=extra)
+        return Accepted()
+
+    def note_unreadable(self, exc: DocumentError) -> None:
+        """Log a document that could not be read."""
+        log.info("configuration refused", extra={"error": exc.message})
+
+    async def read_document(self) -> bytes | None:
+        """Return the newest configuration's document, or None if that is not known."""
+        try:
+            async with asyncio.timeout(seconds(ANSWER_LIMIT)):
+                current = await self._replica.catch_up()
+        except TimeoutError:
+            current = False
+        document = self._replica.state.configuration.document
+        if not current or not document:
+            log.info("configuration not read", extra={"current": current})
+            return None
+        return document
+
+    async def heartbeat(self, registration: Registration) -> Reply:
+        """Take an upstream's heartbeat; leaving is acknowledged once committed."""
+        if not registration.ready:
+            return await self.leave(registration.instance)
+        self._feed.register(registration)
+        return Accepted()
+
+    async def leave(self, instance: str) -> Reply:
+        """Commit that an upstream leaves."""
+        if instance in self._replica.state.left:
+            return Accepted()
+        result = await self._submit(Leave(instance))
+        if not isinstance(result, LeaveResult):
+            log.warning("leaving not committed in time", extra={"instance": instance})
+            return Unavailable("no quorum confirmed it in time")
+        log.info("leaving acknowledged", extra={"instance": instance})
+        return Accepted()
+
+    async def _submit(self, command: Command) -> CommandResult | None:
+        try:
+            async with asyncio.timeout(seconds(ANSWER_LIMIT)):
+                await self._gather()
+                return await self._replica.submit(command)
+        except TimeoutError:
+            return None
+
+    async def _gather(self) -> None:
+        """Wait for enough voters, but not for long."""
+        while (
+            self._replica.voters < self._min_voters
+            and self._clock.now() - self._started < GATHER_LIMIT
+        ):
+            await sleep(GATHER_POLL)
--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -20,6 +20,8 @@
 
 MAX_REMEMBERED_CHANGES = 10_000
 MAX_DELTAS = 512
+MAX_LEFT = 10_000
+"""Instances that left and are remembered: days of a fleet's planned restarts."""
 
 
 class ChangeStatus(StrEnum):
@@ -65,7 +67,31 @@
     at: int = 0
 
 
-Command: TypeAlias = Change | Claims | Barrier
+class Replace(Record, frozen=True, array_like=True, tag=4):
+    """A whole configuration; it takes effect if its version is above the one held.
+
+    Args:
+        configuration: The configuration, checked by whoever proposes it.
+        at: Wall time stamped by the leader.
+    """
+
+    configuration: Configuration
+    at: int = 0
+
+
+class Leave(Record, frozen=True, array_like=True, tag=5):
+    """A registered upstream leaves; final for its incarnation.
+
+    Args:
+        instance: Its incarnation.
+        at: Wall time stamped by the leader.
+    """
+
+    instance: str
+    at: int = 0
+
+
+Command: TypeAlias = Change | Claims | Barrier | Replace | Leave
 
 
 class ChangeResult(Record, frozen=True, array_like=True, tag=1):
@@ -94,7 +120,13 @@
     version: int
 
 
-CommandResult: TypeAlias = ChangeResult | ClaimResults | BarrierResult
+class LeaveResult(Record, frozen=True, array_like=True, tag=4):
+    """The instance is known to be leaving."""
+
+    instance: str
+
+
+CommandResult: TypeAlias = ChangeResult | ClaimResults | BarrierResult | LeaveResult
 
 
 class HistoryRow(Record, frozen=True, array_like=True):
@@ -112,6 +144,7 @@
     changes: tuple[tuple[str, ChangeResult], ...]
     history: tuple[HistoryRow, ...]
     claims: tuple[tuple[str, str, ClaimRow], ...]
+    left: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +162,7 @@
         self.configuration = Configuration()
         self.history: list[HistoryRow] = []
         self.deltas: list[VersionedOperations] = []
+        self.left: OrderedDict[str, None] = OrderedDict()
         self._changes: OrderedDict[str, ChangeResult] = OrderedDict()
         self._claims = ClaimTable({})
 
@@ -150,6 +184,10 @@
                 return ClaimResults(tuple(results))
             case Barrier():
                 return BarrierResult(self.configuration.version)
+            case Replace(configuration=configuration):
+                return self._replace(configuration)
+            case Leave(instance=instance):
+                return self._leave(instance)
 
     def deltas_after(self, version: int) -> list[VersionedOperations] | None:
         """Return the operations since a version, or None if some are forgotten."""
@@ -167,6 +205,7 @@
             tuple(self._changes.items()),
             tuple(self.history),
             tuple(claims),
+            tuple(self.left),
         )
         return encode(saved)
 
@@ -181,6 +220,20 @@
         self._changes = OrderedDict(saved.changes)
         rows = {(account, key): row for account, key, row in saved.claims}
         self._claims = ClaimTable(rows)
+        self.left = OrderedDict.fromkeys(saved.left)
+
+    def _replace(self, configuration: Configuration) -> ChangeResult:
+        if configuration.version > self.configuration.version:
+            self.configuration = configuration
+            # Versions may rise unevenly, so no delta leads from one to the other.
+            self.deltas.clear()
+        return ChangeResult(ChangeStatus.ACCEPTED, self.configuration.version)
+
+    def _leave(self, instance: str) -> LeaveResult:
+        self.left[instance] = None
+        while len(self.left) > MAX_LEFT:
+            self.left.popitem(last=False)
+        return LeaveResult(instance)
 
     def _apply_change(self, change: Change) -> ChangeResult:
         known = self._changes.get(change.change_id)
--- a/src/leadseam/errors.py
+++ b/src/leadseam/errors.py
@@ -26,6 +26,12 @@
     code = "bad_settings"
 
 
+class DocumentError(LeadseamError):
+    """A caller's or operator's document that cannot be read."""
+
+    code = "bad_document"
+
+
 class WireError(LeadseamError):
     """A frame from a peer that cannot be decoded."""
 
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -11,6 +11,7 @@
 from leadseam.clock import Clock, Millis, seconds
 from leadseam.control.claims import Verdict
 from leadseam.control.configuration import Configuration, Operation
+from leadseam.membership.view import UpstreamView
 from leadseam.wire.backoff import Backoff
 from leadseam.wire.codec import decode
 from leadseam.wire.link import LINK_ERRORS, dial
@@ -21,13 +22,17 @@
     ClaimReply,
     Current,
     Delta,
+    Expired,
     InForce,
+    Left,
+    Registered,
+    Replicas,
     Snapshot,
     Subscribe,
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import AsyncIterator, Callable, Iterable
 
     from leadseam.settings.models import Endpoint
     from leadseam.wire.link import Link
@@ -38,20 +43,25 @@
 MAX_REDIAL_PAUSE: Millis = 800
 CLAIM_TIMEOUT: Millis = 4_000
 CLAIM_RESEND: Millis = 1_000
+FRESH_LIMIT: Millis = 2_000
+"""Age of a confirmation beyond which nothing is called absent: four feed heartbeats."""
 
 log = logging.getLogger(__name__)
 
 
 class FeedClient:
-    """Follows the configuration through one replica at a time.
+    """Follows the configuration through one or more replicas at a time.
 
     Args:
         node: Name of this process.
         incarnation: Its incarnation.
-        endpoints: Inner addresses of the control replicas.
+        endpoints: Inner addresses of the control replicas known at the start.
         clock: Source of time.
         traffic: Bytes on inner links.
         on_change: Called with each configuration put in force.
+        width: Replicas followed at once. Defaults to 1.
+        view: Where registered upstreams are noted. Defaults to an unused one.
+        address_of: Returns the inner address of a control box by its name, or None.
     """
 
     def __init__(
@@ -63,17 +73,25 @@
         clock: Clock,
         traffic: Traffic,
         on_change: Callable[[Configuration], None],
+        width: int = 1,
+        view: UpstreamView | None = None,
+        address_of: Callable[[str], Endpoint | None] = lambda _: None,
     ) -> None:
         self.configuration = Configuration()
         self.confirmed = False
+        self.subscribers = 0
+        self.view = view or UpstreamView()
         self._node = node
         self._incarnation = incarnation
         self._endpoints = list(endpoints)
         self._clock = clock
         self._traffic = traffic
         self._on_change = on_change
-        self._link: Link | None = None
-        self._backoff = Backoff(last=MAX_REDIAL_PAUSE)
+        self._width = width
+        self._address_of = address_of
+        self._confirmed_at: Millis = -FRESH_LIMIT
+        self._followed: set[Endpoint] = set()
+        self._links: list[Link] = []
         self._replies: dict[int, asyncio.Future[ClaimReply]] = {}
         self._next_ticket = 0
         random.shuffle(self._endpoints)
@@ -86,14 +104,53 @@
         """Version in force here; 0 before the first."""
         return self.configuration.version
 
+    @property
+    def age(self) -> Millis:
+        """Milliseconds since a replica confirmed that this version is the newest."""
+        return self._clock.now() - self._confirmed_at
+
+    @property
+    def fresh(self) -> bool:
+        """Whether what is absent from the configuration may be called absent."""
+        return self.confirmed and self.age < FRESH_LIMIT
+
+    def add_endpoints(self, endpoints: Iterable[Endpoint]) -> None:
+        """Follow further replicas too, when there is room; none is dropped."""
+        for endpoint in endpoints:
+            if endpoint not in self._endpoints:
+                self._endpoints.append(endpoint)
+
     async def run(self) -> None:
         """Follow the feed until cancelled, changing replica after a failure."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self._width):
+                group.create_task(self._keep_following())
+
+    async def _keep_following(self) -> None:
+        backoff = Backoff(last=MAX_REDIAL_PAUSE)
         while True:
-            for endpoint in self._endpoints:
-                with contextlib.suppress(*LINK_ERRORS):
-                    await self._follow(endpoint)
-                self._link = None
-                await self._backoff.wait()
+            endpoint = self._next_endpoint()
+            if endpoint is not None:
+                await self._try_following(endpoint, backoff)
+            await backoff.wait()
+
+    def _next_endpoint(self) -> Endpoint | None:
+        """Return the endpoint that was tried longest ago and is not followed."""
+        for position, endpoint in enumerate(self._endpoints):
+            if endpoint not in self._followed:
+                self._endpoints.append(self._endpoints.pop(position))
+                return endpoint
+        return None
+
+    async def _try_following(self, endpoint: Endpoint, backoff: Backoff) -> None:
+        self._followed.add(endpoint)
+        replica = str(endpoint)
+        try:
+            with contextlib.suppress(*LINK_ERRORS):
+                await self._follow(endpoint, backoff)
+        finally:
+            self._followed.discard(endpoint)
+            self.view.disconnected(replica, self._clock.now())
 
     async def claim(
         self, *, account: str, key: str, digest: int, owner: str
@@ -118,41 +175,63 @@
 
     def complete(self, message: ClaimDone) -> None:
         """Record the answer of a claimed run; lost if no replica is connected."""
-        if self._link is not None:
-            self._link.send(message)
+        if self._links:
+            self._links[0].send(message)
 
     def release(self, message: ClaimRelease) -> None:
         """Give up a claim; lost if no replica is connected."""
-        if self._link is not None:
-            self._link.send(message)
+        if self._links:
+            self._links[0].send(message)
 
     async def _ask(self, request: Claim, fut: asyncio.Future[ClaimReply]) -> ClaimReply:
         deadline = self._clock.now() + CLAIM_TIMEOUT
         while self._clock.now() < deadline:
-            if self._link is not None:
-                self._link.send(request)
+            if self._links:
+                # Another replica each time: one that hangs must not cost the claim.
+                self._links.append(self._links.pop(0))
+                self._links[-1].send(request)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(seconds(CLAIM_RESEND)):
                     return await asyncio.shield(fut)
         return ClaimReply(request.ticket, Verdict.UNAVAILABLE)
 
-    async def _follow(self, endpoint: Endpoint) -> None:
+    async def _follow(self, endpoint: Endpoint, backoff: Backoff) -> None:
         async with dial(endpoint.ip, endpoint.port, self._traffic) as link:
-            link.send(Subscribe(self._node, self._incarnation, self.version))
+            link.send(self._subscription())
             messages = link.messages()
-            while True:
-                async with asyncio.timeout(seconds(SILENCE_LIMIT)):
-                    message = await anext(messages, None)
-                if message is None:
-                    return
-                self._link = link
-                self._backoff.reached()
-                self._handle(link, message)
-                if isinstance(message, Current) and message.version > self.version:
-                    # A delta went missing: subscribe again from what is held.
-                    return
-
-    def _handle(self, link: Link, message: AnyMessage) -> None:
+            try:
+                await self._receive(link, messages, str(endpoint), backoff)
+            finally:
+                if link in self._links:
+                    self._links.remove(link)
+                    log.info("replica lost", extra={"replica": str(endpoint)})
+
+    async def _receive(
+        self,
+        link: Link,
+        messages: AsyncIterator[AnyMessage],
+        replica: str,
+        backoff: Backoff,
+    ) -> None:
+        while True:
+            async with asyncio.timeout(seconds(SILENCE_LIMIT)):
+                message = await anext(messages, None)
+            if message is None:
+                return
+            if link not in self._links:
+                self._links.append(link)
+                log.info("replica followed", extra={"replica": replica})
+            backoff.reached()
+            self._handle(link, replica, message)
+            if isinstance(message, Current) and message.version > self.version:
+                # A delta went missing: subscribe again from what is held.
+                return
+
+    def _subscription(self) -> Subscribe:
+        now = self._clock.now()
+        return Subscribe(self._node, self._incarnation, self.version, now)
+
+    def _handle(self, link: Link, replica: str, message: AnyMessage) -> None:
         match message:
             case Snapshot(data=data):
                 self._put_in_force(link, decode(data, Configuration))
@@ -161,20 +240,43 @@
                 self._put_in_force(link, self.configuration.apply(operations))
             case Current(version=version):
                 if version <= self.version:
-                    self.confirmed = True
-                    link.send(InForce(self.version))
+                    self._confirm(link, message)
             case ClaimReply(ticket=ticket):
                 fut = self._replies.get(ticket)
                 if fut is not None and not fut.done():
                     fut.set_result(message)
+            case _:
+                self._handle_membership(replica, message)
+
+    def _handle_membership(self, replica: str, message: AnyMessage) -> None:
+        match message:
+            case Registered(rows=rows, whole=whole):
+                if whole:
+                    self.view.connected(replica, self._clock.now())
+                self.view.update(replica, rows)
+            case Expired(instances=instances):
+                self.view.expired(replica, instances)
+            case Left(instances=instances):
+                fresh = self.view.left(instances)
+                if fresh:
+                    log.info("upstreams leave", extra={"instances": fresh})
+            case Replicas(names=names):
+                addresses = (self._address_of(name) for name in names)
+                self.add_endpoints(one for one in addresses if one is not None)
             case _:
                 return
 
+    def _confirm(self, link: Link, message: Current) -> None:
+        self.confirmed = True
+        self._confirmed_at = max(self._confirmed_at, message.echo)
+        self.subscribers = message.subscribers
+        link.send(InForce(self.version, self._clock.now()))
+
     def _put_in_force(self, link: Link, candidate: Configuration) -> None:
         if candidate.version <= self.version:
             return
         self.configuration = candidate
         self.confirmed = True
         self._on_change(candidate)
-        link.send(InForce(candidate.version))
+        link.send(InForce(candidate.version, self._clock.now()))
         log.info("configuration in force", extra={"version": candidate.version})
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from leadseam.clock import Millis, sleep
+from leadseam.clock import Clock, Millis, SystemClock, sleep
 from leadseam.control.claims import Acquire, ClaimResult, Complete, Release, Verdict
 from leadseam.control.state import ClaimResults, Claims
+from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.codec import encode
 from leadseam.wire.messages import (
@@ -18,8 +20,12 @@
     ClaimReply,
     Current,
     Delta,
+    Expired,
     Hello,
     InForce,
+    Left,
+    Registered,
+    Replicas,
     Snapshot,
     Subscribe,
 )
@@ -29,11 +35,17 @@
     from leadseam.control.replica import Replica
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.link import Link
-    from leadseam.wire.messages import AnyMessage
+    from leadseam.wire.messages import AnyMessage, Registration
 
 HEARTBEAT_INTERVAL: Millis = 500
+DEFAULT_HEARTBEAT: Millis = 1_000
+"""Heartbeat interval of upstreams where the settings give none."""
+MAX_LEFT_TOLD = 1_000
+"""Left upstreams told to a new subscriber; older ones have ended long ago."""
 MAX_CLAIM_BATCH = 256
 
+log = logging.getLogger(__name__)
+
 
 @dataclass(slots=True)
 class Subscriber:
@@ -44,12 +56,16 @@
         link: Its link.
         sent: Highest version sent.
         in_force: Highest version that it reported.
+        clock: Its clock from its last report.
+        replicas: Names of the control boxes that it was last told.
     """
 
     node: str
     link: Link
     sent: int
     in_force: int = 0
+    clock: int = -1
+    replicas: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
@@ -105,11 +121,23 @@
     Args:
         replica: Source of the configuration.
         metrics: Counters.
+        registry: Upstreams that register by heartbeat. Defaults to an empty one.
+        clock: Source of time. Defaults to the machine's.
     """
 
-    def __init__(self, replica: Replica, metrics: ControlMetrics) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        metrics: ControlMetrics,
+        *,
+        registry: Registry | None = None,
+        clock: Clock | None = None,
+    ) -> None:
         self._replica = replica
         self._metrics = metrics
+        self._registry = registry or Registry(DEFAULT_HEARTBEAT)
+        self._clock = clock or SystemClock()
+        self._told_left: set[str] = set()
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
         self._claims = ClaimBatcher(replica, metrics)
@@ -126,6 +154,22 @@
             group.create_task(self._push_changes())
             group.create_task(self._push_heartbeats())
 
+    def register(self, registration: Registration) -> None:
+        """Take an upstream's heartbeat and tell subscribers what changed."""
+        if registration.instance in self._replica.state.left:
+            return
+        if self._registry.heartbeat(registration, self._clock.now()):
+            log.info(
+                "upstream registered",
+                extra={
+                    "instance": registration.instance,
+                    "pool": registration.pool,
+                    "ready": registration.ready,
+                    "sequence": registration.sequence,
+                },
+            )
+            self._tell_all(Registered((registration,)))
+
     async def serve(self, link: Link) -> None:
         """Handle one inner link: of another replica, or of a subscriber."""
         async for message in link.messages():
@@ -145,21 +189,41 @@
             self._replica.receive(link, message)
 
     async def _serve_subscriber(self, link: Link, message: Subscribe) -> None:
-        subscriber = Subscriber(message.node, link, message.version, message.version)
+        subscriber = Subscriber(
+            message.node,
+            link,
+            message.version,
+            in_force=message.version,
+            clock=message.clock,
+        )
         self._next_id += 1
         number = self._next_id
         self._subscribers[number] = subscriber
         try:
-            self._push(subscriber)
+            self._greet(subscriber)
             async for request in link.messages():
                 self._handle(subscriber, request)
         finally:
             del self._subscribers[number]
 
+    def _greet(self, subscriber: Subscriber) -> None:
+        """Send a new subscriber all that it may lack."""
+        subscriber.link.send(Registered(self._registry.rows(), whole=True))
+        left = tuple(self._replica.state.left)[-MAX_LEFT_TOLD:]
+        if left:
+            subscriber.link.send(Left(left))
+        self._push(subscriber)
+        self._send_heartbeat(subscriber)
+
+    def _tell_all(self, message: AnyMessage) -> None:
+        for subscriber in self.subscribers:
+            subscriber.link.send(message)
+
     def _handle(self, subscriber: Subscriber, message: AnyMessage) -> None:
         match message:
-            case InForce(version=version):
+            case InForce(version=version, clock=clock):
                 subscriber.in_force = max(subscriber.in_force, version)
+                subscriber.clock = max(subscriber.clock, clock)
             case Claim():
                 spawn(self._acquire(subscriber, message))
             case ClaimDone():
@@ -184,20 +248,45 @@
     async def _push_changes(self) -> None:
         while True:
             await self._replica.next_applied()
+            self._push_left()
             for subscriber in self.subscribers:
                 self._push(subscriber)
 
+    def _push_left(self) -> None:
+        """Tell of upstreams whose leaving was committed since the last call."""
+        left = self._replica.state.left
+        fresh = [instance for instance in left if instance not in self._told_left]
+        if not fresh:
+            return
+        self._told_left = set(left)
+        for instance in fresh:
+            self._registry.remove(instance)
+        log.info("upstreams leave", extra={"instances": fresh})
+        self._tell_all(Left(tuple(fresh)))
+
     async def _push_heartbeats(self) -> None:
         while True:
             await sleep(HEARTBEAT_INTERVAL)
+            self._expire()
             for subscriber in self.subscribers:
                 self._push(subscriber)
                 self._send_heartbeat(subscriber)
 
+    def _expire(self) -> None:
+        lost = self._registry.expire(self._clock.now())
+        if lost:
+            log.warning("upstreams are silent", extra={"instances": lost})
+            self._tell_all(Expired(lost))
+
     def _send_heartbeat(self, subscriber: Subscriber) -> None:
+        names = tuple(sorted(self._replica.members))
+        if subscriber.replicas != names:
+            subscriber.replicas = names
+            subscriber.link.send(Replicas(names))
         if self._replica.is_current():
             version = self._replica.state.configuration.version
-            subscriber.link.send(Current(version))
+            count = len(self._subscribers)
+            subscriber.link.send(Current(version, subscriber.clock, count))
 
     def _push(self, subscriber: Subscriber) -> None:
         """Send what a subscriber lacks, if this replica is current."""
--- /dev/null
+++ b/src/leadseam/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams that register themselves: heartbeats, expiry and what entries see."""
--- /dev/null
+++ b/src/leadseam/membership/view.py
@@ -0,0 +1,120 @@
+"""An entry's view of the registered upstreams, merged from several replicas. No I/O.
+
+Each replica reports the upstreams that it hears. An upstream is known for as long as
+one of them holds it. What a lost replica held is kept for a while, for its upstreams
+turn to another replica or it comes back empty.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from leadseam.clock import Millis
+    from leadseam.wire.messages import Registration
+
+KEPT_AFTER_LOSS: Millis = 12_000
+"""How long a lost replica's upstreams are kept: ten heartbeats of 1.2 s."""
+MAX_LEFT = 10_000
+
+
+@dataclass(slots=True)
+class _Known:
+    registration: Registration
+    until: dict[str, Millis | None] = field(default_factory=dict)
+
+
+class UpstreamView:
+    """Upstreams known to an entry, by incarnation."""
+
+    def __init__(self) -> None:
+        self._known: dict[str, _Known] = {}
+        self._left: dict[str, None] = {}
+        self._by_pool: dict[str, list[Registration]] | None = None
+
+    def __repr__(self) -> str:
+        return f"UpstreamView(known={len(self._known)}, left={len(self._left)})"
+
+    def connected(self, replica: str, now: Millis) -> None:
+        """Note that a replica reports anew; what it held and omits ends later."""
+        self._limit(replica, now + KEPT_AFTER_LOSS)
+
+    def disconnected(self, replica: str, now: Millis) -> None:
+        """Note that a replica no longer reports."""
+        self._limit(replica, now + KEPT_AFTER_LOSS)
+
+    def update(self, replica: str, rows: Iterable[Registration]) -> None:
+        """Take rows that a replica holds."""
+        for row in rows:
+            if row.instance in self._left:
+                continue
+            known = self._known.get(row.instance)
+            if known is None:
+                known = self._known[row.instance] = _Known(row)
+            elif row.sequence > known.registration.sequence:
+                known.registration = row
+            known.until[replica] = None
+            self._by_pool = None
+
+    def expired(self, replica: str, instances: Iterable[str]) -> None:
+        """A replica no longer hears these."""
+        for instance in instances:
+            known = self._known.get(instance)
+            if known is not None:
+                known.until.pop(replica, None)
+                self._drop_if_unheld(instance, known)
+
+    def left(self, instances: Iterable[str]) -> tuple[str, ...]:
+        """Take upstreams that leave for good; return those not known as such yet."""
+        fresh = tuple(name for name in instances if name not in self._left)
+        for instance in fresh:
+            self._left[instance] = None
+            if self._known.pop(instance, None) is not None:
+                self._by_pool = None
+        while len(self._left) > MAX_LEFT:
+            del self._left[next(iter(self._left))]
+        return fresh
+
+    def sweep(self, now: Millis) -> None:
+        """Drop what nobody has held for `KEPT_AFTER_LOSS`."""
+        for instance, known in list(self._known.items()):
+            for replica, until in list(known.until.items()):
+                if until is not None and now >= until:
+                    del known.until[replica]
+            self._drop_if_unheld(instance, known)
+
+    def has_left(self, instance: str) -> bool:
+        """Tell whether an upstream is known to be leaving."""
+        return instance in self._left
+
+    def pool(self, name: str) -> Sequence[Registration]:
+        """Return the upstreams of a pool that take new work."""
+        if self._by_pool is None:
+            self._by_pool = self._group()
+        return self._by_pool.get(name, ())
+
+    def _group(self) -> dict[str, list[Registration]]:
+        grouped: dict[str, list[Registration]] = {}
+        # An address is handed on: the incarnation that was heard of last has it.
+        newest: dict[tuple[str, int], str] = {}
+        for known in self._known.values():
+            row = known.registration
+            newest[row.ip, row.port] = row.instance
+        for known in self._known.values():
+            row = known.registration
+            if row.ready and newest[row.ip, row.port] == row.instance:
+                grouped.setdefault(row.pool, []).append(row)
+        return grouped
+
+    def _limit(self, replica: str, until: Millis) -> None:
+        for known in self._known.values():
+            if known.until.get(replica, until) is None:
+                known.until[replica] = until
+
+    def _drop_if_unheld(self, instance: str, known: _Known) -> None:
+        if not known.until and instance in self._known:
+            del self._known[instance]
+            self._by_pool = None
--- /dev/null
+++ b/src/leadseam/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, and nothing that decides."""
--- /dev/null
+++ b/src/leadseam/platform/control_api.py
@@ -0,0 +1,81 @@
+"""The calls of operators and upstreams, mapped onto the control service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from leadseam.control.service import Accepted, Invalid, Unavailable
+from leadseam.errors import DocumentError
+from leadseam.platform import names
+from leadseam.platform.heartbeat import read_heartbeat
+from leadseam.platform.manifest import read_manifest
+
+if TYPE_CHECKING:
+    from leadseam.control.service import ControlService, Reply
+
+MAX_DOCUMENT = 16 * 1024 * 1024
+
+
+class ControlApi:
+    """Handlers of the platform's control calls.
+
+    Args:
+        service: What decides.
+    """
+
+    def __init__(self, service: ControlService) -> None:
+        self._service = service
+
+    def application(self) -> web.Application:
+        """Return the application with all calls."""
+        app = web.Application(client_max_size=MAX_DOCUMENT)
+        app.add_routes(
+            [
+                web.post(names.REPLACE_PATH, self._replace),
+                web.get(names.READ_PATH, self._read),
+                web.post(names.HEARTBEAT_PATH, self._heartbeat),
+                web.post(names.LEAVE_PATH, self._leave),
+            ]
+        )
+        return app
+
+    async def _replace(self, http: web.Request) -> web.Response:
+        try:
+            configuration = read_manifest(await http.read())
+        except DocumentError as exc:
+            self._service.note_unreadable(exc)
+            return _refusal(400, exc.message)
+        return _response(await self._service.replace(configuration))
+
+    async def _read(self, http: web.Request) -> web.Response:
+        document = await self._service.read_document()
+        if document is None:
+            return _refusal(503, "the newest configuration is not known here")
+        return web.Response(body=document, content_type="application/json")
+
+    async def _heartbeat(self, http: web.Request) -> web.Response:
+        instance = http.match_info["instance"]
+        try:
+            registration = read_heartbeat(instance, await http.read())
+        except DocumentError as exc:
+            return _refusal(400, exc.message)
+        return _response(await self._service.heartbeat(registration))
+
+    async def _leave(self, http: web.Request) -> web.Response:
+        return _response(await self._service.leave(http.match_info["instance"]))
+
+
+def _response(reply: Reply) -> web.Response:
+    match reply:
+        case Accepted():
+            return web.json_response({})
+        case Invalid(faults=faults):
+            return _refusal(400, "; ".join(faults))
+        case Unavailable(reason=reason):
+            return _refusal(503, reason)
+
+
+def _refusal(status: int, message: str) -> web.Response:
+    return web.json_response({"error": message}, status=status)
--- /dev/null
+++ b/src/leadseam/platform/control_node.py
@@ -0,0 +1,152 @@
+"""A control replica on the platform: Raft, feed, control calls, metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from leadseam.clock import Clock, Millis, SystemClock, sleep
+from leadseam.control.folder import prepare_folder
+from leadseam.control.replica import Replica
+from leadseam.control.service import ControlService
+from leadseam.control.storage import Storage
+from leadseam.errors import StorageError
+from leadseam.feed.server import FeedServer
+from leadseam.membership.registry import Registry
+from leadseam.platform.control_api import ControlApi
+from leadseam.platform.watch import SettingsWatch
+from leadseam.runtime.admin import serve_admin
+from leadseam.runtime.metrics import ControlMetrics, Metrics
+from leadseam.wire.link import listen
+
+if TYPE_CHECKING:
+    from aiohttp.web import AppRunner
+    from websockets.asyncio.server import Server as LinkServer
+
+    from leadseam.platform.settings import NodeSettings
+
+FAILURE_POLL: Millis = 200
+FAILURE_PAUSE: Millis = 500
+"""Time for the last log lines after a storage fault, before the process ends."""
+
+log = logging.getLogger(__name__)
+
+
+class ControlNode:
+    """One control replica and everything it serves.
+
+    A box is named by its IP number in the group, so its address needs no directory.
+
+    Args:
+        settings: Its settings.
+        path: File that they came from.
+        clock: Source of time. Defaults to the machine's.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, path: Path, *, clock: Clock | None = None
+    ) -> None:
+        assert settings.data_dir is not None
+        assert settings.control is not None
+        clock = clock or SystemClock()
+        folder = Path(settings.data_dir)
+        seeds = {endpoint.ip: endpoint for endpoint in settings.seeds}
+        founding = settings.founding and settings.ip in seeds
+        identity = prepare_folder(
+            folder, settings.ip, founders=tuple(seeds) if founding else ()
+        )
+        self._settings = settings
+        self._metrics = Metrics()
+        metrics = ControlMetrics(self._metrics)
+        self._storage = Storage(folder)
+        self.replica = Replica(
+            name=settings.ip,
+            identity=identity,
+            endpoints=seeds,
+            address_of=settings.inner,
+            storage=self._storage,
+            recovered=self._storage.open(),
+            clock=clock,
+            metrics=metrics,
+            traffic=self._metrics.traffic,
+            seed=secrets.randbits(64),
+        )
+        self._feed = FeedServer(
+            self.replica,
+            metrics,
+            registry=Registry(settings.heartbeat_interval),
+            clock=clock,
+        )
+        service = ControlService(
+            self.replica,
+            self._feed,
+            clock,
+            min_voters=2 * settings.loss_tolerance + 1,
+        )
+        self._api = ControlApi(service)
+        self._watch = SettingsWatch(path, settings, self._on_settings)
+        self._links: LinkServer | None = None
+        self._runner: AppRunner | None = None
+        self._admin: AppRunner | None = None
+
+    async def start(self) -> None:
+        """Bind all sockets."""
+        settings = self._settings
+        assert settings.control is not None
+        self._links = await listen(
+            settings.ip, settings.inner_port, self._feed.serve, self._metrics.traffic
+        )
+        app = self._api.application()
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+        await self._runner.setup()
+        await web.TCPSite(
+            self._runner, settings.control.ip, settings.control.port
+        ).start()
+        self._admin = await serve_admin(
+            settings.ip, settings.metrics_port, self._metrics, self._readiness
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled.
+
+        Raises:
+            StorageError: If the disk fails; a restart reads again what it holds.
+        """
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.replica.run())
+            group.create_task(self._feed.run())
+            group.create_task(self._watch.run())
+            group.create_task(self._end_on_failure())
+
+    async def drain(self) -> None:
+        """Nothing is in flight for long; the group elects another leader."""
+
+    async def stop(self) -> None:
+        """Release all sockets and the disk."""
+        if self._links is not None:
+            self._links.close()
+        for runner in (self._runner, self._admin):
+            if runner is not None:
+                await runner.cleanup()
+        self._storage.close()
+
+    async def _end_on_failure(self) -> None:
+        while not self.replica.failure:
+            await sleep(FAILURE_POLL)
+        await sleep(FAILURE_PAUSE)
+        raise StorageError(self.replica.failure)
+
+    def _on_settings(self, settings: NodeSettings) -> None:
+        self.replica.add_endpoints({one.ip: one for one in settings.seeds})
+
+    def _readiness(self) -> str:
+        if self.replica.failure:
+            return f"storage: {self.replica.failure}"
+        if not self.replica.is_current():
+            return "no quorum"
+        return ""
--- /dev/null
+++ b/src/leadseam/platform/entry_node.py
@@ -0,0 +1,151 @@
+"""An entry on the platform: feed, gateway, callers' socket, readiness, metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import secrets
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Clock, Millis, SystemClock, sleep
+from leadseam.feed.client import FeedClient
+from leadseam.membership.view import UpstreamView
+from leadseam.platform.front import FrontServer, ReadyServer
+from leadseam.platform.headers import PlatformDialect
+from leadseam.platform.watch import SettingsWatch
+from leadseam.routing.client import UpstreamClient
+from leadseam.routing.gateway import Gateway
+from leadseam.runtime.admin import serve_admin
+from leadseam.runtime.metrics import Metrics, RoutingMetrics
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from aiohttp.web import AppRunner
+
+    from leadseam.control.configuration import Configuration
+    from leadseam.platform.settings import NodeSettings
+
+INCARNATION_BITS = 53
+REPLICAS_FOLLOWED = 9
+"""Control replicas followed at once: all of them, as upstreams register at any."""
+SWEEP_INTERVAL: Millis = 500
+STOP_NOTICE: Millis = 3_200
+"""Time from the request to stop until the entry may end: the platform asks once a
+second, takes a box out after two misses, and connections are under way meanwhile."""
+STOP_RESERVE: Millis = 700
+"""Time kept before the platform kills the process, to close in order."""
+DRAIN_POLL: Millis = 50
+
+log = logging.getLogger(__name__)
+
+
+class EntryNode:
+    """One entry and everything it serves.
+
+    Args:
+        settings: Its settings.
+        path: File that they came from.
+        clock: Source of time. Defaults to the machine's.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, path: Path, *, clock: Clock | None = None
+    ) -> None:
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._metrics = Metrics()
+        self._view = UpstreamView()
+        self._feed = FeedClient(
+            node=settings.node,
+            incarnation=secrets.randbits(INCARNATION_BITS),
+            endpoints=settings.seeds,
+            clock=self._clock,
+            traffic=self._metrics.traffic,
+            on_change=self._configure,
+            width=REPLICAS_FOLLOWED,
+            view=self._view,
+            address_of=settings.inner,
+        )
+        self._watch = SettingsWatch(path, settings, self._on_settings)
+        self._client: UpstreamClient | None = None
+        self._gateway: Gateway | None = None
+        self._front: FrontServer | None = None
+        self._ready = ReadyServer(self._readiness)
+        self._admin: AppRunner | None = None
+        self._stopping = False
+
+    async def start(self) -> None:
+        """Bind all sockets."""
+        settings = self._settings
+        assert settings.front is not None
+        assert settings.ready is not None
+        self._client = UpstreamClient()
+        self._gateway = Gateway(
+            feed=self._feed,
+            dialect=PlatformDialect(),
+            client=self._client,
+            clock=self._clock,
+            retry_limits=settings.retry_limits,
+            metrics=RoutingMetrics(self._metrics),
+            rng=random.Random(secrets.randbits(64)),
+        )
+        self._front = FrontServer(self._gateway.handle)
+        await self._front.start(settings.front)
+        await self._ready.start(settings.ready)
+        self._admin = await serve_admin(
+            settings.ip, settings.metrics_port, self._metrics, self._readiness
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._feed.run())
+            group.create_task(self._watch.run())
+            group.create_task(self._sweep())
+
+    async def drain(self) -> None:
+        """Fail the readiness question, go on serving, end after the last answer."""
+        assert self._gateway is not None
+        started = self._clock.now()
+        self._stopping = True
+        self._gateway.stopping = True
+        last = started + self._settings.grace - STOP_RESERVE
+        await sleep(STOP_NOTICE)
+        while self._gateway.in_flight and self._clock.now() < last:
+            await sleep(DRAIN_POLL)
+        extra = {
+            "in_flight": self._gateway.in_flight,
+            "ms": self._clock.now() - started,
+        }
+        log.info("drained", extra=extra)
+
+    async def stop(self) -> None:
+        """Release all sockets."""
+        if self._front is not None:
+            await self._front.stop()
+        if self._client is not None:
+            await self._client.close()
+        await self._ready.stop()
+        if self._admin is not None:
+            await self._admin.cleanup()
+
+    async def _sweep(self) -> None:
+        while True:
+            await sleep(SWEEP_INTERVAL)
+            self._view.sweep(self._clock.now())
+
+    def _configure(self, configuration: Configuration) -> None:
+        assert self._gateway is not None
+        self._gateway.configure(configuration)
+
+    def _on_settings(self, settings: NodeSettings) -> None:
+        self._feed.add_endpoints(settings.seeds)
+
+    def _readiness(self) -> str:
+        if self._stopping:
+            return "stopping"
+        if not self._feed.confirmed:
+            return "no confirmed configuration"
+        return ""
--- /dev/null
+++ b/src/leadseam/platform/front.py
@@ -0,0 +1,109 @@
+"""The sockets of an entry on the platform: callers, and the readiness question."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+
+from leadseam.platform import names
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Awaitable, Callable
+
+    from aiohttp.abc import AbstractStreamWriter
+    from aiohttp.http_parser import RawRequestMessage
+    from aiohttp.streams import StreamReader
+    from aiohttp.web_protocol import RequestHandler
+
+    from leadseam.settings.models import Endpoint
+
+    Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+MAX_BODY = 16 * 1024 * 1024
+"""Bytes of a body that are read at all; operators state a lower limit."""
+MAX_LINE = 65_536
+"""Bytes of one line of a head; operators state a lower limit for the whole."""
+IDLE_TIMEOUT_S = 60.0
+"""Seconds that an idle connection is kept: above what operators state today (15)."""
+BACKLOG = 2_048
+"""Connections that may wait to be accepted; a full queue costs callers seconds."""
+
+
+class FrontServer:
+    """Hands every request of callers to one handler, whatever its path.
+
+    Args:
+        handler: Serves a request.
+    """
+
+    def __init__(self, handler: Handler) -> None:
+        self._server = web.Server(
+            handler,
+            request_factory=_make_request,
+            handler_cancellation=True,
+            keepalive_timeout=IDLE_TIMEOUT_S,
+            max_line_size=MAX_LINE,
+            max_field_size=MAX_LINE,
+            auto_decompress=False,
+            access_log=None,
+            lingering_time=0.5,
+        )
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.2)
+        self._site: web.TCPSite | None = None
+
+    async def start(self, listen: Endpoint) -> None:
+        """Bind the socket."""
+        await self._runner.setup()
+        self._site = web.TCPSite(self._runner, listen.ip, listen.port, backlog=BACKLOG)
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._runner.cleanup()
+
+
+class ReadyServer:
+    """Answers whether callers may be sent here.
+
+    Args:
+        readiness: Returns why the process is not ready, or an empty text.
+    """
+
+    def __init__(self, readiness: Callable[[], str]) -> None:
+        self._readiness = readiness
+        app = web.Application()
+        app.router.add_get(names.READY_PATH, self._ready)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+
+    async def start(self, listen: Endpoint) -> None:
+        """Bind the socket."""
+        await self._runner.setup()
+        await web.TCPSite(self._runner, listen.ip, listen.port).start()
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self._runner.cleanup()
+
+    async def _ready(self, _: web.Request) -> web.Response:
+        reason = self._readiness()
+        return web.json_response({"reason": reason}, status=503 if reason else 200)
+
+
+def _make_request(
+    message: RawRequestMessage,
+    payload: StreamReader,
+    protocol: RequestHandler,
+    writer: AbstractStreamWriter,
+    task: asyncio.Task[None],
+) -> web.BaseRequest:
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        task.get_loop(),
+        client_max_size=MAX_BODY,
+    )
--- /dev/null
+++ b/src/leadseam/platform/headers.py
@@ -0,0 +1,129 @@
+"""Headers of callers and upstreams, decoded and encoded."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from leadseam.platform import names
+from leadseam.routing.attempt import HOP_BY_HOP
+from leadseam.routing.dialect import (
+    AnswerHead,
+    AttemptHead,
+    Headers,
+    PromptPart,
+    RoutedRequest,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from aiohttp import web
+
+    from leadseam.clock import Millis
+
+EVENT_STREAM = "text/event-stream"
+
+_SET_BY_US = frozenset(
+    name.lower()
+    for name in (
+        names.DEADLINE,
+        names.EXPECT_INSTANCE,
+        names.ACCOUNT,
+        names.LAST_EVENT,
+    )
+)
+
+
+class PlatformDialect:
+    """The platform's headers; see `leadseam.routing.dialect.Dialect`."""
+
+    def read_request(self, http: web.BaseRequest) -> RoutedRequest | None:
+        """Read a caller's request; None without a request identifier."""
+        headers = http.headers
+        request_id = headers.get(names.REQUEST_ID)
+        if not request_id:
+            return None
+        tokens_in, tokens_out = _read_tokens(headers.get(names.TOKENS, ""))
+        return RoutedRequest(
+            request_id=request_id,
+            host=headers.get("Host", "").partition(":")[0],
+            method=http.method,
+            target=http.raw_path,
+            headers=_end_to_end(http),
+            key=_read_key(headers.get(names.AUTHORIZATION)),
+            patience=_read_number(headers.get(names.DEADLINE)),
+            parts=_read_parts(headers.get(names.PROMPT_PARTS, "")),
+            tokens_in=tokens_in,
+            tokens_out=tokens_out,
+            resume_after=headers.get(names.LAST_EVENT),
+        )
+
+    def attempt_headers(
+        self, req: RoutedRequest, attempt: AttemptHead
+    ) -> list[tuple[str, str]]:
+        """Return the caller's headers with ours in place of the caller's."""
+        headers = [
+            (name, value)
+            for name, value in req.headers
+            if not (attempt.keyed and name.lower() == names.AUTHORIZATION.lower())
+        ]
+        headers.append((names.DEADLINE, str(attempt.time_left)))
+        headers.append((names.EXPECT_INSTANCE, attempt.instance))
+        if attempt.account is not None:
+            headers.append((names.ACCOUNT, attempt.account))
+        if attempt.resume_after is not None:
+            headers.append((names.LAST_EVENT, attempt.resume_after))
+        return headers
+
+    def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+        """Read the head of an upstream's answer."""
+        content_type = headers.get("Content-Type", "")
+        return AnswerHead(
+            request_id=headers.get(names.REQUEST_ID),
+            not_run=names.NOT_RUN in headers,
+            signed=names.SIGNATURE in headers,
+            event_stream=content_type.startswith(EVENT_STREAM),
+        )
+
+    def retry_after(self, pause: Millis) -> Headers:
+        """Return the pause in seconds; callers here read fractions."""
+        return ((names.RETRY_AFTER, f"{pause / 1_000:.3f}"),)
+
+
+def _end_to_end(http: web.BaseRequest) -> Headers:
+    listed = http.headers.get("Connection", "").lower().split(",")
+    dropped = HOP_BY_HOP | _SET_BY_US | {name.strip() for name in listed}
+    return tuple(
+        (str(name), str(value))
+        for name, value in http.headers.items()
+        if name.lower() not in dropped
+    )
+
+
+def _read_key(value: str | None) -> str | None:
+    if value is None:
+        return None
+    return value.removeprefix(names.BEARER).strip()
+
+
+def _read_number(value: str | None) -> int | None:
+    if value is None:
+        return None
+    try:
+        return max(int(float(value)), 1)
+    except (ValueError, OverflowError):
+        return None
+
+
+def _read_tokens(value: str) -> tuple[int, int]:
+    first, _, second = value.partition(",")
+    return _read_number(first or None) or 0, _read_number(second or None) or 0
+
+
+def _read_parts(value: str) -> tuple[PromptPart, ...]:
+    parts = []
+    for item in value.split(","):
+        identity, sign, tokens = item.strip().partition(":")
+        if sign:
+            parts.append(PromptPart(identity, _read_number(tokens) or 0))
+    return tuple(parts)
--- /dev/null
+++ b/src/leadseam/platform/settings.py
@@ -0,0 +1,207 @@
+"""The platform's settings file: `a.b=value` lines, lists joined by commas."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from leadseam.errors import SettingsError
+from leadseam.platform.names import SETTINGS_VARIABLE
+from leadseam.routing.budget import RetryLimits
+from leadseam.settings.models import Endpoint
+
+if TYPE_CHECKING:
+    from leadseam.clock import Millis
+
+MILLIS_PER_SECOND = 1_000
+METRICS_OFFSET = 1
+"""Place of the metrics port among the ports that the platform leaves to us."""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """What one process is told.
+
+    Args:
+        node: Name of the process' box.
+        ip: IP number of that box.
+        failure_domain: Failure domain of that box.
+        front: Where callers connect, or None.
+        ready: Where readiness is asked for, or None.
+        control: Where upstreams and operators call, or None.
+        inner_port: Port for links between our own processes.
+        metrics_port: Port for metrics.
+        seeds: Inner addresses of some control boxes.
+        founding: Whether the whole system starts for the first time.
+        data_dir: Data folder, or None on a box without a disk.
+        loss_tolerance: Control boxes that may be lost at once.
+        heartbeat_interval: Milliseconds between the heartbeats of an upstream.
+        grace: Milliseconds from the request to stop until the process is killed.
+        retry_limits: Fleet-wide bounds on repeated sends.
+    """
+
+    node: str
+    ip: str
+    failure_domain: str
+    front: Endpoint | None
+    ready: Endpoint | None
+    control: Endpoint | None
+    inner_port: int
+    metrics_port: int
+    seeds: tuple[Endpoint, ...]
+    founding: bool
+    data_dir: str | None
+    loss_tolerance: int
+    heartbeat_interval: Millis
+    grace: Millis
+    retry_limits: RetryLimits
+
+    @classmethod
+    def parse(cls, text: str, name: str) -> NodeSettings:
+        """Read the content of a settings file.
+
+        Args:
+            text: The content.
+            name: Name of the file, for errors.
+
+        Raises:
+            SettingsError: With file, key and what was expected.
+        """
+        fields = _Fields(_split_lines(text, name), name)
+        inner_port = fields.integer_list("internalPorts")[0]
+        return cls(
+            node=fields.text("node"),
+            ip=fields.text("ip"),
+            failure_domain=fields.text("zone"),
+            front=fields.address("listen.front"),
+            ready=fields.address("listen.ready"),
+            control=fields.address("listen.control"),
+            inner_port=inner_port,
+            metrics_port=inner_port + METRICS_OFFSET,
+            seeds=fields.seeds(inner_port),
+            founding=fields.text("bootstrap", "false") == "true",
+            data_dir=fields.text("dataDir", "") or None,
+            loss_tolerance=fields.integer("tolerate.machines", 0),
+            heartbeat_interval=fields.integer("heartbeatMs", 1_000),
+            grace=fields.integer("bounds.graceS", 8) * MILLIS_PER_SECOND,
+            retry_limits=fields.retry_limits(),
+        )
+
+    def inner(self, ip: str) -> Endpoint:
+        """Return the address for our own links on a box."""
+        return Endpoint(ip=ip, port=self.inner_port)
+
+
+class _Fields:
+    """Typed access to the fields of a file."""
+
+    def __init__(self, fields: dict[str, str], name: str) -> None:
+        self._fields = fields
+        self._name = name
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self._fields.get(key, default)
+        if value is None:
+            raise SettingsError(f"{self._name}: {key}: missing")
+        return value
+
+    def number(self, key: str, default: float) -> float:
+        value = self._fields.get(key)
+        if not value:
+            return default
+        try:
+            return float(value)
+        except ValueError as exc:
+            message = f"{self._name}: {key}: expected a number, got {value!r}"
+            raise SettingsError(message) from exc
+
+    def integer(self, key: str, default: int) -> int:
+        return round(self.number(key, default))
+
+    def integer_list(self, key: str) -> list[int]:
+        value = self.text(key)
+        try:
+            return [int(item) for item in value.split(",")]
+        except ValueError as exc:
+            message = f"{self._name}: {key}: expected whole numbers, got {value!r}"
+            raise SettingsError(message) from exc
+
+    def address(self, key: str) -> Endpoint | None:
+        value = self._fields.get(key)
+        if not value:
+            return None
+        try:
+            return read_address(value)
+        except ValueError as exc:
+            message = f"{self._name}: {key}: expected IP:PORT, got {value!r}"
+            raise SettingsError(message) from exc
+
+    def seeds(self, inner_port: int) -> tuple[Endpoint, ...]:
+        """Seeds name the operators' port; our own links use another one."""
+        value = self._fields.get("seeds", "")
+        try:
+            given = [read_address(item) for item in value.split(",") if item]
+        except ValueError as exc:
+            message = f"{self._name}: seeds: expected IP:PORT, got {value!r}"
+            raise SettingsError(message) from exc
+        return tuple(Endpoint(ip=one.ip, port=inner_port) for one in given)
+
+    def retry_limits(self) -> RetryLimits:
+        default = RetryLimits()
+        window = self.number("bounds.budgetWindowS", default.window / MILLIS_PER_SECOND)
+        return RetryLimits(
+            ratio=self.number("bounds.retryBudgetRatio", default.ratio),
+            slack=self.integer("bounds.retrySlack", default.slack),
+            window=round(window * MILLIS_PER_SECOND),
+        )
+
+
+def read_address(text: str) -> Endpoint:
+    """Read `IP:PORT`.
+
+    Raises:
+        ValueError: If the text is none.
+    """
+    ip, _, port = text.rpartition(":")
+    if not ip:
+        raise ValueError(f"no port in {text!r}")
+    return Endpoint(ip=ip, port=int(port))
+
+
+def settings_path() -> Path:
+    """Return the path of this process' settings file.
+
+    Raises:
+        SettingsError: If the environment does not name one.
+    """
+    value = os.environ.get(SETTINGS_VARIABLE)
+    if not value:
+        raise SettingsError(f"the variable {SETTINGS_VARIABLE} names no file")
+    return Path(value)
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: If it cannot be used.
+    """
+    try:
+        text = path.read_text()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"{path}: cannot read: {exc}") from exc
+    return NodeSettings.parse(text, str(path))
+
+
+def _split_lines(text: str, name: str) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip():
+            continue
+        key, sign, value = line.partition("=")
+        if not sign:
+            raise SettingsError(f"{name}: line {number}: expected KEY=VALUE")
+        fields[key.strip()] = value.strip()
+    return fields
--- /dev/null
+++ b/src/leadseam/routing/attempt.py
@@ -0,0 +1,178 @@
+"""One attempt at one upstream, and how its end is judged."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, TypeAlias
+
+import aiohttp
+
+from leadseam.outcome import Reason
+
+if TYPE_CHECKING:
+    from leadseam.routing.client import UpstreamClient
+    from leadseam.routing.dialect import AttemptHead, Dialect, RoutedRequest
+    from leadseam.wire.messages import Registration
+
+MAX_HELD = 1024 * 1024
+"""Bytes of an answer that are held until it is known to be whole."""
+FIRST_SERVER_ERROR = 500
+MISDIRECTED = 421
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """No byte of the request was sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The upstream declares that it did not run the request."""
+
+    status: int
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """There is no usable answer; the request may have run."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A whole answer of the upstream."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Streaming:
+    """The head of a good event stream, or of an answer too large to hold.
+
+    Args:
+        resp: The open answer.
+        headers: Its end-to-end headers.
+        held: Bytes of the body that were read already.
+    """
+
+    resp: aiohttp.ClientResponse
+    headers: tuple[tuple[str, str], ...]
+    held: bytes = b""
+
+
+Ending: TypeAlias = Unreachable | Declined | Broken | Whole | Streaming
+
+
+async def attempt(
+    client: UpstreamClient,
+    dialect: Dialect,
+    req: RoutedRequest,
+    body: bytes,
+    *,
+    upstream: Registration,
+    head: AttemptHead,
+    repeatable: bool,
+) -> Ending:
+    """Send a request to an upstream and judge the head of its answer.
+
+    Args:
+        client: Connections to upstreams.
+        dialect: Names on the wire.
+        req: The caller's request.
+        body: Its body.
+        upstream: Where to send it.
+        head: What the upstream is told besides.
+        repeatable: Whether a connection may be used that could turn out closed.
+
+    Returns:
+        How it ended; a `Streaming` answer has to be read or closed by the caller.
+    """
+    try:
+        resp = await client.send(
+            upstream.ip,
+            upstream.port,
+            method=req.method,
+            target=req.target,
+            headers=dialect.attempt_headers(req, head),
+            body=body,
+            repeatable=repeatable,
+        )
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        return Unreachable()
+    except (aiohttp.ClientError, OSError, ValueError):
+        return Broken(Reason.UPSTREAM_BROKEN)
+    return await _judge(dialect, req, resp)
+
+
+async def _judge(
+    dialect: Dialect, req: RoutedRequest, resp: aiohttp.ClientResponse
+) -> Ending:
+    answer = dialect.read_answer(resp.status, resp.headers)
+    if answer.request_id != req.request_id:
+        resp.close()
+        return Broken(Reason.UPSTREAM_BROKEN)
+    if answer.not_run or resp.status == MISDIRECTED:
+        await _read_out(resp)
+        return Declined(resp.status)
+    success = resp.status < 300
+    if success and not answer.signed:
+        resp.close()
+        return Broken(Reason.UPSTREAM_BROKEN)
+    headers = end_to_end(resp)
+    if success and answer.event_stream:
+        return Streaming(resp, headers)
+    return await _hold(resp, headers)
+
+
+async def _hold(
+    resp: aiohttp.ClientResponse, headers: tuple[tuple[str, str], ...]
+) -> Ending:
+    held = b""
+    try:
+        while data := await resp.content.readany():
+            held += data
+            if len(held) > MAX_HELD:
+                return Streaming(resp, headers, held)
+    except (aiohttp.ClientError, OSError):
+        resp.close()
+        return Broken(Reason.UPSTREAM_BROKEN)
+    except BaseException:
+        resp.close()
+        raise
+    resp.release()
+    return Whole(resp.status, headers, held)
+
+
+async def _read_out(resp: aiohttp.ClientResponse) -> None:
+    """Read a short body so that the connection may be used again."""
+    try:
+        await resp.read()
+    except (aiohttp.ClientError, OSError):
+        resp.close()
+
+
+def end_to_end(resp: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+    """Return the headers of an answer that are meant for the caller."""
+    return tuple(
+        (str(name), str(value))
+        for name, value in resp.headers.items()
+        if name.lower() not in HOP_BY_HOP
+    )
--- /dev/null
+++ b/src/leadseam/routing/client.py
@@ -0,0 +1,146 @@
+"""HTTP connections to upstreams, hardened against what broken upstreams send.
+
+`aiohttp` reports the end of an answer without a length as proper even if the connection
+was reset, and reads bytes that arrive on an idle connection as the next answer. The
+connection class here mends both.
+"""
+
+from __future__ import annotations
+
+import functools
+import socket
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+from yarl import URL
+
+from leadseam.clock import Millis, seconds
+
+CONNECT_TIMEOUT: Millis = 500
+"""Time to open a connection. Boxes of one region are a few ms apart; the first packet
+is repeated after a second, which is too late for a short deadline."""
+IDLE_LIMIT: Millis = 1_500
+"""Age up to which an idle connection is reused. Upstreams close idle ones after a few
+seconds without a word."""
+SILENT_PEER_LIMIT: Millis = 3_000
+"""Unacknowledged bytes older than this end a connection to a dead box."""
+
+
+class UpstreamConnection(ResponseHandler):
+    """A client connection that tells a reset from an end, and distrusts surplus."""
+
+    def set_response_params(self, **kwargs: Any) -> None:
+        """Expect an answer; what came before belongs to the last one."""
+        self._payload = None
+        super().set_response_params(**kwargs)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an unfinished body if the connection was reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Close the connection on bytes after a whole answer."""
+        if self._payload is not None and self._payload.is_eof() and data:
+            self.force_close()
+            if self.transport is not None:
+                self.transport.close()
+            return
+        super().data_received(data)
+
+
+class UpstreamConnector(aiohttp.TCPConnector):
+    """A pool of `UpstreamConnection`s."""
+
+    def __init__(self, *, force_close: bool) -> None:
+        if force_close:
+            super().__init__(limit=0, force_close=True, socket_factory=_open_socket)
+        else:
+            super().__init__(
+                limit=0,
+                keepalive_timeout=seconds(IDLE_LIMIT),
+                socket_factory=_open_socket,
+            )
+        # The library has no public way to choose the connection's class.
+        self._factory = functools.partial(  # type: ignore[assignment]
+            UpstreamConnection, loop=self._loop
+        )
+
+
+def open_session(
+    *, force_close: bool, connect_timeout: Millis
+) -> aiohttp.ClientSession:
+    """Open a session that passes headers and bodies on as they are.
+
+    Args:
+        force_close: Whether each request has a connection of its own.
+        connect_timeout: Time to open a connection.
+    """
+    session = aiohttp.ClientSession(
+        connector=UpstreamConnector(force_close=force_close),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=seconds(connect_timeout)
+        ),
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        skip_auto_headers=("User-Agent", "Accept-Encoding", "Content-Type", "Accept"),
+        max_line_size=65_536,
+        max_field_size=65_536,
+    )
+    # The library would send some methods again by itself, outside any retry budget.
+    session._retry_connection = False
+    return session
+
+
+class UpstreamClient:
+    """Sends requests to upstreams by address."""
+
+    def __init__(self) -> None:
+        self._pooled = open_session(force_close=False, connect_timeout=CONNECT_TIMEOUT)
+        # A reused connection may turn out to be closed after the request was written.
+        self._single_use = open_session(
+            force_close=True, connect_timeout=CONNECT_TIMEOUT
+        )
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._pooled.close()
+        await self._single_use.close()
+
+    async def send(
+        self,
+        ip: str,
+        port: int,
+        *,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        repeatable: bool,
+    ) -> aiohttp.ClientResponse:
+        """Send a request and wait for the head of its answer.
+
+        Raises:
+            aiohttp.ClientConnectorError: If no byte of the request was sent.
+            aiohttp.ClientError: If the connection failed later.
+        """
+        session = self._pooled if repeatable else self._single_use
+        return await session.request(
+            method,
+            URL(f"http://{ip}:{port}{target}", encoded=True),
+            data=body or None,
+            headers=headers,
+            allow_redirects=False,
+        )
+
+
+def _open_socket(
+    address: tuple[int, int, int, str, tuple[object, ...]],
+) -> socket.socket:
+    family, kind, proto, _, _ = address
+    sock = socket.socket(family, kind, proto)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_LIMIT)
+    return sock
--- /dev/null
+++ b/src/leadseam/routing/dialect.py
@@ -0,0 +1,113 @@
+"""What the data path needs from a wire format, and the types it reads it into."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from aiohttp import web
+
+    from leadseam.clock import Millis
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt, shared by all requests that name the same identity."""
+
+    identity: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoutedRequest:
+    """A caller's request as read from the wire.
+
+    Args:
+        request_id: The caller's identifier; unique to this request.
+        host: Host that the caller addressed, without a port.
+        method: HTTP method.
+        target: Raw path and query.
+        headers: End-to-end headers to pass on unchanged.
+        key: The caller's bearer key, or None.
+        patience: Milliseconds that the caller will wait, or None if it does not say.
+        parts: Parts of the prompt in order; empty for other work.
+        tokens_in: Tokens of the prompt.
+        tokens_out: Most tokens to be generated.
+        resume_after: Identity of the last event that the caller has, or None.
+    """
+
+    request_id: str
+    host: str
+    method: str
+    target: str
+    headers: Headers
+    key: str | None
+    patience: Millis | None
+    parts: tuple[PromptPart, ...]
+    tokens_in: int
+    tokens_out: int
+    resume_after: str | None
+
+    @property
+    def path(self) -> str:
+        """Raw path without the query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptHead:
+    """What the system itself tells the upstream with one attempt.
+
+    Args:
+        instance: Incarnation that must answer; another one has to refuse.
+        account: Client account that pays, or None.
+        time_left: Milliseconds until the request is given up.
+        resume_after: Identity of the last event already delivered, or None.
+        keyed: Whether bearer keys are this system's own and stay here.
+    """
+
+    instance: str
+    account: str | None
+    keyed: bool
+    time_left: Millis
+    resume_after: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """What an upstream's answer says of itself.
+
+    Args:
+        request_id: Request that it belongs to, or None if it does not say.
+        not_run: Whether the upstream declares that it did not run the request.
+        signed: Whether it carries the upstream's signature.
+        event_stream: Whether the body is a sequence of events.
+    """
+
+    request_id: str | None
+    not_run: bool
+    signed: bool
+    event_stream: bool
+
+
+class Dialect(Protocol):
+    """Reads and writes the headers of callers and upstreams; decides nothing."""
+
+    def read_request(self, http: web.BaseRequest) -> RoutedRequest | None:
+        """Read a caller's request; None if its headers are malformed."""
+
+    def attempt_headers(
+        self, req: RoutedRequest, attempt: AttemptHead
+    ) -> list[tuple[str, str]]:
+        """Return all headers of a request to an upstream."""
+
+    def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+        """Read the head of an upstream's answer."""
+
+    def retry_after(self, pause: Millis) -> Headers:
+        """Return the headers that tell a caller when to come back."""
--- /dev/null
+++ b/src/leadseam/routing/exchange.py
@@ -0,0 +1,323 @@
+"""One caller's request on its way: attempts, retries, the answer, resuming."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import web
+
+from leadseam.control.routes import Repeat
+from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
+from leadseam.routing.attempt import (
+    FIRST_SERVER_ERROR,
+    Broken,
+    Declined,
+    Ending,
+    Streaming,
+    Unreachable,
+    Whole,
+    attempt,
+)
+from leadseam.routing.dialect import AttemptHead
+from leadseam.routing.events import Event, EventSplitter
+
+if TYPE_CHECKING:
+    from leadseam.clock import Millis
+    from leadseam.control.routes import Route
+    from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.gateway import Gateway
+    from leadseam.wire.messages import Registration
+
+MAX_SENDS = 4
+"""Upstreams tried for one request, those that did not run it included."""
+MIN_TIME_LEFT: Millis = 20
+"""Time left below which nothing more is sent: a few round trips between boxes."""
+COME_BACK: Millis = 300
+"""Pause told to a caller after a refusal; upstreams' queues move within it."""
+
+
+class CallerGoneError(Exception):
+    """The caller's connection is closed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that may be forwarded.
+
+    Args:
+        req: The request.
+        body: Its body.
+        route: Its route.
+        pool: Pool that was drawn for it.
+        account: Client account that pays, or None.
+        arrived: When it was read.
+        deadline: When it is given up.
+    """
+
+    req: RoutedRequest
+    body: bytes
+    route: Route
+    pool: str
+    account: str | None
+    arrived: Millis
+    deadline: Millis
+
+
+@dataclass(slots=True)
+class _Progress:
+    sends: int = 0
+    runs: int = 0
+    tried: set[str] = field(default_factory=set)
+    instance: str = ""
+    last_event: str | None = None
+    first_byte_at: Millis = -1
+
+
+class Exchange:
+    """Runs one admitted request to its end.
+
+    Args:
+        gateway: What it shares with the others.
+        http: The caller's HTTP request.
+        admitted: The request.
+    """
+
+    def __init__(
+        self, gateway: Gateway, http: web.BaseRequest, admitted: Admitted
+    ) -> None:
+        self._gateway = gateway
+        self._http = http
+        self._request = admitted
+        self._progress = _Progress(last_event=admitted.req.resume_after)
+        self._reply: web.StreamResponse | None = None
+        self.outcome: Outcome = Unknown(Reason.LINK_LOST)
+
+    @property
+    def instance(self) -> str:
+        """Upstream that was sent to last, or an empty text."""
+        return self._progress.instance
+
+    @property
+    def sends(self) -> int:
+        """Upstreams that it was sent to."""
+        return self._progress.sends
+
+    @property
+    def first_byte_at(self) -> Millis:
+        """When the first byte went to the caller, -1 before."""
+        return self._progress.first_byte_at
+
+    async def run(self) -> web.StreamResponse:
+        """Return the finished response; the caller's connection may be cut instead."""
+        left = self._request.deadline - self._gateway.now()
+        try:
+            async with asyncio.timeout(max(left, 1) / 1_000):
+                return await self._forward()
+        except TimeoutError:
+            return self._out_of_time()
+        except (ConnectionError, CallerGoneError):
+            self.outcome = Unknown(Reason.LINK_LOST)
+            raise
+
+    async def _forward(self) -> web.StreamResponse:
+        self._gateway.budget.note_request(self._request.pool, self._gateway.now())
+        while True:
+            upstream = self._choose()
+            if upstream is None:
+                return self._refuse(Reason.NO_UPSTREAM)
+            ending = await self._send(upstream)
+            done = await self._finish(upstream, ending)
+            if done is not None:
+                return done
+
+    def _choose(self) -> Registration | None:
+        request = self._request
+        return self._gateway.choose(request.pool, request.req, self._progress.tried)
+
+    async def _send(self, upstream: Registration) -> Ending:
+        progress = self._progress
+        progress.sends += 1
+        progress.tried.add(upstream.instance)
+        progress.instance = upstream.instance
+        self._gateway.balancer.begin(upstream.instance, self._request.req)
+        try:
+            ending = await self._attempt(upstream)
+            if isinstance(ending, Streaming):
+                ending = await self._stream(ending)
+        finally:
+            self._gateway.balancer.end(upstream.instance, self._request.req)
+        if not isinstance(ending, Unreachable | Declined):
+            progress.runs += 1
+        return ending
+
+    async def _attempt(self, upstream: Registration) -> Ending:
+        request = self._request
+        head = AttemptHead(
+            instance=upstream.instance,
+            account=request.account,
+            keyed=self._gateway.keyed,
+            time_left=max(request.deadline - self._gateway.now(), 1),
+            resume_after=self._progress.last_event,
+        )
+        return await attempt(
+            self._gateway.client,
+            self._gateway.dialect,
+            request.req,
+            request.body,
+            upstream=upstream,
+            head=head,
+            repeatable=request.route.repeatable,
+        )
+
+    # After an attempt
+
+    async def _finish(
+        self, upstream: Registration, ending: Ending
+    ) -> web.StreamResponse | None:
+        """Return the response, or None to try another upstream."""
+        self._gateway.note_ending(upstream, ending)
+        retry = self._may_retry(ending)
+        self._gateway.log_attempt(self, self._request, ending, retry=retry)
+        if retry:
+            return None
+        match ending:
+            case Whole():
+                return self._deliver_whole(ending)
+            case Streaming():
+                return await self._end_stream()
+            case Unreachable():
+                return self._give_up(Reason.UPSTREAM_UNREACHABLE)
+            case Declined():
+                return self._give_up(Reason.UPSTREAM_FULL)
+            case Broken(reason=reason):
+                return self._give_up(reason)
+
+    def _may_retry(self, ending: Ending) -> bool:
+        if self._progress.sends >= MAX_SENDS or self._too_late():
+            return False
+        match ending:
+            case Unreachable():
+                return True
+            case Declined():
+                return self._may_send_again()
+            case Broken():
+                return self._may_run_again() and self._may_send_again()
+            case Whole(status=status):
+                failed = status >= FIRST_SERVER_ERROR
+                return failed and self._may_run_again() and self._may_send_again()
+            case Streaming():
+                return False
+
+    def _may_run_again(self) -> bool:
+        route = self._request.route
+        if self._reply is not None and not route.resumable:
+            return False
+        return route.repeatable and self._progress.runs < route.max_attempts
+
+    def _may_send_again(self) -> bool:
+        return self._gateway.take_retry(self._request.pool)
+
+    def _too_late(self) -> bool:
+        return self._request.deadline - self._gateway.now() < MIN_TIME_LEFT
+
+    # Answers
+
+    def _deliver_whole(self, whole: Whole) -> web.StreamResponse:
+        self.outcome = Answered(whole.status)
+        self._note_first_byte()
+        return web.Response(
+            status=whole.status, headers=list(whole.headers), body=whole.body
+        )
+
+    def _give_up(self, reason: Reason) -> web.StreamResponse:
+        if self._reply is not None:
+            self._cut(reason)
+        if self._progress.runs == 0:
+            return self._refuse(reason)
+        unsafe = self._request.route.repeat is Repeat.ONCE
+        self.outcome = Unknown(reason) if unsafe else Failed(reason)
+        return self._gateway.error(self.outcome)
+
+    def _refuse(self, reason: Reason) -> web.StreamResponse:
+        if self._reply is not None:
+            self._cut(reason)
+        if self._progress.runs:
+            return self._give_up(Reason.UPSTREAM_BROKEN)
+        self.outcome = NotRun(reason, COME_BACK)
+        return self._gateway.refusal(reason, COME_BACK)
+
+    def _out_of_time(self) -> web.StreamResponse:
+        if self._reply is not None:
+            self._cut(Reason.DEADLINE_PASSED)
+        if self._progress.sends == 0:
+            return self._refuse(Reason.NO_UPSTREAM)
+        self.outcome = Unknown(Reason.DEADLINE_PASSED)
+        return self._gateway.error(self.outcome)
+
+    def _cut(self, reason: Reason) -> None:
+        """End a response that has begun so that it cannot look complete."""
+        self.outcome = Failed(reason)
+        if self._http.transport is not None:
+            self._http.transport.abort()
+        raise CallerGoneError(reason.value)
+
+    # Streams
+
+    async def _stream(self, streaming: Streaming) -> Ending:
+        """Relay an answer; `Broken` if it ends before its end."""
+        try:
+            splitter = EventSplitter()
+            await self._relay(streaming, splitter.feed(streaming.held))
+            while data := await streaming.resp.content.readany():
+                await self._relay(streaming, splitter.feed(data))
+            if splitter.pending:
+                await self._relay(streaming, [Event(splitter.pending, None)])
+        except (aiohttp.ClientError, OSError) as exc:
+            if isinstance(exc, ConnectionError) and self._caller_gone():
+                raise CallerGoneError(str(exc)) from exc
+            return Broken(Reason.UPSTREAM_BROKEN)
+        finally:
+            # Ends the work of an upstream whose answer is not read to its end.
+            streaming.resp.close()
+        if self._reply is None:
+            await self._open_reply(streaming)
+        return streaming
+
+    def _caller_gone(self) -> bool:
+        transport = self._http.transport
+        return transport is None or transport.is_closing()
+
+    async def _relay(self, streaming: Streaming, events: list[Event]) -> None:
+        if not events:
+            return
+        if self._reply is None:
+            await self._open_reply(streaming)
+        assert self._reply is not None
+        try:
+            await self._reply.write(b"".join(event.data for event in events))
+        except ConnectionError as exc:
+            raise CallerGoneError(str(exc)) from exc
+        for event in events:
+            if event.identity is not None:
+                self._progress.last_event = event.identity
+
+    async def _open_reply(self, streaming: Streaming) -> None:
+        status = streaming.resp.status
+        self._reply = web.StreamResponse(status=status, headers=list(streaming.headers))
+        self._reply.enable_chunked_encoding()
+        self._gateway.prepare(self._reply)
+        self._note_first_byte()
+        await self._reply.prepare(self._http)
+
+    async def _end_stream(self) -> web.StreamResponse:
+        assert self._reply is not None
+        await self._reply.write_eof()
+        self.outcome = Answered(self._reply.status)
+        return self._reply
+
+    def _note_first_byte(self) -> None:
+        if self._progress.first_byte_at < 0:
+            self._progress.first_byte_at = self._gateway.now()
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 from leadseam.wire.traffic import Traffic
 
@@ -29,6 +29,12 @@
         """Register a gauge `leadseam_NAME`."""
         return Gauge(f"leadseam_{name}", doc, registry=self.registry)
 
+    def histogram(self, name: str, doc: str, buckets: list[float]) -> Histogram:
+        """Register a histogram `leadseam_NAME`."""
+        return Histogram(
+            f"leadseam_{name}", doc, registry=self.registry, buckets=buckets
+        )
+
     def render(self) -> bytes:
         """Return all values in the text format."""
         content, _ = render(self.registry, ["text/plain"])
@@ -71,6 +77,41 @@
         self.waiting = metrics.gauge("waiting_requests", "Requests that wait now.")
 
 
+LATENCY_BUCKETS = [0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15.0]
+
+
+class RoutingMetrics:
+    """Counters and latencies of routed requests.
+
+    Args:
+        metrics: Where to register.
+    """
+
+    def __init__(self, metrics: Metrics) -> None:
+        self.requests = metrics.counter(
+            "routed_requests_total", "Routed requests by outcome."
+        )
+        self.refusals = metrics.counter(
+            "routed_refusals_total", "Routed requests refused or failed, by reason."
+        )
+        self.attempts = metrics.counter(
+            "routed_attempts_total", "Attempts at upstreams by ending."
+        )
+        self.retries_denied = metrics.counter(
+            "routed_retries_denied_total", "Retries that were not allowed, by rule."
+        )
+        self.first_byte = metrics.histogram(
+            "first_byte_seconds", "Time to the first byte.", LATENCY_BUCKETS
+        )
+        self.duration = metrics.histogram(
+            "request_seconds", "Time to the end of the answer.", LATENCY_BUCKETS
+        )
+        self.waiting = metrics.gauge("routed_waiting", "Requests that wait now.")
+        self.logs_dropped = metrics.gauge(
+            "log_lines_dropped", "Log lines not written to keep the volume bounded."
+        )
+
+
 class SidecarMetrics:
     """Counters of a sidecar.
 
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -233,11 +233,13 @@
         node: Name of the subscriber.
         incarnation: Its incarnation.
         version: Highest version it holds, 0 for none.
+        clock: The subscriber's clock.
     """
 
     node: str
     incarnation: int
     version: int
+    clock: int = -1
 
 
 class Snapshot(Message, frozen=True, array_like=True, tag=31):
@@ -260,15 +262,81 @@
 
 
 class Current(Message, frozen=True, array_like=True, tag=33):
-    """Heartbeat of the feed: the replica is current at this version."""
+    """Heartbeat of the feed: the replica is current at this version.
+
+    Args:
+        version: The version.
+        echo: The subscriber's clock from its last `InForce`, -1 before the first. A
+            heartbeat that waited in a buffer proves nothing about now.
+        subscribers: Entries on the feed, 0 where that is not counted.
+    """
 
     version: int
+    echo: int = -1
+    subscribers: int = 0
 
 
 class InForce(Message, frozen=True, array_like=True, tag=34):
-    """A subscriber has put a version in force."""
+    """A subscriber has put a version in force.
+
+    Args:
+        version: The version.
+        clock: The subscriber's clock.
+    """
 
     version: int
+    clock: int = -1
+
+
+class Registration(Record, frozen=True, array_like=True):
+    """An upstream as its heartbeat describes it.
+
+    Args:
+        instance: Its incarnation.
+        pool: Pool that it serves.
+        ip: IP number of the server.
+        port: Its port.
+        failure_domain: Failure domain of its box.
+        slots: Requests that it works on at once.
+        ready: Whether it takes new work.
+        sequence: Grows with each heartbeat.
+        cold_left: Milliseconds for which it is still slow from its start.
+    """
+
+    instance: str
+    pool: str
+    ip: str
+    port: int
+    failure_domain: str
+    slots: int
+    ready: bool
+    sequence: int
+    cold_left: int = 0
+
+
+class Registered(Message, frozen=True, array_like=True, tag=35):
+    """Upstreams that the sending replica hears; `whole` replaces what it said."""
+
+    rows: tuple[Registration, ...]
+    whole: bool = False
+
+
+class Expired(Message, frozen=True, array_like=True, tag=36):
+    """Upstreams that the sending replica no longer hears."""
+
+    instances: tuple[str, ...]
+
+
+class Left(Message, frozen=True, array_like=True, tag=37):
+    """Upstreams that leave; final for these incarnations."""
+
+    instances: tuple[str, ...]
+
+
+class Replicas(Message, frozen=True, array_like=True, tag=38):
+    """Names of the boxes of the control group."""
+
+    names: tuple[str, ...]
 
 
 class Claim(Message, frozen=True, array_like=True, tag=40):
@@ -477,6 +545,10 @@
     | Delta
     | Current
     | InForce
+    | Registered
+    | Expired
+    | Left
+    | Replicas
     | Claim
     | ClaimDone
     | ClaimRelease
