Planned stop of an entry: connections end in order, nothing is taken after

Now: 2.6 s after SIGTERM the socket closes, idle connections close, busy ones end after their answer, and what crosses the close is not handled. Shown by tests/platform/test_front.py.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -31,8 +31,8 @@
 REPLICAS_FOLLOWED = 9
 """Control replicas followed at once: all of them, as upstreams register at any."""
 SWEEP_INTERVAL: Millis = 500
-STOP_NOTICE: Millis = 3_200
-"""Time from the request to stop until the entry may end: the platform asks once a
+STOP_NOTICE: Millis = 2_600
+"""Time from the request to stop until connections are closed: the platform asks once a
 second, takes a box out after two misses, and connections are under way meanwhile."""
 STOP_RESERVE: Millis = 700
 """Time kept before the platform kills the process, to close in order."""
@@ -108,11 +108,13 @@
     async def drain(self) -> None:
         """Fail the readiness question, go on serving, end after the last answer."""
         assert self._gateway is not None
+        assert self._front is not None
         started = self._clock.now()
         self._stopping = True
         self._gateway.stopping = True
         last = started + self._settings.grace - STOP_RESERVE
         await sleep(STOP_NOTICE)
+        await self._front.close_idle()
         while self._gateway.in_flight and self._clock.now() < last:
             await sleep(DRAIN_POLL)
         extra = {
--- a/src/leadseam/platform/front.py
+++ b/src/leadseam/platform/front.py
@@ -39,8 +39,11 @@
     """
 
     def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._busy: set[object] = set()
+        self._closed: set[object] = set()
         self._server = web.Server(
-            handler,
+            self._handle,
             request_factory=_make_request,
             handler_cancellation=True,
             keepalive_timeout=IDLE_TIMEOUT_S,
@@ -59,10 +62,38 @@
         self._site = web.TCPSite(self._runner, listen.ip, listen.port, backlog=BACKLOG)
         await self._site.start()
 
+    @property
+    def connections(self) -> list[RequestHandler]:
+        """Open connections of callers."""
+        return self._server.connections
+
+    async def close_idle(self) -> None:
+        """Take no new connection, and end each open one after its current request."""
+        if self._site is not None:
+            await self._site.stop()
+        for conn in self.connections:
+            if conn in self._busy:
+                conn.close()
+            else:
+                # `close` would end the task of an idle connection, not the connection.
+                self._closed.add(conn)
+                conn.force_close()
+
     async def stop(self) -> None:
         """Close everything."""
         await self._runner.cleanup()
 
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        conn = http.protocol
+        if conn in self._closed:
+            # It arrived as its connection was closed: nobody would see the answer.
+            return web.Response(status=503)
+        self._busy.add(conn)
+        try:
+            return await self._handler(http)
+        finally:
+            self._busy.discard(conn)
+
 
 class ReadyServer:
     """Answers whether callers may be sent here.
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -226,6 +226,9 @@
     # Answers
 
     def _deliver_whole(self, whole: Whole) -> web.StreamResponse:
+        if self._reply is not None:
+            # A refusal by the upstream that should have gone on with a stream.
+            self._cut(Reason.UPSTREAM_BROKEN)
         self.outcome = Answered(whole.status)
         self._note_first_byte()
         return web.Response(
--- /dev/null
+++ b/tests/membership/test_registry.py
@@ -0,0 +1,36 @@
+"""A replica's table of heartbeats."""
+
+from __future__ import annotations
+
+import msgspec
+
+from leadseam.membership.registry import MISSED_HEARTBEATS, Registry
+from tests.routing.samples import make_upstream
+
+INTERVAL = 1_000
+
+
+def test_only_what_is_new_is_told() -> None:
+    registry = Registry(INTERVAL)
+    row = make_upstream(1)
+    assert registry.heartbeat(row, 0)
+    assert not registry.heartbeat(msgspec.structs.replace(row, sequence=2), 1)
+    assert registry.heartbeat(msgspec.structs.replace(row, sequence=3, slots=9), 2)
+
+
+def test_an_older_heartbeat_never_counts() -> None:
+    registry = Registry(INTERVAL)
+    newest = make_upstream(1, sequence=5)
+    registry.heartbeat(newest, 0)
+    assert not registry.heartbeat(make_upstream(1, sequence=4), 1)
+    assert not registry.heartbeat(newest, 2)
+    assert registry.rows() == (newest,)
+
+
+def test_silence_drops_an_upstream_and_a_heartbeat_brings_it_back() -> None:
+    registry = Registry(INTERVAL)
+    registry.heartbeat(make_upstream(1), 0)
+    limit = INTERVAL * MISSED_HEARTBEATS
+    assert registry.expire(limit) == ()
+    assert registry.expire(limit + 1) == ("i-1",)
+    assert registry.heartbeat(make_upstream(1, sequence=2), limit + 2)
--- /dev/null
+++ b/tests/membership/test_view.py
@@ -0,0 +1,113 @@
+"""An entry's view over several replicas."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from leadseam.membership.view import KEPT_AFTER_LOSS, UpstreamView
+from tests.routing.samples import make_upstream
+
+
+def instances(view: UpstreamView) -> set[str]:
+    """Return the incarnations that take new work."""
+    return {row.instance for row in view.pool("p")}
+
+
+def test_one_replica_that_holds_an_upstream_is_enough() -> None:
+    view = UpstreamView()
+    view.update("a", [make_upstream(1)])
+    view.update("b", [make_upstream(1)])
+    view.expired("a", ["i-1"])
+    assert instances(view) == {"i-1"}
+    view.expired("b", ["i-1"])
+    assert instances(view) == set()
+
+
+def test_a_lost_replicas_upstreams_are_kept_for_a_while() -> None:
+    view = UpstreamView()
+    view.update("a", [make_upstream(1)])
+    view.disconnected("a", 100)
+    view.sweep(100 + KEPT_AFTER_LOSS - 1)
+    assert instances(view) == {"i-1"}
+    view.sweep(100 + KEPT_AFTER_LOSS)
+    assert instances(view) == set()
+
+
+def test_a_replica_that_comes_back_empty_takes_nothing_away_at_once() -> None:
+    view = UpstreamView()
+    view.update("a", [make_upstream(1)])
+    view.connected("a", 0)
+    view.update("a", [])
+    assert instances(view) == {"i-1"}
+    view.update("a", [make_upstream(1, sequence=2)])
+    view.sweep(10 * KEPT_AFTER_LOSS)
+    assert instances(view) == {"i-1"}
+
+
+def test_leaving_is_final_for_an_incarnation() -> None:
+    view = UpstreamView()
+    view.update("a", [make_upstream(1), make_upstream(2)])
+    assert view.left(["i-1"]) == ("i-1",)
+    assert view.left(["i-1"]) == ()
+    view.update("b", [make_upstream(1, sequence=99)])
+    assert instances(view) == {"i-2"}
+
+
+def test_an_address_that_is_handed_on_belongs_to_the_newer_incarnation() -> None:
+    view = UpstreamView()
+    old = make_upstream(1)
+    view.update("a", [old])
+    successor = make_upstream(1).__class__(
+        "i-new", "q", old.ip, old.port, "d", 4, True, 1
+    )
+    view.update("a", [successor])
+    assert instances(view) == set()
+    assert [row.instance for row in view.pool("q")] == ["i-new"]
+
+
+class ViewMachine(RuleBasedStateMachine):
+    """Random reports: what left never returns, and held upstreams stay."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.view = UpstreamView()
+        self.now = 0
+        self.left: set[str] = set()
+        self.held: dict[str, set[str]] = {"a": set(), "b": set()}
+
+    @rule(replica=st.sampled_from("ab"), number=st.integers(1, 4))
+    def report(self, replica: str, number: int) -> None:
+        self.view.update(replica, [make_upstream(number, sequence=self.now)])
+        self.held[replica].add(f"i-{number}")
+
+    @rule(replica=st.sampled_from("ab"), number=st.integers(1, 4))
+    def expire(self, replica: str, number: int) -> None:
+        self.view.expired(replica, [f"i-{number}"])
+        self.held[replica].discard(f"i-{number}")
+
+    @rule(replica=st.sampled_from("ab"))
+    def lose(self, replica: str) -> None:
+        self.view.disconnected(replica, self.now)
+        self.held[replica].clear()
+
+    @rule(number=st.integers(1, 4))
+    def leave(self, number: int) -> None:
+        self.view.left([f"i-{number}"])
+        self.left.add(f"i-{number}")
+
+    @rule(step=st.integers(1, 2 * KEPT_AFTER_LOSS))
+    def wait(self, step: int) -> None:
+        self.now += step
+        self.view.sweep(self.now)
+
+    @invariant()
+    def what_left_is_out_and_what_is_held_is_in(self) -> None:
+        seen = instances(self.view)
+        assert not seen & self.left
+        assert (self.held["a"] | self.held["b"]) - self.left <= seen
+
+
+TestViewMachine = ViewMachine.TestCase
+TestViewMachine.settings = settings(derandomize=True, max_examples=60, deadline=None)
--- /dev/null
+++ b/tests/platform/test_front.py
@@ -0,0 +1,92 @@
+"""The callers' socket: what happens to connections at a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, cast
+
+import pytest
+from aiohttp import web
+
+from leadseam.platform.front import FrontServer
+from leadseam.settings.models import Endpoint
+from tools.fleet import LOOPBACK, PortPool
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+REQUEST = b"GET /%s HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+class Served:
+    """A front server whose handler answers when it is told to."""
+
+    def __init__(self) -> None:
+        self.paths: list[str] = []
+        self.release = asyncio.Event()
+        self.front = FrontServer(self._handle)
+        ports = PortPool()
+        self.port = ports.reserve()
+        ports.release(self.port)
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        self.paths.append(http.raw_path)
+        if http.raw_path == "/slow":
+            await self.release.wait()
+        return web.Response(body=b"done")
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection."""
+        return await asyncio.open_connection(LOOPBACK, self.port)
+
+
+@pytest.fixture
+async def served() -> AsyncIterator[Served]:
+    """A running front server."""
+    served = Served()
+    await served.front.start(Endpoint(ip=LOOPBACK, port=served.port))
+    try:
+        yield served
+    finally:
+        await served.front.stop()
+
+
+async def answer(reader: asyncio.StreamReader) -> bytes:
+    """Read one answer."""
+    await reader.readuntil(b"\r\n\r\n")
+    return await reader.readexactly(4)
+
+
+async def test_idle_connections_are_closed_and_busy_ones_finish(served: Served) -> None:
+    idle_reader, idle_writer = await served.connect()
+    idle_writer.write(REQUEST % b"quick")
+    assert await answer(idle_reader) == b"done"
+    unused_reader, unused_writer = await served.connect()
+    busy_reader, busy_writer = await served.connect()
+    busy_writer.write(REQUEST % b"slow")
+    while "/slow" not in served.paths:
+        await asyncio.sleep(0)
+    await served.front.close_idle()
+    assert await idle_reader.read() == b""
+    assert await unused_reader.read() == b""
+    with pytest.raises(OSError):
+        await served.connect()
+    served.release.set()
+    assert await answer(busy_reader) == b"done"
+    assert await busy_reader.read() == b""
+    for writer in (idle_writer, unused_writer, busy_writer):
+        writer.close()
+
+
+async def test_a_request_that_crosses_the_close_is_not_handled(served: Served) -> None:
+    _, writer = await served.connect()
+    while not served.front.connections:
+        await asyncio.sleep(0)
+    conn = served.front.connections[0]
+    await served.front.close_idle()
+    # What was read in the same turn of the loop reaches the handler only now.
+    late = SimpleNamespace(protocol=conn, raw_path="/late")
+    await served.front._handle(cast("web.BaseRequest", late))
+    assert served.paths == []
+    writer.close()
--- /dev/null
+++ b/tests/platform/test_manifest.py
@@ -0,0 +1,145 @@
+"""The operators' document."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import Any
+
+import pytest
+
+from leadseam.control.configuration import Account, Pool, PoolKind
+from leadseam.control.routes import EngineProfile, PoolShare, Repeat, ReplyForm, Route
+from leadseam.errors import DocumentError
+from leadseam.platform.manifest import read_manifest
+
+DOCUMENT: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "pathPrefix": "/x/",
+            "kind": "streaming",
+            "timeoutMs": 15000,
+            "targetLatencyMs": 800,
+            "priority": 1,
+            "trafficSplit": [
+                {"service": "s", "weight": 90},
+                {"service": "t", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "allowAnonymous": False,
+            "stickySessions": True,
+            "resumable": True,
+            "gapTargetMs": 300,
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "pathPrefix": "/y/",
+            "kind": "safe",
+            "timeoutMs": 1000,
+            "service": "t",
+            "allowAnonymous": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "s",
+            "maxConnections": 370,
+            "engine": {
+                "slots": 64,
+                "kvCapacity": 511815,
+                "stride": 5,
+                "models": [{"name": "m"}],
+            },
+        },
+        {"name": "t", "maxConnections": 110},
+    ],
+    "limits": {"maxBodyBytes": 100, "tokensPerS": 140000},
+    "tenants": [{"name": "bank", "apiKeys": ["k"], "priority": 1}],
+}
+
+
+def encode(**changes: Any) -> bytes:
+    """Return the document with changed fields."""
+    return json.dumps(DOCUMENT | changes).encode()
+
+
+def test_a_document_is_read_into_our_words() -> None:
+    document = encode()
+    configuration = read_manifest(document)
+    assert configuration.version == 7
+    assert configuration.document == document
+    assert configuration.faults() == ()
+    assert configuration.routes["r-1"] == Route(
+        name="r-1",
+        host="a.example",
+        prefix="/x/",
+        pools=(PoolShare("s", 90), PoolShare("t", 10)),
+        repeat=Repeat.ONCE,
+        reply=ReplyForm.EVENTS,
+        resumable=True,
+        max_attempts=2,
+        time_limit=15_000,
+        latency_objective=800,
+        max_pause=300,
+        priority=1,
+        anonymous=False,
+    )
+    assert configuration.routes["r-2"].repeat is Repeat.SAFE
+    assert configuration.routes["r-2"].pools == (PoolShare("t", 1),)
+    engine = EngineProfile(slots=64, memory_tokens=511_815, tokens_per_event=5)
+    assert configuration.pools == {
+        "s": Pool("s", PoolKind.ENGINE, "m", max_connections=370, engine=engine),
+        "t": Pool("t", PoolKind.SERVICE, max_connections=110),
+    }
+    digest = hashlib.sha256(b"k").hexdigest()
+    account = Account("bank", key_hashes=(digest,), priority=1)
+    assert configuration.accounts == {"bank": account}
+    assert configuration.limits.body_bytes == 100
+
+
+def test_a_document_that_is_not_whole_is_no_configuration() -> None:
+    with pytest.raises(DocumentError):
+        read_manifest(encode()[:-20])
+    with pytest.raises(DocumentError):
+        read_manifest(b"[]")
+
+
+def route(**changes: Any) -> dict[str, Any]:
+    """Return the second route with changed fields."""
+    return DOCUMENT["routes"][1] | changes  # type: ignore[no-any-return]
+
+
+@pytest.mark.parametrize(
+    ("changes", "fault"),
+    [
+        ({"routes": [route(service="u")]}, "route r-2: no pool 'u'"),
+        ({"routes": [route(timeoutMs=0)]}, "route r-2: time_limit must be above 0"),
+        (
+            {"routes": [route(), route(name="r-3")]},
+            "route r-3: same host and prefix as r-2",
+        ),
+        (
+            {"routes": [route(), route()]},
+            "route r-2+: same host and prefix as r-2",
+        ),
+        (
+            {"routes": [route(trafficSplit=[{"service": "t", "weight": 0}])]},
+            "route r-2: the weights add up to 0",
+        ),
+        (
+            {
+                "tenants": [
+                    {"name": "bank", "apiKeys": ["k"]},
+                    {"name": "shop", "apiKeys": ["k"]},
+                ]
+            },
+            "account shop: shares a key with bank",
+        ),
+    ],
+)
+def test_faults_are_named(changes: dict[str, Any], fault: str) -> None:
+    assert read_manifest(encode(**changes)).faults() == (fault,)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,71 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import pytest
+
+from leadseam.errors import SettingsError
+from leadseam.platform.settings import NodeSettings
+from leadseam.routing.budget import RetryLimits
+from leadseam.settings.models import Endpoint
+
+TEXT = """\
+node=core-a-1
+zone=a
+ip=10.1.0.35
+listen.control=10.1.0.35:8785
+internalPorts=7400,7415
+seeds=10.1.0.35:8785,10.2.0.20:8785
+bootstrap=true
+dataDir=/data/my-core
+heartbeatMs=1200
+tolerate.machines=2
+bounds.graceS=8
+bounds.retryBudgetRatio=0.2
+bounds.budgetWindowS=10
+bounds.retrySlack=58
+something.new=1
+"""
+
+
+def test_a_file_is_read_into_our_words() -> None:
+    assert NodeSettings.parse(TEXT, "f") == NodeSettings(
+        node="core-a-1",
+        ip="10.1.0.35",
+        failure_domain="a",
+        front=None,
+        ready=None,
+        control=Endpoint(ip="10.1.0.35", port=8785),
+        inner_port=7400,
+        metrics_port=7401,
+        seeds=(
+            Endpoint(ip="10.1.0.35", port=7400),
+            Endpoint(ip="10.2.0.20", port=7400),
+        ),
+        founding=True,
+        data_dir="/data/my-core",
+        loss_tolerance=2,
+        heartbeat_interval=1_200,
+        grace=8_000,
+        retry_limits=RetryLimits(ratio=0.2, slack=58, window=10_000),
+    )
+
+
+@pytest.mark.parametrize(
+    ("line", "message"),
+    [
+        ("ip=", None),
+        ("no sign", "f: line 16: expected KEY=VALUE"),
+        ("internalPorts=x", "f: internalPorts: expected whole numbers, got 'x'"),
+        ("bounds.graceS=x", "f: bounds.graceS: expected a number, got 'x'"),
+        ("seeds=10.1.0.1", "f: seeds: expected IP:PORT, got '10.1.0.1'"),
+        ("listen.front=:a", "f: listen.front: expected IP:PORT, got ':a'"),
+    ],
+)
+def test_a_fault_is_named_by_file_and_key(line: str, message: str | None) -> None:
+    if message is None:
+        assert NodeSettings.parse(TEXT + line, "f").ip == ""
+        return
+    with pytest.raises(SettingsError) as caught:
+        NodeSettings.parse(TEXT + line, "f")
+    assert caught.value.message == message
--- /dev/null
+++ b/tests/routing/samples.py
@@ -0,0 +1,57 @@
+"""Literal requests, routes and upstreams for the tests of the data path."""
+
+from __future__ import annotations
+
+from leadseam.control.routes import PoolShare, Repeat, Route
+from leadseam.routing.dialect import PromptPart, RoutedRequest
+from leadseam.wire.messages import Registration
+
+
+def make_request(*parts: str, request_id: str = "r-1") -> RoutedRequest:
+    """Return a request whose prompt has parts of 100 tokens each."""
+    return RoutedRequest(
+        request_id=request_id,
+        host="a.example",
+        method="POST",
+        target="/chat/1",
+        headers=(),
+        key=None,
+        patience=None,
+        parts=tuple(PromptPart(part, 100) for part in parts),
+        tokens_in=100 * len(parts),
+        tokens_out=50,
+        resume_after=None,
+    )
+
+
+def make_upstream(number: int, *, pool: str = "p", sequence: int = 1) -> Registration:
+    """Return a ready upstream with its own address."""
+    return Registration(
+        instance=f"i-{number}",
+        pool=pool,
+        ip=f"10.0.0.{number}",
+        port=80,
+        failure_domain="d",
+        slots=4,
+        ready=True,
+        sequence=sequence,
+    )
+
+
+def make_route(
+    name: str,
+    prefix: str,
+    *pools: str,
+    host: str = "a.example",
+    time_limit: int = 1_000,
+) -> Route:
+    """Return a safe route to pools of equal weight."""
+    return Route(
+        name=name,
+        host=host,
+        prefix=prefix,
+        pools=tuple(PoolShare(pool) for pool in pools),
+        repeat=Repeat.SAFE,
+        max_attempts=2,
+        time_limit=time_limit,
+    )
--- /dev/null
+++ b/tests/routing/test_budget.py
@@ -0,0 +1,57 @@
+"""The retry budget of one entry, and of many together."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadseam.routing.budget import PoolRetryBudget, RetryLimits
+
+LIMITS = RetryLimits(ratio=0.2, slack=10, window=10_000)
+
+
+def test_the_slack_is_divided_among_entries() -> None:
+    budget = PoolRetryBudget(LIMITS)
+    taken = sum(budget.take("p", 0, 5) for _ in range(20))
+    assert taken == 1
+
+
+def test_requests_earn_retries_and_old_ones_expire() -> None:
+    budget = PoolRetryBudget(LIMITS)
+    for _ in range(100):
+        budget.note_request("p", 0)
+    assert sum(budget.take("p", 1, 1) for _ in range(100)) == 24
+    assert sum(budget.take("p", 10_002, 1) for _ in range(100)) == 8
+
+
+def test_pools_do_not_share() -> None:
+    budget = PoolRetryBudget(LIMITS)
+    assert sum(budget.take("p", 0, 1) for _ in range(20)) == 8
+    assert sum(budget.take("q", 0, 1) for _ in range(20)) == 8
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 3), st.integers(0, 400), st.booleans()), max_size=300
+    )
+)
+def test_all_entries_together_keep_the_fleet_wide_bound(
+    events: list[tuple[int, int, bool]],
+) -> None:
+    budgets = [PoolRetryBudget(LIMITS) for _ in range(4)]
+    now = 0
+    requests: list[int] = []
+    repeats: list[int] = []
+    for entry, step, is_request in events:
+        now += step
+        if is_request:
+            budgets[entry].note_request("p", now)
+            requests.append(now)
+        elif budgets[entry].take("p", now, 4):
+            repeats.append(now)
+    for end in repeats:
+        start = end - LIMITS.window
+        made = sum(start <= at <= end for at in repeats)
+        asked = sum(start <= at <= end for at in requests)
+        assert made <= LIMITS.ratio * asked + LIMITS.slack
--- /dev/null
+++ b/tests/routing/test_health.py
@@ -0,0 +1,34 @@
+"""Upstreams that fail are left alone for a while."""
+
+from __future__ import annotations
+
+from leadseam.routing.health import FIRST_PAUSE, MAX_PAUSE, UpstreamHealth
+
+
+def test_single_failures_cost_nothing() -> None:
+    health = UpstreamHealth()
+    assert not health.failed("i", 0)
+    assert not health.failed("i", 0)
+    assert health.usable("i", 0)
+    health.succeeded("i")
+    assert not health.failed("i", 0)
+
+
+def test_failures_in_a_row_pause_an_upstream_longer_each_time() -> None:
+    health = UpstreamHealth()
+    assert [health.failed("i", 0) for _ in range(3)] == [False, False, True]
+    assert not health.usable("i", FIRST_PAUSE - 1)
+    assert health.usable("i", FIRST_PAUSE)
+    assert health.failed("i", FIRST_PAUSE)
+    assert not health.usable("i", 3 * FIRST_PAUSE - 1)
+    assert health.usable("i", 3 * FIRST_PAUSE)
+
+
+def test_an_unreachable_upstream_pauses_at_once_and_never_for_long() -> None:
+    health = UpstreamHealth()
+    now = 0
+    for _ in range(10):
+        assert health.unreachable("i", now)
+        assert not health.unreachable("i", now)
+        now += MAX_PAUSE
+        assert health.usable("i", now)
--- /dev/null
+++ b/tests/routing/test_router.py
@@ -0,0 +1,48 @@
+"""Matching of routes and keys."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+
+from leadseam.control.configuration import Account, Configuration
+from leadseam.control.routes import PoolShare, Route
+from leadseam.routing.router import Router, choose_pool
+from tests.routing.samples import make_route
+
+
+def test_the_longest_prefix_of_the_host_wins() -> None:
+    routes = [
+        make_route("short", "/a/", "p"),
+        make_route("long", "/a/b/", "p"),
+        make_route("other", "/a/", "p", host="b.example"),
+    ]
+    router = Router(Configuration(routes={route.name: route for route in routes}))
+    matched = [
+        router.match("a.example", "/a/b/c"),
+        router.match("A.example", "/a/x"),
+        router.match("b.example", "/a/b/c"),
+        router.match("a.example", "/b/"),
+        router.match("c.example", "/a/"),
+    ]
+    names = [route.name if route is not None else None for route in matched]
+    assert names == ["long", "short", "other", None, None]
+
+
+def test_a_key_belongs_to_the_account_that_holds_its_hash() -> None:
+    digest = hashlib.sha256(b"secret").hexdigest()
+    account = Account("bank", key_hashes=(digest,))
+    router = Router(Configuration(accounts={"bank": account}))
+    assert router.keyed
+    assert router.account("secret") == account
+    assert router.account("Secret") is None
+    assert not Router(Configuration()).keyed
+
+
+def test_a_pool_without_weight_gets_nothing() -> None:
+    shares = (PoolShare("a", 3), PoolShare("b", 0), PoolShare("c", 1))
+    route = Route(name="r", host="h", prefix="/", pools=shares)
+    rng = random.Random(7)
+    drawn = [choose_pool(route, rng) for _ in range(400)]
+    assert drawn.count("b") == 0
+    assert 250 < drawn.count("a") < 350
