--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -35,12 +35,29 @@
         self._payload = None
         super().set_response_params(**kwargs)
 
+    def eof_received(self) -> None:
+        """Fail an unfinished body if the end hides a reset.
+
+        libuv reports the end of the stream if the last bytes and a reset are found in
+        one poll; the socket still holds the error.
+        """
+        sock = self.transport.get_extra_info("socket") if self.transport else None
+        if sock is not None:
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._fail_body(OSError(code, "connection reset"))
+        super().eof_received()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an unfinished body if the connection was reset."""
+        if exc is not None:
+            self._fail_body(exc)
+        super().connection_lost(exc)
+
+    def _fail_body(self, exc: BaseException) -> None:
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
+        if payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
-        super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Close the connection on bytes after a whole answer."""
--- /dev/null
+++ b/tests/routing/test_client.py
@@ -0,0 +1,188 @@
+"""Broken upstreams must not pass for whole ones."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import threading
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from leadseam.routing.client import UpstreamClient
+from tools.fleet import LOOPBACK
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+HEAD = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n"
+
+
+@asynccontextmanager
+async def upstream(script: Script) -> AsyncIterator[int]:
+    """Serve connections by a script; yields the port."""
+    server = await asyncio.start_server(script, LOOPBACK, 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+@asynccontextmanager
+async def client() -> AsyncIterator[UpstreamClient]:
+    """Open a client."""
+    client = UpstreamClient()
+    try:
+        yield client
+    finally:
+        await client.close()
+
+
+async def send(client: UpstreamClient, port: int) -> aiohttp.ClientResponse:
+    """Send a repeatable request."""
+    return await client.send(
+        LOOPBACK,
+        port,
+        method="GET",
+        target="/x",
+        headers=[],
+        body=b"",
+        repeatable=True,
+    )
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def test_a_reset_of_an_answer_without_length_is_no_end() -> None:
+    may_reset = asyncio.Event()
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % b"1" + b"\r\nhalf")
+        await may_reset.wait()
+        reset(writer)
+
+    async with upstream(script) as port, client() as made:
+        resp = await send(made, port)
+        assert await resp.content.readany() == b"half"
+        may_reset.set()
+        with pytest.raises(aiohttp.ClientError):
+            await resp.content.readany()
+
+
+async def test_a_reset_before_the_body_is_read_is_no_end() -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % b"1" + b"\r\nhalf")
+        await writer.drain()
+        reset(writer)
+
+    async with upstream(script) as port, client() as made:
+        with pytest.raises((aiohttp.ClientError, OSError)):
+            resp = await send(made, port)
+            await resp.read()
+
+
+async def test_last_bytes_and_a_reset_found_together_are_no_end() -> None:
+    listener = socket.create_server((LOOPBACK, 0))
+    head_read = threading.Event()
+    was_reset = threading.Event()
+
+    def serve() -> None:
+        conn, _ = listener.accept()
+        conn.recv(65_536)
+        conn.sendall(HEAD % b"1" + b"\r\nfirst")
+        head_read.wait()
+        conn.sendall(b"second")
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        conn.close()
+        was_reset.set()
+
+    thread = threading.Thread(target=serve)
+    thread.start()
+    async with client() as made:
+        resp = await send(made, listener.getsockname()[1])
+        assert await resp.content.readany() == b"first"
+        head_read.set()
+        # The loop stands still, so that its next poll finds both at once.
+        was_reset.wait()
+        with pytest.raises(aiohttp.ClientError):
+            while await resp.content.readany():
+                pass
+    thread.join()
+    listener.close()
+
+
+async def test_an_answer_without_length_ends_with_its_connection() -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % b"1" + b"\r\nwhole")
+        writer.close()
+
+    async with upstream(script) as port, client() as made:
+        resp = await send(made, port)
+        assert await resp.read() == b"whole"
+
+
+async def test_a_surplus_answer_is_not_taken_for_the_next_one() -> None:
+    answers = iter([b"1", b"2", b"3"])
+    connections: list[asyncio.StreamWriter] = []
+    surplus_sent = asyncio.Event()
+    first_closed = asyncio.Event()
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connections.append(writer)
+        while await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            whole = HEAD + b"Content-Length: 2\r\n\r\nok"
+            writer.write(whole % next(answers))
+            if len(connections) == 1:
+                await surplus_sent.wait()
+                writer.write(whole % b"surplus")
+        first_closed.set()
+
+    async with upstream(script) as port, client() as made:
+        resp = await send(made, port)
+        assert (resp.headers["X-Id"], await resp.read()) == ("1", b"ok")
+        surplus_sent.set()
+        await first_closed.wait()
+        resp = await send(made, port)
+        assert (resp.headers["X-Id"], await resp.read()) == ("2", b"ok")
+        assert len(connections) == 2
+
+
+async def test_a_kept_connection_serves_the_next_request() -> None:
+    connections = 0
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        nonlocal connections
+        connections += 1
+        while await reader.readline():
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(HEAD % b"1" + b"Content-Length: 2\r\n\r\nok")
+
+    async with upstream(script) as port, client() as made:
+        for _ in range(3):
+            resp = await send(made, port)
+            assert await resp.read() == b"ok"
+    assert connections == 1
