Admission by room, fair shares over a window, loads exchanged among entries

Ruled out: processor time (0.055 of a core an entry), choice of engine alone (busiest engine 1.13 of the mean). Now each entry reports its counts every 50 ms, one replica adds them up, and a request is sent only to an engine with a slot, memory and so little to read that the first token is in time; else it waits in order of its account's service in the last 4 s and is refused within a quarter of its objective. An account over its max-min share gets half of the time.

--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -25,6 +25,7 @@
     Expired,
     InForce,
     Left,
+    LoadTotals,
     Registered,
     Replicas,
     Snapshot,
@@ -36,7 +37,7 @@
 
     from leadseam.settings.models import Endpoint
     from leadseam.wire.link import Link
-    from leadseam.wire.messages import AnyMessage
+    from leadseam.wire.messages import AnyMessage, LoadReport
     from leadseam.wire.traffic import Traffic
 
 SILENCE_LIMIT: Millis = 2_000
@@ -62,6 +63,7 @@
         width: Replicas followed at once. Defaults to 1.
         view: Where registered upstreams are noted. Defaults to an unused one.
         address_of: Returns the inner address of a control box by its name, or None.
+        on_totals: Called with load totals of all entries.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         width: int = 1,
         view: UpstreamView | None = None,
         address_of: Callable[[str], Endpoint | None] = lambda _: None,
+        on_totals: Callable[[LoadTotals], None] = lambda _: None,
     ) -> None:
         self.configuration = Configuration()
         self.confirmed = False
@@ -89,9 +92,11 @@
         self._on_change = on_change
         self._width = width
         self._address_of = address_of
+        self._on_totals = on_totals
         self._confirmed_at: Millis = -FRESH_LIMIT
         self._followed: set[Endpoint] = set()
         self._links: list[Link] = []
+        self._names: dict[Link, str] = {}
         self._replies: dict[int, asyncio.Future[ClaimReply]] = {}
         self._next_ticket = 0
         random.shuffle(self._endpoints)
@@ -183,6 +188,11 @@
         if self._links:
             self._links[0].send(message)
 
+    def report(self, report: LoadReport) -> None:
+        """Send a load report to the replica that all entries choose alike."""
+        if self._names:
+            min(self._names, key=self._names.__getitem__).send(report)
+
     async def _ask(self, request: Claim, fut: asyncio.Future[ClaimReply]) -> ClaimReply:
         deadline = self._clock.now() + CLAIM_TIMEOUT
         while self._clock.now() < deadline:
@@ -204,6 +214,7 @@
             finally:
                 if link in self._links:
                     self._links.remove(link)
+                    del self._names[link]
                     log.info("replica lost", extra={"replica": str(endpoint)})
 
     async def _receive(
@@ -220,6 +231,7 @@
                 return
             if link not in self._links:
                 self._links.append(link)
+                self._names[link] = replica
                 log.info("replica followed", extra={"replica": replica})
             backoff.reached()
             self._handle(link, replica, message)
@@ -260,6 +272,8 @@
                 fresh = self.view.left(instances)
                 if fresh:
                     log.info("upstreams leave", extra={"instances": fresh})
+            case LoadTotals():
+                self._on_totals(message)
             case Replicas(names=names):
                 addresses = (self._address_of(name) for name in names)
                 self.add_endpoints(one for one in addresses if one is not None)
@@ -279,4 +293,10 @@
         self.confirmed = True
         self._on_change(candidate)
         link.send(InForce(candidate.version, self._clock.now()))
-        log.info("configuration in force", extra={"version": candidate.version})
+        extra = {
+            "version": candidate.version,
+            "routes": len(candidate.routes),
+            "accounts": len(candidate.accounts),
+            "tokens_per_s": candidate.limits.tokens_per_s,
+        }
+        log.info("configuration in force", extra=extra)
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -10,6 +10,7 @@
 from leadseam.clock import Clock, Millis, SystemClock, sleep
 from leadseam.control.claims import Acquire, ClaimResult, Complete, Release, Verdict
 from leadseam.control.state import ClaimResults, Claims
+from leadseam.feed.totals import LoadSums
 from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.codec import encode
@@ -24,6 +25,7 @@
     Hello,
     InForce,
     Left,
+    LoadReport,
     Registered,
     Replicas,
     Snapshot,
@@ -40,6 +42,8 @@
 HEARTBEAT_INTERVAL: Millis = 500
 DEFAULT_HEARTBEAT: Millis = 1_000
 """Heartbeat interval of upstreams where the settings give none."""
+TOTALS_INTERVAL: Millis = 50
+"""Interval of the load totals: entries' reports are 50 ms old on average besides."""
 MAX_LEFT_TOLD = 1_000
 """Left upstreams told to a new subscriber; older ones have ended long ago."""
 MAX_CLAIM_BATCH = 256
@@ -52,6 +56,7 @@
     """A node on the feed.
 
     Args:
+        number: Its number at this replica.
         node: Its name.
         link: Its link.
         sent: Highest version sent.
@@ -60,6 +65,7 @@
         replicas: Names of the control boxes that it was last told.
     """
 
+    number: int
     node: str
     link: Link
     sent: int
@@ -138,6 +144,7 @@
         self._registry = registry or Registry(DEFAULT_HEARTBEAT)
         self._clock = clock or SystemClock()
         self._told_left: set[str] = set()
+        self._sums = LoadSums()
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
         self._claims = ClaimBatcher(replica, metrics)
@@ -153,6 +160,7 @@
             group.create_task(self._claims.run())
             group.create_task(self._push_changes())
             group.create_task(self._push_heartbeats())
+            group.create_task(self._push_totals())
 
     def register(self, registration: Registration) -> None:
         """Take an upstream's heartbeat and tell subscribers what changed."""
@@ -189,15 +197,16 @@
             self._replica.receive(link, message)
 
     async def _serve_subscriber(self, link: Link, message: Subscribe) -> None:
+        self._next_id += 1
+        number = self._next_id
         subscriber = Subscriber(
+            number,
             message.node,
             link,
             message.version,
             in_force=message.version,
             clock=message.clock,
         )
-        self._next_id += 1
-        number = self._next_id
         self._subscribers[number] = subscriber
         try:
             self._greet(subscriber)
@@ -205,6 +214,7 @@
                 self._handle(subscriber, request)
         finally:
             del self._subscribers[number]
+            self._sums.forget(number)
 
     def _greet(self, subscriber: Subscriber) -> None:
         """Send a new subscriber all that it may lack."""
@@ -221,6 +231,8 @@
 
     def _handle(self, subscriber: Subscriber, message: AnyMessage) -> None:
         match message:
+            case LoadReport():
+                self._sums.take(subscriber.number, message, self._clock.now())
             case InForce(version=version, clock=clock):
                 subscriber.in_force = max(subscriber.in_force, version)
                 subscriber.clock = max(subscriber.clock, clock)
@@ -272,6 +284,12 @@
                 self._push(subscriber)
                 self._send_heartbeat(subscriber)
 
+    async def _push_totals(self) -> None:
+        while True:
+            await sleep(TOTALS_INTERVAL)
+            for number, totals in self._sums.totals(self._clock.now()).items():
+                self._subscribers[number].link.send(totals)
+
     def _expire(self) -> None:
         lost = self._registry.expire(self._clock.now())
         if lost:
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -26,11 +26,14 @@
 
     from leadseam.control.configuration import Configuration
     from leadseam.platform.settings import NodeSettings
+    from leadseam.wire.messages import LoadTotals
 
 INCARNATION_BITS = 53
 REPLICAS_FOLLOWED = 9
 """Control replicas followed at once: all of them, as upstreams register at any."""
 SWEEP_INTERVAL: Millis = 500
+LOAD_INTERVAL: Millis = 50
+"""Interval of the load reports: short against latency objectives of 250 ms and more."""
 STOP_NOTICE: Millis = 2_600
 """Time from the request to stop until connections are closed: the platform asks once a
 second, takes a box out after two misses, and connections are under way meanwhile."""
@@ -67,6 +70,7 @@
             width=REPLICAS_FOLLOWED,
             view=self._view,
             address_of=settings.inner,
+            on_totals=self._take_totals,
         )
         self._watch = SettingsWatch(path, settings, self._on_settings)
         self._client: UpstreamClient | None = None
@@ -104,6 +108,7 @@
             group.create_task(self._feed.run())
             group.create_task(self._watch.run())
             group.create_task(self._sweep())
+            group.create_task(self._report_load())
 
     async def drain(self) -> None:
         """Fail the readiness question, go on serving, end after the last answer."""
@@ -138,6 +143,16 @@
             await sleep(SWEEP_INTERVAL)
             self._view.sweep(self._clock.now())
 
+    async def _report_load(self) -> None:
+        assert self._gateway is not None
+        while True:
+            await sleep(LOAD_INTERVAL)
+            self._feed.report(self._gateway.load_report())
+
+    def _take_totals(self, totals: LoadTotals) -> None:
+        assert self._gateway is not None
+        self._gateway.take_totals(totals)
+
     def _configure(self, configuration: Configuration) -> None:
         assert self._gateway is not None
         self._gateway.configure(configuration)
--- /dev/null
+++ b/src/leadseam/routing/admission.py
@@ -0,0 +1,134 @@
+"""Requests that wait for an engine, and which of them goes next. No I/O.
+
+A request goes to an engine only while that engine has room: a slot, memory, and so
+little to read that the first token is in time. Else it waits here, where accounts can
+still be told apart, and is refused early if no room is found. Of those that wait, the
+account with the least service of late goes first.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    from leadseam.clock import Millis
+    from leadseam.control.routes import EngineProfile
+    from leadseam.routing.balance import Balancer
+    from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.placement import Placement
+    from leadseam.wire.messages import Registration
+
+WAIT_PART = 0.22
+"""Part of the latency objective after which a waiting request is refused: a refusal is
+early within a quarter of it, and its answer takes time on the way."""
+ENTITLED_PART = 0.85
+"""Part of the objective that the expected first token may take."""
+EXCESS_PART = 0.45
+"""The same for an account that has had its share, which leaves room for the others."""
+
+
+@dataclass(slots=True)
+class Waiter:
+    """A request that waits for an engine.
+
+    Args:
+        req: The request.
+        account: Client account that pays, or an empty text.
+        pool: Its pool.
+        profile: What is stated about the pool's engines.
+        objective: Milliseconds from `arrived` in which the first token is in time.
+        arrived: When it was read.
+        tried: Incarnations not to be used.
+        wake: Called once it is placed or refused.
+        done: Whether it no longer waits.
+        placement: Where it was placed, counted there already; None if refused.
+    """
+
+    req: RoutedRequest
+    account: str
+    pool: str
+    profile: EngineProfile
+    objective: Millis
+    arrived: Millis
+    tried: set[str]
+    wake: Callable[[], None]
+    done: bool = False
+    placement: Placement | None = None
+
+    @property
+    def refuse_at(self) -> Millis:
+        """When it is refused if it still waits."""
+        return self.arrived + round(self.objective * WAIT_PART)
+
+
+@dataclass(slots=True)
+class Admission:
+    """The waiting requests of one entry.
+
+    Args:
+        balancer: Loads and estimates.
+        candidates: Returns the upstreams of a pool that may be used.
+        over_share: Tells whether an account has had its fair share.
+        level: Returns the service that an account got of late.
+    """
+
+    balancer: Balancer
+    candidates: Callable[[str], Sequence[Registration]]
+    over_share: Callable[[str, Millis], bool]
+    level: Callable[[str, Millis], int]
+    _waiting: list[Waiter] = field(default_factory=list)
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def enter(self, waiter: Waiter, now: Millis) -> None:
+        """Take a request; it is woken at once if there is room."""
+        self._waiting.append(waiter)
+        self.pump(now)
+
+    def withdraw(self, waiter: Waiter) -> None:
+        """Forget a request whose caller is gone."""
+        if not waiter.done:
+            waiter.done = True
+            self._waiting.remove(waiter)
+
+    def pump(self, now: Millis) -> None:
+        """Send what has room, in order of service, and refuse what waited too long."""
+        if not self._waiting:
+            return
+        self._waiting.sort(key=lambda one: (self.level(one.account, now), one.arrived))
+        for waiter in list(self._waiting):
+            placement = self._place(waiter, now)
+            if placement is not None:
+                self._finish(waiter, placement)
+            elif now >= waiter.refuse_at:
+                self._finish(waiter, None)
+
+    def next_refusal(self) -> Millis | None:
+        """Return when the next waiting request would be refused, or None."""
+        return min((one.refuse_at for one in self._waiting), default=None)
+
+    def _finish(self, waiter: Waiter, placement: Placement | None) -> None:
+        waiter.done = True
+        self._waiting.remove(waiter)
+        if placement is not None:
+            # Counted here, so that the next request in line sees it.
+            self.balancer.begin(placement)
+        waiter.placement = placement
+        waiter.wake()
+
+    def _place(self, waiter: Waiter, now: Millis) -> Placement | None:
+        rows = [
+            row
+            for row in self.candidates(waiter.pool)
+            if row.instance not in waiter.tried
+        ]
+        if not rows:
+            return None
+        over = bool(waiter.account) and self.over_share(waiter.account, now)
+        part = EXCESS_PART if over else ENTITLED_PART
+        left = waiter.arrived + waiter.objective * part - now
+        return self.balancer.place(rows, waiter.req, waiter.profile, left, now)
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -1,8 +1,9 @@
-"""The choice of an upstream from what this entry knows by itself. No I/O.
+"""The choice of an upstream. No I/O.
 
-Engines: rendezvous hashing on the shared part of the prompt, so that all entries send
-the same prompts to the same engine, unless that engine has clearly more in flight than
-the others; then the next one in that order. Other pools: the least in flight.
+Engines: the one with the earliest expected first token among those with room, where
+shared prompt parts that would have to be read once more count several times. All
+entries take the engine that rendezvous hashing ranks first for the shared parts to hold
+them. Other pools: the least in flight.
 """
 
 from __future__ import annotations
@@ -12,79 +13,154 @@
 
 import xxhash
 
+from leadseam.routing.estimate import FirstTokenEstimate
+from leadseam.routing.load import Load, LoadBook
+from leadseam.routing.placement import Placement
+from leadseam.routing.prompts import PromptBook
+from leadseam.routing.usage import MADE_TOKEN
+
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
 
+    from leadseam.clock import Millis
+    from leadseam.control.routes import EngineProfile
     from leadseam.routing.dialect import RoutedRequest
     from leadseam.wire.messages import Registration
 
-LOAD_FACTOR = 1.5
-"""An engine takes a prompt of its own up to this multiple of the mean in flight."""
-LOAD_SLACK = 3
-"""Requests that an engine may have above that multiple, so that an idle pool keeps its
-order. Both figures: trials on two deployments, see docs/design/platform.md."""
+MEMORY_PART = 0.92
+"""Part of an engine's memory that is filled on purpose; lengths are guesses."""
+EXPECTED_MADE = 250
+"""Tokens that an answer is expected to have, where only the bound is known."""
+REREAD_WEIGHT = 5.0
+"""Weight of shared prompt tokens that are read once more, against others: reading them
+takes room of all and drives other parts out of memory."""
 
 
-@dataclass(slots=True)
-class _Load:
-    in_flight: int = 0
+@dataclass(frozen=True, slots=True)
+class _Scored:
+    placement: Placement
+    wait: float
+    cost: float
 
 
 class Balancer:
-    """Counts this entry's requests in flight and picks upstreams.
+    """Knows loads and picks upstreams.
 
     Args:
         rng: Source of random numbers, for ties.
     """
 
     def __init__(self, rng: random.Random) -> None:
+        self.loads = LoadBook()
+        self.prompts = PromptBook()
         self._rng = rng
-        self._loads: dict[str, _Load] = {}
+        self._estimates: dict[str, FirstTokenEstimate] = {}
 
     def __repr__(self) -> str:
-        return f"Balancer(upstreams={len(self._loads)})"
-
-    def in_flight(self, instance: str) -> int:
-        """Return this entry's requests in flight at an upstream."""
-        load = self._loads.get(instance)
-        return load.in_flight if load is not None else 0
+        return f"Balancer({self.loads!r})"
 
-    def begin(self, instance: str, req: RoutedRequest) -> None:
+    def begin(self, placement: Placement) -> None:
         """Count a request that is sent."""
-        self._loads.setdefault(instance, _Load()).in_flight += 1
+        self.loads.begin(placement.upstream.instance, placement.load)
 
-    def end(self, instance: str, req: RoutedRequest) -> None:
-        """Count a request that has ended."""
-        load = self._loads[instance]
-        load.in_flight -= 1
-        if load.in_flight <= 0:
-            del self._loads[instance]
+    def estimate(self, pool: str) -> FirstTokenEstimate:
+        """Return what is known about the engines of a pool."""
+        return self._estimates.setdefault(pool, FirstTokenEstimate())
 
-    def pick(
-        self, candidates: Sequence[Registration], req: RoutedRequest
-    ) -> Registration | None:
-        """Return the upstream for a request, or None if there is no candidate."""
-        if not candidates:
+    def least_loaded(
+        self, rows: Sequence[Registration], now: Millis
+    ) -> Placement | None:
+        """Return the upstream with the least in flight for its slots, or None."""
+        if not rows:
             return None
+
+        def key(row: Registration) -> tuple[float, float]:
+            total = self.loads.total(row.instance, now)
+            return total.requests / max(row.slots, 1), self._rng.random()
+
+        return Placement(min(rows, key=key), Load(requests=1), 0)
+
+    def place(
+        self,
+        rows: Sequence[Registration],
+        req: RoutedRequest,
+        profile: EngineProfile,
+        limit: float,
+        now: Millis,
+    ) -> Placement | None:
+        """Return the best engine with room, or None.
+
+        Args:
+            rows: Engines that may be used; not empty.
+            req: The request.
+            profile: What is stated about the engines.
+            limit: Milliseconds that the first token may take.
+            now: Current time.
+        """
+        home = self.home(rows, req)
+        scored = [self._score(row, req, now, home=row is home) for row in rows]
+        fitting = [one for one in scored if self._has_room(one, profile, limit, now)]
+        best = min(fitting, key=lambda one: one.cost, default=None)
+        return best.placement if best is not None else None
+
+    def place_anyway(
+        self, rows: Sequence[Registration], req: RoutedRequest, now: Millis
+    ) -> Placement | None:
+        """Return the best engine for a request that goes on, room or not."""
+        home = self.home(rows, req) if rows else None
+        scored = [self._score(row, req, now, home=row is home) for row in rows]
+        best = min(scored, key=lambda one: one.cost, default=None)
+        return best.placement if best is not None else None
+
+    def home(
+        self, rows: Sequence[Registration], req: RoutedRequest
+    ) -> Registration | None:
+        """Return the engine that all entries take to hold a prompt's shared parts."""
         affinity = affinity_key(req)
         if affinity is None:
-            return min(candidates, key=self._least_loaded)
-        return self._by_affinity(candidates, affinity)
-
-    def _least_loaded(self, row: Registration) -> tuple[float, float]:
-        return self.in_flight(row.instance) / max(row.slots, 1), self._rng.random()
-
-    def _by_affinity(
-        self, candidates: Sequence[Registration], affinity: str
-    ) -> Registration:
-        loads = [self.in_flight(row.instance) for row in candidates]
-        limit = LOAD_FACTOR * sum(loads) / len(loads) + LOAD_SLACK
-        ranked = sorted(candidates, key=lambda row: rank(affinity, row), reverse=True)
-        for row in ranked:
-            if self.in_flight(row.instance) < limit:
-                return row
-        return min(candidates, key=self._least_loaded)
+            return None
+        return max(rows, key=lambda row: rank(affinity, row))
+
+    def _score(
+        self, row: Registration, req: RoutedRequest, now: Millis, *, home: bool
+    ) -> _Scored:
+        own, shared = self.prompts.unread(row.instance, req.parts, now, home=home)
+        unread = self.loads.total(row.instance, now).unread + own
+        estimate = self.estimate(row.pool)
+        wait = estimate.millis(unread)
+        penalty = (REREAD_WEIGHT - 1) * shared / estimate.rate
+        load = Load(requests=1, unread=own, memory=memory_need(req))
+        return _Scored(Placement(row, load, unread), wait, wait + penalty)
+
+    def _has_room(
+        self, scored: _Scored, profile: EngineProfile, limit: float, now: Millis
+    ) -> bool:
+        row = scored.placement.upstream
+        total = self.loads.total(row.instance, now)
+        if total.requests >= row.slots:
+            return False
+        memory = total.memory + scored.placement.load.memory
+        if memory > profile.memory_tokens * MEMORY_PART:
+            return False
+        # A prompt that takes too long even alone is sent where nothing waits.
+        return scored.wait <= limit or not total.unread
+
+
+def memory_need(req: RoutedRequest) -> int:
+    """Return the tokens of memory that a request is expected to hold for itself."""
+    made = min(req.tokens_out, EXPECTED_MADE)
+    if not req.parts:
+        return req.tokens_in + made
+    shared = sum(part.tokens for part in req.parts[:-1])
+    # Several running requests share these; half is what each brings on average.
+    return req.tokens_in - shared // 2 + made
+
+
+def service_of(req: RoutedRequest) -> int:
+    """Return the service that a request is expected to take, for its account."""
+    own = req.parts[-1].tokens if req.parts else req.tokens_in
+    return own + MADE_TOKEN * min(req.tokens_out, EXPECTED_MADE)
 
 
 def affinity_key(req: RoutedRequest) -> str | None:
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -28,6 +28,7 @@
     from leadseam.clock import Millis
     from leadseam.control.routes import Route
     from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.flight import Flight
     from leadseam.routing.gateway import Gateway
     from leadseam.wire.messages import Registration
 
@@ -35,8 +36,10 @@
 """Upstreams tried for one request, those that did not run it included."""
 MIN_TIME_LEFT: Millis = 20
 """Time left below which nothing more is sent: a few round trips between boxes."""
-COME_BACK: Millis = 300
-"""Pause told to a caller after a refusal; upstreams' queues move within it."""
+COME_BACK_PART = 1 / 3
+"""Part of the time left that a caller may be told to wait; more is not heeded."""
+MAX_COME_BACK: Millis = 4_000
+"""Longest pause told: bursts last a few seconds."""
 
 
 class CallerGoneError(Exception):
@@ -125,30 +128,28 @@
     async def _forward(self) -> web.StreamResponse:
         self._gateway.budget.note_request(self._request.pool, self._gateway.now())
         while True:
-            upstream = self._choose()
-            if upstream is None:
-                return self._refuse(Reason.NO_UPSTREAM)
-            ending = await self._send(upstream)
-            done = await self._finish(upstream, ending)
+            progress = self._progress
+            flight = await self._gateway.place(
+                self._request, progress.tried, again=progress.sends > 0
+            )
+            if isinstance(flight, Reason):
+                return self._refuse(flight)
+            ending = await self._send(flight)
+            done = await self._finish(flight.upstream, ending)
             if done is not None:
                 return done
 
-    def _choose(self) -> Registration | None:
-        request = self._request
-        return self._gateway.choose(request.pool, request.req, self._progress.tried)
-
-    async def _send(self, upstream: Registration) -> Ending:
+    async def _send(self, flight: Flight) -> Ending:
         progress = self._progress
         progress.sends += 1
-        progress.tried.add(upstream.instance)
-        progress.instance = upstream.instance
-        self._gateway.balancer.begin(upstream.instance, self._request.req)
+        progress.tried.add(flight.upstream.instance)
+        progress.instance = flight.upstream.instance
         try:
-            ending = await self._attempt(upstream)
+            ending = await self._attempt(flight.upstream)
             if isinstance(ending, Streaming):
-                ending = await self._stream(ending)
+                ending = await self._stream(ending, flight)
         finally:
-            self._gateway.balancer.end(upstream.instance, self._request.req)
+            flight.end()
         if not isinstance(ending, Unreachable | Declined):
             progress.runs += 1
         return ending
@@ -249,8 +250,12 @@
             self._cut(reason)
         if self._progress.runs:
             return self._give_up(Reason.UPSTREAM_BROKEN)
-        self.outcome = NotRun(reason, COME_BACK)
-        return self._gateway.refusal(reason, COME_BACK)
+        self.outcome = NotRun(reason, self._come_back())
+        return self._gateway.error(self.outcome)
+
+    def _come_back(self) -> Millis:
+        left = max(self._request.deadline - self._gateway.now(), 0)
+        return self._gateway.spread(min(round(left * COME_BACK_PART), MAX_COME_BACK))
 
     def _out_of_time(self) -> web.StreamResponse:
         if self._reply is not None:
@@ -269,12 +274,13 @@
 
     # Streams
 
-    async def _stream(self, streaming: Streaming) -> Ending:
+    async def _stream(self, streaming: Streaming, flight: Flight) -> Ending:
         """Relay an answer; `Broken` if it ends before its end."""
         try:
             splitter = EventSplitter()
             await self._relay(streaming, splitter.feed(streaming.held))
             while data := await streaming.resp.content.readany():
+                flight.first_byte()
                 await self._relay(streaming, splitter.feed(data))
             if splitter.pending:
                 await self._relay(streaming, [Event(splitter.pending, None)])
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from leadseam.clock import seconds
+from leadseam.control.routes import EngineProfile
 from leadseam.entry.answers import error_response, outcome_name
 from leadseam.outcome import Answered, NotRun, Outcome, Reason
+from leadseam.routing.admission import Admission, Waiter
 from leadseam.routing.attempt import (
     FIRST_SERVER_ERROR,
     Broken,
@@ -17,15 +21,18 @@
     Unreachable,
     Whole,
 )
-from leadseam.routing.balance import Balancer
+from leadseam.routing.balance import Balancer, service_of
 from leadseam.routing.budget import PoolRetryBudget
 from leadseam.routing.exchange import Admitted, CallerGoneError, Exchange
+from leadseam.routing.flight import Flight
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.router import Router, choose_pool
+from leadseam.routing.usage import WINDOW, UsageBook
 from leadseam.runtime.logs import LineBudget
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Sequence
 
     from leadseam.clock import Clock, Millis
     from leadseam.control.configuration import Account, Configuration
@@ -36,8 +43,9 @@
     from leadseam.routing.budget import RetryLimits
     from leadseam.routing.client import UpstreamClient
     from leadseam.routing.dialect import Dialect, RoutedRequest
+    from leadseam.routing.placement import Placement
     from leadseam.runtime.metrics import RoutingMetrics
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.messages import LoadReport, LoadTotals, Registration
 
 NOT_CONFIRMED_PAUSE: Millis = 500
 """Pause told to a caller while the configuration is not confirmed: a feed heartbeat."""
@@ -82,6 +90,14 @@
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self._lines = LineBudget(clock)
+        self._usage = UsageBook()
+        self._admission = Admission(
+            balancer=self.balancer,
+            candidates=self._candidates,
+            over_share=self._usage.over_share,
+            level=self._usage.level,
+        )
+        self._pumping = False
 
     def __repr__(self) -> str:
         return f"Gateway(in_flight={self.in_flight}, {self._router!r})"
@@ -154,6 +170,8 @@
         limit = route.time_limit
         if req.patience is not None:
             limit = min(limit, req.patience)
+        if account is not None:
+            self._usage.asked(account.name, service_of(req), arrived)
         return Admitted(
             req=req,
             body=body,
@@ -179,14 +197,116 @@
 
     # Shared by exchanges
 
-    def choose(
-        self, pool: str, req: RoutedRequest, tried: set[str]
-    ) -> Registration | None:
-        """Return the upstream for the next attempt, or None if there is none left."""
+    async def place(
+        self, admitted: Admitted, tried: set[str], *, again: bool
+    ) -> Flight | Reason:
+        """Find the upstream for an attempt; it may wait for room the first time.
+
+        Args:
+            admitted: The request.
+            tried: Incarnations not to be used.
+            again: Whether the request was sent somewhere before.
+
+        Returns:
+            The request in flight, or why it is refused.
+        """
+        placement = self._place_at_once(admitted, tried, again=again)
+        if isinstance(placement, EngineProfile):
+            placement = await self._wait_for_room(admitted, placement, tried)
+            reason = Reason.UPSTREAM_FULL
+        else:
+            reason = Reason.NO_UPSTREAM
+            if placement is not None:
+                self.balancer.begin(placement)
+        if placement is None:
+            return reason
+        if admitted.account is not None:
+            service = service_of(admitted.req)
+            self._usage.served(admitted.account, service, self.now())
+        return Flight(
+            placement, admitted.req, self.balancer, self._clock, self._pump_soon
+        )
+
+    def _place_at_once(
+        self, admitted: Admitted, tried: set[str], *, again: bool
+    ) -> Placement | EngineProfile | None:
+        """Place a request that need not wait; else return its pool's profile."""
+        rows = [
+            row for row in self._candidates(admitted.pool) if row.instance not in tried
+        ]
+        pool = self._feed.configuration.pools.get(admitted.pool)
+        profile = pool.engine if pool is not None else None
+        if not rows:
+            return None
+        if profile is None:
+            return self.balancer.least_loaded(rows, self.now())
+        if again:
+            return self.balancer.place_anyway(rows, admitted.req, self.now())
+        return profile
+
+    async def _wait_for_room(
+        self, admitted: Admitted, profile: EngineProfile, tried: set[str]
+    ) -> Placement | None:
+        woken = asyncio.Event()
+        waiter = Waiter(
+            req=admitted.req,
+            account=admitted.account or "",
+            pool=admitted.pool,
+            profile=profile,
+            objective=admitted.route.latency_objective,
+            arrived=admitted.arrived,
+            tried=tried,
+            wake=woken.set,
+        )
+        self._admission.enter(waiter, self.now())
+        if not waiter.done:
+            delay = seconds(max(waiter.refuse_at - self.now(), 0))
+            asyncio.get_running_loop().call_later(delay, self._pump)
+        try:
+            await woken.wait()
+        except asyncio.CancelledError:
+            self._withdraw(waiter)
+            raise
+        return waiter.placement
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        """Take back a request whose caller is gone, placed or not."""
+        self._admission.withdraw(waiter)
+        placement = waiter.placement
+        if placement is not None:
+            self.balancer.loads.end(placement.upstream.instance, placement.load)
+
+    def _candidates(self, pool: str) -> Sequence[Registration]:
+        """Return the upstreams of a pool, without those that fail, if any is left."""
         now = self.now()
-        rows = [row for row in self._feed.view.pool(pool) if row.instance not in tried]
+        rows = self._feed.view.pool(pool)
         sound = [row for row in rows if self._health.usable(row.instance, now)]
-        return self.balancer.pick(sound or rows, req)
+        return sound or rows
+
+    def _pump_soon(self) -> None:
+        if len(self._admission) and not self._pumping:
+            self._pumping = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self._pumping = False
+        self._admission.pump(self.now())
+
+    def load_report(self) -> LoadReport:
+        """Return this entry's counts for the other entries."""
+        return self.balancer.loads.report(self._usage.rows(self.now()))
+
+    def take_totals(self, totals: LoadTotals) -> None:
+        """Take the counts of all entries."""
+        own = self.balancer.loads.totals(totals, self.now())
+        limits = self._feed.configuration.limits
+        capacity = limits.tokens_per_s * WINDOW // 1_000
+        self._usage.totals(totals, own, capacity=capacity)
+        self._pump_soon()
+
+    def spread(self, pause: Millis) -> Millis:
+        """Return a pause between half of the given one and all of it."""
+        return self._rng.randint(pause // 2, pause)
 
     def take_retry(self, pool: str) -> bool:
         """Use one retry of the shared budget, if one is left."""
@@ -223,10 +343,6 @@
             response.headers.update(self.dialect.retry_after(outcome.retry_after))
         return response
 
-    def refusal(self, reason: Reason, pause: Millis) -> web.Response:
-        """Return the response for a request that did not run."""
-        return self.error(NotRun(reason, pause))
-
     # Log lines
 
     def log_attempt(
--- /dev/null
+++ b/src/leadseam/routing/load.py
@@ -0,0 +1,139 @@
+"""What is in flight at each upstream: own counts, and those of the other entries.
+
+Each entry reports its own counts several times a second; a control replica adds them up
+and sends the totals back. An entry takes its own last report off the totals and adds
+what it has in flight now, so only the others' part is old. No I/O.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from leadseam.wire.messages import LoadReport, LoadRow, UsageRow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from leadseam.clock import Millis
+    from leadseam.wire.messages import LoadTotals
+
+TOTALS_LIMIT: Millis = 1_000
+"""Age beyond which totals are ignored: ten reports."""
+KEPT_REPORTS = 64
+"""Own reports kept to be taken off the totals that contain them."""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Work in flight at one upstream.
+
+    Args:
+        requests: Requests sent and not ended.
+        unread: Prompt tokens of those without a first byte of an answer.
+        memory: Tokens that the requests are expected to hold.
+    """
+
+    requests: int = 0
+    unread: int = 0
+    memory: int = 0
+
+    def plus(self, other: Load) -> Load:
+        """Return the sum."""
+        return Load(
+            self.requests + other.requests,
+            self.unread + other.unread,
+            self.memory + other.memory,
+        )
+
+    def minus(self, other: Load) -> Load:
+        """Return the difference, not below zero."""
+        return Load(
+            max(self.requests - other.requests, 0),
+            max(self.unread - other.unread, 0),
+            max(self.memory - other.memory, 0),
+        )
+
+
+NOTHING = Load()
+
+
+class LoadBook:
+    """Loads by upstream, as this entry knows them."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, Load] = {}
+        self._others: dict[str, Load] = {}
+        self._others_at: Millis = -TOTALS_LIMIT
+        self._reports: deque[LoadReport] = deque(maxlen=KEPT_REPORTS)
+        self._sequence = 0
+
+    def __repr__(self) -> str:
+        return f"LoadBook(own={len(self._own)}, others={len(self._others)})"
+
+    def begin(self, instance: str, load: Load) -> None:
+        """Count a request that is sent."""
+        self._own[instance] = self._own.get(instance, NOTHING).plus(load)
+
+    def read(self, instance: str, unread: int) -> None:
+        """Note that an upstream has read a prompt."""
+        self._end(instance, Load(unread=unread))
+
+    def end(self, instance: str, load: Load) -> None:
+        """Take off a request that has ended."""
+        self._end(instance, load)
+
+    def own(self, instance: str) -> Load:
+        """Return what this entry has in flight at an upstream."""
+        return self._own.get(instance, NOTHING)
+
+    def total(self, instance: str, now: Millis) -> Load:
+        """Return what all entries have in flight there, as far as is known."""
+        own = self.own(instance)
+        if now - self._others_at > TOTALS_LIMIT:
+            return own
+        return own.plus(self._others.get(instance, NOTHING))
+
+    def report(self, usage: Iterable[UsageRow]) -> LoadReport:
+        """Return a report of the own counts."""
+        self._sequence += 1
+        rows = tuple(
+            LoadRow(instance, load.requests, load.unread, load.memory)
+            for instance, load in self._own.items()
+        )
+        report = LoadReport(self._sequence, rows, tuple(usage))
+        self._reports.append(report)
+        return report
+
+    def totals(self, message: LoadTotals, now: Millis) -> LoadReport | None:
+        """Take totals of all entries.
+
+        Returns:
+            The own report that they contain, or None if it is not kept any more.
+        """
+        own = self._report_at(message.included)
+        mine = {row.instance: _load(row) for row in own.rows} if own else {}
+        self._others = {
+            row.instance: _load(row).minus(mine.get(row.instance, NOTHING))
+            for row in message.rows
+        }
+        self._others_at = now
+        return own
+
+    def _report_at(self, sequence: int) -> LoadReport | None:
+        for report in self._reports:
+            if report.sequence == sequence:
+                return report
+        return None
+
+    def _end(self, instance: str, load: Load) -> None:
+        left = self._own.get(instance, NOTHING).minus(load)
+        if left == NOTHING:
+            self._own.pop(instance, None)
+        else:
+            self._own[instance] = left
+
+
+def _load(row: LoadRow) -> Load:
+    return Load(row.requests, row.unread, row.memory)
--- /dev/null
+++ b/src/leadseam/routing/placement.py
@@ -0,0 +1,25 @@
+"""Where a request was placed, and what it adds there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from leadseam.routing.load import Load
+    from leadseam.wire.messages import Registration
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """The upstream chosen for a request.
+
+    Args:
+        upstream: The upstream.
+        load: What the request adds there.
+        unread: Prompt tokens to be read there before its first token, all included.
+    """
+
+    upstream: Registration
+    load: Load
+    unread: int
--- /dev/null
+++ b/src/leadseam/routing/usage.py
@@ -0,0 +1,138 @@
+"""Service that client accounts got and asked for of late, fleet-wide. No I/O.
+
+Service is counted in tokens: one for a prompt token that has to be read, two for one
+that is made. An account's fair share of a window is max-min: accounts that ask for less
+than an even part get all of it, and what they leave is divided among the others.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from leadseam.wire.messages import UsageRow
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from leadseam.clock import Millis
+    from leadseam.wire.messages import LoadReport, LoadTotals
+
+WINDOW: Millis = 4_000
+"""Span over which shares are kept: the platform's figure for it."""
+MADE_TOKEN = 2
+"""Service of a generated token against one that is read: the platform's measure."""
+
+
+@dataclass(slots=True)
+class _Events:
+    times: deque[tuple[Millis, int]] = field(default_factory=deque)
+    total: int = 0
+
+    def add(self, now: Millis, amount: int) -> None:
+        self.times.append((now, amount))
+        self.total += amount
+
+    def drop_before(self, start: Millis) -> None:
+        while self.times and self.times[0][0] < start:
+            self.total -= self.times.popleft()[1]
+
+
+@dataclass(slots=True)
+class _Account:
+    served: _Events = field(default_factory=_Events)
+    asked: _Events = field(default_factory=_Events)
+
+
+class UsageBook:
+    """Service by account in the last `WINDOW`."""
+
+    def __init__(self) -> None:
+        self._own: dict[str, _Account] = {}
+        self._others: dict[str, UsageRow] = {}
+        self._level = float("inf")
+
+    def __repr__(self) -> str:
+        return f"UsageBook(accounts={len(self._own)}, level={self._level:.0f})"
+
+    def asked(self, account: str, service: int, now: Millis) -> None:
+        """Count a request that arrived."""
+        self._account(account, now).asked.add(now, service)
+
+    def served(self, account: str, service: int, now: Millis) -> None:
+        """Count a request that was sent to an upstream."""
+        self._account(account, now).served.add(now, service)
+
+    def level(self, account: str, now: Millis) -> int:
+        """Return the service that an account got everywhere in the window."""
+        others = self._others.get(account)
+        own = self._account(account, now).served.total
+        return own + (others.served if others is not None else 0)
+
+    def over_share(self, account: str, now: Millis) -> bool:
+        """Tell whether an account has had its fair share of the window."""
+        return self.level(account, now) > self._level
+
+    def rows(self, now: Millis) -> tuple[UsageRow, ...]:
+        """Return the own rows for a report."""
+        rows = []
+        for name in list(self._own):
+            account = self._account(name, now)
+            if not account.asked.total and not account.served.total:
+                del self._own[name]
+                continue
+            rows.append(UsageRow(name, account.served.total, account.asked.total))
+        return tuple(rows)
+
+    def totals(
+        self, message: LoadTotals, own: LoadReport | None, *, capacity: int
+    ) -> None:
+        """Take totals of all entries and work out the fair share.
+
+        Args:
+            message: The totals.
+            own: The own report that they contain, or None.
+            capacity: Service that all upstreams give in a window; 0 if unknown.
+        """
+        mine = {row.account: row for row in own.usage} if own is not None else {}
+        self._others = {
+            row.account: _minus(row, mine.get(row.account)) for row in message.usage
+        }
+        served = sum(row.served for row in message.usage)
+        demands = [max(row.asked, row.served) for row in message.usage]
+        self._level = fair_level(demands, max(capacity, served))
+
+    def _account(self, name: str, now: Millis) -> _Account:
+        account = self._own.setdefault(name, _Account())
+        account.served.drop_before(now - WINDOW)
+        account.asked.drop_before(now - WINDOW)
+        return account
+
+
+def fair_level(demands: Iterable[int], capacity: int) -> float:
+    """Return the max-min level: no demand gets more, and together they fit.
+
+    Args:
+        demands: What each account asks for.
+        capacity: What there is.
+
+    Returns:
+        The level; infinite if everything fits.
+    """
+    ordered = sorted(demands)
+    left = float(capacity)
+    for position, demand in enumerate(ordered):
+        even = left / (len(ordered) - position)
+        if demand > even:
+            return even
+        left -= demand
+    return float("inf")
+
+
+def _minus(row: UsageRow, own: UsageRow | None) -> UsageRow:
+    if own is None:
+        return row
+    return UsageRow(
+        row.account, max(row.served - own.served, 0), max(row.asked - own.asked, 0)
+    )
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -339,6 +339,64 @@
     names: tuple[str, ...]
 
 
+class LoadRow(Record, frozen=True, array_like=True):
+    """Work in flight at one upstream, of one entry or of all.
+
+    Args:
+        instance: Incarnation of the upstream.
+        requests: Requests sent and not ended.
+        unread: Prompt tokens of those without a first byte of an answer.
+        memory: Tokens that the requests are expected to hold.
+    """
+
+    instance: str
+    requests: int
+    unread: int
+    memory: int
+
+
+class UsageRow(Record, frozen=True, array_like=True):
+    """Service of one client account in the window, at one entry or at all.
+
+    Args:
+        account: The client account.
+        served: Service of requests that were sent to upstreams.
+        asked: Service of requests that arrived.
+    """
+
+    account: str
+    served: int
+    asked: int
+
+
+class LoadReport(Message, frozen=True, array_like=True, tag=39):
+    """An entry's own counts; replaces its last report.
+
+    Args:
+        sequence: Number of the report.
+        rows: Upstreams with work in flight.
+        usage: Client accounts with requests in the window.
+    """
+
+    sequence: int
+    rows: tuple[LoadRow, ...]
+    usage: tuple[UsageRow, ...]
+
+
+class LoadTotals(Message, frozen=True, array_like=True, tag=44):
+    """Counts of all entries, added up by a replica.
+
+    Args:
+        included: Number of the receiver's own report in them.
+        rows: Upstreams with work in flight.
+        usage: Client accounts with requests in the window.
+    """
+
+    included: int
+    rows: tuple[LoadRow, ...]
+    usage: tuple[UsageRow, ...]
+
+
 class Claim(Message, frozen=True, array_like=True, tag=40):
     """Ask for the sole right to run a request with a caller's key.
 
@@ -549,6 +607,8 @@
     | Expired
     | Left
     | Replicas
+    | LoadReport
+    | LoadTotals
     | Claim
     | ClaimDone
     | ClaimRelease
--- /dev/null
+++ b/tests/routing/test_usage.py
@@ -0,0 +1,44 @@
+"""Service of late, and fair shares."""
+
+from __future__ import annotations
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadseam.routing.usage import WINDOW, UsageBook, fair_level
+from leadseam.wire.messages import LoadReport, LoadTotals, UsageRow
+
+
+def test_small_demands_are_met_and_the_rest_is_divided() -> None:
+    assert fair_level([10, 50, 100], 100) == 45
+    assert fair_level([10, 20], 100) == float("inf")
+    assert fair_level([], 0) == float("inf")
+    assert fair_level([5, 5], 0) == 0
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.lists(st.integers(0, 1_000), max_size=30), st.integers(0, 10_000))
+def test_shares_fit_and_nothing_is_left_over(demands: list[int], capacity: int) -> None:
+    level = fair_level(demands, capacity)
+    given_out = sum(min(demand, level) for demand in demands)
+    assert given_out <= capacity + 1e-6 or level == float("inf")
+    if sum(demands) > capacity:
+        assert abs(given_out - capacity) < 1e-6
+    else:
+        assert given_out == sum(demands)
+
+
+def test_an_account_is_over_its_share_only_in_the_window() -> None:
+    book = UsageBook()
+    book.served("menus", 900, 0)
+    book.asked("menus", 2_000, 0)
+    book.served("pay", 50, 0)
+    own = LoadReport(1, (), book.rows(0))
+    assert own.usage == (UsageRow("menus", 900, 2_000), UsageRow("pay", 50, 0))
+    totals = LoadTotals(1, (), (*own.usage, UsageRow("pay", 250, 300)))
+    book.totals(totals, own, capacity=1_000)
+    assert book.level("menus", 0) == 900
+    assert book.over_share("menus", 0)
+    assert not book.over_share("pay", 0)
+    assert not book.over_share("menus", WINDOW + 1)
+    assert book.rows(WINDOW + 1) == ()
