Shared parts of prompts: read once more only at last, and then where all agree

Now weight 30, a further step for each engine down the common order, and such an engine is used only when the wait is over, and never for an account over its share.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -131,4 +131,12 @@
         over = bool(waiter.account) and self.over_share(waiter.account, now)
         part = EXCESS_PART if over else ENTITLED_PART
         left = waiter.arrived + waiter.objective * part - now
-        return self.balancer.place(rows, waiter.req, waiter.profile, left, now)
+        return self.balancer.place(
+            rows,
+            waiter.req,
+            waiter.profile,
+            left,
+            now,
+            # At first only where its shared parts are held, at last anywhere.
+            anywhere=not over and now >= waiter.refuse_at,
+        )
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -32,14 +32,18 @@
 """Part of an engine's memory that is filled on purpose; lengths are guesses."""
 EXPECTED_MADE = 250
 """Tokens that an answer is expected to have, where only the bound is known."""
-REREAD_WEIGHT = 5.0
+REREAD_WEIGHT = 30.0
 """Weight of shared prompt tokens that are read once more, against others: reading them
 takes room of all and drives other parts out of memory."""
+RANK_STEP = 0.4
+"""How much more each further engine in the order of a prompt's shared parts costs, so
+that entries which cannot use the first one agree on the second."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Scored:
     placement: Placement
+    shared: int
     wait: float
     cost: float
 
@@ -88,6 +92,8 @@
         profile: EngineProfile,
         limit: float,
         now: Millis,
+        *,
+        anywhere: bool,
     ) -> Placement | None:
         """Return the best engine with room, or None.
 
@@ -97,10 +103,16 @@
             profile: What is stated about the engines.
             limit: Milliseconds that the first token may take.
             now: Current time.
+            anywhere: Whether an engine counts that would have to read long shared
+                parts once more.
         """
-        home = self.home(rows, req)
-        scored = [self._score(row, req, now, home=row is home) for row in rows]
-        fitting = [one for one in scored if self._has_room(one, profile, limit, now)]
+        scored = self._score_all(rows, req, now)
+        fitting = [
+            one
+            for one in scored
+            if self._has_room(one, profile, limit, now)
+            and (anywhere or one.cost <= limit or not one.shared)
+        ]
         best = min(fitting, key=lambda one: one.cost, default=None)
         return best.placement if best is not None else None
 
@@ -108,30 +120,33 @@
         self, rows: Sequence[Registration], req: RoutedRequest, now: Millis
     ) -> Placement | None:
         """Return the best engine for a request that goes on, room or not."""
-        home = self.home(rows, req) if rows else None
-        scored = [self._score(row, req, now, home=row is home) for row in rows]
+        scored = self._score_all(rows, req, now)
         best = min(scored, key=lambda one: one.cost, default=None)
         return best.placement if best is not None else None
 
-    def home(
-        self, rows: Sequence[Registration], req: RoutedRequest
-    ) -> Registration | None:
-        """Return the engine that all entries take to hold a prompt's shared parts."""
+    def _score_all(
+        self, rows: Sequence[Registration], req: RoutedRequest, now: Millis
+    ) -> list[_Scored]:
         affinity = affinity_key(req)
         if affinity is None:
-            return None
-        return max(rows, key=lambda row: rank(affinity, row))
+            return [self._score(row, req, now, place=0) for row in rows]
+        ranked = sorted(rows, key=lambda row: rank(affinity, row), reverse=True)
+        return [
+            self._score(row, req, now, place=place) for place, row in enumerate(ranked)
+        ]
 
     def _score(
-        self, row: Registration, req: RoutedRequest, now: Millis, *, home: bool
+        self, row: Registration, req: RoutedRequest, now: Millis, *, place: int
     ) -> _Scored:
+        home = place == 0
         own, shared = self.prompts.unread(row.instance, req.parts, now, home=home)
         unread = self.loads.total(row.instance, now).unread + own
         estimate = self.estimate(row.pool)
         wait = estimate.millis(unread)
-        penalty = (REREAD_WEIGHT - 1) * shared / estimate.rate
+        weight = REREAD_WEIGHT * (1 + RANK_STEP * place)
+        penalty = weight * shared / estimate.rate
         load = Load(requests=1, unread=own, memory=memory_need(req))
-        return _Scored(Placement(row, load, unread), wait, wait + penalty)
+        return _Scored(Placement(row, load, unread), shared, wait, wait + penalty)
 
     def _has_room(
         self, scored: _Scored, profile: EngineProfile, limit: float, now: Millis
--- a/tests/routing/test_balance.py
+++ b/tests/routing/test_balance.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import msgspec
 
 from leadseam.control.routes import EngineProfile
-from leadseam.routing.balance import Balancer, affinity_key, memory_need, service_of
+from leadseam.routing.balance import (
+    Balancer,
+    affinity_key,
+    memory_need,
+    rank,
+    service_of,
+)
+from leadseam.routing.dialect import PromptPart
 from leadseam.routing.load import Load
 from leadseam.routing.placement import Placement
 from tests.routing.samples import make_request, make_upstream
@@ -29,8 +37,8 @@
 
 
 def test_entries_agree_on_the_engine_of_a_shared_part() -> None:
-    first = make_balancer().place(ROWS, CHAT, PROFILE, 400, 0)
-    second = make_balancer().place(ROWS[::-1], CHAT, PROFILE, 400, 0)
+    first = make_balancer().place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
+    second = make_balancer().place(ROWS[::-1], CHAT, PROFILE, 400, 0, anywhere=True)
     assert first is not None
     assert second is not None
     assert first.upstream == second.upstream
@@ -43,7 +51,7 @@
     balancer = make_balancer()
     chosen = []
     for _ in range(5):
-        placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0)
+        placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
         assert placement is not None
         balancer.begin(placement)
         chosen.append(placement.upstream.instance)
@@ -55,7 +63,7 @@
     balancer = make_balancer()
     for row in ROWS:
         balancer.begin(Placement(row, Load(requests=4), 0))
-    assert balancer.place(ROWS, CHAT, PROFILE, 400, 0) is None
+    assert balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True) is None
     assert balancer.place_anyway(ROWS, CHAT, 0) is not None
     assert balancer.place_anyway([], CHAT, 0) is None
 
@@ -63,32 +71,42 @@
 def test_memory_and_what_is_to_be_read_bound_an_engine() -> None:
     full = make_balancer()
     full.begin(Placement(ROWS[0], Load(requests=1, memory=9_200), 0))
-    assert full.place(ROWS[:1], CHAT, PROFILE, 400, 0) is None
+    assert full.place(ROWS[:1], CHAT, PROFILE, 400, 0, anywhere=True) is None
     busy = make_balancer()
     busy.begin(Placement(ROWS[0], Load(requests=1, unread=20_000), 0))
-    assert busy.place(ROWS[:1], CHAT, PROFILE, 400, 0) is None
-    assert busy.place(ROWS[:1], CHAT, PROFILE, 500, 0) is not None
+    assert busy.place(ROWS[:1], CHAT, PROFILE, 400, 0, anywhere=True) is None
+    assert busy.place(ROWS[:1], CHAT, PROFILE, 500, 0, anywhere=True) is not None
 
 
 def test_a_prompt_too_long_for_the_objective_goes_where_nothing_is_read() -> None:
     balancer = make_balancer()
     long_prompt = msgspec.structs.replace(PROFILE, memory_tokens=1_000_000)
     req = make_request("own")
-    assert balancer.place(ROWS[:1], req, long_prompt, 1, 0) is not None
+    assert balancer.place(ROWS[:1], req, long_prompt, 1, 0, anywhere=True) is not None
 
 
 def test_shared_parts_read_once_more_weigh_more_than_a_short_wait() -> None:
     balancer = make_balancer()
-    home = balancer.home(ROWS, CHAT)
-    assert home is not None
-    balancer.begin(Placement(home, Load(requests=1, unread=900), 0))
-    placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0)
+    home = max(ROWS, key=lambda row: rank("subject", row))
+    balancer.begin(Placement(home, Load(requests=1, unread=8_000), 0))
+    placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
     assert placement is not None
     assert placement.upstream == home
-    balancer.begin(Placement(home, Load(requests=1, unread=200), 0))
-    placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0)
+    balancer.begin(Placement(home, Load(requests=1, unread=1_000), 0))
+    placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
     assert placement is not None
-    assert placement.upstream != home
+    second = sorted(ROWS, key=lambda row: rank("subject", row))[-2]
+    assert placement.upstream == second
+
+
+def test_long_shared_parts_are_read_elsewhere_only_at_last() -> None:
+    balancer = make_balancer()
+    part = PromptPart("subject", 2_000)
+    req = replace(CHAT, parts=(part, PromptPart("own", 100)))
+    home = max(ROWS, key=lambda row: rank("subject", row))
+    balancer.begin(Placement(home, Load(requests=4), 0))
+    assert balancer.place(ROWS, req, PROFILE, 400, 0, anywhere=False) is None
+    assert balancer.place(ROWS, req, PROFILE, 400, 0, anywhere=True) is not None
 
 
 def test_other_work_goes_where_least_is_in_flight_for_the_slots() -> None:
