Storage: an append that was written in other parts than its start is an unfinished one

Shown by two new tests in tests/test_storage.py, which failed before; journals of the first release are still read.

--- a/src/leadseam/control/storage.py
+++ b/src/leadseam/control/storage.py
@@ -6,8 +6,11 @@
 - `snapshot-N`: one record with the compacted state.
 - `journal-N`: records appended since; an entry replaces all with its index or above.
 
-Each record is a header (magic, length, CRC-32) and a CBOR payload. A generation is
-complete once `journal-N` has its final name; the highest complete one counts.
+Each block is a header (magic, length, CRC-32) and a CBOR payload. A block of the
+journal holds the records that were synced together: a power loss may leave any part of
+the last block unwritten, so only whole blocks tell damage from an unfinished write. A
+generation is complete once `journal-N` has its final name; the highest complete one
+counts.
 """
 
 from __future__ import annotations
@@ -87,7 +90,8 @@
     magic, length, checksum = _HEADER.unpack_from(data, offset)
     start = offset + _HEADER.size
     payload = data[start : start + length]
-    if magic != _MAGIC or len(payload) != length:
+    # The checksum of nothing is 0, as in a header of which only the start was written.
+    if magic != _MAGIC or not payload or len(payload) != length:
         return None
     return payload if zlib.crc32(payload) == checksum else None
 
@@ -187,8 +191,7 @@
 ) -> None:
     snapshot = pack(encode(SnapshotRecord(mark, data)))
     write_synced(folder / f"snapshot-{generation}", snapshot)
-    journal = b"".join(pack(encode(record)) for record in records)
-    write_synced(folder / f"journal-{generation}", journal)
+    write_synced(folder / f"journal-{generation}", pack(encode(records)))
 
 
 def _generations(folder: Path, prefix: str) -> list[int]:
@@ -234,7 +237,7 @@
         records: list[JournalRecord] = [EntryRecord(entry) for entry in entries]
         if state is not None:
             records.append(StateRecord(state))
-        block = b"".join(pack(encode(record)) for record in records)
+        block = pack(encode(tuple(records)))
         self._guard(lambda: self._write(block))
 
     def compact(
@@ -301,7 +304,8 @@
         self._open_journal()
         if end < len(content):
             os.ftruncate(self._fd, end)
-            os.fsync(self._fd)
+        # A process that was killed may have written this without a sync.
+        os.fsync(self._fd)
         self._remove_old()
         cut = len(content) - end
         return Recovered(hard_state, snapshot.mark, snapshot.data, log, cut)
@@ -335,13 +339,23 @@
     hard_state = HardState()
     log: list[LogEntry] = []
     for payload in payloads:
-        match decode(payload, JournalRecord):  # type: ignore[arg-type]
-            case StateRecord(state=state):
-                hard_state = state
-            case EntryRecord(entry=entry):
-                position = entry.index - mark.index - 1
-                if not 0 <= position <= len(log):
-                    raise StorageDamagedError(f"entry {entry.index} leaves a gap")
-                del log[position:]
-                log.append(entry)
+        for record in _records(payload):
+            match record:
+                case StateRecord(state=state):
+                    hard_state = state
+                case EntryRecord(entry=entry):
+                    position = entry.index - mark.index - 1
+                    if not 0 <= position <= len(log):
+                        raise StorageDamagedError(f"entry {entry.index} leaves a gap")
+                    del log[position:]
+                    log.append(entry)
     return hard_state, log
+
+
+def _records(payload: bytes) -> tuple[JournalRecord, ...]:
+    """Return the records of a block; the first release wrote one in each."""
+    try:
+        return decode(payload, tuple[JournalRecord, ...])
+    except WireError:
+        record: JournalRecord = decode(payload, JournalRecord)  # type: ignore[arg-type]
+        return (record,)
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -78,6 +78,45 @@
     assert (again.log, again.cut) == (recovered.log, 0)
 
 
+@given(start=st.integers(0, 200), length=st.integers(1, 60))
+def test_an_append_of_which_only_other_parts_were_written_is_cut(
+    tmp_path_factory: pytest.TempPathFactory, start: int, length: int
+) -> None:
+    folder = tmp_path_factory.mktemp("data")
+    storage = opened(folder)
+    storage.append(None, entries(1, 3))
+    synced = (folder / "journal-1").stat().st_size
+    storage.append(None, entries(4, 6))
+    storage.close()
+    journal = folder / "journal-1"
+    content = bytearray(journal.read_bytes())
+    first = synced + start % (len(content) - synced)
+    lost = content[first : first + length]
+    content[first : first + length] = bytes(len(lost))
+    journal.write_bytes(content)
+    kept = 3 if any(lost) else 6
+    assert Storage(folder).open().log == list(entries(1, kept))
+
+
+def test_what_is_recovered_is_synced_before_it_is_relied_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    storage = opened(tmp_path)
+    storage.append(None, entries(1, 3))
+    storage.close()
+    synced: list[str] = []
+    fsync = os.fsync
+
+    def note(fd: int) -> None:
+        synced.append(os.readlink(f"/proc/self/fd/{fd}"))
+        fsync(fd)
+
+    monkeypatch.setattr(os, "fsync", note)
+    Storage(tmp_path).open()
+    # A killed process may have written these without a sync.
+    assert str(tmp_path / "journal-1") in synced
+
+
 @given(position=st.integers(0, 10_000))
 def test_damage_in_the_middle_is_refused(
     tmp_path_factory: pytest.TempPathFactory, position: int
