Silent upstreams are given up where another may go on; looks at the queue are bounded

Now a watch notes silence (1.5 x the objective or 3 x the expected time before a first byte, 4 x the longest pause inside a stream), ends the attempt if the request may go on elsewhere and the budget allows, and health counts the share of failures. Now one look in 5 ms, the order kept with the request, room checked before scores. Kept for the processor time.

--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -29,6 +29,7 @@
     NO_CONFIGURATION = "no_configuration"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_BROKEN = "upstream_broken"
+    UPSTREAM_SILENT = "upstream_silent"
     UPSTREAM_FULL = "upstream_full"
     RETRIES_EXHAUSTED = "retries_exhausted"
     CLAIM_UNAVAILABLE = "claim_unavailable"
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from leadseam.routing.balance import ranked_for
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
@@ -44,6 +46,8 @@
         tried: Incarnations not to be used.
         wake: Called once it is placed or refused.
         done: Whether it no longer waits.
+        rows: Engines that were candidates when `ranked` was worked out.
+        ranked: Those that may be used, in order of preference.
         placement: Where it was placed, counted there already; None if refused.
     """
 
@@ -56,6 +60,8 @@
     tried: set[str]
     wake: Callable[[], None]
     done: bool = False
+    rows: Sequence[Registration] = ()
+    ranked: Sequence[Registration] = ()
     placement: Placement | None = None
 
     @property
@@ -85,9 +91,12 @@
         return len(self._waiting)
 
     def enter(self, waiter: Waiter, now: Millis) -> None:
-        """Take a request; it is woken at once if there is room."""
+        """Take a request; it is woken at once if there is room and no other's turn."""
+        turn = self.level(waiter.account, now) <= self._lowest_level(now)
+        placement = self._place(waiter, now) if turn else None
         self._waiting.append(waiter)
-        self.pump(now)
+        if placement is not None:
+            self._finish(waiter, placement)
 
     def withdraw(self, waiter: Waiter) -> None:
         """Forget a request whose caller is gone."""
@@ -99,7 +108,11 @@
         """Send what has room, in order of service, and refuse what waited too long."""
         if not self._waiting:
             return
-        self._waiting.sort(key=lambda one: (self.level(one.account, now), one.arrived))
+        levels = {
+            account: self.level(account, now)
+            for account in {one.account for one in self._waiting}
+        }
+        self._waiting.sort(key=lambda one: (levels[one.account], one.arrived))
         for waiter in list(self._waiting):
             placement = self._place(waiter, now)
             if placement is not None:
@@ -107,9 +120,9 @@
             elif now >= waiter.refuse_at:
                 self._finish(waiter, None)
 
-    def next_refusal(self) -> Millis | None:
-        """Return when the next waiting request would be refused, or None."""
-        return min((one.refuse_at for one in self._waiting), default=None)
+    def _lowest_level(self, now: Millis) -> float:
+        accounts = {one.account for one in self._waiting}
+        return min((self.level(name, now) for name in accounts), default=float("inf"))
 
     def _finish(self, waiter: Waiter, placement: Placement | None) -> None:
         waiter.done = True
@@ -121,18 +134,18 @@
         waiter.wake()
 
     def _place(self, waiter: Waiter, now: Millis) -> Placement | None:
-        rows = [
-            row
-            for row in self.candidates(waiter.pool)
-            if row.instance not in waiter.tried
-        ]
-        if not rows:
+        rows = self.candidates(waiter.pool)
+        if rows != waiter.rows:
+            waiter.rows = rows
+            left_over = [row for row in rows if row.instance not in waiter.tried]
+            waiter.ranked = ranked_for(left_over, waiter.req)
+        if not waiter.ranked:
             return None
         over = bool(waiter.account) and self.over_share(waiter.account, now)
         part = EXCESS_PART if over else ENTITLED_PART
         left = waiter.arrived + waiter.objective * part - now
         return self.balancer.place(
-            rows,
+            waiter.ranked,
             waiter.req,
             waiter.profile,
             left,
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -87,7 +87,7 @@
 
     def place(
         self,
-        rows: Sequence[Registration],
+        ranked: Sequence[Registration],
         req: RoutedRequest,
         profile: EngineProfile,
         limit: float,
@@ -98,7 +98,7 @@
         """Return the best engine with room, or None.
 
         Args:
-            rows: Engines that may be used; not empty.
+            ranked: Engines that may be used, in the order of `ranked_for`.
             req: The request.
             profile: What is stated about the engines.
             limit: Milliseconds that the first token may take.
@@ -106,34 +106,47 @@
             anywhere: Whether an engine counts that would have to read long shared
                 parts once more.
         """
-        scored = self._score_all(rows, req, now)
-        fitting = [
-            one
-            for one in scored
-            if self._has_room(one, profile, limit, now)
-            and (anywhere or one.cost <= limit or not one.shared)
-        ]
-        best = min(fitting, key=lambda one: one.cost, default=None)
+        best: _Scored | None = None
+        for place, row in enumerate(ranked):
+            if not self._has_room(row, req, profile, limit, now):
+                continue
+            scored = self._score(row, req, now, place=place)
+            # A prompt that takes too long even alone is sent where nothing waits.
+            alone = scored.placement.unread == scored.placement.load.unread
+            if scored.wait > limit and not alone:
+                continue
+            if not anywhere and scored.cost > limit and scored.shared:
+                continue
+            if best is None or scored.cost < best.cost:
+                best = scored
         return best.placement if best is not None else None
 
     def place_anyway(
-        self, rows: Sequence[Registration], req: RoutedRequest, now: Millis
+        self, ranked: Sequence[Registration], req: RoutedRequest, now: Millis
     ) -> Placement | None:
         """Return the best engine for a request that goes on, room or not."""
-        scored = self._score_all(rows, req, now)
+        scored = [
+            self._score(row, req, now, place=place) for place, row in enumerate(ranked)
+        ]
         best = min(scored, key=lambda one: one.cost, default=None)
         return best.placement if best is not None else None
 
-    def _score_all(
-        self, rows: Sequence[Registration], req: RoutedRequest, now: Millis
-    ) -> list[_Scored]:
-        affinity = affinity_key(req)
-        if affinity is None:
-            return [self._score(row, req, now, place=0) for row in rows]
-        ranked = sorted(rows, key=lambda row: rank(affinity, row), reverse=True)
-        return [
-            self._score(row, req, now, place=place) for place, row in enumerate(ranked)
-        ]
+    def _has_room(
+        self,
+        row: Registration,
+        req: RoutedRequest,
+        profile: EngineProfile,
+        limit: float,
+        now: Millis,
+    ) -> bool:
+        """Tell whether an engine has a slot, memory and time; the cheap part."""
+        total = self.loads.total(row.instance, now)
+        if total.requests >= row.slots:
+            return False
+        if total.memory + memory_need(req) > profile.memory_tokens * MEMORY_PART:
+            return False
+        waited = self.estimate(row.pool).millis(total.unread)
+        return not total.unread or waited <= limit
 
     def _score(
         self, row: Registration, req: RoutedRequest, now: Millis, *, place: int
@@ -148,18 +161,15 @@
         load = Load(requests=1, unread=own, memory=memory_need(req))
         return _Scored(Placement(row, load, unread), shared, wait, wait + penalty)
 
-    def _has_room(
-        self, scored: _Scored, profile: EngineProfile, limit: float, now: Millis
-    ) -> bool:
-        row = scored.placement.upstream
-        total = self.loads.total(row.instance, now)
-        if total.requests >= row.slots:
-            return False
-        memory = total.memory + scored.placement.load.memory
-        if memory > profile.memory_tokens * MEMORY_PART:
-            return False
-        # A prompt that takes too long even alone is sent where nothing waits.
-        return scored.wait <= limit or not total.unread
+
+def ranked_for(
+    rows: Sequence[Registration], req: RoutedRequest
+) -> Sequence[Registration]:
+    """Return engines in the order in which all entries prefer them for a prompt."""
+    affinity = affinity_key(req)
+    if affinity is None:
+        return rows
+    return sorted(rows, key=lambda row: rank(affinity, row), reverse=True)
 
 
 def memory_need(req: RoutedRequest) -> int:
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -23,6 +23,7 @@
 )
 from leadseam.routing.dialect import AttemptHead
 from leadseam.routing.events import Event, EventSplitter
+from leadseam.routing.silence import SilenceWatch, first_limit, pause_limit
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
@@ -77,6 +78,7 @@
     instance: str = ""
     last_event: str | None = None
     first_byte_at: Millis = -1
+    retry_taken: bool = False
 
 
 class Exchange:
@@ -145,15 +147,38 @@
         progress.tried.add(flight.upstream.instance)
         progress.instance = flight.upstream.instance
         try:
-            ending = await self._attempt(flight.upstream)
-            if isinstance(ending, Streaming):
-                ending = await self._stream(ending, flight)
+            ending = await self._watched(flight)
         finally:
             flight.end()
         if not isinstance(ending, Unreachable | Declined):
             progress.runs += 1
         return ending
 
+    async def _watched(self, flight: Flight) -> Ending:
+        """Make an attempt; an upstream that falls silent may be given up."""
+        route = self._request.route
+        watch = SilenceWatch(lambda: self._on_silence(flight))
+        try:
+            async with watch:
+                watch.wait(first_limit(route.latency_objective, flight.expected))
+                ending = await self._attempt(flight.upstream)
+                if isinstance(ending, Streaming):
+                    ending = await self._stream(ending, flight, watch)
+                return ending
+        except TimeoutError:
+            return Broken(Reason.UPSTREAM_SILENT)
+
+    def _on_silence(self, flight: Flight) -> bool:
+        """Tell whether a silent attempt is to end, as another one may take over."""
+        self._gateway.note_silence(flight.upstream, self._request)
+        self._progress.runs += 1
+        may_retry = not self._too_late() and self._may_run_again()
+        self._progress.runs -= 1
+        if not may_retry or self._progress.sends >= MAX_SENDS:
+            return False
+        self._progress.retry_taken = self._may_send_again()
+        return self._progress.retry_taken
+
     async def _attempt(self, upstream: Registration) -> Ending:
         request = self._request
         head = AttemptHead(
@@ -219,6 +244,9 @@
         return route.repeatable and self._progress.runs < route.max_attempts
 
     def _may_send_again(self) -> bool:
+        if self._progress.retry_taken:
+            self._progress.retry_taken = False
+            return True
         return self._gateway.take_retry(self._request.pool)
 
     def _too_late(self) -> bool:
@@ -274,13 +302,16 @@
 
     # Streams
 
-    async def _stream(self, streaming: Streaming, flight: Flight) -> Ending:
+    async def _stream(
+        self, streaming: Streaming, flight: Flight, watch: SilenceWatch
+    ) -> Ending:
         """Relay an answer; `Broken` if it ends before its end."""
         try:
             splitter = EventSplitter()
             await self._relay(streaming, splitter.feed(streaming.held))
             while data := await streaming.resp.content.readany():
                 flight.first_byte()
+                watch.wait(pause_limit(self._request.route.max_pause))
                 await self._relay(streaming, splitter.feed(data))
             if splitter.pending:
                 await self._relay(streaming, [Event(splitter.pending, None)])
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -51,6 +51,14 @@
         """Where the request is."""
         return self._placement.upstream
 
+    @property
+    def expected(self) -> float:
+        """Milliseconds that the first token is expected to take; 0 if unknown."""
+        if not self._placement.unread:
+            return 0.0
+        estimate = self._balancer.estimate(self.upstream.pool)
+        return estimate.millis(self._placement.unread)
+
     def first_byte(self) -> None:
         """Note that the upstream has begun to answer; only the first call counts."""
         if self._read:
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -21,7 +21,7 @@
     Unreachable,
     Whole,
 )
-from leadseam.routing.balance import Balancer, service_of
+from leadseam.routing.balance import Balancer, ranked_for, service_of
 from leadseam.routing.budget import PoolRetryBudget
 from leadseam.routing.exchange import Admitted, CallerGoneError, Exchange
 from leadseam.routing.flight import Flight
@@ -50,6 +50,10 @@
 NOT_CONFIRMED_PAUSE: Millis = 500
 """Pause told to a caller while the configuration is not confirmed: a feed heartbeat."""
 
+PUMP_INTERVAL: Millis = 5
+"""Least pause between two looks at all that waits: small against objectives of 250 ms,
+and at an overloaded entry it bounds the processor time of looking."""
+
 log = logging.getLogger(__name__)
 
 
@@ -241,7 +245,8 @@
         if profile is None:
             return self.balancer.least_loaded(rows, self.now())
         if again:
-            return self.balancer.place_anyway(rows, admitted.req, self.now())
+            ranked = ranked_for(rows, admitted.req)
+            return self.balancer.place_anyway(ranked, admitted.req, self.now())
         return profile
 
     async def _wait_for_room(
@@ -260,6 +265,7 @@
         )
         self._admission.enter(waiter, self.now())
         if not waiter.done:
+            self._pump_soon()
             delay = seconds(max(waiter.refuse_at - self.now(), 0))
             asyncio.get_running_loop().call_later(delay, self._pump)
         try:
@@ -286,7 +292,8 @@
     def _pump_soon(self) -> None:
         if len(self._admission) and not self._pumping:
             self._pumping = True
-            asyncio.get_running_loop().call_soon(self._pump)
+            delay = seconds(PUMP_INTERVAL)
+            asyncio.get_running_loop().call_later(delay, self._pump)
 
     def _pump(self) -> None:
         self._pumping = False
@@ -335,6 +342,17 @@
             extra = {"instance": upstream.instance, "ending": repr(ending)}
             log.warning("upstream left alone for a while", extra=extra)
 
+    def note_silence(self, upstream: Registration, admitted: Admitted) -> None:
+        """Learn about an upstream that has not answered for too long."""
+        left_alone = self._health.failed(upstream.instance, self.now())
+        if self._lines.take():
+            extra = {
+                **self._context(admitted),
+                "instance": upstream.instance,
+                "left_alone": left_alone,
+            }
+            log.info("upstream silent", extra=extra)
+
     def error(self, outcome: NotRun | Failed | Unknown) -> web.Response:
         """Return the response for an outcome without an upstream's answer."""
         self._metrics.refusals.inc({"reason": outcome.reason.value})
--- a/src/leadseam/routing/health.py
+++ b/src/leadseam/routing/health.py
@@ -1,4 +1,8 @@
-"""Which upstreams to leave alone for a while, judged from their answers. No I/O."""
+"""Which upstreams to leave alone for a while, judged from their answers. No I/O.
+
+An upstream may fail part of its requests while its own health check is good, so the
+share of failures among its last answers decides.
+"""
 
 from __future__ import annotations
 
@@ -9,23 +13,28 @@
     from leadseam.clock import Millis
 
 FIRST_PAUSE: Millis = 500
-"""Pause after the first failure in a row that counts; a restart takes about as long."""
+"""Pause after failures; a restart takes about as long."""
 MAX_PAUSE: Millis = 4_000
 """Longest pause; a recovered upstream is tried again within it."""
-TOLERATED_FAILURES = 2
-"""Failures in a row that cost nothing: single lost answers are ordinary."""
+WEIGHT = 0.1
+"""Weight of the newest answer in the failing share: about the last twenty count."""
+FAILING_SHARE = 0.4
+"""Share of failures from which an upstream is left alone. One request in seven may end
+with an error on an ordinary day; five failures in a row reach the share."""
+FORGOTTEN_SHARE = 0.02
+"""Share below which an upstream counts as new again, its pauses included."""
 MAX_ROWS = 10_000
 
 
 @dataclass(slots=True)
 class _Row:
-    failures: int = 0
+    share: float = 0.0
     pause: Millis = FIRST_PAUSE
     until: Millis = 0
 
 
 class UpstreamHealth:
-    """Failures in a row, by incarnation."""
+    """Share of failures, by incarnation."""
 
     def __init__(self) -> None:
         self._rows: dict[str, _Row] = {}
@@ -40,7 +49,12 @@
 
     def succeeded(self, instance: str) -> None:
         """Note a good answer."""
-        self._rows.pop(instance, None)
+        row = self._rows.get(instance)
+        if row is None:
+            return
+        row.share -= WEIGHT * row.share
+        if row.share < FORGOTTEN_SHARE:
+            del self._rows[instance]
 
     def failed(self, instance: str, now: Millis) -> bool:
         """Note a failed attempt.
@@ -49,15 +63,15 @@
             Whether the upstream is left alone from now on.
         """
         row = self._rows.setdefault(instance, _Row())
-        row.failures += 1
-        if row.failures <= TOLERATED_FAILURES:
+        row.share += WEIGHT * (1 - row.share)
+        if row.share < FAILING_SHARE:
             return False
         return self._leave_alone(row, now)
 
     def unreachable(self, instance: str, now: Millis) -> bool:
         """Note a connection that could not be opened; see `failed`."""
         row = self._rows.setdefault(instance, _Row())
-        row.failures += 1
+        row.share = max(row.share, FAILING_SHARE)
         return self._leave_alone(row, now)
 
     def _leave_alone(self, row: _Row, now: Millis) -> bool:
@@ -65,6 +79,8 @@
             return False
         row.until = now + row.pause
         row.pause = min(row.pause * 2, MAX_PAUSE)
+        # After the pause a few failures are needed, not just one.
+        row.share = FAILING_SHARE / 2
         self._bound()
         return True
 
--- a/src/leadseam/routing/load.py
+++ b/src/leadseam/routing/load.py
@@ -68,12 +68,15 @@
         self._others_at: Millis = -TOTALS_LIMIT
         self._reports: deque[LoadReport] = deque(maxlen=KEPT_REPORTS)
         self._sequence = 0
+        self._sums: dict[str, Load] = {}
+        self._summed_at: Millis = 0
 
     def __repr__(self) -> str:
         return f"LoadBook(own={len(self._own)}, others={len(self._others)})"
 
     def begin(self, instance: str, load: Load) -> None:
         """Count a request that is sent."""
+        self._sums.pop(instance, None)
         self._own[instance] = self._own.get(instance, NOTHING).plus(load)
 
     def read(self, instance: str, unread: int) -> None:
@@ -90,10 +93,14 @@
 
     def total(self, instance: str, now: Millis) -> Load:
         """Return what all entries have in flight there, as far as is known."""
-        own = self.own(instance)
-        if now - self._others_at > TOTALS_LIMIT:
-            return own
-        return own.plus(self._others.get(instance, NOTHING))
+        if now != self._summed_at:
+            # Many waiting requests look at the same engines at one time.
+            self._sums.clear()
+            self._summed_at = now
+        known = self._sums.get(instance)
+        if known is None:
+            known = self._sums[instance] = self._sum(instance, now)
+        return known
 
     def report(self, usage: Iterable[UsageRow]) -> LoadReport:
         """Return a report of the own counts."""
@@ -119,8 +126,15 @@
             for row in message.rows
         }
         self._others_at = now
+        self._sums.clear()
         return own
 
+    def _sum(self, instance: str, now: Millis) -> Load:
+        own = self.own(instance)
+        if now - self._others_at > TOTALS_LIMIT:
+            return own
+        return own.plus(self._others.get(instance, NOTHING))
+
     def _report_at(self, sequence: int) -> LoadReport | None:
         for report in self._reports:
             if report.sequence == sequence:
@@ -128,6 +142,7 @@
         return None
 
     def _end(self, instance: str, load: Load) -> None:
+        self._sums.pop(instance, None)
         left = self._own.get(instance, NOTHING).minus(load)
         if left == NOTHING:
             self._own.pop(instance, None)
--- /dev/null
+++ b/src/leadseam/routing/silence.py
@@ -0,0 +1,75 @@
+"""Watches an attempt for silence, and ends it where another upstream may go on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Millis, seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+FIRST_PART = 1.5
+"""Multiple of the latency objective that a first byte may take."""
+ESTIMATE_PART = 3.0
+"""Multiple of the expected time that a first byte may take, where that is longer."""
+MIN_FIRST: Millis = 500
+"""Shortest silence before a first byte that counts."""
+PAUSE_PART = 4.0
+"""Multiple of the longest pause in time after which a stream counts as silent."""
+MIN_PAUSE: Millis = 1_000
+"""Shortest silence inside a stream that counts: preempted requests stand that long."""
+
+
+class SilenceWatch:
+    """A timer that is put back by each sign of life.
+
+    Args:
+        on_silence: Called after a silence; returns whether the attempt is to end. It is
+            called again after each further silence.
+    """
+
+    def __init__(self, on_silence: Callable[[], bool]) -> None:
+        self._on_silence = on_silence
+        self._limit: Millis = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._timeout = asyncio.timeout(None)
+
+    async def __aenter__(self) -> SilenceWatch:
+        await self._timeout.__aenter__()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._timeout.__aexit__(*exc)  # type: ignore[arg-type]
+
+    def wait(self, limit: Millis) -> None:
+        """Expect a sign of life within so many milliseconds from now."""
+        self._limit = limit
+        self._restart()
+
+    def _restart(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(seconds(self._limit), self._silent)
+
+    def _silent(self) -> None:
+        if self._on_silence():
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+        else:
+            self._restart()
+
+
+def first_limit(objective: Millis, expected: float) -> Millis:
+    """Return how long a first byte may take before it counts as missing."""
+    return max(
+        round(objective * FIRST_PART), round(expected * ESTIMATE_PART), MIN_FIRST
+    )
+
+
+def pause_limit(max_pause: Millis) -> Millis:
+    """Return how long a stream may be silent."""
+    return max(round(max_pause * PAUSE_PART), MIN_PAUSE)
--- a/tests/routing/test_balance.py
+++ b/tests/routing/test_balance.py
@@ -13,6 +13,7 @@
     affinity_key,
     memory_need,
     rank,
+    ranked_for,
     service_of,
 )
 from leadseam.routing.dialect import PromptPart
@@ -37,8 +38,12 @@
 
 
 def test_entries_agree_on_the_engine_of_a_shared_part() -> None:
-    first = make_balancer().place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
-    second = make_balancer().place(ROWS[::-1], CHAT, PROFILE, 400, 0, anywhere=True)
+    first = make_balancer().place(
+        ranked_for(ROWS, CHAT), CHAT, PROFILE, 400, 0, anywhere=True
+    )
+    second = make_balancer().place(
+        ranked_for(ROWS[::-1], CHAT), CHAT, PROFILE, 400, 0, anywhere=True
+    )
     assert first is not None
     assert second is not None
     assert first.upstream == second.upstream
@@ -51,7 +56,9 @@
     balancer = make_balancer()
     chosen = []
     for _ in range(5):
-        placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
+        placement = balancer.place(
+            ranked_for(ROWS, CHAT), CHAT, PROFILE, 400, 0, anywhere=True
+        )
         assert placement is not None
         balancer.begin(placement)
         chosen.append(placement.upstream.instance)
@@ -63,8 +70,11 @@
     balancer = make_balancer()
     for row in ROWS:
         balancer.begin(Placement(row, Load(requests=4), 0))
-    assert balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True) is None
-    assert balancer.place_anyway(ROWS, CHAT, 0) is not None
+    assert (
+        balancer.place(ranked_for(ROWS, CHAT), CHAT, PROFILE, 400, 0, anywhere=True)
+        is None
+    )
+    assert balancer.place_anyway(ranked_for(ROWS, CHAT), CHAT, 0) is not None
     assert balancer.place_anyway([], CHAT, 0) is None
 
 
@@ -89,11 +99,15 @@
     balancer = make_balancer()
     home = max(ROWS, key=lambda row: rank("subject", row))
     balancer.begin(Placement(home, Load(requests=1, unread=8_000), 0))
-    placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
+    placement = balancer.place(
+        ranked_for(ROWS, CHAT), CHAT, PROFILE, 400, 0, anywhere=True
+    )
     assert placement is not None
     assert placement.upstream == home
     balancer.begin(Placement(home, Load(requests=1, unread=1_000), 0))
-    placement = balancer.place(ROWS, CHAT, PROFILE, 400, 0, anywhere=True)
+    placement = balancer.place(
+        ranked_for(ROWS, CHAT), CHAT, PROFILE, 400, 0, anywhere=True
+    )
     assert placement is not None
     second = sorted(ROWS, key=lambda row: rank("subject", row))[-2]
     assert placement.upstream == second
@@ -105,8 +119,14 @@
     req = replace(CHAT, parts=(part, PromptPart("own", 100)))
     home = max(ROWS, key=lambda row: rank("subject", row))
     balancer.begin(Placement(home, Load(requests=4), 0))
-    assert balancer.place(ROWS, req, PROFILE, 400, 0, anywhere=False) is None
-    assert balancer.place(ROWS, req, PROFILE, 400, 0, anywhere=True) is not None
+    assert (
+        balancer.place(ranked_for(ROWS, req), req, PROFILE, 400, 0, anywhere=False)
+        is None
+    )
+    assert (
+        balancer.place(ranked_for(ROWS, req), req, PROFILE, 400, 0, anywhere=True)
+        is not None
+    )
 
 
 def test_other_work_goes_where_least_is_in_flight_for_the_slots() -> None:
