--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -282,7 +282,9 @@
         self._pending.append_from = index if first is None else min(first, index)
 
     def _recompute_membership(self) -> None:
-        self.membership = self.log.membership_at(self.log.last_index)
+        membership = self.log.membership_at(self.log.last_index)
+        if membership != self.membership:
+            self.membership = membership
         if self.role is Role.LEADER:
             self._sync_peers()
 
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -10,7 +10,13 @@
 
 from leadseam.clock import Clock, Millis, sleep
 from leadseam.control.raft import Raft, Role
-from leadseam.control.raft_log import EntryKind, HardState, SnapshotMark, base_name
+from leadseam.control.raft_log import (
+    EntryKind,
+    HardState,
+    Membership,
+    SnapshotMark,
+    base_name,
+)
 from leadseam.control.state import (
     Barrier,
     BarrierResult,
@@ -195,6 +201,7 @@
         self._forwarded: dict[int, asyncio.Future[CommandResult | None]] = {}
         self._next_ticket = 0
         self._followed: set[str] | None = None
+        self._membership = Membership(())
         self._role = Role.FOLLOWER
         self._applied_event: asyncio.Future[None] = asyncio.Future()
 
@@ -343,6 +350,11 @@
         self._followed = None
 
     def _follow_members(self) -> None:
+        membership = self._raft.membership
+        if membership is not self._membership:
+            self._membership = membership
+            extra = {"voters": membership.voters, "learners": membership.learners}
+            log.info("membership changed", extra=extra)
         if self._followed != self.members:
             self._followed = self.members
             self._peers.follow(self._followed)
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -38,6 +38,9 @@
 RANK_STEP = 0.4
 """How much more each further engine in the order of a prompt's shared parts costs, so
 that entries which cannot use the first one agree on the second."""
+RUNNING_COST = 0.5
+"""Milliseconds that a request in flight counts for: each makes the others a little
+slower, and among engines with nothing to read the least loaded one should be taken."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,13 +156,15 @@
     ) -> _Scored:
         home = place == 0
         own, shared = self.prompts.unread(row.instance, req.parts, now, home=home)
-        unread = self.loads.total(row.instance, now).unread + own
+        total = self.loads.total(row.instance, now)
+        unread = total.unread + own
         estimate = self.estimate(row.pool)
         wait = estimate.millis(unread)
         weight = REREAD_WEIGHT * (1 + RANK_STEP * place)
         penalty = weight * shared / estimate.rate
         load = Load(requests=1, unread=own, memory=memory_need(req))
-        return _Scored(Placement(row, load, unread), shared, wait, wait + penalty)
+        cost = wait + penalty + RUNNING_COST * total.requests
+        return _Scored(Placement(row, load, unread), shared, wait, cost)
 
 
 def ranked_for(
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import functools
 import socket
 from typing import Any
@@ -70,21 +71,40 @@
 
 
 class UpstreamConnector(aiohttp.TCPConnector):
-    """A pool of `UpstreamConnection`s."""
+    """A pool of `UpstreamConnection`s, opened by the event loop itself.
+
+    The library opens a socket and hands it to the loop; if a caller leaves in between,
+    both close its descriptor, and the second close hits whoever has the number by then.
+    """
 
     def __init__(self, *, force_close: bool) -> None:
         if force_close:
-            super().__init__(limit=0, force_close=True, socket_factory=_open_socket)
+            super().__init__(limit=0, force_close=True)
         else:
-            super().__init__(
-                limit=0,
-                keepalive_timeout=seconds(IDLE_LIMIT),
-                socket_factory=_open_socket,
-            )
-        # The library has no public way to choose the connection's class.
-        self._factory = functools.partial(  # type: ignore[assignment]
-            UpstreamConnection, loop=self._loop
-        )
+            super().__init__(limit=0, keepalive_timeout=seconds(IDLE_LIMIT))
+
+    async def _wrap_create_connection(
+        self,
+        *args: Any,
+        addr_infos: list[Any],
+        req: aiohttp.ClientRequest,
+        timeout: aiohttp.ClientTimeout,
+        client_error: type[Exception] = aiohttp.ClientConnectorError,
+        **kwargs: Any,
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        ip, port = addr_infos[0][4][:2]
+        loop = self._loop
+        make = functools.partial(UpstreamConnection, loop=loop)
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                transport, conn = await loop.create_connection(make, ip, port)
+        except OSError as exc:
+            if isinstance(exc, TimeoutError):
+                raise
+            raise client_error(req.connection_key, exc) from exc
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_LIMIT)
+        return transport, conn
 
 
 def open_session(
@@ -152,12 +172,3 @@
             headers=headers,
             allow_redirects=False,
         )
-
-
-def _open_socket(
-    address: tuple[int, int, int, str, tuple[object, ...]],
-) -> socket.socket:
-    family, kind, proto, _, _ = address
-    sock = socket.socket(family, kind, proto)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_LIMIT)
-    return sock
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,24 @@
+"""A small platform of real processes and stand-ins."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.platform.nodes import Platform
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from pathlib import Path
+
+
+@pytest.fixture
+async def platform(tmp_path: Path) -> AsyncIterator[Platform]:
+    """A running platform that ends with the test."""
+    platform = Platform(tmp_path)
+    try:
+        await platform.start_all()
+        yield platform
+    finally:
+        await platform.close()
--- /dev/null
+++ b/tests/platform/nodes.py
@@ -0,0 +1,283 @@
+"""Real processes of the platform's roles on loopback addresses."""
+
+from __future__ import annotations
+
+import contextlib
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from leadseam.platform import names
+from tests.platform.standin import Operator, Server
+from tools.fleet import until
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+    from pathlib import Path
+
+HOST = "shop.example"
+KEY = "key-of-bank"
+_requests = itertools.count(1)
+
+
+def free_port(ips: Sequence[str]) -> int:
+    """Return a port that is free on all addresses."""
+    while True:
+        with contextlib.ExitStack() as stack:
+            first = stack.enter_context(socket.socket())
+            first.bind((ips[0], 0))
+            port: int = first.getsockname()[1]
+            try:
+                for ip in ips[1:]:
+                    stack.enter_context(socket.socket()).bind((ip, port))
+            except OSError:
+                continue
+            return port
+
+
+@dataclass
+class Answer:
+    """What a caller got; `status` is 0 if the connection was cut."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+    cut: bool = False
+
+
+@dataclass
+class Platform:
+    """Control boxes, entries and servers, each with an address of its own."""
+
+    folder: Path
+    processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+    servers: list[Server] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.control_ips = [f"127.0.0.{number}" for number in (21, 22, 23)]
+        self.entry_ips = [f"127.0.0.{number}" for number in (31, 32)]
+        self.server_ips = [f"127.0.0.{number}" for number in range(41, 47)]
+        every = [*self.control_ips, *self.entry_ips, *self.server_ips]
+        self.control_port = free_port(every)
+        self.inner_port = free_port(every)
+        self.front_port = free_port(every)
+        self.ready_port = free_port(every)
+        self.server_port = free_port(every)
+        self.controls = [f"{ip}:{self.control_port}" for ip in self.control_ips]
+        self.seeds = self.controls
+        self.operator = Operator(self.controls)
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True),
+            auto_decompress=False,
+            skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
+        )
+
+    async def close(self) -> None:
+        """End everything."""
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        for server in self.servers:
+            await server.stop()
+        await self.http.close()
+
+    async def start_all(self) -> None:
+        """Start control, entries, a model service and a plain one, and configure."""
+        for ip in [*self.control_ips, *self.entry_ips]:
+            self.start(ip)
+        for ip in self.server_ips[:2]:
+            await self.add_server(ip, "model")
+        for ip in self.server_ips[2:4]:
+            await self.add_server(ip, "plain")
+        assert await self.operator.replace(document(1)) == 200
+        for ip in self.entry_ips:
+            await self.wait_ready(ip)
+            await self.wait_served(ip)
+
+    async def add_server(self, ip: str, service: str) -> Server:
+        """Start a server."""
+        server = Server(ip, self.server_port, service, self.controls)
+        await server.start()
+        self.servers.append(server)
+        return server
+
+    def of(self, service: str) -> list[Server]:
+        """Return the servers of a service."""
+        return [server for server in self.servers if server.service == service]
+
+    def start(self, ip: str, *, founding: bool = True) -> None:
+        """Start the process of a box."""
+        self.write_settings(ip, founding=founding)
+        role = "control" if ip in self.control_ips else "entry"
+        path = self.folder / f"{ip}.conf"
+        with open(self.folder / f"{ip}.log", "ab") as log:
+            self.processes[ip] = subprocess.Popen(
+                [sys.executable, "-m", "leadseam.cli.node", role],
+                env={**os.environ, names.SETTINGS_VARIABLE: str(path)},
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+            )
+
+    def write_settings(self, ip: str, *, founding: bool = True) -> None:
+        """Write the settings file of a box."""
+        data_dir = self.folder / f"data-{ip}"
+        data_dir.mkdir(exist_ok=True)
+        fields: dict[str, Any] = {
+            "node": f"box-{ip.replace('.', '-')}",
+            "ip": ip,
+            "zone": "a",
+            "internalPorts": f"{self.inner_port},{self.inner_port + 9}",
+            "seeds": ",".join(self.seeds),
+            "bootstrap": str(founding).lower(),
+            "heartbeatMs": 100,
+            "tolerate.machines": 1,
+            "bounds.graceS": 8,
+            "bounds.retryBudgetRatio": 0.2,
+            "bounds.budgetWindowS": 10,
+            "bounds.retrySlack": 100,
+        }
+        if ip in self.control_ips:
+            fields["listen.control"] = f"{ip}:{self.control_port}"
+            fields["dataDir"] = data_dir
+        else:
+            fields["listen.front"] = f"{ip}:{self.front_port}"
+            fields["listen.ready"] = f"{ip}:{self.ready_port}"
+        lines = "".join(f"{key}={value}\n" for key, value in fields.items())
+        (self.folder / f"{ip}.conf").write_text(lines)
+
+    def signal(self, ip: str, number: signal.Signals) -> None:
+        """Send a signal to the process of a box."""
+        self.processes[ip].send_signal(number)
+
+    def kill(self, ip: str) -> None:
+        """Kill the process of a box."""
+        self.processes[ip].kill()
+        self.processes[ip].wait()
+
+    def log(self, ip: str) -> list[dict[str, Any]]:
+        """Return the log lines of a box."""
+        text = (self.folder / f"{ip}.log").read_text()
+        return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+
+    async def wait_ready(self, ip: str) -> None:
+        """Wait until an entry calls itself ready."""
+        await until(lambda: self.is_ready(ip), f"{ip} is ready")
+
+    async def is_ready(self, ip: str) -> bool:
+        """Ask an entry whether it is ready."""
+        url = f"http://{ip}:{self.ready_port}{names.READY_PATH}"
+        try:
+            async with self.http.get(url) as resp:
+                return resp.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    async def wait_served(self, ip: str) -> None:
+        """Wait until an entry reaches a server of each service."""
+
+        async def served() -> bool:
+            paths = ("/once/warm", "/stream/warm")
+            return all([(await self.call(ip, path)).status == 200 for path in paths])
+
+        await until(served, f"{ip} reaches the servers")
+
+    async def call(
+        self,
+        ip: str,
+        path: str,
+        *,
+        method: str = "POST",
+        body: bytes = b"{}",
+        headers: dict[str, str] | None = None,
+        request_id: str = "",
+        key: str | None = KEY,
+        on_data: Callable[[bytes], None] = lambda _: None,
+    ) -> Answer:
+        """Send a request and read the answer as far as it goes.
+
+        Args:
+            on_data: Called with all that was received so far.
+        """
+        sent = {
+            "Host": HOST,
+            names.REQUEST_ID: request_id or f"r-{next(_requests)}",
+            names.DEADLINE: "5000",
+            **({names.AUTHORIZATION: names.BEARER + key} if key else {}),
+            **(headers or {}),
+        }
+        url = f"http://{ip}:{self.front_port}{path}"
+        received = b""
+        try:
+            async with self.http.request(method, url, data=body, headers=sent) as resp:
+                async for data in resp.content.iter_any():
+                    received += data
+                    on_data(received)
+                return Answer(resp.status, received, dict(resp.headers))
+        except (aiohttp.ClientError, OSError):
+            return Answer(0, received, {}, cut=True)
+
+
+def document(version: int, **changes: Any) -> bytes:
+    """Return an operator's document with the routes of the tests."""
+    common: dict[str, Any] = {"host": HOST, "timeoutMs": 5_000, "targetLatencyMs": 500}
+    routes: list[dict[str, Any]] = [
+        {"name": "once", "pathPrefix": "/once/", "kind": "unsafe", "service": "plain"},
+        {
+            "name": "safe",
+            "pathPrefix": "/safe/",
+            "kind": "safe",
+            "service": "plain",
+            "maxAttempts": 2,
+        },
+        {
+            "name": "open",
+            "pathPrefix": "/open/",
+            "kind": "safe",
+            "service": "plain",
+            "allowAnonymous": True,
+        },
+        {
+            "name": "stream",
+            "pathPrefix": "/stream/",
+            "kind": "streaming",
+            "service": "model",
+            "maxAttempts": 2,
+            "resumable": True,
+        },
+        {
+            "name": "fixed",
+            "pathPrefix": "/stream-fixed/",
+            "kind": "streaming",
+            "service": "model",
+        },
+    ]
+    data = {
+        "version": version,
+        "routes": [common | route for route in routes],
+        "services": [
+            {"name": "plain", "maxConnections": 100},
+            {
+                "name": "model",
+                "maxConnections": 100,
+                "engine": {
+                    "slots": 4,
+                    "kvCapacity": 100_000,
+                    "models": [{"name": "m"}],
+                },
+            },
+        ],
+        "limits": {"maxBodyBytes": 1_000_000},
+        "tenants": [{"name": "bank", "apiKeys": [KEY], "priority": 1}],
+    }
+    return json.dumps(data | changes).encode()
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,231 @@
+"""Small stand-ins of the platform: a server that registers itself, and an operator."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+from aiohttp import web
+from multidict import CIMultiDict
+
+from leadseam.platform import names
+from tools.fleet import until
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+HEARTBEAT = 0.1
+EVENTS = 6
+_instances = itertools.count(1)
+
+
+@dataclass
+class Run:
+    """A request that a server ran."""
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    headers: CIMultiDict[str]
+    ended: str = ""
+
+
+@dataclass
+class Server:
+    """One server; `behave` says what it does with a path's last part."""
+
+    ip: str
+    port: int
+    service: str
+    controls: Sequence[str]
+    slots: int = 4
+    instance: str = field(default_factory=lambda: f"i-{next(_instances)}")
+    behave: dict[str, str] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    release: asyncio.Event = field(default_factory=asyncio.Event)
+    state: str = "ready"
+    acks: int = 0
+
+    async def start(self) -> None:
+        """Serve, and send heartbeats."""
+        server = web.Server(self._handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self.ip, self.port).start()
+        self._session = aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=2), connector=_single_use()
+        )
+        self._beats = asyncio.create_task(self._beat())
+
+    async def stop(self) -> None:
+        """Go away without a word."""
+        self._beats.cancel()
+        await self._session.close()
+        await self._runner.cleanup()
+
+    async def drain(self) -> None:
+        """Announce a planned end, and wait for the acknowledgement."""
+        self.state = "draining"
+        acks = self.acks
+        await until(lambda: _true(self.acks > acks + 1), "leaving is acknowledged")
+
+    def count(self, request_id: str) -> int:
+        """Return how often a request ran here."""
+        return sum(run.request_id == request_id for run in self.runs)
+
+    async def _beat(self) -> None:
+        for sequence in itertools.count(1):
+            control = self.controls[sequence % len(self.controls)]
+            url = f"http://{control}" + names.HEARTBEAT_PATH.format(
+                instance=self.instance
+            )
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with self._session.post(url, json=self._beat_body(sequence)) as r:
+                    self.acks += r.status == 200
+            await asyncio.sleep(HEARTBEAT)
+
+    def _beat_body(self, sequence: int) -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "address": f"{self.ip}:{self.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "sequence": sequence,
+        }
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        if http.headers.get(names.EXPECT_INSTANCE) != self.instance:
+            return web.Response(status=421, headers=self._echo(http))
+        action = self.behave.get(http.path.rsplit("/", 1)[-1], "answer")
+        if action == "full":
+            headers = {**self._echo(http), names.NOT_RUN: "1"}
+            return web.Response(status=503, headers=headers)
+        run = Run(
+            http.headers[names.REQUEST_ID],
+            http.method,
+            http.raw_path,
+            await http.read(),
+            http.headers.copy(),
+        )
+        self.runs.append(run)
+        try:
+            response = await self._act(http, action)
+        except asyncio.CancelledError:
+            run.ended = "cancelled"
+            raise
+        run.ended = "done"
+        return response
+
+    async def _act(self, http: web.BaseRequest, action: str) -> web.StreamResponse:
+        match action:
+            case "reset":
+                return self._abort(http)
+            case "hold":
+                await self.release.wait()
+                return self._answer(http)
+            case "unsigned":
+                return web.Response(body=b"x", headers=self._echo(http))
+            case "foreign":
+                signed = self._signed(http) | {names.REQUEST_ID: "another"}
+                return web.Response(body=b"x", headers=signed)
+            case "error":
+                return web.Response(status=500, headers=self._signed(http))
+            case _ if "stream" in http.path:
+                return await self._stream(http, action)
+            case _:
+                return self._answer(http)
+
+    def _answer(self, http: web.BaseRequest) -> web.Response:
+        body = f"{self.instance} {http.raw_path}".encode()
+        return web.Response(body=body, headers=self._signed(http))
+
+    async def _stream(self, http: web.BaseRequest, action: str) -> web.StreamResponse:
+        headers = {**self._signed(http), "Content-Type": "text/event-stream"}
+        response = web.StreamResponse(headers=headers)
+        response.enable_chunked_encoding()
+        await response.prepare(http)
+        first = int(http.headers.get(names.LAST_EVENT, "0")) + 1
+        for number in range(first, EVENTS + 1):
+            if action == "pause" and number == EVENTS // 2:
+                await self.release.wait()
+            if action == "break" and number == EVENTS // 2:
+                await response.write(b"id: %d\ndata: ha" % number)
+                await self.release.wait()
+                return self._abort(http)
+            await response.write(event(number))
+        await response.write_eof()
+        return response
+
+    def _abort(self, http: web.BaseRequest) -> web.Response:
+        assert http.transport is not None
+        http.transport.abort()
+        return web.Response()
+
+    def _echo(self, http: web.BaseRequest) -> dict[str, str]:
+        return {names.REQUEST_ID: http.headers[names.REQUEST_ID]}
+
+    def _signed(self, http: web.BaseRequest) -> dict[str, str]:
+        return self._echo(http) | {names.SIGNATURE: f"signed-{self.instance}"}
+
+
+def event(number: int) -> bytes:
+    """Return one event of every stream."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+@dataclass
+class Operator:
+    """Sends whole configurations, to any node that answers."""
+
+    controls: Sequence[str]
+
+    async def replace(self, document: bytes) -> int:
+        """Send a configuration until it has a clear answer; return its status."""
+        for control in itertools.cycle(self.controls):
+            status = await self._try(control, document)
+            if status and status < 500:
+                return status
+            await asyncio.sleep(0.05)
+        raise AssertionError
+
+    async def read(self) -> bytes:
+        """Read the newest configuration from any node that knows it."""
+        async with _session() as session:
+            for control in itertools.cycle(self.controls):
+                url = f"http://{control}{names.READ_PATH}"
+                with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                    async with session.get(url) as resp:
+                        if resp.status == 200:
+                            return await resp.read()
+                await asyncio.sleep(0.05)
+        raise AssertionError
+
+    async def _try(self, control: str, document: bytes) -> int:
+        url = f"http://{control}{names.REPLACE_PATH}"
+        try:
+            async with _session() as session, session.post(url, data=document) as resp:
+                return resp.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return 0
+
+
+def _session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(
+        timeout=aiohttp.ClientTimeout(total=2), connector=_single_use()
+    )
+
+
+def _single_use() -> aiohttp.TCPConnector:
+    return aiohttp.TCPConnector(force_close=True)
+
+
+async def _true(value: bool) -> bool:
+    return value
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,334 @@
+"""The whole path on the platform: callers, entries, control, servers, operator."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import signal
+from typing import TYPE_CHECKING
+
+import pytest
+
+from leadseam.platform import names
+from tests.platform.nodes import KEY, document
+from tests.platform.standin import EVENTS, event
+from tools.fleet import until
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tests.platform.nodes import Platform
+
+WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
+
+
+async def test_each_kind_of_request_comes_back_byte_for_byte(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    plain = await platform.call(
+        entry,
+        "/once/a%2Fb/?q=%20x&y",
+        body=b"\x00\xff" * 900,
+        request_id="once-1",
+        headers={
+            "X-Odd": "kept",
+            names.ACCOUNT: "forged",
+            "X-Hop": "dropped",
+            "Connection": "X-Hop",
+        },
+    )
+    server = next(one for one in platform.of("plain") if one.count("once-1"))
+    assert plain.status == 200
+    assert plain.body == f"{server.instance} /once/a%2Fb/?q=%20x&y".encode()
+    assert plain.headers[names.SIGNATURE] == f"signed-{server.instance}"
+    run = server.runs[-1]
+    assert (run.method, run.target, run.body) == (
+        "POST",
+        "/once/a%2Fb/?q=%20x&y",
+        b"\x00\xff" * 900,
+    )
+    assert run.headers[names.REQUEST_ID] == "once-1"
+    assert run.headers[names.ACCOUNT] == "bank"
+    assert run.headers["X-Odd"] == "kept"
+    assert names.AUTHORIZATION not in run.headers
+    # Nothing is added but what the platform asks for.
+    assert "Accept-Encoding" not in run.headers
+    assert "X-Hop" not in run.headers
+    assert 0 < int(run.headers[names.DEADLINE]) <= 5_000
+    safe = await platform.call(entry, "/safe/x", method="GET", body=b"")
+    assert safe.status == 200
+    stream = await platform.call(entry, "/stream/x")
+    assert (stream.status, stream.body) == (200, WHOLE_STREAM)
+
+
+async def test_routes_and_keys(platform: Platform) -> None:
+    entry = platform.entry_ips[0]
+    await wait_for(platform, entry, "/none/x", 404)
+    await wait_for(platform, entry, "/once/x", 401, key="stranger")
+    await wait_for(platform, entry, "/once/x", 401, key=None)
+    assert (await platform.call(entry, "/open/x", key=None)).status == 200
+    no_id = await platform.call(entry, "/once/x", headers={names.REQUEST_ID: ""})
+    assert no_id.status == 400
+
+
+async def test_a_configuration_is_kept_read_back_and_never_older(
+    platform: Platform,
+) -> None:
+    operator = platform.operator
+    newer = document(5, tenants=[{"name": "bank", "apiKeys": [KEY, "second"]}])
+    assert await operator.replace(newer) == 200
+    assert await operator.replace(newer) == 200
+    # Not above the version held: acknowledged, and without effect.
+    assert await operator.replace(document(5)) == 200
+    assert await operator.replace(document(3)) == 200
+    assert await operator.replace(document(6)[:-9]) == 400
+    bad_route = json.loads(document(7))["routes"][0] | {"service": "nowhere"}
+    assert await operator.replace(document(7, routes=[bad_route])) == 400
+    assert await operator.read() == newer
+    for entry in platform.entry_ips:
+
+        async def second_key_works(entry: str = entry) -> bool:
+            return (await platform.call(entry, "/once/x", key="second")).status == 200
+
+        await until(second_key_works, "the new key is in force")
+
+
+async def test_a_leaving_server_gets_nothing_more(platform: Platform) -> None:
+    leaving, other = platform.of("plain")
+    await leaving.drain()
+    for entry in platform.entry_ips:
+
+        async def is_left_out(entry: str = entry) -> bool:
+            lines = platform.log(entry)
+            return any(leaving.instance in line.get("instances", ()) for line in lines)
+
+        await until(is_left_out, "the entry knows of the leaving")
+    before = len(leaving.runs)
+    for number in range(20):
+        answer = await platform.call(platform.entry_ips[number % 2], "/once/x")
+        assert answer.status == 200
+    assert len(leaving.runs) == before
+    # A heartbeat that says otherwise does not bring this incarnation back.
+    leaving.state = "ready"
+    acks = leaving.acks
+    await until(lambda: _reached(leaving.acks, acks + 3), "ready again is heard")
+    assert (await platform.call(platform.entry_ips[0], "/once/x")).status == 200
+    assert len(leaving.runs) == before
+    assert len(other.runs) >= 21
+
+
+def break_after_two_events(platform: Platform) -> Callable[[bytes], None]:
+    """Have model servers break off once the caller has two events."""
+    for server in platform.of("model"):
+        server.behave["breaks"] = "break"
+
+    def release(received: bytes) -> None:
+        if received == event(1) + event(2):
+            for server in platform.of("model"):
+                server.behave.clear()
+                server.release.set()
+
+    return release
+
+
+async def test_a_broken_stream_goes_on_elsewhere_without_gap_or_repeat(
+    platform: Platform,
+) -> None:
+    answer = await platform.call(
+        platform.entry_ips[0],
+        "/stream/breaks",
+        request_id="resumed",
+        on_data=break_after_two_events(platform),
+    )
+    assert (answer.status, answer.body) == (200, WHOLE_STREAM)
+    first, second = platform.of("model")
+    assert (first.count("resumed"), second.count("resumed")) == (1, 1)
+    runs = [*first.runs, *second.runs]
+    resumed = [run for run in runs if run.request_id == "resumed"]
+    assert sorted(run.headers.get(names.LAST_EVENT, "") for run in resumed) == ["", "2"]
+
+
+async def test_a_stream_that_may_not_go_on_is_cut_visibly(platform: Platform) -> None:
+    answer = await platform.call(
+        platform.entry_ips[0],
+        "/stream-fixed/breaks",
+        request_id="fixed",
+        on_data=break_after_two_events(platform),
+    )
+    assert answer.cut
+    assert answer.body == event(1) + event(2)
+    assert sum(server.count("fixed") for server in platform.of("model")) == 1
+
+
+@pytest.mark.parametrize("action", ["reset", "unsigned", "foreign"])
+async def test_what_must_not_repeat_runs_once_and_is_not_called_not_run(
+    platform: Platform, action: str
+) -> None:
+    for server in platform.of("plain"):
+        server.behave["x"] = action
+    answer = await platform.call(platform.entry_ips[0], "/once/x", request_id="o")
+    assert answer.status == 502
+    assert sum(server.count("o") for server in platform.of("plain")) == 1
+
+
+@pytest.mark.parametrize("action", ["reset", "unsigned", "foreign", "error"])
+async def test_what_may_repeat_is_tried_elsewhere(
+    platform: Platform, action: str
+) -> None:
+    bad, good = platform.of("plain")
+    bad.behave["x"] = action
+
+    async def bad_was_tried() -> bool:
+        answer = await platform.call(platform.entry_ips[0], "/safe/x")
+        assert answer.status == 200
+        assert answer.headers[names.SIGNATURE] == f"signed-{good.instance}"
+        return any(run.target == "/safe/x" for run in bad.runs)
+
+    await until(bad_was_tried, "the bad server was tried")
+
+
+async def test_a_refusal_is_true_and_says_when_to_come_back(platform: Platform) -> None:
+    for server in platform.of("plain"):
+        server.behave["x"] = "full"
+    answer = await platform.call(platform.entry_ips[0], "/once/x", request_id="f")
+    assert answer.status == 503
+    assert 0 < float(answer.headers[names.RETRY_AFTER]) <= 5 / 3
+    assert sum(server.count("f") for server in platform.of("plain")) == 0
+
+
+async def test_the_time_limit_gives_a_final_answer(platform: Platform) -> None:
+    for server in platform.of("plain"):
+        server.behave["x"] = "hold"
+    answer = await platform.call(
+        platform.entry_ips[0], "/once/x", headers={names.DEADLINE: "300"}
+    )
+    assert answer.status == 504
+
+
+async def test_a_caller_that_leaves_ends_the_work(platform: Platform) -> None:
+    for server in platform.of("model"):
+        server.behave["slow"] = "pause"
+    call = asyncio.create_task(
+        platform.call(platform.entry_ips[0], "/stream/slow", request_id="gone")
+    )
+
+    async def runs() -> bool:
+        return any(server.count("gone") for server in platform.of("model"))
+
+    await until(runs, "the request runs")
+    call.cancel()
+
+    async def cancelled() -> bool:
+        runs = [run for server in platform.of("model") for run in server.runs]
+        return any(run.ended == "cancelled" for run in runs if run.request_id == "gone")
+
+    await until(cancelled, "the work is cancelled")
+
+
+async def test_a_planned_stop_finishes_what_runs(platform: Platform) -> None:
+    entry = platform.entry_ips[0]
+    for server in platform.of("model"):
+        server.behave["slow"] = "pause"
+    call = asyncio.create_task(
+        platform.call(entry, "/stream/slow", request_id="stopped")
+    )
+
+    async def runs() -> bool:
+        return any(server.count("stopped") for server in platform.of("model"))
+
+    await until(runs, "the request runs")
+    platform.signal(entry, signal.SIGTERM)
+
+    async def not_ready() -> bool:
+        return not await platform.is_ready(entry)
+
+    await until(not_ready, "the entry is not ready")
+    late = await platform.call(entry, "/once/late")
+    assert late.status == 200
+    assert late.headers["Connection"] == "close"
+    for server in platform.of("model"):
+        server.release.set()
+    answer = await call
+    assert (answer.status, answer.body) == (200, WHOLE_STREAM)
+    process = platform.processes[entry]
+    await until(lambda: _reached(process.poll() is not None, True), "the entry ends")
+    assert process.returncode == 0
+
+
+async def test_a_killed_entry_serves_again_with_confirmed_configuration(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    platform.kill(entry)
+    platform.start(entry, founding=False)
+    await platform.wait_ready(entry)
+    await wait_for(platform, entry, "/none/x", 404)
+    await platform.wait_served(entry)
+
+
+async def test_a_lost_disk_joins_anew_and_what_was_acknowledged_stays(
+    platform: Platform,
+) -> None:
+    box = platform.control_ips[0]
+    platform.kill(box)
+    newer = document(4)
+    assert await platform.operator.replace(newer) == 200
+    shutil.rmtree(platform.folder / f"data-{box}")
+    platform.start(box, founding=False)
+
+    async def votes() -> bool:
+        lines = platform.log(box)
+        changes = [line for line in lines if line["message"] == "membership changed"]
+        voters = changes[-1]["voters"] if changes else []
+        mine = [name for name in voters if name.startswith(f"{box}#")]
+        return len(voters) == 3 and bool(mine) and mine != [f"{box}#first"]
+
+    await until(votes, "the box votes under a new identity")
+    for other in platform.control_ips[1:]:
+        platform.kill(other)
+        platform.start(other, founding=False)
+    assert await platform.operator.read() == newer
+
+
+async def test_new_seeds_cut_nothing(platform: Platform) -> None:
+    entry = platform.entry_ips[0]
+    for server in platform.of("model"):
+        server.behave["slow"] = "pause"
+    call = asyncio.create_task(platform.call(entry, "/stream/slow", request_id="hup"))
+
+    async def runs() -> bool:
+        return any(server.count("hup") for server in platform.of("model"))
+
+    await until(runs, "the request runs")
+    platform.seeds = platform.controls[1:]
+    platform.write_settings(entry)
+    platform.signal(entry, signal.SIGHUP)
+
+    async def reloaded() -> bool:
+        lines = platform.log(entry)
+        return any(line["message"] == "settings reloaded" for line in lines)
+
+    await until(reloaded, "the settings are reloaded")
+    for server in platform.of("model"):
+        server.release.set()
+    assert (await call).body == WHOLE_STREAM
+
+
+async def wait_for(
+    platform: Platform, entry: str, path: str, status: int, key: str | None = KEY
+) -> None:
+    """Ask until the entry is sure; before, it may only say 503."""
+    seen: list[int] = []
+
+    async def sure() -> bool:
+        seen.append((await platform.call(entry, path, key=key)).status)
+        return seen[-1] != 503
+
+    await until(sure, "the entry is sure of its configuration")
+    assert seen[-1] == status
+
+
+async def _reached(value: int, wanted: int) -> bool:
+    return value >= wanted
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import os
 import socket
 import struct
 import threading
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
+import aiohappyeyeballs
 import aiohttp
 import pytest
 
@@ -186,3 +189,45 @@
             resp = await send(made, port)
             assert await resp.read() == b"ok"
     assert connections == 1
+
+
+async def test_a_connect_that_is_given_up_closes_no_descriptor_twice(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A descriptor closed twice would be one that another connection has by then."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+
+    calls: list[asyncio.Task[aiohttp.ClientResponse]] = []
+    start_connection = aiohappyeyeballs.start_connection
+
+    async def give_up_once_connected(**kwargs: Any) -> socket.socket:
+        # Where the library connects a socket of its own, the caller leaves just then.
+        sock = await start_connection(**kwargs)
+        asyncio.get_running_loop().call_soon(calls[-1].cancel)
+        return sock
+
+    monkeypatch.setattr(aiohappyeyeballs, "start_connection", give_up_once_connected)
+    async with upstream(script) as port, client() as made:
+        for turns in range(40):
+            calls.append(asyncio.create_task(send(made, port)))
+            for _ in range(turns % 20):
+                await asyncio.sleep(0)
+            if turns >= 20:
+                calls[-1].cancel()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.05):
+                    await asyncio.wait(calls)
+            calls[-1].cancel()
+            await asyncio.wait(calls)
+            calls.clear()
+            # These get the numbers that were just given back.
+            others = [socket.socket() for _ in range(8)]
+            await asyncio.sleep(0.001)
+            for other in others:
+                os.fstat(other.fileno())
+                other.close()
