Links: a frame that the peer does not read ends the link

Cause, found while tracing RECOVER: the library's keepalive waits behind a write that waits for the peer, so a link to a box without power could outlive its keepalive limit. Ruled out: the keepalive alone (with room in the buffers it ends the link as set). Now a write has two seconds, keepalive looks twice a second, and opening has one second. tests/test_link.py hung for its 30 s before and passes in 3 s after.

--- a/src/leadseam/wire/link.py
+++ b/src/leadseam/wire/link.py
@@ -28,9 +28,15 @@
 MAX_FRAME = 64 * 1024 * 1024
 MAX_QUEUED = 20_000
 MAX_PER_FRAME = 256
-OPEN_TIMEOUT: Millis = 2_000
-KEEPALIVE_INTERVAL: Millis = 1_000
-KEEPALIVE_TIMEOUT: Millis = 3_000
+OPEN_TIMEOUT: Millis = 1_000
+"""Time to open a link: boxes of a region are a few ms apart, and a new attempt sends a
+lost first packet again sooner than the system does."""
+KEEPALIVE_INTERVAL: Millis = 500
+KEEPALIVE_TIMEOUT: Millis = 2_000
+"""A box without power says nothing. It should count again within four seconds of its
+return, and a link to its former self must be gone by then."""
+WRITE_TIMEOUT: Millis = 2_000
+"""Time that a frame may wait for the peer to read; keepalive waits behind it."""
 
 
 class Link:
@@ -93,7 +99,7 @@
 
     async def close(self) -> None:
         """Send what is queued, then close."""
-        with contextlib.suppress(websockets.ConnectionClosed):
+        with contextlib.suppress(websockets.ConnectionClosed, TimeoutError):
             while self._queue:
                 await self._flush()
         self._writer.cancel()
@@ -106,7 +112,7 @@
                 self._wake.clear()
                 while self._queue:
                     await self._flush()
-        except websockets.ConnectionClosed:
+        except (websockets.ConnectionClosed, TimeoutError):
             return
         finally:
             # A link that cannot write is of no use to its reader either.
@@ -117,7 +123,8 @@
         messages = [self._queue.popleft() for _ in range(count)]
         frame = encode_frame(messages)
         self._traffic.sent(len(frame), messages)
-        await self._conn.send(frame)
+        async with asyncio.timeout(seconds(WRITE_TIMEOUT)):
+            await self._conn.send(frame)
 
 
 @contextlib.asynccontextmanager
