A newcomer answers a leader that its seeds do not name

In the traces the box voted within a second when a seed led, and not in five seconds when another box did. Now a replica keeps a link to whoever leads. Shown by test_a_box_joins_a_leader_that_no_seed_names: timed out before, passes after.

--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -355,9 +355,13 @@
             self._membership = membership
             extra = {"voters": membership.voters, "learners": membership.learners}
             log.info("membership changed", extra=extra)
-        if self._followed != self.members:
-            self._followed = self.members
-            self._peers.follow(self._followed)
+        wanted = self.members
+        if self._raft.leader:
+            # A newcomer is not told the members before it has answered the leader.
+            wanted = wanted | {base_name(self._raft.leader)}
+        if self._followed != wanted:
+            self._followed = wanted
+            self._peers.follow(wanted)
 
     async def _loop(self) -> None:
         while not self.failure:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -278,20 +278,26 @@
     shutil.rmtree(platform.folder / f"data-{box}")
     platform.start(box, founding=False)
 
-    async def votes() -> bool:
-        lines = platform.log(box)
-        changes = [line for line in lines if line["message"] == "membership changed"]
-        voters = changes[-1]["voters"] if changes else []
-        mine = [name for name in voters if name.startswith(f"{box}#")]
-        return len(voters) == 3 and bool(mine) and mine != [f"{box}#first"]
-
-    await until(votes, "the box votes under a new identity")
+    await wait_for_new_vote(platform, box)
     for other in platform.control_ips[1:]:
         platform.kill(other)
         platform.start(other, founding=False)
     assert await platform.operator.read() == newer
 
 
+async def test_a_box_joins_a_leader_that_no_seed_names(platform: Platform) -> None:
+    first, *others = platform.control_ips
+    platform.kill(first)
+    shutil.rmtree(platform.folder / f"data-{first}")
+    assert await platform.operator.replace(document(4)) == 200
+    terms = {other: last_term_led(platform, other) for other in others}
+    leader = max(others, key=lambda other: terms[other])
+    follower = next(other for other in others if other != leader)
+    platform.seeds = [f"{follower}:{platform.control_port}"]
+    platform.start(first, founding=False)
+    await wait_for_new_vote(platform, first)
+
+
 async def test_new_seeds_cut_nothing(platform: Platform) -> None:
     entry = platform.entry_ips[0]
     for server in platform.of("model"):
@@ -330,5 +336,26 @@
     assert seen[-1] == status
 
 
+async def wait_for_new_vote(platform: Platform, box: str) -> None:
+    """Wait until a box that lost its disk votes under a new identity."""
+
+    async def votes() -> bool:
+        lines = platform.log(box)
+        changes = [line for line in lines if line["message"] == "membership changed"]
+        voters = changes[-1]["voters"] if changes else []
+        mine = [name for name in voters if name.startswith(f"{box}#")]
+        return len(voters) == 3 and bool(mine) and mine != [f"{box}#first"]
+
+    await until(votes, "the box votes under a new identity")
+
+
+def last_term_led(platform: Platform, box: str) -> int:
+    """Return the last term in which a box became the leader; 0 for none."""
+    lines = platform.log(box)
+    return max(
+        (line["term"] for line in lines if line.get("role") == "leader"), default=0
+    )
+
+
 async def _reached(value: int, wanted: int) -> bool:
     return value >= wanted
