--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -41,11 +41,6 @@
 RUNNING_COST = 0.5
 """Milliseconds that a request in flight counts for: each makes the others a little
 slower, and among engines with nothing to read the least loaded one should be taken."""
-LONG_PART = 0.7
-"""Part of the time left from which reading a prompt alone makes it a long one. Waiting
-for an engine with nothing to read would starve these, and they bring most work."""
-AHEAD_PART = 0.3
-"""Part of the time left that may be read ahead of a long prompt."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,7 +114,9 @@
             if not self._has_room(row, req, profile, limit, now):
                 continue
             scored = self._score(row, req, now, place=place)
-            if scored.wait > limit and not self._may_be_late(scored, limit):
+            # A prompt that takes too long even alone is sent where nothing waits.
+            alone = scored.placement.unread == scored.placement.load.unread
+            if scored.wait > limit and not alone:
                 continue
             if not anywhere and scored.cost > limit and scored.shared:
                 continue
@@ -137,15 +134,6 @@
         best = min(scored, key=lambda one: one.cost, default=None)
         return best.placement if best is not None else None
 
-    def _may_be_late(self, scored: _Scored, limit: float) -> bool:
-        """Tell whether a prompt goes where it is late, as it would be late alone."""
-        estimate = self.estimate(scored.placement.upstream.pool)
-        own = scored.placement.load.unread
-        ahead = scored.placement.unread - own
-        if estimate.millis(own) <= limit * LONG_PART:
-            return not ahead
-        return ahead / estimate.rate <= limit * AHEAD_PART
-
     def _has_room(
         self,
         row: Registration,
