Gateway: placing and the lines on requests in modules of their own

Now gateway.py holds who may come in and what is shared by all requests, placer.py where an attempt goes and who waits for room, request_log.py the lines and counters on single requests, admitted.py the request between them. The two places that named the configuration on a line are one. Behaviour is the same: constants, order of steps, and text, fields and logger name of the lines are as before.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -152,14 +152,14 @@
         assert self._gateway is not None
         while True:
             await sleep(LOAD_INTERVAL)
-            self._feed.report(self._gateway.load_report())
+            self._feed.report(self._gateway.placer.load_report())
 
     def _show_lag(self, lag: Millis) -> None:
         self._routing_metrics.lag.set({}, lag)
 
     def _take_totals(self, totals: LoadTotals) -> None:
         assert self._gateway is not None
-        self._gateway.take_totals(totals)
+        self._gateway.placer.take_totals(totals)
 
     def _configure(self, configuration: Configuration) -> None:
         assert self._gateway is not None
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -27,8 +27,7 @@
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
-    from leadseam.control.routes import Route
-    from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.admitted import Admitted
     from leadseam.routing.flight import Flight
     from leadseam.routing.gateway import Gateway
     from leadseam.wire.messages import Registration
@@ -47,29 +46,6 @@
     """The caller's connection is closed."""
 
 
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """A request that may be forwarded.
-
-    Args:
-        req: The request.
-        body: Its body.
-        route: Its route.
-        pool: Pool that was drawn for it.
-        account: Client account that pays, or None.
-        arrived: When it was read.
-        deadline: When it is given up.
-    """
-
-    req: RoutedRequest
-    body: bytes
-    route: Route
-    pool: str
-    account: str | None
-    arrived: Millis
-    deadline: Millis
-
-
 @dataclass(slots=True)
 class _Progress:
     sends: int = 0
@@ -131,7 +107,7 @@
         self._gateway.budget.note_request(self._request.pool, self._gateway.now())
         while True:
             progress = self._progress
-            flight = await self._gateway.place(
+            flight = await self._gateway.placer.place(
                 self._request, progress.tried, again=progress.sends > 0
             )
             if isinstance(flight, Reason):
@@ -206,7 +182,7 @@
         """Return the response, or None to try another upstream."""
         self._gateway.note_ending(upstream, ending)
         retry = self._may_retry(ending)
-        self._gateway.log_attempt(self, self._request, ending, retry=retry)
+        self._gateway.request_log.attempt(self, self._request, ending, retry=retry)
         if retry:
             return None
         match ending:
--- /dev/null
+++ b/src/leadseam/routing/placer.py
@@ -0,0 +1,179 @@
+"""Finds the upstream for each attempt; requests for engines may wait for room here."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from leadseam.clock import seconds
+from leadseam.control.routes import EngineProfile
+from leadseam.outcome import Reason
+from leadseam.routing.admission import Admission, Waiter
+from leadseam.routing.balance import Balancer, ranked_for, service_of
+from leadseam.routing.flight import Flight
+from leadseam.routing.usage import WINDOW, UsageBook
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from leadseam.clock import Clock, Millis
+    from leadseam.feed.client import FeedClient
+    from leadseam.routing.admitted import Admitted
+    from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.health import UpstreamHealth
+    from leadseam.routing.placement import Placement
+    from leadseam.wire.messages import LoadReport, LoadTotals, Registration
+
+PUMP_INTERVAL: Millis = 5
+"""Least pause between two looks at all that waits: small against objectives of 250 ms,
+and at an overloaded entry it bounds the processor time of looking."""
+
+
+class Placer:
+    """Places the requests of one entry, by the loads of all entries.
+
+    Args:
+        feed: Configuration and registered upstreams.
+        health: Which upstreams to leave alone.
+        clock: Source of time.
+        rng: Source of random numbers, for ties.
+    """
+
+    def __init__(
+        self,
+        *,
+        feed: FeedClient,
+        health: UpstreamHealth,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._feed = feed
+        self._health = health
+        self._clock = clock
+        self._balancer = Balancer(rng)
+        self._usage = UsageBook()
+        self._admission = Admission(
+            balancer=self._balancer,
+            candidates=self._candidates,
+            over_share=self._usage.over_share,
+            level=self._usage.level,
+        )
+        self._pumping = False
+
+    def __repr__(self) -> str:
+        return f"Placer(waiting={len(self._admission)}, {self._balancer!r})"
+
+    def asked(self, account: str, req: RoutedRequest, now: Millis) -> None:
+        """Count a request of a client account, placed later or not."""
+        self._usage.asked(account, service_of(req), now)
+
+    async def place(
+        self, admitted: Admitted, tried: set[str], *, again: bool
+    ) -> Flight | Reason:
+        """Find the upstream for an attempt; it may wait for room the first time.
+
+        Args:
+            admitted: The request.
+            tried: Incarnations not to be used.
+            again: Whether the request was sent somewhere before.
+
+        Returns:
+            The request in flight, or why it is refused.
+        """
+        placement = self._place_at_once(admitted, tried, again=again)
+        if isinstance(placement, EngineProfile):
+            placement = await self._wait_for_room(admitted, placement, tried)
+            reason = Reason.UPSTREAM_FULL
+        else:
+            reason = Reason.NO_UPSTREAM
+            if placement is not None:
+                self._balancer.begin(placement)
+        if placement is None:
+            return reason
+        if admitted.account is not None:
+            service = service_of(admitted.req)
+            self._usage.served(admitted.account, service, self._clock.now())
+        return Flight(
+            placement, admitted.req, self._balancer, self._clock, self._pump_soon
+        )
+
+    def load_report(self) -> LoadReport:
+        """Return this entry's counts for the other entries."""
+        return self._balancer.loads.report(self._usage.rows(self._clock.now()))
+
+    def take_totals(self, totals: LoadTotals) -> None:
+        """Take the counts of all entries."""
+        own = self._balancer.loads.totals(totals, self._clock.now())
+        limits = self._feed.configuration.limits
+        capacity = limits.tokens_per_s * WINDOW // 1_000
+        self._usage.totals(totals, own, capacity=capacity)
+        self._pump_soon()
+
+    def _place_at_once(
+        self, admitted: Admitted, tried: set[str], *, again: bool
+    ) -> Placement | EngineProfile | None:
+        """Place a request that need not wait; else return its pool's profile."""
+        rows = [
+            row for row in self._candidates(admitted.pool) if row.instance not in tried
+        ]
+        pool = self._feed.configuration.pools.get(admitted.pool)
+        profile = pool.engine if pool is not None else None
+        if not rows:
+            return None
+        if profile is None:
+            return self._balancer.least_loaded(rows, self._clock.now())
+        if again:
+            ranked = ranked_for(rows, admitted.req)
+            return self._balancer.place_anyway(ranked, admitted.req, self._clock.now())
+        return profile
+
+    async def _wait_for_room(
+        self, admitted: Admitted, profile: EngineProfile, tried: set[str]
+    ) -> Placement | None:
+        woken = asyncio.Event()
+        waiter = Waiter(
+            req=admitted.req,
+            account=admitted.account or "",
+            pool=admitted.pool,
+            profile=profile,
+            objective=admitted.route.latency_objective,
+            arrived=admitted.arrived,
+            tried=tried,
+            wake=woken.set,
+        )
+        self._admission.enter(waiter, self._clock.now())
+        if not waiter.done:
+            self._pump_soon()
+            delay = seconds(max(waiter.refuse_at - self._clock.now(), 0))
+            asyncio.get_running_loop().call_later(delay, self._pump)
+        try:
+            await woken.wait()
+        except asyncio.CancelledError:
+            self._withdraw(waiter)
+            raise
+        return waiter.placement
+
+    def _withdraw(self, waiter: Waiter) -> None:
+        """Take back a request whose caller is gone, placed or not."""
+        self._admission.withdraw(waiter)
+        placement = waiter.placement
+        if placement is not None:
+            self._balancer.loads.end(placement.upstream.instance, placement.load)
+
+    def _candidates(self, pool: str) -> Sequence[Registration]:
+        """Return the upstreams of a pool, without those that fail, if any is left."""
+        now = self._clock.now()
+        rows = self._feed.view.pool(pool)
+        sound = [row for row in rows if self._health.usable(row.instance, now)]
+        return sound or rows
+
+    def _pump_soon(self) -> None:
+        if len(self._admission) and not self._pumping:
+            self._pumping = True
+            delay = seconds(PUMP_INTERVAL)
+            asyncio.get_running_loop().call_later(delay, self._pump)
+
+    def _pump(self) -> None:
+        self._pumping = False
+        self._admission.pump(self._clock.now())
--- /dev/null
+++ b/src/leadseam/routing/request_log.py
@@ -0,0 +1,133 @@
+"""Log lines and counters on single requests of an entry."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from leadseam.entry.answers import outcome_name
+from leadseam.outcome import Answered, Outcome
+from leadseam.routing.attempt import FIRST_SERVER_ERROR, Streaming, Whole
+from leadseam.runtime.logs import LineBudget
+
+if TYPE_CHECKING:
+    from leadseam.clock import Clock, Millis
+    from leadseam.feed.client import FeedClient
+    from leadseam.outcome import NotRun
+    from leadseam.routing.admitted import Admitted
+    from leadseam.routing.attempt import Ending
+    from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.exchange import Exchange
+    from leadseam.runtime.metrics import RoutingMetrics
+    from leadseam.wire.messages import Registration
+
+log = logging.getLogger("leadseam.routing.gateway")
+"""The gateway's logger: readers of the lines know them by this name."""
+
+
+class RequestLog:
+    """Counts how requests end, and writes lines on them within a budget.
+
+    Times in lines are milliseconds, those of the counters are seconds.
+
+    Args:
+        feed: Configuration in force, named on each line.
+        clock: Source of time.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self, *, feed: FeedClient, clock: Clock, metrics: RoutingMetrics
+    ) -> None:
+        self._feed = feed
+        self._clock = clock
+        self._metrics = metrics
+        self._lines = LineBudget(clock)
+
+    def refusal(self, req: RoutedRequest, refusal: NotRun, arrived: Millis) -> None:
+        """Note a request that was not admitted."""
+        self._metrics.requests.inc({"outcome": "not_run"})
+        if self._lines.take():
+            extra = {
+                "request": req.request_id,
+                "reason": refusal.reason.value,
+                **self._configuration(),
+                "ms": self._clock.now() - arrived,
+            }
+            log.info("request refused", extra=extra)
+
+    def attempt(
+        self, exchange: Exchange, admitted: Admitted, ending: Ending, *, retry: bool
+    ) -> None:
+        """Write a line for an attempt that did not end well."""
+        failed = isinstance(ending, Whole) and ending.status >= FIRST_SERVER_ERROR
+        if not failed and isinstance(ending, Whole | Streaming):
+            return
+        if self._lines.take():
+            extra = {
+                **self._context(admitted),
+                "instance": exchange.instance,
+                "send": exchange.sends,
+                "ending": type(ending).__name__.lower(),
+                "retry": retry,
+            }
+            log.info("attempt failed", extra=extra)
+
+    def silence(
+        self, upstream: Registration, admitted: Admitted, *, left_alone: bool
+    ) -> None:
+        """Write a line for an upstream that has not answered for too long."""
+        if self._lines.take():
+            extra = {
+                **self._context(admitted),
+                "instance": upstream.instance,
+                "left_alone": left_alone,
+            }
+            log.info("upstream silent", extra=extra)
+
+    def left_alone(self, upstream: Registration, ending: Ending) -> None:
+        """Write a line, outside the budget, for an upstream that gets no new work."""
+        extra = {"instance": upstream.instance, "ending": repr(ending)}
+        log.warning("upstream left alone for a while", extra=extra)
+
+    def end(self, exchange: Exchange, admitted: Admitted) -> None:
+        """Note the end of an admitted request."""
+        now = self._clock.now()
+        outcome: Outcome = exchange.outcome
+        self._metrics.requests.inc({"outcome": outcome_name(outcome)})
+        self._metrics.duration.add({}, (now - admitted.arrived) / 1_000)
+        if exchange.first_byte_at >= 0:
+            first = exchange.first_byte_at - admitted.arrived
+            self._metrics.first_byte.add({}, first / 1_000)
+        if self._lines.take():
+            self._log_end(exchange, admitted, outcome, now)
+
+    def _log_end(
+        self, exchange: Exchange, admitted: Admitted, outcome: Outcome, now: Millis
+    ) -> None:
+        extra = {
+            **self._context(admitted),
+            "instance": exchange.instance,
+            "sends": exchange.sends,
+            "outcome": outcome_name(outcome),
+            "ms": now - admitted.arrived,
+        }
+        if exchange.first_byte_at >= 0:
+            extra["first_ms"] = exchange.first_byte_at - admitted.arrived
+        if isinstance(outcome, Answered):
+            extra["status"] = outcome.status
+        else:
+            extra["reason"] = outcome.reason.value
+        log.info("request ended", extra=extra)
+
+    def _context(self, admitted: Admitted) -> dict[str, object]:
+        return {
+            "request": admitted.req.request_id,
+            "route": admitted.route.name,
+            "pool": admitted.pool,
+            "account": admitted.account,
+            **self._configuration(),
+        }
+
+    def _configuration(self) -> dict[str, object]:
+        return {"config": self._feed.version, "config_age_ms": self._feed.age}
