Exchange: what the caller has got of an answer is a class of its own

exchange.py decided on attempts and retries and also wrote the caller's stream. reply.py now holds the stream: whole events, the last identity, the first byte, the cut. Exchange keeps the decisions. The fields of its progress are described, and the time -1 has the name NOT_YET. Behaviour is the same: order of steps, outcomes and their statuses are as before.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -1,12 +1,11 @@
-"""One caller's request on its way: attempts, retries, the answer, resuming."""
+"""One caller's request on its way: attempts, retries, and what the caller is told."""
 
 from __future__ import annotations
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NoReturn
 
-import aiohttp
 from aiohttp import web
 
 from leadseam.control.routes import Repeat
@@ -22,7 +21,7 @@
     attempt,
 )
 from leadseam.routing.dialect import AttemptHead
-from leadseam.routing.events import Event, EventSplitter
+from leadseam.routing.reply import CallerGoneError, Reply
 from leadseam.routing.silence import SilenceWatch, first_limit, pause_limit
 
 if TYPE_CHECKING:
@@ -42,18 +41,22 @@
 """Longest pause told: bursts last a few seconds."""
 
 
-class CallerGoneError(Exception):
-    """The caller's connection is closed."""
-
-
 @dataclass(slots=True)
 class _Progress:
+    """What was tried so far.
+
+    Args:
+        sends: Upstreams that the request was sent to.
+        runs: Those among them that may have run it.
+        tried: Their incarnations.
+        instance: Incarnation that was sent to last, or an empty text.
+        retry_taken: Whether a retry of the shared budget is taken and not yet used.
+    """
+
     sends: int = 0
     runs: int = 0
     tried: set[str] = field(default_factory=set)
     instance: str = ""
-    last_event: str | None = None
-    first_byte_at: Millis = -1
     retry_taken: bool = False
 
 
@@ -70,10 +73,14 @@
         self, gateway: Gateway, http: web.BaseRequest, admitted: Admitted
     ) -> None:
         self._gateway = gateway
-        self._http = http
         self._request = admitted
-        self._progress = _Progress(last_event=admitted.req.resume_after)
-        self._reply: web.StreamResponse | None = None
+        self._progress = _Progress()
+        self._reply = Reply(
+            http,
+            prepare=gateway.prepare,
+            now=gateway.now,
+            last_event=admitted.req.resume_after,
+        )
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
 
     @property
@@ -88,8 +95,8 @@
 
     @property
     def first_byte_at(self) -> Millis:
-        """When the first byte went to the caller, -1 before."""
-        return self._progress.first_byte_at
+        """When the first byte went to the caller, `NOT_YET` before."""
+        return self._reply.first_byte_at
 
     async def run(self) -> web.StreamResponse:
         """Return the finished response; the caller's connection may be cut instead."""
@@ -144,6 +151,17 @@
         except TimeoutError:
             return Broken(Reason.UPSTREAM_SILENT)
 
+    async def _stream(
+        self, streaming: Streaming, flight: Flight, watch: SilenceWatch
+    ) -> Ending:
+        limit = pause_limit(self._request.route.max_pause)
+
+        def on_data() -> None:
+            flight.first_byte()
+            watch.wait(limit)
+
+        return await self._reply.relay(streaming, on_data)
+
     def _on_silence(self, flight: Flight) -> bool:
         """Tell whether a silent attempt is to end, as another one may take over."""
         self._gateway.note_silence(flight.upstream, self._request)
@@ -162,7 +180,7 @@
             account=request.account,
             keyed=self._gateway.keyed,
             time_left=max(request.deadline - self._gateway.now(), 1),
-            resume_after=self._progress.last_event,
+            resume_after=self._reply.last_event,
         )
         return await attempt(
             self._gateway.client,
@@ -189,7 +207,9 @@
             case Whole():
                 return self._deliver_whole(ending)
             case Streaming():
-                return await self._end_stream()
+                response = await self._reply.end()
+                self.outcome = Answered(response.status)
+                return response
             case Unreachable():
                 return self._give_up(Reason.UPSTREAM_UNREACHABLE)
             case Declined():
@@ -215,7 +235,7 @@
 
     def _may_run_again(self) -> bool:
         route = self._request.route
-        if self._reply is not None and not route.resumable:
+        if self._reply.begun and not route.resumable:
             return False
         return route.repeatable and self._progress.runs < route.max_attempts
 
@@ -231,17 +251,17 @@
     # Answers
 
     def _deliver_whole(self, whole: Whole) -> web.StreamResponse:
-        if self._reply is not None:
+        if self._reply.begun:
             # A refusal by the upstream that should have gone on with a stream.
             self._cut(Reason.UPSTREAM_BROKEN)
         self.outcome = Answered(whole.status)
-        self._note_first_byte()
+        self._reply.note_first_byte()
         return web.Response(
             status=whole.status, headers=list(whole.headers), body=whole.body
         )
 
     def _give_up(self, reason: Reason) -> web.StreamResponse:
-        if self._reply is not None:
+        if self._reply.begun:
             self._cut(reason)
         if self._progress.runs == 0:
             return self._refuse(reason)
@@ -250,7 +270,7 @@
         return self._gateway.error(self.outcome)
 
     def _refuse(self, reason: Reason) -> web.StreamResponse:
-        if self._reply is not None:
+        if self._reply.begun:
             self._cut(reason)
         if self._progress.runs:
             return self._give_up(Reason.UPSTREAM_BROKEN)
@@ -262,78 +282,13 @@
         return self._gateway.spread(min(round(left * COME_BACK_PART), MAX_COME_BACK))
 
     def _out_of_time(self) -> web.StreamResponse:
-        if self._reply is not None:
+        if self._reply.begun:
             self._cut(Reason.DEADLINE_PASSED)
         if self._progress.sends == 0:
             return self._refuse(Reason.NO_UPSTREAM)
         self.outcome = Unknown(Reason.DEADLINE_PASSED)
         return self._gateway.error(self.outcome)
 
-    def _cut(self, reason: Reason) -> None:
-        """End a response that has begun so that it cannot look complete."""
+    def _cut(self, reason: Reason) -> NoReturn:
         self.outcome = Failed(reason)
-        if self._http.transport is not None:
-            self._http.transport.abort()
-        raise CallerGoneError(reason.value)
-
-    # Streams
-
-    async def _stream(
-        self, streaming: Streaming, flight: Flight, watch: SilenceWatch
-    ) -> Ending:
-        """Relay an answer; `Broken` if it ends before its end."""
-        try:
-            splitter = EventSplitter()
-            await self._relay(streaming, splitter.feed(streaming.held))
-            while data := await streaming.resp.content.readany():
-                flight.first_byte()
-                watch.wait(pause_limit(self._request.route.max_pause))
-                await self._relay(streaming, splitter.feed(data))
-            if splitter.pending:
-                await self._relay(streaming, [Event(splitter.pending, None)])
-        except (aiohttp.ClientError, OSError) as exc:
-            if isinstance(exc, ConnectionError) and self._caller_gone():
-                raise CallerGoneError(str(exc)) from exc
-            return Broken(Reason.UPSTREAM_BROKEN)
-        finally:
-            # Ends the work of an upstream whose answer is not read to its end.
-            streaming.resp.close()
-        if self._reply is None:
-            await self._open_reply(streaming)
-        return streaming
-
-    def _caller_gone(self) -> bool:
-        transport = self._http.transport
-        return transport is None or transport.is_closing()
-
-    async def _relay(self, streaming: Streaming, events: list[Event]) -> None:
-        if not events:
-            return
-        if self._reply is None:
-            await self._open_reply(streaming)
-        assert self._reply is not None
-        try:
-            await self._reply.write(b"".join(event.data for event in events))
-        except ConnectionError as exc:
-            raise CallerGoneError(str(exc)) from exc
-        for event in events:
-            if event.identity is not None:
-                self._progress.last_event = event.identity
-
-    async def _open_reply(self, streaming: Streaming) -> None:
-        status = streaming.resp.status
-        self._reply = web.StreamResponse(status=status, headers=list(streaming.headers))
-        self._reply.enable_chunked_encoding()
-        self._gateway.prepare(self._reply)
-        self._note_first_byte()
-        await self._reply.prepare(self._http)
-
-    async def _end_stream(self) -> web.StreamResponse:
-        assert self._reply is not None
-        await self._reply.write_eof()
-        self.outcome = Answered(self._reply.status)
-        return self._reply
-
-    def _note_first_byte(self) -> None:
-        if self._progress.first_byte_at < 0:
-            self._progress.first_byte_at = self._gateway.now()
+        self._reply.cut(reason)
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -18,9 +18,10 @@
     Whole,
 )
 from leadseam.routing.budget import PoolRetryBudget
-from leadseam.routing.exchange import CallerGoneError, Exchange
+from leadseam.routing.exchange import Exchange
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.placer import Placer
+from leadseam.routing.reply import CallerGoneError
 from leadseam.routing.request_log import RequestLog
 from leadseam.routing.router import Router, choose_pool
 
--- /dev/null
+++ b/src/leadseam/routing/reply.py
@@ -0,0 +1,139 @@
+"""The answer on its way to the caller: what has been sent, and how it ends."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NoReturn
+
+import aiohttp
+from aiohttp import web
+
+from leadseam.outcome import Reason
+from leadseam.routing.attempt import Broken, Ending, Streaming
+from leadseam.routing.events import Event, EventSplitter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from leadseam.clock import Millis
+
+NOT_YET: Millis = -1
+"""Time of a first byte that has not been sent."""
+
+
+class CallerGoneError(Exception):
+    """The caller's connection is closed."""
+
+
+class Reply:
+    """The response to one caller, made of the answers of one or more attempts.
+
+    Args:
+        http: The caller's HTTP request.
+        prepare: Called with the response before its head is sent.
+        now: Returns the time.
+        last_event: Identity of the last event that the caller has, or None.
+    """
+
+    def __init__(
+        self,
+        http: web.BaseRequest,
+        *,
+        prepare: Callable[[web.StreamResponse], None],
+        now: Callable[[], Millis],
+        last_event: str | None,
+    ) -> None:
+        self.last_event = last_event
+        self.first_byte_at: Millis = NOT_YET
+        self._http = http
+        self._prepare = prepare
+        self._now = now
+        self._response: web.StreamResponse | None = None
+
+    def __repr__(self) -> str:
+        return f"Reply(begun={self.begun}, last_event={self.last_event!r})"
+
+    @property
+    def begun(self) -> bool:
+        """Whether the head of a stream went to the caller."""
+        return self._response is not None
+
+    async def relay(self, streaming: Streaming, on_data: Callable[[], None]) -> Ending:
+        """Pass on an answer as whole events.
+
+        Args:
+            streaming: The answer; it is closed in the end.
+            on_data: Called when bytes have arrived from the upstream.
+
+        Returns:
+            The answer, or `Broken` if it ends before its end.
+
+        Raises:
+            CallerGoneError: If nothing can be sent to the caller any more.
+        """
+        try:
+            splitter = EventSplitter()
+            await self._write(streaming, splitter.feed(streaming.held))
+            while data := await streaming.resp.content.readany():
+                on_data()
+                await self._write(streaming, splitter.feed(data))
+            if splitter.pending:
+                await self._write(streaming, [Event(splitter.pending, None)])
+        except (aiohttp.ClientError, OSError) as exc:
+            if isinstance(exc, ConnectionError) and self._caller_gone():
+                raise CallerGoneError(str(exc)) from exc
+            return Broken(Reason.UPSTREAM_BROKEN)
+        finally:
+            # Ends the work of an upstream whose answer is not read to its end.
+            streaming.resp.close()
+        if self._response is None:
+            await self._open(streaming)
+        return streaming
+
+    async def end(self) -> web.StreamResponse:
+        """Finish a response that has begun, and return it."""
+        assert self._response is not None
+        await self._response.write_eof()
+        return self._response
+
+    def cut(self, reason: Reason) -> NoReturn:
+        """End a response that has begun so that it cannot look complete.
+
+        Raises:
+            CallerGoneError: Always, as nothing more can be sent.
+        """
+        if self._http.transport is not None:
+            self._http.transport.abort()
+        raise CallerGoneError(reason.value)
+
+    def note_first_byte(self) -> None:
+        """Note that the caller gets an answer; only the first call counts."""
+        if self.first_byte_at == NOT_YET:
+            self.first_byte_at = self._now()
+
+    def _caller_gone(self) -> bool:
+        transport = self._http.transport
+        return transport is None or transport.is_closing()
+
+    async def _write(self, streaming: Streaming, events: list[Event]) -> None:
+        if not events:
+            return
+        response = self._response
+        if response is None:
+            response = await self._open(streaming)
+        try:
+            await response.write(b"".join(event.data for event in events))
+        except ConnectionError as exc:
+            raise CallerGoneError(str(exc)) from exc
+        for event in events:
+            if event.identity is not None:
+                self.last_event = event.identity
+
+    async def _open(self, streaming: Streaming) -> web.StreamResponse:
+        status = streaming.resp.status
+        response = web.StreamResponse(status=status, headers=list(streaming.headers))
+        self._response = response
+        response.enable_chunked_encoding()
+        self._prepare(response)
+        self.note_first_byte()
+        await response.prepare(self._http)
+        return response
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -8,6 +8,7 @@
 from leadseam.entry.answers import outcome_name
 from leadseam.outcome import Answered, Outcome
 from leadseam.routing.attempt import FIRST_SERVER_ERROR, Streaming, Whole
+from leadseam.routing.reply import NOT_YET
 from leadseam.runtime.logs import LineBudget
 
 if TYPE_CHECKING:
@@ -96,7 +97,7 @@
         outcome: Outcome = exchange.outcome
         self._metrics.requests.inc({"outcome": outcome_name(outcome)})
         self._metrics.duration.add({}, (now - admitted.arrived) / 1_000)
-        if exchange.first_byte_at >= 0:
+        if exchange.first_byte_at != NOT_YET:
             first = exchange.first_byte_at - admitted.arrived
             self._metrics.first_byte.add({}, first / 1_000)
         if self._lines.take():
@@ -112,7 +113,7 @@
             "outcome": outcome_name(outcome),
             "ms": now - admitted.arrived,
         }
-        if exchange.first_byte_at >= 0:
+        if exchange.first_byte_at != NOT_YET:
             extra["first_ms"] = exchange.first_byte_at - admitted.arrived
         if isinstance(outcome, Answered):
             extra["status"] = outcome.status
