Feed: both sides of claims in modules of their own

The feed's client and server mixed the configuration's way to a node with claims, which only share its links. claim_client.py now asks for claims and takes replies, claim_server.py commits and answers them (it was ClaimBatcher and three functions of the server). Constants without a word on them say what they bound. Behaviour is the same: messages, their order on a link, the turn of replicas and all times are as before.

--- a/src/leadseam/entry/http.py
+++ b/src/leadseam/entry/http.py
@@ -188,7 +188,7 @@
     ) -> web.StreamResponse:
         account = admitted.req.account
         owner = secrets.token_hex(16)
-        reply = await self._feed.claim(
+        reply = await self._feed.claims.claim(
             account=account, key=admitted.key, digest=admitted.digest, owner=owner
         )
         match reply.verdict:
@@ -201,7 +201,7 @@
             case Verdict.MISMATCH:
                 return self._refuse(NotRun(Reason.CLAIM_MISMATCH))
             case _:
-                self._feed.release(ClaimRelease(account, admitted.key, owner))
+                self._feed.claims.release(ClaimRelease(account, admitted.key, owner))
                 refusal = NotRun(Reason.CLAIM_UNAVAILABLE, CLAIM_RETRY_AFTER)
                 return self._refuse(refusal)
         relay = self._relay(http, admitted, outlives_caller=True)
@@ -218,11 +218,11 @@
         account, key = admitted.req.account, admitted.key
         match outcome:
             case NotRun():
-                self._feed.release(ClaimRelease(account, key, owner))
+                self._feed.claims.release(ClaimRelease(account, key, owner))
             case Answered(status=status) if len(relay.kept) <= MAX_STORED_BODY:
                 body = bytes(relay.kept)
                 done = ClaimDone(account, key, owner, status, relay.content_type, body)
-                self._feed.complete(done)
+                self._feed.claims.complete(done)
             case _:
                 pass
 
--- /dev/null
+++ b/src/leadseam/feed/claim_client.py
@@ -0,0 +1,88 @@
+"""A node's side of claims: asks replicas for the sole right to run a request."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Clock, Millis, seconds
+from leadseam.control.claims import Verdict
+from leadseam.wire.messages import Claim, ClaimReply
+
+if TYPE_CHECKING:
+    from leadseam.wire.link import Link
+    from leadseam.wire.messages import ClaimDone, ClaimRelease
+
+CLAIM_TIMEOUT: Millis = 4_000
+"""Time after which a claim without an answer is given up."""
+CLAIM_RESEND: Millis = 1_000
+"""Time after which a claim is sent to another replica."""
+
+
+class ClaimClient:
+    """Sends claims to the replicas that a node follows.
+
+    Args:
+        clock: Source of time.
+        links: Links to the replicas, kept up to date by their owner; claims change
+            their order.
+    """
+
+    def __init__(self, clock: Clock, links: list[Link]) -> None:
+        self._clock = clock
+        self._links = links
+        self._replies: dict[int, asyncio.Future[ClaimReply]] = {}
+        self._next_ticket = 0
+
+    def __repr__(self) -> str:
+        return f"ClaimClient(waiting={len(self._replies)})"
+
+    async def claim(
+        self, *, account: str, key: str, digest: int, owner: str
+    ) -> ClaimReply:
+        """Ask for the sole right to run a request.
+
+        The same owner may ask again through another replica, so a lost reply costs
+        only time.
+
+        Returns:
+            The verdict; UNAVAILABLE if no quorum answered within `CLAIM_TIMEOUT`.
+        """
+        self._next_ticket += 1
+        ticket = self._next_ticket
+        request = Claim(ticket, account, key, digest, owner)
+        fut: asyncio.Future[ClaimReply] = asyncio.Future()
+        self._replies[ticket] = fut
+        try:
+            return await self._ask(request, fut)
+        finally:
+            del self._replies[ticket]
+
+    def take_reply(self, reply: ClaimReply) -> None:
+        """Take a replica's answer; one that nobody waits for is dropped."""
+        fut = self._replies.get(reply.ticket)
+        if fut is not None and not fut.done():
+            fut.set_result(reply)
+
+    def complete(self, message: ClaimDone) -> None:
+        """Record the answer of a claimed run; lost if no replica is connected."""
+        if self._links:
+            self._links[0].send(message)
+
+    def release(self, message: ClaimRelease) -> None:
+        """Give up a claim; lost if no replica is connected."""
+        if self._links:
+            self._links[0].send(message)
+
+    async def _ask(self, request: Claim, fut: asyncio.Future[ClaimReply]) -> ClaimReply:
+        deadline = self._clock.now() + CLAIM_TIMEOUT
+        while self._clock.now() < deadline:
+            if self._links:
+                # Another replica each time: one that hangs must not cost the claim.
+                self._links.append(self._links.pop(0))
+                self._links[-1].send(request)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(seconds(CLAIM_RESEND)):
+                    return await asyncio.shield(fut)
+        return ClaimReply(request.ticket, Verdict.UNAVAILABLE)
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -1,4 +1,4 @@
-"""A node's side of the feed: its configuration, and its claims."""
+"""A node's side of the feed: its configuration, and what replicas tell it besides."""
 
 from __future__ import annotations
 
@@ -9,16 +9,13 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, seconds
-from leadseam.control.claims import Verdict
 from leadseam.control.configuration import Configuration, Operation
+from leadseam.feed.claim_client import ClaimClient
 from leadseam.membership.view import UpstreamView
 from leadseam.wire.backoff import Backoff
 from leadseam.wire.codec import decode
 from leadseam.wire.link import LINK_ERRORS, dial
 from leadseam.wire.messages import (
-    Claim,
-    ClaimDone,
-    ClaimRelease,
     ClaimReply,
     Current,
     Delta,
@@ -41,9 +38,9 @@
     from leadseam.wire.traffic import Traffic
 
 SILENCE_LIMIT: Millis = 2_000
+"""Silence of a replica after which another one is followed: four feed heartbeats."""
 MAX_REDIAL_PAUSE: Millis = 800
-CLAIM_TIMEOUT: Millis = 4_000
-CLAIM_RESEND: Millis = 1_000
+"""Longest pause before another replica is tried."""
 FRESH_LIMIT: Millis = 2_000
 """Age of a confirmation beyond which nothing is called absent: four feed heartbeats."""
 
@@ -97,8 +94,7 @@
         self._followed: set[Endpoint] = set()
         self._links: list[Link] = []
         self._names: dict[Link, str] = {}
-        self._replies: dict[int, asyncio.Future[ClaimReply]] = {}
-        self._next_ticket = 0
+        self.claims = ClaimClient(clock, self._links)
         random.shuffle(self._endpoints)
 
     def __repr__(self) -> str:
@@ -157,54 +153,11 @@
             self._followed.discard(endpoint)
             self.view.disconnected(replica, self._clock.now())
 
-    async def claim(
-        self, *, account: str, key: str, digest: int, owner: str
-    ) -> ClaimReply:
-        """Ask for the sole right to run a request.
-
-        The same owner may ask again through another replica, so a lost reply costs
-        only time.
-
-        Returns:
-            The verdict; UNAVAILABLE if no quorum answered within `CLAIM_TIMEOUT`.
-        """
-        self._next_ticket += 1
-        ticket = self._next_ticket
-        request = Claim(ticket, account, key, digest, owner)
-        fut: asyncio.Future[ClaimReply] = asyncio.Future()
-        self._replies[ticket] = fut
-        try:
-            return await self._ask(request, fut)
-        finally:
-            del self._replies[ticket]
-
-    def complete(self, message: ClaimDone) -> None:
-        """Record the answer of a claimed run; lost if no replica is connected."""
-        if self._links:
-            self._links[0].send(message)
-
-    def release(self, message: ClaimRelease) -> None:
-        """Give up a claim; lost if no replica is connected."""
-        if self._links:
-            self._links[0].send(message)
-
     def report(self, report: LoadReport) -> None:
         """Send a load report to the replica that all entries choose alike."""
         if self._names:
             min(self._names, key=self._names.__getitem__).send(report)
 
-    async def _ask(self, request: Claim, fut: asyncio.Future[ClaimReply]) -> ClaimReply:
-        deadline = self._clock.now() + CLAIM_TIMEOUT
-        while self._clock.now() < deadline:
-            if self._links:
-                # Another replica each time: one that hangs must not cost the claim.
-                self._links.append(self._links.pop(0))
-                self._links[-1].send(request)
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(seconds(CLAIM_RESEND)):
-                    return await asyncio.shield(fut)
-        return ClaimReply(request.ticket, Verdict.UNAVAILABLE)
-
     async def _follow(self, endpoint: Endpoint, backoff: Backoff) -> None:
         async with dial(endpoint.ip, endpoint.port, self._traffic) as link:
             link.send(self._subscription())
@@ -253,10 +206,8 @@
             case Current(version=version):
                 if version <= self.version:
                     self._confirm(link, message)
-            case ClaimReply(ticket=ticket):
-                fut = self._replies.get(ticket)
-                if fut is not None and not fut.done():
-                    fut.set_result(message)
+            case ClaimReply():
+                self.claims.take_reply(message)
             case _:
                 self._handle_membership(replica, message)
 
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -1,15 +1,14 @@
-"""The replica's side of the feed: subscribers, deltas, heartbeats and claims."""
+"""The replica's side of the feed: subscribers, changes, heartbeats and totals."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, SystemClock, sleep
-from leadseam.control.claims import Acquire, ClaimResult, Complete, Release, Verdict
-from leadseam.control.state import ClaimResults, Claims
+from leadseam.feed.claim_server import ClaimServer
 from leadseam.feed.totals import LoadSums
 from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
@@ -18,7 +17,6 @@
     Claim,
     ClaimDone,
     ClaimRelease,
-    ClaimReply,
     Current,
     Delta,
     Expired,
@@ -33,7 +31,6 @@
 )
 
 if TYPE_CHECKING:
-    from leadseam.control.claims import ClaimCommand
     from leadseam.control.replica import Replica
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.link import Link
@@ -46,7 +43,6 @@
 """Interval of the load totals: entries' reports are 50 ms old on average besides."""
 MAX_LEFT_TOLD = 1_000
 """Left upstreams told to a new subscriber; older ones have ended long ago."""
-MAX_CLAIM_BATCH = 256
 
 log = logging.getLogger(__name__)
 
@@ -74,53 +70,6 @@
     replicas: tuple[str, ...] = ()
 
 
-@dataclass(slots=True)
-class _QueuedClaim:
-    command: ClaimCommand
-    fut: asyncio.Future[ClaimResult] = field(default_factory=asyncio.Future)
-
-
-class ClaimBatcher:
-    """Commits claims in batches: one in flight, the next one collecting.
-
-    Args:
-        replica: Where to submit.
-        metrics: Counters.
-    """
-
-    def __init__(self, replica: Replica, metrics: ControlMetrics) -> None:
-        self._replica = replica
-        self._metrics = metrics
-        self._queue: asyncio.Queue[_QueuedClaim] = asyncio.Queue()
-
-    async def run(self) -> None:
-        """Submit batches until cancelled."""
-        while True:
-            batch = [await self._queue.get()]
-            while len(batch) < MAX_CLAIM_BATCH and not self._queue.empty():
-                batch.append(self._queue.get_nowait())
-            await self._commit(batch)
-
-    async def submit(self, command: ClaimCommand) -> ClaimResult:
-        """Commit one command; the verdict is UNAVAILABLE without a quorum."""
-        queued = _QueuedClaim(command)
-        self._queue.put_nowait(queued)
-        result = await queued.fut
-        self._metrics.claims.inc({"verdict": result.verdict})
-        return result
-
-    async def _commit(self, batch: list[_QueuedClaim]) -> None:
-        command = Claims(tuple(queued.command for queued in batch))
-        outcome = await self._replica.submit(command)
-        results: tuple[ClaimResult, ...]
-        if isinstance(outcome, ClaimResults):
-            results = outcome.results
-        else:
-            results = (ClaimResult(Verdict.UNAVAILABLE),) * len(batch)
-        for queued, result in zip(batch, results, strict=True):
-            queued.fut.set_result(result)
-
-
 class FeedServer:
     """Serves subscribers of one replica.
 
@@ -147,7 +96,7 @@
         self._sums = LoadSums()
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
-        self._claims = ClaimBatcher(replica, metrics)
+        self._claims = ClaimServer(replica, metrics)
 
     @property
     def subscribers(self) -> list[Subscriber]:
@@ -236,27 +185,11 @@
             case InForce(version=version, clock=clock):
                 subscriber.in_force = max(subscriber.in_force, version)
                 subscriber.clock = max(subscriber.clock, clock)
-            case Claim():
-                spawn(self._acquire(subscriber, message))
-            case ClaimDone():
-                spawn(self._claims.submit(_complete(message)))
-            case ClaimRelease(account=account, key=key, owner=owner):
-                spawn(self._claims.submit(Release(account, key, owner)))
+            case Claim() | ClaimDone() | ClaimRelease():
+                spawn(self._claims.handle(subscriber.link, message))
             case _:
                 self._metrics.unexpected.inc({})
 
-    async def _acquire(self, subscriber: Subscriber, message: Claim) -> None:
-        command = Acquire(message.account, message.key, message.digest, message.owner)
-        result = await self._claims.submit(command)
-        reply = ClaimReply(
-            message.ticket,
-            result.verdict,
-            result.status,
-            result.content_type,
-            result.body,
-        )
-        subscriber.link.send(reply)
-
     async def _push_changes(self) -> None:
         while True:
             await self._replica.next_applied()
@@ -327,14 +260,3 @@
     ) -> None:
         subscriber.link.send(message)
         self._metrics.feed_bytes.add({}, size)
-
-
-def _complete(message: ClaimDone) -> Complete:
-    return Complete(
-        message.account,
-        message.key,
-        message.owner,
-        message.status,
-        message.content_type,
-        message.body,
-    )
