Data path and settings: one way to give up, one wording of a fault, named limits

Exchange: how a request ends without an answer was two functions that called each other; now a request that finds no upstream, one that is given up and one that has not run have one each, and the silent attempt is no longer counted and taken back to ask a question. LoadBook.end and settings faults had doubles; UpstreamView.has_left had no caller and is gone. Statuses have names, and limits say their unit: two comments said ten reports where 1 s is twenty intervals of 50 ms. Behaviour is the same.

--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -37,10 +37,11 @@
     from leadseam.wire.messages import AnyMessage, Registration
 
 HEARTBEAT_INTERVAL: Millis = 500
+"""Interval of the confirmations that a version is the newest."""
 DEFAULT_HEARTBEAT: Millis = 1_000
 """Heartbeat interval of upstreams where the settings give none."""
 TOTALS_INTERVAL: Millis = 50
-"""Interval of the load totals: entries' reports are 50 ms old on average besides."""
+"""Interval of the load totals: entries' reports are up to 50 ms old besides."""
 MAX_LEFT_TOLD = 1_000
 """Left upstreams told to a new subscriber; older ones have ended long ago."""
 
--- a/src/leadseam/feed/totals.py
+++ b/src/leadseam/feed/totals.py
@@ -12,7 +12,7 @@
     from leadseam.wire.messages import LoadReport
 
 REPORT_LIMIT: Millis = 1_000
-"""Age beyond which an entry's report no longer counts: ten reports."""
+"""Age beyond which an entry's report no longer counts: twenty intervals of 50 ms."""
 
 
 @dataclass(slots=True)
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -19,10 +19,13 @@
 KEPT_AFTER_LOSS: Millis = 12_000
 """How long a lost replica's upstreams are kept: ten heartbeats of 1.2 s."""
 MAX_LEFT = 10_000
+"""Left upstreams remembered: as many as a control replica remembers."""
 
 
 @dataclass(slots=True)
 class _Known:
+    """An upstream, and until when each replica holds it; None without an end."""
+
     registration: Registration
     until: dict[str, Millis | None] = field(default_factory=dict)
 
@@ -40,11 +43,11 @@
 
     def connected(self, replica: str, now: Millis) -> None:
         """Note that a replica reports anew; what it held and omits ends later."""
-        self._limit(replica, now + KEPT_AFTER_LOSS)
+        self._end_later(replica, now)
 
     def disconnected(self, replica: str, now: Millis) -> None:
         """Note that a replica no longer reports."""
-        self._limit(replica, now + KEPT_AFTER_LOSS)
+        self._end_later(replica, now)
 
     def update(self, replica: str, rows: Iterable[Registration]) -> None:
         """Take rows that a replica holds."""
@@ -86,10 +89,6 @@
                     del known.until[replica]
             self._drop_if_unheld(instance, known)
 
-    def has_left(self, instance: str) -> bool:
-        """Tell whether an upstream is known to be leaving."""
-        return instance in self._left
-
     def pool(self, name: str) -> Sequence[Registration]:
         """Return the upstreams of a pool that take new work."""
         if self._by_pool is None:
@@ -109,7 +108,9 @@
                 grouped.setdefault(row.pool, []).append(row)
         return grouped
 
-    def _limit(self, replica: str, until: Millis) -> None:
+    def _end_later(self, replica: str, now: Millis) -> None:
+        """Let all that a replica holds end in time, unless it reports it anew."""
+        until = now + KEPT_AFTER_LOSS
         for known in self._known.values():
             if known.until.get(replica, until) is None:
                 known.until[replica] = until
--- a/src/leadseam/platform/control_api.py
+++ b/src/leadseam/platform/control_api.py
@@ -16,6 +16,7 @@
     from leadseam.control.service import ControlService, Reply
 
 MAX_DOCUMENT = 16 * 1024 * 1024
+"""Bytes of a request's body that are read at all."""
 
 
 class ControlApi:
--- a/src/leadseam/platform/settings.py
+++ b/src/leadseam/platform/settings.py
@@ -114,8 +114,7 @@
         try:
             return float(value)
         except ValueError as exc:
-            message = f"{self._name}: {key}: expected a number, got {value!r}"
-            raise SettingsError(message) from exc
+            raise self._fault(key, "a number", value) from exc
 
     def integer(self, key: str, default: int) -> int:
         return round(self.number(key, default))
@@ -125,8 +124,7 @@
         try:
             return [int(item) for item in value.split(",")]
         except ValueError as exc:
-            message = f"{self._name}: {key}: expected whole numbers, got {value!r}"
-            raise SettingsError(message) from exc
+            raise self._fault(key, "whole numbers", value) from exc
 
     def address(self, key: str) -> Endpoint | None:
         value = self._fields.get(key)
@@ -135,8 +133,7 @@
         try:
             return read_address(value)
         except ValueError as exc:
-            message = f"{self._name}: {key}: expected IP:PORT, got {value!r}"
-            raise SettingsError(message) from exc
+            raise self._fault(key, "IP:PORT", value) from exc
 
     def seeds(self, inner_port: int) -> tuple[Endpoint, ...]:
         """Seeds name the operators' port; our own links use another one."""
@@ -144,8 +141,7 @@
         try:
             given = [read_address(item) for item in value.split(",") if item]
         except ValueError as exc:
-            message = f"{self._name}: seeds: expected IP:PORT, got {value!r}"
-            raise SettingsError(message) from exc
+            raise self._fault("seeds", "IP:PORT", value) from exc
         return tuple(Endpoint(ip=one.ip, port=inner_port) for one in given)
 
     def retry_limits(self) -> RetryLimits:
@@ -157,6 +153,9 @@
             window=round(window * MILLIS_PER_SECOND),
         )
 
+    def _fault(self, key: str, expected: str, value: str) -> SettingsError:
+        return SettingsError(f"{self._name}: {key}: expected {expected}, got {value!r}")
+
 
 def read_address(text: str) -> Endpoint:
     """Read `IP:PORT`.
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -11,13 +11,17 @@
 
 if TYPE_CHECKING:
     from leadseam.routing.client import UpstreamClient
-    from leadseam.routing.dialect import AttemptHead, Dialect, RoutedRequest
+    from leadseam.routing.dialect import AttemptHead, Dialect, Headers, RoutedRequest
     from leadseam.wire.messages import Registration
 
 MAX_HELD = 1024 * 1024
 """Bytes of an answer that are held until it is known to be whole."""
+FIRST_REDIRECTION = 300
+"""Lowest status that is no success."""
 FIRST_SERVER_ERROR = 500
+"""Lowest status that counts as a failure of the upstream."""
 MISDIRECTED = 421
+"""Status of an upstream that is not the incarnation that was meant."""
 
 HOP_BY_HOP = frozenset(
     {
@@ -59,7 +63,7 @@
     """A whole answer of the upstream."""
 
     status: int
-    headers: tuple[tuple[str, str], ...]
+    headers: Headers
     body: bytes
 
 
@@ -74,7 +78,7 @@
     """
 
     resp: aiohttp.ClientResponse
-    headers: tuple[tuple[str, str], ...]
+    headers: Headers
     held: bytes = b""
 
 
@@ -132,7 +136,7 @@
     if answer.not_run or resp.status == MISDIRECTED:
         await _read_out(resp)
         return Declined(resp.status)
-    success = resp.status < 300
+    success = resp.status < FIRST_REDIRECTION
     if success and not answer.signed:
         resp.close()
         return Broken(Reason.UPSTREAM_BROKEN)
@@ -142,9 +146,7 @@
     return await _hold(resp, headers)
 
 
-async def _hold(
-    resp: aiohttp.ClientResponse, headers: tuple[tuple[str, str], ...]
-) -> Ending:
+async def _hold(resp: aiohttp.ClientResponse, headers: Headers) -> Ending:
     held = b""
     try:
         while data := await resp.content.readany():
@@ -169,7 +171,7 @@
         resp.close()
 
 
-def end_to_end(resp: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
+def end_to_end(resp: aiohttp.ClientResponse) -> Headers:
     """Return the headers of an answer that are meant for the caller."""
     return tuple(
         (str(name), str(value))
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -118,7 +118,7 @@
                 self._request, progress.tried, again=progress.sends > 0
             )
             if isinstance(flight, Reason):
-                return self._refuse(flight)
+                return self._not_placed(flight)
             ending = await self._send(flight)
             done = await self._finish(flight.upstream, ending)
             if done is not None:
@@ -165,10 +165,11 @@
     def _on_silence(self, flight: Flight) -> bool:
         """Tell whether a silent attempt is to end, as another one may take over."""
         self._gateway.note_silence(flight.upstream, self._request)
-        self._progress.runs += 1
-        may_retry = not self._too_late() and self._may_run_again()
-        self._progress.runs -= 1
-        if not may_retry or self._progress.sends >= MAX_SENDS:
+        # This attempt may have run too, and is counted only once it has ended.
+        runs = self._progress.runs + 1
+        if self._too_late() or not self._may_run_again(runs):
+            return False
+        if self._progress.sends >= MAX_SENDS:
             return False
         self._progress.retry_taken = self._may_send_again()
         return self._progress.retry_taken
@@ -220,26 +221,29 @@
     def _may_retry(self, ending: Ending) -> bool:
         if self._progress.sends >= MAX_SENDS or self._too_late():
             return False
+        runs = self._progress.runs
         match ending:
             case Unreachable():
                 return True
             case Declined():
                 return self._may_send_again()
             case Broken():
-                return self._may_run_again() and self._may_send_again()
+                return self._may_run_again(runs) and self._may_send_again()
             case Whole(status=status):
                 failed = status >= FIRST_SERVER_ERROR
-                return failed and self._may_run_again() and self._may_send_again()
+                return failed and self._may_run_again(runs) and self._may_send_again()
             case Streaming():
                 return False
 
-    def _may_run_again(self) -> bool:
+    def _may_run_again(self, runs: int) -> bool:
+        """Tell whether a request that may have run so often may run once more."""
         route = self._request.route
         if self._reply.begun and not route.resumable:
             return False
-        return route.repeatable and self._progress.runs < route.max_attempts
+        return route.repeatable and runs < route.max_attempts
 
     def _may_send_again(self) -> bool:
+        """Use a retry of the shared budget, or the one taken for a silent attempt."""
         if self._progress.retry_taken:
             self._progress.retry_taken = False
             return True
@@ -260,7 +264,14 @@
             status=whole.status, headers=list(whole.headers), body=whole.body
         )
 
+    def _not_placed(self, reason: Reason) -> web.StreamResponse:
+        """End a request for which there is no upstream, or no further one."""
+        if self._reply.begun:
+            self._cut(reason)
+        return self._give_up(Reason.UPSTREAM_BROKEN if self._progress.runs else reason)
+
     def _give_up(self, reason: Reason) -> web.StreamResponse:
+        """End a request after its last attempt, with no answer of an upstream."""
         if self._reply.begun:
             self._cut(reason)
         if self._progress.runs == 0:
@@ -270,10 +281,7 @@
         return self._gateway.error(self.outcome)
 
     def _refuse(self, reason: Reason) -> web.StreamResponse:
-        if self._reply.begun:
-            self._cut(reason)
-        if self._progress.runs:
-            return self._give_up(Reason.UPSTREAM_BROKEN)
+        """End a request that has certainly not run."""
         self.outcome = NotRun(reason, self._come_back())
         return self._gateway.error(self.outcome)
 
--- a/src/leadseam/routing/load.py
+++ b/src/leadseam/routing/load.py
@@ -20,7 +20,7 @@
     from leadseam.wire.messages import LoadTotals
 
 TOTALS_LIMIT: Millis = 1_000
-"""Age beyond which totals are ignored: ten reports."""
+"""Age beyond which totals are ignored: twenty of their intervals of 50 ms."""
 KEPT_REPORTS = 64
 """Own reports kept to be taken off the totals that contain them."""
 
@@ -81,11 +81,16 @@
 
     def read(self, instance: str, unread: int) -> None:
         """Note that an upstream has read a prompt."""
-        self._end(instance, Load(unread=unread))
+        self.end(instance, Load(unread=unread))
 
     def end(self, instance: str, load: Load) -> None:
         """Take off a request that has ended."""
-        self._end(instance, load)
+        self._sums.pop(instance, None)
+        left = self._own.get(instance, NOTHING).minus(load)
+        if left == NOTHING:
+            self._own.pop(instance, None)
+        else:
+            self._own[instance] = left
 
     def own(self, instance: str) -> Load:
         """Return what this entry has in flight at an upstream."""
@@ -141,14 +146,6 @@
                 return report
         return None
 
-    def _end(self, instance: str, load: Load) -> None:
-        self._sums.pop(instance, None)
-        left = self._own.get(instance, NOTHING).minus(load)
-        if left == NOTHING:
-            self._own.pop(instance, None)
-        else:
-            self._own[instance] = left
-
 
 def _load(row: LoadRow) -> Load:
     return Load(row.requests, row.unread, row.memory)
