--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -283,6 +283,7 @@
 
     def _recompute_membership(self) -> None:
         membership = self.log.membership_at(self.log.last_index)
+        # An equal one stays the same object, by which a replica sees a change cheaply.
         if membership != self.membership:
             self.membership = membership
         if self.role is Role.LEADER:
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -213,6 +213,16 @@
         """The consensus core, for reading."""
         return self._raft
 
+    @property
+    def members(self) -> set[str]:
+        """Names of the boxes in the group, learners included."""
+        return {base_name(name) for name in self._raft.membership.everyone}
+
+    @property
+    def voters(self) -> int:
+        """Number of voters as far as this replica knows."""
+        return len(self._raft.membership.voters)
+
     def is_current(self) -> bool:
         """Tell whether this replica may speak for the fleet right now."""
         return not self.failure and self._raft.is_current(self._clock.now())
@@ -261,6 +271,11 @@
             case _:
                 self._on_peer_message(message)
 
+    def add_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
+        """Reach further boxes besides the members of the group."""
+        self._peers.add_endpoints(endpoints)
+        self._followed = None
+
     async def run(self) -> None:
         """Serve until cancelled; a failed disk ends it with `failure` set."""
         async with asyncio.TaskGroup() as group:
@@ -334,22 +349,8 @@
             if self._inbox.qsize() < MAX_BATCH:
                 self._inbox.put_nowait(_Tick())
 
-    @property
-    def members(self) -> set[str]:
-        """Names of the boxes in the group, learners included."""
-        return {base_name(name) for name in self._raft.membership.everyone}
-
-    @property
-    def voters(self) -> int:
-        """Number of voters as far as this replica knows."""
-        return len(self._raft.membership.voters)
-
-    def add_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
-        """Reach further boxes besides the members of the group."""
-        self._peers.add_endpoints(endpoints)
-        self._followed = None
-
     def _follow_members(self) -> None:
+        """Keep links to the group as it is now, and note when it has changed."""
         membership = self._raft.membership
         if membership is not self._membership:
             self._membership = membership
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -34,6 +34,17 @@
     return storage
 
 
+def journal_of_two_blocks(folder: Path) -> tuple[Path, int]:
+    """Write entries 1 to 3, then 4 to 6; return the journal and the size before 4."""
+    storage = opened(folder)
+    storage.append(None, entries(1, 3))
+    journal = folder / "journal-1"
+    size = journal.stat().st_size
+    storage.append(None, entries(4, 6))
+    storage.close()
+    return journal, size
+
+
 def test_what_was_appended_is_recovered(tmp_path: Path) -> None:
     storage = opened(tmp_path)
     storage.append(HardState(3, "b#first"), entries(1, 5))
@@ -65,12 +76,7 @@
 @given(cut=st.integers(1, 60))
 def test_a_torn_tail_is_cut(tmp_path_factory: pytest.TempPathFactory, cut: int) -> None:
     folder = tmp_path_factory.mktemp("data")
-    storage = opened(folder)
-    storage.append(None, entries(1, 3))
-    synced = (folder / "journal-1").stat().st_size
-    storage.append(None, entries(4, 6))
-    storage.close()
-    journal = folder / "journal-1"
+    journal, synced = journal_of_two_blocks(folder)
     os.truncate(journal, max(journal.stat().st_size - cut, synced))
     recovered = Storage(folder).open()
     assert recovered.log[:3] == list(entries(1, 3))
@@ -83,12 +89,7 @@
     tmp_path_factory: pytest.TempPathFactory, start: int, length: int
 ) -> None:
     folder = tmp_path_factory.mktemp("data")
-    storage = opened(folder)
-    storage.append(None, entries(1, 3))
-    synced = (folder / "journal-1").stat().st_size
-    storage.append(None, entries(4, 6))
-    storage.close()
-    journal = folder / "journal-1"
+    journal, synced = journal_of_two_blocks(folder)
     content = bytearray(journal.read_bytes())
     first = synced + start % (len(content) - synced)
     lost = content[first : first + length]
@@ -122,12 +123,7 @@
     tmp_path_factory: pytest.TempPathFactory, position: int
 ) -> None:
     folder = tmp_path_factory.mktemp("data")
-    storage = opened(folder)
-    storage.append(None, entries(1, 3))
-    damaged_end = (folder / "journal-1").stat().st_size
-    storage.append(None, entries(4, 6))
-    storage.close()
-    journal = folder / "journal-1"
+    journal, damaged_end = journal_of_two_blocks(folder)
     content = bytearray(journal.read_bytes())
     content[position % damaged_end] ^= 0x40
     journal.write_bytes(content)
