Readiness of a replica in one place; attempts and headers say what they hold

Both control programs spelled out the same readiness, which is the replica's own. Declined had a status that nobody read. The types of an attempt and of a prompt's part describe their fields, in their order. Behaviour is the same.

--- a/src/leadseam/control/program.py
+++ b/src/leadseam/control/program.py
@@ -100,7 +100,7 @@
         )
         await self._operator.start(settings.operator.ip, settings.operator.port)
         self._admin = await serve_admin(
-            admin.ip, admin.port, self._metrics, self._readiness
+            admin.ip, admin.port, self._metrics, self.replica.readiness
         )
 
     async def run(self) -> None:
@@ -123,10 +123,3 @@
             async with asyncio.timeout(1):
                 await self._operator.wait_closed()
         self._storage.close()
-
-    def _readiness(self) -> str:
-        if self.replica.failure:
-            return f"storage: {self.replica.failure}"
-        if not self.replica.is_current():
-            return "no quorum"
-        return ""
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -227,6 +227,14 @@
         """Tell whether this replica may speak for the fleet right now."""
         return not self.failure and self._raft.is_current(self._clock.now())
 
+    def readiness(self) -> str:
+        """Return why this replica may not speak for the fleet, or an empty text."""
+        if self.failure:
+            return f"storage: {self.failure}"
+        if not self.is_current():
+            return "no quorum"
+        return ""
+
     async def submit(self, command: Command) -> CommandResult | None:
         """Have a command committed, through the leader wherever it is.
 
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -108,7 +108,7 @@
             self._runner, settings.control.ip, settings.control.port
         ).start()
         self._admin = await serve_admin(
-            settings.ip, settings.metrics_port, self._metrics, self._readiness
+            settings.ip, settings.metrics_port, self._metrics, self.replica.readiness
         )
 
     async def run(self) -> None:
@@ -143,10 +143,3 @@
 
     def _on_settings(self, settings: NodeSettings) -> None:
         self.replica.add_endpoints({one.ip: one for one in settings.seeds})
-
-    def _readiness(self) -> str:
-        if self.replica.failure:
-            return f"storage: {self.replica.failure}"
-        if not self.replica.is_current():
-            return "no quorum"
-        return ""
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -48,19 +48,27 @@
 class Declined:
     """The upstream declares that it did not run the request."""
 
-    status: int
-
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """There is no usable answer; the request may have run."""
+    """There is no usable answer; the request may have run.
+
+    Args:
+        reason: What the caller is told if this attempt was the last.
+    """
 
     reason: Reason
 
 
 @dataclass(frozen=True, slots=True)
 class Whole:
-    """A whole answer of the upstream."""
+    """A whole answer of the upstream.
+
+    Args:
+        status: Its HTTP status.
+        headers: Its end-to-end headers.
+        body: Its body, `MAX_HELD` bytes at the most.
+    """
 
     status: int
     headers: Headers
@@ -135,7 +143,7 @@
         return Broken(Reason.UPSTREAM_BROKEN)
     if answer.not_run or resp.status == MISDIRECTED:
         await _read_out(resp)
-        return Declined(resp.status)
+        return Declined()
     success = resp.status < FIRST_REDIRECTION
     if success and not answer.signed:
         resp.close()
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -13,11 +13,17 @@
     from leadseam.clock import Millis
 
 Headers = tuple[tuple[str, str], ...]
+"""Names and values in the order of the wire; a name may occur more than once."""
 
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
-    """A part of a prompt, shared by all requests that name the same identity."""
+    """A part of a prompt, shared by all requests that name the same identity.
+
+    Args:
+        identity: Tells it from other parts.
+        tokens: Its length.
+    """
 
     identity: str
     tokens: int
@@ -66,9 +72,9 @@
     Args:
         instance: Incarnation that must answer; another one has to refuse.
         account: Client account that pays, or None.
+        keyed: Whether bearer keys are this system's own and stay here.
         time_left: Milliseconds until the request is given up.
         resume_after: Identity of the last event already delivered, or None.
-        keyed: Whether bearer keys are this system's own and stay here.
     """
 
     instance: str
