Tests: a caller comes back to an entry that was short of processor time

That refusal is true and early, and a caller heeds its Retry-After; the tests' caller now does so too, for this reason only. No assertion changed.

--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import itertools
 import json
@@ -206,9 +207,31 @@
     ) -> Answer:
         """Send a request and read the answer as far as it goes.
 
+        An entry that is short of processor time refuses before it does anything, as
+        one may on a busy machine; a caller comes back then, and so does this.
+
         Args:
             on_data: Called with all that was received so far.
         """
+        while True:
+            answer = await self._call_once(
+                ip, path, method, body, headers, request_id, key, on_data
+            )
+            if answer.status != 503 or b'"entry_busy"' not in answer.body:
+                return answer
+            await asyncio.sleep(float(answer.headers[names.RETRY_AFTER]))
+
+    async def _call_once(
+        self,
+        ip: str,
+        path: str,
+        method: str,
+        body: bytes,
+        headers: dict[str, str] | None,
+        request_id: str,
+        key: str | None,
+        on_data: Callable[[bytes], None],
+    ) -> Answer:
         sent = {
             "Host": HOST,
             names.REQUEST_ID: request_id or f"r-{next(_requests)}",
