--- a/src/leadseam/cli/node.py
+++ b/src/leadseam/cli/node.py
@@ -12,23 +12,28 @@
 
 from __future__ import annotations
 
+import gc
 from typing import TYPE_CHECKING
 
 from docopt import docopt
 
 from leadseam.errors import SettingsError
 from leadseam.platform.settings import load_node_settings, settings_path
+from leadseam.runtime.loop import run_in_uvloop
 from leadseam.runtime.process import fail_on_settings, run_program
 
 if TYPE_CHECKING:
     from pathlib import Path
 
     from leadseam.platform.settings import NodeSettings
-    from leadseam.runtime.process import Program
+    from leadseam.runtime.loop import run_in_uvloop
+from leadseam.runtime.process import Program
 
 
 def main() -> None:
     """Entry point of `leadseam-node`."""
+    # Start-up makes nothing but objects that stay; `run_program` turns it on again.
+    gc.disable()
     args = docopt(__doc__)
     entry = bool(args["entry"])
     try:
@@ -44,6 +49,7 @@
         settings.node,
         lambda: _make(settings, path, entry=entry),
         level="info",
+        run=run_in_uvloop,
     )
 
 
--- a/src/leadseam/runtime/process.py
+++ b/src/leadseam/runtime/process.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import signal
 import sys
 from typing import TYPE_CHECKING, NoReturn, Protocol
 
-import aiomisc
-
 from leadseam.errors import LeadseamError, SettingsError, StorageError
 from leadseam.runtime.logs import configure_logs
+from leadseam.runtime.loop import run_in_aiomisc
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from leadseam.runtime.loop import RunLoop
+
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
@@ -40,18 +42,23 @@
         """Release everything."""
 
 
-def run_program(node: str, make: Callable[[], Program], *, level: str) -> NoReturn:
+def run_program(
+    node: str,
+    make: Callable[[], Program],
+    *,
+    level: str,
+    run: RunLoop = run_in_aiomisc,
+) -> NoReturn:
     """Run a program until it ends or SIGTERM or SIGINT has been served.
 
     Args:
         node: Name for the logs.
         make: Builds the program, called with the loop running.
         level: Log level.
+        run: Runs the event loop. Defaults to aiomisc's entry point.
     """
     configure_logs(node, level=level)
-    with aiomisc.entrypoint(log_config=False, pool_size=4) as loop:
-        code = loop.run_until_complete(_supervise(make))
-    sys.exit(code)
+    sys.exit(run(_supervise(make)))
 
 
 async def _supervise(make: Callable[[], Program]) -> int:
@@ -68,6 +75,9 @@
     except (LeadseamError, OSError) as exc:
         log.error("cannot start", extra={"error": str(exc)})
         return EXIT_FAILED
+    # What start-up made stays for good: the collector need not look at it again.
+    gc.enable()
+    gc.freeze()
     log.info("started")
     return await _serve(program, stopping)
 
