Events are passed on where they are read, without waking a task for each

Ruled out: logs and metrics (bounded, a few per cent of the profile).

A caller that does not keep up is served by the task as before.

--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -10,7 +10,7 @@
 import asyncio
 import functools
 import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -18,6 +18,9 @@
 
 from leadseam.clock import Millis, seconds
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CONNECT_TIMEOUT: Millis = 500
 """Time to open a connection. Boxes of one region are a few ms apart; the first packet
 is repeated after a second, which is too late for a short deadline."""
@@ -29,7 +32,19 @@
 
 
 class UpstreamConnection(ResponseHandler):
-    """A client connection that tells a reset from an end, and distrusts surplus."""
+    """A client connection that tells a reset from an end, and distrusts surplus.
+
+    Attributes:
+        listener: Called after bytes of an answer, its end or its failure have come in,
+            or None. It must not raise.
+    """
+
+    listener: Callable[[], None] | None = None
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on reading if it was paused; the library tries with each read."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
 
     def set_response_params(self, **kwargs: Any) -> None:
         """Expect an answer; what came before belongs to the last one."""
@@ -48,12 +63,14 @@
             if code:
                 self._fail_body(OSError(code, "connection reset"))
         super().eof_received()
+        self._tell()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an unfinished body if the connection was reset."""
         if exc is not None:
             self._fail_body(exc)
         super().connection_lost(exc)
+        self._tell()
 
     def _fail_body(self, exc: BaseException) -> None:
         payload = self._payload
@@ -68,6 +85,11 @@
                 self.transport.close()
             return
         super().data_received(data)
+        self._tell()
+
+    def _tell(self) -> None:
+        if self.listener is not None:
+            self.listener()
 
 
 class UpstreamConnector(aiohttp.TCPConnector):
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -10,6 +10,7 @@
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import Broken, Ending, Streaming
 from leadseam.routing.events import Event, EventSplitter
+from leadseam.routing.pump import Pump, connection_of
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +77,7 @@
             while data := await streaming.resp.content.readany():
                 on_data()
                 await self._write(streaming, splitter.feed(data))
+                await self._pump(streaming, splitter, on_data)
             if splitter.pending:
                 await self._write(streaming, [Event(splitter.pending, None)])
         except (aiohttp.ClientError, OSError) as exc:
@@ -114,6 +116,40 @@
         transport = self._http.transport
         return transport is None or transport.is_closing()
 
+    async def _pump(
+        self,
+        streaming: Streaming,
+        splitter: EventSplitter,
+        on_data: Callable[[], None],
+    ) -> None:
+        """Pass on events where they come in, for as long as the caller keeps up."""
+        conn = connection_of(streaming.resp)
+        caller = self._http.protocol
+        if conn is None or not self.begun or caller.writing_paused:
+            return
+
+        def send(data: bytes) -> None:
+            on_data()
+            self._send(splitter.feed(data))
+
+        await Pump(streaming.resp.content, conn, caller, send).run()
+
+    def _send(self, events: list[Event]) -> None:
+        """Send events on a response that has begun, without waiting."""
+        if not events:
+            return
+        transport = self._http.transport
+        if transport is None or transport.is_closing():
+            raise CallerGoneError("connection closed")
+        data = b"".join(event.data for event in events)
+        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        self._note_sent(events)
+
+    def _note_sent(self, events: list[Event]) -> None:
+        for event in events:
+            if event.identity is not None:
+                self.last_event = event.identity
+
     async def _write(self, streaming: Streaming, events: list[Event]) -> None:
         if not events:
             return
@@ -122,11 +158,11 @@
             response = await self._open(streaming)
         try:
             await response.write(b"".join(event.data for event in events))
+            # What was sent without waiting may still wait for the caller.
+            await self._http.protocol._drain_helper()
         except ConnectionError as exc:
             raise CallerGoneError(str(exc)) from exc
-        for event in events:
-            if event.identity is not None:
-                self.last_event = event.identity
+        self._note_sent(events)
 
     async def _open(self, streaming: Streaming) -> web.StreamResponse:
         status = streaming.resp.status
--- /dev/null
+++ b/tests/routing/test_pump.py
@@ -0,0 +1,98 @@
+"""Events moved from one connection to another without a task in between."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+import aiohttp
+import pytest
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import StreamReader
+
+from leadseam.routing.client import UpstreamConnection
+from leadseam.routing.pump import Pump
+
+
+class Moved:
+    """A pump with both of its ends in the test's hands."""
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.conn = UpstreamConnection(loop)
+        self.caller = BaseProtocol(loop)
+        self.body = StreamReader(cast("ResponseHandler", self.conn), 2**16, loop=loop)
+        self.got: list[bytes] = []
+        pump = Pump(self.body, self.conn, self.caller, self.take)
+        self.running = asyncio.create_task(pump.run())
+
+    def take(self, data: bytes) -> None:
+        """Note what was passed on."""
+        if data == b"bad":
+            raise ValueError("bad")
+        self.got.append(data)
+
+    def feed(self, data: bytes) -> None:
+        """Let bytes come in as the connection does."""
+        self.body.feed_data(data)
+        self.tell()
+
+    def tell(self) -> None:
+        """Tell the pump that something has come in."""
+        assert self.conn.listener is not None
+        self.conn.listener()
+
+
+async def moved() -> Moved:
+    """Return a pump that has begun to run."""
+    pump = Moved()
+    while pump.conn.listener is None:
+        await asyncio.sleep(0)
+    return pump
+
+
+async def test_bytes_go_on_before_any_task_runs() -> None:
+    pump = await moved()
+    pump.feed(b"one")
+    pump.feed(b"two")
+    assert pump.got == [b"one", b"two"]
+    assert not pump.running.done()
+    pump.body.feed_eof()
+    pump.tell()
+    await pump.running
+    assert pump.conn.listener is None
+
+
+async def test_it_stops_when_the_caller_is_behind() -> None:
+    pump = await moved()
+    pump.caller.pause_writing()
+    pump.feed(b"one")
+    await pump.running
+    assert pump.got == [b"one"]
+    assert not pump.body.at_eof()
+
+
+async def test_a_broken_body_is_told_after_all_that_came_before() -> None:
+    pump = await moved()
+    pump.feed(b"one")
+    pump.body.set_exception(aiohttp.ClientPayloadError("reset"))
+    pump.tell()
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await pump.running
+    assert pump.got == [b"one"]
+
+
+async def test_a_fault_of_the_receiver_reaches_the_task() -> None:
+    pump = await moved()
+    pump.feed(b"bad")
+    with pytest.raises(ValueError, match="bad"):
+        await pump.running
+
+
+async def test_nothing_is_heard_after_a_cancellation() -> None:
+    pump = await moved()
+    pump.running.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await pump.running
+    assert pump.conn.listener is None
