--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -74,7 +74,7 @@
             on_totals=self._take_totals,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
-        self._lag = LoopLag(self._clock, self._on_lag)
+        self._lag = LoopLag(self._clock, self._show_lag)
         self._watch = SettingsWatch(path, settings, self._on_settings)
         self._client: UpstreamClient | None = None
         self._gateway: Gateway | None = None
@@ -158,15 +158,8 @@
     def _open_connections(self) -> int:
         return len(self._front.connections) if self._front is not None else 0
 
-    def _on_lag(self, lag: Millis) -> None:
+    def _show_lag(self, lag: Millis) -> None:
         self._routing_metrics.lag.set({}, lag)
-        if self._gateway is None or self._front is None:
-            return
-        most = self._gateway.to_shed
-        shed = self._front.shed(most) if most else 0
-        if shed:
-            self._routing_metrics.shed.add({}, shed)
-            log.info("connections shed", extra={"count": shed, "lag_ms": lag})
 
     def _take_totals(self, totals: LoadTotals) -> None:
         assert self._gateway is not None
--- a/src/leadseam/platform/front.py
+++ b/src/leadseam/platform/front.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logging
 import socket
 from typing import TYPE_CHECKING
 
@@ -35,8 +34,6 @@
 """Handles on the listening socket. The event loop accepts one connection for each
 handle in a turn, and a turn of a busy entry takes tens of milliseconds."""
 
-log = logging.getLogger(__name__)
-
 
 class FrontServer:
     """Hands every request of callers to one handler, whatever its path.
@@ -62,7 +59,6 @@
         )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.2)
         self._sites: list[web.SockSite] = []
-        self._listener: socket.socket | None = None
 
     async def start(self, listen: Endpoint) -> None:
         """Bind the socket."""
@@ -72,33 +68,9 @@
                 web.SockSite(self._runner, sock.dup(), backlog=BACKLOG)
                 for _ in range(ACCEPTORS)
             ]
-            self._listener = sock.dup()
-        self._listener.setblocking(False)
         for site in self._sites:
             await site.start()
 
-    def shed(self, most: int) -> int:
-        """Close connections that wait to be accepted, with nothing read.
-
-        Args:
-            most: Connections to close at the most.
-
-        Returns:
-            How many were closed.
-        """
-        if self._listener is None:
-            return 0
-        for count in range(most):
-            try:
-                conn, _ = self._listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return count
-            except OSError as exc:
-                log.warning("cannot accept", extra={"error": str(exc)})
-                return count
-            conn.close()
-        return most
-
     @property
     def connections(self) -> list[RequestHandler]:
         """Open connections of callers."""
@@ -106,7 +78,6 @@
 
     async def close_idle(self) -> None:
         """Take no new connection, and end each open one after its current request."""
-        self._close_listener()
         for site in self._sites:
             await site.stop()
         for conn in self.connections:
@@ -119,14 +90,8 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        self._close_listener()
         await self._runner.cleanup()
 
-    def _close_listener(self) -> None:
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
-
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         conn = http.protocol
         if conn in self._closed:
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -49,11 +49,6 @@
 """Lag of the event loop above which new requests are refused: half of the time in which
 a refusal is early for the shortest latency objective of today (250 ms). Callers come
 back through another entry."""
-SHED_LAG: Millis = 60
-"""Lag above which waiting connections are closed unread: a refusal costs ten times as
-much, callers turn to another entry at once, and one that waits a second gives up."""
-MAX_SHED = 512
-"""Connections closed in one go, at some 20 us each."""
 MAX_KEPT = 256
 """Callers' connections above which answers end their connection. An idle one takes
 some 16 KB; callers that open one for each request left 4,000 of them in 20 s, which is
@@ -122,11 +117,6 @@
         """Return the time."""
         return self._clock.now()
 
-    @property
-    def to_shed(self) -> int:
-        """Waiting connections to be closed unread, at the most."""
-        return MAX_SHED if self._lag.millis > SHED_LAG else 0
-
     async def handle(self, http: web.BaseRequest) -> web.StreamResponse:
         """Serve one request of a caller."""
         self.in_flight += 1
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -107,10 +107,6 @@
             "request_seconds", "Time to the end of the answer.", LATENCY_BUCKETS
         )
         self.lag = metrics.gauge("event_loop_lag_ms", "How late the event loop runs.")
-        self.shed = metrics.counter(
-            "connections_shed_total",
-            "Connections closed unread for want of processor time.",
-        )
         self.logs_dropped = metrics.gauge(
             "log_lines_dropped", "Log lines not written to keep the volume bounded."
         )
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -7,7 +7,6 @@
 import itertools
 import json
 import os
-import re
 import signal
 import socket
 import subprocess
@@ -18,7 +17,6 @@
 import aiohttp
 
 from leadseam.platform import names
-from leadseam.platform.settings import METRICS_OFFSET
 from tests.platform.standin import Operator, Server
 from tools.fleet import until
 
@@ -63,7 +61,6 @@
     folder: Path
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     servers: list[Server] = field(default_factory=list)
-    shed: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.control_ips = [f"127.0.0.{number}" for number in (21, 22, 23)]
@@ -210,9 +207,8 @@
     ) -> Answer:
         """Send a request and read the answer as far as it goes.
 
-        An entry that is short of processor time refuses before it does anything, or
-        closes connections unread and counts them, as one may on a busy machine; a
-        caller comes back then, and so does this.
+        An entry that is short of processor time refuses before it does anything, as
+        one may on a busy machine; a caller comes back then, and so does this.
 
         Args:
             on_data: Called with all that was received so far.
@@ -221,24 +217,9 @@
             answer = await self._call_once(
                 ip, path, method, body, headers, request_id, key, on_data
             )
-            if answer.status == 503 and b'"entry_busy"' in answer.body:
-                await asyncio.sleep(float(answer.headers[names.RETRY_AFTER]))
-            elif not answer.cut or answer.body or not await self._has_shed(ip):
+            if answer.status != 503 or b'"entry_busy"' not in answer.body:
                 return answer
-
-    async def _has_shed(self, ip: str) -> bool:
-        """Tell whether an entry has closed connections unread since the last look."""
-        url = f"http://{ip}:{self.inner_port + METRICS_OFFSET}/metrics"
-        try:
-            async with self.http.get(url) as resp:
-                text = await resp.text()
-        except (aiohttp.ClientError, OSError):
-            return False
-        counts = re.findall(r"^leadseam_connections_shed_total.* (\S+)$", text, re.M)
-        count = float(counts[0]) if counts else 0.0
-        before = self.shed.get(ip, 0.0)
-        self.shed[ip] = count
-        return count > before
+            await asyncio.sleep(float(answer.headers[names.RETRY_AFTER]))
 
     async def _call_once(
         self,
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, cast
 
@@ -92,21 +90,3 @@
     await served.front._handle(cast("web.BaseRequest", late))
     assert served.paths == []
     writer.close()
-
-
-async def test_waiting_connections_are_shed_unread() -> None:
-    served = Served()
-    with socket.create_server((LOOPBACK, served.port)) as listener:
-        served.front._listener = listener.dup()
-        served.front._listener.setblocking(False)
-        callers = [await served.connect() for _ in range(3)]
-        callers[0][1].write(REQUEST % b"quick")
-        assert served.front.shed(2) == 2
-        assert served.front.shed(5) == 1
-        assert served.front.shed(5) == 0
-        for reader, writer in callers:
-            with contextlib.suppress(ConnectionResetError):
-                assert await reader.read() == b""
-            writer.close()
-    assert served.paths == []
-    await served.front.stop()
