Lines on ended requests name what the choice of the upstream expected of it

The line now has the prompt tokens ahead, those of shared parts among them, and the engine's rank for the prompt.

--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -164,7 +164,7 @@
         penalty = weight * shared / estimate.rate
         load = Load(requests=1, unread=own, memory=memory_need(req))
         cost = wait + penalty + RUNNING_COST * total.requests
-        return _Scored(Placement(row, load, unread), shared, wait, cost)
+        return _Scored(Placement(row, load, unread, shared, place), shared, wait, cost)
 
 
 def ranked_for(
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -29,6 +29,7 @@
     from leadseam.routing.admitted import Admitted
     from leadseam.routing.flight import Flight
     from leadseam.routing.gateway import Gateway
+    from leadseam.routing.placement import Placement
     from leadseam.wire.messages import Registration
 
 MAX_SENDS = 4
@@ -82,6 +83,7 @@
             last_event=admitted.req.resume_after,
         )
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
+        self.placement: Placement | None = None
 
     @property
     def instance(self) -> str:
@@ -129,6 +131,7 @@
         progress.sends += 1
         progress.tried.add(flight.upstream.instance)
         progress.instance = flight.upstream.instance
+        self.placement = flight.placement
         try:
             ending = await self._watched(flight)
         finally:
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -51,6 +51,11 @@
         """Where the request is."""
         return self._placement.upstream
 
+    @property
+    def placement(self) -> Placement:
+        """Where the request was placed, and what that was expected to cost."""
+        return self._placement
+
     @property
     def expected(self) -> float:
         """Milliseconds that the first token is expected to take; 0 if unknown."""
--- a/src/leadseam/routing/placement.py
+++ b/src/leadseam/routing/placement.py
@@ -18,8 +18,12 @@
         upstream: The upstream.
         load: What the request adds there.
         unread: Prompt tokens to be read there before its first token, all included.
+        reread: Tokens of shared parts that it is expected to read once more.
+        rank: Place of the upstream in the order preferred for the prompt.
     """
 
     upstream: Registration
     load: Load
     unread: int
+    reread: int = 0
+    rank: int = 0
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -113,6 +113,11 @@
             "outcome": outcome_name(outcome),
             "ms": now - admitted.arrived,
         }
+        if exchange.placement is not None:
+            # What the last choice of an upstream expected of it.
+            extra["unread"] = exchange.placement.unread
+            extra["reread"] = exchange.placement.reread
+            extra["rank"] = exchange.placement.rank
         if exchange.first_byte_at != NOT_YET:
             extra["first_ms"] = exchange.first_byte_at - admitted.arrived
         if isinstance(outcome, Answered):
