A soak: real nodes under random faults, and their promises checked meanwhile

tools/soak draws faults from a seed (kills, freezes, planned stops, lost and full disks, reloads, links that reset, delay, mute one way or fall silent, servers that crash or leave), does them to real processes from outside through proxies and signals, and checks whole and own answers, not run, at most once, time limits, planned stops, leaving and configuration from what callers, servers and the operator saw. The stand-ins and nodes of the platform's tests moved to tools/platform, as both use them; they are otherwise the same but for an address to register and a pause between events.

Clocks are not disturbed: decisions use only the steady clock.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo measure slopes broken-variants
+.PHONY: setup test demo measure slopes broken-variants soak
 
 setup: $(VENV)/.ready
 
@@ -30,3 +30,6 @@
 
 broken-variants: setup
 	$(BIN)/python -m tools.broken_variants
+
+soak: setup
+	$(BIN)/python -m tools.soak
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.platform.nodes import Platform
+from tools.platform.nodes import Platform
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -13,14 +13,14 @@
 
 from leadseam.platform import names
 from leadseam.routing.gateway import MAX_KEPT
-from tests.platform.nodes import HOST, KEY, document
-from tests.platform.standin import EVENTS, event
 from tools.fleet import until
+from tools.platform.nodes import HOST, KEY, document
+from tools.platform.standin import EVENTS, event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from tests.platform.nodes import Platform
+    from tools.platform.nodes import Platform
 
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
 
--- /dev/null
+++ b/tests/soak/test_short.py
@@ -0,0 +1,23 @@
+"""A short soak, and each seed that ever failed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tools.soak.run import Size, run_seed
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+SIZE = Size(seconds=8.0, callers=4, timed=False)
+"""Bounds on time are not checked here, as CI may run beside other work."""
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+async def test_promises_are_kept(tmp_path: Path, seed: int) -> None:
+    summary = await run_seed(tmp_path, seed, SIZE)
+    assert not summary.broken, str(summary)
+    assert summary.checked["whole answer"] > 0
+    assert summary.checked["recovered"] == 1
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -22,10 +22,17 @@
 
     Args:
         target: Port of the process behind it.
+        ip: Address of that process and of the proxy. Defaults to the loopback one.
+        port: Port to listen on. Defaults to one that the system gives.
     """
 
-    def __init__(self, target: int) -> None:
-        self._proxy = TCPProxy(LOOPBACK, target, buffered=False)
+    def __init__(
+        self, target: int, *, ip: str = LOOPBACK, port: int | None = None
+    ) -> None:
+        self._proxy = TCPProxy(ip, target, ip, buffered=False)
+        if port is not None:
+            self._proxy.proxy_port = port
+        self.delay = 0.0
         self._towards = asyncio.Event()
         self._back = asyncio.Event()
         self._proxy.set_content_processors(self._pass_towards, self._pass_back)
@@ -83,10 +90,12 @@
         held.set()
 
     async def _pass_towards(self, chunk: bytes) -> bytes:
+        await asyncio.sleep(self.delay)
         await self._towards.wait()
         return chunk
 
     async def _pass_back(self, chunk: bytes) -> bytes:
+        await asyncio.sleep(self.delay)
         await self._back.wait()
         return chunk
 
--- /dev/null
+++ b/tools/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform on one machine: real nodes, stand-in servers and an operator."""
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -17,8 +17,8 @@
 import aiohttp
 
 from leadseam.platform import names
-from tests.platform.standin import Operator, Server
 from tools.fleet import until
+from tools.platform.standin import Operator, Server
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -108,10 +108,15 @@
     async def add_server(self, ip: str, service: str) -> Server:
         """Start a server."""
         server = Server(ip, self.server_port, service, self.controls)
+        server.advertised = self.advertised(ip)
         await server.start()
         self.servers.append(server)
         return server
 
+    def advertised(self, ip: str) -> str:
+        """Return the address that a server registers."""
+        return f"{ip}:{self.server_port}"
+
     def of(self, service: str) -> list[Server]:
         """Return the servers of a service."""
         return [server for server in self.servers if server.service == service]
@@ -138,7 +143,7 @@
             "node": f"box-{ip.replace('.', '-')}",
             "ip": ip,
             "zone": "a",
-            "internalPorts": f"{self.inner_port},{self.inner_port + 9}",
+            "internalPorts": f"{self.inner_port_of(ip)},{self.inner_port_of(ip) + 9}",
             "seeds": ",".join(self.seeds),
             "bootstrap": str(founding).lower(),
             "heartbeatMs": 100,
@@ -157,6 +162,10 @@
         lines = "".join(f"{key}={value}\n" for key, value in fields.items())
         (self.folder / f"{ip}.conf").write_text(lines)
 
+    def inner_port_of(self, ip: str) -> int:
+        """Return the first of the ports that a box uses for links between nodes."""
+        return self.inner_port
+
     def signal(self, ip: str, number: signal.Signals) -> None:
         """Send a signal to the process of a box."""
         self.processes[ip].send_signal(number)
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,7 @@
     body: bytes
     headers: CIMultiDict[str]
     ended: str = ""
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass
@@ -50,6 +52,9 @@
     release: asyncio.Event = field(default_factory=asyncio.Event)
     state: str = "ready"
     acks: int = 0
+    advertised: str = ""
+    pause: float = 0.0
+    left_at: float | None = None
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -92,7 +97,7 @@
     def _beat_body(self, sequence: int) -> dict[str, Any]:
         return {
             "service": self.service,
-            "address": f"{self.ip}:{self.port}",
+            "address": self.advertised or f"{self.ip}:{self.port}",
             "zone": "a",
             "version": "v1",
             "slots": self.slots,
@@ -161,6 +166,8 @@
                 await self.release.wait()
                 return self._abort(http)
             await response.write(event(number))
+            if self.pause:
+                await asyncio.sleep(self.pause)
         await response.write_eof()
         return response
 
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Random faults on real nodes, and whether their promises hold meanwhile."""
--- /dev/null
+++ b/tools/soak/__main__.py
@@ -0,0 +1,80 @@
+"""Run real nodes under random faults, and check their promises meanwhile.
+
+Usage:
+  soak [--seeds N] [--first SEED] [--minutes M] [options]
+  soak --replay SEED [options]
+  soak (-h | --help)
+
+Options:
+  --seeds N      Seeds to run [default: 10].
+  --first SEED   First seed; drawn if not given.
+  --minutes M    End after so many minutes, whatever is left [default: 60].
+  --replay SEED  Run one seed, and keep the logs of its nodes.
+  --seconds S    Time in which the faults of a seed begin [default: 20].
+  --nodes N      Entry boxes [default: 2].
+  --callers N    Callers of each entry [default: 6].
+  --untimed      Do not check bounds on time, as on a busy machine.
+
+The exit code is 0 if all promises were kept, else 1.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from docopt import docopt
+
+from tools.soak.run import Size, Summary, run_seed
+
+FIRST_SEEDS = 1_000_000
+"""Fresh first seeds are drawn below this number, to be short to write down."""
+
+
+def main() -> None:
+    """Entry point."""
+    args = docopt(__doc__)
+    # The proxy library leaves behind tasks whose connections were cut.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
+    size = Size(
+        seconds=float(args["--seconds"]),
+        entries=int(args["--nodes"]),
+        callers=int(args["--callers"]),
+        timed=not args["--untimed"],
+    )
+    if args["--replay"]:
+        folder = Path(tempfile.mkdtemp(prefix="soak-"))
+        summary = asyncio.run(run_seed(folder, int(args["--replay"]), size))
+        print(summary, f"logs in {folder}", sep="\n  ")
+        sys.exit(bool(summary.broken))
+    first = int(args["--first"] or secrets.randbelow(FIRST_SEEDS))
+    end = time.monotonic() + float(args["--minutes"]) * 60
+    sys.exit(_run_all(range(first, first + int(args["--seeds"])), size, end))
+
+
+def _run_all(seeds: range, size: Size, end: float) -> int:
+    summaries: list[Summary] = []
+    for seed in seeds:
+        if time.monotonic() >= end:
+            break
+        with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+            summaries.append(asyncio.run(run_seed(Path(folder), seed, size)))
+        print(summaries[-1], flush=True)
+    failed = [one.seed for one in summaries if one.broken]
+    faults = sum(sum(one.faults.values()) for one in summaries)
+    calls = sum(sum(one.answers.values()) for one in summaries)
+    checks = sum(sum(one.checked.values()) for one in summaries)
+    print(
+        f"{len(summaries)} of {len(seeds)} seeds run, {faults} faults, {calls} calls,"
+        f" {checks} checks; seeds with a broken promise: {failed or 'none'}"
+    )
+    return bool(failed)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,140 @@
+"""Callers who keep their connections open until the entry is gone."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from leadseam.platform import names
+from tools.platform.nodes import HOST, KEY
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from tools.soak.world import World
+
+LIMIT = 5.0
+"""Seconds after which a route of the test document ends a request."""
+GIVE_UP = 12.0
+"""Seconds after which a caller hangs up, so that a run comes to its end."""
+CALL_PAUSE = 0.02
+"""Seconds between two calls of a caller."""
+BODY = b"x" * 300
+
+
+class Kind(StrEnum):
+    """What a caller asks for, named as the routes of the test document."""
+
+    ONCE = "once"
+    SAFE = "safe"
+    STREAM = "stream"
+    STREAM_ONCE = "stream-fixed"
+
+    @property
+    def streams(self) -> bool:
+        """Whether the answer is a sequence of events."""
+        return self in (Kind.STREAM, Kind.STREAM_ONCE)
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self in (Kind.SAFE, Kind.STREAM)
+
+
+@dataclass(slots=True)
+class Call:
+    """One request and all that its caller saw.
+
+    Args:
+        request_id: Its identifier.
+        kind: What was asked for.
+        entry: Entry that was called.
+        start: When it was sent, on the steady clock.
+        end: When the last byte came or the connection was cut.
+        status: Status of the answer; 0 without one.
+        body: Bytes of the answer's body.
+        headers: The answer's headers.
+        cut: Whether the connection was cut before the answer's end.
+    """
+
+    request_id: str
+    kind: Kind
+    entry: str
+    start: float
+    end: float = 0.0
+    status: int = 0
+    body: bytes = b""
+    headers: dict[str, str] = field(default_factory=dict)
+    cut: bool = False
+
+    @property
+    def path(self) -> str:
+        """The path that was asked for."""
+        return f"/{self.kind}/{self.request_id}"
+
+
+class Callers:
+    """Callers of one run.
+
+    Args:
+        world: What they call.
+        seed: Seed of their choices.
+        on_call: Called with each finished call.
+    """
+
+    def __init__(
+        self, world: World, seed: int, on_call: Callable[[Call], None]
+    ) -> None:
+        self._world = world
+        self._rng = random.Random(seed)
+        self._on_call = on_call
+        self._numbers = itertools.count(1)
+        self._stopping = False
+
+    async def run(self, callers: int) -> None:
+        """Call each entry from so many callers until told to stop."""
+        async with asyncio.TaskGroup() as group:
+            for entry in self._world.entry_ips:
+                for _ in range(callers):
+                    group.create_task(self._keep_calling(entry))
+
+    def stop(self) -> None:
+        """Send nothing more."""
+        self._stopping = True
+
+    async def _keep_calling(self, entry: str) -> None:
+        timeout = aiohttp.ClientTimeout(total=GIVE_UP)
+        async with aiohttp.ClientSession(timeout=timeout) as http:
+            # A request that must not repeat is never sent again by the library.
+            http._retry_connection = False
+            while not self._stopping:
+                kind = self._rng.choice(list(Kind))
+                call = Call(f"c{next(self._numbers)}", kind, entry, time.monotonic())
+                await self.make(http, call)
+                self._on_call(call)
+                await asyncio.sleep(CALL_PAUSE)
+
+    async def make(self, http: aiohttp.ClientSession, call: Call) -> None:
+        """Make a call and note what came back."""
+        url = f"http://{call.entry}:{self._world.front_port}{call.path}"
+        headers = {
+            "Host": HOST,
+            names.REQUEST_ID: call.request_id,
+            names.AUTHORIZATION: names.BEARER + KEY,
+            names.DEADLINE: str(round(LIMIT * 1_000)),
+        }
+        try:
+            async with http.post(url, data=BODY, headers=headers) as resp:
+                call.status, call.headers = resp.status, dict(resp.headers)
+                async for data in resp.content.iter_any():
+                    call.body += data
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            call.cut = True
+        call.end = time.monotonic()
--- /dev/null
+++ b/tools/soak/links.py
@@ -0,0 +1,68 @@
+"""Proxies before the inner addresses of control boxes, and before servers.
+
+Each box has an inner port of its own and dials all others at that port. So a proxy at
+that port of another box carries just the link from the one to the other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from tools.faults import FaultyLink
+from tools.soak.plan import BadLink, LinkFault
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+
+@dataclass
+class Links:
+    """Faulty links by source and target; the source of servers' links is empty."""
+
+    _links: dict[tuple[str, str], FaultyLink] = field(default_factory=dict)
+
+    async def add_mesh(
+        self,
+        sources: Iterable[str],
+        targets: Iterable[str],
+        port_of: Callable[[str], int],
+    ) -> None:
+        """Put a proxy on the way from each source to each target."""
+        for target in targets:
+            for source in sources:
+                if source == target:
+                    continue
+                link = FaultyLink(port_of(target), ip=target, port=port_of(source))
+                await link.start()
+                self._links[source, target] = link
+
+    async def add_server(self, ip: str, port: int, proxied: int) -> None:
+        """Put a proxy before a server."""
+        link = FaultyLink(port, ip=ip, port=proxied)
+        await link.start()
+        self._links["", ip] = link
+
+    async def spoil(self, fault: BadLink, seconds: float) -> None:
+        """Let a link misbehave for a time."""
+        link = self._links[fault.source, fault.target]
+        match fault.how:
+            case LinkFault.RESET:
+                await link.cut()
+            case LinkFault.DELAY:
+                link.delay = fault.delay
+            case LinkFault.MUTE_TOWARDS:
+                link.hold(back=False)
+            case LinkFault.MUTE_BACK:
+                link.hold(towards=False)
+            case LinkFault.SILENT:
+                link.hold()
+        await asyncio.sleep(seconds)
+        link.delay = 0.0
+        link.release()
+
+    async def close(self) -> None:
+        """End all proxies."""
+        for link in self._links.values():
+            await link.close()
--- /dev/null
+++ b/tools/soak/promises.py
@@ -0,0 +1,182 @@
+"""What the nodes promise, asked of what callers, servers and the operator saw."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from leadseam.platform import names
+from tools.platform.standin import EVENTS, event
+from tools.soak.callers import LIMIT
+
+if TYPE_CHECKING:
+    from tools.soak.callers import Call
+    from tools.soak.world import World
+
+NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses that promise that a request has not run and never will."""
+AFTERMATH = 4.0
+"""Seconds in which the effects of a fault last: a restart, an election, and the silence
+limit of links."""
+ANSWER_SLACK = 0.5
+"""Seconds beyond a route's time limit in which its final answer is due."""
+LEAVING_SLACK = 2.0
+"""Seconds after which a leaving server gets nothing new: the bound of the tests."""
+WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that was not kept.
+
+    Args:
+        promise: Its name.
+        at: Seconds from the start of the run.
+        request_id: Request that shows it, or an empty text.
+        detail: What was seen.
+    """
+
+    promise: str
+    at: float
+    request_id: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.at:7.3f} s  {self.promise}: {self.request_id} {self.detail}"
+
+
+@dataclass
+class Promises:
+    """Checks calls as they end, and all that can be told only later at the end.
+
+    Args:
+        world: The nodes and servers.
+        timed: Whether bounds on time are checked, as a quiet machine allows.
+    """
+
+    world: World
+    timed: bool
+    started: float = field(default_factory=time.monotonic)
+    broken: list[Broken] = field(default_factory=list)
+    checked: Counter[str] = field(default_factory=Counter)
+    answers: Counter[int] = field(default_factory=Counter)
+    calls: list[Call] = field(default_factory=list)
+
+    def on_call(self, call: Call) -> None:
+        """Check a finished call."""
+        self.calls.append(call)
+        self.answers[call.status if not call.cut else 0] += 1
+        self._check_answer(call)
+        self._check_not_run(call)
+        if self.timed:
+            self._check_time(call)
+
+    def at_end(self) -> None:
+        """Check what holds for good: a late run shows only now."""
+        for call in self.calls:
+            self._check_not_run(call)
+            self._check_once(call)
+            self._check_planned_stop(call)
+        if self.timed:
+            self._check_leaving()
+
+    def on_read(self, document: bytes, least: int, newest: int) -> None:
+        """Check a configuration that was read back.
+
+        Args:
+            document: What was read.
+            least: Version that was acknowledged before the read began.
+            newest: Highest version ever sent.
+        """
+        version = json.loads(document)["version"]
+        kept = least <= version <= newest
+        self._check("configuration kept", kept, "", f"read {version}, had {least}")
+
+    def fail(self, promise: str, detail: str) -> None:
+        """Note a promise that another part found broken."""
+        self._check(promise, False, "", detail)
+
+    def _check(self, promise: str, kept: bool, request_id: str, detail: str) -> None:
+        self.checked[promise] += 1
+        if not kept:
+            at = time.monotonic() - self.started
+            self.broken.append(Broken(promise, at, request_id, detail))
+
+    def _check_answer(self, call: Call) -> None:
+        """An answer is whole, of this request, and signed by a server that ran it."""
+        if call.status != 200:
+            return
+        mine = call.headers.get(names.REQUEST_ID) == call.request_id
+        self._check("own answer", mine, call.request_id, str(call.headers))
+        if call.cut:
+            return
+        instance = call.headers.get(names.SIGNATURE, "").removeprefix("signed-")
+        if call.kind.streams:
+            expected = WHOLE_STREAM
+        else:
+            expected = f"{instance} {call.path}".encode()
+        whole = bool(instance) and call.body == expected
+        self._check("whole answer", whole, call.request_id, repr(call.body))
+
+    def _check_not_run(self, call: Call) -> None:
+        if call.status in NOT_RUN and not call.cut:
+            runs = self.world.runs_of(call.request_id)
+            detail = f"status {call.status}, ran {runs} times: {call.body!r}"
+            self._check("not run is true", runs == 0, call.request_id, detail)
+
+    def _check_once(self, call: Call) -> None:
+        if not call.kind.repeatable:
+            runs = self.world.runs_of(call.request_id)
+            self._check("at most once", runs <= 1, call.request_id, f"{runs} runs")
+
+    def _check_time(self, call: Call) -> None:
+        if self._touched(call.entry, call):
+            return
+        took = call.end - call.start
+        kept = took <= LIMIT + ANSWER_SLACK
+        self._check("answered in time", kept, call.request_id, f"took {took:.2f} s")
+
+    def _check_planned_stop(self, call: Call) -> None:
+        """A planned stop ends no request that was sent to the entry."""
+        spans = [
+            span
+            for span in self.world.ledger.spans
+            if span.planned and span.target == call.entry
+        ]
+        under_way = any(call.start <= span.start <= call.end for span in spans)
+        boxes = [call.entry, *self.world.server_ips]
+        since = call.start - AFTERMATH
+        touched = self.world.ledger.touched
+        if not under_way or any(
+            touched(box, since, call.end, planned=False) for box in boxes
+        ):
+            return
+        detail = f"status {call.status}, cut: {call.cut}"
+        self._check("stop cuts nothing", not call.cut, call.request_id, detail)
+
+    def _check_leaving(self) -> None:
+        for server in self.world.ever:
+            if server.left_at is None:
+                continue
+            for run in server.runs:
+                late = run.at - server.left_at
+                entry = self._entry_of(run.request_id)
+                if entry is None or self.world.ledger.touched(
+                    entry, server.left_at - AFTERMATH, run.at
+                ):
+                    continue
+                detail = f"{late:.2f} s after {server.instance} had left"
+                kept = late <= LEAVING_SLACK
+                self._check("leaving is final", kept, run.request_id, detail)
+
+    def _entry_of(self, request_id: str) -> str | None:
+        for call in self.calls:
+            if call.request_id == request_id:
+                return call.entry
+        return None
+
+    def _touched(self, box: str, call: Call) -> bool:
+        return self.world.ledger.touched(box, call.start - AFTERMATH, call.end)
--- /dev/null
+++ b/tools/soak/run.py
@@ -0,0 +1,176 @@
+"""One seed from start to end."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tools.platform.nodes import document
+from tools.soak.callers import Callers
+from tools.soak.plan import draw
+from tools.soak.promises import Promises
+from tools.soak.world import World
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from tools.soak.plan import Planned
+    from tools.soak.promises import Broken
+
+CHANGE_PAUSE = 0.7
+"""Longest pause between two changes of the configuration, in seconds."""
+CONTEXT = 12
+"""Log lines printed for a request of a broken promise."""
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """How much is run.
+
+    Args:
+        seconds: Length of the time in which faults begin.
+        entries: Entry boxes.
+        callers: Callers of each entry.
+        timed: Whether bounds on time are checked.
+    """
+
+    seconds: float = 20.0
+    entries: int = 2
+    callers: int = 6
+    timed: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """What a seed showed.
+
+    Args:
+        seed: The seed.
+        faults: Faults injected, by kind.
+        answers: Calls by status of their answer; 0 for those that were cut.
+        checked: Checks by promise.
+        broken: Promises that were not kept.
+        lines: Log lines on the requests of broken promises.
+    """
+
+    seed: int
+    faults: dict[str, int]
+    answers: dict[int, int]
+    checked: dict[str, int]
+    broken: tuple[Broken, ...]
+    lines: tuple[str, ...]
+
+    def __str__(self) -> str:
+        verdict = "BROKEN" if self.broken else "kept"
+        parts = [f"seed {self.seed}: {verdict}", f"faults {self.faults}"]
+        parts += [f"answers {dict(sorted(self.answers.items()))}"]
+        parts += [f"checked {self.checked}"]
+        return "\n  ".join([*parts, *map(str, self.broken), *self.lines])
+
+
+class Soak:
+    """Runs one seed.
+
+    Args:
+        world: Nodes and servers, not started yet.
+        seed: Seed of faults and calls.
+        size: How much is run.
+    """
+
+    def __init__(self, world: World, seed: int, size: Size) -> None:
+        self._world = world
+        self._seed = seed
+        self._size = size
+        self._rng = random.Random(seed + 1)
+        self._acked = 1
+        self._sent = 1
+
+    async def run(self) -> Summary:
+        """Return what the seed showed."""
+        world = self._world
+        await world.open()
+        faults = draw(self._seed, self._size.seconds, world.boxes)
+        promises = Promises(world, self._size.timed)
+        callers = Callers(world, self._seed, promises.on_call)
+        calling = asyncio.create_task(callers.run(self._size.callers))
+        changing = asyncio.create_task(self._keep_changing(promises))
+        await self._do_all(faults)
+        changing.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await changing
+        await self._recover(promises)
+        callers.stop()
+        await calling
+        promises.at_end()
+        return self._summary(faults, promises)
+
+    async def _do_all(self, faults: tuple[Planned, ...]) -> None:
+        async with asyncio.TaskGroup() as group:
+            for planned in faults:
+                group.create_task(self._do_later(planned))
+
+    async def _do_later(self, planned: Planned) -> None:
+        await asyncio.sleep(planned.at)
+        await self._world.do(planned)
+
+    async def _keep_changing(self, promises: Promises) -> None:
+        """Change the configuration again and again, and read it back."""
+        while True:
+            self._sent += self._rng.randint(1, 5)
+            status = await self._world.operator.replace(document(self._sent))
+            if status == 200:
+                self._acked = self._sent
+            else:
+                promises.fail("valid change taken", f"status {status}")
+            await self._read(promises)
+            await asyncio.sleep(self._rng.uniform(0, CHANGE_PAUSE))
+
+    async def _read(self, promises: Promises) -> None:
+        least = self._acked
+        promises.on_read(await self._world.operator.read(), least, self._sent)
+
+    async def _recover(self, promises: Promises) -> None:
+        """With all faults mended, everything works again."""
+        await self._read(promises)
+        for entry in self._world.entry_ips:
+            await self._world.wait_ready(entry)
+            await self._world.wait_served(entry)
+        newest = json.loads(await self._world.operator.read())["version"]
+        kept = self._acked <= newest
+        if not kept:
+            promises.fail("configuration kept", f"{newest} after {self._acked}")
+        promises.checked["recovered"] += 1
+
+    def _summary(self, faults: tuple[Planned, ...], promises: Promises) -> Summary:
+        kinds = [type(planned.fault).__name__ for planned in faults]
+        return Summary(
+            seed=self._seed,
+            faults={kind: kinds.count(kind) for kind in sorted(set(kinds))},
+            answers=dict(promises.answers),
+            checked=dict(promises.checked),
+            broken=tuple(promises.broken),
+            lines=self._lines(promises.broken),
+        )
+
+    def _lines(self, broken: list[Broken]) -> tuple[str, ...]:
+        """Return the nodes' lines on the requests of broken promises."""
+        wanted = {one.request_id for one in broken if one.request_id}
+        lines = []
+        for log in sorted(self._world.folder.glob("*.log")):
+            for line in log.read_text().splitlines():
+                if any(f'"{request_id}"' in line for request_id in wanted):
+                    lines.append(line)
+        return tuple(lines[:CONTEXT])
+
+
+async def run_seed(folder: Path, seed: int, size: Size) -> Summary:
+    """Run one seed in an empty folder and return what it showed."""
+    world = World(folder, entries=size.entries)
+    try:
+        return await Soak(world, seed, size).run()
+    finally:
+        await world.close()
