--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -48,6 +48,7 @@
 CONFIGURATION = "tests/failures/test_configuration.py"
 LEAVING = "tests/failures/test_leaving.py"
 WHOLE = "tests/failures/test_whole_answers.py"
+SOAK = "tests/soak/test_short.py"
 
 VARIANTS = (
     Variant(
@@ -187,6 +188,27 @@
         "            if False:",
         "tests/test_fairness.py",
     ),
+    Variant(
+        "routed requests that must not repeat run again",
+        "routing/exchange.py",
+        "        return route.repeatable and runs < route.max_attempts",
+        "        return True",
+        SOAK,
+    ),
+    Variant(
+        "a routed request that ran is told as not run",
+        "routing/exchange.py",
+        "        if self._progress.runs == 0:\n",
+        "        if True:\n",
+        SOAK,
+    ),
+    Variant(
+        "a stream starts again instead of going on",
+        "routing/exchange.py",
+        "resume_after=self._reply.last_event",
+        "resume_after=None",
+        SOAK,
+    ),
 )
 
 
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -39,7 +39,11 @@
 
 @dataclass
 class Server:
-    """One server; `behave` says what it does with a path's last part."""
+    """One server.
+
+    `behave` says what it does with a path's last part, `usual` what with all others;
+    `pause` is the time between events, and before a plain answer.
+    """
 
     ip: str
     port: int
@@ -54,6 +58,7 @@
     acks: int = 0
     advertised: str = ""
     pause: float = 0.0
+    usual: str = "answer"
     left_at: float | None = None
 
     async def start(self) -> None:
@@ -109,7 +114,7 @@
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         if http.headers.get(names.EXPECT_INSTANCE) != self.instance:
             return web.Response(status=421, headers=self._echo(http))
-        action = self.behave.get(http.path.rsplit("/", 1)[-1], "answer")
+        action = self.behave.get(http.path.rsplit("/", 1)[-1], self.usual)
         if action == "full":
             headers = {**self._echo(http), names.NOT_RUN: "1"}
             return web.Response(status=503, headers=headers)
@@ -146,6 +151,7 @@
             case _ if "stream" in http.path:
                 return await self._stream(http, action)
             case _:
+                await asyncio.sleep(self.pause)
                 return self._answer(http)
 
     def _answer(self, http: web.BaseRequest) -> web.Response:
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -100,6 +100,13 @@
     server: str
 
 
+@dataclass(frozen=True, slots=True)
+class AnswersLost:
+    """A server runs requests and resets their connections for a time."""
+
+    server: str
+
+
 Fault: TypeAlias = (
     Kill
     | KillControl
@@ -111,6 +118,7 @@
     | BadLink
     | ServerCrash
     | ServerLeaves
+    | AnswersLost
 )
 
 
@@ -169,7 +177,7 @@
     control, entry = rng.choice(boxes.controls), rng.choice(boxes.entries)
     server = rng.choice(boxes.servers)
     node = rng.choice(boxes.controls + boxes.entries)
-    match rng.randrange(12):
+    match rng.randrange(14):
         case 0 | 1:
             return Kill(node)
         case 2:
@@ -186,7 +194,9 @@
             return ServerCrash(server)
         case 8:
             return ServerLeaves(server)
-        case 9:
+        case 9 | 10:
+            return AnswersLost(server)
+        case 11:
             return KillControl() if rng.random() < 0.3 else Kill(control)
         case _:
             return _bad_link(rng, boxes)
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -16,6 +16,7 @@
 from tools.soak.ledger import Ledger
 from tools.soak.links import Links
 from tools.soak.plan import (
+    AnswersLost,
     BadLink,
     Boxes,
     Freeze,
@@ -127,6 +128,8 @@
                 await self._server_crashed(ip, planned.length)
             case ServerLeaves(server=ip):
                 await self._server_left(ip, planned.length)
+            case AnswersLost(server=ip):
+                await self._answers_lost(ip, planned.length)
 
     async def _killed(
         self, boxes: list[str], length: float, *, wipe: bool = False
@@ -210,6 +213,16 @@
             await self._server_again(server, RESTART_DELAY)
         self.ledger.end(span)
 
+    async def _answers_lost(self, ip: str, length: float) -> None:
+        server = self._server_at(ip)
+        if server is None:
+            return
+        span = self.ledger.begin(ip)
+        server.usual = "reset"
+        await asyncio.sleep(length)
+        server.usual = "answer"
+        self.ledger.end(span)
+
     async def _server_again(self, old: Server, pause: float) -> None:
         self.gone.append(old)
         self.servers.remove(old)
