Accounts that are ahead leave room to one that is short

Ruled out: admission at the engines, which sorts by service; the short account's requests did not reach it in time.

Now an account counts as over its share 1.3 times above one that is short of a share that it asks for, though never below half of the share.

--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -21,6 +21,14 @@
 
 WINDOW: Millis = 4_000
 """Span over which shares are kept: the platform's figure for it."""
+SHORT_PART = 0.8
+"""An account is short if it got less than this part of what it is due."""
+LEAD = 1.3
+"""How far an account may be ahead of one that is short before the other goes first:
+well below 2, where the platform calls it unfair."""
+LEAST_PART = 0.5
+"""Part of the fair share that an account gets without regard to others: one that has
+just begun to ask has got nothing yet."""
 MADE_TOKEN = 2
 """Service of a generated token against one that is read: the platform's measure."""
 
@@ -101,7 +109,8 @@
         }
         served = sum(row.served for row in message.usage)
         demands = [max(row.asked, row.served) for row in message.usage]
-        self._level = fair_level(demands, max(capacity, served))
+        level = fair_level(demands, max(capacity, served))
+        self._level = min(level, lead_level(message.usage, level))
 
     def _account(self, name: str, now: Millis) -> _Account:
         account = self._own.setdefault(name, _Account())
@@ -130,6 +139,31 @@
     return float("inf")
 
 
+def lead_level(rows: Iterable[UsageRow], level: float) -> float:
+    """Return the service beyond which accounts leave room to those that are short.
+
+    An account may be short though engines have room for it, as when all its callers use
+    one busy entry; others would take that room in the meantime.
+
+    Args:
+        rows: What each account asked for and got.
+        level: The max-min level; infinite if there is enough for all.
+
+    Returns:
+        The level; infinite if no account is short that asks for its whole share.
+    """
+    if level == float("inf"):
+        return level
+    short = [
+        row.served
+        for row in rows
+        if row.asked >= level and row.served < SHORT_PART * level
+    ]
+    if not short:
+        return float("inf")
+    return max(LEAD * min(short), LEAST_PART * level)
+
+
 def _minus(row: UsageRow, own: UsageRow | None) -> UsageRow:
     if own is None:
         return row
--- a/tests/routing/test_usage.py
+++ b/tests/routing/test_usage.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leadseam.routing.usage import WINDOW, UsageBook, fair_level
+from leadseam.routing.usage import WINDOW, UsageBook, fair_level, lead_level
 from leadseam.wire.messages import LoadReport, LoadTotals, UsageRow
 
 
@@ -42,3 +43,18 @@
     assert not book.over_share("pay", 0)
     assert not book.over_share("menus", WINDOW + 1)
     assert book.rows(WINDOW + 1) == ()
+
+
+def test_accounts_leave_room_to_one_that_is_short() -> None:
+    ahead = UsageRow("ahead", served=450, asked=1_000)
+    behind = UsageRow("behind", served=300, asked=900)
+    small = UsageRow("small", served=10, asked=20)
+    assert lead_level((ahead, behind, small), 500.0) == pytest.approx(390.0)
+    assert lead_level((ahead, small), 500.0) == float("inf")
+    assert lead_level((ahead, behind), float("inf")) == float("inf")
+
+
+def test_an_account_that_has_just_begun_stops_nobody() -> None:
+    ahead = UsageRow("ahead", served=450, asked=1_000)
+    begun = UsageRow("begun", served=0, asked=900)
+    assert lead_level((ahead, begun), 500.0) == 250.0
