--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -198,8 +198,8 @@
     Variant(
         "a routed request that ran is told as not run",
         "routing/exchange.py",
-        "        if self._progress.runs == 0:\n",
-        "        if True:\n",
+        "                return self._give_up(reason)\n",
+        "                return self._refuse(Reason.UPSTREAM_FULL)\n",
         SOAK,
     ),
     Variant(
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -150,6 +150,9 @@
                 return web.Response(status=500, headers=self._signed(http))
             case _ if "stream" in http.path:
                 return await self._stream(http, action)
+            case "lose":
+                await asyncio.sleep(self.pause)
+                return self._abort(http)
             case _:
                 await asyncio.sleep(self.pause)
                 return self._answer(http)
@@ -167,9 +170,10 @@
         for number in range(first, EVENTS + 1):
             if action == "pause" and number == EVENTS // 2:
                 await self.release.wait()
-            if action == "break" and number == EVENTS // 2:
+            if action in ("break", "lose") and number == EVENTS // 2:
                 await response.write(b"id: %d\ndata: ha" % number)
-                await self.release.wait()
+                if action == "break":
+                    await self.release.wait()
                 return self._abort(http)
             await response.write(event(number))
             if self.pause:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -218,7 +218,7 @@
         if server is None:
             return
         span = self.ledger.begin(ip)
-        server.usual = "reset"
+        server.usual = "lose"
         await asyncio.sleep(length)
         server.usual = "answer"
         self.ledger.end(span)
