--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -12,6 +12,7 @@
     Headers,
     PromptPart,
     RoutedRequest,
+    Sender,
 )
 
 if TYPE_CHECKING:
@@ -58,9 +59,11 @@
             resume_after=headers.get(names.LAST_EVENT),
         )
 
-    def read_key(self, http: web.BaseRequest) -> str | None:
-        """Read a caller's bearer key and nothing else."""
-        return _read_key(http.headers.get(names.AUTHORIZATION))
+    def read_sender(self, http: web.BaseRequest) -> Sender:
+        """Read who sends a request, and nothing else of it."""
+        headers = http.headers
+        key = _read_key(headers.get(names.AUTHORIZATION))
+        return Sender(headers.get(names.REQUEST_ID, ""), key)
 
     def attempt_headers(
         self, req: RoutedRequest, attempt: AttemptHead
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -29,6 +29,19 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class Sender:
+    """Who sends a request.
+
+    Args:
+        request_id: The caller's identifier, or an empty text.
+        key: The caller's bearer key, or None.
+    """
+
+    request_id: str
+    key: str | None
+
+
 @dataclass(frozen=True, slots=True)
 class RoutedRequest:
     """A caller's request as read from the wire.
@@ -107,8 +120,8 @@
     def read_request(self, http: web.BaseRequest) -> RoutedRequest | None:
         """Read a caller's request; None if its headers are malformed."""
 
-    def read_key(self, http: web.BaseRequest) -> str | None:
-        """Read a caller's bearer key and nothing else."""
+    def read_sender(self, http: web.BaseRequest) -> Sender:
+        """Read who sends a request, and nothing else of it."""
 
     def attempt_headers(
         self, req: RoutedRequest, attempt: AttemptHead
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -140,7 +140,10 @@
     async def _serve(self, http: web.BaseRequest) -> web.StreamResponse:
         arrived = self.now()
         if self._lag.millis > EXCESS_LAG and self._over_share(http, arrived):
-            return self.error(NotRun(Reason.ENTRY_BUSY, self.spread(BUSY_PAUSE)))
+            refusal = NotRun(Reason.ENTRY_BUSY, self.spread(BUSY_PAUSE))
+            return self._refuse(
+                self.dialect.read_sender(http).request_id, refusal, arrived
+            )
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
@@ -150,10 +153,16 @@
             return self.error(NotRun(Reason.BODY_TOO_LARGE))
         admitted = self._admit(req, body, arrived)
         if isinstance(admitted, NotRun):
-            self.request_log.refusal(req, admitted, arrived)
-            return self.error(admitted)
+            return self._refuse(req.request_id, admitted, arrived)
         return await self._run(http, admitted)
 
+    def _refuse(
+        self, request_id: str, refusal: NotRun, arrived: Millis
+    ) -> web.Response:
+        lag = self._lag.millis
+        self.request_log.refusal(request_id, refusal, arrived, lag=lag)
+        return self.error(refusal)
+
     async def _run(
         self, http: web.BaseRequest, admitted: Admitted
     ) -> web.StreamResponse:
@@ -196,7 +205,7 @@
 
     def _over_share(self, http: web.BaseRequest, now: Millis) -> bool:
         """Tell whether a request's account has had its share, by its key alone."""
-        key = self.dialect.read_key(http)
+        key = self.dialect.read_sender(http).key
         account = self._router.account(key) if key is not None else None
         return account is not None and self.placer.over_share(account.name, now)
 
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -17,7 +17,6 @@
     from leadseam.outcome import NotRun
     from leadseam.routing.admitted import Admitted
     from leadseam.routing.attempt import Ending
-    from leadseam.routing.dialect import RoutedRequest
     from leadseam.routing.exchange import Exchange
     from leadseam.runtime.metrics import RoutingMetrics
     from leadseam.wire.messages import Registration
@@ -45,13 +44,16 @@
         self._metrics = metrics
         self._lines = LineBudget(clock)
 
-    def refusal(self, req: RoutedRequest, refusal: NotRun, arrived: Millis) -> None:
-        """Note a request that was not admitted."""
+    def refusal(
+        self, request_id: str, refusal: NotRun, arrived: Millis, *, lag: Millis
+    ) -> None:
+        """Note a request that was not admitted, and the lag of the event loop."""
         self._metrics.requests.inc("not_run")
         if self._lines.take():
             extra = {
-                "request": req.request_id,
+                "request": request_id,
                 "reason": refusal.reason.value,
+                "lag_ms": lag,
                 **self._configuration(),
                 "ms": self._clock.now() - arrived,
             }
--- /dev/null
+++ b/tests/routing/test_gateway.py
@@ -0,0 +1,100 @@
+"""What an entry that is short of processor time refuses, and in which order."""
+
+from __future__ import annotations
+
+import hashlib
+import random
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, cast
+
+import pytest
+
+from leadseam.clock import ManualClock
+from leadseam.control.configuration import Account, Configuration
+from leadseam.routing.budget import RetryLimits
+from leadseam.routing.dialect import Sender
+from leadseam.routing.gateway import BUSY_PAUSE, EXCESS_LAG, Gateway
+from leadseam.runtime.metrics import Metrics, RoutingMetrics
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+
+class Dialect:
+    """Knows who sends a request; reads nothing else."""
+
+    def __init__(self) -> None:
+        self.read = 0
+
+    def read_sender(self, http: web.BaseRequest) -> Sender:
+        """Return the sender that the test named."""
+        return Sender("r-1", str(http))
+
+    def read_request(self, _: web.BaseRequest) -> None:
+        """Count that the rest was read, and call it malformed."""
+        self.read += 1
+
+    def retry_after(self, pause: int) -> tuple[tuple[str, str], ...]:
+        """Return the pause as it is."""
+        return (("Pause", str(pause)),)
+
+
+class Entry:
+    """A gateway between fakes."""
+
+    def __init__(self) -> None:
+        accounts = {
+            name: Account(name, key_hashes=(hashlib.sha256(name.encode()).hexdigest(),))
+            for name in ("large", "small")
+        }
+        feed = SimpleNamespace(
+            configuration=Configuration(accounts=accounts), version=1, age=0
+        )
+        self.dialect = Dialect()
+        self.lag = SimpleNamespace(millis=0)
+        self.connections = 0
+        self.gateway = Gateway(
+            feed=cast("Any", feed),
+            dialect=cast("Any", self.dialect),
+            client=cast("Any", None),
+            clock=ManualClock(1_000),
+            retry_limits=RetryLimits(),
+            metrics=RoutingMetrics(Metrics()),
+            rng=random.Random(1),
+            lag=cast("Any", self.lag),
+            connections=lambda: self.connections,
+        )
+
+    async def serve(self, account: str) -> web.StreamResponse:
+        """Serve a request of an account."""
+        return await self.gateway._serve(cast("Any", account))
+
+
+@pytest.fixture
+def entry(monkeypatch: pytest.MonkeyPatch) -> Entry:
+    """An entry where one account has had its share."""
+    entry = Entry()
+    monkeypatch.setattr(
+        entry.gateway.placer, "over_share", lambda account, _: account == "large"
+    )
+    return entry
+
+
+async def test_a_late_entry_refuses_what_is_over_its_share_unread(entry: Entry) -> None:
+    entry.lag.millis = EXCESS_LAG + 1
+    response = await entry.serve("large")
+    assert response.status == 503
+    assert BUSY_PAUSE // 2 <= int(response.headers["Pause"]) <= BUSY_PAUSE
+    assert entry.dialect.read == 0
+
+
+async def test_it_reads_what_is_within_its_share(entry: Entry) -> None:
+    entry.lag.millis = EXCESS_LAG + 1
+    assert (await entry.serve("small")).status == 400
+    assert entry.dialect.read == 1
+
+
+async def test_an_entry_in_time_reads_everything(entry: Entry) -> None:
+    entry.lag.millis = EXCESS_LAG
+    assert (await entry.serve("large")).status == 400
+    assert entry.dialect.read == 1
