--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -116,8 +116,15 @@
             for account in {one.account for one in self._waiting}
         }
         self._waiting.sort(key=lambda one: (levels[one.account], one.arrived))
+        # Most looks find engines full: then one look at them serves all that wait.
+        room: dict[tuple[str, Millis], frozenset[str]] = {}
         for waiter in list(self._waiting):
-            placement = self._place(waiter, now)
+            key = (waiter.pool, waiter.objective)
+            if key not in room:
+                rows = self.candidates(waiter.pool)
+                limit = waiter.objective * ENTITLED_PART
+                room[key] = self.balancer.with_room(rows, limit, now)
+            placement = self._place(waiter, now, among=room[key])
             if placement is not None:
                 self._finish(waiter, placement)
             elif now >= waiter.refuse_at:
@@ -136,7 +143,11 @@
         waiter.placement = placement
         waiter.wake()
 
-    def _place(self, waiter: Waiter, now: Millis) -> Placement | None:
+    def _place(
+        self, waiter: Waiter, now: Millis, *, among: frozenset[str] | None = None
+    ) -> Placement | None:
+        if among is not None and not among:
+            return None
         rows = self.candidates(waiter.pool)
         if rows != waiter.rows:
             waiter.rows = rows
@@ -155,4 +166,5 @@
             now,
             # At first only where its shared parts are held, at last anywhere.
             anywhere=not over and now >= waiter.refuse_at,
+            among=among,
         )
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -88,6 +88,18 @@
 
         return Placement(min(rows, key=key), Load(requests=1), 0)
 
+    def with_room(
+        self, rows: Sequence[Registration], limit: float, now: Millis
+    ) -> frozenset[str]:
+        """Return the engines that may have room for some request.
+
+        Args:
+            rows: Engines of one pool.
+            limit: Most milliseconds that a first token may take.
+            now: Current time.
+        """
+        return frozenset(row.instance for row in rows if self._is_open(row, limit, now))
+
     def place(
         self,
         ranked: Sequence[Registration],
@@ -97,6 +109,7 @@
         now: Millis,
         *,
         anywhere: bool,
+        among: frozenset[str] | None = None,
     ) -> Placement | None:
         """Return the best engine with room, or None.
 
@@ -108,9 +121,12 @@
             now: Current time.
             anywhere: Whether an engine counts that would have to read long shared
                 parts once more.
+            among: Engines that may have room, if that is known already.
         """
         best: _Scored | None = None
         for place, row in enumerate(ranked):
+            if among is not None and row.instance not in among:
+                continue
             if not self._has_room(row, req, profile, limit, now):
                 continue
             scored = self._score(row, req, now, place=place)
@@ -143,11 +159,16 @@
         now: Millis,
     ) -> bool:
         """Tell whether an engine has a slot, memory and time; the cheap part."""
+        if not self._is_open(row, limit, now):
+            return False
+        filled = self.loads.total(row.instance, now).memory + memory_need(req)
+        return filled <= profile.memory_tokens * MEMORY_PART
+
+    def _is_open(self, row: Registration, limit: float, now: Millis) -> bool:
+        """Tell whether an engine has a slot, and time for a first token."""
         total = self.loads.total(row.instance, now)
         if total.requests >= row.slots:
             return False
-        if total.memory + memory_need(req) > profile.memory_tokens * MEMORY_PART:
-            return False
         waited = self.estimate(row.pool).millis(total.unread)
         return not total.unread or waited <= limit
 
--- a/tests/routing/test_balance.py
+++ b/tests/routing/test_balance.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 
 import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from leadseam.control.routes import EngineProfile
 from leadseam.routing.balance import (
@@ -143,3 +145,26 @@
     assert service_of(CHAT) == 100 + 2 * 50
     assert memory_need(CHAT) == 300 - 200 // 2 + 50
     assert memory_need(make_request()) == 50
+
+
+@settings(derandomize=True, database=None)
+@given(
+    loads=st.lists(
+        st.tuples(st.integers(0, 5), st.integers(0, 60_000), st.integers(0, 12_000)),
+        min_size=5,
+        max_size=5,
+    ),
+    limit=st.integers(50, 680),
+)
+def test_leaving_out_engines_without_room_changes_no_choice(
+    loads: list[tuple[int, int, int]], limit: int
+) -> None:
+    balancer = make_balancer()
+    for row, load in zip(ROWS, loads, strict=True):
+        balancer.loads.begin(row.instance, Load(*load))
+    ranked = ranked_for(ROWS, CHAT)
+    # The set is worked out for the longest limit of those that wait.
+    among = balancer.with_room(ROWS, 680, 0)
+    every = balancer.place(ranked, CHAT, PROFILE, limit, 0, anywhere=True)
+    some = balancer.place(ranked, CHAT, PROFILE, limit, 0, anywhere=True, among=among)
+    assert some == every
