Accounts far ahead of one that is short get no room

An account over its share still filled engines that had time, up to twice the service of one whose callers all use one busy entry and its neighbour (no line of that account at any other entry).

With the change an account gets nothing 1.5 times above the short one, or above half of its fair share, whichever is more. What it asks for beyond its share is not owed.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -79,12 +79,14 @@
         candidates: Returns the upstreams of a pool that may be used.
         over_share: Tells whether an account has had its fair share.
         level: Returns the service that an account got of late.
+        must_stop: Tells whether an account is too far ahead of another to get room.
     """
 
     balancer: Balancer
     candidates: Callable[[str], Sequence[Registration]]
     over_share: Callable[[str, Millis], bool]
     level: Callable[[str, Millis], int]
+    must_stop: Callable[[str, Millis], bool] = lambda account, now: False
     _waiting: list[Waiter] = field(default_factory=list)
 
     def __len__(self) -> int:
@@ -155,6 +157,8 @@
             waiter.ranked = ranked_for(left_over, waiter.req)
         if not waiter.ranked:
             return None
+        if waiter.account and self.must_stop(waiter.account, now):
+            return None
         over = bool(waiter.account) and self.over_share(waiter.account, now)
         part = EXCESS_PART if over else ENTITLED_PART
         left = waiter.arrived + waiter.objective * part - now
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -58,6 +58,7 @@
             candidates=self._candidates,
             over_share=self._usage.over_share,
             level=self._usage.level,
+            must_stop=self._usage.must_stop,
         )
         self._pumping = False
 
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -26,6 +26,9 @@
 LEAD = 1.3
 """How far an account may be ahead of one that is short before the other goes first:
 well below 2, where the platform calls it unfair."""
+STOP_LEAD = 1.5
+"""How far an account may be ahead of one that is short at all. The platform compares
+spans of six seconds, ours have four, and counts lag; so it is well below 2 too."""
 LEAST_PART = 0.5
 """Part of the fair share that an account gets without regard to others: one that has
 just begun to ask has got nothing yet."""
@@ -60,6 +63,7 @@
         self._own: dict[str, _Account] = {}
         self._others: dict[str, UsageRow] = {}
         self._level = float("inf")
+        self._stop_level = float("inf")
 
     def __repr__(self) -> str:
         return f"UsageBook(accounts={len(self._own)}, level={self._level:.0f})"
@@ -82,6 +86,10 @@
         """Tell whether an account has had its fair share of the window."""
         return self.level(account, now) > self._level
 
+    def must_stop(self, account: str, now: Millis) -> bool:
+        """Tell whether an account is so far ahead of another that it gets no room."""
+        return self.level(account, now) > self._stop_level
+
     def rows(self, now: Millis) -> tuple[UsageRow, ...]:
         """Return the own rows for a report."""
         rows = []
@@ -110,7 +118,8 @@
         served = sum(row.served for row in message.usage)
         demands = [max(row.asked, row.served) for row in message.usage]
         level = fair_level(demands, max(capacity, served))
-        self._level = min(level, lead_level(message.usage, level))
+        self._level = min(level, lead_level(message.usage, level, LEAD))
+        self._stop_level = lead_level(message.usage, level, STOP_LEAD)
 
     def _account(self, name: str, now: Millis) -> _Account:
         account = self._own.setdefault(name, _Account())
@@ -139,7 +148,7 @@
     return float("inf")
 
 
-def lead_level(rows: Iterable[UsageRow], level: float) -> float:
+def lead_level(rows: Iterable[UsageRow], level: float, lead: float) -> float:
     """Return the service beyond which accounts leave room to those that are short.
 
     An account may be short though engines have room for it, as when all its callers use
@@ -148,6 +157,7 @@
     Args:
         rows: What each account asked for and got.
         level: The max-min level; infinite if there is enough for all.
+        lead: How far others may be ahead of an account that is short.
 
     Returns:
         The level; infinite if no account is short that asks for its whole share.
@@ -161,7 +171,7 @@
     ]
     if not short:
         return float("inf")
-    return max(LEAD * min(short), LEAST_PART * level)
+    return max(lead * min(short), LEAST_PART * level)
 
 
 def _minus(row: UsageRow, own: UsageRow | None) -> UsageRow:
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -22,6 +22,7 @@
 
     levels: dict[str, int] = field(default_factory=dict)
     over: set[str] = field(default_factory=set)
+    stopped: set[str] = field(default_factory=set)
     woken: list[str] = field(default_factory=list)
     balancer: Balancer = field(default_factory=lambda: Balancer(random.Random(1)))
 
@@ -31,6 +32,7 @@
             candidates=lambda pool: [ENGINE],
             over_share=lambda account, now: account in self.over,
             level=lambda account, now: self.levels.get(account, 0),
+            must_stop=lambda account, now: account in self.stopped,
         )
 
     def enter(self, account: str, now: int = 0) -> Waiter:
@@ -111,3 +113,10 @@
     assert len(room.admission) == 0
     room.leave(running[0])
     assert room.balancer.loads.own(ENGINE.instance).requests == 3
+
+
+def test_an_account_that_must_stop_gets_no_room() -> None:
+    room = Room(over={"ahead"}, stopped={"ahead"})
+    waiter = room.enter("ahead")
+    assert (waiter.done, waiter.placement) == (True, None)
+    assert room.enter("behind").placement is not None
--- a/tests/routing/test_usage.py
+++ b/tests/routing/test_usage.py
@@ -49,12 +49,25 @@
     ahead = UsageRow("ahead", served=450, asked=1_000)
     behind = UsageRow("behind", served=300, asked=900)
     small = UsageRow("small", served=10, asked=20)
-    assert lead_level((ahead, behind, small), 500.0) == pytest.approx(390.0)
-    assert lead_level((ahead, small), 500.0) == float("inf")
-    assert lead_level((ahead, behind), float("inf")) == float("inf")
+    assert lead_level((ahead, behind, small), 500.0, 1.3) == pytest.approx(390.0)
+    assert lead_level((ahead, small), 500.0, 1.3) == float("inf")
+    assert lead_level((ahead, behind), float("inf"), 1.3) == float("inf")
 
 
 def test_an_account_that_has_just_begun_stops_nobody() -> None:
     ahead = UsageRow("ahead", served=450, asked=1_000)
     begun = UsageRow("begun", served=0, asked=900)
-    assert lead_level((ahead, begun), 500.0) == 250.0
+    assert lead_level((ahead, begun), 500.0, 1.3) == 250.0
+
+
+def test_one_that_is_far_ahead_of_a_short_one_stops() -> None:
+    book = UsageBook()
+    rows = (
+        UsageRow("ahead", served=470, asked=1_000),
+        UsageRow("behind", served=300, asked=900),
+    )
+    book.totals(LoadTotals(1, (), rows), None, capacity=1_000)
+    # The fair level is 500; 1.5 times what the short one got is 450.
+    assert book.must_stop("ahead", 0)
+    assert book.over_share("ahead", 0)
+    assert not book.must_stop("behind", 0)
