What a busy entry refuses still counts as asked for

An account counts as short only if it asks for its whole share, and what an entry refused for want of processor time was not counted as asked for: that is most of what the short account sends.

The test failed before.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -186,13 +186,13 @@
         account = self._account(req, route)
         if isinstance(account, NotRun):
             return account
+        if account is not None:
+            self.placer.asked(account.name, req, arrived)
         if self._lag.millis > MAX_LAG:
             return NotRun(Reason.ENTRY_BUSY, self.spread(BUSY_PAUSE))
         limit = route.time_limit
         if req.patience is not None:
             limit = min(limit, req.patience)
-        if account is not None:
-            self.placer.asked(account.name, req, arrived)
         return Admitted(
             req=req,
             body=body,
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import random
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
 
@@ -11,14 +12,23 @@
 
 from leadseam.clock import ManualClock
 from leadseam.control.configuration import Account, Configuration
+from leadseam.outcome import NotRun, Reason
 from leadseam.routing.budget import RetryLimits
 from leadseam.routing.dialect import Sender
-from leadseam.routing.gateway import BUSY_PAUSE, EXCESS_LAG, Gateway
+from leadseam.routing.gateway import BUSY_PAUSE, EXCESS_LAG, MAX_LAG, Gateway
+from leadseam.routing.router import Router
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
+from leadseam.wire.messages import UsageRow
+from tests.routing.samples import make_request, make_route
 
 if TYPE_CHECKING:
     from aiohttp import web
 
+ACCOUNTS = {
+    name: Account(name, key_hashes=(hashlib.sha256(name.encode()).hexdigest(),))
+    for name in ("large", "small")
+}
+
 
 class Dialect:
     """Knows who sends a request; reads nothing else."""
@@ -43,12 +53,8 @@
     """A gateway between fakes."""
 
     def __init__(self) -> None:
-        accounts = {
-            name: Account(name, key_hashes=(hashlib.sha256(name.encode()).hexdigest(),))
-            for name in ("large", "small")
-        }
         feed = SimpleNamespace(
-            configuration=Configuration(accounts=accounts), version=1, age=0
+            configuration=Configuration(accounts=ACCOUNTS), version=1, age=0
         )
         self.dialect = Dialect()
         self.lag = SimpleNamespace(millis=0)
@@ -98,3 +104,18 @@
     entry.lag.millis = EXCESS_LAG
     assert (await entry.serve("large")).status == 400
     assert entry.dialect.read == 1
+
+
+async def test_what_a_busy_entry_refuses_still_counts_as_asked_for() -> None:
+    entry = Entry()
+    entry.gateway._router = Router(
+        Configuration(accounts=ACCOUNTS, routes={"r": make_route("r", "/chat/", "p")})
+    )
+    entry.lag.millis = MAX_LAG + 1
+    req = replace(make_request("system", "own"), key="small")
+    refusal = entry.gateway._admit(req, b"", 1_000)
+    assert isinstance(refusal, NotRun)
+    assert refusal.reason is Reason.ENTRY_BUSY
+    # 100 tokens of its own to read, and 50 made that count twice.
+    usage = entry.gateway.placer.load_report().usage
+    assert usage == (UsageRow("small", served=0, asked=200),)
