--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -92,9 +92,16 @@
         return streaming
 
     async def end(self) -> web.StreamResponse:
-        """Finish a response that has begun, and return it."""
+        """Finish a response that has begun, and return it.
+
+        Raises:
+            CallerGoneError: If the caller left before its end.
+        """
         assert self._response is not None
-        await self._response.write_eof()
+        try:
+            await self._response.write_eof()
+        except ConnectionError as exc:
+            raise CallerGoneError(str(exc)) from exc
         return self._response
 
     def cut(self, reason: Reason) -> NoReturn:
