--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -371,10 +371,15 @@
             url = f"http://{entry}:{platform.front_port}{path}"
             headers = {"Host": HOST, names.REQUEST_ID: path}
             headers[names.AUTHORIZATION] = names.BEARER + KEY
-            async with http.post(url, headers=headers) as resp:
-                assert resp.status == 200
-                await resp.read()
-                return resp.headers.get("Connection") != "close"
+            while True:
+                async with http.post(url, headers=headers) as resp:
+                    body = await resp.read()
+                    if resp.status == 503 and b'"entry_busy"' in body:
+                        # Short of processor time, as on a busy machine; see `call`.
+                        await asyncio.sleep(float(resp.headers[names.RETRY_AFTER]))
+                        continue
+                    assert resp.status == 200
+                    return resp.headers.get("Connection") != "close"
 
         assert await is_kept("/once/few")
         assert await is_kept("/stream/few")
