Imports: each once, and those for types only at type checking

The node's command imported its event loop twice, once among the type-only imports, and the program's protocol at run time, which only an annotation names. The pump imported aiohttp for annotations alone. Behaviour is unchanged.

--- a/src/leadseam/cli/node.py
+++ b/src/leadseam/cli/node.py
@@ -26,8 +26,7 @@
     from pathlib import Path
 
     from leadseam.platform.settings import NodeSettings
-    from leadseam.runtime.loop import run_in_uvloop
-from leadseam.runtime.process import Program
+    from leadseam.runtime.process import Program
 
 
 def main() -> None:
--- a/src/leadseam/routing/pump.py
+++ b/src/leadseam/routing/pump.py
@@ -11,13 +11,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-import aiohttp
-
 from leadseam.routing.client import UpstreamConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    import aiohttp
     from aiohttp.base_protocol import BaseProtocol
     from aiohttp.streams import StreamReader
 
