Routing: steps of one function have functions of their own

Looking through the waiting requests sorted them, asked for engines with room and ranked them in line. A busy refusal was made in two places, the sender of a request read twice, and the caller's connection checked in two places. Behaviour is unchanged.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -113,25 +113,30 @@
         """Send what has room, in order of service, and refuse what waited too long."""
         if not self._waiting:
             return
-        levels = {
-            account: self.level(account, now)
-            for account in {one.account for one in self._waiting}
-        }
-        self._waiting.sort(key=lambda one: (levels[one.account], one.arrived))
+        self._sort(now)
         # Most looks find engines full: then one look at them serves all that wait.
         room: dict[tuple[str, Millis], frozenset[str]] = {}
         for waiter in list(self._waiting):
             key = (waiter.pool, waiter.objective)
             if key not in room:
-                rows = self.candidates(waiter.pool)
-                limit = waiter.objective * ENTITLED_PART
-                room[key] = self.balancer.with_room(rows, limit, now)
+                room[key] = self._with_room(*key, now)
             placement = self._place(waiter, now, among=room[key])
             if placement is not None:
                 self._finish(waiter, placement)
             elif now >= waiter.refuse_at:
                 self._finish(waiter, None)
 
+    def _sort(self, now: Millis) -> None:
+        levels = {
+            account: self.level(account, now)
+            for account in {one.account for one in self._waiting}
+        }
+        self._waiting.sort(key=lambda one: (levels[one.account], one.arrived))
+
+    def _with_room(self, pool: str, objective: Millis, now: Millis) -> frozenset[str]:
+        limit = objective * ENTITLED_PART
+        return self.balancer.with_room(self.candidates(pool), limit, now)
+
     def _lowest_level(self, now: Millis) -> float:
         accounts = {one.account for one in self._waiting}
         return min((self.level(name, now) for name in accounts), default=float("inf"))
@@ -150,11 +155,7 @@
     ) -> Placement | None:
         if among is not None and not among:
             return None
-        rows = self.candidates(waiter.pool)
-        if rows != waiter.rows:
-            waiter.rows = rows
-            left_over = [row for row in rows if row.instance not in waiter.tried]
-            waiter.ranked = ranked_for(left_over, waiter.req)
+        self._rank(waiter)
         if not waiter.ranked:
             return None
         if waiter.account and self.must_stop(waiter.account, now):
@@ -172,3 +173,11 @@
             anywhere=not over and now >= waiter.refuse_at,
             among=among,
         )
+
+    def _rank(self, waiter: Waiter) -> None:
+        """Order the engines that a request may use anew, if they have changed."""
+        rows = self.candidates(waiter.pool)
+        if rows != waiter.rows:
+            waiter.rows = rows
+            left_over = [row for row in rows if row.instance not in waiter.tried]
+            waiter.ranked = ranked_for(left_over, waiter.req)
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -37,7 +37,7 @@
     from leadseam.routing.attempt import Ending
     from leadseam.routing.budget import RetryLimits
     from leadseam.routing.client import UpstreamClient
-    from leadseam.routing.dialect import Dialect, RoutedRequest
+    from leadseam.routing.dialect import Dialect, RoutedRequest, Sender
     from leadseam.runtime.lag import LoopLag
     from leadseam.runtime.metrics import RoutingMetrics
     from leadseam.wire.messages import Registration
@@ -139,11 +139,10 @@
 
     async def _serve(self, http: web.BaseRequest) -> web.StreamResponse:
         arrived = self.now()
-        if self._lag.millis > EXCESS_LAG and self._over_share(http, arrived):
-            refusal = NotRun(Reason.ENTRY_BUSY, self.spread(BUSY_PAUSE))
-            return self._refuse(
-                self.dialect.read_sender(http).request_id, refusal, arrived
-            )
+        if self._lag.millis > EXCESS_LAG:
+            sender = self.dialect.read_sender(http)
+            if self._over_share(sender, arrived):
+                return self._refuse(sender.request_id, self._busy(), arrived)
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
@@ -187,7 +186,7 @@
         if isinstance(account, NotRun):
             return account
         if self._lag.millis > MAX_LAG:
-            return NotRun(Reason.ENTRY_BUSY, self.spread(BUSY_PAUSE))
+            return self._busy()
         limit = route.time_limit
         if req.patience is not None:
             limit = min(limit, req.patience)
@@ -203,10 +202,12 @@
             deadline=arrived + limit,
         )
 
-    def _over_share(self, http: web.BaseRequest, now: Millis) -> bool:
-        """Tell whether a request's account has had its share, by its key alone."""
-        key = self.dialect.read_sender(http).key
-        account = self._router.account(key) if key is not None else None
+    def _busy(self) -> NotRun:
+        return NotRun(Reason.ENTRY_BUSY, self.spread(BUSY_PAUSE))
+
+    def _over_share(self, sender: Sender, now: Millis) -> bool:
+        """Tell whether a sender's account has had its share, by its key alone."""
+        account = self._router.account(sender.key) if sender.key is not None else None
         return account is not None and self.placer.over_share(account.name, now)
 
     def _account(self, req: RoutedRequest, route: Route) -> Account | NotRun | None:
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -13,6 +13,7 @@
 from leadseam.routing.pump import Pump, connection_of
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Callable
 
     from leadseam.clock import Millis
@@ -113,8 +114,11 @@
             self.first_byte_at = self._now()
 
     def _caller_gone(self) -> bool:
+        return self._open_transport() is None
+
+    def _open_transport(self) -> asyncio.Transport | None:
         transport = self._http.transport
-        return transport is None or transport.is_closing()
+        return None if transport is None or transport.is_closing() else transport
 
     async def _pump(
         self,
@@ -138,8 +142,8 @@
         """Send events on a response that has begun, without waiting."""
         if not events:
             return
-        transport = self._http.transport
-        if transport is None or transport.is_closing():
+        transport = self._open_transport()
+        if transport is None:
             raise CallerGoneError("connection closed")
         data = b"".join(event.data for event in events)
         transport.write(b"%x\r\n%b\r\n" % (len(data), data))
