Soak: each promise is checked in one place

The version read after a run was compared beside the check that exists for reads; it now goes through that check, which also knows the highest version sent, and counts one more check. The entry of a request is looked up in a dict, not by a search for each run. Whether planned work began during a call is asked of the ledger. What is checked of stops and of leaving servers is unchanged.

--- a/tools/soak/ledger.py
+++ b/tools/soak/ledger.py
@@ -39,6 +39,19 @@
         """Note that it is over."""
         span.end = time.monotonic()
 
+    def planned_work_began(self, box: str, start: float, end: float) -> bool:
+        """Tell whether planned work on a box began in a span of time.
+
+        Args:
+            box: The box.
+            start: Begin of the span, on the steady clock.
+            end: End of the span.
+        """
+        return any(
+            span.planned and span.target == box and start <= span.start <= end
+            for span in self.spans
+        )
+
     def touched(
         self, box: str, start: float, end: float, *, planned: bool = True
     ) -> bool:
@@ -46,7 +59,7 @@
 
         Args:
             box: The box.
-            start: Begin of the span.
+            start: Begin of the span, on the steady clock.
             end: End of the span.
             planned: Whether planned work counts. Defaults to True.
         """
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -13,6 +13,7 @@
 from tools.soak.callers import LIMIT
 
 if TYPE_CHECKING:
+    from tools.platform.standin import Run
     from tools.soak.callers import Call
     from tools.soak.world import World
 
@@ -141,42 +142,37 @@
 
     def _check_planned_stop(self, call: Call) -> None:
         """A planned stop ends no request that was sent to the entry."""
-        spans = [
-            span
-            for span in self.world.ledger.spans
-            if span.planned and span.target == call.entry
-        ]
-        under_way = any(call.start <= span.start <= call.end for span in spans)
-        boxes = [call.entry, *self.world.server_ips]
-        since = call.start - AFTERMATH
-        touched = self.world.ledger.touched
-        if not under_way or any(
-            touched(box, since, call.end, planned=False) for box in boxes
+        ledger = self.world.ledger
+        if not ledger.planned_work_began(call.entry, call.start, call.end):
+            return
+        if any(
+            self._touched(box, call, planned=False)
+            for box in (call.entry, *self.world.server_ips)
         ):
             return
         detail = f"status {call.status}, cut: {call.cut}"
         self._check("stop cuts nothing", not call.cut, call.request_id, detail)
 
     def _check_leaving(self) -> None:
+        """A server that has left gets nothing new from any undisturbed entry."""
+        entries = {call.request_id: call.entry for call in self.calls}
         for server in self.world.ever:
             if server.left_at is None:
                 continue
             for run in server.runs:
-                late = run.at - server.left_at
-                entry = self._entry_of(run.request_id)
-                if entry is None or self.world.ledger.touched(
-                    entry, server.left_at - AFTERMATH, run.at
-                ):
-                    continue
-                detail = f"{late:.2f} s after {server.instance} had left"
-                kept = late <= LEAVING_SLACK
-                self._check("leaving is final", kept, run.request_id, detail)
-
-    def _entry_of(self, request_id: str) -> str | None:
-        for call in self.calls:
-            if call.request_id == request_id:
-                return call.entry
-        return None
+                entry = entries.get(run.request_id)
+                if entry is not None:
+                    self._check_run(run, entry, server.instance, server.left_at)
 
-    def _touched(self, box: str, call: Call) -> bool:
-        return self.world.ledger.touched(box, call.start - AFTERMATH, call.end)
+    def _check_run(self, run: Run, entry: str, instance: str, left_at: float) -> None:
+        if self.world.ledger.touched(entry, left_at - AFTERMATH, run.at):
+            return
+        late = run.at - left_at
+        detail = f"{late:.2f} s after {instance} had left"
+        kept = late <= LEAVING_SLACK
+        self._check("leaving is final", kept, run.request_id, detail)
+
+    def _touched(self, box: str, call: Call, *, planned: bool = True) -> bool:
+        """Tell whether a box was disturbed during a call or shortly before it."""
+        since = call.start - AFTERMATH
+        return self.world.ledger.touched(box, since, call.end, planned=planned)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import json
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -139,10 +138,7 @@
         for entry in self._world.entry_ips:
             await self._world.wait_ready(entry)
             await self._world.wait_served(entry)
-        newest = json.loads(await self._world.operator.read())["version"]
-        kept = self._acked <= newest
-        if not kept:
-            promises.fail("configuration kept", f"{newest} after {self._acked}")
+        await self._read(promises)
         promises.checked["recovered"] += 1
 
     def _summary(self, faults: tuple[Planned, ...], promises: Promises) -> Summary:
