Soak: injecting faults has a module of its own

The world did both: it ran nodes, servers and links, and did each kind of fault to them. Faults are now in the injector. The longest outage of the whole group of control boxes has a name; its value is unchanged, and so is behaviour.

--- /dev/null
+++ b/tools/soak/injector.py
@@ -0,0 +1,167 @@
+"""Injection of faults from outside: processes, disks, settings, links and servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import resource
+import shutil
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from tools.soak.plan import (
+    AnswersLost,
+    BadLink,
+    Freeze,
+    FullDisk,
+    Kill,
+    KillControl,
+    Planned,
+    Reload,
+    ServerCrash,
+    ServerLeaves,
+    Stop,
+    Wipe,
+)
+from tools.soak.world import RESTART_DELAY
+
+if TYPE_CHECKING:
+    from tools.soak.world import World
+
+LEAVING_PAUSE = 2.0
+"""Seconds that a leaving server serves on after its end was acknowledged."""
+GROUP_DOWN = 1.0
+"""Most seconds that all control processes are down together."""
+
+
+class Injector:
+    """Does faults to a world and mends them.
+
+    Args:
+        world: The nodes, servers and links.
+    """
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._ledger = world.ledger
+
+    async def do(self, planned: Planned) -> None:
+        """Do a fault, for as long as it lasts, and mend it."""
+        match planned.fault:
+            case Kill(box=box):
+                await self._killed([box], planned.length)
+            case KillControl():
+                await self._killed(
+                    self._world.control_ips, min(planned.length, GROUP_DOWN)
+                )
+            case Wipe(box=box):
+                await self._killed([box], planned.length, wipe=True)
+            case Freeze(box=box):
+                await self._frozen(box, planned.length)
+            case Stop(box=box):
+                await self._stopped(box, planned.length)
+            case FullDisk(box=box):
+                await self._full(box, planned.length)
+            case Reload(box=box, signal=by_signal):
+                self._reload(box, by_signal=by_signal)
+            case BadLink() as fault:
+                await self._spoiled(fault, planned.length)
+            case ServerCrash(server=ip):
+                await self._server_crashed(ip, planned.length)
+            case ServerLeaves(server=ip):
+                await self._server_left(ip, planned.length)
+            case AnswersLost(server=ip):
+                await self._answers_lost(ip, planned.length)
+
+    async def _killed(
+        self, boxes: list[str], length: float, *, wipe: bool = False
+    ) -> None:
+        boxes = [box for box in boxes if box not in self._world.down]
+        spans = [self._ledger.begin(box) for box in boxes]
+        self._world.down.update(boxes)
+        for box in boxes:
+            self._world.kill(box)
+            if wipe:
+                shutil.rmtree(self._world.folder / f"data-{box}")
+        await asyncio.sleep(length)
+        for box, span in zip(boxes, spans, strict=True):
+            self._world.start(box, founding=False)
+            self._world.down.discard(box)
+            self._ledger.end(span)
+
+    async def _frozen(self, box: str, length: float) -> None:
+        span = self._ledger.begin(box)
+        process = self._world.processes[box]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(length)
+        process.send_signal(signal.SIGCONT)
+        self._ledger.end(span)
+
+    async def _stopped(self, box: str, length: float) -> None:
+        if box in self._world.down:
+            return
+        self._world.down.add(box)
+        span = self._ledger.begin(box, planned=True)
+        process = self._world.processes[box]
+        process.terminate()
+        while process.poll() is None:
+            await asyncio.sleep(RESTART_DELAY)
+        await asyncio.sleep(length)
+        self._world.start(box, founding=False)
+        self._world.down.discard(box)
+        self._ledger.end(span)
+
+    async def _full(self, box: str, length: float) -> None:
+        span = self._ledger.begin(box)
+        with contextlib.suppress(ProcessLookupError):
+            pid = self._world.processes[box].pid
+            _, most = resource.prlimit(pid, resource.RLIMIT_FSIZE, (0, -1))
+            await asyncio.sleep(length)
+            resource.prlimit(pid, resource.RLIMIT_FSIZE, (most, most))
+        self._ledger.end(span)
+
+    def _reload(self, box: str, *, by_signal: bool) -> None:
+        self._world.seeds = self._world.seeds[1:] + self._world.seeds[:1]
+        self._world.write_settings(box, founding=False)
+        if by_signal and box not in self._world.down:
+            self._world.signal(box, signal.SIGHUP)
+
+    async def _spoiled(self, fault: BadLink, length: float) -> None:
+        spans = [self._ledger.begin(box) for box in (fault.source, fault.target) if box]
+        await self._world.links.spoil(fault, length)
+        for span in spans:
+            self._ledger.end(span)
+
+    async def _server_crashed(self, ip: str, length: float) -> None:
+        server = self._world.server_at(ip)
+        if server is None:
+            return
+        span = self._ledger.begin(ip)
+        await server.stop()
+        await self._world.replace_server(server, length)
+        self._ledger.end(span)
+
+    async def _server_left(self, ip: str, length: float) -> None:
+        server = self._world.server_at(ip)
+        if server is None or server.state != "ready":
+            return
+        span = self._ledger.begin(ip, planned=True)
+        await server.drain()
+        server.left_at = time.monotonic()
+        await asyncio.sleep(LEAVING_PAUSE + length)
+        # It may have crashed meanwhile.
+        if self._world.server_at(ip) is server:
+            await server.stop()
+            await self._world.replace_server(server, RESTART_DELAY)
+        self._ledger.end(span)
+
+    async def _answers_lost(self, ip: str, length: float) -> None:
+        server = self._world.server_at(ip)
+        if server is None:
+            return
+        span = self._ledger.begin(ip)
+        server.usual = "lose"
+        await asyncio.sleep(length)
+        server.usual = "answer"
+        self._ledger.end(span)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -10,6 +10,7 @@
 
 from tools.platform.nodes import document
 from tools.soak.callers import Callers
+from tools.soak.injector import Injector
 from tools.soak.plan import draw
 from tools.soak.promises import Promises
 from tools.soak.world import World
@@ -82,6 +83,7 @@
 
     def __init__(self, world: World, seed: int, size: Size) -> None:
         self._world = world
+        self._injector = Injector(world)
         self._seed = seed
         self._size = size
         self._rng = random.Random(seed + 1)
@@ -114,7 +116,7 @@
 
     async def _do_later(self, planned: Planned) -> None:
         await asyncio.sleep(planned.at)
-        await self._world.do(planned)
+        await self._injector.do(planned)
 
     async def _keep_changing(self, promises: Promises) -> None:
         """Change the configuration again and again, and read it back."""
