Stand-ins: fields described, figures named, the whole stream in one place

Every field of a stand-in server and of a run has its line and unit. Pauses and timeouts have names; values are unchanged. A complete stream was put together in a test and in the soak: it stands beside the events now. A server's session was made twice. Behaviour is unchanged.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -15,15 +15,13 @@
 from leadseam.routing.gateway import MAX_KEPT
 from tools.fleet import until
 from tools.platform.nodes import HOST, KEY, document
-from tools.platform.standin import EVENTS, event
+from tools.platform.standin import WHOLE_STREAM, event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from tools.platform.nodes import Platform
 
-WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
-
 
 async def test_each_kind_of_request_comes_back_byte_for_byte(
     platform: Platform,
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -20,13 +20,29 @@
     from collections.abc import Sequence
 
 HEARTBEAT = 0.1
+"""Seconds between two heartbeats of a server, as its nodes' settings state."""
 EVENTS = 6
+"""Events of each stream."""
+OPERATOR_PAUSE = 0.05
+"""Seconds until an operator asks the next control box."""
+REQUEST_TIMEOUT = 2.0
+"""Seconds that a control box may take to answer."""
 _instances = itertools.count(1)
 
 
 @dataclass
 class Run:
-    """A request that a server ran."""
+    """A request that a server ran.
+
+    Args:
+        request_id: Its identifier.
+        method: HTTP method.
+        target: Path and query as sent.
+        body: Bytes of the body.
+        headers: All headers as received.
+        ended: How it ended: `done`, `cancelled`, or empty while it runs.
+        at: When its body had been read, on the steady clock.
+    """
 
     request_id: str
     method: str
@@ -41,8 +57,22 @@
 class Server:
     """One server.
 
-    `behave` says what it does with a path's last part, `usual` what with all others;
-    `pause` is the time between events, and before a plain answer.
+    Args:
+        ip: Address that it listens on.
+        port: Port that it listens on.
+        service: Service that it registers for.
+        controls: Control boxes that heartbeats go to, in turn.
+        slots: Requests that it takes at a time.
+        instance: Name of its incarnation.
+        behave: What it does with a path, by the path's last part.
+        runs: Requests that it ran.
+        release: Set when those that `behave` holds may go on.
+        state: State that it states in heartbeats.
+        acks: Heartbeats that were acknowledged.
+        advertised: Address that it registers. Defaults to where it listens.
+        pause: Seconds between events, and before a plain answer.
+        usual: What it does with paths that `behave` does not name.
+        left_at: When its end was acknowledged, on the steady clock, or None.
     """
 
     ip: str
@@ -67,9 +97,7 @@
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, self.ip, self.port).start()
-        self._session = aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=2), connector=_single_use()
-        )
+        self._session = _session()
         self._beats = asyncio.create_task(self._beat())
 
     async def stop(self) -> None:
@@ -198,6 +226,10 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
+WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
+"""Body of a stream that is complete."""
+
+
 @dataclass
 class Operator:
     """Sends whole configurations, to any node that answers."""
@@ -210,7 +242,7 @@
             status = await self._try(control, document)
             if status and status < 500:
                 return status
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(OPERATOR_PAUSE)
         raise AssertionError
 
     async def read(self) -> bytes:
@@ -222,7 +254,7 @@
                     async with session.get(url) as resp:
                         if resp.status == 200:
                             return await resp.read()
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(OPERATOR_PAUSE)
         raise AssertionError
 
     async def _try(self, control: str, document: bytes) -> int:
@@ -236,13 +268,10 @@
 
 def _session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        timeout=aiohttp.ClientTimeout(total=2), connector=_single_use()
+        timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT),
+        connector=aiohttp.TCPConnector(force_close=True),
     )
 
 
-def _single_use() -> aiohttp.TCPConnector:
-    return aiohttp.TCPConnector(force_close=True)
-
-
 async def _true(value: bool) -> bool:
     return value
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.platform import names
-from tools.platform.standin import EVENTS, event
+from tools.platform.standin import WHOLE_STREAM
 from tools.soak.callers import LIMIT
 
 if TYPE_CHECKING:
@@ -26,7 +26,6 @@
 """Seconds beyond a route's time limit in which its final answer is due."""
 LEAVING_SLACK = 2.0
 """Seconds after which a leaving server gets nothing new: the bound of the tests."""
-WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
 
 
 @dataclass(frozen=True, slots=True)
