Soak: shares of faults are named, the command's steps are functions

How often settings change by signal, control boxes go down together and links to servers go bad were bare numbers in the draw; values and order of the draws are unchanged. The replay of a seed and the total have functions of their own. Behaviour is unchanged.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -48,15 +48,19 @@
         timed=not args["--untimed"],
     )
     if args["--replay"]:
-        folder = Path(tempfile.mkdtemp(prefix="soak-"))
-        summary = asyncio.run(run_seed(folder, int(args["--replay"]), size))
-        print(summary, f"logs in {folder}", sep="\n  ")
-        sys.exit(bool(summary.broken))
+        sys.exit(_replay(int(args["--replay"]), size))
     first = int(args["--first"] or secrets.randbelow(FIRST_SEEDS))
     end = time.monotonic() + float(args["--minutes"]) * 60
     sys.exit(_run_all(range(first, first + int(args["--seeds"])), size, end))
 
 
+def _replay(seed: int, size: Size) -> int:
+    folder = Path(tempfile.mkdtemp(prefix="soak-"))
+    summary = asyncio.run(run_seed(folder, seed, size))
+    print(summary, f"logs in {folder}", sep="\n  ")
+    return bool(summary.broken)
+
+
 def _run_all(seeds: range, size: Size, end: float) -> int:
     summaries: list[Summary] = []
     for seed in seeds:
@@ -65,12 +69,16 @@
         with tempfile.TemporaryDirectory(prefix="soak-") as folder:
             summaries.append(asyncio.run(run_seed(Path(folder), seed, size)))
         print(summaries[-1], flush=True)
+    return _print_total(summaries, len(seeds))
+
+
+def _print_total(summaries: list[Summary], planned: int) -> int:
     failed = [one.seed for one in summaries if one.broken]
     faults = sum(sum(one.faults.values()) for one in summaries)
     calls = sum(sum(one.answers.values()) for one in summaries)
     checks = sum(sum(one.checked.values()) for one in summaries)
     print(
-        f"{len(summaries)} of {len(seeds)} seeds run, {faults} faults, {calls} calls,"
+        f"{len(summaries)} of {planned} seeds run, {faults} faults, {calls} calls,"
         f" {checks} checks; seeds with a broken promise: {failed or 'none'}"
     )
     return bool(failed)
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -16,6 +16,12 @@
 """Seconds that a fault lasts."""
 DELAYS = (0.02, 0.1, 0.4)
 """Seconds by which a slow link delays what it carries, each way."""
+SIGNALLED_PART = 0.5
+"""Part of the changes of settings that come with a signal."""
+GROUP_PART = 0.3
+"""Part of the kills of a control process that take all of them at once."""
+SERVER_LINK_PART = 0.3
+"""Part of the bad links that lead to servers."""
 
 
 class LinkFault(StrEnum):
@@ -189,7 +195,7 @@
         case 5:
             return FullDisk(control)
         case 6:
-            return Reload(node, signal=rng.random() < 0.5)
+            return Reload(node, signal=rng.random() < SIGNALLED_PART)
         case 7:
             return ServerCrash(server)
         case 8:
@@ -197,7 +203,7 @@
         case 9 | 10:
             return AnswersLost(server)
         case 11:
-            return KillControl() if rng.random() < 0.3 else Kill(control)
+            return KillControl() if rng.random() < GROUP_PART else Kill(control)
         case _:
             return _bad_link(rng, boxes)
 
@@ -205,7 +211,7 @@
 def _bad_link(rng: random.Random, boxes: Boxes) -> BadLink:
     how = rng.choice(list(LinkFault))
     delay = rng.choice(DELAYS)
-    if rng.random() < 0.3:
+    if rng.random() < SERVER_LINK_PART:
         return BadLink("", rng.choice(boxes.servers), how, delay)
     source = rng.choice(boxes.controls + boxes.entries)
     target = rng.choice([box for box in boxes.controls if box != source])
