--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import contextlib
-import json
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from tools.platform.nodes import document
 from tools.soak.callers import Callers
+from tools.soak.injector import Injector
 from tools.soak.plan import draw
 from tools.soak.promises import Promises
 from tools.soak.world import World
@@ -83,6 +83,7 @@
 
     def __init__(self, world: World, seed: int, size: Size) -> None:
         self._world = world
+        self._injector = Injector(world)
         self._seed = seed
         self._size = size
         self._rng = random.Random(seed + 1)
@@ -115,7 +116,7 @@
 
     async def _do_later(self, planned: Planned) -> None:
         await asyncio.sleep(planned.at)
-        await self._world.do(planned)
+        await self._injector.do(planned)
 
     async def _keep_changing(self, promises: Promises) -> None:
         """Change the configuration again and again, and read it back."""
@@ -139,10 +140,7 @@
         for entry in self._world.entry_ips:
             await self._world.wait_ready(entry)
             await self._world.wait_served(entry)
-        newest = json.loads(await self._world.operator.read())["version"]
-        kept = self._acked <= newest
-        if not kept:
-            promises.fail("configuration kept", f"{newest} after {self._acked}")
+        await self._read(promises)
         promises.checked["recovered"] += 1
 
     def _summary(self, faults: tuple[Planned, ...], promises: Promises) -> Summary:
