--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -99,6 +99,9 @@
             old: The server that has ended.
             pause: Seconds until the new one starts.
         """
+        if old not in self.servers:
+            # Another fault that overlaps has replaced it.
+            return
         self.gone.append(old)
         self.servers.remove(old)
         await asyncio.sleep(pause)
