--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from leadseam.routing.estimate import FirstTokenEstimate
+from leadseam.routing.estimate import EstimateBook
 from leadseam.routing.load import Load, LoadBook
 from leadseam.routing.placement import Placement
 from leadseam.routing.prompts import PromptBook
@@ -61,8 +61,8 @@
     def __init__(self, rng: random.Random) -> None:
         self.loads = LoadBook()
         self.prompts = PromptBook()
+        self.estimates = EstimateBook()
         self._rng = rng
-        self._estimates: dict[str, FirstTokenEstimate] = {}
 
     def __repr__(self) -> str:
         return f"Balancer({self.loads!r})"
@@ -71,10 +71,6 @@
         """Count a request that is sent."""
         self.loads.begin(placement.upstream.instance, placement.load)
 
-    def estimate(self, pool: str) -> FirstTokenEstimate:
-        """Return what is known about the engines of a pool."""
-        return self._estimates.setdefault(pool, FirstTokenEstimate())
-
     def least_loaded(
         self, rows: Sequence[Registration], now: Millis
     ) -> Placement | None:
@@ -169,7 +165,7 @@
         total = self.loads.total(row.instance, now)
         if total.requests >= row.slots:
             return False
-        waited = self.estimate(row.pool).millis(total.unread)
+        waited = self.estimates.engine(row).millis(total.unread)
         return not total.unread or waited <= limit
 
     def _score(
@@ -179,7 +175,7 @@
         own, shared = self.prompts.unread(row.instance, req.parts, now, home=home)
         total = self.loads.total(row.instance, now)
         unread = total.unread + own
-        estimate = self.estimate(row.pool)
+        estimate = self.estimates.engine(row)
         wait = estimate.millis(unread)
         weight = REREAD_WEIGHT * (1 + RANK_STEP * place)
         penalty = weight * shared / estimate.rate
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -61,7 +61,7 @@
         """Milliseconds that the first token is expected to take; 0 if unknown."""
         if not self._placement.unread:
             return 0.0
-        estimate = self._balancer.estimate(self.upstream.pool)
+        estimate = self._balancer.estimates.engine(self.upstream)
         return estimate.millis(self._placement.unread)
 
     def first_byte(self) -> None:
@@ -73,8 +73,9 @@
         instance = self.upstream.instance
         self._balancer.loads.read(instance, self._placement.load.unread)
         self._balancer.prompts.sent(instance, self._req.parts, now)
-        estimate = self._balancer.estimate(self.upstream.pool)
-        estimate.measured(self._placement.unread, now - self._sent)
+        self._balancer.estimates.measured(
+            self.upstream, self._placement.unread, now - self._sent
+        )
         self._on_room()
 
     def end(self) -> None:
