A control process outlives a full disk

Cause: after a failed write the replica stepped back and its process ended with code 1; started again, it read the disk, failed at the next write and ended, three times in 3.6 s. Ruled out: the start itself (reading and truncating need no space).

All of it is written as a new generation first, for after a failed sync a file may read back what the disk lacks.

test_a_full_disk_ends_no_control_process failed before (exit code 1) and passes now: the box is silent, stays up, reads the newest configuration back once it can write, and its vote commits the next one after another box is killed.

--- a/src/leadseam/cli/node.py
+++ b/src/leadseam/cli/node.py
@@ -66,8 +66,11 @@
 
         return EntryNode(settings, path)
     from leadseam.platform.control_node import ControlNode
+    from leadseam.runtime.restart import RestartingProgram
 
-    return ControlNode(settings, path)
+    return RestartingProgram(
+        lambda after_failure: ControlNode(settings, path, renew=after_failure)
+    )
 
 
 if __name__ == "__main__":
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -135,6 +135,13 @@
             self._tasks.pop(name).cancel()
             self._links.pop(name, None)
 
+    def close(self) -> None:
+        """Drop all links."""
+        for task in self._tasks.values():
+            task.cancel()
+        self._tasks.clear()
+        self._links.clear()
+
     async def _keep(self, name: str, endpoint: Endpoint) -> None:
         backoff = Backoff(last=MAX_REDIAL_PAUSE)
         while True:
@@ -291,6 +298,11 @@
             self._follow_members()
             await self._loop()
 
+    def close(self) -> None:
+        """Drop the links to the other replicas; for use after `run` has ended."""
+        self._drop_waiting()
+        self._peers.close()
+
     # Commands
 
     async def _submit_once(
--- a/src/leadseam/control/storage.py
+++ b/src/leadseam/control/storage.py
@@ -228,6 +228,21 @@
         except (OSError, WireError) as exc:
             raise StorageError(f"{self._folder}: {exc}") from exc
 
+    def renew(self, recovered: Recovered) -> None:
+        """Write all that the folder holds once more.
+
+        After a failed write or sync a file may read back what the disk does not hold,
+        and a later sync of it may succeed all the same. A new generation is durable.
+
+        Args:
+            recovered: What `open` returned.
+
+        Raises:
+            StorageError: If the disk still fails.
+        """
+        log = tuple(recovered.log)
+        self.compact(recovered.mark, recovered.data, recovered.hard_state, log)
+
     def append(self, state: HardState | None, entries: tuple[LogEntry, ...]) -> None:
         """Add records and sync them.
 
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -28,11 +28,10 @@
     from aiohttp.web import AppRunner
     from websockets.asyncio.server import Server as LinkServer
 
+    from leadseam.control.storage import Recovered
     from leadseam.platform.settings import NodeSettings
 
 FAILURE_POLL: Millis = 200
-FAILURE_PAUSE: Millis = 500
-"""Time for the last log lines after a storage fault, before the process ends."""
 
 log = logging.getLogger(__name__)
 
@@ -45,11 +44,21 @@
     Args:
         settings: Its settings.
         path: File that they came from.
+        renew: Whether a write has failed before, so that the disk has to take all that
+            it holds once more.
         clock: Source of time. Defaults to the machine's.
+
+    Raises:
+        StorageError: If the disk cannot be read, or written where that is tried.
     """
 
     def __init__(
-        self, settings: NodeSettings, path: Path, *, clock: Clock | None = None
+        self,
+        settings: NodeSettings,
+        path: Path,
+        *,
+        renew: bool = False,
+        clock: Clock | None = None,
     ) -> None:
         assert settings.data_dir is not None
         assert settings.control is not None
@@ -64,13 +73,16 @@
         self._metrics = Metrics()
         metrics = ControlMetrics(self._metrics)
         self._storage = Storage(folder)
+        recovered = self._storage.open()
+        if renew:
+            self._renew(recovered)
         self.replica = Replica(
             name=settings.ip,
             identity=identity,
             endpoints=seeds,
             address_of=settings.inner,
             storage=self._storage,
-            recovered=self._storage.open(),
+            recovered=recovered,
             clock=clock,
             metrics=metrics,
             traffic=self._metrics.traffic,
@@ -115,7 +127,8 @@
         """Serve until cancelled.
 
         Raises:
-            StorageError: If the disk fails; a restart reads again what it holds.
+            ExceptionGroup: With a `StorageError`, if the disk fails. Another node of
+                this class reads again what it holds.
         """
         async with asyncio.TaskGroup() as group:
             group.create_task(self.replica.run())
@@ -133,12 +146,19 @@
         for runner in (self._runner, self._admin):
             if runner is not None:
                 await runner.cleanup()
+        self.replica.close()
         self._storage.close()
 
+    def _renew(self, recovered: Recovered) -> None:
+        try:
+            self._storage.renew(recovered)
+        except StorageError:
+            self._storage.close()
+            raise
+
     async def _end_on_failure(self) -> None:
         while not self.replica.failure:
             await sleep(FAILURE_POLL)
-        await sleep(FAILURE_PAUSE)
         raise StorageError(self.replica.failure)
 
     def _on_settings(self, settings: NodeSettings) -> None:
--- /dev/null
+++ b/tests/platform/test_disk.py
@@ -0,0 +1,55 @@
+"""A control box whose disk is full stays up, and takes part again once it is not."""
+
+from __future__ import annotations
+
+import resource
+import socket
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from leadseam.platform import names
+from tools.fleet import until
+from tools.platform.nodes import document
+
+if TYPE_CHECKING:
+    from tools.platform.nodes import Platform
+
+UNLIMITED = resource.RLIM_INFINITY
+
+
+async def test_a_full_disk_ends_no_control_process(platform: Platform) -> None:
+    full, other, _ = platform.control_ips
+    process = platform.processes[full]
+    # The kernel refuses any file of that process to grow, as a full disk would.
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, UNLIMITED))
+    assert await platform.operator.replace(document(2)) == 200
+
+    async def is_silent() -> bool:
+        with socket.socket() as sock:
+            return sock.connect_ex((full, platform.control_port)) != 0
+
+    await until(is_silent, "the box with the full disk serves nothing")
+    assert await platform.operator.replace(document(3)) == 200
+    assert process.poll() is None
+    resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (UNLIMITED, UNLIMITED))
+
+    async def reads_the_newest() -> bool:
+        return await read_from(platform, full) == document(3)
+
+    await until(reads_the_newest, "the box takes part again")
+    # Of three voters one more is gone, so this one's vote and disk are needed.
+    platform.kill(other)
+    assert await platform.operator.replace(document(4)) == 200
+    assert await platform.operator.read() == document(4)
+    assert process.poll() is None
+
+
+async def read_from(platform: Platform, ip: str) -> bytes:
+    """Read the configuration from one control box; empty if it does not know."""
+    url = f"http://{ip}:{platform.control_port}{names.READ_PATH}"
+    try:
+        async with platform.http.get(url) as resp:
+            return await resp.read() if resp.status == 200 else b""
+    except (aiohttp.ClientError, OSError):
+        return b""
