--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -44,6 +44,11 @@
 election timeout by more than clocks drift apart in that time."""
 CURRENT_LIMIT: Millis = 900
 """Age of a leader's word up to which a follower is current: seven heartbeats."""
+PRE_VOTE_PAUSE: Millis = 150
+"""Least pause between two attempts to be elected, at most twice that: thirty round
+trips within a region. A voter that has just started grants nothing for an election
+timeout; with a whole timeout between attempts, a group of which all were killed had a
+leader 0.6 to 1.1 s after its quorum ran, where 0.5 s has to pass."""
 MAX_APPEND_ENTRIES = 256
 CATCH_UP_DISTANCE = 32
 FOUNDING_DELAY: Millis = 150
@@ -191,7 +196,7 @@
         elif self.identity not in self.membership.everyone:
             self._ask_to_join(now)
         elif now >= self._election_at:
-            self._reset_election(now)
+            self._try_again_soon(now)
             if self.is_voter:
                 self._start_pre_vote(now)
 
@@ -301,6 +306,11 @@
         self._leader_heard = now - ELECTION_TIMEOUT
         self._election_at = now + self._random.randrange(1, FOUNDING_DELAY)
 
+    def _try_again_soon(self, now: Millis) -> None:
+        """Set the time of the next attempt, should this one elect nobody."""
+        jitter = self._random.randrange(PRE_VOTE_PAUSE)
+        self._election_at = now + PRE_VOTE_PAUSE + jitter
+
     def _reset_election(self, now: Millis) -> None:
         jitter = self._random.randrange(ELECTION_TIMEOUT)
         self._election_at = now + ELECTION_TIMEOUT + jitter
@@ -366,7 +376,7 @@
         self._pre_votes.clear()
         self._set_term(self.term + 1, self.identity)
         self._votes = {self.identity}
-        self._reset_election(now)
+        self._try_again_soon(now)
         if self.membership.quorum(self._votes):
             self._become_leader(now)
             return
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -90,6 +90,7 @@
         self._width = width
         self._address_of = address_of
         self._on_totals = on_totals
+        self._first = asyncio.Event()
         self._confirmed_at: Millis = -FRESH_LIMIT
         self._followed: set[Endpoint] = set()
         self._links: list[Link] = []
@@ -115,6 +116,10 @@
         """Whether what is absent from the configuration may be called absent."""
         return self.confirmed and self.age < FRESH_LIMIT
 
+    async def first_configuration(self) -> None:
+        """Wait until there is one in force."""
+        await self._first.wait()
+
     def add_endpoints(self, endpoints: Iterable[Endpoint]) -> None:
         """Follow further replicas too, when there is room; none is dropped."""
         for endpoint in endpoints:
@@ -243,6 +248,7 @@
         self.configuration = candidate
         self.confirmed = True
         self._on_change(candidate)
+        self._first.set()
         link.send(InForce(candidate.version, self._clock.now()))
         extra = {
             "version": candidate.version,
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from leadseam.clock import seconds
 from leadseam.entry.answers import error_response
 from leadseam.outcome import NotRun, Reason
 from leadseam.routing.admitted import Admitted
@@ -46,6 +48,12 @@
 NOT_CONFIRMED_PAUSE: Millis = 500
 """Pause told to a caller while the configuration is not confirmed: a feed heartbeat."""
 
+FIRST_CONFIGURATION_LIMIT: Millis = 1_000
+"""How long a request may wait at an entry that has just started for its first
+configuration: the rest of an election. Who is sent away instead comes back to an entry
+that has started no earlier, and has used up a try."""
+MAX_UNCONFIGURED = 256
+"""Requests that wait for a first configuration; more are refused."""
 MAX_LAG: Millis = 30
 """Lag of the event loop above which new requests are refused: half of the time in which
 a refusal is early for the shortest latency objective of today (250 ms). Callers come
@@ -100,6 +108,7 @@
         self._rng = rng
         self._lag = lag
         self._connections = connections
+        self._unconfigured = 0
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self.placer = Placer(feed=feed, health=self._health, clock=clock, rng=rng)
@@ -153,6 +162,8 @@
             body = await http.read()
         except web.HTTPRequestEntityTooLarge:
             return self.error(NotRun(Reason.BODY_TOO_LARGE))
+        if not self._feed.confirmed:
+            await self._first_configuration(req)
         admitted = self._admit(req, body, arrived)
         if isinstance(admitted, NotRun):
             return self._refuse(req.request_id, admitted, arrived)
@@ -179,6 +190,23 @@
 
     # Admission
 
+    async def _first_configuration(self, req: RoutedRequest) -> None:
+        """Let a request wait until something is known, for a while."""
+        if self.stopping or self._unconfigured >= MAX_UNCONFIGURED:
+            return
+        limit = FIRST_CONFIGURATION_LIMIT
+        if req.patience is not None:
+            limit = min(limit, req.patience)
+        self._unconfigured += 1
+        try:
+            async with asyncio.timeout(seconds(limit)):
+                await self._feed.first_configuration()
+        except TimeoutError:
+            # The caller is told by what follows: nothing is known still.
+            return
+        finally:
+            self._unconfigured -= 1
+
     def _admit(
         self, req: RoutedRequest, body: bytes, arrived: Millis
     ) -> Admitted | NotRun:
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -144,7 +144,8 @@
             pool=admitted.pool,
             profile=profile,
             objective=admitted.route.latency_objective,
-            arrived=admitted.arrived,
+            # Not when it was read: it may have waited for a first configuration.
+            arrived=self._clock.now(),
             tried=tried,
             wake=woken.set,
         )
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from statistics import mean
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -17,7 +18,13 @@
     rule,
 )
 
-from leadseam.control.raft import ELECTION_TIMEOUT, Raft, RaftMessage, Role
+from leadseam.control.raft import (
+    ELECTION_TIMEOUT,
+    PRE_VOTE_PAUSE,
+    Raft,
+    RaftMessage,
+    Role,
+)
 from leadseam.control.raft_log import (
     EntryKind,
     HardState,
@@ -381,3 +388,32 @@
     cluster.settle(10)
     assert b"kept" in [data for _, data in cluster.boxes[first].applied]
     assert b"after" in [data for _, data in cluster.boxes[first].applied]
+
+
+def time_to_lead_after_restarts(cluster: Cluster, starts: dict[str, int]) -> int:
+    """Kill all boxes, start some again, and return when one leads, in milliseconds."""
+    killed_at = cluster.now
+    for box in cluster.boxes.values():
+        box.raft = None
+    cluster.network.clear()
+    while cluster.leader() is None:
+        for name, delay in starts.items():
+            if cluster.boxes[name].raft is None and cluster.now >= killed_at + delay:
+                cluster.start(name)
+        cluster.tick(10)
+        while cluster.network:
+            cluster.deliver(0)
+    return cluster.now - killed_at
+
+
+def test_boxes_that_start_apart_elect_soon_after_the_last_that_is_needed() -> None:
+    times = []
+    for seed in range(60):
+        cluster = elected()
+        cluster.seed = 1_000 * seed
+        times.append(time_to_lead_after_restarts(cluster, {"a": 0, "b": 390}))
+    # The later one may vote 500 ms after its start; the other asks again soon.
+    first_chance = 390 + ELECTION_TIMEOUT
+    assert mean(times) <= first_chance + PRE_VOTE_PAUSE
+    # Two that ask in the same 10 ms share the votes once.
+    assert max(times) <= first_chance + 4 * PRE_VOTE_PAUSE + 20
