leadseam-explain: how requests ended, counted from a fleet's log lines

To say where service is lost one had to write a script for each question. The command reads the lines on ended requests and counts them by route, account, entry, upstream, reason, standing, prompt size or second, the worst group first.

--- /dev/null
+++ b/src/leadseam/cli/explain.py
@@ -0,0 +1,58 @@
+"""Tell from a fleet's log lines how requests ended, and where they were lost.
+
+Usage:
+  leadseam-explain [--by KEYS] [--rows N] [--request ID] [LOG ...]
+  leadseam-explain (-h | --help)
+
+Reads the named files, or standard input. Lines that tell of no ended request are passed
+over; entries write a bounded number of lines a second, so the counts of a busy entry
+are a sample and its metrics have them all.
+
+Options:
+  --by KEYS      What to group by, with commas: route, account, node, upstream, reason,
+                 standing, size, second. [default: route,reason,account]
+  --rows N       Rows of each table. [default: 20]
+  --request ID   Only requests with this identifier.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+from docopt import docopt
+
+from leadseam.explain.records import read_records
+from leadseam.explain.tables import Key, render, tally
+from leadseam.runtime.process import EXIT_USAGE
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+def main() -> None:
+    """Entry point of `leadseam-explain`."""
+    args = docopt(__doc__)
+    try:
+        keys = [Key(name) for name in args["--by"].split(",")]
+        most = int(args["--rows"])
+    except ValueError as exc:
+        print(f"leadseam-explain: {exc}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    requests = list(read_records(_lines(args["LOG"])))
+    if args["--request"]:
+        requests = [one for one in requests if one.request_id == args["--request"]]
+    for key in keys:
+        print(render(tally(requests, key), key, most=most), end="\n\n")
+
+
+def _lines(paths: list[str]) -> Iterator[str]:
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            yield from file
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/leadseam/explain/tables.py
@@ -0,0 +1,134 @@
+"""Counts of ended requests by what they have in common. No I/O."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from leadseam.explain.records import Ending
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from leadseam.explain.records import EndedRequest
+
+SIZE_STEP = 4
+"""Each class of prompt lengths is this many times the one before."""
+FIRST_SIZE = 1_000
+"""Tokens of a prompt below which it is in the first class."""
+MILLIS_PER_SECOND = 1_000
+
+
+class Key(StrEnum):
+    """What requests are grouped by."""
+
+    ROUTE = "route"
+    ACCOUNT = "account"
+    NODE = "node"
+    UPSTREAM = "upstream"
+    REASON = "reason"
+    STANDING = "standing"
+    SIZE = "size"
+    SECOND = "second"
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """How the requests of one group ended.
+
+    Args:
+        name: What they have in common.
+        counts: Their number by ending.
+        reread: Tokens of shared parts that they were expected to read once more.
+    """
+
+    name: str
+    counts: Counter[Ending]
+    reread: int
+
+    @property
+    def total(self) -> int:
+        """Number of requests."""
+        return self.counts.total()
+
+    @property
+    def lost(self) -> int:
+        """Number of requests that were not answered in time."""
+        return self.total - self.counts[Ending.IN_TIME]
+
+
+def tally(requests: Iterable[EndedRequest], key: Key) -> list[Row]:
+    """Group requests; the group that lost most comes first, seconds in their order."""
+    groups: dict[str, list[EndedRequest]] = defaultdict(list)
+    for request in requests:
+        groups[_name(request, key)].append(request)
+    rows = [_row(name, group) for name, group in groups.items()]
+    if key is Key.SECOND:
+        return sorted(rows, key=lambda row: row.name)
+    return sorted(rows, key=lambda row: (-row.lost, row.name))
+
+
+def render(rows: Sequence[Row], key: Key, *, most: int) -> str:
+    """Return a table as text.
+
+    Args:
+        rows: Its rows.
+        key: What they are grouped by.
+        most: Rows shown; the number of the others is told.
+    """
+    head = [key.value, "all", *(ending.value for ending in Ending), "reread"]
+    cells = [head, *(_cells(row) for row in rows[:most])]
+    widths = [max(len(line[column]) for line in cells) for column in range(len(head))]
+    lines = [_line(line, widths) for line in cells]
+    if len(rows) > most:
+        lines.append(f"and {len(rows) - most} more")
+    return "\n".join(lines)
+
+
+def _row(name: str, group: list[EndedRequest]) -> Row:
+    counts = Counter(request.ending for request in group)
+    return Row(name, counts, sum(request.reread for request in group))
+
+
+def _name(request: EndedRequest, key: Key) -> str:
+    match key:
+        case Key.ROUTE:
+            return request.route or "-"
+        case Key.ACCOUNT:
+            return request.account or "-"
+        case Key.NODE:
+            return request.node
+        case Key.UPSTREAM:
+            return request.instance or "-"
+        case Key.REASON:
+            return request.reason or "-"
+        case Key.STANDING:
+            return request.standing or "-"
+        case Key.SIZE:
+            return _size_class(request.prompt)
+        case Key.SECOND:
+            return str(request.at // MILLIS_PER_SECOND)
+
+
+def _size_class(tokens: int) -> str:
+    if not tokens:
+        return "no prompt"
+    limit = FIRST_SIZE
+    while tokens >= limit:
+        limit *= SIZE_STEP
+    return f"below {limit:,} tokens"
+
+
+def _cells(row: Row) -> list[str]:
+    counts = [str(row.counts[ending]) for ending in Ending]
+    return [row.name, str(row.total), *counts, str(row.reread)]
+
+
+def _line(cells: Sequence[str], widths: Sequence[int]) -> str:
+    first = cells[0].ljust(widths[0])
+    rest = (
+        cell.rjust(width) for cell, width in zip(cells[1:], widths[1:], strict=True)
+    )
+    return "  ".join([first, *rest])
