--- /dev/null
+++ b/tools/ablation.py
@@ -0,0 +1,247 @@
+"""Write copies of the project, each without one mechanism, to measure its worth.
+
+Usage:
+  ablation --list
+  ablation FOLDER [NAME ...]
+
+Each copy is a folder below FOLDER with all that a build and a run need, and goes by the
+mechanism's name; `whole` has them all. What is played in the copies, and how often, is
+up to who measures.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from docopt import docopt
+
+from tools.variants import Replacement, copy_project, replace_in
+
+COPIED = ("src", "deploy", "tools", "pyproject.toml", "README.md")
+WHOLE = "whole"
+
+
+@dataclass(frozen=True, slots=True)
+class Ablation:
+    """One mechanism that can be taken away.
+
+    Args:
+        name: Its name.
+        purpose: What it is for.
+        changes: What takes it away.
+    """
+
+    name: str
+    purpose: str
+    changes: tuple[Replacement, ...]
+
+
+ABLATIONS = (
+    Ablation(
+        "estimate-by-engine",
+        "the first token's time is learned for each engine, not for each pool",
+        (
+            Replacement(
+                "routing/estimate.py",
+                "return self._engines.get(row.instance) or self.pool(row.pool)",
+                "return self.pool(row.pool)",
+            ),
+        ),
+    ),
+    Ablation(
+        "reading-progress",
+        "what an engine has read of a prompt without a token is counted",
+        (
+            Replacement(
+                "routing/balance.py",
+                "LoadBook(self._readings.done)",
+                "LoadBook()",
+            ),
+        ),
+    ),
+    Ablation(
+        "reading-ahead",
+        "reading ahead at an engine is bounded below what is in time",
+        (
+            Replacement(
+                "routing/admission.py",
+                "READING_AHEAD: Millis = 100",
+                "READING_AHEAD: Millis = 10_000",
+            ),
+            Replacement(
+                "routing/admission.py",
+                "EVEN_AHEAD: Millis = 50",
+                "EVEN_AHEAD: Millis = 10_000",
+            ),
+        ),
+    ),
+    Ablation(
+        "lead-bound",
+        "accounts ahead of others get only an engine that has nothing to read",
+        (
+            Replacement(
+                "routing/admission.py",
+                "LEAD_AHEAD: Millis = 0",
+                "LEAD_AHEAD: Millis = 50",
+            ),
+        ),
+    ),
+    Ablation(
+        "stated-share",
+        "accounts within their share of the stated capacity go before others",
+        (
+            Replacement(
+                "routing/usage.py",
+                "            return Standing.WITHIN\n",
+                "            pass\n",
+            ),
+        ),
+    ),
+    Ablation(
+        "leads",
+        "accounts ahead of one that is short leave it room",
+        (
+            Replacement(
+                "routing/usage.py",
+                "    if not short:\n",
+                "    if True:\n",
+            ),
+        ),
+    ),
+    Ablation(
+        "expected-capacity",
+        "nobody is ahead while the engines could serve all",
+        (
+            Replacement(
+                "routing/usage.py",
+                "max(stated, expected, served)",
+                "max(stated, served)",
+            ),
+        ),
+    ),
+    Ablation(
+        "wait-for-room",
+        "a request waits as long as it can be in time",
+        (
+            Replacement(
+                "routing/admission.py",
+                "return round(max(in_time, waiter.objective * LEAST_WAIT_PART))",
+                "return round(min(in_time, waiter.objective * LEAST_WAIT_PART))",
+            ),
+        ),
+    ),
+    Ablation(
+        "affinity",
+        "all entries prefer one engine for the shared parts of a prompt",
+        (
+            Replacement(
+                "routing/balance.py",
+                "    if affinity is None:\n        return rows\n",
+                "    if True:\n        return rows\n",
+            ),
+        ),
+    ),
+    Ablation(
+        "first-configuration",
+        "requests wait for an entry's first configuration",
+        (
+            Replacement(
+                "routing/gateway.py",
+                "MAX_UNCONFIGURED = 256",
+                "MAX_UNCONFIGURED = 0",
+            ),
+        ),
+    ),
+    Ablation(
+        "early-candidates",
+        "an attempt that elects nobody is repeated soon",
+        (
+            Replacement(
+                "control/raft.py",
+                "PRE_VOTE_PAUSE: Millis = 150",
+                "PRE_VOTE_PAUSE: Millis = 500",
+            ),
+        ),
+    ),
+    Ablation(
+        "silence-watch",
+        "an upstream that falls silent is given up where another may take over",
+        (
+            Replacement(
+                "routing/exchange.py",
+                "        if self._too_late() or not self._may_run_again(runs):\n"
+                "            return False\n",
+                "        if runs:\n            return False\n",
+            ),
+        ),
+    ),
+    Ablation(
+        "left-alone",
+        "an upstream that fails many requests gets no new work for a while",
+        (
+            Replacement(
+                "routing/health.py",
+                "return row is None or now >= row.until",
+                "return True",
+            ),
+        ),
+    ),
+    Ablation(
+        "busy-refusals",
+        "an entry short of processor time refuses, those ahead of others first",
+        (
+            Replacement(
+                "routing/gateway.py",
+                "MAX_LAG: Millis = 30",
+                "MAX_LAG: Millis = 10_000",
+            ),
+            Replacement(
+                "routing/gateway.py",
+                "EXCESS_LAG: Millis = 10",
+                "EXCESS_LAG: Millis = 10_000",
+            ),
+        ),
+    ),
+    Ablation(
+        "retries",
+        "a request that may run again is sent to another upstream",
+        (
+            Replacement(
+                "routing/exchange.py",
+                "MAX_SENDS = 4",
+                "MAX_SENDS = 1",
+            ),
+        ),
+    ),
+)
+
+
+def main() -> None:
+    """Entry point of `python -m tools.ablation`."""
+    args = docopt(__doc__)
+    if args["--list"]:
+        for one in ABLATIONS:
+            print(f"{one.name}: {one.purpose}")
+        return
+    folder = Path(args["FOLDER"])
+    wanted = set(args["NAME"])
+    for name, changes in _copies():
+        if not wanted or name in wanted:
+            _write(folder / name, changes)
+            print(folder / name)
+
+
+def _copies() -> list[tuple[str, tuple[Replacement, ...]]]:
+    return [(WHOLE, ()), *((one.name, one.changes) for one in ABLATIONS)]
+
+
+def _write(copy: Path, changes: tuple[Replacement, ...]) -> None:
+    copy.mkdir(parents=True)
+    copy_project(copy, COPIED)
+    for change in changes:
+        replace_in(copy, change)
+
+
+if __name__ == "__main__":
+    main()
--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import os
-import shutil
 import subprocess
 import sys
 import tempfile
@@ -21,7 +20,8 @@
 
 from docopt import docopt
 
-ROOT = Path(__file__).resolve().parent.parent
+from tools.variants import Replacement, copy_project, replace_in
+
 LIMIT = 240
 
 
@@ -224,14 +224,8 @@
     """Run a variant's test and tell how it ended."""
     with tempfile.TemporaryDirectory() as folder:
         copy = Path(folder)
-        for name in ("src", "tests", "tools"):
-            shutil.copytree(ROOT / name, copy / name)
-        shutil.copy(ROOT / "pyproject.toml", copy)
-        source = copy / "src" / "leadseam" / variant.file
-        text = source.read_text()
-        if text.count(variant.old) != 1:
-            raise SystemExit(f"{variant.name}: the text does not stand there once")
-        source.write_text(text.replace(variant.old, variant.new))
+        copy_project(copy, ("src", "tests", "tools", "pyproject.toml"))
+        replace_in(copy, Replacement(variant.file, variant.old, variant.new))
         command = [sys.executable, "-m", "pytest", "-x", "-q", variant.test]
         path = os.pathsep.join([str(copy / "src"), str(copy)])
         env = {**os.environ, "PYTHONPATH": path}
