--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -1,4 +1,4 @@
-"""A copy of the project without one mechanism can be made of the sources as they are."""
+"""Copies of the project without one mechanism can be made of the sources as is."""
 
 from __future__ import annotations
 
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -109,17 +109,6 @@
             ),
         ),
     ),
-    Ablation(
-        "expected-capacity",
-        "nobody is ahead while the engines could serve all",
-        (
-            Replacement(
-                "routing/usage.py",
-                "max(stated, expected, served)",
-                "max(stated, served)",
-            ),
-        ),
-    ),
     Ablation(
         "wait-for-room",
         "a request waits as long as it can be in time",
