A late heartbeat of an earlier incarnation takes no address from the one that serves

Cause: an entry gave an address to the incarnation that it heard of last. A heartbeat held up by a cut may come after another incarnation has registered at the address, and through another replica than that one's; for up to 7.2 s all requests for that upstream were then sent to an incarnation that is gone, and answered 421. Ruled out: the replicas' tables, which tell heartbeats apart by sequence, but only within one incarnation and replica.

An answer 421 moves the address to another incarnation that claims it, back too, so neither a late heartbeat nor a wrong 421 lasts. A late word of leaving ends its own incarnation only, as before.

--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -221,7 +221,7 @@
             case Registered(rows=rows, whole=whole):
                 if whole:
                     self.view.connected(replica, self._clock.now())
-                self.view.update(replica, rows)
+                self.view.update(replica, rows, self._clock.now())
             case Expired(instances=instances):
                 self.view.expired(replica, instances)
             case Left(instances=instances):
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -10,10 +10,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from leadseam.clock import Millis
+from leadseam.membership.addresses import AddressBook
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from leadseam.clock import Millis
     from leadseam.wire.messages import Registration
 
 KEPT_AFTER_LOSS: Millis = 12_000
@@ -37,6 +39,7 @@
         self._known: dict[str, _Known] = {}
         self._left: dict[str, None] = {}
         self._by_pool: dict[str, list[Registration]] | None = None
+        self._addresses = AddressBook()
 
     def __repr__(self) -> str:
         return f"UpstreamView(known={len(self._known)}, left={len(self._left)})"
@@ -49,7 +52,7 @@
         """Note that a replica no longer reports."""
         self._end_later(replica, now)
 
-    def update(self, replica: str, rows: Iterable[Registration]) -> None:
+    def update(self, replica: str, rows: Iterable[Registration], now: Millis) -> None:
         """Take rows that a replica holds."""
         for row in rows:
             if row.instance in self._left:
@@ -57,6 +60,7 @@
             known = self._known.get(row.instance)
             if known is None:
                 known = self._known[row.instance] = _Known(row)
+                self._addresses.claim(row, now)
             elif row.sequence > known.registration.sequence:
                 known.registration = row
             known.until[replica] = None
@@ -75,12 +79,30 @@
         fresh = tuple(name for name in instances if name not in self._left)
         for instance in fresh:
             self._left[instance] = None
-            if self._known.pop(instance, None) is not None:
-                self._by_pool = None
+            known = self._known.pop(instance, None)
+            if known is not None:
+                self._forget(known)
         while len(self._left) > MAX_LEFT:
             del self._left[next(iter(self._left))]
         return fresh
 
+    def answered(self, instance: str, now: Millis) -> None:
+        """Note that an upstream has answered a request that was meant for it."""
+        if instance in self._known:
+            self._addresses.answered(instance, now)
+
+    def misdirected(self, instance: str) -> bool:
+        """Note that another incarnation answers at an upstream's address.
+
+        Returns:
+            Whether another one is known there, which gets the work from now on.
+        """
+        known = self._known.get(instance)
+        if known is None or not self._addresses.misdirected(known.registration):
+            return False
+        self._by_pool = None
+        return True
+
     def sweep(self, now: Millis) -> None:
         """Drop what nobody has held for `KEPT_AFTER_LOSS`."""
         for instance, known in list(self._known.items()):
@@ -97,14 +119,9 @@
 
     def _group(self) -> dict[str, list[Registration]]:
         grouped: dict[str, list[Registration]] = {}
-        # An address is handed on: the incarnation that was heard of last has it.
-        newest: dict[tuple[str, int], str] = {}
         for known in self._known.values():
             row = known.registration
-            newest[row.ip, row.port] = row.instance
-        for known in self._known.values():
-            row = known.registration
-            if row.ready and newest[row.ip, row.port] == row.instance:
+            if row.ready and self._addresses.holds(row):
                 grouped.setdefault(row.pool, []).append(row)
         return grouped
 
@@ -118,4 +135,8 @@
     def _drop_if_unheld(self, instance: str, known: _Known) -> None:
         if not known.until and instance in self._known:
             del self._known[instance]
-            self._by_pool = None
+            self._forget(known)
+
+    def _forget(self, known: _Known) -> None:
+        self._addresses.drop(known.registration)
+        self._by_pool = None
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -56,7 +56,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Declined:
-    """The upstream declares that it did not run the request."""
+    """The upstream declares that it did not run the request.
+
+    Args:
+        misdirected: Whether it says that it is not the one that was meant.
+    """
+
+    misdirected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,7 +161,7 @@
         return Broken(Reason.UPSTREAM_BROKEN)
     if answer.not_run or resp.status == MISDIRECTED:
         await _read_out(resp)
-        return Declined()
+        return Declined(misdirected=resp.status == MISDIRECTED)
     success = resp.status < FIRST_REDIRECTION
     if success and not answer.signed:
         resp.close()
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -275,6 +275,10 @@
         now = self.now()
         self._metrics.attempts.inc(type(ending).__name__.lower())
         match ending:
+            case Declined(misdirected=True):
+                left_alone = False
+                if self._feed.view.misdirected(upstream.instance):
+                    self.request_log.address_lost(upstream)
             case Unreachable(local=True) | Declined():
                 left_alone = False
             case Unreachable():
@@ -285,6 +289,7 @@
                 left_alone = self._health.failed(upstream.instance, now)
             case Whole() | Streaming():
                 self._health.succeeded(upstream.instance)
+                self._feed.view.answered(upstream.instance, now)
                 left_alone = False
         if left_alone:
             self.request_log.left_alone(upstream, ending)
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -103,6 +103,11 @@
         extra = {"instance": upstream.instance, "ending": repr(ending)}
         log.warning("upstream left alone for a while", extra=extra)
 
+    def address_lost(self, upstream: Registration) -> None:
+        """Write a line, outside the budget, for an address that another one holds."""
+        extra = {"instance": upstream.instance, "ip": upstream.ip}
+        log.info("address is held by another upstream", extra=extra)
+
     def end(self, exchange: Exchange, admitted: Admitted) -> None:
         """Note the end of an admitted request."""
         now = self._clock.now()
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -17,8 +17,8 @@
 
 def test_one_replica_that_holds_an_upstream_is_enough() -> None:
     view = UpstreamView()
-    view.update("a", [make_upstream(1)])
-    view.update("b", [make_upstream(1)])
+    view.update("a", [make_upstream(1)], 0)
+    view.update("b", [make_upstream(1)], 0)
     view.expired("a", ["i-1"])
     assert instances(view) == {"i-1"}
     view.expired("b", ["i-1"])
@@ -27,7 +27,7 @@
 
 def test_a_lost_replicas_upstreams_are_kept_for_a_while() -> None:
     view = UpstreamView()
-    view.update("a", [make_upstream(1)])
+    view.update("a", [make_upstream(1)], 0)
     view.disconnected("a", 100)
     view.sweep(100 + KEPT_AFTER_LOSS - 1)
     assert instances(view) == {"i-1"}
@@ -37,32 +37,32 @@
 
 def test_a_replica_that_comes_back_empty_takes_nothing_away_at_once() -> None:
     view = UpstreamView()
-    view.update("a", [make_upstream(1)])
+    view.update("a", [make_upstream(1)], 0)
     view.connected("a", 0)
-    view.update("a", [])
+    view.update("a", [], 0)
     assert instances(view) == {"i-1"}
-    view.update("a", [make_upstream(1, sequence=2)])
+    view.update("a", [make_upstream(1, sequence=2)], 0)
     view.sweep(10 * KEPT_AFTER_LOSS)
     assert instances(view) == {"i-1"}
 
 
 def test_leaving_is_final_for_an_incarnation() -> None:
     view = UpstreamView()
-    view.update("a", [make_upstream(1), make_upstream(2)])
+    view.update("a", [make_upstream(1), make_upstream(2)], 0)
     assert view.left(["i-1"]) == ("i-1",)
     assert view.left(["i-1"]) == ()
-    view.update("b", [make_upstream(1, sequence=99)])
+    view.update("b", [make_upstream(1, sequence=99)], 0)
     assert instances(view) == {"i-2"}
 
 
 def test_an_address_that_is_handed_on_belongs_to_the_newer_incarnation() -> None:
     view = UpstreamView()
     old = make_upstream(1)
-    view.update("a", [old])
+    view.update("a", [old], 0)
     successor = make_upstream(1).__class__(
         "i-new", "q", old.ip, old.port, "d", 4, True, 1
     )
-    view.update("a", [successor])
+    view.update("a", [successor], 0)
     assert instances(view) == set()
     assert [row.instance for row in view.pool("q")] == ["i-new"]
 
@@ -79,7 +79,7 @@
 
     @rule(replica=st.sampled_from("ab"), number=st.integers(1, 4))
     def report(self, replica: str, number: int) -> None:
-        self.view.update(replica, [make_upstream(number, sequence=self.now)])
+        self.view.update(replica, [make_upstream(number, sequence=self.now)], 0)
         self.held[replica].add(f"i-{number}")
 
     @rule(replica=st.sampled_from("ab"), number=st.integers(1, 4))
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -8,11 +8,14 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
 
+import msgspec
 import pytest
 
 from leadseam.clock import ManualClock
 from leadseam.control.configuration import Account, Configuration
+from leadseam.membership.view import UpstreamView
 from leadseam.outcome import NotRun, Reason
+from leadseam.routing.attempt import Declined, Whole
 from leadseam.routing.budget import RetryLimits
 from leadseam.routing.dialect import Sender
 from leadseam.routing.gateway import BUSY_PAUSE, EXCESS_LAG, MAX_LAG, Gateway
@@ -20,7 +23,7 @@
 from leadseam.routing.usage import Standing
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 from leadseam.wire.messages import UsageRow
-from tests.routing.samples import make_request, make_route
+from tests.routing.samples import make_request, make_route, make_upstream
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -59,7 +62,9 @@
             confirmed=True,
             version=1,
             age=0,
+            view=UpstreamView(),
         )
+        self.feed = feed
         self.dialect = Dialect()
         self.lag = SimpleNamespace(millis=0)
         self.connections = 0
@@ -124,3 +129,18 @@
     # 100 tokens of its own to read, and 50 made that count twice.
     usage = entry.gateway.placer.load_report().usage
     assert usage == (UsageRow("small", served=0, asked=200),)
+
+
+def test_answers_tell_which_incarnation_holds_an_address() -> None:
+    entry = Entry()
+    view = entry.feed.view
+    serving = make_upstream(1)
+    stale = msgspec.structs.replace(serving, instance="i-stale")
+    view.update("a", [serving], 0)
+    entry.gateway.note_ending(serving, Whole(200, (), b""))
+    view.update("b", [stale], entry.gateway.now() + 1)
+    assert view.pool("p") == [serving]
+    entry.gateway.note_ending(serving, Declined())
+    assert view.pool("p") == [serving]
+    entry.gateway.note_ending(serving, Declined(misdirected=True))
+    assert view.pool("p") == [stale]
