Connections to upstreams are probed, so that silence of the network is found

Cause: a request that was sent, acknowledged, and then cut off for good has nothing left to be acknowledged, so TCP_USER_TIMEOUT never fires; one that must not repeat hung until its time limit (15 s), and its slot and memory counted as taken. Probes after 1 s without a byte end the connection after 3 s; a stream's caller has left by then. The system of a server that is merely slow answers probes, so long answers are not cut. The test of the socket's options failed before.

--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -28,7 +28,11 @@
 """Age up to which an idle connection is reused. Upstreams close idle ones after a few
 seconds without a word."""
 SILENT_PEER_LIMIT: Millis = 3_000
-"""Unacknowledged bytes older than this end a connection to a dead box."""
+"""Unacknowledged bytes, or probes, older than this end a connection that leads nowhere.
+Callers give a stream up after some 3 s without an event."""
+PROBE_INTERVAL_S = 1
+"""Seconds without a byte after which a connection is probed, and between probes. Only
+this tells a request that was sent into silence from one that takes long."""
 
 
 class UpstreamConnection(ResponseHandler):
@@ -124,11 +128,18 @@
             if isinstance(exc, TimeoutError):
                 raise
             raise client_error(req.connection_key, exc) from exc
-        sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_LIMIT)
+        _watch_peer(transport.get_extra_info("socket"))
         return transport, conn
 
 
+def _watch_peer(sock: socket.socket) -> None:
+    """Have the system end a connection whose peer does not answer any more."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_PEER_LIMIT)
+
+
 def open_session(
     *, force_close: bool, connect_timeout: Millis
 ) -> aiohttp.ClientSession:
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -231,3 +231,28 @@
             for other in others:
                 os.fstat(other.fileno())
                 other.close()
+
+
+async def test_a_connection_that_leads_nowhere_is_found_by_probes() -> None:
+    async def hold(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % b"1" + b"Content-Length: 9\r\n\r\nhalf")
+        await reader.read()
+        writer.close()
+
+    async with upstream(hold) as port, client() as one:
+        resp = await send(one, port)
+        conn = resp.connection
+        assert conn is not None and conn.transport is not None
+        sock = conn.transport.get_extra_info("socket")
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) == 1
+        times = [
+            sock.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (
+                socket.TCP_KEEPIDLE,
+                socket.TCP_KEEPINTVL,
+                socket.TCP_USER_TIMEOUT,
+            )
+        ]
+        assert times == [1, 1, 3_000]
+        resp.close()
