Beyond the stated share one bound holds for all: an engine with nothing to read

A bound of 50 ms for accounts that are even with others, and none for those ahead, was one constant too many.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -32,12 +32,9 @@
 READING_AHEAD: Millis = 100
 """Reading that may be ahead of a request at an engine. The rest waits here, where those
 that are short go first and none stands behind a long prompt by chance."""
-EVEN_AHEAD: Millis = 50
-"""The same for an account beyond its share of the stated capacity: what an engine reads
-until the next report of its load, so that it does not run dry."""
-LEAD_AHEAD: Millis = 0
-"""The same for an account that is ahead of others: it gets an engine that has nothing
-else to read."""
+BEYOND_AHEAD: Millis = 0
+"""The same for an account beyond its share of the stated capacity: it gets an engine
+that has nothing else to read."""
 
 
 @dataclass(slots=True)
@@ -196,10 +193,8 @@
         match self.standing(waiter.account, now):
             case Standing.WITHIN:
                 return READING_AHEAD
-            case Standing.EVEN:
-                return EVEN_AHEAD
-            case Standing.AHEAD:
-                return LEAD_AHEAD
+            case Standing.EVEN | Standing.AHEAD:
+                return BEYOND_AHEAD
             case Standing.STOPPED:
                 return None
 
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -69,21 +69,16 @@
                 "READING_AHEAD: Millis = 100",
                 "READING_AHEAD: Millis = 10_000",
             ),
-            Replacement(
-                "routing/admission.py",
-                "EVEN_AHEAD: Millis = 50",
-                "EVEN_AHEAD: Millis = 10_000",
-            ),
         ),
     ),
     Ablation(
-        "lead-bound",
-        "accounts ahead of others get only an engine that has nothing to read",
+        "beyond-bound",
+        "accounts beyond their stated share get only an engine with nothing to read",
         (
             Replacement(
                 "routing/admission.py",
-                "LEAD_AHEAD: Millis = 0",
-                "LEAD_AHEAD: Millis = 50",
+                "BEYOND_AHEAD: Millis = 0",
+                "BEYOND_AHEAD: Millis = 50",
             ),
         ),
     ),
