--- a/src/leadseam/clock.py
+++ b/src/leadseam/clock.py
@@ -6,6 +6,8 @@
 import time
 from typing import Protocol, TypeAlias
 
+from leadseam import STARTED_NS
+
 Millis: TypeAlias = int
 
 NANOS_PER_MILLI = 1_000_000
@@ -34,6 +36,11 @@
         return time.time_ns() // NANOS_PER_MILLI
 
 
+def process_start() -> Millis:
+    """Return when this process started, as monotonic milliseconds."""
+    return STARTED_NS // NANOS_PER_MILLI
+
+
 class ManualClock:
     """A clock that moves only when told to.
 
--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -119,7 +119,7 @@
         hard_state: Persisted term and vote.
         mark: Persisted snapshot position and membership at it.
         log: Persisted entries after the mark.
-        now: Current time.
+        now: Time from which on the replica has certainly answered no leader.
         seed: Seed of the election jitter.
     """
 
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -96,6 +96,8 @@
         metrics: Counters.
         traffic: Bytes on inner links.
         seed: Seed of the election jitter.
+        silent_since: Time from which on this box has certainly answered no leader, if
+            that is before now: the start of its process.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         metrics: ControlMetrics,
         traffic: Traffic,
         seed: int,
+        silent_since: Millis | None = None,
         address_of: Callable[[str], Endpoint | None] = lambda _: None,
     ) -> None:
         self.state = ControlState()
@@ -124,7 +127,7 @@
             hard_state=recovered.hard_state,
             mark=recovered.mark,
             log=recovered.log,
-            now=clock.now(),
+            now=clock.now() if silent_since is None else silent_since,
             seed=seed,
         )
         self._raft.set_snapshot_data(recovered.data)
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from leadseam.clock import Clock, Millis, SystemClock, sleep
+from leadseam.clock import Clock, Millis, SystemClock, process_start, sleep
 from leadseam.control.folder import prepare_folder
 from leadseam.control.replica import Replica
 from leadseam.control.service import ControlService
@@ -87,6 +87,8 @@
             metrics=metrics,
             traffic=self._metrics.traffic,
             seed=secrets.randbits(64),
+            # After a failed write it is the same process that answered leaders before.
+            silent_since=None if renew else process_start(),
         )
         self._feed = FeedServer(
             self.replica,
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -20,6 +20,7 @@
 
 from leadseam.control.raft import (
     ELECTION_TIMEOUT,
+    LEASE,
     PRE_VOTE_PAUSE,
     Raft,
     RaftMessage,
@@ -33,7 +34,7 @@
     base_name,
 )
 from leadseam.wire.codec import encode
-from leadseam.wire.messages import LogEntry, Vote, VoteReply
+from leadseam.wire.messages import LogEntry, PreVote, PreVoteReply, Vote, VoteReply
 
 BOXES = ("a", "b", "c")
 TICK = 50
@@ -417,3 +418,25 @@
     assert mean(times) <= first_chance + PRE_VOTE_PAUSE
     # Two that ask in the same 10 ms share the votes once.
     assert max(times) <= first_chance + 4 * PRE_VOTE_PAUSE + 20
+
+
+def test_a_voter_grants_nothing_until_a_lease_it_may_have_granted_is_over() -> None:
+    cluster = elected()
+    started = cluster.now
+    disk = cluster.boxes["a"].disk
+    raft = Raft(
+        disk.identity,
+        hard_state=disk.hard_state,
+        mark=disk.mark,
+        log=list(disk.log),
+        now=started,
+        seed=1,
+    )
+    request = PreVote("b#first", raft.term + 1, 99, 99)
+    for later, granted in ((ELECTION_TIMEOUT - 1, False), (ELECTION_TIMEOUT, True)):
+        raft.receive(started + later, request)
+        replies = [message for _, message in raft.take_ready().send]
+        assert [one.granted for one in replies if isinstance(one, PreVoteReply)] == [
+            granted
+        ]
+    assert LEASE < ELECTION_TIMEOUT
