--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
-from leadseam.clock import seconds
 from leadseam.entry.answers import error_response
 from leadseam.outcome import NotRun, Reason
 from leadseam.routing.admitted import Admitted
@@ -21,6 +19,7 @@
 )
 from leadseam.routing.budget import PoolRetryBudget
 from leadseam.routing.exchange import Exchange
+from leadseam.routing.first_configuration import FirstConfiguration
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.placer import Placer
 from leadseam.routing.reply import CallerGoneError
@@ -48,12 +47,6 @@
 NOT_CONFIRMED_PAUSE: Millis = 500
 """Pause told to a caller while the configuration is not confirmed: a feed heartbeat."""
 
-FIRST_CONFIGURATION_LIMIT: Millis = 1_000
-"""How long a request may wait at an entry that has just started for its first
-configuration: the rest of an election. Who is sent away instead comes back to an entry
-that has started no earlier, and has used up a try."""
-MAX_UNCONFIGURED = 256
-"""Requests that wait for a first configuration; more are refused."""
 MAX_LAG: Millis = 30
 """Lag of the event loop above which new requests are refused: half of the time in which
 a refusal is early for the shortest latency objective of today (250 ms). Callers come
@@ -108,7 +101,7 @@
         self._rng = rng
         self._lag = lag
         self._connections = connections
-        self._unconfigured = 0
+        self._first_configuration = FirstConfiguration(feed)
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self.placer = Placer(feed=feed, health=self._health, clock=clock, rng=rng)
@@ -162,8 +155,8 @@
             body = await http.read()
         except web.HTTPRequestEntityTooLarge:
             return self.error(NotRun(Reason.BODY_TOO_LARGE))
-        if not self._feed.confirmed:
-            await self._first_configuration(req)
+        if not self.stopping:
+            await self._first_configuration.wait(req.patience)
         admitted = self._admit(req, body, arrived)
         if isinstance(admitted, NotRun):
             return self._refuse(req.request_id, admitted, arrived)
@@ -190,23 +183,6 @@
 
     # Admission
 
-    async def _first_configuration(self, req: RoutedRequest) -> None:
-        """Let a request wait until something is known, for a while."""
-        if self.stopping or self._unconfigured >= MAX_UNCONFIGURED:
-            return
-        limit = FIRST_CONFIGURATION_LIMIT
-        if req.patience is not None:
-            limit = min(limit, req.patience)
-        self._unconfigured += 1
-        try:
-            async with asyncio.timeout(seconds(limit)):
-                await self._feed.first_configuration()
-        except TimeoutError:
-            # The caller is told by what follows: nothing is known still.
-            return
-        finally:
-            self._unconfigured -= 1
-
     def _admit(
         self, req: RoutedRequest, body: bytes, arrived: Millis
     ) -> Admitted | NotRun:
--- a/tests/routing/test_first_configuration.py
+++ b/tests/routing/test_first_configuration.py
@@ -3,48 +3,28 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
-from leadseam.clock import ManualClock
-from leadseam.control.configuration import Configuration
-from leadseam.routing import gateway as gateway_module
-from leadseam.routing.budget import RetryLimits
-from leadseam.routing.gateway import Gateway
-from leadseam.runtime.metrics import Metrics, RoutingMetrics
-from tests.routing.samples import make_request
+from leadseam.routing import first_configuration
+from leadseam.routing.first_configuration import FirstConfiguration
 
 
 class Entry:
-    """A gateway whose feed has not brought a configuration yet."""
+    """An entry whose feed has not brought a configuration yet."""
 
     def __init__(self) -> None:
         self.known = asyncio.Event()
-        feed = SimpleNamespace(
-            configuration=Configuration(),
-            confirmed=False,
-            version=0,
-            age=0,
-            first_configuration=self.known.wait,
-        )
-        self.gateway = Gateway(
-            feed=cast("Any", feed),
-            dialect=cast("Any", None),
-            client=cast("Any", None),
-            clock=ManualClock(1_000),
-            retry_limits=RetryLimits(),
-            metrics=RoutingMetrics(Metrics()),
-            rng=random.Random(1),
-            lag=cast("Any", SimpleNamespace(millis=0)),
+        self.feed = SimpleNamespace(
+            confirmed=False, first_configuration=self.known.wait
         )
+        self.first = FirstConfiguration(cast("Any", self.feed))
 
-    def wait(self) -> asyncio.Task[None]:
+    def come(self, patience: int | None = None) -> asyncio.Task[None]:
         """Let a request come."""
-        request = self.gateway._first_configuration(make_request("own"))
-        return asyncio.create_task(request)
+        return asyncio.create_task(self.first.wait(patience))
 
 
 async def turns() -> None:
@@ -55,7 +35,7 @@
 
 async def test_a_request_waits_for_the_first_configuration() -> None:
     entry = Entry()
-    waiting = entry.wait()
+    waiting = entry.come()
     await turns()
     assert not waiting.done()
     entry.known.set()
@@ -63,27 +43,28 @@
 
 
 async def test_it_does_not_wait_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(gateway_module, "FIRST_CONFIGURATION_LIMIT", 1)
-    await Entry().wait()
+    await Entry().come(patience=1)
+    monkeypatch.setattr(first_configuration, "LONGEST_WAIT", 1)
+    await Entry().come()
+
+
+async def test_nobody_waits_once_there_is_one() -> None:
+    entry = Entry()
+    entry.feed.confirmed = True
+    await entry.come()
 
 
 async def test_a_bounded_number_waits(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(gateway_module, "MAX_UNCONFIGURED", 2)
+    monkeypatch.setattr(first_configuration, "MAX_WAITING", 2)
     entry = Entry()
-    waiting = [entry.wait() for _ in range(3)]
+    waiting = [entry.come() for _ in range(3)]
     await turns()
     assert [task.done() for task in waiting] == [False, False, True]
     # A caller that leaves makes room for another.
     waiting[0].cancel()
     await turns()
-    another = entry.wait()
+    another = entry.come()
     await turns()
     assert not another.done()
     entry.known.set()
     await asyncio.gather(waiting[1], another)
-
-
-async def test_a_stopping_entry_lets_nobody_wait() -> None:
-    entry = Entry()
-    entry.gateway.stopping = True
-    await entry.wait()
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import random
 from dataclasses import replace
@@ -144,3 +145,22 @@
     assert view.pool("p") == [serving]
     entry.gateway.note_ending(serving, Declined(misdirected=True))
     assert view.pool("p") == [stale]
+
+
+async def test_a_stopping_entry_lets_nobody_wait_for_a_configuration() -> None:
+    async def no_body() -> bytes:
+        return b""
+
+    entry = Entry()
+    entry.feed.confirmed = False
+    entry.feed.fresh = False
+    entry.feed.first_configuration = asyncio.Event().wait
+    cast("Any", entry.dialect).read_request = lambda _: make_request("own")
+    http = cast("Any", SimpleNamespace(read=no_body))
+    entry.gateway.stopping = True
+    assert (await entry.gateway._serve(http)).status == 503
+    entry.gateway.stopping = False
+    waiting = asyncio.create_task(entry.gateway._serve(http))
+    await asyncio.sleep(0)
+    assert not waiting.done()
+    waiting.cancel()
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -131,9 +131,9 @@
         "requests wait for an entry's first configuration",
         (
             Replacement(
-                "routing/gateway.py",
-                "MAX_UNCONFIGURED = 256",
-                "MAX_UNCONFIGURED = 0",
+                "routing/first_configuration.py",
+                "MAX_WAITING = 256",
+                "MAX_WAITING = 0",
             ),
         ),
     ),
