--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -28,13 +28,17 @@
 """Part of the objective that the expected first token may take."""
 LEAST_WAIT_PART = 0.22
 """Part of the objective that a request waits at least, also one whose prompt is too
-long for the objective."""
+long for the objective: it may find an engine with nothing to read. Longer waits of such
+prompts gained nothing (0.61 of what callers value for 0.61, five days)."""
 READING_AHEAD: Millis = 100
 """Reading that may be ahead of a request at an engine. The rest waits here, where those
-that are short go first and none stands behind a long prompt by chance."""
+that are short go first and none stands behind a long prompt by chance. On three days of
+overload 0.59 of what callers value was earned with it, 0.57 with 150 ms and 0.56 with
+200 ms; one run each."""
 BEYOND_AHEAD: Millis = 0
 """The same for an account beyond its share of the stated capacity: it gets an engine
-that has nothing else to read."""
+that has nothing else to read. With 50 ms for accounts ahead of others, 0.56 of what
+callers value was earned on three days of overload, for 0.60 with this; one run each."""
 
 
 @dataclass(slots=True)
@@ -99,10 +103,10 @@
         placement = self._place(waiter, now) if turn else None
         self._waiting.append(waiter)
         if placement is not None:
-            self._finish(waiter, placement, now)
+            self._finish(waiter, placement)
         elif not self._may_wait(waiter, now):
             # Others that wait have a better claim to any room until the wait is over.
-            self._finish(waiter, None, now)
+            self._finish(waiter, None)
 
     def _longest_wait(self, waiter: Waiter) -> Millis:
         """Return how long a request may wait and still be in time, if it is alone."""
@@ -136,9 +140,9 @@
                 room[key] = self._with_room(*key, now)
             placement = self._place(waiter, now, among=room[key])
             if placement is not None:
-                self._finish(waiter, placement, now)
+                self._finish(waiter, placement)
             elif now >= waiter.refuse_at:
-                self._finish(waiter, None, now)
+                self._finish(waiter, None)
 
     def _sort(self, now: Millis) -> None:
         levels = {
@@ -155,12 +159,12 @@
         accounts = {one.account for one in self._waiting}
         return min((self.level(name, now) for name in accounts), default=float("inf"))
 
-    def _finish(self, waiter: Waiter, placement: Placement | None, now: Millis) -> None:
+    def _finish(self, waiter: Waiter, placement: Placement | None) -> None:
         waiter.done = True
         self._waiting.remove(waiter)
         if placement is not None:
             # Counted here, so that the next request in line sees it.
-            self.balancer.begin(placement, now)
+            self.balancer.begin(placement)
         waiter.placement = placement
         waiter.wake()
 
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -17,7 +17,6 @@
 from leadseam.routing.load import Load, LoadBook
 from leadseam.routing.placement import Placement
 from leadseam.routing.prompts import PromptBook
-from leadseam.routing.reading import Reading, ReadingBook
 from leadseam.routing.usage import MADE_TOKEN
 
 if TYPE_CHECKING:
@@ -61,8 +60,7 @@
     """
 
     def __init__(self, rng: random.Random) -> None:
-        self._readings = ReadingBook()
-        self.loads = LoadBook(self._readings.done)
+        self.loads = LoadBook()
         self.prompts = PromptBook()
         self.estimates = EstimateBook()
         self._rng = rng
@@ -70,33 +68,9 @@
     def __repr__(self) -> str:
         return f"Balancer({self.loads!r})"
 
-    def begin(self, placement: Placement, now: Millis) -> None:
+    def begin(self, placement: Placement) -> None:
         """Count a request that is sent."""
-        load = placement.load
-        self.loads.begin(placement.upstream.instance, load)
-        if load.unread:
-            estimate = self.estimates.engine(placement.upstream)
-            ahead = placement.unread - load.unread
-            begins = now + round(estimate.millis(ahead))
-            self._readings.begin(placement, Reading(load.unread, begins, estimate.rate))
-
-    def first_token(self, placement: Placement) -> None:
-        """Note that an engine has read a prompt."""
-        self._readings.end(placement)
-        self.loads.read(placement.upstream.instance, placement.load.unread)
-
-    def end(self, placement: Placement, *, read: bool) -> None:
-        """Take off a request that has ended.
-
-        Args:
-            placement: Where it was.
-            read: Whether it had its first token.
-        """
-        self._readings.end(placement)
-        load = placement.load
-        if read:
-            load = Load(requests=load.requests, memory=load.memory)
-        self.loads.end(placement.upstream.instance, load)
+        self.loads.begin(placement.upstream.instance, placement.load)
 
     def least_loaded(
         self, rows: Sequence[Registration], now: Millis
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from leadseam.routing.load import Load
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -69,7 +71,7 @@
         self._read = True
         now = self._clock.now()
         instance = self.upstream.instance
-        self._balancer.first_token(self._placement)
+        self._balancer.loads.read(instance, self._placement.load.unread)
         self._balancer.prompts.sent(instance, self._req.parts, now)
         self._balancer.estimates.measured(
             self.upstream, self._placement.unread, now - self._sent
@@ -78,5 +80,8 @@
 
     def end(self) -> None:
         """Note that the attempt has ended."""
-        self._balancer.end(self._placement, read=self._read)
+        load = self._placement.load
+        if self._read:
+            load = Load(requests=load.requests, memory=load.memory)
+        self._balancer.loads.end(self.upstream.instance, load)
         self._on_room()
--- a/src/leadseam/routing/load.py
+++ b/src/leadseam/routing/load.py
@@ -14,7 +14,7 @@
 from leadseam.wire.messages import LoadReport, LoadRow, UsageRow
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from leadseam.clock import Millis
     from leadseam.wire.messages import LoadTotals
@@ -60,15 +60,9 @@
 
 
 class LoadBook:
-    """Loads by upstream, as this entry knows them.
+    """Loads by upstream, as this entry knows them."""
 
-    Args:
-        done: Returns the tokens of own prompts that an engine has read by now, though
-            it has not begun to answer.
-    """
-
-    def __init__(self, done: Callable[[str, Millis], int] = lambda *_: 0) -> None:
-        self._done = done
+    def __init__(self) -> None:
         self._own: dict[str, Load] = {}
         self._others: dict[str, Load] = {}
         self._others_at: Millis = -TOTALS_LIMIT
@@ -98,10 +92,9 @@
         else:
             self._own[instance] = left
 
-    def own(self, instance: str, now: Millis) -> Load:
+    def own(self, instance: str) -> Load:
         """Return what this entry has in flight at an upstream."""
-        load = self._own.get(instance, NOTHING)
-        return load.minus(Load(unread=self._done(instance, now)))
+        return self._own.get(instance, NOTHING)
 
     def total(self, instance: str, now: Millis) -> Load:
         """Return what all entries have in flight there, as far as is known."""
@@ -114,10 +107,13 @@
             known = self._sums[instance] = self._sum(instance, now)
         return known
 
-    def report(self, usage: Iterable[UsageRow], now: Millis) -> LoadReport:
+    def report(self, usage: Iterable[UsageRow]) -> LoadReport:
         """Return a report of the own counts."""
         self._sequence += 1
-        rows = tuple(_row(instance, self.own(instance, now)) for instance in self._own)
+        rows = tuple(
+            LoadRow(instance, load.requests, load.unread, load.memory)
+            for instance, load in self._own.items()
+        )
         report = LoadReport(self._sequence, rows, tuple(usage))
         self._reports.append(report)
         return report
@@ -139,7 +135,7 @@
         return own
 
     def _sum(self, instance: str, now: Millis) -> Load:
-        own = self.own(instance, now)
+        own = self.own(instance)
         if now - self._others_at > TOTALS_LIMIT:
             return own
         return own.plus(self._others.get(instance, NOTHING))
@@ -151,9 +147,5 @@
         return None
 
 
-def _row(instance: str, load: Load) -> LoadRow:
-    return LoadRow(instance, load.requests, load.unread, load.memory)
-
-
 def _load(row: LoadRow) -> Load:
     return Load(row.requests, row.unread, row.memory)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -93,7 +93,7 @@
         else:
             reason = Reason.NO_UPSTREAM
             if placement is not None:
-                self._balancer.begin(placement, self._clock.now())
+                self._balancer.begin(placement)
         if placement is None:
             return reason
         if admitted.account is not None:
@@ -105,8 +105,7 @@
 
     def load_report(self) -> LoadReport:
         """Return this entry's counts for the other entries."""
-        now = self._clock.now()
-        return self._balancer.loads.report(self._usage.rows(now), now)
+        return self._balancer.loads.report(self._usage.rows(self._clock.now()))
 
     def take_totals(self, totals: LoadTotals) -> None:
         """Take the counts of all entries."""
@@ -166,7 +165,7 @@
         self._admission.withdraw(waiter)
         placement = waiter.placement
         if placement is not None:
-            self._balancer.end(placement, read=False)
+            self._balancer.loads.end(placement.upstream.instance, placement.load)
 
     def _candidates(self, pool: str) -> Sequence[Registration]:
         """Return the upstreams of a pool, without those that fail, if any is left."""
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -49,17 +49,6 @@
             ),
         ),
     ),
-    Ablation(
-        "reading-progress",
-        "what an engine has read of a prompt without a token is counted",
-        (
-            Replacement(
-                "routing/balance.py",
-                "LoadBook(self._readings.done)",
-                "LoadBook()",
-            ),
-        ),
-    ),
     Ablation(
         "reading-ahead",
         "reading ahead at an engine is bounded below what is in time",
