--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -139,7 +139,8 @@
         demands = [max(row.asked, row.served) for row in message.usage]
         # Unequal to the level below where engines give more than is stated. Without it
         # 1,500 requests of accounts within this share were refused on a day of overload
-        # (lines on all requests); 0.59 of what callers value was earned for 0.62 on two.
+        # (lines on all requests); 0.59 of what callers value was earned, not 0.62, on
+        # two such days.
         self._stated_level = fair_level(demands, capacity or served)
         level = fair_level(demands, max(capacity, served))
         self._level = min(level, lead_level(message.usage, level, LEAD))
