--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -51,7 +51,7 @@
         pool: Its pool.
         profile: What is stated about the pool's engines.
         objective: Milliseconds from `arrived` in which the first token is in time.
-        arrived: When it was read.
+        arrived: When it could first be placed.
         tried: Incarnations not to be used.
         wake: Called once it is placed or refused.
         refuse_at: When it is refused if it still waits.
