A test waits until the flood's last run is gone before it looks for a busy engine

Cause, by the code: the test took the engine for busy with its slow request, when it still was with the last run of the flood that it had cancelled; that run's slot then went to the request with the deadline, which ran. Ruled out: a refusal that is untrue, for 'failed' was true there. Assertions are as they were.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -124,6 +124,8 @@
     for task in flood:
         task.cancel()
     await until(lambda: nothing_waits(fleet), "the flood is gone")
+    # Its last run may still hold the slot, and give it to whoever waits when it ends.
+    await until(lambda: engine_idle(fleet), "the flood's last run is gone")
     slow = asyncio.create_task(fleet.chat("entry-1", "menus", "rates", tokens=60))
     await until(lambda: engine_busy(fleet), "the engine is busy")
     passed = await refusal(fleet, CHAT, chat("rates"), deadline, account="menus")
@@ -165,6 +167,11 @@
         return bool((await resp.json())["busy"])
 
 
+async def engine_idle(fleet: Fleet) -> bool:
+    """Tell whether the engine has nothing to do."""
+    return not await engine_busy(fleet)
+
+
 async def sees_no_engine(fleet: Fleet) -> bool:
     """Tell whether the entry sends no work to the engine."""
     values = await fleet.metric("entry-1", "sidecar_usable")
