A control box tells which voters do not answer and how many may still be lost

Added before any change of logic: one line when the health of the group changes, repeated every 5 s while there is no quorum, and four gauges. The core only notes when a replica answered it; no decision reads that.

Before: no line; after: test_group_health (6 tests).

--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -13,6 +13,7 @@
 from typing import TypeAlias
 
 from leadseam.clock import Millis
+from leadseam.control.group_health import ANSWER_LIMIT, GroupHealth, MissingVoter
 from leadseam.control.raft_log import (
     EntryKind,
     HardState,
@@ -145,6 +146,7 @@
         self._peers: dict[str, _Peer] = {}
         self._votes: set[str] = set()
         self._pre_votes: set[str] = set()
+        self._answered: dict[str, Millis] = {}
         self._pending = _Pending()
         self._applied = mark.index
         self._snapshot_data: bytes = b""
@@ -173,6 +175,23 @@
         """Whether this replica counts for quorums."""
         return self.identity in self.membership.voters
 
+    @property
+    def leads(self) -> bool:
+        """Whether this replica takes itself for the leader."""
+        return self.role is Role.LEADER
+
+    def health(self, now: Millis) -> GroupHealth | None:
+        """Return who of the group answers, or None while another replica leads."""
+        if not self.leads and self._hears_leader(now):
+            return None
+        voters = self.membership.voters if self.is_voter else ()
+        missing = tuple(
+            MissingVoter(name, self._silence(name, now))
+            for name in voters
+            if name != self.identity and not self._answers(name, now)
+        )
+        return GroupHealth(self.leads, len(voters), missing)
+
     def holds_lease(self, now: Millis) -> bool:
         """Tell whether no other leader can exist at this moment."""
         if self.role is not Role.LEADER:
@@ -296,9 +315,25 @@
         # An equal one stays the same object, by which a replica sees a change cheaply.
         if membership != self.membership:
             self.membership = membership
+            self._forget_answers()
         if self.role is Role.LEADER:
             self._sync_peers()
 
+    def _forget_answers(self) -> None:
+        """Drop what is known of replicas that are no longer in the group."""
+        for name in set(self._answered) - set(self.membership.everyone):
+            del self._answered[name]
+
+    # Answers of other replicas
+
+    def _answers(self, name: str, now: Millis) -> bool:
+        return 0 <= self._silence(name, now) <= ANSWER_LIMIT
+
+    def _silence(self, name: str, now: Millis) -> Millis:
+        """Return since when a replica has answered nothing, or -1 if it never did."""
+        at = self._answered.get(name)
+        return -1 if at is None else now - at
+
     # Elections
 
     def _found(self, now: Millis) -> None:
@@ -364,6 +399,7 @@
         self._send(message.sender, reply)
 
     def _on_pre_vote_reply(self, now: Millis, message: PreVoteReply) -> None:
+        self._answered[message.sender] = now
         expected = self.role is Role.FOLLOWER and message.term == self.term + 1
         if not (expected and message.granted and self._pre_votes):
             return
@@ -427,6 +463,7 @@
         self._send(message.sender, VoteReply(self.identity, self.term, granted))
 
     def _on_vote_reply(self, now: Millis, message: VoteReply) -> None:
+        self._answered[message.sender] = now
         if self.role is not Role.CANDIDATE or not message.granted:
             return
         self._votes.add(message.sender)
@@ -535,6 +572,7 @@
         peer.acked_sent = max(peer.acked_sent, message.sent)
         peer.echo = max(peer.echo, message.clock)
         peer.heard = now
+        self._answered[message.sender] = now
         if message.success:
             self._on_match(now, message, peer)
         else:
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, sleep
+from leadseam.control.group_health import HealthReporter
 from leadseam.control.peers import Peers
 from leadseam.control.raft import Raft, Role
 from leadseam.control.raft_log import (
@@ -121,6 +122,7 @@
         self.applied = recovered.mark.index
         self._clock = clock
         self._metrics = metrics
+        self._health = HealthReporter(metrics)
         self._storage = storage
         self._raft = Raft(
             identity,
@@ -331,6 +333,7 @@
             self._send(follow_up)
             self._apply(follow_up.commit)
             self._note_role()
+            self._health.look(self._clock.now(), self._raft)
             await self._compact_if_due()
 
     async def _take_batch(self) -> list[_Event]:
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -182,6 +182,21 @@
         self.role_changes = metrics.counter(
             "role_changes_total", "Changes of the replica's role."
         )
+        self.leads = metrics.gauge(
+            "control_leads", "1 where this replica leads the control group."
+        )
+        self.voters = metrics.gauge(
+            "control_voters",
+            "Voters of the control group; on the leader, or where none is heard.",
+        )
+        self.voters_missing = metrics.gauge(
+            "control_voters_missing",
+            "Voters that do not answer; on the leader, or where none is heard.",
+        )
+        self.spare_voters = metrics.gauge(
+            "control_spare_voters",
+            "Further voters that may be lost; below 0 nothing can be decided.",
+        )
         self.changes = metrics.counter(
             "changes_total", "Configuration changes by status."
         )
--- /dev/null
+++ b/tests/control/test_group_health.py
@@ -0,0 +1,96 @@
+"""What a replica tells of its group, from its core's state alone."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from leadseam.control.group_health import (
+    ANSWER_LIMIT,
+    LOOK_INTERVAL,
+    REPEAT_INTERVAL,
+    GroupHealth,
+    HealthReporter,
+    MissingVoter,
+)
+from leadseam.runtime.metrics import ControlMetrics, Metrics
+from tests.test_raft import BOXES, elected
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def test_a_leader_names_the_voter_that_does_not_answer_and_since_when() -> None:
+    cluster = elected()
+    leader = cluster.leader()
+    assert leader is not None
+    assert leader.health(cluster.now) == GroupHealth(True, 3, ())
+    lost = next(name for name in BOXES if f"{name}#first" != leader.identity)
+    cluster.boxes[lost].raft = None
+    cluster.settle(2 * ANSWER_LIMIT // 50)
+
+    health = leader.health(cluster.now)
+    assert health is not None
+    assert [one.name for one in health.missing] == [f"{lost}#first"]
+    assert ANSWER_LIMIT < health.missing[0].silent_ms <= 2 * ANSWER_LIMIT + 200
+    assert (health.needed, health.answering, health.spare) == (2, 2, 0)
+
+
+def test_a_voter_without_a_leader_names_those_whose_answers_it_lacks() -> None:
+    cluster = elected()
+    first, *others = BOXES
+    for name in others:
+        cluster.boxes[name].raft = None
+    raft = cluster.boxes[first].raft
+    assert raft is not None
+    cluster.settle(100)
+
+    health = raft.health(cluster.now)
+    assert health is not None
+    assert not health.leads
+    assert {one.name for one in health.missing} == {f"{name}#first" for name in others}
+    assert health.spare == -1
+
+
+def test_a_follower_that_hears_its_leader_says_nothing_of_the_others() -> None:
+    cluster = elected()
+    followers = [
+        box.raft for box in cluster.boxes.values() if box.raft and not box.raft.leads
+    ]
+    assert [raft.health(cluster.now) for raft in followers] == [None, None]
+
+
+def test_a_box_that_nobody_took_in_says_so() -> None:
+    cluster = elected()
+    cluster.lose_disk("a")
+    raft = cluster.boxes["a"].raft
+    assert raft is not None
+    cluster.network.clear()
+    assert raft.health(cluster.now + 2_000) == GroupHealth(False, 0, ())
+
+
+def test_a_line_is_written_on_a_change_and_repeated_while_there_is_no_quorum(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    cluster = elected()
+    for name in BOXES[1:]:
+        cluster.boxes[name].raft = None
+    raft = cluster.boxes[BOXES[0]].raft
+    assert raft is not None
+    cluster.settle(100)
+    metrics = Metrics()
+    reporter = HealthReporter(ControlMetrics(metrics))
+
+    for later in range(0, REPEAT_INTERVAL + LOOK_INTERVAL, LOOK_INTERVAL // 5):
+        reporter.look(cluster.now + later, raft)
+
+    lines = [line for line in caplog.records if line.message == "no quorum"]
+    assert [line.spare for line in lines] == [-1, -1]  # type: ignore[attr-defined]
+    assert b"leadseam_control_spare_voters -1" in metrics.render()
+    assert b"leadseam_control_voters_missing 2" in metrics.render()
+
+
+def test_what_is_needed_of_an_even_number_is_more_than_half() -> None:
+    health = GroupHealth(True, 6, (MissingVoter("x", 9_000),))
+    assert (health.needed, health.answering, health.spare) == (4, 5, 1)
