A voter that is gone leaves the control group, planned or not

Class: a member that is counted although it is gone.

Design: the steps of the group are one pure module, control/membership.py. The group wanted is all boxes that answer. A voter that is silent for 2.5 s leaves for a newcomer that has caught up, or while there are more voters than twice the losses to be borne and one; never below that by silence alone, so that a box that is cut off keeps its vote where it is needed, and joins again with its disk within a second where it was not. A box that stops in order says so in its answers, a leader steps down first: where its successor is in, it leaves within two heartbeats, and a restart costs no vote. Learners that are gone are dropped after 10 s and ask again. Each step is logged with its reason.

--- a/src/leadseam/control/program.py
+++ b/src/leadseam/control/program.py
@@ -81,6 +81,7 @@
             metrics=control_metrics,
             traffic=metrics.traffic,
             seed=secrets.randbits(64),
+            losses=(len(settings.replicas) - 1) // 2,
         )
         self._feed = FeedServer(self.replica, control_metrics)
         service = OperatorService(
@@ -110,7 +111,8 @@
             group.create_task(self._feed.run())
 
     async def drain(self) -> None:
-        """Nothing is in flight for long; the group elects another leader."""
+        """Nothing is in flight for long; the group is told that this box stops."""
+        await self.replica.leave()
 
     async def stop(self) -> None:
         """Release all sockets and the disk."""
--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -14,13 +14,13 @@
 
 from leadseam.clock import Millis
 from leadseam.control.group_health import ANSWER_LIMIT, GroupHealth, MissingVoter
+from leadseam.control.membership import Bounds, Step, joined, next_step
 from leadseam.control.raft_log import (
     EntryKind,
     HardState,
     Membership,
     RaftLog,
     SnapshotMark,
-    same_box,
 )
 from leadseam.errors import InvariantError
 from leadseam.wire.codec import encode
@@ -57,10 +57,13 @@
 JOIN_INTERVAL: Millis = 300
 """Pause between requests to be taken in; a new box should count within seconds."""
 VOTER_SILENCE: Millis = 2_500
-"""Silence after which a caught-up newcomer takes a voter's place; above the longest
-election, so that a change of leader alone replaces nobody."""
-MAX_VOTERS = 7
-"""Voters at the most; further boxes hold the log and do not vote."""
+"""Silence after which a voter is taken for gone; above the longest election, so that a
+change of leader alone makes nobody leave, and below the 4 s that a successor has."""
+LEARNER_SILENCE: Millis = 10_000
+"""Silence after which a learner is dropped. It costs no quorum, and it may be storing a
+snapshot meanwhile; it asks again if it runs."""
+LEAVE_PAUSE: Millis = 2 * HEARTBEAT_INTERVAL
+"""Time for which a replica that stops goes on answering once a leader has been told."""
 
 _TermMessage: TypeAlias = Vote | VoteReply | Append | AppendReply | Install
 RaftMessage: TypeAlias = PreVote | PreVoteReply | Join | _TermMessage
@@ -84,6 +87,7 @@
         append: Entries to persist; the first may overwrite existing indexes.
         send: Messages to send once all of the above is synced.
         commit: Entries to apply, in order.
+        steps: Changes of the group that were proposed, for the logs.
     """
 
     snapshot: tuple[SnapshotMark, bytes] | None
@@ -91,6 +95,7 @@
     append: tuple[LogEntry, ...]
     send: tuple[tuple[str, RaftMessage], ...]
     commit: tuple[LogEntry, ...]
+    steps: tuple[Step, ...] = ()
 
 
 @dataclass(slots=True)
@@ -98,6 +103,7 @@
     next_index: int
     match: int = 0
     heard: Millis = -1
+    stops: bool = False
     acked_sent: Millis = -1
     echo: Millis = -1
     in_flight: bool = False
@@ -110,6 +116,7 @@
     hard_state: bool = False
     append_from: int | None = None
     send: list[tuple[str, RaftMessage]] = field(default_factory=list)
+    steps: list[Step] = field(default_factory=list)
 
 
 class Raft:
@@ -122,6 +129,7 @@
         log: Persisted entries after the mark.
         now: Time from which on the replica has certainly answered no leader.
         seed: Seed of the election jitter.
+        losses: Boxes with their disks that the group has to bear losing at once.
     """
 
     def __init__(
@@ -133,6 +141,7 @@
         log: list[LogEntry],
         now: Millis,
         seed: int,
+        losses: int = 0,
     ) -> None:
         self.identity = identity
         self.term = hard_state.term
@@ -143,6 +152,9 @@
         self.commit_index = mark.index
         self.membership = mark.membership
         self._random = random.Random(seed)
+        self._bounds = Bounds(losses)
+        self._stops = False
+        self._told_at: Millis | None = None
         self._peers: dict[str, _Peer] = {}
         self._votes: set[str] = set()
         self._pre_votes: set[str] = set()
@@ -212,12 +224,33 @@
         """Let time pass: elections, heartbeats, loss of quorum."""
         if self.role is Role.LEADER:
             self._tick_leader(now)
-        elif self.identity not in self.membership.everyone:
-            self._ask_to_join(now)
+        elif self._stops:
+            return
+        elif not self.is_voter:
+            # A learner that was dropped while it was away has not been told.
+            member = self.identity in self.membership.everyone
+            if not member or not self._hears_leader(now):
+                self._ask_to_join(now)
         elif now >= self._election_at:
             self._try_again_soon(now)
-            if self.is_voter:
-                self._start_pre_vote(now)
+            self._start_pre_vote(now)
+
+    def leave(self, now: Millis) -> None:
+        """Tell the group from now on that this replica is about to stop.
+
+        A voter that says so need not be found silent first: where it is not needed, or
+        a newcomer waits, it leaves the group within two heartbeats instead of 2.5 s. A
+        leader steps down, so that another one can do that.
+        """
+        self._stops = True
+        if self.role is Role.LEADER:
+            self._step_down(now)
+
+    def may_stop(self, now: Millis) -> bool:
+        """Tell whether a leader knows that this replica stops, or need not know."""
+        if not self.is_voter:
+            return True
+        return self._told_at is not None and now - self._told_at >= LEAVE_PAUSE
 
     def propose(self, now: Millis, kind: EntryKind, data: bytes) -> int | None:
         """Append an entry as leader.
@@ -270,6 +303,7 @@
             append=append,
             send=tuple(pending.send),
             commit=commit,
+            steps=tuple(pending.steps),
         )
 
     def compact(self, index: int, data: bytes) -> SnapshotMark:
@@ -497,7 +531,7 @@
             return
         if now >= self._heartbeat_at:
             self._broadcast(now, heartbeat=True)
-            self._promote_learner(now)
+            self._change_members(now)
 
     def _quorum_ack(self, now: Millis) -> Millis:
         """Return the send time of the newest request that a quorum answered."""
@@ -572,6 +606,7 @@
         peer.acked_sent = max(peer.acked_sent, message.sent)
         peer.echo = max(peer.echo, message.clock)
         peer.heard = now
+        peer.stops = message.stops
         self._answered[message.sender] = now
         if message.success:
             self._on_match(now, message, peer)
@@ -613,17 +648,9 @@
             if self.leader:
                 self._send(self.leader, message)
             return
-        if not self._membership_settled():
-            return
-        if message.sender in self.membership.everyone:
-            return
-        kept = tuple(
-            name
-            for name in self.membership.learners
-            if not same_box(name, message.sender)
-        )
-        changed = Membership(self.membership.voters, (*kept, message.sender))
-        self.propose(now, EntryKind.MEMBERSHIP, encode(changed))
+        step = joined(self.membership, message.sender)
+        if step is not None and self._membership_settled():
+            self._take_step(now, step)
 
     def _membership_settled(self) -> bool:
         pending = self.log.between(self.commit_index + 1)
@@ -631,52 +658,54 @@
         changing = any(entry.kind == EntryKind.MEMBERSHIP for entry in pending)
         return in_term and not changing
 
-    def _promote_learner(self, now: Millis) -> None:
-        """Make one caught-up learner a voter, one step at a time."""
+    def _change_members(self, now: Millis) -> None:
+        """Propose one step towards a group of all boxes that answer, and no others."""
+        for peer in self._peers.values():
+            if peer.heard < 0:
+                # Its silence counts from the first look at it.
+                peer.heard = now
         if not self._membership_settled():
             return
-        for name in self.membership.learners:
-            if not self._caught_up(name):
-                continue
-            changed = self._membership_with(now, name)
-            if changed is not None:
-                self.propose(now, EntryKind.MEMBERSHIP, encode(changed))
-                return
+        step = next_step(
+            self.membership,
+            gone=self._gone(now),
+            caught_up=[one for one in self.membership.learners if self._caught_up(one)],
+            bounds=self._bounds,
+        )
+        if step is not None:
+            self._take_step(now, step)
+
+    def _take_step(self, now: Millis, step: Step) -> None:
+        self._pending.steps.append(step)
+        self.propose(now, EntryKind.MEMBERSHIP, encode(step.membership))
 
     def _caught_up(self, name: str) -> bool:
         match = self._peers[name].match
         return match > 0 and match + CATCH_UP_DISTANCE >= self.log.last_index
 
-    def _membership_with(self, now: Millis, learner: str) -> Membership | None:
-        """Return the next step towards a voter, or None if there is no room.
-
-        A voter leaves only for a newcomer: an identity of the same box whose disk is
-        gone, or else a voter that has long been silent.
-        """
-        voters, learners = self.membership.voters, self.membership.learners
-        leaving = [name for name in voters if same_box(name, learner)]
-        leaving = leaving or self._silent_voters(now)[:1]
-        if leaving:
-            kept = tuple(name for name in voters if name not in leaving)
-            return Membership(kept, learners)
-        if len(voters) >= MAX_VOTERS:
-            return None
-        others = tuple(name for name in learners if name != learner)
-        return Membership((*voters, learner), others)
-
-    def _silent_voters(self, now: Millis) -> list[str]:
-        return [
+    def _gone(self, now: Millis) -> list[str]:
+        """Return the members taken for gone, the one silent for longest first."""
+        gone = [
             name
-            for name in self._other_voters()
-            if now - max(self._peers[name].heard, self._elected_at) > VOTER_SILENCE
+            for name in self.membership.everyone
+            if name != self.identity and self._is_gone(name, now)
         ]
+        return sorted(gone, key=lambda name: self._peers[name].heard)
+
+    def _is_gone(self, name: str, now: Millis) -> bool:
+        peer = self._peers[name]
+        votes = name in self.membership.voters
+        limit = VOTER_SILENCE if votes else LEARNER_SILENCE
+        return peer.stops or now - peer.heard > limit
 
     # Following
 
     def _reply(
         self, success: bool, match: int, sent: Millis, clock: Millis
     ) -> AppendReply:
-        return AppendReply(self.identity, self.term, success, match, sent, clock)
+        return AppendReply(
+            self.identity, self.term, success, match, sent, clock, self._stops
+        )
 
     def _follow(self, now: Millis, leader: str) -> None:
         if self.role is Role.LEADER:
@@ -684,6 +713,9 @@
         self.role = Role.FOLLOWER
         self.leader = leader
         self._leader_heard = now
+        if self._stops and self._told_at is None:
+            # What is answered from here on says so.
+            self._told_at = now
         self._reset_election(now)
 
     def _on_append(self, now: Millis, message: Append) -> None:
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -60,6 +60,8 @@
 MAX_BATCH = 512
 PROPOSE_TIMEOUT: Millis = 5_000
 RETRY_DELAY: Millis = 100
+LEAVE_LIMIT: Millis = 2_000
+"""Longest wait for a leader that takes note of a stop: an election, and a second."""
 
 log = logging.getLogger(__name__)
 
@@ -80,7 +82,12 @@
     pass
 
 
-_Event = _Received | _Proposed | _Tick
+@dataclass(frozen=True, slots=True)
+class _Leaving:
+    pass
+
+
+_Event = _Received | _Proposed | _Tick | _Leaving
 
 
 class Replica:
@@ -97,6 +104,7 @@
         metrics: Counters.
         traffic: Bytes on inner links.
         seed: Seed of the election jitter.
+        losses: Boxes with their disks that the group has to bear losing at once.
         silent_since: Time from which on this box has certainly answered no leader, if
             that is before now: the start of its process.
     """
@@ -113,6 +121,7 @@
         metrics: ControlMetrics,
         traffic: Traffic,
         seed: int,
+        losses: int,
         silent_since: Millis | None = None,
         address_of: Callable[[str], Endpoint | None] = lambda _: None,
     ) -> None:
@@ -131,6 +140,7 @@
             log=recovered.log,
             now=clock.now() if silent_since is None else silent_since,
             seed=seed,
+            losses=losses,
         )
         self._raft.set_snapshot_data(recovered.data)
         self._peers = Peers(name, endpoints, address_of, self._on_peer_message, traffic)
@@ -229,6 +239,15 @@
             self._follow_members()
             await self._loop()
 
+    async def leave(self) -> None:
+        """Tell the group that this box is about to stop, as far as it can be told."""
+        deadline = self._clock.now() + LEAVE_LIMIT
+        self._inbox.put_nowait(_Leaving())
+        while not self.failure and self._clock.now() < deadline:
+            await sleep(TICK)
+            if self._raft.may_stop(self._clock.now()):
+                return
+
     def close(self) -> None:
         """Drop the links to the other replicas; for use after `run` has ended."""
         self._drop_waiting()
@@ -321,6 +340,7 @@
                 self._handle(event)
             self._follow_members()
             ready = self._raft.take_ready()
+            _log_steps(ready)
             try:
                 await self._persist(ready)
             except StorageError as exc:
@@ -347,6 +367,8 @@
         match event:
             case _Tick():
                 self._raft.tick(now)
+            case _Leaving():
+                self._raft.leave(now)
             case _Received(message=message):
                 self._raft.receive(now, message)
             case _Proposed(command=command, fut=fut):
@@ -439,6 +461,17 @@
         log.error("storage failed; replica steps back", extra=extra)
 
 
+def _log_steps(ready: Ready) -> None:
+    for step in ready.steps:
+        extra = {
+            "member": step.member,
+            "reason": step.reason,
+            "voters": step.membership.voters,
+            "learners": step.membership.learners,
+        }
+        log.info("membership change proposed", extra=extra)
+
+
 def _decode_result(data: bytes) -> CommandResult | None:
     if not data:
         return None
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -87,6 +87,7 @@
             metrics=metrics,
             traffic=self._metrics.traffic,
             seed=secrets.randbits(64),
+            losses=settings.loss_tolerance,
             # After a failed write it is the same process that answered leaders before.
             silent_since=None if renew else process_start(),
         )
@@ -139,7 +140,8 @@
             group.create_task(self._end_on_failure())
 
     async def drain(self) -> None:
-        """Nothing is in flight for long; the group elects another leader."""
+        """Nothing is in flight for long; the group is told that this box stops."""
+        await self.replica.leave()
 
     async def stop(self) -> None:
         """Release all sockets and the disk."""
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -529,6 +529,7 @@
         match: Last index known to match, or a hint for the next try.
         sent: The leader's clock from the request.
         clock: The follower's clock.
+        stops: Whether the follower is about to stop.
     """
 
     sender: str
@@ -537,6 +538,7 @@
     match: int
     sent: int
     clock: int
+    stops: bool = False
 
 
 class Install(Message, frozen=True, array_like=True, tag=56):
--- /dev/null
+++ b/tests/control/replacements.py
@@ -0,0 +1,80 @@
+"""Groups of five whose boxes are replaced, for the tests of the control group."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tests.test_raft import TICK, Cluster
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+FIVE = ("a", "b", "c", "d", "e")
+SECOND = 1_000 // TICK
+CATCH_UP = 4 * SECOND
+"""Time after which a box that has come counts, and the one it replaces does not."""
+
+
+def founded() -> Cluster:
+    """Return a group of five with a leader."""
+    cluster = Cluster(FIVE)
+    cluster.settle(3 * SECOND)
+    assert cluster.leader() is not None
+    return cluster
+
+
+def leader_name(cluster: Cluster) -> str:
+    """Return the name of the box that leads."""
+    leader = cluster.leader()
+    assert leader is not None
+    return leader.identity.partition("#")[0]
+
+
+def follower(cluster: Cluster) -> str:
+    """Return a box that does not lead."""
+    return follower_pair(cluster)[0]
+
+
+def follower_pair(cluster: Cluster) -> tuple[str, str]:
+    """Return two boxes that do not lead."""
+    leading = leader_name(cluster)
+    first, second, *_ = [name for name in cluster.boxes if name != leading]
+    return first, second
+
+
+def voters(cluster: Cluster) -> set[str]:
+    """Return the names of the boxes that vote."""
+    leader = cluster.leader()
+    assert leader is not None
+    return {identity.partition("#")[0] for identity in leader.membership.voters}
+
+
+def survive(cluster: Cluster, *, lost: Iterable[str]) -> bool:
+    """Lose disks and stop all others; tell whether what was committed is all there."""
+    assert cluster.propose(b"acknowledged")
+    cluster.settle(1)
+    before = dict(cluster.committed)
+    assert b"acknowledged" in before.values()
+    power_lost(cluster, disks_lost=lost)
+    cluster.settle(CATCH_UP)
+    return cluster.propose(b"after") and everywhere(cluster, before)
+
+
+def power_lost(cluster: Cluster, *, disks_lost: Iterable[str]) -> None:
+    """Stop all boxes for a second; some come back with empty disks."""
+    cluster.network.clear()
+    for name in cluster.boxes:
+        cluster.stop(name)
+    cluster.settle(SECOND)
+    for name in cluster.boxes:
+        if name in disks_lost:
+            cluster.lose_disk(name)
+        else:
+            cluster.start(name)
+
+
+def everywhere(cluster: Cluster, committed: dict[int, bytes]) -> bool:
+    """Tell whether all boxes apply what was committed, and more."""
+    cluster.settle(SECOND)
+    applied = [dict(box.applied) for box in cluster.boxes.values()]
+    return all(committed.items() < one.items() for one in applied)
--- a/tests/control/test_replaced_box.py
+++ b/tests/control/test_replaced_box.py
@@ -20,15 +20,20 @@
 
 from typing import TYPE_CHECKING
 
-from tests.test_raft import TICK, Cluster
+from tests.control.replacements import (
+    CATCH_UP,
+    FIVE,
+    SECOND,
+    follower,
+    follower_pair,
+    founded,
+    leader_name,
+    survive,
+    voters,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-FIVE = ("a", "b", "c", "d", "e")
-SECOND = 1_000 // TICK
-CATCH_UP = 4 * SECOND
-"""Time after which a box that has come counts, and the one it replaces does not."""
+    from tests.test_raft import Cluster
 
 
 def test_a_replaced_box_costs_no_later_loss() -> None:
@@ -55,61 +60,75 @@
     assert survive(cluster, lost=follower_pair(cluster))
 
 
-def founded() -> Cluster:
-    """Return a group of five with a leader."""
-    cluster = Cluster(FIVE)
-    cluster.settle(3 * SECOND)
-    assert cluster.leader() is not None
-    return cluster
+def test_a_box_that_says_that_it_stops_leaves_at_once_where_another_has_come() -> None:
+    for stops in ("follower", "leader"):
+        cluster = founded()
+        cluster.lose_disk("f")
+        cluster.settle(CATCH_UP)
+        name = leader_name(cluster) if stops == "leader" else follower(cluster)
+        stop_in_order(cluster, name)
+        cluster.remove(name)
+        # No time to be found silent.
+        assert survive(cluster, lost=follower_pair(cluster)), stops
 
 
-def leader_name(cluster: Cluster) -> str:
-    """Return the name of the box that leads."""
-    leader = cluster.leader()
-    assert leader is not None
-    return leader.identity.partition("#")[0]
+def test_a_box_that_says_that_it_stops_is_replaced_without_being_found_silent() -> None:
+    cluster = founded()
+    gone = follower(cluster)
+    stop_in_order(cluster, gone)
+    cluster.remove(gone)
+    cluster.lose_disk("f")
+    cluster.settle(SECOND)
+    assert voters(cluster) == set(cluster.boxes)
 
 
-def follower(cluster: Cluster) -> str:
-    """Return a box that does not lead."""
-    return follower_pair(cluster)[0]
+def test_a_box_that_restarts_keeps_its_vote() -> None:
+    cluster = founded()
+    for name in FIVE:
+        stop_in_order(cluster, name)
+        cluster.stop(name)
+        cluster.settle(4 * SECOND)
+        assert voters(cluster) == set(FIVE)
+        cluster.start(name)
+        cluster.settle(SECOND)
+        raft = cluster.boxes[name].raft
+        assert raft is not None
+        assert raft.is_voter
+
 
+def test_a_box_that_was_cut_off_votes_again_with_its_disk() -> None:
+    cluster = founded()
+    cut = follower(cluster)
+    cluster.cut_off.add(cut)
+    cluster.lose_disk("f")
+    cluster.settle(5 * SECOND)
+    assert voters(cluster) == set(cluster.boxes) - {cut}
 
-def follower_pair(cluster: Cluster) -> tuple[str, str]:
-    """Return two boxes that do not lead."""
-    leading = leader_name(cluster)
-    first, second, *_ = [name for name in cluster.boxes if name != leading]
-    return first, second
+    cluster.cut_off.clear()
+    cluster.settle(SECOND)
+    assert voters(cluster) == set(cluster.boxes)
+    assert cluster.boxes[cut].disk.identity == f"{cut}#first"
 
 
-def voters(cluster: Cluster) -> set[str]:
-    """Return the names of the boxes that vote."""
+def test_a_learner_that_was_dropped_while_it_was_away_joins_again() -> None:
+    cluster = founded()
+    cluster.lose_disk("f")
+    cluster.settle(2)
+    cluster.cut_off.add("f")
+    cluster.settle(12 * SECOND)
     leader = cluster.leader()
     assert leader is not None
-    return {identity.partition("#")[0] for identity in leader.membership.voters}
-
+    assert "f" not in {name.partition("#")[0] for name in leader.membership.everyone}
 
-def survive(cluster: Cluster, *, lost: Iterable[str]) -> bool:
-    """Lose disks and stop all others; tell whether what was committed is all there."""
-    assert cluster.propose(b"acknowledged")
-    cluster.settle(1)
-    before = dict(cluster.committed)
-    assert b"acknowledged" in before.values()
-    cluster.network.clear()
-    for name in cluster.boxes:
-        cluster.stop(name)
+    cluster.cut_off.clear()
     cluster.settle(SECOND)
-    for name in cluster.boxes:
-        if name in lost:
-            cluster.lose_disk(name)
-        else:
-            cluster.start(name)
-    cluster.settle(CATCH_UP)
-    return cluster.propose(b"after") and everywhere(cluster, before)
+    assert "f" in voters(cluster)
 
 
-def everywhere(cluster: Cluster, committed: dict[int, bytes]) -> bool:
-    """Tell whether all boxes apply what was committed, and more."""
-    cluster.settle(SECOND)
-    applied = [dict(box.applied) for box in cluster.boxes.values()]
-    return all(committed.items() < one.items() for one in applied)
+def stop_in_order(cluster: Cluster, name: str) -> None:
+    """Let a box tell the group that it stops, as its process does."""
+    raft = cluster.boxes[name].raft
+    assert raft is not None
+    raft.leave(cluster.now)
+    while not raft.may_stop(cluster.now):
+        cluster.settle(1)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -78,6 +78,7 @@
     def __init__(self, names: tuple[str, ...] = BOXES) -> None:
         self.now = 0
         self.seed = 0
+        self.losses = (len(names) - 1) // 2
         self.boxes: dict[str, Box] = {}
         self.cut_off: set[str] = set()
         self.network: list[tuple[str, RaftMessage]] = []
@@ -102,6 +103,7 @@
             log=list(disk.log),
             now=self.now,
             seed=self.seed,
+            losses=self.losses,
         )
         box.raft.set_snapshot_data(disk.snapshot)
         box.applied = decode_applied(disk.snapshot)
