Boxes that nobody names any more are no longer dialled

Change: ReplicaDirectory (feed/directory.py): seeds of the newest settings, and what each replica that is followed says of the group; all else is dropped, and nothing is dropped while no replica is followed. Peers take the newest seeds in place of the earlier ones. An open link is not cut by it.

Ruled out: that members are missed by it: a box that was taken out and comes back is named again within a second of joining, and seeds are kept in any case.

--- a/src/leadseam/control/peers.py
+++ b/src/leadseam/control/peers.py
@@ -59,9 +59,9 @@
             if link is not None:
                 link.send(message)
 
-    def add_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
-        """Know further boxes; a link to each is kept from the next `follow` on."""
-        self._endpoints.update(endpoints)
+    def set_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
+        """Keep links to these boxes, besides members, from the next `follow` on."""
+        self._endpoints = dict(endpoints)
 
     def follow(self, members: set[str]) -> None:
         """Keep links to the members of the group and to the boxes of the settings."""
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -227,9 +227,9 @@
             case _:
                 self._on_peer_message(message)
 
-    def add_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
-        """Reach further boxes besides the members of the group."""
-        self._peers.add_endpoints(endpoints)
+    def set_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
+        """Reach these boxes besides the members of the group, and no earlier ones."""
+        self._peers.set_endpoints(endpoints)
         self._followed = None
 
     async def run(self) -> None:
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -11,6 +11,7 @@
 from leadseam.clock import Clock, Millis, seconds
 from leadseam.control.configuration import Configuration, Operation
 from leadseam.feed.claim_client import ClaimClient
+from leadseam.feed.directory import ReplicaDirectory
 from leadseam.membership.view import UpstreamView
 from leadseam.wire.backoff import Backoff
 from leadseam.wire.codec import decode
@@ -83,7 +84,8 @@
         self.view = view or UpstreamView()
         self._node = node
         self._incarnation = incarnation
-        self._endpoints = list(endpoints)
+        # Shuffled, so that the nodes of a fleet do not all try the same one first.
+        self._directory = ReplicaDirectory(random.sample(endpoints, len(endpoints)))
         self._clock = clock
         self._traffic = traffic
         self._on_change = on_change
@@ -96,7 +98,6 @@
         self._links: list[Link] = []
         self._names: dict[Link, str] = {}
         self.claims = ClaimClient(clock, self._links)
-        random.shuffle(self._endpoints)
 
     def __repr__(self) -> str:
         return f"FeedClient({self._node}, version={self.version})"
@@ -120,11 +121,9 @@
         """Wait until there is one in force."""
         await self._first.wait()
 
-    def add_endpoints(self, endpoints: Iterable[Endpoint]) -> None:
-        """Follow further replicas too, when there is room; none is dropped."""
-        for endpoint in endpoints:
-            if endpoint not in self._endpoints:
-                self._endpoints.append(endpoint)
+    def set_seeds(self, endpoints: Iterable[Endpoint]) -> None:
+        """Take the replicas of new settings; a link that is open is not cut."""
+        self._directory.set_seeds(endpoints)
 
     async def run(self) -> None:
         """Follow the feed until cancelled, changing replica after a failure."""
@@ -135,19 +134,11 @@
     async def _keep_following(self) -> None:
         backoff = Backoff(last=MAX_REDIAL_PAUSE)
         while True:
-            endpoint = self._next_endpoint()
+            endpoint = self._directory.next(self._followed)
             if endpoint is not None:
                 await self._try_following(endpoint, backoff)
             await backoff.wait()
 
-    def _next_endpoint(self) -> Endpoint | None:
-        """Return the endpoint that was tried longest ago and is not followed."""
-        for position, endpoint in enumerate(self._endpoints):
-            if endpoint not in self._followed:
-                self._endpoints.append(self._endpoints.pop(position))
-                return endpoint
-        return None
-
     async def _try_following(self, endpoint: Endpoint, backoff: Backoff) -> None:
         self._followed.add(endpoint)
         replica = str(endpoint)
@@ -156,6 +147,7 @@
                 await self._follow(endpoint, backoff)
         finally:
             self._followed.discard(endpoint)
+            self._directory.lost(endpoint)
             self.view.disconnected(replica, self._clock.now())
 
     def report(self, report: LoadReport) -> None:
@@ -168,7 +160,7 @@
             link.send(self._subscription())
             messages = link.messages()
             try:
-                await self._receive(link, messages, str(endpoint), backoff)
+                await self._receive(link, messages, endpoint, backoff)
             finally:
                 if link in self._links:
                     self._links.remove(link)
@@ -179,9 +171,10 @@
         self,
         link: Link,
         messages: AsyncIterator[AnyMessage],
-        replica: str,
+        endpoint: Endpoint,
         backoff: Backoff,
     ) -> None:
+        replica = str(endpoint)
         while True:
             async with asyncio.timeout(seconds(SILENCE_LIMIT)):
                 message = await anext(messages, None)
@@ -193,6 +186,8 @@
                 log.info("replica followed", extra={"replica": replica})
             backoff.reached()
             self._handle(link, replica, message)
+            if isinstance(message, Replicas):
+                self._take_members(endpoint, message)
             if isinstance(message, Current) and message.version > self.version:
                 # A delta went missing: subscribe again from what is held.
                 return
@@ -230,12 +225,13 @@
                     log.info("upstreams leave", extra={"instances": fresh})
             case LoadTotals():
                 self._on_totals(message)
-            case Replicas(names=names):
-                addresses = (self._address_of(name) for name in names)
-                self.add_endpoints(one for one in addresses if one is not None)
             case _:
                 return
 
+    def _take_members(self, replica: Endpoint, message: Replicas) -> None:
+        addresses = (self._address_of(name) for name in message.names)
+        self._directory.told(replica, [one for one in addresses if one is not None])
+
     def _confirm(self, link: Link, message: Current) -> None:
         self.confirmed = True
         self._confirmed_at = max(self._confirmed_at, message.echo)
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -166,4 +166,4 @@
         raise StorageError(self.replica.failure)
 
     def _on_settings(self, settings: NodeSettings) -> None:
-        self.replica.add_endpoints({one.ip: one for one in settings.seeds})
+        self.replica.set_endpoints({one.ip: one for one in settings.seeds})
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -170,7 +170,7 @@
         self._gateway.configure(configuration)
 
     def _on_settings(self, settings: NodeSettings) -> None:
-        self._feed.add_endpoints(settings.seeds)
+        self._feed.set_seeds(settings.seeds)
 
     def _readiness(self) -> str:
         if self._stopping:
--- /dev/null
+++ b/tests/feed/test_directory.py
@@ -0,0 +1,52 @@
+"""Which control replicas a node tries, as boxes come and go."""
+
+from __future__ import annotations
+
+from leadseam.feed.directory import ReplicaDirectory
+from leadseam.settings.models import Endpoint
+
+
+def at(number: int) -> Endpoint:
+    return Endpoint(f"10.0.0.{number}", 7_000)
+
+
+def test_the_one_tried_longest_ago_comes_next() -> None:
+    directory = ReplicaDirectory([at(1), at(2)])
+    assert [directory.next(()) for _ in range(3)] == [at(1), at(2), at(1)]
+    assert directory.next({at(2)}) == at(1)
+    assert directory.next({at(1), at(2)}) is None
+
+
+def test_members_are_tried_besides_the_seeds() -> None:
+    directory = ReplicaDirectory([at(1)])
+    directory.told(at(1), [at(1), at(2), at(3)])
+    assert directory.endpoints == (at(1), at(2), at(3))
+
+
+def test_a_box_that_nobody_names_any_more_is_not_tried_again() -> None:
+    """Each replaced box was dialled for good.
+
+    After forty replacements a replica that came back was looked for among forty dead
+    addresses, by the few tasks that were free, each waiting a second for each.
+    """
+    directory = ReplicaDirectory([at(1), at(2), at(3)])
+    for number in range(3, 43):
+        directory.told(at(1), [at(1), at(2), at(number)])
+        directory.told(at(2), [at(1), at(2), at(number)])
+    directory.set_seeds([at(1), at(2), at(42)])
+    assert set(directory.endpoints) == {at(1), at(2), at(42)}
+
+
+def test_the_word_of_a_replica_that_was_lost_counts_no_longer() -> None:
+    directory = ReplicaDirectory([at(1), at(2)])
+    directory.told(at(1), [at(1), at(2), at(9)])
+    directory.told(at(2), [at(1), at(2)])
+    directory.lost(at(1))
+    assert set(directory.endpoints) == {at(1), at(2)}
+
+
+def test_with_all_replicas_lost_every_address_is_still_tried() -> None:
+    directory = ReplicaDirectory([at(1)])
+    directory.told(at(2), [at(2), at(3)])
+    directory.lost(at(2))
+    assert set(directory.endpoints) == {at(1), at(2), at(3)}
