Soak: control boxes are replaced for good, and each run ends with all that may be lost

Why the soak missed the fault: it never took a box away for another one, and never ended with disks lost while all others lose power. Now a control box is replaced (crashed, or stopped once its successor has come), later faults meet the successor, and when all faults are mended one disk is lost while every process is killed; both times each control box has to vote, none that is gone may, and the configuration is read back.

A box that stops waits 3 s for a leader instead of 2 s: after a power loss it may be needed to elect one.

--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -60,8 +60,9 @@
 MAX_BATCH = 512
 PROPOSE_TIMEOUT: Millis = 5_000
 RETRY_DELAY: Millis = 100
-LEAVE_LIMIT: Millis = 2_000
-"""Longest wait for a leader that takes note of a stop: an election, and a second."""
+LEAVE_LIMIT: Millis = 3_000
+"""Longest wait for a leader that takes note of a stop. Where there is none, this box
+may be needed to elect one: 1.3 s, and as much again for a second attempt."""
 
 log = logging.getLogger(__name__)
 
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -145,8 +145,10 @@
         """Start an empty control box for one that is gone; return its address."""
         newcomer = self.spare_ips.pop(0)
         self.control_ips[self.control_ips.index(gone)] = newcomer
-        # In place: operators, and seeds where a test did not part them, follow it.
-        self.controls[:] = [f"{ip}:{self.control_port}" for ip in self.control_ips]
+        addresses = {f"{gone}:{self.control_port}": f"{newcomer}:{self.control_port}"}
+        self.seeds = [addresses.get(one, one) for one in self.seeds]
+        # In place, for operators and servers hold the same list.
+        self.controls[:] = [addresses.get(one, one) for one in self.controls]
         self.start(newcomer, founding=False)
         return newcomer
 
@@ -195,6 +197,14 @@
         text = (self.folder / f"{ip}.log").read_text()
         return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
 
+    def last_voters(self, ip: str) -> set[str]:
+        """Return the boxes that vote, by the last line of a control box."""
+        changes = [
+            line for line in self.log(ip) if line["message"] == "membership changed"
+        ]
+        identities = changes[-1]["voters"] if changes else []
+        return {identity.partition("#")[0] for identity in identities}
+
     async def wait_ready(self, ip: str) -> None:
         """Wait until an entry calls itself ready."""
         await until(lambda: self.is_ready(ip), f"{ip} is ready")
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import resource
 import shutil
 import signal
@@ -19,6 +20,7 @@
     KillControl,
     Planned,
     Reload,
+    ReplaceBox,
     ServerCrash,
     ServerLeaves,
     Stop,
@@ -50,21 +52,23 @@
         """Do a fault, for as long as it lasts, and mend it."""
         match planned.fault:
             case Kill(box=box):
-                await self._killed([box], planned.length)
+                await self._killed([self._world.now_at(box)], planned.length)
             case KillControl():
                 await self._killed(
-                    self._world.control_ips, min(planned.length, GROUP_DOWN)
+                    [*self._world.control_ips], min(planned.length, GROUP_DOWN)
                 )
             case Wipe(box=box):
-                await self._killed([box], planned.length, wipe=True)
+                await self._killed([self._world.now_at(box)], planned.length, wipe=True)
+            case ReplaceBox(box=box, planned=in_order):
+                await self._replaced(box, planned.length, in_order=in_order)
             case Freeze(box=box):
-                await self._frozen(box, planned.length)
+                await self._frozen(self._world.now_at(box), planned.length)
             case Stop(box=box):
                 await self._stopped(box, planned.length)
             case FullDisk(box=box):
-                await self._full(box, planned.length)
+                await self._full(self._world.now_at(box), planned.length)
             case Reload(box=box, signal=by_signal):
-                self._reload(box, by_signal=by_signal)
+                self._reload(self._world.now_at(box), by_signal=by_signal)
             case BadLink() as fault:
                 await self._spoiled(fault, planned.length)
             case ServerCrash(server=ip):
@@ -86,10 +90,33 @@
                 shutil.rmtree(self._world.folder / f"data-{box}")
         await asyncio.sleep(length)
         for box, span in zip(boxes, spans, strict=True):
-            self._world.start(box, founding=False)
-            self._world.down.discard(box)
+            if box not in self._world.gone_boxes:
+                self._world.start(box, founding=False)
+                self._world.down.discard(box)
             self._ledger.end(span)
 
+    async def _replaced(self, box: str, length: float, *, in_order: bool) -> None:
+        gone = self._world.now_at(box)
+        if gone in self._world.down or not self._world.spare_ips:
+            return
+        span = self._ledger.begin(gone, planned=in_order)
+        if in_order:
+            self._world.succeed(gone)
+            await asyncio.sleep(length)
+            await self._world.end_for_good(gone, in_order=True)
+        else:
+            await self._world.end_for_good(gone, in_order=False)
+            await asyncio.sleep(length)
+            self._world.succeed(gone)
+        self._ledger.end(span)
+
+    async def lose_all_that_may_be_lost(self) -> None:
+        """Lose one control box's disk while all processes lose power."""
+        wiped, *others = self._world.control_ips
+        losing = self._killed([wiped], GROUP_DOWN, wipe=True)
+        stopping = self._killed([*others, *self._world.entry_ips], GROUP_DOWN)
+        await asyncio.gather(losing, stopping)
+
     async def _frozen(self, box: str, length: float) -> None:
         span = self._ledger.begin(box)
         process = self._world.processes[box]
@@ -128,8 +155,11 @@
             self._world.signal(box, signal.SIGHUP)
 
     async def _spoiled(self, fault: BadLink, length: float) -> None:
-        spans = [self._ledger.begin(box) for box in (fault.source, fault.target) if box]
-        await self._world.links.spoil(fault, length)
+        source = self._world.now_at(fault.source)
+        target = self._world.now_at(fault.target)
+        spans = [self._ledger.begin(box) for box in (source, target) if box]
+        meant = dataclasses.replace(fault, source=source, target=target)
+        await self._world.links.spoil(meant, length)
         for span in spans:
             self._ledger.end(span)
 
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -18,6 +18,8 @@
 """Seconds by which a slow link delays what it carries, each way."""
 SIGNALLED_PART = 0.5
 """Part of the changes of settings that come with a signal."""
+PLANNED_PART = 0.4
+"""Part of the replacements in which the new box comes before the old one goes."""
 GROUP_PART = 0.3
 """Part of the kills of a control process that take all of them at once."""
 SERVER_LINK_PART = 0.3
@@ -67,6 +69,19 @@
     box: str
 
 
+@dataclass(frozen=True, slots=True)
+class ReplaceBox:
+    """A control box is gone for good, and an empty one comes at another address.
+
+    Args:
+        box: The box; later faults that name it meet its successor.
+        planned: Whether the new one comes first, and the old one is stopped.
+    """
+
+    box: str
+    planned: bool
+
+
 @dataclass(frozen=True, slots=True)
 class FullDisk:
     """A control box's files cannot grow for a time."""
@@ -119,6 +134,7 @@
     | Freeze
     | Stop
     | Wipe
+    | ReplaceBox
     | FullDisk
     | Reload
     | BadLink
@@ -166,8 +182,8 @@
 def draw(seed: int, seconds: float, boxes: Boxes) -> tuple[Planned, ...]:
     """Return the faults of a seed, in the order of their times.
 
-    Disks are lost and filled one at a time, as the group bears one loss; whatever else
-    there is may overlap.
+    Disks are lost and filled, and boxes replaced, one at a time, as the group bears one
+    loss; whatever else there is may overlap.
     """
     rng = random.Random(seed)
     planned: list[Planned] = []
@@ -183,7 +199,7 @@
     control, entry = rng.choice(boxes.controls), rng.choice(boxes.entries)
     server = rng.choice(boxes.servers)
     node = rng.choice(boxes.controls + boxes.entries)
-    match rng.randrange(14):
+    match rng.randrange(16):
         case 0 | 1:
             return Kill(node)
         case 2:
@@ -202,7 +218,9 @@
             return ServerLeaves(server)
         case 9 | 10:
             return AnswersLost(server)
-        case 11:
+        case 11 | 12:
+            return ReplaceBox(control, planned=rng.random() < PLANNED_PART)
+        case 13:
             return KillControl() if rng.random() < GROUP_PART else Kill(control)
         case _:
             return _bad_link(rng, boxes)
@@ -227,7 +245,7 @@
     kept: list[Planned] = []
     free_at = 0.0
     for one in planned:
-        losing = isinstance(one.fault, Wipe | FullDisk)
+        losing = isinstance(one.fault, Wipe | ReplaceBox | FullDisk)
         if losing and one.at < free_at:
             continue
         if losing or (free_at and _touches_control(one.fault)):
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from tools.fleet import until
 from tools.platform.nodes import document
 from tools.soak.callers import Callers
 from tools.soak.injector import Injector
@@ -107,6 +108,8 @@
         with contextlib.suppress(asyncio.CancelledError):
             await changing
         await self._recover_in_time(promises)
+        await self._injector.lose_all_that_may_be_lost()
+        await self._recover_in_time(promises)
         callers.stop()
         await calling
         promises.at_end()
@@ -151,8 +154,15 @@
             await self._world.wait_ready(entry)
             await self._world.wait_served(entry)
         await self._read(promises)
+        await until(self._is_whole, "each control box votes, and none that is gone")
         promises.checked["recovered"] += 1
 
+    async def _is_whole(self) -> bool:
+        """Tell whether the group is made of the control boxes that run."""
+        world = self._world
+        wanted = set(world.control_ips)
+        return any(world.last_voters(box) == wanted for box in wanted)
+
     def _summary(self, faults: tuple[Planned, ...], promises: Promises) -> Summary:
         kinds = [type(planned.fault).__name__ for planned in faults]
         return Summary(
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import signal
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,8 @@
 
 RESTART_DELAY = 0.2
 """Seconds after which a process that has ended by itself is started again."""
+SPARES = 4
+"""Control boxes that may come in a run; a seed of 20 s replaces one or two."""
 EVENT_PAUSE = 0.05
 """Seconds between the events of a stream, so that faults find streams under way."""
 
@@ -35,6 +38,7 @@
 
     Attributes:
         down: Boxes whose process is to stay ended until a fault is mended.
+        gone_boxes: Control boxes that were replaced.
     """
 
     entries: int = 2
@@ -45,7 +49,10 @@
     def __post_init__(self) -> None:
         super().__post_init__()
         self.entry_ips = [f"127.0.1.{number + 1}" for number in range(self.entries)]
-        nodes = [*self.control_ips, *self.entry_ips]
+        self.spare_ips = [f"127.0.2.{number + 1}" for number in range(SPARES)]
+        self.gone_boxes: set[str] = set()
+        self._successors: dict[str, str] = {}
+        nodes = [*self.control_ips, *self.spare_ips, *self.entry_ips]
         every = [*nodes, *self.server_ips]
         self._inner = {ip: free_port(every) for ip in nodes}
         self._proxied = free_port(self.server_ips)
@@ -68,8 +75,9 @@
 
     async def open(self) -> None:
         """Start everything."""
-        nodes = [*self.control_ips, *self.entry_ips]
-        await self.links.add_mesh(nodes, self.control_ips, self.inner_port_of)
+        controls = [*self.control_ips, *self.spare_ips]
+        nodes = [*controls, *self.entry_ips]
+        await self.links.add_mesh(nodes, controls, self.inner_port_of)
         for ip in self.server_ips[:4]:
             await self.links.add_server(ip, self.server_port, self._proxied)
         await self.start_all()
@@ -92,6 +100,29 @@
                 if ip not in self.down and process.poll() is not None:
                     self.start(ip, founding=False)
 
+    def now_at(self, box: str) -> str:
+        """Return the box itself, or the one that has come in its place."""
+        while box in self._successors:
+            box = self._successors[box]
+        return box
+
+    def succeed(self, gone: str) -> None:
+        """Start an empty control box in place of one."""
+        self._successors[gone] = self.replace_control(gone)
+
+    async def end_for_good(self, box: str, *, in_order: bool) -> None:
+        """End a control box's process; it is not started again."""
+        self.gone_boxes.add(box)
+        self.down.add(box)
+        process = self.processes[box]
+        if not in_order:
+            self.kill(box)
+            return
+        process.send_signal(signal.SIGCONT)
+        process.terminate()
+        while process.poll() is None:
+            await asyncio.sleep(RESTART_DELAY)
+
     async def replace_server(self, old: Server, pause: float) -> None:
         """Start a new server in place of one that has ended.
 
