An entry without a confirmed configuration says -1, not the age of the machine

An operator could not tell "never" from "for hours". No decision reads it where nothing was confirmed.

--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -109,8 +109,8 @@
 
     @property
     def age(self) -> Millis:
-        """Milliseconds since a replica confirmed that this version is the newest."""
-        return self._clock.now() - self._confirmed_at
+        """Milliseconds since a replica confirmed this version as the newest, or -1."""
+        return self._clock.now() - self._confirmed_at if self.confirmed else -1
 
     @property
     def fresh(self) -> bool:
--- /dev/null
+++ b/tests/feed/test_client.py
@@ -0,0 +1,37 @@
+"""What a node says of its configuration before and after a replica has confirmed it."""
+
+from __future__ import annotations
+
+from leadseam.clock import Millis
+from leadseam.feed.client import FRESH_LIMIT, FeedClient
+from leadseam.settings.models import Endpoint
+from leadseam.wire.traffic import Traffic
+
+
+class Hand:
+    """A clock that is moved by hand."""
+
+    def __init__(self) -> None:
+        self.time: Millis = 16_000_000
+
+    def now(self) -> Millis:
+        return self.time
+
+    def wall(self) -> Millis:
+        return self.time
+
+
+def test_an_age_is_told_only_once_a_replica_has_confirmed_something() -> None:
+    clock = Hand()
+    feed = FeedClient(
+        node="entry-1",
+        incarnation=1,
+        endpoints=(Endpoint("10.0.0.1", 7_000),),
+        clock=clock,
+        traffic=Traffic(),
+        on_change=lambda _: None,
+    )
+    assert (feed.age, feed.fresh) == (-1, False)
+    feed.confirmed = True
+    assert feed.age >= FRESH_LIMIT
+    assert not feed.fresh
