Progress of followers and waiting commands in modules of their own

Followers keep what each member holds and what a quorum does; Submissions the commands that wait for an outcome. No change of behaviour is meant.

--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Millis
 from leadseam.control.group_health import ANSWER_LIMIT, GroupHealth, MissingVoter
 from leadseam.control.liveness import Liveness
 from leadseam.control.membership import Bounds, Step, joined, next_step
+from leadseam.control.progress import Followers
 from leadseam.control.raft_log import (
     EntryKind,
     HardState,
@@ -38,6 +38,7 @@
 )
 
 if TYPE_CHECKING:
+    from leadseam.control.progress import Progress
     from leadseam.control.raft_work import RaftMessage, TermMessage
 
 ELECTION_TIMEOUT: Millis = 500
@@ -64,16 +65,6 @@
 """Time for which a replica that stops goes on answering once a leader has been told."""
 
 
-@dataclass(slots=True)
-class _Peer:
-    next_index: int
-    match: int = 0
-    acked_sent: Millis = -1
-    echo: Millis = -1
-    in_flight: bool = False
-    sent_at: Millis = -1
-
-
 class Raft:
     """One replica's consensus state.
 
@@ -110,7 +101,7 @@
         self._bounds = Bounds(losses)
         self._stops = False
         self._told_at: Millis | None = None
-        self._peers: dict[str, _Peer] = {}
+        self._followers = Followers()
         self._votes: set[str] = set()
         self._pre_votes: set[str] = set()
         self._liveness = Liveness()
@@ -243,9 +234,8 @@
 
     def persisted(self, now: Millis, index: int) -> None:
         """Tell a leader that its own log is synced up to `index`."""
-        if self.role is Role.LEADER and self.identity in self._peers:
-            peer = self._peers[self.identity]
-            peer.match = max(peer.match, min(index, self.log.last_index))
+        if self.role is Role.LEADER and self.identity in self._followers:
+            self._followers[self.identity].matched(min(index, self.log.last_index))
             self._advance_commit(now)
 
     def take_ready(self) -> Ready:
@@ -310,7 +300,7 @@
             self.membership = membership
             self._liveness.forget_others(membership.everyone)
         if self.role is Role.LEADER:
-            self._sync_peers()
+            self._sync_followers()
 
     # Elections
 
@@ -452,19 +442,15 @@
         self.role = Role.LEADER
         self.leader = self.identity
         self._elected_at = now
-        self._peers = {}
-        self._sync_peers()
+        self._followers = Followers()
+        self._sync_followers()
         self._liveness.elected(now)
         self.propose(now, EntryKind.NOOP, b"")
 
     # Leading
 
-    def _sync_peers(self) -> None:
-        for name in self.membership.everyone:
-            if name not in self._peers:
-                self._peers[name] = _Peer(next_index=self.log.last_index + 1)
-        for name in set(self._peers) - set(self.membership.everyone):
-            del self._peers[name]
+    def _sync_followers(self) -> None:
+        self._followers.sync(self.membership.everyone, self.log.last_index + 1)
 
     def _others(self) -> list[str]:
         return [name for name in self.membership.everyone if name != self.identity]
@@ -483,42 +469,41 @@
 
     def _quorum_ack(self, now: Millis) -> Millis:
         """Return the send time of the newest request that a quorum answered."""
-        acks = [
-            now if name == self.identity else self._peers[name].acked_sent
-            for name in self.membership.voters
-        ]
-        acks.sort(reverse=True)
-        return acks[len(acks) // 2]
+        voters = self.membership.voters
+        return self._followers.quorum_ack(voters, self.identity, now)
 
     def _broadcast(self, now: Millis, *, heartbeat: bool = False) -> None:
         if heartbeat:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL
-        for name, peer in self._peers.items():
+        for name, progress in self._followers.items():
             if name == self.identity:
                 continue
-            stale = now - peer.sent_at >= 2 * HEARTBEAT_INTERVAL
-            if heartbeat or not peer.in_flight or stale:
-                self._replicate(now, name, peer)
+            if heartbeat or not progress.awaits_answer(now):
+                self._replicate(now, name, progress)
 
-    def _replicate(self, now: Millis, name: str, peer: _Peer) -> None:
-        if peer.in_flight and now - peer.sent_at < 2 * HEARTBEAT_INTERVAL:
-            self._send_append(now, name, peer, entries=())
+    def _replicate(self, now: Millis, name: str, progress: Progress) -> None:
+        if progress.awaits_answer(now):
+            self._send_append(now, name, progress, entries=())
             return
-        if peer.next_index <= self.log.mark.index:
+        if progress.next_index <= self.log.mark.index:
             self._send_install(now, name)
         else:
-            first = peer.next_index
+            first = progress.next_index
             entries = self.log.between(first, first + MAX_APPEND_ENTRIES - 1)
-            self._send_append(now, name, peer, entries=tuple(entries))
+            self._send_append(now, name, progress, entries=tuple(entries))
             if not entries:
                 return
-        peer.in_flight = True
-        peer.sent_at = now
+        progress.sent(now)
 
     def _send_append(
-        self, now: Millis, name: str, peer: _Peer, *, entries: tuple[LogEntry, ...]
+        self,
+        now: Millis,
+        name: str,
+        progress: Progress,
+        *,
+        entries: tuple[LogEntry, ...],
     ) -> None:
-        prev = peer.next_index - 1
+        prev = progress.next_index - 1
         if prev < self.log.mark.index:
             prev = self.log.mark.index
             entries = ()
@@ -530,7 +515,7 @@
             entries=entries,
             commit=self.commit_index,
             sent=now,
-            echo=peer.echo if self.holds_lease(now) else -1,
+            echo=progress.echo if self.holds_lease(now) else -1,
             silent=self._liveness.silences(self._others(), now),
         )
         self._send(name, request)
@@ -549,34 +534,25 @@
         self._send(name, request)
 
     def _on_append_reply(self, now: Millis, message: AppendReply) -> None:
-        peer = self._peers.get(message.sender)
-        if self.role is not Role.LEADER or peer is None:
+        progress = self._followers.get(message.sender)
+        if self.role is not Role.LEADER or progress is None:
             return
-        peer.acked_sent = max(peer.acked_sent, message.sent)
-        peer.echo = max(peer.echo, message.clock)
+        progress.answered(message)
         self._liveness.answered(message.sender, now, stops=message.stops)
         if message.success:
-            self._on_match(now, message, peer)
+            self._on_match(now, message, progress)
         else:
-            peer.in_flight = False
-            hint = min(message.match + 1, peer.next_index - 1)
-            peer.next_index = max(peer.match + 1, hint)
-            self._replicate(now, message.sender, peer)
-
-    def _on_match(self, now: Millis, message: AppendReply, peer: _Peer) -> None:
-        if message.match > peer.match:
-            peer.match = message.match
-            peer.in_flight = False
-        peer.next_index = max(peer.next_index, peer.match + 1)
+            progress.refused(message.match)
+            self._replicate(now, message.sender, progress)
+
+    def _on_match(self, now: Millis, message: AppendReply, progress: Progress) -> None:
+        progress.matched(message.match)
         self._advance_commit(now)
-        if peer.next_index <= self.log.last_index and not peer.in_flight:
-            self._replicate(now, message.sender, peer)
+        if progress.next_index <= self.log.last_index and not progress.in_flight:
+            self._replicate(now, message.sender, progress)
 
     def _advance_commit(self, now: Millis) -> None:
-        matches = sorted(
-            (self._peers[name].match for name in self.membership.voters), reverse=True
-        )
-        index = matches[len(matches) // 2]
+        index = self._followers.quorum_match(self.membership.voters)
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self.commit_index = index
             self._broadcast(now)
@@ -629,7 +605,7 @@
         self.propose(now, EntryKind.MEMBERSHIP, encode(step.membership))
 
     def _caught_up(self, name: str) -> bool:
-        match = self._peers[name].match
+        match = self._followers[name].match
         return match > 0 and match + CATCH_UP_DISTANCE >= self.log.last_index
 
     # Following
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -27,6 +27,7 @@
     ControlState,
     stamp,
 )
+from leadseam.control.submissions import Submissions
 from leadseam.errors import StorageError
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.codec import decode, encode
@@ -50,6 +51,7 @@
 
     from leadseam.control.raft_work import RaftMessage, Ready
     from leadseam.control.storage import Recovered, Storage
+    from leadseam.control.submissions import Outcome
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.settings.models import Endpoint
     from leadseam.wire.link import Link
@@ -76,7 +78,7 @@
 @dataclass(frozen=True, slots=True)
 class _Proposed:
     command: Command
-    fut: asyncio.Future[CommandResult | None]
+    fut: Outcome
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,9 +149,7 @@
         self._raft.set_snapshot_data(recovered.data)
         self._peers = Peers(name, endpoints, address_of, self._on_peer_message, traffic)
         self._inbox: asyncio.Queue[_Event] = asyncio.Queue()
-        self._waiting: dict[int, tuple[int, asyncio.Future[CommandResult | None]]] = {}
-        self._forwarded: dict[int, asyncio.Future[CommandResult | None]] = {}
-        self._next_ticket = 0
+        self._submissions = Submissions()
         self._followed: set[str] | None = None
         self._membership = Membership(())
         self._role = Role.FOLLOWER
@@ -252,7 +252,7 @@
 
     def close(self) -> None:
         """Drop the links to the other replicas; for use after `run` has ended."""
-        self._drop_waiting()
+        self._submissions.drop_proposed()
         self._peers.close()
 
     # Commands
@@ -262,7 +262,7 @@
     ) -> CommandResult | None:
         if self.failure:
             return None
-        fut: asyncio.Future[CommandResult | None] = asyncio.Future()
+        fut: Outcome = asyncio.Future()
         if self._raft.role is Role.LEADER:
             self._inbox.put_nowait(_Proposed(command, fut))
         elif self._raft.leader:
@@ -274,16 +274,10 @@
         except TimeoutError:
             return None
 
-    def _forward(
-        self, command: Command, fut: asyncio.Future[CommandResult | None]
-    ) -> None:
-        self._next_ticket += 1
-        ticket = self._next_ticket
-        self._forwarded[ticket] = fut
-        fut.add_done_callback(lambda _: self._forwarded.pop(ticket, None))
-        leader = base_name(self._raft.leader)
+    def _forward(self, command: Command, fut: Outcome) -> None:
+        ticket = self._submissions.forwarded(fut)
         request = Forward(self._raft.identity, ticket, encode(command))
-        self._peers.send(leader, request)
+        self._peers.send(base_name(self._raft.leader), request)
 
     async def _run_forwarded(self, link: Link, message: Forward) -> None:
         result: CommandResult | None = None
@@ -296,9 +290,7 @@
     def _on_peer_message(self, message: AnyMessage) -> None:
         match message:
             case ForwardReply(ticket=ticket, data=data):
-                fut = self._forwarded.get(ticket)
-                if fut is not None and not fut.done():
-                    fut.set_result(_decode_result(data))
+                self._submissions.replied(ticket, _decode_result(data))
             case (
                 PreVote()
                 | PreVoteReply()
@@ -377,7 +369,7 @@
                 data = encode(stamp(command, self._clock.wall()))
                 index = self._raft.propose(now, EntryKind.COMMAND, data)
                 if index is not None:
-                    self._waiting[index] = (self._raft.term, fut)
+                    self._submissions.proposed(index, self._raft.term, fut)
                 elif not fut.done():
                     fut.set_result(None)
 
@@ -410,15 +402,10 @@
             if entry.kind == EntryKind.COMMAND:
                 command: Command = decode(entry.data, Command)  # type: ignore[arg-type]
                 result = self.state.apply(command)
-            self._resolve(entry, result)
+            self._submissions.applied(entry, result)
         if entries:
             self._announce()
 
-    def _resolve(self, entry: LogEntry, result: CommandResult | None) -> None:
-        term, fut = self._waiting.pop(entry.index, (0, None))
-        if fut is not None and not fut.done():
-            fut.set_result(result if term == entry.term else None)
-
     def _announce(self) -> None:
         done, self._applied_event = self._applied_event, asyncio.Future()
         done.set_result(None)
@@ -436,13 +423,7 @@
         }
         log.info("role changed", extra=extra)
         if self._role is not Role.LEADER:
-            self._drop_waiting()
-
-    def _drop_waiting(self) -> None:
-        waiting, self._waiting = self._waiting, {}
-        for _, fut in waiting.values():
-            if not fut.done():
-                fut.set_result(None)
+            self._submissions.drop_proposed()
 
     async def _compact_if_due(self) -> None:
         if self.applied - self._raft.log.mark.index < COMPACT_EVERY:
@@ -458,7 +439,7 @@
 
     def _halt(self, exc: StorageError) -> None:
         self.failure = exc.message
-        self._drop_waiting()
+        self._submissions.drop_proposed()
         extra = {"code": exc.code, "error": exc.message}
         log.error("storage failed; replica steps back", extra=extra)
 
