A box that stops is not elected by votes it had asked for; no old figures of the group

Cause, found by reading the change: a candidate that got SIGTERM went on counting votes and could lead for the moments until its end; and a voter that heard a leader again kept showing the gauges of the time without one, and said nothing of the leader.

Before: test_a_box_that_stops_is_not_elected... fails (the box leads), and the gauges stay at -1; after: both tests pass.

--- a/src/leadseam/control/group_health.py
+++ b/src/leadseam/control/group_health.py
@@ -24,6 +24,9 @@
 REPEAT_INTERVAL: Millis = 5_000
 """Pause after which the same lack of a quorum is told again."""
 
+NOT_KNOWN = float("nan")
+NOTHING_TOLD: tuple[bool, int, frozenset[str]] = (False, -1, frozenset())
+
 log = logging.getLogger(__name__)
 
 
@@ -80,7 +83,7 @@
     def __init__(self, metrics: ControlMetrics) -> None:
         self._metrics = metrics
         self._next_look: Millis = 0
-        self._told: tuple[bool, int, frozenset[str]] = (False, -1, frozenset())
+        self._told = NOTHING_TOLD
         self._told_at: Millis = 0
 
     def look(self, now: Millis, raft: Raft) -> None:
@@ -90,14 +93,23 @@
         self._next_look = now + LOOK_INTERVAL
         health = raft.health(now)
         self._metrics.leads.set({}, int(raft.leads))
+        self._metrics.voters.set({}, len(raft.membership.voters))
         if health is None:
+            self._leave_to(raft.leader)
             return
-        self._metrics.voters.set({}, health.voters)
         self._metrics.voters_missing.set({}, len(health.missing))
         self._metrics.spare_voters.set({}, health.spare)
         if self._is_news(now, health):
             self._tell(now, health, raft)
 
+    def _leave_to(self, leader: str) -> None:
+        """Say nothing of the others while another replica leads, which knows more."""
+        self._metrics.voters_missing.set({}, NOT_KNOWN)
+        self._metrics.spare_voters.set({}, NOT_KNOWN)
+        if self._told != NOTHING_TOLD:
+            self._told = NOTHING_TOLD
+            log.info("a leader is heard", extra={"leader": leader})
+
     def _is_news(self, now: Millis, health: GroupHealth) -> bool:
         if _summary(health) != self._told:
             return True
--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -189,11 +189,12 @@
         """Tell the group from now on that this replica is about to stop.
 
         A voter that says so need not be found silent first: where it is not needed, or
-        a newcomer waits, it leaves the group within two heartbeats instead of 2.5 s. A
+        a newcomer waits, it leaves the group within two heartbeats instead of 1.5 s. A
         leader steps down, so that another one can do that.
         """
         self._stops = True
-        if self.role is Role.LEADER:
+        self._pre_votes.clear()
+        if self.role is not Role.FOLLOWER:
             self._step_down(now)
 
     def may_stop(self, now: Millis) -> bool:
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -187,15 +187,16 @@
         )
         self.voters = metrics.gauge(
             "control_voters",
-            "Voters of the control group; on the leader, or where none is heard.",
+            "Voters of the control group, as far as this replica knows.",
         )
         self.voters_missing = metrics.gauge(
             "control_voters_missing",
-            "Voters that do not answer; on the leader, or where none is heard.",
+            "Voters that do not answer; not a number where another replica leads.",
         )
         self.spare_voters = metrics.gauge(
             "control_spare_voters",
-            "Further voters that may be lost; below 0 nothing can be decided.",
+            "Further voters that may be lost; below 0 nothing can be decided; not a"
+            " number where another replica leads.",
         )
         self.changes = metrics.counter(
             "changes_total", "Configuration changes by status."
--- a/tests/control/test_group_health.py
+++ b/tests/control/test_group_health.py
@@ -91,6 +91,34 @@
     assert b"leadseam_control_voters_missing 2" in metrics.render()
 
 
+def test_a_replica_that_hears_a_leader_again_says_so_and_shows_no_old_figure(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    cluster = elected()
+    first, *others = BOXES
+    for name in others:
+        cluster.boxes[name].raft = None
+    cluster.settle(100)
+    metrics = Metrics()
+    reporter = HealthReporter(ControlMetrics(metrics))
+    raft = cluster.boxes[first].raft
+    assert raft is not None
+    reporter.look(cluster.now, raft)
+    for name in others:
+        cluster.start(name)
+    while cluster.leader() is None or raft.leads or not raft.leader:
+        # Whoever is elected, this replica is to hear of a leader in the end.
+        cluster.settle(1)
+        if raft.leads:
+            raft.leave(cluster.now)
+    reporter.look(cluster.now, raft)
+
+    messages = [line.message for line in caplog.records]
+    assert messages == ["no quorum", "a leader is heard"]
+    assert b"leadseam_control_spare_voters nan" in metrics.render().lower()
+
+
 def test_what_is_needed_of_an_even_number_is_more_than_half() -> None:
     health = GroupHealth(True, 6, (MissingVoter("x", 9_000),))
     assert (health.needed, health.answering, health.spare) == (4, 5, 1)
--- a/tests/control/test_replaced_box.py
+++ b/tests/control/test_replaced_box.py
@@ -20,6 +20,7 @@
 
 from typing import TYPE_CHECKING
 
+from leadseam.wire.messages import PreVote
 from tests.control.replacements import (
     CATCH_UP,
     FIVE,
@@ -103,6 +104,22 @@
     assert voters(cluster) == set(cluster.boxes)
 
 
+def test_a_box_that_stops_is_not_elected_by_votes_it_had_asked_for() -> None:
+    cluster = founded()
+    cluster.remove(leader_name(cluster))
+    cluster.network.clear()
+    while not cluster.network:
+        cluster.tick(10)
+    _, request = cluster.network[0]
+    assert isinstance(request, PreVote)
+    name = request.sender.partition("#")[0]
+    raft = cluster.boxes[name].raft
+    assert raft is not None
+    raft.leave(cluster.now)
+    cluster.settle(2 * SECOND)
+    assert leader_name(cluster) != name
+
+
 def test_a_box_that_restarts_keeps_its_vote() -> None:
     cluster = founded()
     for name in FIVE:
