--- a/tests/control/replacements.py
+++ b/tests/control/replacements.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from tests.test_raft import TICK, Cluster
+from tests.control.cluster import TICK, Cluster
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/tests/control/test_group_health.py
+++ b/tests/control/test_group_health.py
@@ -14,7 +14,7 @@
     MissingVoter,
 )
 from leadseam.runtime.metrics import ControlMetrics, Metrics
-from tests.test_raft import BOXES, elected
+from tests.control.cluster import BOXES, elected
 
 if TYPE_CHECKING:
     import pytest
--- a/tests/control/test_replaced_box.py
+++ b/tests/control/test_replaced_box.py
@@ -34,7 +34,7 @@
 )
 
 if TYPE_CHECKING:
-    from tests.test_raft import Cluster
+    from tests.control.cluster import Cluster
 
 LONGEST_ELECTION = 28
 """Rounds, 1.4 s: a timeout of at most 1 s, and another attempt."""
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from statistics import mean
 
 from hypothesis import settings
@@ -24,201 +23,16 @@
     PRE_VOTE_PAUSE,
     Raft,
 )
-from leadseam.control.raft_log import (
-    EntryKind,
-    HardState,
-    Membership,
-    SnapshotMark,
-    base_name,
+from leadseam.control.raft_log import base_name
+from leadseam.control.raft_work import Role
+from leadseam.wire.messages import PreVote, PreVoteReply, Vote, VoteReply
+from tests.control.cluster import (
+    BOXES,
+    MAX_MESSAGES,
+    Cluster,
+    elected,
+    encode_applied,
 )
-from leadseam.control.raft_work import RaftMessage, Role
-from leadseam.wire.codec import encode
-from leadseam.wire.messages import LogEntry, PreVote, PreVoteReply, Vote, VoteReply
-
-BOXES = ("a", "b", "c")
-TICK = 50
-MAX_MESSAGES = 400
-
-
-@dataclass
-class Disk:
-    """What is synced on a box."""
-
-    identity: str
-    mark: SnapshotMark
-    hard_state: HardState = field(default_factory=HardState)
-    snapshot: bytes = b""
-    log: list[LogEntry] = field(default_factory=list)
-
-    def store(self, entries: tuple[LogEntry, ...]) -> None:
-        """Append entries as the journal does."""
-        for entry in entries:
-            position = entry.index - self.mark.index - 1
-            del self.log[position:]
-            self.log.append(entry)
-
-
-@dataclass
-class Box:
-    """A replica on its disk; `raft` is None while it is down."""
-
-    disk: Disk
-    raft: Raft | None = None
-    applied: list[tuple[int, bytes]] = field(default_factory=list)
-
-
-class Cluster:
-    """Replicas and the messages between them, under a test's control.
-
-    Args:
-        names: The boxes that found the group.
-        seed: Seed of the first box's jitter; each start takes the next one.
-    """
-
-    def __init__(self, names: tuple[str, ...] = BOXES, *, seed: int = 0) -> None:
-        self.now = 0
-        self.seed = seed
-        self.losses = (len(names) - 1) // 2
-        self.boxes: dict[str, Box] = {}
-        self.cut_off: set[str] = set()
-        self.network: list[tuple[str, RaftMessage]] = []
-        self.leaders: dict[int, str] = {}
-        self.committed: dict[int, bytes] = {}
-        self.lost_disks = 0
-        voters = tuple(f"{name}#first" for name in names)
-        for name in names:
-            mark = SnapshotMark(membership=Membership(voters))
-            self.boxes[name] = Box(Disk(f"{name}#first", mark))
-            self.start(name)
-
-    def start(self, name: str) -> None:
-        """Start a replica from its disk."""
-        box = self.boxes[name]
-        self.seed += 1
-        disk = box.disk
-        box.raft = Raft(
-            disk.identity,
-            hard_state=disk.hard_state,
-            mark=disk.mark,
-            log=list(disk.log),
-            now=self.now,
-            seed=self.seed,
-            losses=self.losses,
-        )
-        box.raft.set_snapshot_data(disk.snapshot)
-        box.applied = decode_applied(disk.snapshot)
-
-    def work(self, name: str) -> None:
-        """Do what a replica's core asks for, as its owner does."""
-        box = self.boxes[name]
-        while box.raft is not None:
-            ready = box.raft.take_ready()
-            idle = not (ready.append or ready.send or ready.commit)
-            if idle and ready.hard_state is None and ready.snapshot is None:
-                return
-            self._persist(box, box.raft)
-            if ready.snapshot is not None:
-                mark, data = ready.snapshot
-                box.disk.mark, box.disk.snapshot = mark, data
-                box.applied = decode_applied(data)
-            box.disk.log = list(box.raft.log.entries)
-            for to, message in ready.send:
-                self._send(name, to, message)
-            self._apply(box, ready.commit)
-            box.raft.persisted(self.now, box.raft.log.last_index)
-            self._note_leader(box.raft)
-
-    def _persist(self, box: Box, raft: Raft) -> None:
-        box.disk.hard_state = HardState(raft.term, raft.vote)
-
-    def _send(self, sender: str, to: str, message: RaftMessage) -> None:
-        others = [name for name in self.boxes if name != sender]
-        targets = [base_name(to)] if to else others
-        for target in targets:
-            if self.cut_off & {sender, target}:
-                continue
-            if len(self.network) < MAX_MESSAGES:
-                self.network.append((target, message))
-
-    def _apply(self, box: Box, entries: tuple[LogEntry, ...]) -> None:
-        for entry in entries:
-            known = self.committed.setdefault(entry.index, entry.data)
-            assert known == entry.data, f"index {entry.index} was committed otherwise"
-            box.applied.append((entry.index, entry.data))
-
-    def _note_leader(self, raft: Raft) -> None:
-        if raft.role is Role.LEADER:
-            leader = self.leaders.setdefault(raft.term, raft.identity)
-            assert leader == raft.identity, f"two leaders in term {raft.term}"
-
-    def deliver(self, position: int, *, keep: bool = False) -> None:
-        """Hand over one message; `keep` leaves a copy in the network."""
-        position %= len(self.network)
-        to, message = self.network[position]
-        if not keep:
-            del self.network[position]
-        raft = self.boxes[to].raft if to in self.boxes else None
-        if raft is not None:
-            raft.receive(self.now, message)
-            self.work(to)
-
-    def tick(self, millis: int) -> None:
-        """Let time pass for all."""
-        self.now += millis
-        for name, box in self.boxes.items():
-            if box.raft is not None:
-                box.raft.tick(self.now)
-                self.work(name)
-
-    def settle(self, rounds: int) -> None:
-        """Run without faults."""
-        for _ in range(rounds):
-            self.tick(TICK)
-            while self.network:
-                self.deliver(0)
-
-    def leader(self) -> Raft | None:
-        """Return the leader of the highest term, if any."""
-        rafts = [box.raft for box in self.boxes.values() if box.raft is not None]
-        leading = [raft for raft in rafts if raft.role is Role.LEADER]
-        return max(leading, key=lambda raft: raft.term, default=None)
-
-    def propose(self, data: bytes) -> bool:
-        """Propose through the leader."""
-        leader = self.leader()
-        if leader is None:
-            return False
-        index = leader.propose(self.now, EntryKind.COMMAND, data)
-        self.work(base_name(leader.identity))
-        return index is not None
-
-    def stop(self, name: str) -> None:
-        """End a box's process; its disk stays."""
-        self.boxes[name].raft = None
-
-    def remove(self, name: str) -> None:
-        """Take a box away for good."""
-        del self.boxes[name]
-
-    def lose_disk(self, name: str) -> None:
-        """Start a box, new or known, with an empty disk; it has to join."""
-        self.lost_disks += 1
-        identity = f"{name}#{self.lost_disks}"
-        mark = SnapshotMark(membership=Membership(()))
-        self.boxes[name] = Box(Disk(identity, mark))
-        self.start(name)
-
-
-def encode_applied(applied: list[tuple[int, bytes]]) -> bytes:
-    """Encode a test's state machine."""
-    return encode(applied)
-
-
-def decode_applied(data: bytes) -> list[tuple[int, bytes]]:
-    """Decode a test's state machine."""
-    import cbor2
-
-    return [(index, value) for index, value in cbor2.loads(data)] if data else []
 
 
 class RaftMachine(RuleBasedStateMachine):
@@ -320,14 +134,6 @@
 TestRaft.settings = settings(max_examples=100, stateful_step_count=40)
 
 
-def elected() -> Cluster:
-    """Return a cluster with a leader."""
-    cluster = Cluster()
-    cluster.settle(60)
-    assert cluster.leader() is not None
-    return cluster
-
-
 def test_a_shorter_log_gets_no_vote() -> None:
     cluster = elected()
     assert cluster.propose(b"kept")
