leadseam-emulate: the entries' own decisions against modelled engines, in virtual time

Hypothesis: placing and what entries share can be judged alone by the product's own Placer and sums before a model of engines (slots, one reader of prompts, a queue, steps), in virtual time, seeded.

The code of the nodes is unchanged.

--- /dev/null
+++ b/src/leadseam/emulate/__init__.py
@@ -0,0 +1,1 @@
+"""A model of engines and callers that drives the entries' own decision code."""
--- /dev/null
+++ b/src/leadseam/emulate/experiment.py
@@ -0,0 +1,117 @@
+"""Plays variants of a fleet with the same seeds, and compares them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import sqrt
+from statistics import mean, stdev
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from leadseam.clock import MILLIS_PER_SECOND
+from leadseam.emulate.fleet import play
+from leadseam.emulate.settings import FleetSettings
+from leadseam.settings.load import parse_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from leadseam.emulate.settings import Experiment
+
+AS_GIVEN = "as given"
+"""Name of the fleet without a variant's changes."""
+STUDENT_95 = (12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26)
+"""Factor of the 95% interval of a mean of 2, 3, ... 10 values; 2 beyond."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one play came to.
+
+    Args:
+        worth: Part of what all accounts are due that was earned.
+        worst: The same of the worst served tenth of accounts.
+        refused: Part of the requests that were refused in the end.
+        begun: Tokens of service begun, a second.
+        busy: Part of the engines' slots in use.
+    """
+
+    worth: float
+    worst: float
+    refused: float
+    begun: float
+    busy: float
+
+
+@dataclass(frozen=True, slots=True)
+class Compared:
+    """The plays of one variant, in the order of the seeds."""
+
+    name: str
+    outcomes: tuple[Outcome, ...]
+
+
+def run_experiment(experiment: Experiment, name: str) -> list[Compared]:
+    """Play every variant with every seed, the fleet as given first.
+
+    Args:
+        experiment: What to play.
+        name: Name of its file, for errors.
+
+    Raises:
+        SettingsError: If a variant is not a valid fleet.
+    """
+    fleets = {AS_GIVEN: experiment.fleet}
+    for variant, changes in experiment.variants.items():
+        data = msgspec.to_builtins(experiment.fleet) | changes
+        where = f"{name}: variant {variant}"
+        fleets[variant] = parse_settings(data, FleetSettings, where)
+    return [
+        Compared(variant, tuple(outcome(cfg, seed) for seed in experiment.seeds))
+        for variant, cfg in fleets.items()
+    ]
+
+
+def outcome(cfg: FleetSettings, seed: int) -> Outcome:
+    """Play a fleet once."""
+    fleet = play(cfg, seed=seed)
+    tally = fleet.tally
+    span = cfg.span / MILLIS_PER_SECOND
+    capacity = round(cfg.stated * span)
+    slots = cfg.engines * cfg.engine.slots
+    return Outcome(
+        worth=tally.worth(capacity),
+        worst=tally.worst(capacity),
+        refused=tally.ends["refused"] / max(tally.ends.total(), 1),
+        begun=sum(tally.begun.values()) / span,
+        busy=sum(one.busy_ms for one in fleet.engines.values()) / cfg.span / slots,
+    )
+
+
+def half_interval(values: Sequence[float]) -> float:
+    """Return half of the 95% interval of the mean; 0 of a single value."""
+    if len(values) < 2:
+        return 0.0
+    position = len(values) - 2
+    factor = STUDENT_95[position] if position < len(STUDENT_95) else 2.0
+    return factor * stdev(values) / sqrt(len(values))
+
+
+def render(compared: Iterable[Compared]) -> str:
+    """Return the comparison as a table, with differences of pairs of the same seed."""
+    rows = list(compared)
+    base = [one.worth for one in rows[0].outcomes]
+    lines = [f"{'':24}   worth  against as given   worst  refused  begun/s   busy"]
+    for row in rows:
+        pairs = zip(row.outcomes, base, strict=True)
+        gains = [one.worth - before for one, before in pairs]
+        lines.append(
+            f"{row.name:24}   {mean(one.worth for one in row.outcomes):.3f}"
+            f"   {mean(gains):+.3f} +- {half_interval(gains):.3f}"
+            f"   {mean(one.worst for one in row.outcomes):.3f}"
+            f"    {mean(one.refused for one in row.outcomes):.3f}"
+            f"  {mean(one.begun for one in row.outcomes):7.0f}"
+            f"   {mean(one.busy for one in row.outcomes):.3f}"
+        )
+    return "\n".join(lines)
--- /dev/null
+++ b/src/leadseam/emulate/fleet.py
@@ -0,0 +1,235 @@
+"""Entries that place requests by their own code, before emulated engines and callers.
+
+Each entry is the product's `Placer`, and what entries share goes through the product's
+sums. Left out: processor time, faults, upstreams that come and go.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, cast
+
+from leadseam.clock import sleep
+from leadseam.control.routes import CallerLimits, EngineProfile, PoolShare, Route
+from leadseam.emulate.callers import Callers
+from leadseam.emulate.engine import Engine, Run, later
+from leadseam.emulate.tally import Tally
+from leadseam.emulate.virtual import VirtualClock, VirtualLoop
+from leadseam.feed.pace import SHORTEST, interval_for
+from leadseam.feed.totals import LoadSummer
+from leadseam.outcome import Reason
+from leadseam.routing.admitted import Admitted
+from leadseam.routing.balance import service_of
+from leadseam.routing.exchange import COME_BACK_PART, MAX_COME_BACK
+from leadseam.routing.health import UpstreamHealth
+from leadseam.routing.placer import Placer
+from leadseam.wire.codec import decode
+from leadseam.wire.messages import LoadSums, Registration
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine, Sequence
+
+    from leadseam.clock import Millis
+    from leadseam.emulate.callers import Arrival
+    from leadseam.emulate.settings import FleetSettings, Kind
+    from leadseam.feed.client import FeedClient
+    from leadseam.routing.flight import Flight
+
+POOL = "emulated"
+HOP: Millis = 1
+"""Time from box to box: 1 to 2 ms between failure domains."""
+SETTLE: Millis = 4_000
+"""Time after the last arrival in which second tries come and go."""
+IPS_PER_NET = 250
+
+
+@dataclass(frozen=True, slots=True)
+class _Pool:
+    engine: EngineProfile
+
+
+@dataclass(frozen=True, slots=True)
+class _Configured:
+    limits: CallerLimits
+    pools: dict[str, _Pool]
+
+
+class _View:
+    def __init__(self, rows: Sequence[Registration]) -> None:
+        self._rows = rows
+
+    def pool(self, _: str) -> Sequence[Registration]:
+        return self._rows
+
+
+class _Feed:
+    """The part of a feed that placing asks for."""
+
+    def __init__(self, rows: Sequence[Registration], cfg: FleetSettings) -> None:
+        speed = cfg.engine
+        profile = EngineProfile(slots=speed.slots, memory_tokens=speed.memory_tokens)
+        limits = CallerLimits(tokens_per_s=cfg.stated)
+        self.view = _View(rows)
+        self.configuration = _Configured(limits, {POOL: _Pool(profile)})
+
+
+class Fleet:
+    """One emulated fleet; needs a running `VirtualLoop`.
+
+    Args:
+        cfg: Its settings.
+        seed: Seed of all that is random.
+    """
+
+    def __init__(self, cfg: FleetSettings, *, seed: int) -> None:
+        self.tally = Tally()
+        self._cfg = cfg
+        self._callers = Callers(cfg, seed)
+        self._rng = random.Random(-seed)
+        self._clock = VirtualClock(cast(VirtualLoop, asyncio.get_running_loop()))
+        rows = [_row(number, cfg) for number in range(cfg.engines)]
+        self.engines = {row.instance: Engine(row, cfg.engine) for row in rows}
+        feed = cast("FeedClient", _Feed(rows, cfg))
+        self._placers = [self._placer(feed) for _ in range(cfg.entries)]
+        self._routes = {kind.name: _route(kind) for kind in cfg.kinds}
+        self._summer = LoadSummer()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __repr__(self) -> str:
+        return f"Fleet(entries={len(self._placers)}, engines={len(self.engines)})"
+
+    async def run(self) -> Tally:
+        """Play the settings' span and return what callers got."""
+        for number in range(len(self._placers)):
+            self._spawn(self._report(number))
+        self._spawn(self._add_up())
+        for arrival in self._callers.arrivals():
+            await sleep(max(arrival.at - self._clock.now(), 0))
+            self._spawn(self._serve(arrival))
+        await sleep(SETTLE)
+        for task in self._tasks:
+            task.cancel()
+        return self.tally
+
+    def _placer(self, feed: FeedClient) -> Placer:
+        rng = random.Random(self._rng.random())
+        return Placer(feed=feed, health=UpstreamHealth(), clock=self._clock, rng=rng)
+
+    # Callers
+
+    async def _serve(self, arrival: Arrival) -> None:
+        """Send a request, and once more to another entry if it is refused."""
+        self.tally.arrived(arrival, service_of(arrival.req))
+        deadline = self._clock.now() + arrival.kind.patience
+        if await self._try(arrival, arrival.entry, deadline):
+            return
+        left = deadline - self._clock.now()
+        pause = min(round(left * COME_BACK_PART), MAX_COME_BACK)
+        await sleep(self._rng.randint(pause // 2, pause))
+        other = self._rng.randrange(self._cfg.entries)
+        if not await self._try(arrival, other, deadline):
+            self.tally.ends["refused"] += 1
+
+    async def _try(self, arrival: Arrival, entry: int, deadline: Millis) -> bool:
+        placer = self._placers[entry]
+        now = self._clock.now()
+        admitted = Admitted(
+            req=arrival.req,
+            body=b"",
+            route=self._routes[arrival.kind.name],
+            pool=POOL,
+            account=arrival.account,
+            arrived=now,
+            deadline=deadline,
+        )
+        placer.asked(arrival.account, arrival.req, now)
+        flight = await placer.place(admitted, set(), again=False)
+        if isinstance(flight, Reason):
+            return False
+        self._send(arrival, flight)
+        return True
+
+    def _send(self, arrival: Arrival, flight: Flight) -> None:
+        def first() -> None:
+            flight.first_byte()
+            in_time = self._clock.now() - arrival.at <= arrival.kind.objective
+            service = service_of(arrival.req)
+            self.tally.answered(arrival, service, in_time=in_time)
+
+        def arrive() -> None:
+            if not self.engines[flight.upstream.instance].take(run):
+                self.tally.ends["engine full"] += 1
+                flight.end()
+
+        run = Run(
+            arrival.req,
+            arrival.made,
+            on_first=lambda: later(HOP, first),
+            on_end=lambda: later(HOP, flight.end),
+        )
+        later(HOP, arrive)
+
+    # Shared sums
+
+    async def _report(self, number: int) -> None:
+        interval = self._cfg.interval or SHORTEST
+        await sleep(self._rng.randrange(interval))
+        while True:
+            await sleep(interval)
+            report = self._placers[number].load_report()
+            self._summer.take(number, report, self._clock.now())
+
+    async def _add_up(self) -> None:
+        interval = self._cfg.interval or SHORTEST
+        while True:
+            await sleep(interval)
+            for number, totals in self._summer.totals(self._clock.now()).items():
+                sums = decode(totals.data, LoadSums)
+                self._placers[number].take_sums(totals.included, sums)
+                interval = self._cfg.interval or interval_for(len(totals.data))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def play(cfg: FleetSettings, *, seed: int) -> Fleet:
+    """Play a fleet in virtual time and return it, with its tally."""
+
+    async def run() -> Fleet:
+        fleet = Fleet(cfg, seed=seed)
+        await fleet.run()
+        return fleet
+
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(run())
+    finally:
+        loop.close()
+
+
+def _row(number: int, cfg: FleetSettings) -> Registration:
+    return Registration(
+        instance=f"i-{number}",
+        pool=POOL,
+        ip=f"10.0.{number // IPS_PER_NET}.{number % IPS_PER_NET + 1}",
+        port=80,
+        failure_domain="emulated",
+        slots=cfg.engine.slots,
+        ready=True,
+        sequence=1,
+    )
+
+
+def _route(kind: Kind) -> Route:
+    return Route(
+        name=kind.name,
+        host="emulated",
+        prefix=f"/{kind.name}/",
+        pools=(PoolShare(POOL),),
+        time_limit=kind.patience,
+        latency_objective=kind.objective,
+    )
--- /dev/null
+++ b/src/leadseam/emulate/tally.py
@@ -0,0 +1,77 @@
+"""What callers of an emulated fleet got."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from statistics import mean
+from typing import TYPE_CHECKING
+
+from leadseam.routing.usage import fair_level
+
+if TYPE_CHECKING:
+    from leadseam.emulate.callers import Arrival
+
+WORST_PART = 10
+"""One in so many accounts counts as worst served."""
+
+
+@dataclass(slots=True)
+class Tally:
+    """Counts by client account.
+
+    Args:
+        ends: Number of requests by their end.
+        asked: Service asked for.
+        begun: Service begun.
+        owed: Worth of all requests if all were answered in time.
+        earned: Worth of the answers.
+    """
+
+    ends: Counter[str] = field(default_factory=Counter)
+    asked: Counter[str] = field(default_factory=Counter)
+    begun: Counter[str] = field(default_factory=Counter)
+    owed: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+    earned: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+
+    def arrived(self, arrival: Arrival, service: int) -> None:
+        """Count a request."""
+        self.owed[arrival.account] += arrival.kind.worth
+        self.asked[arrival.account] += service
+
+    def answered(self, arrival: Arrival, service: int, *, in_time: bool) -> None:
+        """Count a first token."""
+        kind = arrival.kind
+        self.earned[arrival.account] += kind.worth if in_time else kind.late
+        self.ends["in time" if in_time else "late"] += 1
+        self.begun[arrival.account] += service
+
+    def due(self, capacity: int) -> dict[str, float]:
+        """Return the worth that each account is due.
+
+        Args:
+            capacity: Service that operators state for the time played. What an account
+                asks for beyond its max-min share of it is not due.
+        """
+        level = fair_level(self.asked.values(), capacity)
+        return {
+            name: self.owed[name] * min(1.0, level / asked)
+            for name, asked in self.asked.items()
+        }
+
+    def parts(self, capacity: int) -> dict[str, float]:
+        """Return the part of what each account is due that it earned."""
+        due = self.due(capacity)
+        return {name: min(self.earned[name] / due[name], 1.0) for name in due}
+
+    def worth(self, capacity: int) -> float:
+        """Return the part of all that is due that was earned."""
+        due = self.due(capacity)
+        parts = self.parts(capacity)
+        whole = sum(due.values())
+        return sum(parts[name] * due[name] for name in due) / whole if whole else 0.0
+
+    def worst(self, capacity: int) -> float:
+        """Return the mean part that the worst served tenth of accounts earned."""
+        parts = sorted(self.parts(capacity).values())
+        return mean(parts[: max(len(parts) // WORST_PART, 1)]) if parts else 0.0
