--- /dev/null
+++ b/tools/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measure how costs grow: bytes, processor time and memory against what causes them."""
--- /dev/null
+++ b/tools/slopes/__main__.py
@@ -0,0 +1,51 @@
+"""Measure how costs grow: bytes, processor time and memory against what causes them.
+
+Usage:
+  slopes [--only NAME]
+  slopes (-h | --help)
+
+Options:
+  --only NAME  Only this slope.
+
+Every slope is a line through at least three points. Links are real (loopback, the
+project's own codec); the peers are small fakes in one process. Processor time is the
+measured process's own, from the system's accounting.
+"""
+
+from __future__ import annotations
+
+import platform
+
+import psutil
+import uvloop
+from docopt import docopt
+
+from tools.slopes.decisions import message_sizes, plain_slopes
+from tools.slopes.links import link_slopes
+from tools.slopes.sampling import async_slope, slope_of
+
+
+async def main_async(only: str | None) -> None:
+    """Measure and print everything."""
+    print(f"Python {platform.python_version()}, {psutil.cpu_count()} processors")
+    print("| slope | per unit | intercept | correlation | spread | points |")
+    print("|---|---|---|---|---|---|")
+    for name, unit, causes, measure in plain_slopes():
+        if only in (None, name):
+            print(slope_of(name, unit, causes, measure), flush=True)
+    for name, unit, causes, run in link_slopes():
+        if only in (None, name):
+            print(await async_slope(name, unit, causes, run), flush=True)
+    if only is None:
+        for name, size in message_sizes().items():
+            print(f"{name}: {size} B")
+
+
+def main() -> None:
+    """Entry point of `make slopes`."""
+    args = docopt(__doc__)
+    uvloop.run(main_async(args["--only"]))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/slopes/links.py
@@ -0,0 +1,178 @@
+"""Costs of real links, both ends in this process, and of calls through a fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import psutil
+
+from leadseam.wire.link import Link, dial, listen
+from leadseam.wire.messages import Chunk, Current
+from leadseam.wire.traffic import Traffic
+from tools.fleet import LOOPBACK, Fleet
+from tools.slopes.sampling import cpu_now
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+LINKS = (20, 60, 120)
+
+
+async def with_links(
+    count: int, work: Callable[[list[Link], list[Link]], Awaitable[float]]
+) -> float:
+    """Open so many links on loopback and hand both ends to `work`."""
+    far: list[Link] = []
+    traffic = Traffic()
+
+    async def accept(link: Link) -> None:
+        far.append(link)
+        async for _ in link.messages():
+            pass
+
+    server = await listen(LOOPBACK, 0, accept, traffic)
+    port = next(iter(server.sockets)).getsockname()[1]
+    near: list[Link] = []
+    contexts = [dial(LOOPBACK, port, traffic) for _ in range(count)]
+    for context in contexts:
+        near.append(await context.__aenter__())
+    readers = [asyncio.create_task(drain(link)) for link in near]
+    try:
+        return await work(near, far)
+    finally:
+        for reader in readers:
+            reader.cancel()
+        for context in contexts:
+            await context.__aexit__(None, None, None)
+        server.close()
+
+
+async def drain(link: Link) -> None:
+    """Read a link to its end."""
+    async for _ in link.messages():
+        pass
+
+
+async def cpu_chunks(per_second: int) -> float:
+    """Send chunks of 60 bytes over one link for a second; both ends counted."""
+
+    async def work(near: list[Link], _: list[Link]) -> float:
+        before, start = cpu_now(), time.monotonic()
+        for tick in range(100):
+            for number in range(per_second // 100):
+                near[0].send(Chunk(number, tick, bytes(60)))
+            await asyncio.sleep(max(0.0, start + (tick + 1) / 100 - time.monotonic()))
+        return (cpu_now() - before) / (time.monotonic() - start) * 1_000
+
+    return await with_links(1, work)
+
+
+async def cpu_idle_links(count: int) -> float:
+    """Hold idle links, with their keepalives, for two seconds; both ends counted."""
+
+    async def work(near: list[Link], far: list[Link]) -> float:
+        del near, far
+        before, start = cpu_now(), time.monotonic()
+        await asyncio.sleep(2)
+        return (cpu_now() - before) / (time.monotonic() - start) * 1_000
+
+    return await with_links(count, work)
+
+
+async def resident_with_links(count: int) -> float:
+    """Return resident bytes of this process while it holds so many links."""
+
+    async def work(near: list[Link], far: list[Link]) -> float:
+        del near, far
+        return float(psutil.Process().memory_info().rss)
+
+    return await with_links(count, work)
+
+
+async def memory_links(count: int) -> float:
+    """Return resident bytes of a fresh process that holds both ends of links."""
+    code = (
+        "import uvloop; from tools.slopes.links import resident_with_links as run;"
+        f"print(uvloop.run(run({count})))"
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", code, stdout=asyncio.subprocess.PIPE
+    )
+    out, _ = await process.communicate()
+    return float(out)
+
+
+async def cpu_heartbeats(count: int) -> float:
+    """Send a feed heartbeat to so many subscribers; cost of one round, both ends."""
+
+    async def work(near: list[Link], far: list[Link]) -> float:
+        del far
+        before = cpu_now()
+        for _ in range(10):
+            for link in near:
+                link.send(Current(12_345))
+            await asyncio.sleep(0.05)
+        return (cpu_now() - before) / 10 * 1_000
+
+    return await with_links(count, work)
+
+
+async def claims_per_second(parallel: int) -> float:
+    """Send keyed calls through one entry with so many at a time."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(Path(folder))
+        fleet.add_control()
+        fleet.add_pool("slips")
+        fleet.add_upstream(
+            "slips-1", pool="slips", kind="service", slots=64, service_time=0
+        )
+        fleet.add_account("tellers", services=("slips",))
+        fleet.add_entry("entry-1")
+        try:
+            await fleet.start_all()
+            return await keyed_calls(fleet, parallel, 3.0)
+        finally:
+            await fleet.close()
+
+
+async def keyed_calls(fleet: Fleet, parallel: int, seconds: float) -> float:
+    """Return keyed calls a second, each with a fresh key."""
+    end = time.monotonic() + seconds
+    done = 0
+
+    async def caller(number: int) -> None:
+        nonlocal done
+        turn = 0
+        while time.monotonic() < end:
+            turn += 1
+            name = f"c{number}-{turn}"
+            headers = {"Idempotency-Key": name, "X-Leadseam-Repeatable": "no"}
+            path = f"/services/slips/run/{name}"
+            status, _ = await fleet.post("entry-1", path, "tellers", b"{}", headers)
+            done += status == 200
+
+    await asyncio.gather(*(caller(number) for number in range(parallel)))
+    return done / seconds
+
+
+def link_slopes() -> list[
+    tuple[str, str, tuple[int, ...], Callable[[int], Awaitable[float]]]
+]:
+    """List the slopes over real links."""
+    return [
+        (
+            "chunks on a link, both ends",
+            "ms CPU/s per chunk/s",
+            (500, 2_000, 8_000),
+            cpu_chunks,
+        ),
+        ("idle links, both ends", "ms CPU/s per link", LINKS, cpu_idle_links),
+        ("links, both ends", "B/link", LINKS, memory_links),
+        ("feed heartbeat, both ends", "ms CPU/subscriber", LINKS, cpu_heartbeats),
+        ("keyed calls, one entry", "calls/s per caller", (1, 4, 16), claims_per_second),
+    ]
--- /dev/null
+++ b/tools/slopes/sampling.py
@@ -0,0 +1,121 @@
+"""Repeated samples of a cost, and the line through them."""
+
+from __future__ import annotations
+
+import gc
+import resource
+import statistics
+import tracemalloc
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+SAMPLES = 5
+IO_SAMPLES = 3
+MICROS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A line through measured points.
+
+    Args:
+        name: What is measured.
+        unit: Unit of the slope.
+        points: Pairs of cause and cost.
+        spread: Largest relative spread between repeated samples of a point.
+    """
+
+    name: str
+    unit: str
+    points: tuple[tuple[float, float], ...]
+    spread: float
+
+    @property
+    def line(self) -> tuple[float, float]:
+        """Slope and intercept by least squares."""
+        causes = [cause for cause, _ in self.points]
+        costs = [cost for _, cost in self.points]
+        fit = statistics.linear_regression(causes, costs)
+        return fit.slope, fit.intercept
+
+    @property
+    def correlation(self) -> float:
+        """How much of a line the points are; 1 is exact."""
+        causes = [cause for cause, _ in self.points]
+        costs = [cost for _, cost in self.points]
+        return statistics.correlation(causes, costs)
+
+    def __str__(self) -> str:
+        slope, intercept = self.line
+        points = ", ".join(f"{cause:g}: {cost:.4g}" for cause, cost in self.points)
+        return (
+            f"| {self.name} | {slope:.4g} {self.unit} | {intercept:.4g} |"
+            f" {self.correlation:.3f} | {self.spread:.0%} | {points} |"
+        )
+
+
+def cpu_now() -> float:
+    """Return processor seconds of this process so far."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+def repeated(measure: Callable[[], float]) -> tuple[float, float]:
+    """Return the median of `SAMPLES` runs and their relative spread."""
+    values = [measure() for _ in range(SAMPLES)]
+    median = statistics.median(values)
+    spread = (max(values) - min(values)) / median if median else 0.0
+    return median, spread
+
+
+def slope_of(
+    name: str, unit: str, causes: tuple[int, ...], measure: Callable[[int], float]
+) -> Slope:
+    """Measure a cost at each cause."""
+    points = []
+    spreads = []
+    for cause in causes:
+        median, spread = repeated(lambda cause=cause: measure(cause))  # type: ignore[misc]
+        points.append((float(cause), median))
+        spreads.append(spread)
+    return Slope(name, unit, tuple(points), max(spreads))
+
+
+def cpu_of(work: Callable[[], None], repeat: int) -> float:
+    """Return processor microseconds of one call of `work`."""
+    before = cpu_now()
+    for _ in range(repeat):
+        work()
+    return (cpu_now() - before) / repeat * MICROS
+
+
+def memory_of(make: Callable[[int], object], count: int) -> float:
+    """Return the bytes that an object of some size takes in a fresh measurement."""
+    gc.collect()
+    tracemalloc.start()
+    held = make(count)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del held
+    return float(size)
+
+
+async def async_slope(
+    name: str,
+    unit: str,
+    causes: tuple[int, ...],
+    measure: Callable[[int], Awaitable[float]],
+    samples: int = IO_SAMPLES,
+) -> Slope:
+    """Measure a cost at each cause, with I/O."""
+    points = []
+    spreads = []
+    for cause in causes:
+        values = [await measure(cause) for _ in range(samples)]
+        median = statistics.median(values)
+        points.append((float(cause), median))
+        spreads.append((max(values) - min(values)) / median if median else 0.0)
+    return Slope(name, unit, tuple(points), max(spreads))
