--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -203,12 +203,14 @@
 
     def _subscription(self) -> Subscribe:
         now = self._clock.now()
-        return Subscribe(self._node, self._incarnation, self.version, now)
+        return Subscribe(self._node, self._incarnation, self.version, now, self._width)
 
     def _handle(self, link: Link, replica: str, message: AnyMessage) -> None:
         match message:
-            case Snapshot(data=data):
-                self._put_in_force(link, decode(data, Configuration))
+            case Snapshot(version=version, data=data):
+                # Several replicas may send one; to decode it takes milliseconds.
+                if version > self.version:
+                    self._put_in_force(link, decode(data, Configuration))
             case Delta(version=version, data=data) if version == self.version + 1:
                 operations = decode(data, tuple[Operation, ...])
                 self._put_in_force(link, self.configuration.apply(operations))
@@ -255,7 +257,9 @@
         self.confirmed = True
         self._on_change(candidate)
         self._first.set()
-        link.send(InForce(candidate.version, self._clock.now()))
+        for follower in {link, *self._links}:
+            # Those that have not sent it yet need not.
+            follower.send(InForce(candidate.version, self._clock.now()))
         extra = {
             "version": candidate.version,
             "routes": len(candidate.routes),
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -4,22 +4,20 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from leadseam.clock import Clock, Millis, SystemClock, sleep
+from leadseam.clock import Clock, Millis, SystemClock, seconds, sleep
 from leadseam.feed.claim_server import ClaimServer
+from leadseam.feed.configuration_push import FIRST_LEAD, ConfigurationPush, Subscriber
 from leadseam.feed.pace import SHORTEST, interval_for
 from leadseam.feed.totals import LoadSummer
 from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
-from leadseam.wire.codec import encode
 from leadseam.wire.messages import (
     Claim,
     ClaimDone,
     ClaimRelease,
     Current,
-    Delta,
     Expired,
     Hello,
     InForce,
@@ -27,7 +25,6 @@
     LoadReport,
     Registered,
     Replicas,
-    Snapshot,
     Subscribe,
 )
 
@@ -47,29 +44,6 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class Subscriber:
-    """A node on the feed.
-
-    Args:
-        number: Its number at this replica.
-        node: Its name.
-        link: Its link.
-        sent: Highest version sent.
-        in_force: Highest version that it reported.
-        clock: Its clock from its last report.
-        replicas: Names of the control boxes that it was last told.
-    """
-
-    number: int
-    node: str
-    link: Link
-    sent: int
-    in_force: int = 0
-    clock: int = -1
-    replicas: tuple[str, ...] = ()
-
-
 class FeedServer:
     """Serves subscribers of one replica.
 
@@ -97,6 +71,8 @@
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
         self._claims = ClaimServer(replica, metrics)
+        self._push = ConfigurationPush(replica, metrics)
+        self._pushing_later = False
 
     @property
     def subscribers(self) -> list[Subscriber]:
@@ -155,6 +131,7 @@
             message.version,
             in_force=message.version,
             clock=message.clock,
+            alone=message.width == 1,
         )
         self._subscribers[number] = subscriber
         try:
@@ -171,7 +148,7 @@
         left = tuple(self._replica.state.left)[-MAX_LEFT_TOLD:]
         if left:
             subscriber.link.send(Left(left))
-        self._push(subscriber)
+        self._push.send(subscriber)
         self._send_heartbeat(subscriber)
 
     def _tell_all(self, message: AnyMessage) -> None:
@@ -195,7 +172,21 @@
             await self._replica.next_applied()
             self._push_left()
             for subscriber in self.subscribers:
-                self._push(subscriber)
+                if self._push.is_first_for(subscriber):
+                    self._push.send(subscriber)
+            self._push_later()
+
+    def _push_later(self) -> None:
+        """Send what the replica that is first for a subscriber has not sent by then."""
+        if not self._pushing_later:
+            self._pushing_later = True
+            delay = seconds(FIRST_LEAD)
+            asyncio.get_running_loop().call_later(delay, self._push_to_all)
+
+    def _push_to_all(self) -> None:
+        self._pushing_later = False
+        for subscriber in self.subscribers:
+            self._push.send(subscriber)
 
     def _push_left(self) -> None:
         """Tell of upstreams whose leaving was committed since the last call."""
@@ -214,7 +205,7 @@
             await sleep(HEARTBEAT_INTERVAL)
             self._expire()
             for subscriber in self.subscribers:
-                self._push(subscriber)
+                self._push.send(subscriber)
                 self._send_heartbeat(subscriber)
 
     async def _push_totals(self) -> None:
@@ -240,25 +231,3 @@
             version = self._replica.state.configuration.version
             count = len(self._subscribers)
             subscriber.link.send(Current(version, subscriber.clock, count))
-
-    def _push(self, subscriber: Subscriber) -> None:
-        """Send what a subscriber lacks, if this replica is current."""
-        state = self._replica.state
-        version = state.configuration.version
-        if subscriber.sent >= version or not self._replica.is_current():
-            return
-        deltas = state.deltas_after(subscriber.sent)
-        if deltas is None or subscriber.sent == 0:
-            data = encode(state.configuration)
-            self._send(subscriber, Snapshot(version, data), len(data))
-        else:
-            for delta in deltas:
-                data = encode(delta.operations)
-                self._send(subscriber, Delta(delta.version, data), len(data))
-        subscriber.sent = version
-
-    def _send(
-        self, subscriber: Subscriber, message: Snapshot | Delta, size: int
-    ) -> None:
-        subscriber.link.send(message)
-        self._metrics.feed_bytes.add({}, size)
