--- a/src/leadseam/routing/prompts.py
+++ b/src/leadseam/routing/prompts.py
@@ -20,8 +20,8 @@
     """Parts that this entry has sent to each engine."""
 
     def __init__(self) -> None:
-        # By part and not by engine: who holds a part is asked for each request, and
-        # walking all engines for it cost 1.8 ms of 3.7 for a request at 39 of them.
+        # By part and not by engine: who holds a part is asked for each request, so that
+        # the other engines need no look.
         self._sent: OrderedDict[str, dict[str, Millis]] = OrderedDict()
 
     def __repr__(self) -> str:
