--- a/tests/routing/test_placing_cost.py
+++ b/tests/routing/test_placing_cost.py
@@ -1,9 +1,9 @@
 """What it takes to find an engine must not grow with the number of engines.
 
 On a fleet of 39 engines an entry looked at every engine for every request. A request
-took 2.8 ms of an entry's processor time at 20 engines and 3.6 at 39, and 3.0 at 39 since
-few are looked at; an entry that many callers shared had none left for callers, and
-refused accounts that were within their share.
+took 2.8 ms of an entry's processor time at 20 engines and 3.6 at 39, and 3.0 at 39
+since few are looked at. An entry that many callers shared had none left for callers,
+and refused accounts that were within their share.
 
 Before: 32, 140 and 568 engines scored for a request at 39, 156 and 624 of them. After:
 0.86, 0.94 and 0.95 on the mean, for the first look is at the engine that holds its
