The ablation of stated shares names the line it means

The text that the copy without stated shares replaces stood twice in routing/usage.py since old totals hold nobody back. It now names the condition with it. Found by tests/test_variants.py, which stays as it is.

--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -77,8 +77,9 @@
         (
             Replacement(
                 "routing/usage.py",
+                "        if level <= self._stated_level:\n"
                 "            return Standing.WITHIN\n",
-                "            pass\n",
+                "        if level <= self._stated_level:\n            pass\n",
             ),
         ),
     ),
