Lines on what refused accounts asked for and got, second by second

Cause: the lines on single requests are bounded, so those of a busy entry are a sample, and no line told what an account asked for, what it got, its standing, or the levels and the age of the sums that it was held by.

Lines on refusals before admission name the account too. The levels are one frozen value, worked out by a function of its own; what they come to is unchanged.

--- a/src/leadseam/cli/explain.py
+++ b/src/leadseam/cli/explain.py
@@ -2,6 +2,7 @@
 
 Usage:
   leadseam-explain [--by KEYS] [--rows N] [--request ID] [LOG ...]
+  leadseam-explain --accounts [--rows N] [LOG ...]
   leadseam-explain (-h | --help)
 
 Reads the named files, or standard input. Lines that tell of no ended request are passed
@@ -11,7 +12,9 @@
 Options:
   --by KEYS      What to group by, with commas: route, account, node, upstream, reason,
                  standing, size, second. [default: route,reason,account]
-  --rows N       Rows of each table. [default: 20]
+  --accounts     What client accounts asked for and got, second by second, at the
+                 entries that refused somebody.
+  --rows N       Rows of each table; with --accounts, of each second. [default: 20]
   --request ID   Only requests with this identifier.
 """
 
@@ -22,6 +25,7 @@
 
 from docopt import docopt
 
+from leadseam.explain.accounts import read_accounts, render_accounts
 from leadseam.explain.records import read_records
 from leadseam.explain.tables import Key, render, tally
 from leadseam.runtime.process import EXIT_USAGE
@@ -39,6 +43,9 @@
     except ValueError as exc:
         print(f"leadseam-explain: {exc}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
+    if args["--accounts"]:
+        print(render_accounts(read_accounts(_lines(args["LOG"])), most=most))
+        return
     requests = list(read_records(_lines(args["LOG"])))
     if args["--request"]:
         requests = [one for one in requests if one.request_id == args["--request"]]
--- /dev/null
+++ b/src/leadseam/explain/accounts.py
@@ -0,0 +1,132 @@
+"""What client accounts asked for and got, by second, over all entries. No I/O."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from leadseam.explain.tables import MILLIS_PER_SECOND, render_cells
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator, Sequence
+
+MESSAGE = "accounts refused"
+HEAD = (
+    "second",
+    "account",
+    "asked",
+    "placed",
+    "refused",
+    "served in window",
+    "standing",
+    "sums age ms",
+    "reasons",
+)
+
+
+@dataclass(slots=True)
+class AccountSecond:
+    """One account in one second, at all entries that refused somebody in it.
+
+    Args:
+        second: Second of the wall clock.
+        account: Its name.
+        asked: Service asked for, in tokens; a request that came twice counts twice.
+        placed: Service of the requests that were sent to an upstream.
+        refused: Requests that did not run, by reason.
+        served: Most service of the last window that an entry knew of.
+        standings: Entries by the standing that they gave it.
+        sums_age: Age of the oldest sums that an entry went by, in milliseconds.
+    """
+
+    second: int
+    account: str
+    asked: int = 0
+    placed: int = 0
+    refused: Counter[str] = field(default_factory=Counter)
+    served: int = 0
+    standings: Counter[str] = field(default_factory=Counter)
+    sums_age: int = 0
+
+    def add(self, row: dict[str, Any], sums_age: int) -> None:
+        """Add what one entry wrote."""
+        self.asked += row.get("asked", 0)
+        self.placed += row.get("placed", 0)
+        self.refused.update(row.get("refused", {}))
+        self.served = max(self.served, row.get("served_in_window", 0))
+        self.standings[row.get("standing", "")] += 1
+        self.sums_age = max(self.sums_age, sums_age)
+
+
+def read_accounts(lines: Iterable[str]) -> list[AccountSecond]:
+    """Return the accounts by second, those refused most often first.
+
+    Args:
+        lines: Lines of one or more entries; other lines are passed over.
+    """
+    seconds: dict[tuple[int, str], AccountSecond] = {}
+    for fields in _read(lines):
+        second = fields.get("time", 0) // MILLIS_PER_SECOND
+        for row in fields.get("accounts", ()):
+            account = row.get("account", "")
+            key = (second, account)
+            one = seconds.setdefault(key, AccountSecond(second, account))
+            one.add(row, fields.get("sums_age_ms", 0))
+    return sorted(
+        seconds.values(),
+        key=lambda one: (one.second, -one.refused.total(), one.account),
+    )
+
+
+def render_accounts(rows: Sequence[AccountSecond], *, most: int) -> str:
+    """Return a table as text.
+
+    Args:
+        rows: Its rows, in order.
+        most: Rows shown for each second; the number of the others is told.
+    """
+    shown: Counter[int] = Counter()
+    left_out: defaultdict[int, int] = defaultdict(int)
+    cells = [list(HEAD)]
+    for row in rows:
+        if shown[row.second] >= most:
+            left_out[row.second] += 1
+            continue
+        shown[row.second] += 1
+        cells.append(_cells(row))
+    lines = render_cells(cells)
+    lines += [f"and {count} more in {second}" for second, count in left_out.items()]
+    return "\n".join(lines)
+
+
+def _read(lines: Iterable[str]) -> Iterator[dict[str, Any]]:
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or MESSAGE not in line:
+            continue
+        try:
+            fields = json.loads(line[start:])
+        except ValueError:
+            continue
+        if isinstance(fields, dict) and fields.get("message") == MESSAGE:
+            yield fields
+
+
+def _cells(row: AccountSecond) -> list[str]:
+    return [
+        str(row.second),
+        row.account,
+        str(row.asked),
+        str(row.placed),
+        str(row.refused.total()),
+        str(row.served),
+        _counts(row.standings),
+        str(row.sums_age),
+        _counts(row.refused),
+    ]
+
+
+def _counts(counts: Counter[str]) -> str:
+    return " ".join(f"{name}:{count}" for name, count in counts.most_common())
--- a/src/leadseam/explain/tables.py
+++ b/src/leadseam/explain/tables.py
@@ -80,13 +80,18 @@
     """
     head = [key.value, "all", *(ending.value for ending in Ending), "reread"]
     cells = [head, *(_cells(row) for row in rows[:most])]
-    widths = [max(len(line[column]) for line in cells) for column in range(len(head))]
-    lines = [_line(line, widths) for line in cells]
+    lines = render_cells(cells)
     if len(rows) > most:
         lines.append(f"and {len(rows) - most} more")
     return "\n".join(lines)
 
 
+def render_cells(cells: Sequence[Sequence[str]]) -> list[str]:
+    """Return the lines of a table; all columns but the first are right-aligned."""
+    widths = [max(map(len, column)) for column in zip(*cells, strict=True)]
+    return [_line(line, widths) for line in cells]
+
+
 def _row(name: str, group: list[EndedRequest]) -> Row:
     counts = Counter(request.ending for request in group)
     return Row(name, counts, sum(request.reread for request in group))
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -108,8 +108,10 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
+        assert self._gateway is not None
         async with asyncio.TaskGroup() as group:
             group.create_task(self._feed.run())
+            group.create_task(self._gateway.placer.account_log.run())
             group.create_task(self._watch.run())
             group.create_task(self._sweep())
             group.create_task(self._report_load())
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -18,6 +18,7 @@
     Whole,
 )
 from leadseam.routing.budget import PoolRetryBudget
+from leadseam.routing.dialect import Sender
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.first_configuration import FirstConfiguration
 from leadseam.routing.health import UpstreamHealth
@@ -39,7 +40,7 @@
     from leadseam.routing.attempt import Ending
     from leadseam.routing.budget import RetryLimits
     from leadseam.routing.client import UpstreamClient
-    from leadseam.routing.dialect import Dialect, RoutedRequest, Sender
+    from leadseam.routing.dialect import Dialect, RoutedRequest
     from leadseam.runtime.lag import LoopLag
     from leadseam.runtime.metrics import RoutingMetrics
     from leadseam.wire.messages import Registration
@@ -106,7 +107,11 @@
         self._router = Router(feed.configuration)
         self.placer = Placer(feed=feed, health=self._health, clock=clock, rng=rng)
         self.request_log = RequestLog(
-            feed=feed, standing=self.placer.standing, clock=clock, metrics=metrics
+            feed=feed,
+            standing=self.placer.standing,
+            account_log=self.placer.account_log,
+            clock=clock,
+            metrics=metrics,
         )
 
     def __repr__(self) -> str:
@@ -147,7 +152,7 @@
         if self._lag.millis > EXCESS_LAG:
             sender = self.dialect.read_sender(http)
             if self._has_had_its_share(sender, arrived):
-                return self._refuse(sender.request_id, self._busy(), arrived)
+                return self._refuse(sender, self._busy(), arrived)
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
@@ -159,14 +164,17 @@
             await self._first_configuration.wait(req.patience)
         admitted = self._admit(req, body, arrived)
         if isinstance(admitted, NotRun):
-            return self._refuse(req.request_id, admitted, arrived)
+            return self._refuse(Sender(req.request_id, req.key), admitted, arrived)
         return await self._run(http, admitted)
 
-    def _refuse(
-        self, request_id: str, refusal: NotRun, arrived: Millis
-    ) -> web.Response:
-        lag = self._lag.millis
-        self.request_log.refusal(request_id, refusal, arrived, lag=lag)
+    def _refuse(self, sender: Sender, refusal: NotRun, arrived: Millis) -> web.Response:
+        self.request_log.refusal(
+            sender.request_id,
+            self._account_of(sender),
+            refusal,
+            arrived,
+            lag=self._lag.millis,
+        )
         return self.error(refusal)
 
     async def _run(
@@ -214,12 +222,19 @@
 
     def _has_had_its_share(self, sender: Sender, now: Millis) -> bool:
         """Tell whether a sender's account is ahead of others, by its key alone."""
-        account = self._router.account(sender.key) if sender.key is not None else None
+        account = self._account_of(sender)
         if account is None:
             return False
-        standing = self.placer.standing(account.name, now)
+        standing = self.placer.standing(account, now)
         return standing in (Standing.AHEAD, Standing.STOPPED)
 
+    def _account_of(self, sender: Sender) -> str | None:
+        """Return the client account that a key belongs to, if any."""
+        if sender.key is None:
+            return None
+        account = self._router.account(sender.key)
+        return account.name if account is not None else None
+
     def _account(self, req: RoutedRequest, route: Route) -> Account | NotRun | None:
         if not self._router.keyed:
             return None
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -8,6 +8,7 @@
 from leadseam.clock import seconds
 from leadseam.control.routes import EngineProfile
 from leadseam.outcome import Reason
+from leadseam.routing.account_log import AccountLog
 from leadseam.routing.admission import Admission, Waiter
 from leadseam.routing.balance import Balancer, service_of
 from leadseam.routing.flight import Flight
@@ -55,6 +56,7 @@
         self._clock = clock
         self._balancer = Balancer(rng)
         self._usage = UsageBook()
+        self.account_log = AccountLog(self._usage, clock)
         self._admission = Admission(
             balancer=self._balancer,
             candidates=self._candidates,
@@ -68,7 +70,9 @@
 
     def asked(self, account: str, req: RoutedRequest, now: Millis) -> None:
         """Count a request of a client account, placed later or not."""
-        self._usage.asked(account, service_of(req), now)
+        service = service_of(req)
+        self._usage.asked(account, service, now)
+        self.account_log.asked(account, service)
 
     def standing(self, account: str, now: Millis) -> Standing:
         """Return what a client account may claim."""
@@ -100,6 +104,7 @@
         if admitted.account is not None:
             service = service_of(admitted.req)
             self._usage.served(admitted.account, service, self._clock.now())
+            self.account_log.placed(admitted.account, service)
         return Flight(
             placement, admitted.req, self._balancer, self._clock, self._pump_soon
         )
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -17,6 +17,7 @@
 
     from leadseam.clock import Clock, Millis
     from leadseam.feed.client import FeedClient
+    from leadseam.routing.account_log import AccountLog
     from leadseam.routing.admitted import Admitted
     from leadseam.routing.attempt import Ending
     from leadseam.routing.exchange import Exchange
@@ -36,6 +37,7 @@
     Args:
         feed: Configuration in force, named on each line.
         standing: Returns what a client account may claim, named on refusals.
+        account_log: Where refusals are counted by client account.
         clock: Source of time.
         metrics: Counters.
     """
@@ -45,23 +47,34 @@
         *,
         feed: FeedClient,
         standing: Callable[[str, Millis], Standing],
+        account_log: AccountLog,
         clock: Clock,
         metrics: RoutingMetrics,
     ) -> None:
         self._feed = feed
         self._standing = standing
+        self._account_log = account_log
         self._clock = clock
         self._metrics = metrics
         self._lines = LineBudget(clock)
 
     def refusal(
-        self, request_id: str, refusal: NotRun, arrived: Millis, *, lag: Millis
+        self,
+        request_id: str,
+        account: str | None,
+        refusal: NotRun,
+        arrived: Millis,
+        *,
+        lag: Millis,
     ) -> None:
         """Note a request that was not admitted, and the lag of the event loop."""
         self._metrics.requests.inc("not_run")
+        if account is not None:
+            self._account_log.refused(account, refusal.reason)
         if self._lines.take():
             extra = {
                 "request": request_id,
+                "account": account,
                 "reason": refusal.reason.value,
                 "lag_ms": lag,
                 **self._configuration(),
@@ -117,6 +130,8 @@
         if exchange.first_byte_at != NOT_YET:
             first = exchange.first_byte_at - admitted.arrived
             self._metrics.first_byte.add({}, first / 1_000)
+        if isinstance(outcome, NotRun) and admitted.account is not None:
+            self._account_log.refused(admitted.account, outcome.reason)
         if self._lines.take():
             self._log_end(exchange, admitted, outcome, now)
 
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -18,7 +18,7 @@
 from leadseam.wire.messages import UsageRow
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from leadseam.clock import Millis
     from leadseam.wire.messages import LoadReport, LoadSums
@@ -55,6 +55,29 @@
     """So far ahead of one that is short that it gets nothing."""
 
 
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Service in the window up to which accounts have a standing; infinite for all.
+
+    Args:
+        stated: Share of the capacity that the operators state.
+        even: Service beyond which an account is ahead of the others.
+        stop: Service beyond which an account gets nothing.
+    """
+
+    stated: float = float("inf")
+    even: float = float("inf")
+    stop: float = float("inf")
+
+    def standing(self, level: int) -> Standing:
+        """Return what an account may claim that got so much."""
+        if level <= self.stated:
+            return Standing.WITHIN
+        if level > self.stop:
+            return Standing.STOPPED
+        return Standing.AHEAD if level > self.even else Standing.EVEN
+
+
 @dataclass(slots=True)
 class _Events:
     times: deque[tuple[Millis, int]] = field(default_factory=deque)
@@ -81,13 +104,11 @@
     def __init__(self) -> None:
         self._own: dict[str, _Account] = {}
         self._others: dict[str, UsageRow] = {}
-        self._totals_at: Millis = -TOTALS_LIMIT
-        self._stated_level = float("inf")
-        self._level = float("inf")
-        self._stop_level = float("inf")
+        self._totals_at: Millis | None = None
+        self.shares = Shares()
 
     def __repr__(self) -> str:
-        return f"UsageBook(accounts={len(self._own)}, level={self._level:.0f})"
+        return f"UsageBook(accounts={len(self._own)}, {self.shares!r})"
 
     def asked(self, account: str, service: int, now: Millis) -> None:
         """Count a request that arrived."""
@@ -112,11 +133,11 @@
         if not self._knows_others(now):
             return Standing.WITHIN
         level = self.level(account, now)
-        if level <= self._stated_level:
-            return Standing.WITHIN
-        if level > self._stop_level:
-            return Standing.STOPPED
-        return Standing.AHEAD if level > self._level else Standing.EVEN
+        return self.shares.standing(level)
+
+    def sums_age(self, now: Millis) -> Millis:
+        """Return the age of the sums gone by, or -1 before the first."""
+        return now - self._totals_at if self._totals_at is not None else -1
 
     def rows(self, now: Millis) -> tuple[UsageRow, ...]:
         """Return the own rows for a report."""
@@ -150,19 +171,10 @@
         self._others = {
             row.account: _minus(row, mine.get(row.account)) for row in sums.usage
         }
-        served = sum(row.served for row in sums.usage)
-        demands = [max(row.asked, row.served) for row in sums.usage]
-        # Unequal to the level below where engines give more than is stated. Without it
-        # 1,500 requests of accounts within this share were refused on a day of overload
-        # (lines on all requests); 0.59 of what callers value was earned, not 0.62, on
-        # two such days.
-        self._stated_level = fair_level(demands, capacity or served)
-        level = fair_level(demands, max(capacity, served))
-        self._level = min(level, lead_level(sums.usage, level, LEAD))
-        self._stop_level = lead_level(sums.usage, level, STOP_LEAD)
+        self.shares = shares_of(sums.usage, capacity)
 
     def _knows_others(self, now: Millis) -> bool:
-        return now - self._totals_at <= TOTALS_LIMIT
+        return self._totals_at is not None and now - self._totals_at <= TOTALS_LIMIT
 
     def _account(self, name: str, now: Millis) -> _Account:
         account = self._own.setdefault(name, _Account())
@@ -171,6 +183,28 @@
         return account
 
 
+def shares_of(rows: Sequence[UsageRow], capacity: int) -> Shares:
+    """Return the shares for what accounts asked for and got.
+
+    Args:
+        rows: The sums of all entries.
+        capacity: Service that all upstreams give in a window; 0 if unknown.
+    """
+    served = sum(row.served for row in rows)
+    demands = [max(row.asked, row.served) for row in rows]
+    # Unequal to the level below where engines give more than is stated. Without it
+    # 1,500 requests of accounts within this share were refused on a day of overload
+    # (lines on all requests); 0.59 of what callers value was earned, not 0.62, on two
+    # such days.
+    stated = fair_level(demands, capacity or served)
+    level = fair_level(demands, max(capacity, served))
+    return Shares(
+        stated=stated,
+        even=min(level, lead_level(rows, level, LEAD)),
+        stop=lead_level(rows, level, STOP_LEAD),
+    )
+
+
 def fair_level(demands: Iterable[int], capacity: int) -> float:
     """Return the max-min level: no demand gets more, and together they fit.
 
--- /dev/null
+++ b/tests/explain/test_accounts.py
@@ -0,0 +1,51 @@
+"""Tables of client accounts from the lines of several entries."""
+
+from __future__ import annotations
+
+import json
+
+from leadseam.explain.accounts import read_accounts, render_accounts
+
+
+def make_line(at: int, *rows: dict[str, object], age: int = 40) -> str:
+    """Return a line as an entry writes it."""
+    fields = {"time": at, "message": "accounts refused", "sums_age_ms": age}
+    return json.dumps(fields | {"accounts": list(rows)})
+
+
+def make_row(account: str, **fields: object) -> dict[str, object]:
+    """Return an account of a line."""
+    usual: dict[str, object] = {"asked": 100, "placed": 20, "served_in_window": 80}
+    return {"account": account, "standing": "within", "refused": {}} | usual | fields
+
+
+def test_what_entries_tell_of_a_second_is_added_up() -> None:
+    lines = [
+        make_line(1_200, make_row("menus", refused={"upstream_full": 2})),
+        make_line(1_900, make_row("menus", standing="ahead", served_in_window=90)),
+        make_line(2_100, make_row("menus", refused={"entry_busy": 1}), age=700),
+        '{"message":"request ended"}',
+        "not JSON: accounts refused {",
+    ]
+    first, second = read_accounts(lines)
+    assert (first.second, first.asked, first.placed) == (1, 200, 40)
+    assert (first.refused, first.served) == ({"upstream_full": 2}, 90)
+    assert first.standings == {"within": 1, "ahead": 1}
+    assert (second.second, second.sums_age) == (2, 700)
+
+
+def test_the_table_shows_who_was_refused_most_in_each_second() -> None:
+    rows = read_accounts(
+        [
+            make_line(
+                1_000,
+                make_row("few", refused={"upstream_full": 1}),
+                make_row("many", refused={"upstream_full": 5, "entry_busy": 2}),
+            )
+        ]
+    )
+    head, row, more = render_accounts(rows, most=1).splitlines()
+    assert head.split()[:3] == ["second", "account", "asked"]
+    assert row.split()[:5] == ["1", "many", "100", "20", "7"]
+    assert row.endswith("upstream_full:5 entry_busy:2")
+    assert more == "and 1 more in 1"
--- /dev/null
+++ b/tests/routing/test_account_log.py
@@ -0,0 +1,74 @@
+"""Lines on the client accounts that an entry refuses."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from leadseam.clock import ManualClock
+from leadseam.outcome import Reason
+from leadseam.routing.account_log import MOST_ACCOUNTS, AccountLog
+from leadseam.routing.usage import UsageBook
+from leadseam.wire.messages import LoadSums, UsageRow
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def written(caplog: pytest.LogCaptureFixture) -> list[dict[str, Any]]:
+    """Return the fields of the lines."""
+    return [vars(record) for record in caplog.records]
+
+
+def test_a_line_tells_what_a_refused_account_asked_for_and_got(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    usage = UsageBook()
+    rows = (UsageRow("menus", 900, 2_000), UsageRow("pay", 100, 1_000))
+    usage.take_sums(LoadSums((), rows), None, capacity=1_000, now=100)
+    lines = AccountLog(usage, ManualClock(140))
+    lines.asked("menus", 300)
+    lines.placed("menus", 200)
+    lines.refused("menus", Reason.UPSTREAM_FULL)
+    lines.refused("menus", Reason.ENTRY_BUSY)
+    lines.write()
+    lines.write()
+    (line,) = written(caplog)
+    assert line["message"] == "accounts refused"
+    assert (line["sums_age_ms"], line["stated_level"]) == (40, 500)
+    assert line["accounts"] == [
+        {
+            "account": "menus",
+            "asked": 300,
+            "placed": 200,
+            "refused": {"upstream_full": 1, "entry_busy": 1},
+            "served_in_window": 900,
+            "standing": "stopped",
+        }
+    ]
+
+
+def test_nothing_is_written_while_nobody_is_refused(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    lines = AccountLog(UsageBook(), ManualClock())
+    lines.asked("menus", 300)
+    lines.write()
+    assert written(caplog) == []
+
+
+def test_a_line_names_a_bounded_number_of_accounts(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    lines = AccountLog(UsageBook(), ManualClock())
+    for number in range(MOST_ACCOUNTS + 3):
+        for _ in range(number + 1):
+            lines.refused(f"a{number}", Reason.UPSTREAM_FULL)
+    lines.write()
+    (line,) = written(caplog)
+    assert [row["account"] for row in line["accounts"]][:2] == ["a10", "a9"]
+    assert (len(line["accounts"]), line["others"]) == (MOST_ACCOUNTS, 3)
+    assert (line["sums_age_ms"], line["stop_level"]) == (-1, None)
