Soak: a control process that has written nothing is no part of a whole group

From the nodes' lines that were kept: the box .22 was killed with its disk (the leader misses it at 9.8 s), its next process wrote nothing before power was lost at 14 s, and .21 lost its disk then. So two disks of three were gone. The group had been taken for whole, because the last line on the members of .22 was one of its process before.

Ruled out: a fault of the nodes: what is left (.23 with 56 entries, two empty disks) cannot elect. The check reads only what the process that runs now has written.

--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -73,6 +73,7 @@
             *self.entry_ips,
             *self.server_ips,
         ]
+        self._log_begins: dict[str, int] = {}
         self.control_port = free_port(every)
         self.inner_port = free_port(every)
         self.front_port = free_port(every)
@@ -133,6 +134,7 @@
         role = "control" if ip in self.control_ips else "entry"
         path = self.folder / f"{ip}.conf"
         with open(self.folder / f"{ip}.log", "ab") as log:
+            self._log_begins[ip] = log.tell()
             self.processes[ip] = subprocess.Popen(
                 [sys.executable, "-m", "leadseam.cli.node", role],
                 env={**os.environ, names.SETTINGS_VARIABLE: str(path)},
@@ -192,23 +194,29 @@
         self.processes[ip].kill()
         self.processes[ip].wait()
 
-    def log(self, ip: str) -> list[dict[str, Any]]:
-        """Return the log lines of a box."""
-        text = (self.folder / f"{ip}.log").read_text()
+    def log(self, ip: str, *, begin: int = 0) -> list[dict[str, Any]]:
+        """Return the log lines of a box.
+
+        Args:
+            ip: Address of the box.
+            begin: Byte of its log to begin at.
+        """
+        text = (self.folder / f"{ip}.log").read_bytes()[begin:].decode()
         return [json.loads(line) for line in text.splitlines() if line.startswith("{")]
 
     def last_voters(self, ip: str) -> set[str]:
-        """Return the boxes that vote, by the last line of a control box."""
+        """Return the boxes that vote, by the last line of a control process."""
         return self._last_members(ip, "voters")
 
     def last_learners(self, ip: str) -> set[str]:
-        """Return the boxes that do not vote yet, by the last line of a control box."""
+        """Return the boxes that do not vote yet, by its last line."""
         return self._last_members(ip, "learners")
 
     def _last_members(self, ip: str, kind: str) -> set[str]:
-        changes = [
-            line for line in self.log(ip) if line["message"] == "membership changed"
-        ]
+        # What the process before has written is not true of this one: it may have lost
+        # its disk, and write nothing yet.
+        lines = self.log(ip, begin=self._log_begins.get(ip, 0))
+        changes = [line for line in lines if line["message"] == "membership changed"]
         identities = changes[-1][kind] if changes else []
         return {identity.partition("#")[0] for identity in identities}
 
