--- a/src/leadseam/control/service.py
+++ b/src/leadseam/control/service.py
@@ -9,6 +9,8 @@
 
 from leadseam.clock import Clock, Millis, seconds, sleep
 from leadseam.control.state import ChangeResult, Leave, LeaveResult, Replace
+from leadseam.incarnation import Incarnation
+from leadseam.runtime.logs import LineBudget
 
 if TYPE_CHECKING:
     from leadseam.control.configuration import Configuration
@@ -16,6 +18,7 @@
     from leadseam.control.state import Command, CommandResult
     from leadseam.errors import DocumentError
     from leadseam.feed.server import FeedServer
+    from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.messages import Registration
 
 ANSWER_LIMIT: Millis = 900
@@ -24,6 +27,11 @@
 """How long after its start a replica waits for enough voters before it commits. The
 group normally gathers within a second; a change should not wait for four."""
 GATHER_POLL: Millis = 20
+UNKNOWN_POOL = "the configuration does not name its pool"
+REFUSAL_LINES = 5
+"""Lines a second on registrations that name no upstream; a counter has them all."""
+MAX_LOGGED = 128
+"""Characters of an id that is logged: as many as a valid one has."""
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +65,7 @@
         replica: The replica.
         feed: Where entries are told.
         clock: Source of time.
+        metrics: Counters.
         min_voters: Voters wanted before the first commit, so that the tolerated
             losses right after it take no copy that counts.
     """
@@ -66,12 +75,15 @@
         replica: Replica,
         feed: FeedServer,
         clock: Clock,
+        metrics: ControlMetrics,
         *,
         min_voters: int,
     ) -> None:
         self._replica = replica
         self._feed = feed
         self._clock = clock
+        self._metrics = metrics
+        self._lines = LineBudget(clock, rate=REFUSAL_LINES)
         self._min_voters = min_voters
         self._started = clock.now()
 
@@ -110,22 +122,49 @@
 
     async def heartbeat(self, registration: Registration) -> Reply:
         """Take an upstream's heartbeat; leaving is acknowledged once committed."""
+        if not self._feed.takes(registration):
+            return Invalid((UNKNOWN_POOL,))
         if not registration.ready:
-            return await self.leave(registration.instance)
+            return await self.leave(registration.incarnation)
         self._feed.register(registration)
         return Accepted()
 
-    async def leave(self, instance: str) -> Reply:
+    async def leave_unstated(self, instance: str) -> Reply:
+        """Commit that an upstream leaves that does not say which start of it does.
+
+        It is the one that is heard here. Where upstreams state their starts and this
+        one is not heard here, another replica has to tell.
+        """
+        born = self._feed.start_of(instance)
+        if born is None:
+            return Unavailable("its start is not known here")
+        return await self.leave(Incarnation(instance, born))
+
+    async def leave(self, incarnation: Incarnation) -> Reply:
         """Commit that an upstream leaves."""
-        if instance in self._replica.state.left:
+        if incarnation in self._replica.state.departed:
             return Accepted()
-        result = await self._submit(Leave(instance))
+        extra = {"instance": str(incarnation)}
+        result = await self._submit(Leave(incarnation.instance, born=incarnation.born))
         if not isinstance(result, LeaveResult):
-            log.warning("leaving not committed in time", extra={"instance": instance})
+            log.warning("leaving not committed in time", extra=extra)
             return Unavailable("no quorum confirmed it in time")
-        log.info("leaving acknowledged", extra={"instance": instance})
+        log.info("leaving acknowledged", extra=extra)
         return Accepted()
 
+    def note_unknown_writer(self, instance: str, fault: str, message: str) -> None:
+        """Count a registration that names no upstream, and log it within a budget.
+
+        Args:
+            instance: The id that it was sent for.
+            fault: Stable name of what is wrong.
+            message: One line for a person.
+        """
+        self._metrics.registrations_refused.inc(fault)
+        if self._lines.take():
+            extra = {"instance": instance[:MAX_LOGGED], "fault": fault}
+            log.info("registration refused", extra=extra | {"detail": message})
+
     async def _submit(self, command: Command) -> CommandResult | None:
         try:
             async with asyncio.timeout(seconds(ANSWER_LIMIT)):
--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -15,13 +15,13 @@
     Operation,
     operation_faults,
 )
+from leadseam.incarnation import NO_START, Incarnation
+from leadseam.membership.departures import Departures
 from leadseam.wire.codec import decode, encode
 from leadseam.wire.messages import Record
 
 MAX_REMEMBERED_CHANGES = 10_000
 MAX_DELTAS = 512
-MAX_LEFT = 10_000
-"""Instances that left and are remembered: days of a fleet's planned restarts."""
 
 
 class ChangeStatus(StrEnum):
@@ -83,12 +83,19 @@
     """A registered upstream leaves; final for its incarnation.
 
     Args:
-        instance: Its incarnation.
+        instance: Its id.
         at: Wall time stamped by the leader.
+        born: Its start; logs of older versions state none.
     """
 
     instance: str
     at: int = 0
+    born: int = NO_START
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Which start of the upstream leaves."""
+        return Incarnation(self.instance, self.born)
 
 
 Command: TypeAlias = Change | Claims | Barrier | Replace | Leave
@@ -121,9 +128,10 @@
 
 
 class LeaveResult(Record, frozen=True, array_like=True, tag=4):
-    """The instance is known to be leaving."""
+    """The incarnation is known to be leaving."""
 
     instance: str
+    born: int = NO_START
 
 
 CommandResult: TypeAlias = ChangeResult | ClaimResults | BarrierResult | LeaveResult
@@ -144,7 +152,8 @@
     changes: tuple[tuple[str, ChangeResult], ...]
     history: tuple[HistoryRow, ...]
     claims: tuple[tuple[str, str, ClaimRow], ...]
-    left: tuple[str, ...] = ()
+    left_without_start: tuple[str, ...] = ()
+    departed: tuple[Incarnation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,7 +171,7 @@
         self.configuration = Configuration()
         self.history: list[HistoryRow] = []
         self.deltas: list[VersionedOperations] = []
-        self.left: OrderedDict[str, None] = OrderedDict()
+        self.departed = Departures()
         self._changes: OrderedDict[str, ChangeResult] = OrderedDict()
         self._claims = ClaimTable({})
 
@@ -186,8 +195,9 @@
                 return BarrierResult(self.configuration.version)
             case Replace(configuration=configuration):
                 return self._replace(configuration)
-            case Leave(instance=instance):
-                return self._leave(instance)
+            case Leave(instance=instance, born=born):
+                self.departed.add(command.incarnation)
+                return LeaveResult(instance, born)
 
     def deltas_after(self, version: int) -> list[VersionedOperations] | None:
         """Return the operations since a version, or None if some are forgotten."""
@@ -205,7 +215,7 @@
             tuple(self._changes.items()),
             tuple(self.history),
             tuple(claims),
-            tuple(self.left),
+            departed=tuple(self.departed),
         )
         return encode(saved)
 
@@ -220,7 +230,8 @@
         self._changes = OrderedDict(saved.changes)
         rows = {(account, key): row for account, key, row in saved.claims}
         self._claims = ClaimTable(rows)
-        self.left = OrderedDict.fromkeys(saved.left)
+        older = map(Incarnation, saved.left_without_start)
+        self.departed = Departures([*older, *saved.departed])
 
     def _replace(self, configuration: Configuration) -> ChangeResult:
         if configuration.version > self.configuration.version:
@@ -229,12 +240,6 @@
             self.deltas.clear()
         return ChangeResult(ChangeStatus.ACCEPTED, self.configuration.version)
 
-    def _leave(self, instance: str) -> LeaveResult:
-        self.left[instance] = None
-        while len(self.left) > MAX_LEFT:
-            self.left.popitem(last=False)
-        return LeaveResult(instance)
-
     def _apply_change(self, change: Change) -> ChangeResult:
         known = self._changes.get(change.change_id)
         if known is not None:
--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -19,6 +19,7 @@
 from leadseam.emulate.virtual import VirtualClock, VirtualLoop
 from leadseam.feed.pace import SHORTEST, interval_for
 from leadseam.feed.totals import LoadSummer
+from leadseam.incarnation import Incarnation
 from leadseam.outcome import Reason
 from leadseam.routing.admitted import Admitted
 from leadseam.routing.balance import service_of
@@ -90,7 +91,7 @@
         self._rng = random.Random(-seed)
         self._clock = VirtualClock(cast(VirtualLoop, asyncio.get_running_loop()))
         rows = [_row(number, cfg) for number in range(cfg.engines)]
-        self.engines = {row.instance: Engine(row, cfg.engine) for row in rows}
+        self.engines = {row.incarnation: Engine(row, cfg.engine) for row in rows}
         feed = cast("FeedClient", _Feed(rows, cfg))
         self._placers = [self._placer(feed) for _ in range(cfg.entries)]
         self._routes = {kind.name: _route(kind) for kind in cfg.kinds}
@@ -160,7 +161,7 @@
             self.tally.answered(arrival, service, now, in_time=in_time)
 
         def arrive() -> None:
-            if not self.engines[flight.upstream.instance].take(run):
+            if not self.engines[flight.upstream.incarnation].take(run):
                 self.tally.ends["engine full"] += 1
                 flight.end()
 
@@ -214,7 +215,7 @@
 
 def _row(number: int, cfg: FleetSettings) -> Registration:
     return Registration(
-        instance=f"i-{number}",
+        incarnation=Incarnation(f"i-{number}"),
         pool=POOL,
         ip=f"10.0.{number // IPS_PER_NET}.{number % IPS_PER_NET + 1}",
         port=80,
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -35,9 +35,10 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
 
+    from leadseam.incarnation import Incarnation
     from leadseam.settings.models import Endpoint
     from leadseam.wire.link import Link
-    from leadseam.wire.messages import AnyMessage, LoadReport
+    from leadseam.wire.messages import AnyMessage, LoadReport, Registration
     from leadseam.wire.traffic import Traffic
 
 SILENCE_LIMIT: Millis = 2_000
@@ -65,6 +66,8 @@
         address_of: Returns the inner address of a control box by its name, or None.
         on_sums: Called with the sums of all entries' loads, and with the number of the
             own report in them.
+        on_restarts: Called with incarnations of upstreams that are over, as a later
+            start of theirs is known.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         view: UpstreamView | None = None,
         address_of: Callable[[str], Endpoint | None] = lambda _: None,
         on_sums: Callable[[int, LoadSums], None] = lambda _number, _sums: None,
+        on_restarts: Callable[[Iterable[Incarnation]], None] = lambda _: None,
     ) -> None:
         self.configuration = Configuration()
         self.confirmed = False
@@ -95,6 +99,7 @@
         self._width = width
         self._address_of = address_of
         self._on_sums = on_sums
+        self._on_restarts = on_restarts
         self._first = asyncio.Event()
         self._confirmed_at: Millis = -FRESH_LIMIT
         self._followed: set[Endpoint] = set()
@@ -227,19 +232,27 @@
             case Registered(rows=rows, whole=whole):
                 if whole:
                     self.view.connected(replica, self._clock.now())
-                self.view.update(replica, rows, self._clock.now())
-            case Expired(instances=instances):
-                self.view.expired(replica, instances)
-            case Left(instances=instances):
-                fresh = self.view.left(instances)
+                self._take_rows(replica, rows)
+            case Expired(incarnations=incarnations):
+                self.view.expired(replica, incarnations)
+            case Left(incarnations=incarnations):
+                fresh = self.view.left(incarnations)
                 if fresh:
-                    log.info("upstreams leave", extra={"instances": fresh})
+                    extra = {"instances": list(map(str, fresh))}
+                    log.info("upstreams leave", extra=extra)
             case LoadTotals(included=included, data=data):
                 if self._summing.answered(replica):
                     self._on_sums(included, decode(data, LoadSums))
             case _:
                 return
 
+    def _take_rows(self, replica: str, rows: Iterable[Registration]) -> None:
+        over = self.view.update(replica, rows, self._clock.now())
+        if over:
+            extra = {"earlier": list(map(str, over)), "replica": replica}
+            log.info("upstreams have started again", extra=extra)
+            self._on_restarts(over)
+
     def _take_members(self, replica: Endpoint, message: Replicas) -> None:
         addresses = (self._address_of(name) for name in message.names)
         self._directory.told(replica, [one for one in addresses if one is not None])
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -11,6 +11,8 @@
 from leadseam.feed.configuration_push import FIRST_LEAD, ConfigurationPush, Subscriber
 from leadseam.feed.pace import SHORTEST, interval_for
 from leadseam.feed.totals import LoadSummer
+from leadseam.incarnation import NO_START
+from leadseam.membership.departures import Departures
 from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.messages import (
@@ -66,7 +68,8 @@
         self._metrics = metrics
         self._registry = registry or Registry(DEFAULT_HEARTBEAT)
         self._clock = clock or SystemClock()
-        self._told_left: set[str] = set()
+        self._told_left = Departures()
+        self._named_pools: frozenset[str] = frozenset()
         self._sums = LoadSummer()
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
@@ -89,13 +92,15 @@
 
     def register(self, registration: Registration) -> None:
         """Take an upstream's heartbeat and tell subscribers what changed."""
-        if registration.instance in self._replica.state.left:
+        if registration.incarnation in self._replica.state.departed:
             return
-        if self._registry.heartbeat(registration, self._clock.now()):
+        if not self._registry.heartbeat(registration, self._clock.now()):
+            return
+        if self._is_named(registration):
             log.info(
                 "upstream registered",
                 extra={
-                    "instance": registration.instance,
+                    "instance": str(registration.incarnation),
                     "pool": registration.pool,
                     "ready": registration.ready,
                     "sequence": registration.sequence,
@@ -103,6 +108,28 @@
             )
             self._tell_all(Registered((registration,)))
 
+    def takes(self, registration: Registration) -> bool:
+        """Tell whether a registration may be of an upstream.
+
+        One of a pool that the configuration does not name is of none: whoever wrote it,
+        entries have no use for it, and it might claim an address of another. One that
+        is heard here stays an upstream when its pool goes, and before there is a
+        configuration nobody can tell.
+        """
+        if not self._replica.state.configuration.version:
+            return True
+        return self._is_named(registration) or self._registry.hears(registration)
+
+    def _is_named(self, registration: Registration) -> bool:
+        return registration.pool in self._replica.state.configuration.pools
+
+    def start_of(self, instance: str) -> int | None:
+        """Return the start that a word of leaving without one concerns, if any."""
+        born = self._registry.born(instance)
+        if born is None and not self._registry.states_starts:
+            return NO_START
+        return born
+
     async def serve(self, link: Link) -> None:
         """Handle one inner link: of another replica, or of a subscriber."""
         async for message in link.messages():
@@ -144,8 +171,9 @@
 
     def _greet(self, subscriber: Subscriber) -> None:
         """Send a new subscriber all that it may lack."""
-        subscriber.link.send(Registered(self._registry.rows(), whole=True))
-        left = tuple(self._replica.state.left)[-MAX_LEFT_TOLD:]
+        named = tuple(row for row in self._registry.rows() if self._is_named(row))
+        subscriber.link.send(Registered(named, whole=True))
+        left = tuple(self._replica.state.departed)[-MAX_LEFT_TOLD:]
         if left:
             subscriber.link.send(Left(left))
         self._push.send(subscriber)
@@ -171,6 +199,7 @@
         while True:
             await self._replica.next_applied()
             self._push_left()
+            self._push_newly_named()
             for subscriber in self.subscribers:
                 if self._push.is_first_for(subscriber):
                     self._push.send(subscriber)
@@ -190,16 +219,24 @@
 
     def _push_left(self) -> None:
         """Tell of upstreams whose leaving was committed since the last call."""
-        left = self._replica.state.left
-        fresh = [instance for instance in left if instance not in self._told_left]
+        departed = self._replica.state.departed
+        fresh = [one for one in departed if self._told_left.add(one)]
         if not fresh:
             return
-        self._told_left = set(left)
-        for instance in fresh:
-            self._registry.remove(instance)
-        log.info("upstreams leave", extra={"instances": fresh})
+        for incarnation in fresh:
+            self._registry.remove(incarnation)
+        log.info("upstreams leave", extra={"instances": list(map(str, fresh))})
         self._tell_all(Left(tuple(fresh)))
 
+    def _push_newly_named(self) -> None:
+        """Tell of upstreams that registered before their pool was named."""
+        pools = frozenset(self._replica.state.configuration.pools)
+        fresh = pools - self._named_pools
+        self._named_pools = pools
+        rows = tuple(row for row in self._registry.rows() if row.pool in fresh)
+        if rows:
+            self._tell_all(Registered(rows))
+
     async def _push_heartbeats(self) -> None:
         while True:
             await sleep(HEARTBEAT_INTERVAL)
@@ -219,7 +256,8 @@
     def _expire(self) -> None:
         lost = self._registry.expire(self._clock.now())
         if lost:
-            log.warning("upstreams are silent", extra={"instances": lost})
+            extra = {"instances": list(map(str, lost))}
+            log.warning("upstreams are silent", extra=extra)
             self._tell_all(Expired(lost))
 
     def _send_heartbeat(self, subscriber: Subscriber) -> None:
--- a/src/leadseam/feed/totals.py
+++ b/src/leadseam/feed/totals.py
@@ -55,14 +55,14 @@
         }
 
     def _rows(self) -> tuple[LoadRow, ...]:
-        sums: dict[str, list[int]] = {}
+        sums: dict[int, list[int]] = {}
         for reported in self._reports.values():
             for row in reported.report.rows:
-                counts = sums.setdefault(row.instance, [0, 0, 0])
+                counts = sums.setdefault(row.upstream, [0, 0, 0])
                 counts[0] += row.requests
                 counts[1] += row.unread
                 counts[2] += row.memory
-        return tuple(LoadRow(name, *counts) for name, counts in sums.items())
+        return tuple(LoadRow(upstream, *counts) for upstream, counts in sums.items())
 
     def _usage(self) -> tuple[UsageRow, ...]:
         sums: dict[str, list[int]] = {}
--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -15,10 +15,13 @@
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
+    from leadseam.incarnation import Incarnation
 
 MISSED_HEARTBEATS = 6
 """Heartbeats that may be missing before an upstream is dropped. They may come seconds
 late, and entries find dead upstreams by themselves, so this is only housekeeping."""
+MAX_ROWS = 10_000
+"""Upstreams heard at a time: some 5 MB, and far more than a fleet has."""
 
 
 @dataclass(slots=True)
@@ -28,7 +31,7 @@
 
 
 class Registry:
-    """Upstreams heard by this replica, by incarnation.
+    """Upstreams heard by this replica, the latest start of each.
 
     Args:
         heartbeat_interval: Milliseconds between the heartbeats of an upstream.
@@ -44,40 +47,70 @@
     def heartbeat(self, registration: Registration, now: Millis) -> bool:
         """Take a heartbeat; one that is older than the last one heard never counts.
 
+        A later start counts at once, whatever its sequence; an earlier one never does
+        as long as the later one is heard. Beyond `MAX_ROWS` no new upstream is taken.
+
         Returns:
             Whether entries have to hear of it.
         """
         row = self._rows.get(registration.instance)
         if row is None:
+            if len(self._rows) >= MAX_ROWS:
+                return False
             self._rows[registration.instance] = _Row(registration, now)
             return True
-        if registration.sequence <= row.registration.sequence:
+        if not _is_newer(registration, row.registration):
             return False
         changed = _substance(registration) != _substance(row.registration)
         row.registration = registration
         row.heard_at = now
         return changed
 
-    def remove(self, instance: str) -> None:
-        """Forget an upstream that has left."""
-        self._rows.pop(instance, None)
+    def remove(self, incarnation: Incarnation) -> None:
+        """Forget an upstream that has left, unless it has started again since."""
+        row = self._rows.get(incarnation.instance)
+        if row is not None and row.registration.incarnation.born <= incarnation.born:
+            del self._rows[incarnation.instance]
 
-    def expire(self, now: Millis) -> tuple[str, ...]:
+    def expire(self, now: Millis) -> tuple[Incarnation, ...]:
         """Drop and return the upstreams that have been silent for too long."""
         lost = tuple(
-            instance
-            for instance, row in self._rows.items()
+            row.registration.incarnation
+            for row in self._rows.values()
             if now - row.heard_at > self._limit
         )
-        for instance in lost:
-            del self._rows[instance]
+        for incarnation in lost:
+            del self._rows[incarnation.instance]
         return lost
 
+    def hears(self, registration: Registration) -> bool:
+        """Tell whether this start of an upstream is heard here, for the same pool."""
+        row = self._rows.get(registration.instance)
+        if row is None or row.registration.incarnation != registration.incarnation:
+            return False
+        return row.registration.pool == registration.pool
+
+    def born(self, instance: str) -> int | None:
+        """Return the start of an upstream that is heard here, or None."""
+        row = self._rows.get(instance)
+        return row.registration.incarnation.born if row is not None else None
+
+    @property
+    def states_starts(self) -> bool:
+        """Whether an upstream that is heard here states its start."""
+        return any(row.registration.incarnation.born for row in self._rows.values())
+
     def rows(self) -> tuple[Registration, ...]:
         """Return all rows, for an entry that knows nothing."""
         return tuple(row.registration for row in self._rows.values())
 
 
+def _is_newer(registration: Registration, known: Registration) -> bool:
+    if registration.incarnation != known.incarnation:
+        return registration.incarnation.replaces(known.incarnation)
+    return registration.sequence > known.sequence
+
+
 def _substance(registration: Registration) -> Registration:
     """Return a registration without what changes from heartbeat to heartbeat."""
     return msgspec.structs.replace(registration, sequence=0, cold_left=0)
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -12,16 +12,16 @@
 
 from leadseam.clock import Millis
 from leadseam.membership.addresses import AddressBook
+from leadseam.membership.departures import Departures
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
+    from leadseam.incarnation import Incarnation
     from leadseam.wire.messages import Registration
 
 KEPT_AFTER_LOSS: Millis = 12_000
 """How long a lost replica's upstreams are kept: ten heartbeats of 1.2 s."""
-MAX_LEFT = 10_000
-"""Left upstreams remembered: as many as a control replica remembers."""
 
 
 @dataclass(slots=True)
@@ -31,18 +31,23 @@
     registration: Registration
     until: dict[str, Millis | None] = field(default_factory=dict)
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Which start of the upstream it is."""
+        return self.registration.incarnation
+
 
 class UpstreamView:
-    """Upstreams known to an entry, by incarnation."""
+    """Upstreams known to an entry, the latest start of each."""
 
     def __init__(self) -> None:
         self._known: dict[str, _Known] = {}
-        self._left: dict[str, None] = {}
+        self._departed = Departures()
         self._by_pool: dict[str, list[Registration]] | None = None
         self._addresses = AddressBook()
 
     def __repr__(self) -> str:
-        return f"UpstreamView(known={len(self._known)}, left={len(self._left)})"
+        return f"UpstreamView(known={len(self._known)}, {self._departed!r})"
 
     def connected(self, replica: str, now: Millis) -> None:
         """Note that a replica reports anew; what it held and omits ends later."""
@@ -52,52 +57,48 @@
         """Note that a replica no longer reports."""
         self._end_later(replica, now)
 
-    def update(self, replica: str, rows: Iterable[Registration], now: Millis) -> None:
-        """Take rows that a replica holds."""
-        for row in rows:
-            if row.instance in self._left:
-                continue
-            known = self._known.get(row.instance)
-            if known is None:
-                known = self._known[row.instance] = _Known(row)
-                self._addresses.claim(row, now)
-            elif row.sequence > known.registration.sequence:
-                known.registration = row
-            known.until[replica] = None
-            self._by_pool = None
-
-    def expired(self, replica: str, instances: Iterable[str]) -> None:
+    def update(
+        self, replica: str, rows: Iterable[Registration], now: Millis
+    ) -> tuple[Incarnation, ...]:
+        """Take rows that a replica holds.
+
+        Returns:
+            Incarnations that are over, as a later start of theirs is known now.
+        """
+        taken = [row for row in rows if row.incarnation not in self._departed]
+        over = [self._take(replica, row, now) for row in taken]
+        return tuple(one for one in over if one is not None)
+
+    def expired(self, replica: str, incarnations: Iterable[Incarnation]) -> None:
         """A replica no longer hears these."""
-        for instance in instances:
-            known = self._known.get(instance)
+        for incarnation in incarnations:
+            known = self._get(incarnation)
             if known is not None:
                 known.until.pop(replica, None)
-                self._drop_if_unheld(instance, known)
+                self._drop_if_unheld(known)
 
-    def left(self, instances: Iterable[str]) -> tuple[str, ...]:
+    def left(self, incarnations: Iterable[Incarnation]) -> tuple[Incarnation, ...]:
         """Take upstreams that leave for good; return those not known as such yet."""
-        fresh = tuple(name for name in instances if name not in self._left)
-        for instance in fresh:
-            self._left[instance] = None
-            known = self._known.pop(instance, None)
-            if known is not None:
+        fresh = tuple(one for one in incarnations if self._departed.add(one))
+        for incarnation in fresh:
+            known = self._known.get(incarnation.instance)
+            if known is not None and known.incarnation in self._departed:
+                del self._known[incarnation.instance]
                 self._forget(known)
-        while len(self._left) > MAX_LEFT:
-            del self._left[next(iter(self._left))]
         return fresh
 
-    def answered(self, instance: str, now: Millis) -> None:
+    def answered(self, incarnation: Incarnation, now: Millis) -> None:
         """Note that an upstream has answered a request that was meant for it."""
-        if instance in self._known:
-            self._addresses.answered(instance, now)
+        if self._get(incarnation) is not None:
+            self._addresses.answered(incarnation, now)
 
-    def misdirected(self, instance: str) -> bool:
+    def misdirected(self, incarnation: Incarnation) -> bool:
         """Note that another incarnation answers at an upstream's address.
 
         Returns:
             Whether another one is known there, which gets the work from now on.
         """
-        known = self._known.get(instance)
+        known = self._get(incarnation)
         if known is None or not self._addresses.misdirected(known.registration):
             return False
         self._by_pool = None
@@ -105,11 +106,11 @@
 
     def sweep(self, now: Millis) -> None:
         """Drop what nobody has held for `KEPT_AFTER_LOSS`."""
-        for instance, known in list(self._known.items()):
+        for known in list(self._known.values()):
             for replica, until in list(known.until.items()):
                 if until is not None and now >= until:
                     del known.until[replica]
-            self._drop_if_unheld(instance, known)
+            self._drop_if_unheld(known)
 
     def pool(self, name: str) -> Sequence[Registration]:
         """Return the upstreams of a pool that take new work."""
@@ -123,7 +124,34 @@
             row = known.registration
             if row.ready and self._addresses.holds(row):
                 grouped.setdefault(row.pool, []).append(row)
-        return grouped
+        return {pool: _with_starts(rows) for pool, rows in grouped.items()}
+
+    def _take(self, replica: str, row: Registration, now: Millis) -> Incarnation | None:
+        """Take a row; return the incarnation that it replaces, if any."""
+        over = None
+        known = self._known.get(row.instance)
+        if known is None:
+            known = self._known[row.instance] = _Known(row)
+            self._addresses.claim(row, now)
+        elif row.incarnation.replaces(known.incarnation):
+            over = known.incarnation
+            self._addresses.succeed(known.registration, row)
+            known = self._known[row.instance] = _Known(row)
+        elif row.incarnation != known.incarnation:
+            # A replica that has not heard of the later start yet.
+            return None
+        elif row.sequence > known.registration.sequence:
+            known.registration = row
+        known.until[replica] = None
+        self._by_pool = None
+        return over
+
+    def _get(self, incarnation: Incarnation) -> _Known | None:
+        """Return what is known of an incarnation that is still the latest."""
+        known = self._known.get(incarnation.instance)
+        if known is None or known.incarnation != incarnation:
+            return None
+        return known
 
     def _end_later(self, replica: str, now: Millis) -> None:
         """Let all that a replica holds end in time, unless it reports it anew."""
@@ -132,11 +160,21 @@
             if known.until.get(replica, until) is None:
                 known.until[replica] = until
 
-    def _drop_if_unheld(self, instance: str, known: _Known) -> None:
-        if not known.until and instance in self._known:
-            del self._known[instance]
+    def _drop_if_unheld(self, known: _Known) -> None:
+        if not known.until and self._get(known.incarnation) is known:
+            del self._known[known.incarnation.instance]
             self._forget(known)
 
     def _forget(self, known: _Known) -> None:
         self._addresses.drop(known.registration)
         self._by_pool = None
+
+
+def _with_starts(rows: list[Registration]) -> list[Registration]:
+    """Return the upstreams of a pool without those that only look like some.
+
+    Either all upstreams of a pool state their start or none does, so the few that do
+    not are written by something else.
+    """
+    stated = [row for row in rows if row.incarnation.born]
+    return stated if 2 * len(stated) >= len(rows) else rows
--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -31,6 +31,7 @@
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_BROKEN = "upstream_broken"
     UPSTREAM_SILENT = "upstream_silent"
+    UPSTREAM_RESTARTED = "upstream_restarted"
     UPSTREAM_FULL = "upstream_full"
     RETRIES_EXHAUSTED = "retries_exhausted"
     CLAIM_UNAVAILABLE = "claim_unavailable"
--- a/src/leadseam/platform/control_api.py
+++ b/src/leadseam/platform/control_api.py
@@ -8,8 +8,16 @@
 
 from leadseam.control.service import Accepted, Invalid, Unavailable
 from leadseam.errors import DocumentError
+from leadseam.incarnation import Incarnation
 from leadseam.platform import names
-from leadseam.platform.heartbeat import read_heartbeat
+from leadseam.platform.heartbeat import (
+    MAX_BYTES,
+    Fault,
+    UnknownWriterError,
+    read_heartbeat,
+    read_instance,
+    read_leaving,
+)
 from leadseam.platform.manifest import read_manifest
 
 if TYPE_CHECKING:
@@ -59,13 +67,43 @@
     async def _heartbeat(self, http: web.Request) -> web.Response:
         instance = http.match_info["instance"]
         try:
-            registration = read_heartbeat(instance, await http.read())
-        except DocumentError as exc:
-            return _refusal(400, exc.message)
-        return _response(await self._service.heartbeat(registration))
+            registration = read_heartbeat(instance, await _read_small(http))
+        except UnknownWriterError as exc:
+            return self._unknown_writer(instance, exc)
+        reply = await self._service.heartbeat(registration)
+        if isinstance(reply, Invalid):
+            unnamed = UnknownWriterError(Fault.UNKNOWN_POOL, "; ".join(reply.faults))
+            return self._unknown_writer(instance, unnamed)
+        return _response(reply)
 
     async def _leave(self, http: web.Request) -> web.Response:
-        return _response(await self._service.leave(http.match_info["instance"]))
+        instance = http.match_info["instance"]
+        try:
+            read_instance(instance)
+            born = read_leaving(await _read_small(http))
+        except UnknownWriterError as exc:
+            return self._unknown_writer(instance, exc)
+        if born is None:
+            return _response(await self._service.leave_unstated(instance))
+        return _response(await self._service.leave(Incarnation(instance, born)))
+
+    def _unknown_writer(self, instance: str, exc: UnknownWriterError) -> web.Response:
+        self._service.note_unknown_writer(instance, exc.fault.value, exc.message)
+        return _refusal(400, exc.message)
+
+
+async def _read_small(http: web.Request) -> bytes:
+    """Read a body that an upstream may send, and no more than that.
+
+    Raises:
+        UnknownWriterError: If it is larger.
+    """
+    try:
+        return await http.clone(client_max_size=MAX_BYTES).read()
+    except web.HTTPRequestEntityTooLarge as exc:
+        raise UnknownWriterError(
+            Fault.TOO_LARGE, "more bytes than an upstream sends"
+        ) from exc
 
 
 def _response(reply: Reply) -> web.Response:
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -101,6 +101,7 @@
             self.replica,
             self._feed,
             clock,
+            metrics,
             min_voters=2 * settings.loss_tolerance + 1,
         )
         self._api = ControlApi(service)
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -22,11 +22,13 @@
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from pathlib import Path
 
     from aiohttp.web import AppRunner
 
     from leadseam.control.configuration import Configuration
+    from leadseam.incarnation import Incarnation
     from leadseam.platform.settings import NodeSettings
     from leadseam.wire.messages import LoadSums
 
@@ -71,6 +73,7 @@
             view=self._view,
             address_of=settings.inner,
             on_sums=self._take_sums,
+            on_restarts=self._end_attempts,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
         self._lag = LoopLag(self._clock, self._show_lag)
@@ -169,6 +172,12 @@
         assert self._gateway is not None
         self._gateway.placer.take_sums(included, sums)
 
+    def _end_attempts(self, over: Iterable[Incarnation]) -> None:
+        assert self._gateway is not None
+        ended = self._gateway.restarts.over(over)
+        if ended:
+            log.info("attempts at earlier starts ended", extra={"attempts": ended})
+
     def _configure(self, configuration: Configuration) -> None:
         assert self._gateway is not None
         self._gateway.configure(configuration)
--- a/src/leadseam/platform/heartbeat.py
+++ b/src/leadseam/platform/heartbeat.py
@@ -1,46 +1,176 @@
-"""The heartbeats of upstreams, decoded."""
+"""What upstreams say of themselves, decoded; anybody may write what looks like it."""
 
 from __future__ import annotations
 
+import ipaddress
+import json
+import re
+from enum import StrEnum
+from typing import TYPE_CHECKING, Annotated, Any, NoReturn, TypeVar
+
 import msgspec
+from msgspec import Meta
 
 from leadseam.errors import DocumentError
-from leadseam.platform.names import DRAINING
+from leadseam.incarnation import NO_START, Incarnation
+from leadseam.platform.names import DRAINING, READY
 from leadseam.platform.settings import read_address
 from leadseam.wire.messages import Registration
 
+if TYPE_CHECKING:
+    from leadseam.settings.models import Endpoint
+
+MAX_BYTES = 65_536
+"""Largest document that is read: those of upstreams have some 300 bytes."""
+MAX_INTEGER = 2**53
+"""Integers up to here are the same in every JSON decoder."""
+LAST_START = 253_402_300_799_999
+"""Last millisecond of the year 9999; a start beyond it is none."""
+MAX_SLOTS = 1_000_000
+MAX_COLD = 86_400_000
+"""Longest cold time in milliseconds: a day."""
+MAX_TEXT = 256
+"""Characters of a name or an address."""
+_INSTANCE = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}", re.ASCII)
+"""Ids that may stand in a header and in a log line as they are."""
+
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT)]
+Start = Annotated[int, Meta(ge=1, le=LAST_START)]
+Whole = Annotated[int, Meta(ge=0, le=MAX_INTEGER)]
+T = TypeVar("T")
+
+
+class Fault(StrEnum):
+    """Why a document names no upstream; labels of a counter."""
+
+    TOO_LARGE = "too_large"
+    UNREADABLE = "unreadable"
+    WRONG_FIELD = "wrong_field"
+    WRONG_STATE = "wrong_state"
+    WRONG_ADDRESS = "wrong_address"
+    WRONG_ID = "wrong_id"
+    UNKNOWN_POOL = "unknown_pool"
+
+
+class UnknownWriterError(DocumentError):
+    """A document that no upstream has written, or none that can be used.
+
+    Args:
+        fault: Why.
+        message: One line for a person.
+    """
+
+    code = "unknown_writer"
+
+    def __init__(self, fault: Fault, message: str) -> None:
+        super().__init__(message)
+        self.fault = fault
+
 
 class _Beat(msgspec.Struct, frozen=True, rename="camel"):
     """A heartbeat; `address` is the server's own, `sequence` grows with each."""
 
-    service: str
-    address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_remaining_ms: float = 0
-    sequence: int = 0
+    service: Name
+    address: Name
+    zone: Annotated[str, Meta(max_length=MAX_TEXT)]
+    version: Annotated[str, Meta(max_length=MAX_TEXT)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+    state: str
+    cold_remaining_ms: Annotated[float, Meta(ge=0, le=MAX_COLD)]
+    sequence: Whole
+    stage: Annotated[str, Meta(max_length=MAX_TEXT)] = ""
+    models: list[dict[str, Any]] = []
+    # Absent where every start of a server has an id of its own.
+    born: Start | msgspec.UnsetType = msgspec.UNSET
+
+
+class _Leaving(msgspec.Struct, frozen=True, rename="camel"):
+    """A word of leaving; it may be empty."""
+
+    born: Start | msgspec.UnsetType = msgspec.UNSET
+
+
+def read_instance(instance: str) -> str:
+    """Return an id if it has the shape of one.
+
+    Raises:
+        UnknownWriterError: If it has not.
+    """
+    if not _INSTANCE.fullmatch(instance):
+        raise UnknownWriterError(Fault.WRONG_ID, "not the id of an upstream")
+    return instance
 
 
 def read_heartbeat(instance: str, document: bytes) -> Registration:
     """Decode a heartbeat.
 
     Raises:
-        DocumentError: If it cannot be read.
+        UnknownWriterError: If it names no upstream.
     """
-    try:
-        beat = msgspec.json.decode(document, type=_Beat)
-        address = read_address(beat.address)
-    except (msgspec.DecodeError, ValueError) as exc:
-        raise DocumentError(f"cannot read the heartbeat: {exc}") from exc
+    beat = _read(document, _Beat)
+    if beat.state not in (READY, DRAINING):
+        raise UnknownWriterError(Fault.WRONG_STATE, "no state of an upstream")
+    address = _read_address(beat.address)
     return Registration(
-        instance=instance,
+        incarnation=Incarnation(read_instance(instance), _start(beat.born)),
         pool=beat.service,
         ip=address.ip,
         port=address.port,
         failure_domain=beat.zone,
         slots=beat.slots,
-        ready=beat.state != DRAINING,
+        ready=beat.state == READY,
         sequence=beat.sequence,
         cold_left=round(beat.cold_remaining_ms),
     )
+
+
+def read_leaving(document: bytes) -> int | None:
+    """Return the start that a word of leaving is of, or None if it states none.
+
+    Raises:
+        UnknownWriterError: If it cannot be read.
+    """
+    if not document.strip():
+        return None
+    return _start(_read(document, _Leaving).born) or None
+
+
+def _start(born: int | msgspec.UnsetType) -> int:
+    return NO_START if isinstance(born, msgspec.UnsetType) else born
+
+
+def _read(document: bytes, type_: type[T]) -> T:
+    if len(document) > MAX_BYTES:
+        raise UnknownWriterError(Fault.TOO_LARGE, "more bytes than an upstream sends")
+    try:
+        fields = json.loads(
+            document.decode(), object_pairs_hook=_unique, parse_constant=_refuse
+        )
+    except (ValueError, RecursionError) as exc:
+        raise UnknownWriterError(Fault.UNREADABLE, "not a JSON document") from exc
+    try:
+        return msgspec.convert(fields, type_)
+    except msgspec.ValidationError as exc:
+        raise UnknownWriterError(Fault.WRONG_FIELD, str(exc)) from exc
+
+
+def _unique(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    fields = dict(pairs)
+    if len(fields) != len(pairs):
+        raise ValueError("a key stands twice")
+    return fields
+
+
+def _refuse(constant: str) -> NoReturn:
+    raise ValueError(f"{constant} is no number")
+
+
+def _read_address(text: str) -> Endpoint:
+    try:
+        address = read_address(text)
+        ip = ipaddress.ip_address(address.ip)
+    except ValueError as exc:
+        raise UnknownWriterError(Fault.WRONG_ADDRESS, "not IP:PORT") from exc
+    if ip.is_unspecified or ip.is_multicast or not 0 < address.port < 65_536:
+        raise UnknownWriterError(Fault.WRONG_ADDRESS, "no address of one server")
+    return address
--- a/src/leadseam/platform/names.py
+++ b/src/leadseam/platform/names.py
@@ -37,6 +37,7 @@
 HEARTBEAT_PATH = "/leadseam/instances/{instance}/heartbeat"
 LEAVE_PATH = "/leadseam/instances/{instance}/deregister"
 
+READY = "ready"
 DRAINING = "draining"
 STREAMING = "streaming"
 SAFE = "safe"
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -18,6 +18,7 @@
     from collections.abc import Callable, Sequence
 
     from leadseam.control.routes import EngineProfile
+    from leadseam.incarnation import Incarnation
     from leadseam.routing.balance import Balancer
     from leadseam.routing.dialect import RoutedRequest
     from leadseam.routing.placement import Placement
@@ -66,7 +67,7 @@
     profile: EngineProfile
     objective: Millis
     arrived: Millis
-    tried: set[str]
+    tried: set[Incarnation]
     wake: Callable[[], None]
     refuse_at: Millis = 0
     done: bool = False
@@ -132,7 +133,7 @@
             return
         self._sort(now)
         # Most looks find engines full: then one look at them serves all that wait.
-        room: dict[tuple[str, Millis], frozenset[str]] = {}
+        room: dict[tuple[str, Millis], frozenset[Incarnation]] = {}
         for waiter in list(self._waiting):
             key = (waiter.pool, waiter.objective)
             if key not in room:
@@ -150,7 +151,9 @@
         }
         self._waiting.sort(key=lambda one: (levels[one.account], one.arrived))
 
-    def _with_room(self, pool: str, objective: Millis, now: Millis) -> frozenset[str]:
+    def _with_room(
+        self, pool: str, objective: Millis, now: Millis
+    ) -> frozenset[Incarnation]:
         limit = objective * ENTITLED_PART
         return self.balancer.with_room(self.candidates(pool), limit, now)
 
@@ -168,7 +171,11 @@
         waiter.wake()
 
     def _place(
-        self, waiter: Waiter, now: Millis, *, among: frozenset[str] | None = None
+        self,
+        waiter: Waiter,
+        now: Millis,
+        *,
+        among: frozenset[Incarnation] | None = None,
     ) -> Placement | None:
         if among is not None and not among:
             return None
@@ -207,4 +214,6 @@
         if rows != waiter.rows:
             waiter.rows = rows
             order = self.balancer.orders.of(waiter.pool, rows, waiter.req)
-            waiter.ranked = [row for row in order if row.instance not in waiter.tried]
+            waiter.ranked = [
+                row for row in order if row.incarnation not in waiter.tried
+            ]
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -24,6 +24,7 @@
 
     from leadseam.clock import Millis
     from leadseam.control.routes import EngineProfile
+    from leadseam.incarnation import Incarnation
     from leadseam.routing.dialect import RoutedRequest
     from leadseam.wire.messages import Registration
 
@@ -69,7 +70,7 @@
         self.now = now
         self.memory = memory_need(req)
         self._estimates = balancer.estimates
-        self._holders: frozenset[str] = frozenset()
+        self._holders: frozenset[Incarnation] = frozenset()
         self._part = 0
         if len(req.parts) > 1:
             part = req.parts[-2]
@@ -85,7 +86,7 @@
         0.29 ms at 39 engines and 6.0 ms at 500, now 0.11 and 0.37 (2,000 requests in a
         loop, of a mix of long and short prompts).
         """
-        if place == 0 or not self._part or row.instance in self._holders:
+        if place == 0 or not self._part or row.incarnation in self._holders:
             return False
         estimate = self._estimates.engine(row)
         weight = 1 + reread_weight(place)
@@ -112,7 +113,7 @@
 
     def begin(self, placement: Placement) -> None:
         """Count a request that is sent."""
-        self.loads.begin(placement.upstream.instance, placement.load)
+        self.loads.begin(placement.upstream.incarnation, placement.load)
 
     def least_loaded(
         self, rows: Sequence[Registration], now: Millis
@@ -122,14 +123,14 @@
             return None
 
         def key(row: Registration) -> tuple[float, float]:
-            total = self.loads.total(row.instance, now)
+            total = self.loads.total(row.incarnation, now)
             return total.requests / max(row.slots, 1), self._rng.random()
 
         return Placement(min(rows, key=key), Load(requests=1), 0)
 
     def with_room(
         self, rows: Sequence[Registration], limit: float, now: Millis
-    ) -> frozenset[str]:
+    ) -> frozenset[Incarnation]:
         """Return the engines that may have room for some request.
 
         Args:
@@ -137,7 +138,9 @@
             limit: Most milliseconds that a first token may take.
             now: Current time.
         """
-        return frozenset(row.instance for row in rows if self._is_open(row, limit, now))
+        return frozenset(
+            row.incarnation for row in rows if self._is_open(row, limit, now)
+        )
 
     def place(
         self,
@@ -148,7 +151,7 @@
         now: Millis,
         *,
         ahead: Millis | None = None,
-        among: frozenset[str] | None = None,
+        among: frozenset[Incarnation] | None = None,
     ) -> Placement | None:
         """Return the best engine with room, or None.
 
@@ -165,7 +168,7 @@
         search = _Search(self, req, limit, now)
         best: _Scored | None = None
         for place, row in enumerate(ranked):
-            if among is not None and row.instance not in among:
+            if among is not None and row.incarnation not in among:
                 continue
             if search.rules_out(row, place, best):
                 continue
@@ -203,7 +206,7 @@
         """Score an engine, or return None if it has no room for the request."""
         if not self._is_open(row, search.limit, search.now):
             return None
-        filled = self.loads.total(row.instance, search.now).memory + search.memory
+        filled = self.loads.total(row.incarnation, search.now).memory + search.memory
         if filled > profile.memory_tokens * MEMORY_PART:
             return None
         scored = self._score(row, search.req, search.now, place=place)
@@ -217,7 +220,7 @@
 
     def _is_open(self, row: Registration, limit: float, now: Millis) -> bool:
         """Tell whether an engine has a slot, and time for a first token."""
-        total = self.loads.total(row.instance, now)
+        total = self.loads.total(row.incarnation, now)
         if total.requests >= row.slots:
             return False
         waited = self.estimates.engine(row).millis(total.unread)
@@ -227,8 +230,8 @@
         self, row: Registration, req: RoutedRequest, now: Millis, *, place: int
     ) -> _Scored:
         home = place == 0
-        own, shared = self.prompts.unread(row.instance, req.parts, now, home=home)
-        total = self.loads.total(row.instance, now)
+        own, shared = self.prompts.unread(row.incarnation, req.parts, now, home=home)
+        total = self.loads.total(row.incarnation, now)
         unread = total.unread + own
         estimate = self.estimates.engine(row)
         wait = estimate.millis(unread)
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -83,7 +83,8 @@
     """What the system itself tells the upstream with one attempt.
 
     Args:
-        instance: Incarnation that must answer; another one has to refuse.
+        instance: Id of the upstream that must answer; any other has to refuse. It
+            does not tell two starts of one upstream apart.
         account: Client account that pays, or None.
         keyed: Whether bearer keys are this system's own and stay here.
         time_left: Milliseconds until the request is given up.
--- a/src/leadseam/routing/estimate.py
+++ b/src/leadseam/routing/estimate.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from leadseam.incarnation import Incarnation
     from leadseam.wire.messages import Registration
 
 FIRST_RATE = 50.0
@@ -65,7 +66,7 @@
     """What was learned of each engine and of each pool."""
 
     def __init__(self) -> None:
-        self._engines: dict[str, FirstTokenEstimate] = {}
+        self._engines: dict[Incarnation, FirstTokenEstimate] = {}
         self._pools: dict[str, FirstTokenEstimate] = {}
 
     def __repr__(self) -> str:
@@ -73,7 +74,7 @@
 
     def engine(self, row: Registration) -> FirstTokenEstimate:
         """Return the estimate of an engine, or its pool's before its first answer."""
-        return self._engines.get(row.instance) or self.pool(row.pool)
+        return self._engines.get(row.incarnation) or self.pool(row.pool)
 
     def pool(self, pool: str) -> FirstTokenEstimate:
         """Return the estimate of all engines of a pool together."""
@@ -82,10 +83,10 @@
     def measured(self, row: Registration, unread: int, millis: int) -> None:
         """Learn from an answer of an engine; see `FirstTokenEstimate.measured`."""
         pool = self.pool(row.pool)
-        engine = self._engines.get(row.instance)
+        engine = self._engines.get(row.incarnation)
         if engine is None:
             engine = FirstTokenEstimate(pool.rate, pool.base)
-            self._engines[row.instance] = engine
+            self._engines[row.incarnation] = engine
             self._bound()
         engine.measured(unread, millis)
         pool.measured(unread, millis)
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
+    from leadseam.incarnation import Incarnation
     from leadseam.routing.admitted import Admitted
     from leadseam.routing.flight import Flight
     from leadseam.routing.gateway import Gateway
@@ -50,14 +51,14 @@
         sends: Upstreams that the request was sent to.
         runs: Those among them that may have run it.
         tried: Their incarnations.
-        instance: Incarnation that was sent to last, or an empty text.
+        last: Incarnation that was sent to last, or None.
         retry_taken: Whether a retry of the shared budget is taken and not yet used.
     """
 
     sends: int = 0
     runs: int = 0
-    tried: set[str] = field(default_factory=set)
-    instance: str = ""
+    tried: set[Incarnation] = field(default_factory=set)
+    last: Incarnation | None = None
     retry_taken: bool = False
 
 
@@ -87,8 +88,8 @@
 
     @property
     def instance(self) -> str:
-        """Upstream that was sent to last, or an empty text."""
-        return self._progress.instance
+        """How lines name the upstream that was sent to last, or an empty text."""
+        return str(self._progress.last or "")
 
     @property
     def sends(self) -> int:
@@ -129,8 +130,8 @@
     async def _send(self, flight: Flight) -> Ending:
         progress = self._progress
         progress.sends += 1
-        progress.tried.add(flight.upstream.instance)
-        progress.instance = flight.upstream.instance
+        progress.tried.add(flight.upstream.incarnation)
+        progress.last = flight.upstream.incarnation
         self.placement = flight.placement
         try:
             ending = await self._watched(flight)
@@ -141,18 +142,30 @@
         return ending
 
     async def _watched(self, flight: Flight) -> Ending:
-        """Make an attempt; an upstream that falls silent may be given up."""
-        route = self._request.route
+        """Make an attempt; it may be given up if the upstream is silent or gone."""
         watch = SilenceWatch(lambda: self._on_silence(flight))
+        reason = Reason.UPSTREAM_SILENT
+
+        def on_restart() -> None:
+            nonlocal reason
+            reason = Reason.UPSTREAM_RESTARTED
+            watch.end()
+
+        restarts = self._gateway.restarts.watch(flight.upstream.incarnation, on_restart)
         try:
             async with watch:
-                watch.wait(first_limit(route.latency_objective, flight.expected))
-                ending = await self._attempt(flight.upstream)
-                if isinstance(ending, Streaming):
-                    ending = await self._stream(ending, flight, watch)
-                return ending
+                with restarts:
+                    return await self._answered(flight, watch)
         except TimeoutError:
-            return Broken(Reason.UPSTREAM_SILENT)
+            return Broken(reason)
+
+    async def _answered(self, flight: Flight, watch: SilenceWatch) -> Ending:
+        route = self._request.route
+        watch.wait(first_limit(route.latency_objective, flight.expected))
+        ending = await self._attempt(flight.upstream)
+        if isinstance(ending, Streaming):
+            ending = await self._stream(ending, flight, watch)
+        return ending
 
     async def _stream(
         self, streaming: Streaming, flight: Flight, watch: SilenceWatch
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -44,7 +44,7 @@
         self._read = False
 
     def __repr__(self) -> str:
-        return f"Flight({self._req.request_id} at {self.upstream.instance})"
+        return f"Flight({self._req.request_id} at {self.upstream.incarnation})"
 
     @property
     def upstream(self) -> Registration:
@@ -70,9 +70,9 @@
             return
         self._read = True
         now = self._clock.now()
-        instance = self.upstream.instance
-        self._balancer.loads.read(instance, self._placement.load.unread)
-        self._balancer.prompts.sent(instance, self._req.parts, now)
+        incarnation = self.upstream.incarnation
+        self._balancer.loads.read(incarnation, self._placement.load.unread)
+        self._balancer.prompts.sent(incarnation, self._req.parts, now)
         self._balancer.estimates.measured(
             self.upstream, self._placement.unread, now - self._sent
         )
@@ -83,5 +83,5 @@
         load = self._placement.load
         if self._read:
             load = Load(requests=load.requests, memory=load.memory)
-        self._balancer.loads.end(self.upstream.instance, load)
+        self._balancer.loads.end(self.upstream.incarnation, load)
         self._on_room()
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -25,6 +25,7 @@
 from leadseam.routing.placer import Placer
 from leadseam.routing.reply import CallerGoneError
 from leadseam.routing.request_log import RequestLog
+from leadseam.routing.restarts import Restarts
 from leadseam.routing.router import Router, choose_pool
 from leadseam.routing.usage import Standing
 
@@ -103,6 +104,7 @@
         self._lag = lag
         self._connections = connections
         self._first_configuration = FirstConfiguration(feed)
+        self.restarts = Restarts()
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self.placer = Placer(feed=feed, health=self._health, clock=clock, rng=rng)
@@ -268,26 +270,26 @@
         match ending:
             case Declined(misdirected=True):
                 left_alone = False
-                if self._feed.view.misdirected(upstream.instance):
+                if self._feed.view.misdirected(upstream.incarnation):
                     self.request_log.address_lost(upstream)
             case Unreachable(local=True) | Declined():
                 left_alone = False
             case Unreachable():
-                left_alone = self._health.unreachable(upstream.instance, now)
+                left_alone = self._health.unreachable(upstream.incarnation, now)
             case Broken():
-                left_alone = self._health.failed(upstream.instance, now)
+                left_alone = self._health.failed(upstream.incarnation, now)
             case Whole(status=status) if status >= FIRST_SERVER_ERROR:
-                left_alone = self._health.failed(upstream.instance, now)
+                left_alone = self._health.failed(upstream.incarnation, now)
             case Whole() | Streaming():
-                self._health.succeeded(upstream.instance)
-                self._feed.view.answered(upstream.instance, now)
+                self._health.succeeded(upstream.incarnation)
+                self._feed.view.answered(upstream.incarnation, now)
                 left_alone = False
         if left_alone:
             self.request_log.left_alone(upstream, ending)
 
     def note_silence(self, upstream: Registration, admitted: Admitted) -> None:
         """Learn about an upstream that has not answered for too long."""
-        left_alone = self._health.failed(upstream.instance, self.now())
+        left_alone = self._health.failed(upstream.incarnation, self.now())
         self.request_log.silence(upstream, admitted, left_alone=left_alone)
 
     def error(self, outcome: NotRun | Failed | Unknown) -> web.Response:
--- a/src/leadseam/routing/health.py
+++ b/src/leadseam/routing/health.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
+    from leadseam.incarnation import Incarnation
 
 FIRST_PAUSE: Millis = 500
 """Pause after failures; a restart takes about as long."""
@@ -37,7 +38,7 @@
     """Share of failures, by incarnation."""
 
     def __init__(self) -> None:
-        self._rows: dict[str, _Row] = {}
+        self._rows: dict[Incarnation, _Row] = {}
         self._last_until: Millis = 0
 
     def __repr__(self) -> str:
@@ -47,35 +48,35 @@
         """Tell whether new work may go to any upstream: so it is nearly always."""
         return now >= self._last_until
 
-    def usable(self, instance: str, now: Millis) -> bool:
+    def usable(self, incarnation: Incarnation, now: Millis) -> bool:
         """Tell whether new work may go there."""
-        row = self._rows.get(instance)
+        row = self._rows.get(incarnation)
         return row is None or now >= row.until
 
-    def succeeded(self, instance: str) -> None:
+    def succeeded(self, incarnation: Incarnation) -> None:
         """Note a good answer."""
-        row = self._rows.get(instance)
+        row = self._rows.get(incarnation)
         if row is None:
             return
         row.share -= WEIGHT * row.share
         if row.share < FORGOTTEN_SHARE:
-            del self._rows[instance]
+            del self._rows[incarnation]
 
-    def failed(self, instance: str, now: Millis) -> bool:
+    def failed(self, incarnation: Incarnation, now: Millis) -> bool:
         """Note a failed attempt.
 
         Returns:
             Whether the upstream is left alone from now on.
         """
-        row = self._rows.setdefault(instance, _Row())
+        row = self._rows.setdefault(incarnation, _Row())
         row.share += WEIGHT * (1 - row.share)
         if row.share < FAILING_SHARE:
             return False
         return self._leave_alone(row, now)
 
-    def unreachable(self, instance: str, now: Millis) -> bool:
+    def unreachable(self, incarnation: Incarnation, now: Millis) -> bool:
         """Note a connection that could not be opened; see `failed`."""
-        row = self._rows.setdefault(instance, _Row())
+        row = self._rows.setdefault(incarnation, _Row())
         row.share = max(row.share, FAILING_SHARE)
         return self._leave_alone(row, now)
 
--- a/src/leadseam/routing/load.py
+++ b/src/leadseam/routing/load.py
@@ -17,6 +17,7 @@
     from collections.abc import Iterable
 
     from leadseam.clock import Millis
+    from leadseam.incarnation import Incarnation
     from leadseam.wire.messages import LoadSums
 
 TOTALS_LIMIT: Millis = 1_000
@@ -63,56 +64,56 @@
     """Loads by upstream, as this entry knows them."""
 
     def __init__(self) -> None:
-        self._own: dict[str, Load] = {}
-        self._others: dict[str, Load] = {}
+        self._own: dict[Incarnation, Load] = {}
+        self._others: dict[int, Load] = {}
         self._others_at: Millis = -TOTALS_LIMIT
         self._reports: deque[LoadReport] = deque(maxlen=KEPT_REPORTS)
         self._sequence = 0
-        self._sums: dict[str, Load] = {}
+        self._sums: dict[Incarnation, Load] = {}
         self._stale = True
 
     def __repr__(self) -> str:
         return f"LoadBook(own={len(self._own)}, others={len(self._others)})"
 
-    def begin(self, instance: str, load: Load) -> None:
+    def begin(self, incarnation: Incarnation, load: Load) -> None:
         """Count a request that is sent."""
-        self._sums.pop(instance, None)
-        self._own[instance] = self._own.get(instance, NOTHING).plus(load)
+        self._sums.pop(incarnation, None)
+        self._own[incarnation] = self._own.get(incarnation, NOTHING).plus(load)
 
-    def read(self, instance: str, unread: int) -> None:
+    def read(self, incarnation: Incarnation, unread: int) -> None:
         """Note that an upstream has read a prompt."""
-        self.end(instance, Load(unread=unread))
+        self.end(incarnation, Load(unread=unread))
 
-    def end(self, instance: str, load: Load) -> None:
+    def end(self, incarnation: Incarnation, load: Load) -> None:
         """Take off a request that has ended."""
-        self._sums.pop(instance, None)
-        left = self._own.get(instance, NOTHING).minus(load)
+        self._sums.pop(incarnation, None)
+        left = self._own.get(incarnation, NOTHING).minus(load)
         if left == NOTHING:
-            self._own.pop(instance, None)
+            self._own.pop(incarnation, None)
         else:
-            self._own[instance] = left
+            self._own[incarnation] = left
 
-    def own(self, instance: str) -> Load:
+    def own(self, incarnation: Incarnation) -> Load:
         """Return what this entry has in flight at an upstream."""
-        return self._own.get(instance, NOTHING)
+        return self._own.get(incarnation, NOTHING)
 
-    def total(self, instance: str, now: Millis) -> Load:
+    def total(self, incarnation: Incarnation, now: Millis) -> Load:
         """Return what all entries have in flight there, as far as is known."""
         stale = now - self._others_at > TOTALS_LIMIT
         if stale is not self._stale:
             self._stale = stale
             self._sums.clear()
-        known = self._sums.get(instance)
+        known = self._sums.get(incarnation)
         if known is None:
-            known = self._sums[instance] = self._sum(instance)
+            known = self._sums[incarnation] = self._sum(incarnation)
         return known
 
     def report(self, usage: Iterable[UsageRow]) -> LoadReport:
         """Return a report of the own counts."""
         self._sequence += 1
         rows = tuple(
-            LoadRow(instance, load.requests, load.unread, load.memory)
-            for instance, load in self._own.items()
+            LoadRow(incarnation.digest(), load.requests, load.unread, load.memory)
+            for incarnation, load in self._own.items()
         )
         report = LoadReport(self._sequence, rows, tuple(usage))
         self._reports.append(report)
@@ -132,20 +133,20 @@
             The own report that they contain, or None if it is not kept any more.
         """
         own = self._report_at(included)
-        mine = {row.instance: _load(row) for row in own.rows} if own else {}
+        mine = {row.upstream: _load(row) for row in own.rows} if own else {}
         self._others = {
-            row.instance: _load(row).minus(mine.get(row.instance, NOTHING))
+            row.upstream: _load(row).minus(mine.get(row.upstream, NOTHING))
             for row in sums.rows
         }
         self._others_at = now
         self._sums.clear()
         return own
 
-    def _sum(self, instance: str) -> Load:
-        own = self.own(instance)
+    def _sum(self, incarnation: Incarnation) -> Load:
+        own = self.own(incarnation)
         if self._stale:
             return own
-        return own.plus(self._others.get(instance, NOTHING))
+        return own.plus(self._others.get(incarnation.digest(), NOTHING))
 
     def _report_at(self, sequence: int) -> LoadReport | None:
         for report in self._reports:
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -21,6 +21,7 @@
 
     from leadseam.clock import Clock, Millis
     from leadseam.feed.client import FeedClient
+    from leadseam.incarnation import Incarnation
     from leadseam.routing.admitted import Admitted
     from leadseam.routing.dialect import RoutedRequest
     from leadseam.routing.health import UpstreamHealth
@@ -79,7 +80,7 @@
         return self._usage.standing(account, now)
 
     async def place(
-        self, admitted: Admitted, tried: set[str], *, again: bool
+        self, admitted: Admitted, tried: set[Incarnation], *, again: bool
     ) -> Flight | Reason:
         """Find the upstream for an attempt; it may wait for room the first time.
 
@@ -123,12 +124,12 @@
         self._pump_soon()
 
     def _place_at_once(
-        self, admitted: Admitted, tried: set[str], *, again: bool
+        self, admitted: Admitted, tried: set[Incarnation], *, again: bool
     ) -> Placement | EngineProfile | None:
         """Place a request that need not wait; else return its pool's profile."""
         rows = self._candidates(admitted.pool)
         if tried:
-            rows = [row for row in rows if row.instance not in tried]
+            rows = [row for row in rows if row.incarnation not in tried]
         pool = self._feed.configuration.pools.get(admitted.pool)
         profile = pool.engine if pool is not None else None
         if not rows:
@@ -141,7 +142,7 @@
         return profile
 
     async def _wait_for_room(
-        self, admitted: Admitted, profile: EngineProfile, tried: set[str]
+        self, admitted: Admitted, profile: EngineProfile, tried: set[Incarnation]
     ) -> Placement | None:
         woken = asyncio.Event()
         waiter = Waiter(
@@ -172,7 +173,7 @@
         self._admission.withdraw(waiter)
         placement = waiter.placement
         if placement is not None:
-            self._balancer.loads.end(placement.upstream.instance, placement.load)
+            self._balancer.loads.end(placement.upstream.incarnation, placement.load)
 
     def _candidates(self, pool: str) -> Sequence[Registration]:
         """Return the upstreams of a pool, without those that fail, if any is left."""
@@ -180,7 +181,7 @@
         rows = self._feed.view.pool(pool)
         if self._health.all_usable(now):
             return rows
-        sound = [row for row in rows if self._health.usable(row.instance, now)]
+        sound = [row for row in rows if self._health.usable(row.incarnation, now)]
         return sound or rows
 
     def _pump_soon(self) -> None:
--- a/src/leadseam/routing/prompts.py
+++ b/src/leadseam/routing/prompts.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
+    from leadseam.incarnation import Incarnation
     from leadseam.routing.dialect import PromptPart
 
 REMEMBERED: Millis = 20_000
@@ -22,36 +23,43 @@
     def __init__(self) -> None:
         # By part and not by engine: who holds a part is asked for each request, so that
         # the other engines need no look.
-        self._sent: OrderedDict[str, dict[str, Millis]] = OrderedDict()
+        self._sent: OrderedDict[str, dict[Incarnation, Millis]] = OrderedDict()
 
     def __repr__(self) -> str:
         return f"PromptBook(parts={len(self._sent)})"
 
-    def sent(self, instance: str, parts: tuple[PromptPart, ...], now: Millis) -> None:
+    def sent(
+        self, incarnation: Incarnation, parts: tuple[PromptPart, ...], now: Millis
+    ) -> None:
         """Note a prompt that an engine has read."""
         for part in parts:
-            self._sent.setdefault(part.identity, {})[instance] = now
+            self._sent.setdefault(part.identity, {})[incarnation] = now
             self._sent.move_to_end(part.identity)
         while len(self._sent) > MAX_PARTS:
             self._sent.popitem(last=False)
 
-    def holders(self, identity: str, now: Millis) -> frozenset[str]:
+    def holders(self, identity: str, now: Millis) -> frozenset[Incarnation]:
         """Return the engines that are taken to hold a part."""
         sent = self._sent.get(identity)
         if sent is None:
             return frozenset()
         old = [one for one, at in sent.items() if now - at >= REMEMBERED]
-        for instance in old:
-            del sent[instance]
+        for incarnation in old:
+            del sent[incarnation]
         return frozenset(sent)
 
     def unread(
-        self, instance: str, parts: tuple[PromptPart, ...], now: Millis, *, home: bool
+        self,
+        incarnation: Incarnation,
+        parts: tuple[PromptPart, ...],
+        now: Millis,
+        *,
+        home: bool,
     ) -> tuple[int, int]:
         """Return the tokens that an engine would have to read.
 
         Args:
-            instance: The engine.
+            incarnation: The engine.
             parts: The prompt.
             now: Current time.
             home: Whether all entries prefer this engine for the prompt, so that the
@@ -65,13 +73,13 @@
         held = True
         for position, part in enumerate(parts):
             last = position == len(parts) - 1
-            held = held and ((home and not last) or self._holds(instance, part, now))
+            held = held and ((home and not last) or self._holds(incarnation, part, now))
             if not held:
                 total += part.tokens
                 shared += 0 if last else part.tokens
         return total, shared
 
-    def _holds(self, instance: str, part: PromptPart, now: Millis) -> bool:
+    def _holds(self, incarnation: Incarnation, part: PromptPart, now: Millis) -> bool:
         sent = self._sent.get(part.identity)
-        at = sent.get(instance) if sent is not None else None
+        at = sent.get(incarnation) if sent is not None else None
         return at is not None and now - at < REMEMBERED
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -106,19 +106,19 @@
         if self._lines.take():
             extra = {
                 **self._context(admitted),
-                "instance": upstream.instance,
+                "instance": str(upstream.incarnation),
                 "left_alone": left_alone,
             }
             log.info("upstream silent", extra=extra)
 
     def left_alone(self, upstream: Registration, ending: Ending) -> None:
         """Write a line, outside the budget, for an upstream that gets no new work."""
-        extra = {"instance": upstream.instance, "ending": repr(ending)}
+        extra = {"instance": str(upstream.incarnation), "ending": repr(ending)}
         log.warning("upstream left alone for a while", extra=extra)
 
     def address_lost(self, upstream: Registration) -> None:
         """Write a line, outside the budget, for an address that another one holds."""
-        extra = {"instance": upstream.instance, "ip": upstream.ip}
+        extra = {"instance": str(upstream.incarnation), "ip": upstream.ip}
         log.info("address is held by another upstream", extra=extra)
 
     def end(self, exchange: Exchange, admitted: Admitted) -> None:
--- a/src/leadseam/routing/silence.py
+++ b/src/leadseam/routing/silence.py
@@ -57,6 +57,10 @@
         if self._timer is None:
             self._look_in(self._limit)
 
+    def end(self) -> None:
+        """End the attempt now."""
+        self._timeout.reschedule(self._loop.time())
+
     def _look_in(self, delay: float) -> None:
         self._timer = self._loop.call_later(delay, self._look)
 
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -185,6 +185,11 @@
         self.leads = metrics.gauge(
             "control_leads", "1 where this replica leads the control group."
         )
+        self.registrations_refused = metrics.tally(
+            "registrations_refused_total",
+            "Registrations that name no upstream, by what is wrong.",
+            "fault",
+        )
         self.voters = metrics.gauge(
             "control_voters",
             "Voters of the control group, as far as this replica knows.",
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+from leadseam.incarnation import Incarnation
+
 
 class Record(msgspec.Struct, frozen=True, array_like=True):
     """Base of immutable rows; encoded as an array without a tag."""
@@ -294,18 +296,18 @@
     """An upstream as its heartbeat describes it.
 
     Args:
-        instance: Its incarnation.
+        incarnation: Which start of which upstream.
         pool: Pool that it serves.
         ip: IP number of the server.
         port: Its port.
         failure_domain: Failure domain of its box.
         slots: Requests that it works on at once.
         ready: Whether it takes new work.
-        sequence: Grows with each heartbeat.
+        sequence: Grows with each heartbeat of this incarnation.
         cold_left: Milliseconds for which it is still slow from its start.
     """
 
-    instance: str
+    incarnation: Incarnation
     pool: str
     ip: str
     port: int
@@ -315,6 +317,11 @@
     sequence: int
     cold_left: int = 0
 
+    @property
+    def instance(self) -> str:
+        """Its id, which another start of it has too."""
+        return self.incarnation.instance
+
 
 class Registered(Message, frozen=True, array_like=True, tag=35):
     """Upstreams that the sending replica hears; `whole` replaces what it said."""
@@ -326,13 +333,13 @@
 class Expired(Message, frozen=True, array_like=True, tag=36):
     """Upstreams that the sending replica no longer hears."""
 
-    instances: tuple[str, ...]
+    incarnations: tuple[Incarnation, ...]
 
 
 class Left(Message, frozen=True, array_like=True, tag=37):
-    """Upstreams that leave; final for these incarnations."""
+    """Upstreams that leave; final for these incarnations and all before them."""
 
-    instances: tuple[str, ...]
+    incarnations: tuple[Incarnation, ...]
 
 
 class Replicas(Message, frozen=True, array_like=True, tag=38):
@@ -345,13 +352,13 @@
     """Work in flight at one upstream, of one entry or of all.
 
     Args:
-        instance: Incarnation of the upstream.
+        upstream: Digest of the upstream's incarnation.
         requests: Requests sent and not ended.
         unread: Prompt tokens of those without a first byte of an answer.
         memory: Tokens that the requests are expected to hold.
     """
 
-    instance: str
+    upstream: int
     requests: int
     unread: int
     memory: int
--- a/tests/feed/test_pace.py
+++ b/tests/feed/test_pace.py
@@ -15,6 +15,7 @@
 from leadseam.feed import totals as module
 from leadseam.feed.pace import LONGEST, SHORTEST, interval_for, report_size
 from leadseam.feed.totals import LoadSummer
+from leadseam.incarnation import Incarnation
 from leadseam.wire.codec import encode
 from leadseam.wire.messages import LoadReport, LoadRow, UsageRow
 
@@ -24,11 +25,20 @@
 """Bytes of a message besides the sums."""
 
 
+def make_row(number: int) -> LoadRow:
+    """Return the row of a busy engine."""
+    upstream = Incarnation(f"i-{number:010x}").digest()
+    return LoadRow(upstream, 12, 90_000, 500_000)
+
+
 def make_report(engines: int, accounts: int) -> LoadReport:
     """Return a report with counts as large as they get on a busy fleet."""
     return LoadReport(
         999,
-        tuple(LoadRow(f"i-{n:010x}", 12, 90_000, 500_000) for n in range(engines)),
+        tuple(
+            LoadRow(Incarnation(f"i-{n:010x}").digest(), 12, 90_000, 500_000)
+            for n in range(engines)
+        ),
         tuple(UsageRow(f"acct{n:05}", 4_000_000, 9_000_000) for n in range(accounts)),
     )
 
--- a/tests/membership/test_addresses.py
+++ b/tests/membership/test_addresses.py
@@ -4,12 +4,15 @@
 
 import msgspec
 
+from leadseam.incarnation import Incarnation
 from leadseam.membership.addresses import PROOF, AddressBook
 from leadseam.membership.view import UpstreamView
 from tests.routing.samples import make_upstream
 
 SERVING = make_upstream(1)
-STALE = msgspec.structs.replace(SERVING, instance="i-stale", sequence=40)
+STALE = msgspec.structs.replace(
+    SERVING, incarnation=Incarnation("i-stale"), sequence=40
+)
 
 
 def instances(view: UpstreamView) -> set[str]:
@@ -21,7 +24,7 @@
     """Return a view with an upstream that answered at 1,000 ms."""
     view = UpstreamView()
     view.update("a", [SERVING], 0)
-    view.answered("i-1", 1_000)
+    view.answered(Incarnation("i-1"), 1_000)
     return view
 
 
@@ -32,14 +35,14 @@
     # Nor does it later, when nothing was sent there for long.
     view.update("b", [msgspec.structs.replace(STALE, sequence=41)], 60_000)
     assert instances(view) == {"i-1"}
-    view.expired("b", ["i-stale"])
+    view.expired("b", [Incarnation("i-stale")])
     assert instances(view) == {"i-1"}
 
 
 def test_a_late_word_of_leaving_concerns_its_own_incarnation_only() -> None:
     view = serving_view()
     view.update("b", [msgspec.structs.replace(STALE, ready=False)], 1_200)
-    view.left(["i-stale"])
+    view.left([Incarnation("i-stale")])
     assert instances(view) == {"i-1"}
     view.update("b", [STALE], 90_000)
     assert instances(view) == {"i-1"}
@@ -56,28 +59,28 @@
     view.update("a", [SERVING], 0)
     view.update("b", [STALE], 0)
     assert instances(view) == {"i-stale"}
-    assert view.misdirected("i-stale")
+    assert view.misdirected(Incarnation("i-stale"))
     assert instances(view) == {"i-1"}
     # Several requests were under way; only the first changes anything.
-    assert not view.misdirected("i-stale")
+    assert not view.misdirected(Incarnation("i-stale"))
     assert instances(view) == {"i-1"}
     # If that one is gone after all, it is turned back.
-    assert view.misdirected("i-1")
+    assert view.misdirected(Incarnation("i-1"))
     assert instances(view) == {"i-stale"}
 
 
 def test_one_alone_keeps_its_address_whatever_is_said() -> None:
     view = serving_view()
-    assert not view.misdirected("i-1")
-    assert not view.misdirected("i-unknown")
-    view.answered("i-unknown", 0)
+    assert not view.misdirected(Incarnation("i-1"))
+    assert not view.misdirected(Incarnation("i-unknown"))
+    view.answered(Incarnation("i-unknown"), 0)
     assert instances(view) == {"i-1"}
 
 
 def test_who_is_left_inherits_the_address_and_nothing_is_kept_of_the_others() -> None:
     book = AddressBook()
     book.claim(SERVING, 0)
-    book.answered("i-1", 0)
+    book.answered(Incarnation("i-1"), 0)
     book.claim(STALE, 10)
     assert book.holds(SERVING)
     assert not book.holds(STALE)
--- /dev/null
+++ b/tests/membership/test_incarnations.py
@@ -0,0 +1,240 @@
+"""Upstreams that start again under their id, at any replica and entry.
+
+The story: the id of an upstream stays when it starts again, and its count of
+heartbeats begins anew. As long as the id stood for one start, heartbeats of the later
+one were too old to count, a late word of leaving of the earlier one ended the later one
+for good, and an upstream that had left never came back.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from leadseam.incarnation import Incarnation
+from leadseam.membership.departures import MAX_DEPARTED, Departures
+from leadseam.membership.registry import MAX_ROWS, MISSED_HEARTBEATS, Registry
+from leadseam.membership.view import KEPT_AFTER_LOSS, UpstreamView
+from leadseam.wire.messages import Registration
+from tests.routing.samples import make_upstream
+
+INTERVAL = 1_000
+EARLIER = make_upstream(1, born=1_000, sequence=500)
+LATER = make_upstream(1, born=2_000, sequence=1)
+
+
+def used(view: UpstreamView) -> set[Incarnation]:
+    """Return the incarnations that take new work."""
+    return {row.incarnation for row in view.pool("p")}
+
+
+def test_a_later_start_counts_whatever_its_sequence() -> None:
+    registry = Registry(INTERVAL)
+    registry.heartbeat(EARLIER, 0)
+    assert registry.heartbeat(LATER, 1)
+    assert registry.rows() == (LATER,)
+
+
+def test_a_late_heartbeat_of_an_earlier_start_changes_nothing() -> None:
+    registry = Registry(INTERVAL)
+    registry.heartbeat(LATER, 0)
+    late = msgspec.structs.replace(EARLIER, sequence=900, ip="10.9.9.9")
+    assert not registry.heartbeat(late, 1)
+    assert registry.rows() == (LATER,)
+    # Nor does it keep the later one alive.
+    assert registry.expire(INTERVAL * MISSED_HEARTBEATS + 1) == (LATER.incarnation,)
+
+
+def test_a_start_that_seems_earlier_counts_once_the_later_one_is_silent() -> None:
+    # So it is where the clock of a box is put back between two starts.
+    registry = Registry(INTERVAL)
+    registry.heartbeat(LATER, 0)
+    limit = INTERVAL * MISSED_HEARTBEATS
+    registry.expire(limit + 1)
+    assert registry.heartbeat(EARLIER, limit + 2)
+
+
+def test_leaving_concerns_a_start_and_those_before_it() -> None:
+    registry = Registry(INTERVAL)
+    registry.heartbeat(LATER, 0)
+    registry.remove(EARLIER.incarnation)
+    assert registry.rows() == (LATER,)
+    registry.remove(LATER.incarnation)
+    assert registry.rows() == ()
+    departed = Departures([LATER.incarnation])
+    assert EARLIER.incarnation in departed
+    assert make_upstream(1, born=2_001).incarnation not in departed
+    assert not departed.add(EARLIER.incarnation)
+    assert tuple(departed) == (LATER.incarnation,)
+
+
+def test_what_is_remembered_is_bounded() -> None:
+    departed = Departures(Incarnation(f"i-{n}", 1) for n in range(MAX_DEPARTED + 5))
+    assert len(departed) == MAX_DEPARTED
+    assert Incarnation("i-0", 1) not in departed
+    registry = Registry(INTERVAL)
+    for number in range(MAX_ROWS + 5):
+        registry.heartbeat(make_upstream(number), 0)
+    assert len(registry.rows()) == MAX_ROWS
+    assert registry.heartbeat(make_upstream(1, sequence=2, pool="q"), 0)
+
+
+def test_an_entry_uses_the_later_start_only_and_hears_what_is_over() -> None:
+    view = UpstreamView()
+    assert view.update("a", [EARLIER], 0) == ()
+    assert view.update("b", [LATER], 1) == (EARLIER.incarnation,)
+    assert used(view) == {LATER.incarnation}
+    # Another replica has not heard of it yet, and drops the earlier one later.
+    assert view.update("a", [msgspec.structs.replace(EARLIER, sequence=501)], 2) == ()
+    view.expired("a", [EARLIER.incarnation])
+    view.left([EARLIER.incarnation])
+    assert used(view) == {LATER.incarnation}
+    view.expired("b", [LATER.incarnation])
+    assert used(view) == set()
+
+
+def test_a_later_start_has_the_address_at_once_also_after_an_answer() -> None:
+    view = UpstreamView()
+    view.update("a", [EARLIER], 0)
+    view.answered(EARLIER.incarnation, 100)
+    view.update("a", [LATER], 101)
+    assert used(view) == {LATER.incarnation}
+    moved = msgspec.structs.replace(
+        make_upstream(1, born=3_000), ip="10.0.0.77", port=81
+    )
+    view.update("a", [moved], 102)
+    assert view.pool("p") == [moved]
+    # The address that it left is free for another.
+    neighbour = msgspec.structs.replace(make_upstream(2), ip=LATER.ip)
+    view.update("a", [neighbour], 103)
+    assert used(view) == {moved.incarnation}
+
+
+def test_one_that_left_comes_back_with_a_later_start() -> None:
+    view = UpstreamView()
+    view.update("a", [EARLIER], 0)
+    view.left([EARLIER.incarnation])
+    view.update("a", [msgspec.structs.replace(EARLIER, sequence=999)], 1)
+    assert used(view) == set()
+    view.update("a", [LATER], 2)
+    assert used(view) == {LATER.incarnation}
+
+
+def test_one_without_a_start_among_many_that_state_theirs_is_none() -> None:
+    view = UpstreamView()
+    stated = [make_upstream(number, born=1_000) for number in (1, 2)]
+    view.update("a", [*stated, make_upstream(3)], 0)
+    assert used(view) == {row.incarnation for row in stated}
+    # Where most state none, ids are new at each start.
+    view.update("a", [make_upstream(number) for number in (4, 5)], 0)
+    assert len(used(view)) == 5
+
+
+class RestartMachine(RuleBasedStateMachine):
+    """Two replicas, one entry, servers that start, crash, leave and are heard late."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0
+        self.born = 0
+        self.registries = {"a": Registry(INTERVAL), "b": Registry(INTERVAL)}
+        self.view = UpstreamView()
+        self.departed = Departures()
+        self.live: dict[int, Registration] = {}
+        self.late: list[Registration] = []
+        self.told: dict[str, int] = {}
+
+    @rule(number=st.integers(1, 3), moved=st.booleans())
+    def start(self, number: int, moved: bool) -> None:
+        """A server starts, under its id, maybe at another address."""
+        self.born += 10
+        row = make_upstream(number, born=self.born, sequence=1)
+        if moved:
+            row = msgspec.structs.replace(row, ip=f"10.1.{number}.{self.born % 250}")
+        self.live[number] = row
+
+    @rule(number=st.integers(1, 3), replica=st.sampled_from("ab"), late=st.booleans())
+    def beat(self, number: int, replica: str, late: bool) -> None:
+        """A server sends a heartbeat, which may be held up on its way."""
+        row = self.live.get(number)
+        if row is None:
+            return
+        row = msgspec.structs.replace(row, sequence=row.sequence + 1)
+        self.live[number] = row
+        if late:
+            self.late.append(row)
+        else:
+            self.hear(replica, row)
+
+    @rule(replica=st.sampled_from("ab"), data=st.data())
+    def arrive(self, replica: str, data: st.DataObject) -> None:
+        """A heartbeat arrives late, in any order."""
+        if self.late:
+            row = self.late.pop(data.draw(st.integers(0, len(self.late) - 1)))
+            self.hear(replica, row)
+
+    def hear(self, replica: str, row: Registration) -> None:
+        if row.incarnation in self.departed:
+            return
+        if self.registries[replica].heartbeat(row, self.now):
+            self.told[row.instance] = max(
+                self.told.get(row.instance, 0), row.incarnation.born
+            )
+            self.view.update(replica, [row], self.now)
+
+    @rule(number=st.integers(1, 3))
+    def leave(self, number: int) -> None:
+        """A server leaves in order; what it said before may come later."""
+        row = self.live.pop(number, None)
+        if row is not None:
+            self.departed.add(row.incarnation)
+            for registry in self.registries.values():
+                registry.remove(row.incarnation)
+            self.view.left([row.incarnation])
+
+    @rule(number=st.integers(1, 3))
+    def crash(self, number: int) -> None:
+        self.live.pop(number, None)
+
+    @rule(replica=st.sampled_from("ab"))
+    def fail_over(self, replica: str) -> None:
+        """A replica starts anew and knows nothing but who has left."""
+        self.registries[replica] = Registry(INTERVAL)
+        self.view.connected(replica, self.now)
+        self.view.left(self.departed)
+
+    @rule(step=st.sampled_from([10, 1_000, MISSED_HEARTBEATS * INTERVAL + 1]))
+    def wait(self, step: int) -> None:
+        self.now += step
+        for replica, registry in self.registries.items():
+            self.view.expired(replica, registry.expire(self.now))
+        self.view.sweep(self.now)
+        known = {one.instance for one in used(self.view)}
+        # Once nobody holds an upstream, what is heard next counts.
+        self.told = {name: born for name, born in self.told.items() if name in known}
+
+    @rule()
+    def settle(self) -> None:
+        """Once each live server was heard and all else is over, they are used."""
+        self.now += max(KEPT_AFTER_LOSS, MISSED_HEARTBEATS * INTERVAL) + 1
+        self.wait(1)
+        for number, row in list(self.live.items()):
+            beat = msgspec.structs.replace(row, sequence=row.sequence + 1)
+            self.live[number] = beat
+            self.hear("a", beat)
+        expected = {row.incarnation for row in self.live.values()}
+        assert used(self.view) == expected - set(self.departed)
+
+    @invariant()
+    def no_earlier_start_is_used_than_one_that_is_known(self) -> None:
+        for incarnation in used(self.view):
+            assert incarnation not in self.departed
+            assert incarnation.born >= self.told.get(incarnation.instance, 0)
+
+
+TestRestartMachine = RestartMachine.TestCase
+TestRestartMachine.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=40, deadline=None
+)
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -32,5 +32,5 @@
     registry.heartbeat(make_upstream(1), 0)
     limit = INTERVAL * MISSED_HEARTBEATS
     assert registry.expire(limit) == ()
-    assert registry.expire(limit + 1) == ("i-1",)
+    assert registry.expire(limit + 1) == (make_upstream(1).incarnation,)
     assert registry.heartbeat(make_upstream(1, sequence=2), limit + 2)
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from leadseam.incarnation import Incarnation
 from leadseam.membership.view import KEPT_AFTER_LOSS, UpstreamView
 from tests.routing.samples import make_upstream
 
@@ -19,9 +20,9 @@
     view = UpstreamView()
     view.update("a", [make_upstream(1)], 0)
     view.update("b", [make_upstream(1)], 0)
-    view.expired("a", ["i-1"])
+    view.expired("a", [Incarnation("i-1")])
     assert instances(view) == {"i-1"}
-    view.expired("b", ["i-1"])
+    view.expired("b", [Incarnation("i-1")])
     assert instances(view) == set()
 
 
@@ -49,8 +50,8 @@
 def test_leaving_is_final_for_an_incarnation() -> None:
     view = UpstreamView()
     view.update("a", [make_upstream(1), make_upstream(2)], 0)
-    assert view.left(["i-1"]) == ("i-1",)
-    assert view.left(["i-1"]) == ()
+    assert view.left([Incarnation("i-1")]) == (Incarnation("i-1"),)
+    assert view.left([Incarnation("i-1")]) == ()
     view.update("b", [make_upstream(1, sequence=99)], 0)
     assert instances(view) == {"i-2"}
 
@@ -60,7 +61,7 @@
     old = make_upstream(1)
     view.update("a", [old], 0)
     successor = make_upstream(1).__class__(
-        "i-new", "q", old.ip, old.port, "d", 4, True, 1
+        Incarnation("i-new"), "q", old.ip, old.port, "d", 4, True, 1
     )
     view.update("a", [successor], 0)
     assert instances(view) == set()
@@ -84,7 +85,7 @@
 
     @rule(replica=st.sampled_from("ab"), number=st.integers(1, 4))
     def expire(self, replica: str, number: int) -> None:
-        self.view.expired(replica, [f"i-{number}"])
+        self.view.expired(replica, [Incarnation(f"i-{number}")])
         self.held[replica].discard(f"i-{number}")
 
     @rule(replica=st.sampled_from("ab"))
@@ -94,7 +95,7 @@
 
     @rule(number=st.integers(1, 4))
     def leave(self, number: int) -> None:
-        self.view.left([f"i-{number}"])
+        self.view.left([Incarnation(f"i-{number}")])
         self.left.add(f"i-{number}")
 
     @rule(step=st.integers(1, 2 * KEPT_AFTER_LOSS))
--- /dev/null
+++ b/tests/platform/test_heartbeat.py
@@ -0,0 +1,174 @@
+"""What upstreams say of themselves, and what only looks like it."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from leadseam.incarnation import Incarnation
+from leadseam.platform.heartbeat import (
+    LAST_START,
+    MAX_BYTES,
+    Fault,
+    UnknownWriterError,
+    read_heartbeat,
+    read_instance,
+    read_leaving,
+)
+from leadseam.wire.messages import Registration
+
+GOOD: dict[str, Any] = {
+    "service": "plain",
+    "address": "10.0.0.1:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "coldRemainingMs": 0.5,
+    "stage": "unified",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "born": 1_764_720_000_000,
+    "sequence": 7,
+}
+
+
+def fault_of(document: bytes, instance: str = "i-1") -> Fault | None:
+    """Return what is wrong with a heartbeat, or None."""
+    try:
+        read_heartbeat(instance, document)
+    except UnknownWriterError as exc:
+        return exc.fault
+    return None
+
+
+def changed(**fields: object) -> bytes:
+    """Return a good heartbeat with other fields."""
+    return json.dumps(GOOD | fields).encode()
+
+
+def test_a_heartbeat_is_read() -> None:
+    assert read_heartbeat("i-1", changed()) == Registration(
+        incarnation=Incarnation("i-1", 1_764_720_000_000),
+        pool="plain",
+        ip="10.0.0.1",
+        port=8080,
+        failure_domain="a",
+        slots=4,
+        ready=True,
+        sequence=7,
+        cold_left=0,
+    )
+    assert not read_heartbeat("i-1", changed(state="draining")).ready
+    # Fields that are not known here are passed over.
+    assert fault_of(changed(colour="red")) is None
+
+
+def test_a_start_need_not_be_stated() -> None:
+    fields = {key: value for key, value in GOOD.items() if key != "born"}
+    row = read_heartbeat("i-1", json.dumps(fields).encode())
+    assert row.incarnation == Incarnation("i-1")
+
+
+@pytest.mark.parametrize(
+    "field", [key for key in GOOD if key not in ("born", "stage", "models")]
+)
+def test_a_heartbeat_lacks_no_field(field: str) -> None:
+    fields = {key: value for key, value in GOOD.items() if key != field}
+    assert fault_of(json.dumps(fields).encode()) is Fault.WRONG_FIELD
+
+
+@pytest.mark.parametrize(
+    "born", [None, "1764720000000", 1.5, 1e12, True, -1, 0, 10**30, LAST_START + 1, []]
+)
+def test_a_start_is_a_whole_number_of_milliseconds(born: object) -> None:
+    assert fault_of(changed(born=born)) is Fault.WRONG_FIELD
+    leaving = json.dumps({"born": born}).encode()
+    with pytest.raises(UnknownWriterError):
+        read_leaving(leaving)
+
+
+@pytest.mark.parametrize(
+    ("document", "fault"),
+    [
+        (b"", Fault.UNREADABLE),
+        (b"\xff\xfe{}", Fault.UNREADABLE),
+        (json.dumps(GOOD).encode("utf-16"), Fault.UNREADABLE),
+        (b'{"born":1,' + json.dumps(GOOD).encode()[1:], Fault.UNREADABLE),
+        (b"[" * MAX_BYTES, Fault.UNREADABLE),
+        (b'{"slots":NaN}', Fault.UNREADABLE),
+        (b"[]", Fault.WRONG_FIELD),
+        (b"null", Fault.WRONG_FIELD),
+        (b" " * (MAX_BYTES + 1), Fault.TOO_LARGE),
+        (changed(state="resting"), Fault.WRONG_STATE),
+        (changed(slots=0), Fault.WRONG_FIELD),
+        (changed(slots="4"), Fault.WRONG_FIELD),
+        (changed(sequence=-1), Fault.WRONG_FIELD),
+        (changed(service=""), Fault.WRONG_FIELD),
+        (changed(service=7), Fault.WRONG_FIELD),
+        (changed(models="m"), Fault.WRONG_FIELD),
+        (changed(address="10.0.0.1"), Fault.WRONG_ADDRESS),
+        (changed(address="server.example:80"), Fault.WRONG_ADDRESS),
+        (changed(address="0.0.0.0:80"), Fault.WRONG_ADDRESS),
+        (changed(address="224.0.0.1:80"), Fault.WRONG_ADDRESS),
+        (changed(address="10.0.0.1:0"), Fault.WRONG_ADDRESS),
+        (changed(address="10.0.0.1:70000"), Fault.WRONG_ADDRESS),
+        (changed(address="10.0.0.1:8 0"), Fault.WRONG_ADDRESS),
+    ],
+)
+def test_what_names_no_upstream_is_told_apart(document: bytes, fault: Fault) -> None:
+    assert fault_of(document) is fault
+
+
+@pytest.mark.parametrize("instance", ["", " ", "a b", "a\r\nb", "ü", "-a", "a" * 129])
+def test_an_id_may_stand_in_a_header_and_a_line(instance: str) -> None:
+    with pytest.raises(UnknownWriterError):
+        read_instance(instance)
+    assert fault_of(changed(), instance) is Fault.WRONG_ID
+
+
+def test_a_word_of_leaving_may_state_its_start() -> None:
+    assert read_leaving(b"") is None
+    assert read_leaving(b"{}") is None
+    assert read_leaving(b'{"born":5}') == 5
+    for document in (b"[]", b"leave", b"\xff", b'{"born":1,"born":2}'):
+        with pytest.raises(UnknownWriterError):
+            read_leaving(document)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+
+
+@settings(derandomize=True, database=None, max_examples=1_000, deadline=None)
+@given(
+    fields=st.dictionaries(st.sampled_from(sorted(GOOD)), JSON, max_size=4),
+    dropped=st.sets(st.sampled_from(sorted(GOOD)), max_size=2),
+    cut=st.integers(0, 400),
+    noise=st.binary(max_size=8),
+)
+def test_no_document_ends_a_process(
+    fields: dict[str, Any], dropped: set[str], cut: int, noise: bytes
+) -> None:
+    kept = {key: value for key, value in (GOOD | fields).items() if key not in dropped}
+    whole = json.dumps(kept).encode()
+    for document in (whole, whole[:cut] + noise + whole[cut:], whole[:cut]):
+        fault = fault_of(document)
+        if fault is None:
+            row = read_heartbeat("i-1", document)
+            assert row.incarnation.born >= 0
+            assert 0 < row.port < 65_536
+            assert row.slots >= 1
+        try:
+            assert (read_leaving(document) or 1) >= 1
+        except UnknownWriterError as exc:
+            assert exc.fault in Fault
--- a/tests/routing/samples.py
+++ b/tests/routing/samples.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from leadseam.control.routes import PoolShare, Repeat, Route
+from leadseam.incarnation import NO_START, Incarnation
 from leadseam.routing.dialect import PromptPart, RoutedRequest
 from leadseam.wire.messages import Registration
 
@@ -24,10 +25,12 @@
     )
 
 
-def make_upstream(number: int, *, pool: str = "p", sequence: int = 1) -> Registration:
+def make_upstream(
+    number: int, *, pool: str = "p", sequence: int = 1, born: int = NO_START
+) -> Registration:
     """Return a ready upstream with its own address."""
     return Registration(
-        instance=f"i-{number}",
+        incarnation=Incarnation(f"i-{number}", born),
         pool=pool,
         ip=f"10.0.0.{number}",
         port=80,
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -45,7 +45,7 @@
     def read(self, millis: int) -> None:
         """Give the engine so much to read that it takes some milliseconds."""
         load = Load(requests=1, unread=round(millis * FIRST_RATE))
-        self.balancer.loads.begin(ENGINE.instance, load)
+        self.balancer.loads.begin(ENGINE.incarnation, load)
 
     def enter(self, account: str, now: int = 0, *, prompt: int = 100) -> Waiter:
         """Let a request of an account come."""
@@ -67,7 +67,7 @@
     def leave(self, waiter: Waiter, now: int = 0) -> None:
         """End a placed request."""
         assert waiter.placement is not None
-        self.balancer.loads.end(ENGINE.instance, waiter.placement.load)
+        self.balancer.loads.end(ENGINE.incarnation, waiter.placement.load)
         self.admission.pump(now)
 
 
@@ -119,7 +119,7 @@
     waiter = room.enter("a")
     # It could be in time behind 270 ms of reading; who is short might come meanwhile.
     assert not waiter.done
-    room.balancer.loads.read(ENGINE.instance, 100)
+    room.balancer.loads.read(ENGINE.incarnation, 100)
     room.admission.pump(5)
     assert waiter.placement is not None
 
@@ -160,7 +160,7 @@
     room.admission.withdraw(gone)
     assert len(room.admission) == 0
     room.leave(running[0])
-    assert room.balancer.loads.own(ENGINE.instance).requests == 3
+    assert room.balancer.loads.own(ENGINE.incarnation).requests == 3
 
 
 def test_an_account_that_must_stop_gets_no_room() -> None:
--- a/tests/routing/test_balance.py
+++ b/tests/routing/test_balance.py
@@ -138,7 +138,7 @@
 ) -> None:
     balancer = make_balancer()
     for row, load in zip(ROWS, loads, strict=True):
-        balancer.loads.begin(row.instance, Load(*load))
+        balancer.loads.begin(row.incarnation, Load(*load))
     ranked = ranked_for(ROWS, CHAT)
     # The set is worked out for the longest limit of those that wait.
     among = balancer.with_room(ROWS, 680, 0)
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -14,6 +14,7 @@
 
 from leadseam.clock import ManualClock
 from leadseam.control.configuration import Account, Configuration
+from leadseam.incarnation import Incarnation
 from leadseam.membership.view import UpstreamView
 from leadseam.outcome import NotRun, Reason
 from leadseam.routing.attempt import Declined, Whole
@@ -136,7 +137,7 @@
     entry = Entry()
     view = entry.feed.view
     serving = make_upstream(1)
-    stale = msgspec.structs.replace(serving, instance="i-stale")
+    stale = msgspec.structs.replace(serving, incarnation=Incarnation("i-stale"))
     view.update("a", [serving], 0)
     entry.gateway.note_ending(serving, Whole(200, (), b""))
     view.update("b", [stale], entry.gateway.now() + 1)
--- a/tests/routing/test_load.py
+++ b/tests/routing/test_load.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from leadseam.feed.totals import LoadSummer
+from leadseam.incarnation import Incarnation
 from leadseam.routing.load import KEPT_REPORTS, TOTALS_LIMIT, Load, LoadBook
 from leadseam.wire.codec import decode
 from leadseam.wire.messages import LoadRow, LoadSums, LoadTotals, UsageRow
 
+ENGINE = Incarnation("i")
+
 
 def sums_of(totals: LoadTotals) -> LoadSums:
     """Return the sums as an entry decodes them."""
@@ -25,52 +28,52 @@
 def test_every_entry_sees_what_all_have_in_flight() -> None:
     books = [LoadBook() for _ in range(3)]
     for number, book in enumerate(books, start=1):
-        book.begin("i", Load(requests=number, unread=10 * number, memory=100))
+        book.begin(ENGINE, Load(requests=number, unread=10 * number, memory=100))
     exchange(books)
     for book in books:
-        assert book.total("i", 0) == Load(requests=6, unread=60, memory=300)
+        assert book.total(ENGINE, 0) == Load(requests=6, unread=60, memory=300)
 
 
 def test_the_own_part_is_always_what_it_is_now() -> None:
     books = [LoadBook(), LoadBook()]
-    books[0].begin("i", Load(requests=2, unread=50))
-    books[1].begin("i", Load(requests=1, unread=5))
+    books[0].begin(ENGINE, Load(requests=2, unread=50))
+    books[1].begin(ENGINE, Load(requests=1, unread=5))
     exchange(books)
-    books[0].read("i", 30)
-    assert books[0].total("i", 0) == Load(requests=3, unread=25)
-    books[0].end("i", Load(requests=2, unread=20))
-    assert books[0].total("i", 0) == Load(requests=1, unread=5)
-    assert books[0].own("i") == Load()
+    books[0].read(ENGINE, 30)
+    assert books[0].total(ENGINE, 0) == Load(requests=3, unread=25)
+    books[0].end(ENGINE, Load(requests=2, unread=20))
+    assert books[0].total(ENGINE, 0) == Load(requests=1, unread=5)
+    assert books[0].own(ENGINE) == Load()
 
 
 def test_old_totals_do_not_count() -> None:
     books = [LoadBook(), LoadBook()]
-    books[1].begin("i", Load(requests=1))
+    books[1].begin(ENGINE, Load(requests=1))
     exchange(books)
-    assert books[0].total("i", TOTALS_LIMIT).requests == 1
-    assert books[0].total("i", TOTALS_LIMIT + 1).requests == 0
+    assert books[0].total(ENGINE, TOTALS_LIMIT).requests == 1
+    assert books[0].total(ENGINE, TOTALS_LIMIT + 1).requests == 0
 
 
 def test_totals_of_a_report_that_was_forgotten_count_the_own_part_twice() -> None:
     book = LoadBook()
-    book.begin("i", Load(requests=1))
+    book.begin(ENGINE, Load(requests=1))
     sums = LoadSummer()
     sums.take(0, book.report(()), 0)
     totals = sums.totals(0)[0]
     for _ in range(KEPT_REPORTS):
         book.report(())
     assert book.take_sums(totals.included, sums_of(totals), 0) is None
-    assert book.total("i", 0).requests == 2
+    assert book.total(ENGINE, 0).requests == 2
 
 
 def test_a_replica_drops_old_reports_and_sums_usage() -> None:
     sums = LoadSummer()
     book = LoadBook()
-    book.begin("i", Load(requests=1))
+    book.begin(ENGINE, Load(requests=1))
     sums.take(1, book.report([UsageRow("bank", 10, 20)]), 0)
     sums.take(2, book.report([UsageRow("bank", 1, 2), UsageRow("shop", 3, 4)]), 900)
     both = sums_of(sums.totals(1_000)[2])
-    assert both.rows == (LoadRow("i", 2, 0, 0),)
+    assert both.rows == (LoadRow(ENGINE.digest(), 2, 0, 0),)
     assert both.usage == (UsageRow("bank", 11, 22), UsageRow("shop", 3, 4))
     assert set(sums.totals(1_001)) == {2}
     sums.forget(2)
--- a/tests/routing/test_placing_cost.py
+++ b/tests/routing/test_placing_cost.py
@@ -59,7 +59,7 @@
     balancer = Balancer(random.Random(1))
     rows = ROWS[:engines]
     for row in rows:
-        balancer.loads.begin(row.instance, Load(requests=rng.randrange(SLOTS + 1)))
+        balancer.loads.begin(row.incarnation, Load(requests=rng.randrange(SLOTS + 1)))
     requests = 500
     with mock.patch.object(balancer, "_score", wraps=balancer._score) as score:
         for number in range(requests):
@@ -67,7 +67,7 @@
             order = balancer.orders.of("p", rows, req)
             placement = balancer.place(order, req, PROFILE, 0.85 * objective, number)
             if placement is not None:
-                upstream = placement.upstream.instance
+                upstream = placement.upstream.incarnation
                 balancer.prompts.sent(upstream, req.parts, number)
         scored = score.call_count
     assert scored / requests < 2
@@ -91,10 +91,10 @@
         balancer.estimates.measured(row, 0, millis)
         balancer.estimates.measured(row, 20_000, 45 + millis)
         load = Load(rng.randrange(SLOTS + 2), rng.choice([0, 0, 5_000, 40_000]), 0)
-        balancer.loads.begin(row.instance, load)
+        balancer.loads.begin(row.incarnation, load)
     for number in range(20):
         sent, _ = make_prompt(rng, number)
-        balancer.prompts.sent(rng.choice(rows).instance, sent.parts, number)
+        balancer.prompts.sent(rng.choice(rows).incarnation, sent.parts, number)
     for number in range(20):
         req, _ = make_prompt(rng, number)
         order = ranked_for(rows, req)
--- a/tools/slopes/decisions.py
+++ b/tools/slopes/decisions.py
@@ -17,6 +17,7 @@
 from leadseam.fairness.ledger import Ledger
 from leadseam.fairness.merge import ServiceMerge
 from leadseam.fairness.picker import Picker
+from leadseam.incarnation import Incarnation
 from leadseam.routing.balance import Balancer
 from leadseam.routing.dialect import PromptPart
 from leadseam.routing.load import Load
@@ -161,7 +162,10 @@
 def sums_size(count: int) -> float:
     """Return the bytes of shared sums, half of the rows engines, half accounts."""
     half = count // 2
-    rows = tuple(LoadRow(f"i-{n:010x}", 9, 9_000, 250_000) for n in range(half))
+    rows = tuple(
+        LoadRow(Incarnation(f"i-{n:010x}").digest(), 9, 9_000, 250_000)
+        for n in range(half)
+    )
     usage = tuple(UsageRow(f"acct{n:05}", 400_000, 900_000) for n in range(half))
     return float(len(encode(LoadSums(rows, usage))))
 
@@ -176,7 +180,7 @@
         for number in range(count)
     ]
     for row in rows:
-        balancer.loads.begin(row.instance, Load(requests=rng.randrange(13)))
+        balancer.loads.begin(row.incarnation, Load(requests=rng.randrange(13)))
 
     def work() -> None:
         parts = (
