--- a/src/leadseam/control/service.py
+++ b/src/leadseam/control/service.py
@@ -135,17 +135,19 @@
         It is the one that is heard here. Where upstreams state their starts and this
         one is not heard here, another replica has to tell.
         """
-        born = self._feed.start_of(instance)
-        if born is None:
+        start = self._feed.start_of(instance)
+        if start is None:
             return Unavailable("its start is not known here")
-        return await self.leave(Incarnation(instance, born))
+        return await self.leave(Incarnation(instance, start))
 
     async def leave(self, incarnation: Incarnation) -> Reply:
         """Commit that an upstream leaves."""
         if incarnation in self._replica.state.departed:
             return Accepted()
         extra = {"instance": str(incarnation)}
-        result = await self._submit(Leave(incarnation.instance, born=incarnation.born))
+        result = await self._submit(
+            Leave(incarnation.instance, start=incarnation.start)
+        )
         if not isinstance(result, LeaveResult):
             log.warning("leaving not committed in time", extra=extra)
             return Unavailable("no quorum confirmed it in time")
--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -85,17 +85,17 @@
     Args:
         instance: Its id.
         at: Wall time stamped by the leader.
-        born: Its start; logs of older versions state none.
+        start: Its start; logs of older versions state none.
     """
 
     instance: str
     at: int = 0
-    born: int = NO_START
+    start: int = NO_START
 
     @property
     def incarnation(self) -> Incarnation:
         """Which start of the upstream leaves."""
-        return Incarnation(self.instance, self.born)
+        return Incarnation(self.instance, self.start)
 
 
 Command: TypeAlias = Change | Claims | Barrier | Replace | Leave
@@ -131,7 +131,7 @@
     """The incarnation is known to be leaving."""
 
     instance: str
-    born: int = NO_START
+    start: int = NO_START
 
 
 CommandResult: TypeAlias = ChangeResult | ClaimResults | BarrierResult | LeaveResult
@@ -195,9 +195,9 @@
                 return BarrierResult(self.configuration.version)
             case Replace(configuration=configuration):
                 return self._replace(configuration)
-            case Leave(instance=instance, born=born):
+            case Leave(instance=instance, start=start):
                 self.departed.add(command.incarnation)
-                return LeaveResult(instance, born)
+                return LeaveResult(instance, start)
 
     def deltas_after(self, version: int) -> list[VersionedOperations] | None:
         """Return the operations since a version, or None if some are forgotten."""
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -125,10 +125,10 @@
 
     def start_of(self, instance: str) -> int | None:
         """Return the start that a word of leaving without one concerns, if any."""
-        born = self._registry.born(instance)
-        if born is None and not self._registry.states_starts:
+        start = self._registry.start_of(instance)
+        if start is None and not self._registry.states_starts:
             return NO_START
-        return born
+        return start
 
     async def serve(self, link: Link) -> None:
         """Handle one inner link: of another replica, or of a subscriber."""
--- a/src/leadseam/incarnation.py
+++ b/src/leadseam/incarnation.py
@@ -7,7 +7,7 @@
 import xxhash
 
 NO_START = 0
-"""`born` of an upstream that does not state its start: its id is new at each."""
+"""`start` of an upstream that does not state its start: its id is new at each."""
 
 
 class Incarnation(NamedTuple):
@@ -18,24 +18,24 @@
 
     Args:
         instance: Its id, which it keeps when it starts again.
-        born: Unix milliseconds of the start by its own clock, which order the starts of
-            one id and are compared with nothing else; `NO_START` if it states none.
+        start: Unix milliseconds of the start by its own clock, which order the starts
+            of one id and are compared with nothing else; `NO_START` if it states none.
     """
 
     instance: str
-    born: int = NO_START
+    start: int = NO_START
 
     def __str__(self) -> str:
         """Return how log lines name it."""
-        return f"{self.instance}/{self.born}" if self.born else self.instance
+        return f"{self.instance}/{self.start}" if self.start else self.instance
 
     def replaces(self, other: Incarnation) -> bool:
         """Tell whether this is a later start of the same upstream."""
-        return self.instance == other.instance and self.born > other.born
+        return self.instance == other.instance and self.start > other.start
 
     def digest(self) -> int:
         """Return a number of 64 bits that stands for it in rows of loads.
 
         It takes 9 bytes of a row; the id alone takes 13, with the start 23.
         """
-        return xxhash.xxh3_64_intdigest(f"{self.instance}/{self.born}".encode())
+        return xxhash.xxh3_64_intdigest(f"{self.instance}/{self.start}".encode())
--- a/src/leadseam/membership/departures.py
+++ b/src/leadseam/membership/departures.py
@@ -22,29 +22,31 @@
     """The latest incarnation of each upstream that has left."""
 
     def __init__(self, departed: Iterable[Incarnation] = ()) -> None:
-        self._born: OrderedDict[str, int] = OrderedDict()
+        self._starts: OrderedDict[str, int] = OrderedDict()
         for incarnation in departed:
             self.add(incarnation)
 
     def __repr__(self) -> str:
-        return f"Departures(upstreams={len(self._born)})"
+        return f"Departures(upstreams={len(self._starts)})"
 
     def __len__(self) -> int:
-        return len(self._born)
+        return len(self._starts)
 
     def __iter__(self) -> Iterator[Incarnation]:
-        return (Incarnation(instance, born) for instance, born in self._born.items())
+        return (
+            Incarnation(instance, start) for instance, start in self._starts.items()
+        )
 
     def __contains__(self, incarnation: Incarnation) -> bool:
-        born = self._born.get(incarnation.instance)
-        return born is not None and incarnation.born <= born
+        start = self._starts.get(incarnation.instance)
+        return start is not None and incarnation.start <= start
 
     def add(self, incarnation: Incarnation) -> bool:
         """Note that an incarnation leaves; return whether that is new."""
         if incarnation in self:
             return False
-        self._born[incarnation.instance] = incarnation.born
-        self._born.move_to_end(incarnation.instance)
-        while len(self._born) > MAX_DEPARTED:
-            self._born.popitem(last=False)
+        self._starts[incarnation.instance] = incarnation.start
+        self._starts.move_to_end(incarnation.instance)
+        while len(self._starts) > MAX_DEPARTED:
+            self._starts.popitem(last=False)
         return True
--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -69,7 +69,7 @@
     def remove(self, incarnation: Incarnation) -> None:
         """Forget an upstream that has left, unless it has started again since."""
         row = self._rows.get(incarnation.instance)
-        if row is not None and row.registration.incarnation.born <= incarnation.born:
+        if row is not None and row.registration.incarnation.start <= incarnation.start:
             del self._rows[incarnation.instance]
 
     def expire(self, now: Millis) -> tuple[Incarnation, ...]:
@@ -90,15 +90,15 @@
             return False
         return row.registration.pool == registration.pool
 
-    def born(self, instance: str) -> int | None:
+    def start_of(self, instance: str) -> int | None:
         """Return the start of an upstream that is heard here, or None."""
         row = self._rows.get(instance)
-        return row.registration.incarnation.born if row is not None else None
+        return row.registration.incarnation.start if row is not None else None
 
     @property
     def states_starts(self) -> bool:
         """Whether an upstream that is heard here states its start."""
-        return any(row.registration.incarnation.born for row in self._rows.values())
+        return any(row.registration.incarnation.start for row in self._rows.values())
 
     def rows(self) -> tuple[Registration, ...]:
         """Return all rows, for an entry that knows nothing."""
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -176,5 +176,5 @@
     Either all upstreams of a pool state their start or none does, so the few that do
     not are written by something else.
     """
-    stated = [row for row in rows if row.incarnation.born]
+    stated = [row for row in rows if row.incarnation.start]
     return stated if 2 * len(stated) >= len(rows) else rows
--- a/src/leadseam/platform/control_api.py
+++ b/src/leadseam/platform/control_api.py
@@ -80,12 +80,12 @@
         instance = http.match_info["instance"]
         try:
             read_instance(instance)
-            born = read_leaving(await _read_small(http))
+            start = read_leaving(await _read_small(http))
         except UnknownWriterError as exc:
             return self._unknown_writer(instance, exc)
-        if born is None:
+        if start is None:
             return _response(await self._service.leave_unstated(instance))
-        return _response(await self._service.leave(Incarnation(instance, born)))
+        return _response(await self._service.leave(Incarnation(instance, start)))
 
     def _unknown_writer(self, instance: str, exc: UnknownWriterError) -> web.Response:
         self._service.note_unknown_writer(instance, exc.fault.value, exc.message)
--- a/tests/membership/test_incarnations.py
+++ b/tests/membership/test_incarnations.py
@@ -21,8 +21,8 @@
 from tests.routing.samples import make_upstream
 
 INTERVAL = 1_000
-EARLIER = make_upstream(1, born=1_000, sequence=500)
-LATER = make_upstream(1, born=2_000, sequence=1)
+EARLIER = make_upstream(1, start=1_000, sequence=500)
+LATER = make_upstream(1, start=2_000, sequence=1)
 
 
 def used(view: UpstreamView) -> set[Incarnation]:
@@ -65,7 +65,7 @@
     assert registry.rows() == ()
     departed = Departures([LATER.incarnation])
     assert EARLIER.incarnation in departed
-    assert make_upstream(1, born=2_001).incarnation not in departed
+    assert make_upstream(1, start=2_001).incarnation not in departed
     assert not departed.add(EARLIER.incarnation)
     assert tuple(departed) == (LATER.incarnation,)
 
@@ -102,7 +102,7 @@
     view.update("a", [LATER], 101)
     assert used(view) == {LATER.incarnation}
     moved = msgspec.structs.replace(
-        make_upstream(1, born=3_000), ip="10.0.0.77", port=81
+        make_upstream(1, start=3_000), ip="10.0.0.77", port=81
     )
     view.update("a", [moved], 102)
     assert view.pool("p") == [moved]
@@ -124,7 +124,7 @@
 
 def test_one_without_a_start_among_many_that_state_theirs_is_none() -> None:
     view = UpstreamView()
-    stated = [make_upstream(number, born=1_000) for number in (1, 2)]
+    stated = [make_upstream(number, start=1_000) for number in (1, 2)]
     view.update("a", [*stated, make_upstream(3)], 0)
     assert used(view) == {row.incarnation for row in stated}
     # Where most state none, ids are new at each start.
@@ -138,7 +138,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 0
-        self.born = 0
+        self.latest = 0
         self.registries = {"a": Registry(INTERVAL), "b": Registry(INTERVAL)}
         self.view = UpstreamView()
         self.departed = Departures()
@@ -149,10 +149,10 @@
     @rule(number=st.integers(1, 3), moved=st.booleans())
     def start(self, number: int, moved: bool) -> None:
         """A server starts, under its id, maybe at another address."""
-        self.born += 10
-        row = make_upstream(number, born=self.born, sequence=1)
+        self.latest += 10
+        row = make_upstream(number, start=self.latest, sequence=1)
         if moved:
-            row = msgspec.structs.replace(row, ip=f"10.1.{number}.{self.born % 250}")
+            row = msgspec.structs.replace(row, ip=f"10.1.{number}.{self.latest % 250}")
         self.live[number] = row
 
     @rule(number=st.integers(1, 3), replica=st.sampled_from("ab"), late=st.booleans())
@@ -180,7 +180,7 @@
             return
         if self.registries[replica].heartbeat(row, self.now):
             self.told[row.instance] = max(
-                self.told.get(row.instance, 0), row.incarnation.born
+                self.told.get(row.instance, 0), row.incarnation.start
             )
             self.view.update(replica, [row], self.now)
 
@@ -213,7 +213,7 @@
         self.view.sweep(self.now)
         known = {one.instance for one in used(self.view)}
         # Once nobody holds an upstream, what is heard next counts.
-        self.told = {name: born for name, born in self.told.items() if name in known}
+        self.told = {name: start for name, start in self.told.items() if name in known}
 
     @rule()
     def settle(self) -> None:
@@ -231,7 +231,7 @@
     def no_earlier_start_is_used_than_one_that_is_known(self) -> None:
         for incarnation in used(self.view):
             assert incarnation not in self.departed
-            assert incarnation.born >= self.told.get(incarnation.instance, 0)
+            assert incarnation.start >= self.told.get(incarnation.instance, 0)
 
 
 TestRestartMachine = RestartMachine.TestCase
--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -165,7 +165,7 @@
         fault = fault_of(document)
         if fault is None:
             row = read_heartbeat("i-1", document)
-            assert row.incarnation.born >= 0
+            assert row.incarnation.start >= 0
             assert 0 < row.port < 65_536
             assert row.slots >= 1
         try:
--- a/tests/routing/samples.py
+++ b/tests/routing/samples.py
@@ -26,11 +26,11 @@
 
 
 def make_upstream(
-    number: int, *, pool: str = "p", sequence: int = 1, born: int = NO_START
+    number: int, *, pool: str = "p", sequence: int = 1, start: int = NO_START
 ) -> Registration:
     """Return a ready upstream with its own address."""
     return Registration(
-        incarnation=Incarnation(f"i-{number}", born),
+        incarnation=Incarnation(f"i-{number}", start),
         pool=pool,
         ip=f"10.0.0.{number}",
         port=80,
