Soak: servers that start again under their ids, and a writer of nonsense

An option, so that kept seeds play as before: servers state their starts and keep their ids, and ten documents a second name no server, for ids and addresses of real ones, at any control box. Each has to be refused (400), and calls go on as usual.

--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,6 +16,16 @@
 """Bounds on time are not checked here, as CI may run beside other work."""
 
 
+@pytest.mark.parametrize("seed", [41, 42])
+async def test_promises_are_kept_where_servers_start_again_under_their_ids(
+    tmp_path: Path, seed: int
+) -> None:
+    summary = await run_seed(tmp_path, seed, replace(SIZE, same_ids=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["strangers refused"] > 0
+    assert summary.checked["recovered"] == 2
+
+
 @pytest.mark.parametrize("seed", [3, 5, 18, 22, 922])
 async def test_promises_are_kept(tmp_path: Path, seed: int) -> None:
     summary = await run_seed(tmp_path, seed, SIZE)
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -11,6 +11,7 @@
 import socket
 import subprocess
 import sys
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -56,11 +57,20 @@
 
 @dataclass
 class Platform:
-    """Control boxes, entries and servers, each with an address of its own."""
+    """Control boxes, entries and servers, each with an address of its own.
+
+    Args:
+        folder: Where logs, settings and disks are.
+        processes: Processes by address.
+        servers: Servers that run.
+        states_starts: Whether servers state their starts, and start again under the id
+            that they had.
+    """
 
     folder: Path
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     servers: list[Server] = field(default_factory=list)
+    states_starts: bool = False
 
     def __post_init__(self) -> None:
         self.control_ips = [f"127.0.0.{number}" for number in (21, 22, 23)]
@@ -112,9 +122,18 @@
             await self.wait_ready(ip)
             await self.wait_served(ip)
 
-    async def add_server(self, ip: str, service: str) -> Server:
-        """Start a server."""
+    async def add_server(self, ip: str, service: str, *, earlier: str = "") -> Server:
+        """Start a server.
+
+        Args:
+            ip: Its address.
+            service: What it serves.
+            earlier: Id under which it ran before. Defaults to a new one.
+        """
         server = Server(ip, self.server_port, service, self.controls)
+        if self.states_starts:
+            server.born = time.time_ns() // 1_000_000
+            server.instance = earlier or server.instance
         server.advertised = self.advertised(ip)
         await server.start()
         self.servers.append(server)
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -126,7 +126,7 @@
                 instance=self.instance
             )
             with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-                async with self._session.post(url, json=self._beat_body(sequence)) as r:
+                async with self._session.post(url, json=self.heartbeat(sequence)) as r:
                     self.acks += r.status == 200
             await asyncio.sleep(HEARTBEAT)
 
@@ -141,7 +141,8 @@
         path = names.LEAVE_PATH.format(instance=self.instance)
         return await tell(self.controls[0], path, json.dumps(body).encode())
 
-    def _beat_body(self, sequence: int) -> dict[str, Any]:
+    def heartbeat(self, sequence: int) -> dict[str, Any]:
+        """Return what it says of itself."""
         stated = {} if self.born is None else {"born": self.born}
         return stated | {
             "service": self.service,
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -14,6 +14,8 @@
   --nodes N      Entry boxes [default: 2].
   --callers N    Callers of each entry [default: 6].
   --untimed      Do not check bounds on time, as on a busy machine.
+  --same-ids     Servers start again under their ids, and somebody writes registrations
+                 that name none.
 
 The exit code is 0 if all promises were kept, else 1.
 """
@@ -46,6 +48,7 @@
         entries=int(args["--nodes"]),
         callers=int(args["--callers"]),
         timed=not args["--untimed"],
+        same_ids=args["--same-ids"],
     )
     if args["--replay"]:
         sys.exit(_replay(int(args["--replay"]), size))
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -95,6 +95,10 @@
         kept = least <= version <= newest
         self._check("configuration kept", kept, "", f"read {version}, had {least}")
 
+    def on_stranger(self, refused: bool, detail: str) -> None:
+        """Check what became of a document that names no server."""
+        self._check("strangers refused", refused, "", detail)
+
     def fail(self, promise: str, detail: str) -> None:
         """Note a promise that another part found broken."""
         self._check(promise, False, "", detail)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -14,6 +13,7 @@
 from tools.soak.injector import Injector
 from tools.soak.plan import draw
 from tools.soak.promises import Promises
+from tools.soak.strangers import Strangers
 from tools.soak.world import World
 
 if TYPE_CHECKING:
@@ -40,12 +40,15 @@
         entries: Entry boxes.
         callers: Callers of each entry.
         timed: Whether bounds on time are checked.
+        same_ids: Whether servers start again under their ids, while somebody writes
+            registrations that name none.
     """
 
     seconds: float = 20.0
     entries: int = 2
     callers: int = 6
     timed: bool = True
+    same_ids: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,11 +105,14 @@
         promises = Promises(world, self._size.timed)
         callers = Callers(world, self._seed, promises.on_call)
         calling = asyncio.create_task(callers.run(self._size.callers))
-        changing = asyncio.create_task(self._keep_changing(promises))
+        disturbing = [asyncio.create_task(self._keep_changing(promises))]
+        if self._size.same_ids:
+            strangers = Strangers(world, self._seed, promises)
+            disturbing.append(asyncio.create_task(strangers.run()))
         await self._do_all(faults)
-        changing.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await changing
+        for task in disturbing:
+            task.cancel()
+        await asyncio.gather(*disturbing, return_exceptions=True)
         await self._recover_in_time(promises)
         await self._injector.lose_all_that_may_be_lost()
         await self._recover_in_time(promises)
@@ -194,7 +200,7 @@
 
 async def run_seed(folder: Path, seed: int, size: Size) -> Summary:
     """Run one seed in an empty folder and return what it showed."""
-    world = World(folder, entries=size.entries)
+    world = World(folder, entries=size.entries, states_starts=size.same_ids)
     try:
         return await Soak(world, seed, size).run()
     finally:
--- /dev/null
+++ b/tools/soak/strangers.py
@@ -0,0 +1,81 @@
+"""Somebody who writes to the control boxes what only looks like a registration."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from leadseam.platform import names
+from tools.platform.standin import tell
+
+if TYPE_CHECKING:
+    from tools.soak.promises import Promises
+    from tools.soak.world import World
+
+PAUSE = 0.1
+"""Seconds between two documents."""
+REFUSED = 400
+OUT_OF_REACH = (0, 503)
+"""Answers of a box that is gone or stands still."""
+
+
+class Strangers:
+    """Writes documents that name no server, for ids and addresses of real ones.
+
+    Args:
+        world: The nodes and servers.
+        seed: Seed of what is written.
+        promises: Where it is checked that all of them are refused.
+    """
+
+    def __init__(self, world: World, seed: int, promises: Promises) -> None:
+        self._world = world
+        self._rng = random.Random(seed + 2)
+        self._promises = promises
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        while True:
+            await self._write()
+            await asyncio.sleep(PAUSE)
+
+    async def _write(self) -> None:
+        control = self._rng.choice(self._world.controls)
+        server = self._rng.choice(self._world.servers)
+        instance = self._rng.choice([server.instance, "i-stranger", "i%00", "%FF"])
+        path = self._rng.choice([names.HEARTBEAT_PATH, names.LEAVE_PATH])
+        document = self._document(server.heartbeat(self._rng.randrange(10_000)))
+        if path == names.LEAVE_PATH:
+            # Only what states a wrong start is refused there.
+            document = b'{"born":"%d"}' % self._rng.randrange(10_000)
+        try:
+            status = await tell(control, path.format(instance=instance), document)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            status = 0
+        if status not in OUT_OF_REACH:
+            detail = f"status {status} for {document[:80]!r} of {instance}"
+            self._promises.on_stranger(status == REFUSED, detail)
+
+    def _document(self, good: dict[str, Any]) -> bytes:
+        """Return a heartbeat with something wrong."""
+        field = self._rng.choice(["address", "service", "slots", "state", "sequence"])
+        match self._rng.randrange(5):
+            case 0:
+                return json.dumps(
+                    {k: v for k, v in good.items() if k != field}
+                ).encode()
+            case 1:
+                wrong: object = self._rng.choice([None, -1, 0.5, [], {}, True, ""])
+                return json.dumps(good | {field: wrong}).encode()
+            case 2:
+                wrong = self._rng.choice([None, -1, 0, 0.5, "now", 10**30])
+                return json.dumps(good | {"born": wrong}).encode()
+            case 3:
+                whole = json.dumps(good).encode()
+                return whole[: self._rng.randrange(len(whole))]
+            case _:
+                return self._rng.randbytes(40)
