--- a/tests/emulate/test_shares.py
+++ b/tests/emulate/test_shares.py
@@ -35,46 +35,29 @@
 LARGEST = 15_000
 """Service of a large request: three of them are no sign of unfairness."""
 
-KINDS = (
-    Kind(
-        name="menus",
-        weight=90,
-        shared=5_382,
-        own=4_400,
-        made=385,
-        objective=800,
-        patience=15_000,
-        worth=4.3,
-        late=2.2,
-        subjects=300,
-    ),
-    Kind(
-        name="chat",
-        weight=129,
-        shared=198,
-        own=420,
-        made=294,
-        objective=400,
-        patience=12_000,
-        worth=2.0,
-        late=1.0,
-        subjects=300,
-    ),
-    Kind(
-        name="notes",
-        weight=143,
-        shared=568,
-        own=1_200,
-        made=21,
-        objective=400,
-        patience=3_000,
-        worth=0.43,
-        late=0.22,
-        subjects=300,
-    ),
+# Name, weight, shared and own prompt tokens, tokens made, objective, patience, worth in
+# time and late: the mix of an order desk.
+MIX = (
+    ("menus", 90, 5_382, 4_400, 385, 800, 15_000, 4.3, 2.2),
+    ("chat", 129, 198, 420, 294, 400, 12_000, 2.0, 1.0),
+    ("notes", 143, 568, 1_200, 21, 400, 3_000, 0.43, 0.22),
+)
+SUBJECTS = 300
+FIELDS = (
+    "name",
+    "weight",
+    "shared",
+    "own",
+    "made",
+    "objective",
+    "patience",
+    "worth",
+    "late",
+)
+KINDS = tuple(
+    Kind(**dict(zip(FIELDS, row, strict=True)), subjects=SUBJECTS)  # type: ignore[arg-type]
+    for row in MIX
 )
-
-
 FLOODING = range(0, 14, 2)
 """Ranks of the accounts that flood."""
 
--- a/tests/failures/test_at_most_once.py
+++ b/tests/failures/test_at_most_once.py
@@ -14,7 +14,7 @@
 import aiohttp
 
 from tools.faults import before_sidecar
-from tools.fleet import until
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.fleet import Fleet
--- a/tests/failures/test_configuration.py
+++ b/tests/failures/test_configuration.py
@@ -19,7 +19,9 @@
 from leadseam.schema.convert import operation_to_message
 from leadseam.settings.models import Endpoint
 from tools.faults import before_replica
-from tools.fleet import LOOPBACK, OPERATOR_TOKEN, until
+from tools.fleet import OPERATOR_TOKEN
+from tools.ports import LOOPBACK
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/tests/failures/test_disk.py
+++ b/tests/failures/test_disk.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from tests.failures.test_configuration import change, describe, leader, share_in_force
-from tools.fleet import until
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.fleet import Fleet
--- a/tests/failures/test_leaving.py
+++ b/tests/failures/test_leaving.py
@@ -11,7 +11,7 @@
 import aiohttp
 import pytest
 
-from tools.fleet import until
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.fleet import Fleet
--- a/tests/failures/test_whole_answers.py
+++ b/tests/failures/test_whole_answers.py
@@ -9,7 +9,8 @@
 import aiohttp
 
 from tools.faults import before_sidecar
-from tools.fleet import LOOPBACK, until
+from tools.ports import LOOPBACK
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.fleet import Fleet
--- a/tests/platform/test_disk.py
+++ b/tests/platform/test_disk.py
@@ -9,8 +9,8 @@
 import aiohttp
 
 from leadseam.platform import names
-from tools.fleet import until
 from tools.platform.nodes import document
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Platform
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -11,7 +11,7 @@
 
 from leadseam.platform.front import FrontServer
 from leadseam.settings.models import Endpoint
-from tools.fleet import LOOPBACK, PortPool
+from tools.ports import LOOPBACK, PortPool
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -13,9 +13,9 @@
 
 from leadseam.platform import names
 from leadseam.routing.gateway import MAX_KEPT
-from tools.fleet import until
 from tools.platform.nodes import HOST, KEY, document
 from tools.platform.standin import WHOLE_STREAM, event
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/platform/test_replaced_box.py
+++ b/tests/platform/test_replaced_box.py
@@ -9,8 +9,8 @@
 import shutil
 from typing import TYPE_CHECKING
 
-from tools.fleet import until
 from tools.platform.nodes import document
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Platform
--- a/tests/platform/test_restarted_server.py
+++ b/tests/platform/test_restarted_server.py
@@ -13,8 +13,8 @@
 from typing import TYPE_CHECKING
 
 from leadseam.platform import names
-from tools.fleet import until
 from tools.platform.standin import Server, tell
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Platform
--- a/tests/platform/test_summing.py
+++ b/tests/platform/test_summing.py
@@ -8,7 +8,7 @@
 import signal
 from typing import TYPE_CHECKING
 
-from tools.fleet import until
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Platform
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -16,7 +16,7 @@
 import pytest
 
 from leadseam.routing.client import UpstreamClient
-from tools.fleet import LOOPBACK
+from tools.ports import LOOPBACK
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -20,7 +20,7 @@
     Hello,
 )
 from leadseam.wire.traffic import Traffic
-from tools.fleet import LOOPBACK
+from tools.ports import LOOPBACK
 
 HANG = 60
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
-from tools.fleet import LOOPBACK, until
+from tools.ports import LOOPBACK
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from tools.fleet import Fleet
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -10,7 +10,7 @@
 from leadseam.wire.link import dial
 from leadseam.wire.messages import Forward
 from leadseam.wire.traffic import Traffic
-from tools.fleet import LOOPBACK
+from tools.ports import LOOPBACK
 
 if TYPE_CHECKING:
     from websockets.asyncio.server import ServerConnection
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -9,7 +9,7 @@
 import psutil
 from aiomisc_pytest import TCPProxy
 
-from tools.fleet import LOOPBACK
+from tools.ports import LOOPBACK
 
 if TYPE_CHECKING:
     from tools.fleet import Fleet
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -8,11 +8,8 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
-import time
-from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -20,13 +17,14 @@
 import aiohttp
 import yaml
 
+from tools.node import Node
+from tools.ports import LOOPBACK, PortPool
+from tools.waiting import until
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-LOOPBACK = "127.0.0.1"
 OPERATOR_TOKEN = "operator-token"
-CONDITION_TIMEOUT = 60.0
-POLL = 0.05
 
 
 def sha256(text: str) -> str:
@@ -34,101 +32,6 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-class PortPool:
-    """Hands out ports that the system reserved; each is used once."""
-
-    def __init__(self) -> None:
-        self._held: dict[int, socket.socket] = {}
-
-    def reserve(self) -> int:
-        """Return a port that nobody else gets before `release`."""
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((LOOPBACK, 0))
-        port: int = sock.getsockname()[1]
-        self._held[port] = sock
-        return port
-
-    def release(self, port: int) -> None:
-        """Free a port for the process that is to bind it."""
-        sock = self._held.pop(port, None)
-        if sock is not None:
-            sock.close()
-
-
-async def until(
-    condition: Callable[[], Awaitable[bool]],
-    what: str,
-    *,
-    timeout: float = CONDITION_TIMEOUT,
-) -> None:
-    """Wait for a condition.
-
-    Raises:
-        AssertionError: If it does not hold in time.
-    """
-    deadline = time.monotonic() + timeout
-    while time.monotonic() < deadline:
-        if await condition():
-            return
-        await asyncio.sleep(POLL)
-    raise AssertionError(f"timed out waiting until {what}")
-
-
-@dataclass(slots=True)
-class Node:
-    """One process of the fleet.
-
-    Args:
-        name: Its name.
-        program: Module of `leadseam.cli`.
-        settings: Its settings.
-        ports: Ports that it binds.
-        admin: Port of its admin routes, or 0.
-        folder: Where its files are.
-    """
-
-    name: str
-    program: str
-    settings: dict[str, Any]
-    ports: list[int]
-    admin: int
-    folder: Path
-    process: subprocess.Popen[bytes] | None = None
-    extra: list[str] = field(default_factory=list)
-
-    @property
-    def pid(self) -> int:
-        """Process id."""
-        assert self.process is not None
-        return self.process.pid
-
-    @property
-    def log(self) -> Path:
-        """File with its log lines."""
-        return self.folder / f"{self.name}.log"
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal."""
-        assert self.process is not None
-        self.process.send_signal(number)
-
-    def kill(self) -> None:
-        """End the process without warning."""
-        if self.process is not None:
-            self.process.kill()
-            self.process.wait()
-            self.process = None
-
-    async def wait_exit(self) -> int:
-        """Wait until the process has ended and return its exit code."""
-        process = self.process
-        assert process is not None
-        code = await asyncio.to_thread(process.wait)
-        self.process = None
-        return code
-
-
 class Fleet:
     """All processes of a test, and their addresses.
 
--- a/tools/measure_control.py
+++ b/tools/measure_control.py
@@ -26,10 +26,11 @@
 from leadseam.schema import operator_pb2 as pb
 from leadseam.schema.convert import operation_to_message
 from leadseam.settings.models import Endpoint
-from tools.fleet import LOOPBACK, OPERATOR_TOKEN, Fleet
+from tools.fleet import OPERATOR_TOKEN, Fleet
 from tools.gap import percentile
 from tools.load import chat_body
 from tools.measure import cpu_seconds, riga
+from tools.ports import LOOPBACK
 
 IN_FORCE = re.compile(r'"time": (\d+).*"configuration in force", "version": (\d+)')
 PAUSE = 0.05
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -18,8 +18,8 @@
 import aiohttp
 
 from leadseam.platform import names
-from tools.fleet import until
 from tools.platform.standin import Operator, Server
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -15,7 +15,7 @@
 from multidict import CIMultiDict
 
 from leadseam.platform import names
-from tools.fleet import until
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/tools/slopes/links.py
+++ b/tools/slopes/links.py
@@ -14,7 +14,8 @@
 from leadseam.wire.link import Link, dial, listen
 from leadseam.wire.messages import Chunk, Current
 from leadseam.wire.traffic import Traffic
-from tools.fleet import LOOPBACK, Fleet
+from tools.fleet import Fleet
+from tools.ports import LOOPBACK
 from tools.slopes.sampling import cpu_now
 
 if TYPE_CHECKING:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from tools.fleet import until
 from tools.platform.nodes import document
 from tools.soak.callers import Callers
 from tools.soak.injector import Injector
@@ -15,6 +14,7 @@
 from tools.soak.promises import Promises
 from tools.soak.strangers import Strangers
 from tools.soak.world import World
+from tools.waiting import until
 
 if TYPE_CHECKING:
     from pathlib import Path
