Messages have a module for each conversation

wire/messages.py had 650 lines for entries and sidecars, the feed, claims and consensus in one; now record (their bases), dispatch, feed, claim and consensus, and messages only joins them. Moves only: fields, tags and docs are as they were, and no check changed.

--- a/src/leadseam/control/claims.py
+++ b/src/leadseam/control/claims.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, TypeAlias
 
-from leadseam.wire.messages import Record
+from leadseam.wire.record import Record
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
--- a/src/leadseam/control/progress.py
+++ b/src/leadseam/control/progress.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
-    from leadseam.wire.messages import AppendReply
+    from leadseam.wire.consensus import AppendReply
 
 RESEND_AFTER: Millis = 240
 """Time after which what was sent and not answered is sent again: two heartbeats."""
--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -25,7 +25,7 @@
 from leadseam.control.raft_work import Pending, Ready, Role
 from leadseam.errors import InvariantError
 from leadseam.wire.codec import encode
-from leadseam.wire.messages import (
+from leadseam.wire.consensus import (
     Append,
     AppendReply,
     Install,
--- a/src/leadseam/control/raft_log.py
+++ b/src/leadseam/control/raft_log.py
@@ -6,7 +6,8 @@
 
 from leadseam.errors import InvariantError
 from leadseam.wire.codec import decode
-from leadseam.wire.messages import LogEntry, Record
+from leadseam.wire.consensus import LogEntry
+from leadseam.wire.record import Record
 
 
 class EntryKind(IntEnum):
--- a/src/leadseam/control/raft_work.py
+++ b/src/leadseam/control/raft_work.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, TypeAlias
 
-from leadseam.wire.messages import (
+from leadseam.wire.consensus import (
     Append,
     AppendReply,
     Install,
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from leadseam.control.membership import Step
     from leadseam.control.raft_log import HardState, SnapshotMark
-    from leadseam.wire.messages import LogEntry
+    from leadseam.wire.consensus import LogEntry
 
 TermMessage: TypeAlias = Vote | VoteReply | Append | AppendReply | Install
 """A message that belongs to a term: a higher one makes its receiver enter it."""
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -31,12 +31,11 @@
 from leadseam.errors import StorageError
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.codec import decode, encode
-from leadseam.wire.messages import (
+from leadseam.wire.consensus import (
     Append,
     AppendReply,
     Forward,
     ForwardReply,
-    Hello,
     Install,
     Join,
     LogEntry,
@@ -45,6 +44,7 @@
     Vote,
     VoteReply,
 )
+from leadseam.wire.messages import Hello
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/leadseam/control/service.py
+++ b/src/leadseam/control/service.py
@@ -19,7 +19,7 @@
     from leadseam.errors import DocumentError
     from leadseam.feed.server import FeedServer
     from leadseam.runtime.metrics import ControlMetrics
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 ANSWER_LIMIT: Millis = 900
 """Time for one call: callers turn to another replica after a second of silence."""
--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -18,7 +18,7 @@
 from leadseam.incarnation import NO_START, Incarnation
 from leadseam.membership.departures import Departures
 from leadseam.wire.codec import decode, encode
-from leadseam.wire.messages import Record
+from leadseam.wire.record import Record
 
 MAX_REMEMBERED_CHANGES = 10_000
 MAX_DELTAS = 512
--- a/src/leadseam/control/storage.py
+++ b/src/leadseam/control/storage.py
@@ -25,7 +25,8 @@
 from leadseam.control.raft_log import HardState, Membership, SnapshotMark
 from leadseam.errors import StorageDamagedError, StorageError, WireError
 from leadseam.wire.codec import decode, encode
-from leadseam.wire.messages import LogEntry, Record
+from leadseam.wire.consensus import LogEntry
+from leadseam.wire.record import Record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/leadseam/control/submissions.py
+++ b/src/leadseam/control/submissions.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from leadseam.control.state import CommandResult
-    from leadseam.wire.messages import LogEntry
+    from leadseam.wire.consensus import LogEntry
 
 Outcome: TypeAlias = "asyncio.Future[CommandResult | None]"
 """Result of a command, or None if it is not known what became of it."""
--- a/src/leadseam/emulate/engine.py
+++ b/src/leadseam/emulate/engine.py
@@ -18,7 +18,7 @@
     from leadseam.clock import Millis
     from leadseam.emulate.settings import EngineSpeed
     from leadseam.routing.dialect import RoutedRequest
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 MAX_QUEUED = 25
 """Requests that wait for a slot; more are refused."""
--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -27,7 +27,7 @@
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.placer import Placer
 from leadseam.wire.codec import decode
-from leadseam.wire.messages import LoadSums, Registration
+from leadseam.wire.feed import LoadSums, Registration
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Sequence
--- a/src/leadseam/entry/http.py
+++ b/src/leadseam/entry/http.py
@@ -24,7 +24,7 @@
 from leadseam.entry.retry import RetryBudget
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.runtime.tasks import spawn
-from leadseam.wire.messages import ClaimDone, ClaimRelease
+from leadseam.wire.claim import ClaimDone, ClaimRelease
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -36,7 +36,7 @@
     from leadseam.feed.client import FeedClient
     from leadseam.runtime.metrics import EntryMetrics
     from leadseam.settings.models import EntryLimits
-    from leadseam.wire.messages import ClaimReply
+    from leadseam.wire.claim import ClaimReply
 
 CLAIM_RETRY_AFTER = 2_000
 COMPLETIONS = ("/v1/chat/completions", "/v1/completions")
--- a/src/leadseam/entry/relay.py
+++ b/src/leadseam/entry/relay.py
@@ -28,7 +28,7 @@
     exhausted,
 )
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
-from leadseam.wire.messages import Accepted, Chunk, Final, Head, Refused
+from leadseam.wire.dispatch import Accepted, Chunk, Final, Head, Refused
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/src/leadseam/entry/request.py
+++ b/src/leadseam/entry/request.py
@@ -7,13 +7,7 @@
 from enum import IntEnum
 from typing import TYPE_CHECKING, TypeAlias
 
-from leadseam.wire.messages import (
-    Accepted,
-    Chunk,
-    Final,
-    Head,
-    Refused,
-)
+from leadseam.wire.dispatch import Accepted, Chunk, Final, Head, Refused
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
--- a/src/leadseam/entry/retry.py
+++ b/src/leadseam/entry/retry.py
@@ -7,7 +7,7 @@
 
 from leadseam.entry.request import LinkLost, NeverStarted
 from leadseam.outcome import Failed, NotRun, Outcome, Reason, Unknown
-from leadseam.wire.messages import Final, Head, Refused
+from leadseam.wire.dispatch import Final, Head, Refused
 
 if TYPE_CHECKING:
     from leadseam.entry.request import CallerRequest
--- a/src/leadseam/entry/sidecars.py
+++ b/src/leadseam/entry/sidecars.py
@@ -11,8 +11,7 @@
 from leadseam.entry.request import Dispatched, LinkLost, NeverStarted, Waiting
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.backoff import Backoff
-from leadseam.wire.link import LINK_ERRORS, dial
-from leadseam.wire.messages import (
+from leadseam.wire.dispatch import (
     Accepted,
     Backlog,
     BacklogRow,
@@ -25,7 +24,6 @@
     Free,
     Grant,
     Head,
-    Hello,
     Leaving,
     OthersService,
     Query,
@@ -33,6 +31,8 @@
     Service,
     Testimony,
 )
+from leadseam.wire.link import LINK_ERRORS, dial
+from leadseam.wire.messages import Hello
 
 if TYPE_CHECKING:
     from leadseam.control.configuration import Upstream
--- a/src/leadseam/fairness/ledger.py
+++ b/src/leadseam/fairness/ledger.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from leadseam.wire.messages import ServiceRow
+from leadseam.wire.dispatch import ServiceRow
 
 
 @dataclass(slots=True)
--- a/src/leadseam/fairness/merge.py
+++ b/src/leadseam/fairness/merge.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from leadseam.wire.messages import ServiceRow
+from leadseam.wire.dispatch import ServiceRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/leadseam/feed/claim_client.py
+++ b/src/leadseam/feed/claim_client.py
@@ -8,11 +8,11 @@
 
 from leadseam.clock import Clock, Millis, seconds
 from leadseam.control.claims import Verdict
-from leadseam.wire.messages import Claim, ClaimReply
+from leadseam.wire.claim import Claim, ClaimReply
 
 if TYPE_CHECKING:
+    from leadseam.wire.claim import ClaimDone, ClaimRelease
     from leadseam.wire.link import Link
-    from leadseam.wire.messages import ClaimDone, ClaimRelease
 
 CLAIM_TIMEOUT: Millis = 4_000
 """Time after which a claim without an answer is given up."""
--- a/src/leadseam/feed/claim_server.py
+++ b/src/leadseam/feed/claim_server.py
@@ -8,7 +8,7 @@
 
 from leadseam.control.claims import Acquire, ClaimResult, Complete, Release, Verdict
 from leadseam.control.state import ClaimResults, Claims
-from leadseam.wire.messages import Claim, ClaimDone, ClaimRelease, ClaimReply
+from leadseam.wire.claim import Claim, ClaimDone, ClaimRelease, ClaimReply
 
 if TYPE_CHECKING:
     from leadseam.control.claims import ClaimCommand
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -15,10 +15,9 @@
 from leadseam.feed.summing import SummingReplica
 from leadseam.membership.view import UpstreamView
 from leadseam.wire.backoff import Backoff
+from leadseam.wire.claim import ClaimReply
 from leadseam.wire.codec import decode
-from leadseam.wire.link import LINK_ERRORS, dial
-from leadseam.wire.messages import (
-    ClaimReply,
+from leadseam.wire.feed import (
     Current,
     Delta,
     Expired,
@@ -31,14 +30,16 @@
     Snapshot,
     Subscribe,
 )
+from leadseam.wire.link import LINK_ERRORS, dial
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
 
     from leadseam.incarnation import Incarnation
     from leadseam.settings.models import Endpoint
+    from leadseam.wire.feed import LoadReport, Registration
     from leadseam.wire.link import Link
-    from leadseam.wire.messages import AnyMessage, LoadReport, Registration
+    from leadseam.wire.messages import AnyMessage
     from leadseam.wire.traffic import Traffic
 
 SILENCE_LIMIT: Millis = 2_000
--- a/src/leadseam/feed/configuration_push.py
+++ b/src/leadseam/feed/configuration_push.py
@@ -15,7 +15,7 @@
 
 from leadseam.control.raft_log import base_name
 from leadseam.wire.codec import encode
-from leadseam.wire.messages import Delta, Snapshot
+from leadseam.wire.feed import Delta, Snapshot
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
--- a/src/leadseam/feed/pace.py
+++ b/src/leadseam/feed/pace.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
-    from leadseam.wire.messages import LoadReport
+    from leadseam.wire.feed import LoadReport
 
 SHORTEST: Millis = 50
 """Least interval: short against latency objectives of 250 ms and more."""
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -15,13 +15,10 @@
 from leadseam.membership.departures import Departures
 from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
-from leadseam.wire.messages import (
-    Claim,
-    ClaimDone,
-    ClaimRelease,
+from leadseam.wire.claim import Claim, ClaimDone, ClaimRelease
+from leadseam.wire.feed import (
     Current,
     Expired,
-    Hello,
     InForce,
     Left,
     LoadReport,
@@ -29,12 +26,14 @@
     Replicas,
     Subscribe,
 )
+from leadseam.wire.messages import Hello
 
 if TYPE_CHECKING:
     from leadseam.control.replica import Replica
     from leadseam.runtime.metrics import ControlMetrics
+    from leadseam.wire.feed import Registration
     from leadseam.wire.link import Link
-    from leadseam.wire.messages import AnyMessage, Registration
+    from leadseam.wire.messages import AnyMessage
 
 HEARTBEAT_INTERVAL: Millis = 500
 """Interval of the confirmations that a version is the newest."""
--- a/src/leadseam/feed/totals.py
+++ b/src/leadseam/feed/totals.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from leadseam.wire.codec import encode
-from leadseam.wire.messages import LoadRow, LoadSums, LoadTotals, UsageRow
+from leadseam.wire.feed import LoadRow, LoadSums, LoadTotals, UsageRow
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
-    from leadseam.wire.messages import LoadReport
+    from leadseam.wire.feed import LoadReport
 
 REPORT_LIMIT: Millis = 1_000
 """Age beyond which an entry's report no longer counts: five longest intervals."""
--- a/src/leadseam/membership/addresses.py
+++ b/src/leadseam/membership/addresses.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from leadseam.incarnation import Incarnation
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 PROOF: Millis = 1_500
 """Age of an answer up to which it shows that an incarnation still holds its address: a
--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from leadseam.wire.messages import Registration
+from leadseam.wire.feed import Registration
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -18,7 +18,7 @@
     from collections.abc import Iterable, Sequence
 
     from leadseam.incarnation import Incarnation
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 KEPT_AFTER_LOSS: Millis = 12_000
 """How long a lost replica's upstreams are kept: ten heartbeats of 1.2 s."""
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -30,7 +30,7 @@
     from leadseam.control.configuration import Configuration
     from leadseam.incarnation import Incarnation
     from leadseam.platform.settings import NodeSettings
-    from leadseam.wire.messages import LoadSums
+    from leadseam.wire.feed import LoadSums
 
 INCARNATION_BITS = 53
 REPLICAS_FOLLOWED = 9
--- a/src/leadseam/platform/heartbeat.py
+++ b/src/leadseam/platform/heartbeat.py
@@ -15,7 +15,7 @@
 from leadseam.incarnation import NO_START, Incarnation
 from leadseam.platform.names import DRAINING, READY
 from leadseam.platform.settings import read_address
-from leadseam.wire.messages import Registration
+from leadseam.wire.feed import Registration
 
 if TYPE_CHECKING:
     from leadseam.settings.models import Endpoint
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -22,7 +22,7 @@
     from leadseam.routing.balance import Balancer
     from leadseam.routing.dialect import RoutedRequest
     from leadseam.routing.placement import Placement
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 ENTITLED_PART = 0.85
 """Part of the objective that the expected first token may take."""
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from leadseam.routing.client import UpstreamClient
     from leadseam.routing.dialect import AttemptHead, Dialect, Headers, RoutedRequest
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 MAX_HELD = 1024 * 1024
 """Bytes of an answer that are held until it is known to be whole."""
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -26,7 +26,7 @@
     from leadseam.control.routes import EngineProfile
     from leadseam.incarnation import Incarnation
     from leadseam.routing.dialect import RoutedRequest
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 MEMORY_PART = 0.92
 """Part of an engine's memory that is filled on purpose; lengths are guesses."""
--- a/src/leadseam/routing/estimate.py
+++ b/src/leadseam/routing/estimate.py
@@ -12,7 +12,7 @@
 
 if TYPE_CHECKING:
     from leadseam.incarnation import Incarnation
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 FIRST_RATE = 50.0
 """Prompt tokens a millisecond that are assumed before anything was measured."""
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -31,7 +31,7 @@
     from leadseam.routing.flight import Flight
     from leadseam.routing.gateway import Gateway
     from leadseam.routing.placement import Placement
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 MAX_SENDS = 4
 """Upstreams tried for one request, those that did not run it included."""
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -13,7 +13,7 @@
     from leadseam.routing.balance import Balancer
     from leadseam.routing.dialect import RoutedRequest
     from leadseam.routing.placement import Placement
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 
 class Flight:
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -44,7 +44,7 @@
     from leadseam.routing.dialect import Dialect, RoutedRequest
     from leadseam.runtime.lag import LoopLag
     from leadseam.runtime.metrics import RoutingMetrics
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 NOT_CONFIRMED_PAUSE: Millis = 500
 """Pause told to a caller while the configuration is not confirmed: a feed heartbeat."""
--- a/src/leadseam/routing/load.py
+++ b/src/leadseam/routing/load.py
@@ -11,14 +11,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from leadseam.wire.messages import LoadReport, LoadRow, UsageRow
+from leadseam.wire.feed import LoadReport, LoadRow, UsageRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from leadseam.clock import Millis
     from leadseam.incarnation import Incarnation
-    from leadseam.wire.messages import LoadSums
+    from leadseam.wire.feed import LoadSums
 
 TOTALS_LIMIT: Millis = 1_000
 """Age beyond which totals are ignored: five of their longest intervals."""
--- a/src/leadseam/routing/order.py
+++ b/src/leadseam/routing/order.py
@@ -15,7 +15,7 @@
     from collections.abc import Sequence
 
     from leadseam.routing.dialect import RoutedRequest
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 MAX_ORDERS = 4_096
 """Orders kept for a pool: some 1.5 MB at 39 engines."""
--- a/src/leadseam/routing/placement.py
+++ b/src/leadseam/routing/placement.py
@@ -7,7 +7,7 @@
 
 if TYPE_CHECKING:
     from leadseam.routing.load import Load
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -27,7 +27,7 @@
     from leadseam.routing.health import UpstreamHealth
     from leadseam.routing.placement import Placement
     from leadseam.routing.usage import Standing
-    from leadseam.wire.messages import LoadReport, LoadSums, Registration
+    from leadseam.wire.feed import LoadReport, LoadSums, Registration
 
 PUMP_INTERVAL: Millis = 5
 """Least pause between two looks at all that waits: small against objectives of 250 ms,
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -23,7 +23,7 @@
     from leadseam.routing.exchange import Exchange
     from leadseam.routing.usage import Standing
     from leadseam.runtime.metrics import RoutingMetrics
-    from leadseam.wire.messages import Registration
+    from leadseam.wire.feed import Registration
 
 log = logging.getLogger("leadseam.routing.gateway")
 """The gateway's logger: readers of the lines know them by this name."""
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -16,13 +16,13 @@
 from typing import TYPE_CHECKING
 
 from leadseam.routing.load import TOTALS_LIMIT
-from leadseam.wire.messages import UsageRow
+from leadseam.wire.feed import UsageRow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
     from leadseam.clock import Millis
-    from leadseam.wire.messages import LoadReport, LoadSums
+    from leadseam.wire.feed import LoadReport, LoadSums
 
 MEMORY: Millis = 2_000
 """Time after which 0.37 of a service still counts. It makes a steady rate count as two
--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -19,7 +19,7 @@
 from leadseam.sidecar.gate import Gate
 from leadseam.sidecar.scheduler import Scheduler
 from leadseam.sidecar.upstream import Upstream, UpstreamAddress, Window
-from leadseam.wire.messages import (
+from leadseam.wire.dispatch import (
     Accepted,
     Backlog,
     Cancel,
@@ -31,7 +31,6 @@
     Free,
     Grant,
     Head,
-    Hello,
     Leaving,
     OthersService,
     Query,
@@ -39,6 +38,7 @@
     Service,
     Testimony,
 )
+from leadseam.wire.messages import Hello
 
 if TYPE_CHECKING:
     from leadseam.runtime.metrics import SidecarMetrics
--- a/src/leadseam/sidecar/scheduler.py
+++ b/src/leadseam/sidecar/scheduler.py
@@ -13,7 +13,7 @@
     from leadseam.clock import Millis
     from leadseam.fairness.ledger import Ledger
     from leadseam.fairness.picker import Picker
-    from leadseam.wire.messages import BacklogRow
+    from leadseam.wire.dispatch import BacklogRow
 
 GRANT_LEASE: Millis = 500
 FIRST_ESTIMATE = 200
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -12,13 +12,13 @@
 from leadseam.clock import Clock, Millis, seconds
 from leadseam.outcome import Reason
 from leadseam.sidecar.meter import meter_for
-from leadseam.wire.messages import Chunk, Final, Head
+from leadseam.wire.dispatch import Chunk, Final, Head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from leadseam.sidecar.meter import Meter
-    from leadseam.wire.messages import Dispatch
+    from leadseam.wire.dispatch import Dispatch
 
 CONNECT_TIMEOUT: Millis = 1_000
 PROBE_TIMEOUT: Millis = 1_500
--- a/src/leadseam/wire/traffic.py
+++ b/src/leadseam/wire/traffic.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from leadseam.wire.messages import Chunk, Dispatch
+from leadseam.wire.dispatch import Chunk, Dispatch
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -16,7 +16,7 @@
 )
 from leadseam.control.raft_work import RaftMessage, Role
 from leadseam.wire.codec import encode
-from leadseam.wire.messages import LogEntry
+from leadseam.wire.consensus import LogEntry
 
 BOXES = ("a", "b", "c")
 TICK = 50
--- a/tests/control/test_progress.py
+++ b/tests/control/test_progress.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from leadseam.control.progress import RESEND_AFTER, Followers, Progress
-from leadseam.wire.messages import AppendReply
+from leadseam.wire.consensus import AppendReply
 
 
 def test_more_than_half_hold_what_a_quorum_holds() -> None:
--- a/tests/control/test_replaced_box.py
+++ b/tests/control/test_replaced_box.py
@@ -20,7 +20,7 @@
 
 from typing import TYPE_CHECKING
 
-from leadseam.wire.messages import PreVote
+from leadseam.wire.consensus import PreVote
 from tests.control.replacements import (
     CATCH_UP,
     FIVE,
--- a/tests/control/test_submissions.py
+++ b/tests/control/test_submissions.py
@@ -6,7 +6,7 @@
 
 from leadseam.control.state import BarrierResult
 from leadseam.control.submissions import Outcome, Submissions
-from leadseam.wire.messages import LogEntry
+from leadseam.wire.consensus import LogEntry
 
 DONE = BarrierResult(7)
 
--- a/tests/failures/test_storage_killed.py
+++ b/tests/failures/test_storage_killed.py
@@ -20,7 +20,7 @@
 from pathlib import Path
 from leadseam.control.raft_log import HardState, Membership, SnapshotMark
 from leadseam.control.storage import Storage, format_folder, read_identity
-from leadseam.wire.messages import LogEntry
+from leadseam.wire.consensus import LogEntry
 
 folder = Path(sys.argv[1])
 if read_identity(folder) is None:
--- a/tests/feed/test_configuration_push.py
+++ b/tests/feed/test_configuration_push.py
@@ -21,7 +21,7 @@
 from leadseam.feed.configuration_push import ConfigurationPush, Subscriber
 from leadseam.runtime.metrics import ControlMetrics, Metrics
 from leadseam.wire.codec import decode, encode
-from leadseam.wire.messages import Snapshot
+from leadseam.wire.feed import Snapshot
 
 if TYPE_CHECKING:
     from leadseam.control.replica import Replica
--- a/tests/feed/test_pace.py
+++ b/tests/feed/test_pace.py
@@ -17,7 +17,7 @@
 from leadseam.feed.totals import LoadSummer
 from leadseam.incarnation import Incarnation
 from leadseam.wire.codec import encode
-from leadseam.wire.messages import LoadReport, LoadRow, UsageRow
+from leadseam.wire.feed import LoadReport, LoadRow, UsageRow
 
 LIMIT = 20_000
 """Bytes a second that control may take at a node, as the operators state it."""
--- a/tests/feed/test_summing.py
+++ b/tests/feed/test_summing.py
@@ -11,7 +11,7 @@
 from leadseam.feed.summing import PROBE_INTERVAL, SILENCE_LIMIT, SummingReplica
 from leadseam.routing.load import TOTALS_LIMIT
 from leadseam.routing.usage import Standing, UsageBook
-from leadseam.wire.messages import LoadSums, UsageRow
+from leadseam.wire.feed import LoadSums, UsageRow
 
 NAMES = {"10.2.0.1:7", "10.1.0.1:7", "10.3.0.1:7"}
 FIRST, SECOND, _ = sorted(NAMES)
--- a/tests/membership/test_incarnations.py
+++ b/tests/membership/test_incarnations.py
@@ -17,7 +17,7 @@
 from leadseam.membership.departures import MAX_DEPARTED, Departures
 from leadseam.membership.registry import MAX_ROWS, MISSED_HEARTBEATS, Registry
 from leadseam.membership.view import KEPT_AFTER_LOSS, UpstreamView
-from leadseam.wire.messages import Registration
+from leadseam.wire.feed import Registration
 from tests.routing.samples import make_upstream
 
 INTERVAL = 1_000
--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -19,7 +19,7 @@
     read_instance,
     read_leaving,
 )
-from leadseam.wire.messages import Registration
+from leadseam.wire.feed import Registration
 
 GOOD: dict[str, Any] = {
     "service": "plain",
--- a/tests/routing/samples.py
+++ b/tests/routing/samples.py
@@ -5,7 +5,7 @@
 from leadseam.control.routes import PoolShare, Repeat, Route
 from leadseam.incarnation import NO_START, Incarnation
 from leadseam.routing.dialect import PromptPart, RoutedRequest
-from leadseam.wire.messages import Registration
+from leadseam.wire.feed import Registration
 
 
 def make_request(*parts: str, request_id: str = "r-1") -> RoutedRequest:
--- a/tests/routing/test_account_log.py
+++ b/tests/routing/test_account_log.py
@@ -9,7 +9,7 @@
 from leadseam.outcome import Reason
 from leadseam.routing.account_log import MOST_ACCOUNTS, AccountLog
 from leadseam.routing.usage import UsageBook
-from leadseam.wire.messages import LoadSums, UsageRow
+from leadseam.wire.feed import LoadSums, UsageRow
 
 if TYPE_CHECKING:
     import pytest
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -24,7 +24,7 @@
 from leadseam.routing.router import Router
 from leadseam.routing.usage import Standing
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
-from leadseam.wire.messages import UsageRow
+from leadseam.wire.feed import UsageRow
 from tests.routing.samples import make_request, make_route, make_upstream
 
 if TYPE_CHECKING:
--- a/tests/routing/test_load.py
+++ b/tests/routing/test_load.py
@@ -6,7 +6,7 @@
 from leadseam.incarnation import Incarnation
 from leadseam.routing.load import KEPT_REPORTS, TOTALS_LIMIT, Load, LoadBook
 from leadseam.wire.codec import decode
-from leadseam.wire.messages import LoadRow, LoadSums, LoadTotals, UsageRow
+from leadseam.wire.feed import LoadRow, LoadSums, LoadTotals, UsageRow
 
 ENGINE = Incarnation("i")
 
--- a/tests/routing/test_usage.py
+++ b/tests/routing/test_usage.py
@@ -16,7 +16,7 @@
     lead_level,
     shares_of,
 )
-from leadseam.wire.messages import LoadReport, LoadSums, UsageRow
+from leadseam.wire.feed import LoadReport, LoadSums, UsageRow
 
 
 def test_small_demands_are_met_and_the_rest_is_divided() -> None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -9,16 +9,9 @@
 from leadseam.runtime.metrics import Metrics, SidecarMetrics
 from leadseam.sidecar.agent import Agent
 from leadseam.sidecar.breaker import MAX_FAILURES
+from leadseam.wire.dispatch import Accepted, Backlog, BacklogRow, Dispatch, Final, Grant
 from leadseam.wire.link import Link, dial, listen
-from leadseam.wire.messages import (
-    Accepted,
-    Backlog,
-    BacklogRow,
-    Dispatch,
-    Final,
-    Grant,
-    Hello,
-)
+from leadseam.wire.messages import Hello
 from leadseam.wire.traffic import Traffic
 from tools.ports import LOOPBACK
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -11,15 +11,9 @@
 
 from leadseam.errors import WireError
 from leadseam.wire.codec import decode_frame, encode_frame
-from leadseam.wire.messages import (
-    AnyMessage,
-    Append,
-    Backlog,
-    BacklogRow,
-    Chunk,
-    Dispatch,
-    LogEntry,
-)
+from leadseam.wire.consensus import Append, LogEntry
+from leadseam.wire.dispatch import Backlog, BacklogRow, Chunk, Dispatch
+from leadseam.wire.messages import AnyMessage
 
 
 def test_messages_come_back() -> None:
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -13,7 +13,7 @@
 from leadseam.fairness.picker import Picker
 from leadseam.fairness.service import NORMAL_SCALE, normalise
 from leadseam.sidecar.scheduler import Lease, Scheduler
-from leadseam.wire.messages import BacklogRow, ServiceRow
+from leadseam.wire.dispatch import BacklogRow, ServiceRow
 from tools.gap import ServiceSamples
 
 ENTRY = "entry-1"
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,8 +7,8 @@
 
 from websockets.asyncio.server import serve
 
+from leadseam.wire.consensus import Forward
 from leadseam.wire.link import dial
-from leadseam.wire.messages import Forward
 from leadseam.wire.traffic import Traffic
 from tools.ports import LOOPBACK
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -25,7 +25,7 @@
 )
 from leadseam.control.raft_log import base_name
 from leadseam.control.raft_work import Role
-from leadseam.wire.messages import PreVote, PreVoteReply, Vote, VoteReply
+from leadseam.wire.consensus import PreVote, PreVoteReply, Vote, VoteReply
 from tests.control.cluster import (
     BOXES,
     MAX_MESSAGES,
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -15,7 +15,7 @@
     exhausted,
 )
 from leadseam.outcome import Failed, NotRun, Reason, Unknown
-from leadseam.wire.messages import Final, Head, Refused
+from leadseam.wire.dispatch import Final, Head, Refused
 
 
 def request(*, repeatable: bool) -> CallerRequest:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -5,7 +5,7 @@
 from leadseam.fairness.ledger import Ledger
 from leadseam.fairness.picker import Picker
 from leadseam.sidecar.scheduler import GRANT_LEASE, Scheduler
-from leadseam.wire.messages import BacklogRow
+from leadseam.wire.dispatch import BacklogRow
 
 
 def scheduler(slots: int = 1) -> Scheduler:
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -12,7 +12,7 @@
 from leadseam.control.raft_log import HardState, Membership, SnapshotMark
 from leadseam.control.storage import Storage, format_folder, read_identity
 from leadseam.errors import StorageDamagedError, StorageError
-from leadseam.wire.messages import LogEntry
+from leadseam.wire.consensus import LogEntry
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/tools/slopes/decisions.py
+++ b/tools/slopes/decisions.py
@@ -23,20 +23,16 @@
 from leadseam.routing.load import Load
 from leadseam.sidecar.scheduler import Scheduler
 from leadseam.wire.codec import decode_frame, encode, encode_frame
-from leadseam.wire.messages import (
+from leadseam.wire.dispatch import (
     Backlog,
     BacklogRow,
     Chunk,
-    Current,
-    Delta,
     Grant,
-    LoadRow,
-    LoadSums,
     OthersService,
     Service,
     ServiceRow,
-    UsageRow,
 )
+from leadseam.wire.feed import Current, Delta, LoadRow, LoadSums, UsageRow
 from tests.routing.samples import make_request, make_upstream
 from tools.slopes.sampling import cpu_of, memory_of
 
--- a/tools/slopes/links.py
+++ b/tools/slopes/links.py
@@ -11,8 +11,9 @@
 
 import psutil
 
+from leadseam.wire.dispatch import Chunk
+from leadseam.wire.feed import Current
 from leadseam.wire.link import Link, dial, listen
-from leadseam.wire.messages import Chunk, Current
 from leadseam.wire.traffic import Traffic
 from tools.fleet import Fleet
 from tools.ports import LOOPBACK
