--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -44,7 +44,7 @@
         (
             Replacement(
                 "routing/estimate.py",
-                "return self._engines.get(row.instance) or self.pool(row.pool)",
+                "return self._engines.get(row.incarnation) or self.pool(row.pool)",
                 "return self.pool(row.pool)",
             ),
         ),
@@ -77,9 +77,9 @@
         (
             Replacement(
                 "routing/usage.py",
-                "        if level <= self._stated_level:\n"
+                "        if level <= self.stated:\n"
                 "            return Standing.WITHIN\n",
-                "        if level <= self._stated_level:\n            pass\n",
+                "        if level <= self.stated:\n            pass\n",
             ),
         ),
     ),
--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -50,6 +50,8 @@
 WHOLE = "tests/failures/test_whole_answers.py"
 SOAK = "tests/soak/test_short.py"
 REPLACED = "tests/control/test_replaced_box.py"
+RESTARTED = "tests/membership/test_incarnations.py"
+SHARES = "tests/emulate/test_shares.py"
 
 VARIANTS = (
     Variant(
@@ -239,6 +241,50 @@
         "tests/feed/test_directory.py"
         "::test_a_box_that_nobody_names_any_more_is_not_tried_again",
     ),
+    Variant(
+        "service never fades",
+        "routing/usage.py",
+        "        return self.value * exp(-max(now - self.at, 0) / MEMORY)\n",
+        "        return self.value\n",
+        "tests/routing/test_usage.py::test_service_fades_steadily",
+    ),
+    Variant(
+        "the stated capacity is believed",
+        "routing/usage.py",
+        "    return served if asked > SCARCE * served else capacity\n",
+        "    return capacity\n",
+        f"{SHARES}::test_floods_get_alike_where_engines_give_less_than_is_stated",
+    ),
+    Variant(
+        "an id stands for one start",
+        "membership/registry.py",
+        "    if registration.incarnation != known.incarnation:\n",
+        "    if not registration.instance:\n",
+        f"{RESTARTED}::test_a_later_start_counts_whatever_its_sequence",
+    ),
+    Variant(
+        "leaving is final for an id",
+        "membership/departures.py",
+        "        return start is not None and incarnation.start <= start\n",
+        "        return start is not None\n",
+        f"{RESTARTED}::test_one_that_left_comes_back_with_a_later_start",
+    ),
+    Variant(
+        "pools that nobody named are taken",
+        "feed/server.py",
+        "        return self._is_named(registration) or",
+        "        return True or",
+        "tests/control/test_departed.py"
+        "::test_upstreams_of_a_pool_that_nobody_named_are_handed_on_once_it_is",
+    ),
+    Variant(
+        "attempts at earlier starts go on",
+        "routing/restarts.py",
+        "            on_restart()\n",
+        "            pass\n",
+        "tests/platform/test_restarted_server.py"
+        "::test_what_runs_at_an_earlier_start_is_not_waited_for",
+    ),
 )
 
 
