Lines of attempts that broke name the request's content by a digest

Cause: a request that is sent again has a new id, so lines of an incident could not tell whether the attempts that broke at each lost upstream were one request or many. The digest is of path, account and body; neither body nor key can be read from it. It is worked out for broken attempts only: 2.4 us for 2 KB, 0.8 ms for 1 MB. No decision changes.

--- /dev/null
+++ b/src/leadseam/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Requests that end the upstreams which run them: recognising and refusing them."""
--- /dev/null
+++ b/src/leadseam/crashes/fingerprint.py
@@ -0,0 +1,36 @@
+"""What tells that two requests are the same, whatever their identifiers. No I/O."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, TypeAlias
+
+if TYPE_CHECKING:
+    from leadseam.routing.dialect import RoutedRequest
+
+Fingerprint: TypeAlias = str
+"""Hexadecimal digest of path, caller and body."""
+
+DIGEST_SIZE = 16
+"""Bytes of a digest. A cryptographic one, so that nobody can write a request that is
+taken for another caller's."""
+
+
+def fingerprint(req: RoutedRequest, account: str | None, body: bytes) -> Fingerprint:
+    """Return the digest of what a request asks for, and on whose behalf.
+
+    It takes 2.4 us for a body of 2 KB and 0.8 ms for one of 1 MB (least of five loops
+    of 2,000 and 50 calls), so it is worked out only where a request is suspected.
+
+    Args:
+        req: The request. Its query counts only where there is no body to tell requests
+            apart, for a caller may number what it sends again there.
+        account: Client account, or None; its bearer key stands in for it then.
+        body: Its body.
+    """
+    caller = account if account is not None else f"key:{req.key or ''}"
+    digest = hashlib.blake2b(digest_size=DIGEST_SIZE)
+    for part in (caller.encode(), (req.path if body else req.target).encode(), body):
+        digest.update(len(part).to_bytes(8))
+        digest.update(part)
+    return digest.hexdigest()
--- a/src/leadseam/routing/admitted.py
+++ b/src/leadseam/routing/admitted.py
@@ -5,9 +5,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from leadseam.crashes.fingerprint import fingerprint
+
 if TYPE_CHECKING:
     from leadseam.clock import Millis
     from leadseam.control.routes import Route
+    from leadseam.crashes.fingerprint import Fingerprint
     from leadseam.routing.dialect import RoutedRequest
 
 
@@ -32,3 +35,7 @@
     account: str | None
     arrived: Millis
     deadline: Millis
+
+    def fingerprint(self) -> Fingerprint:
+        """Return what is the same when the same request is sent again."""
+        return fingerprint(self.req, self.account, self.body)
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -7,7 +7,7 @@
 
 from leadseam.entry.answers import outcome_name
 from leadseam.outcome import Answered, NotRun, Outcome
-from leadseam.routing.attempt import FIRST_SERVER_ERROR, Streaming, Whole
+from leadseam.routing.attempt import FIRST_SERVER_ERROR, Broken, Streaming, Whole
 from leadseam.routing.balance import own_tokens
 from leadseam.routing.reply import NOT_YET
 from leadseam.runtime.logs import LineBudget
@@ -97,6 +97,9 @@
                 "ending": type(ending).__name__.lower(),
                 "retry": retry,
             }
+            if isinstance(ending, Broken):
+                # Attempts of one request at different entries have the same.
+                extra["fingerprint"] = admitted.fingerprint()
             log.info("attempt failed", extra=extra)
 
     def silence(
