--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -75,6 +75,9 @@
         usual: What it does with paths that `behave` does not name.
         born: When it started, in Unix milliseconds; None to leave it out.
         left_at: When its end was acknowledged, on the steady clock, or None.
+        down: Seconds after a crash until it is back: as another incarnation, under a
+            new id or, if it states its starts, under the one that it had.
+        crashes: Requests that have crashed it.
     """
 
     ip: str
@@ -93,22 +96,57 @@
     usual: str = "answer"
     left_at: float | None = None
     born: int | None = None
+    down: float = 0.6
+    crashes: list[Run] = field(default_factory=list)
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
-        server = web.Server(self._handle, handler_cancellation=True)
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        self._server = web.Server(self._handle, handler_cancellation=True)
+        self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, self.ip, self.port).start()
         self._session = _session()
         self._beats = asyncio.create_task(self._beat())
+        self._coming_back: asyncio.Task[None] | None = None
 
     async def stop(self) -> None:
         """Go away without a word."""
+        if self._coming_back is not None and not self._coming_back.done():
+            self._coming_back.cancel()
+        await self._end()
+
+    async def _end(self) -> None:
         self._beats.cancel()
         await self._session.close()
         await self._runner.cleanup()
 
+    @property
+    def is_up(self) -> bool:
+        """Whether it serves."""
+        return self._coming_back is None or self._coming_back.done()
+
+    def _crash(self) -> None:
+        """End all connections and tasks at once, and come back after a while."""
+        if not self.is_up:
+            return
+        for site in list(self._runner.sites):
+            # Closes the listening socket at once; the rest is awaited later.
+            if site._server is not None:  # type: ignore[attr-defined]
+                site._server.close()  # type: ignore[attr-defined]
+        for conn in list(self._server.connections):
+            if conn.transport is not None:
+                conn.transport.abort()
+        self._coming_back = asyncio.create_task(self._come_back())
+
+    async def _come_back(self) -> None:
+        await self._end()
+        await asyncio.sleep(self.down)
+        if self.born is None:
+            self.instance = f"i-{next(_instances)}"
+        else:
+            self.born = time.time_ns() // 1_000_000
+        await self.start()
+
     async def drain(self) -> None:
         """Announce a planned end, and wait for the acknowledgement."""
         self.state = "draining"
@@ -182,6 +220,10 @@
         match action:
             case "reset":
                 return self._abort(http)
+            case "crash":
+                self.crashes.append(self.runs[-1])
+                self._crash()
+                raise asyncio.CancelledError
             case "hold":
                 await self.release.wait()
                 return self._answer(http)
