A request under which three upstreams have ended is refused everywhere

Cause: nothing knew a request again. Failures were kept by upstream, by pool and within one exchange, so a request that ends whatever begins it was new at each arrival. What counts is an attempt that broke and the end of its upstream: refused connections, a later start, another holder of its address, silence until it expires. Resets, lost answers, planned ends and upstreams that answer later count for nothing; a request that is answered whole is acquitted. Entries tell every replica they follow; rows are unions, so order, loss and repeats do not matter and no quorum is needed. Three ends convict; the verdict goes into the log, and out to entries before their configuration. A request on trial for its third end is not sent meanwhile.

--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -15,9 +15,11 @@
     Operation,
     operation_faults,
 )
+from leadseam.crashes.book import CrashBook
 from leadseam.incarnation import NO_START, Incarnation
 from leadseam.membership.departures import Departures
 from leadseam.wire.codec import decode, encode
+from leadseam.wire.crashes import CrashRow
 from leadseam.wire.record import Record
 
 MAX_REMEMBERED_CHANGES = 10_000
@@ -98,7 +100,19 @@
         return Incarnation(self.instance, self.start)
 
 
-Command: TypeAlias = Change | Claims | Barrier | Replace | Leave
+class NoteCrashes(Record, frozen=True, array_like=True, tag=6):
+    """Requests that have ended upstreams; merged with what is known of them.
+
+    Args:
+        rows: What to merge.
+        at: Wall time stamped by the leader.
+    """
+
+    rows: tuple[CrashRow, ...]
+    at: int = 0
+
+
+Command: TypeAlias = Change | Claims | Barrier | Replace | Leave | NoteCrashes
 
 
 class ChangeResult(Record, frozen=True, array_like=True, tag=1):
@@ -134,7 +148,15 @@
     start: int = NO_START
 
 
-CommandResult: TypeAlias = ChangeResult | ClaimResults | BarrierResult | LeaveResult
+class CrashesNoted(Record, frozen=True, array_like=True, tag=5):
+    """The rows are merged."""
+
+    rows: int
+
+
+CommandResult: TypeAlias = (
+    ChangeResult | ClaimResults | BarrierResult | LeaveResult | CrashesNoted
+)
 
 
 class HistoryRow(Record, frozen=True, array_like=True):
@@ -154,6 +176,7 @@
     claims: tuple[tuple[str, str, ClaimRow], ...]
     left_without_start: tuple[str, ...] = ()
     departed: tuple[Incarnation, ...] = ()
+    crashes: tuple[CrashRow, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +195,7 @@
         self.history: list[HistoryRow] = []
         self.deltas: list[VersionedOperations] = []
         self.departed = Departures()
+        self.crashes = CrashBook()
         self._changes: OrderedDict[str, ChangeResult] = OrderedDict()
         self._claims = ClaimTable({})
 
@@ -198,6 +222,10 @@
             case Leave(instance=instance, start=start):
                 self.departed.add(command.incarnation)
                 return LeaveResult(instance, start)
+            case NoteCrashes(rows=rows):
+                for row in rows:
+                    self.crashes.merge(row)
+                return CrashesNoted(len(rows))
 
     def deltas_after(self, version: int) -> list[VersionedOperations] | None:
         """Return the operations since a version, or None if some are forgotten."""
@@ -216,6 +244,7 @@
             tuple(self.history),
             tuple(claims),
             departed=tuple(self.departed),
+            crashes=self.crashes.rows(),
         )
         return encode(saved)
 
@@ -232,6 +261,7 @@
         self._claims = ClaimTable(rows)
         older = map(Incarnation, saved.left_without_start)
         self.departed = Departures([*older, *saved.departed])
+        self.crashes = CrashBook(saved.crashes)
 
     def _replace(self, configuration: Configuration) -> ChangeResult:
         if configuration.version > self.configuration.version:
--- /dev/null
+++ b/src/leadseam/crashes/suspects.py
@@ -0,0 +1,169 @@
+"""What an entry has seen of requests that may end upstreams. No I/O.
+
+An attempt that breaks says little by itself: connections are reset, answers are lost.
+It speaks against its request only if the upstream has ended too: connections to it are
+refused, it has started again, another one holds its address, or it is silent until it
+expires. An upstream that answers later, or that has announced its end, speaks against
+nobody.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Millis
+from leadseam.crashes.book import CONVICTING, CrashBook
+from leadseam.wire.crashes import CrashRow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from leadseam.crashes.fingerprint import Fingerprint
+    from leadseam.incarnation import Incarnation
+
+SIGN_OF_LIFE: Millis = 100
+"""Time after a break from which an answer shows that the upstream goes on. Earlier ones
+may have been on their way: they take a few ms, and wait for a busy loop up to 30 ms."""
+UNDECIDED_LIMIT: Millis = 20_000
+"""Time after which a break is forgotten: an upstream that has ended expires after six
+heartbeats, 7 s on today's deployments."""
+MAX_UNDECIDED = 2_000
+"""Breaks kept at a time, some 0.5 MB: every request of a busy entry, twice over."""
+
+
+class Presence(Enum):
+    """What registrations say of an incarnation."""
+
+    SERVES = auto()
+    LEAVES = auto()
+    GONE = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request as far as it is told to others.
+
+    Args:
+        fingerprint: What is the same when it is sent again.
+        account: Client account that sent it, or an empty text.
+        size: Bytes of its body.
+    """
+
+    fingerprint: Fingerprint
+    account: str
+    size: int
+
+
+@dataclass(slots=True)
+class _Break:
+    """Attempts that broke at one upstream, which may have ended."""
+
+    at: Millis
+    suspects: set[Suspect] = field(default_factory=set)
+
+
+class Suspects:
+    """Breaks that are undecided, and what all entries know.
+
+    Attributes:
+        book: What this entry and the others have seen.
+    """
+
+    def __init__(self) -> None:
+        self.book = CrashBook()
+        self._breaks: dict[Incarnation, _Break] = {}
+        self._undecided = 0
+
+    def __repr__(self) -> str:
+        return f"Suspects(undecided={self._undecided}, {self.book!r})"
+
+    @property
+    def undecided(self) -> bool:
+        """Whether it is not known yet of some upstream if it has ended."""
+        return bool(self._breaks)
+
+    def broke(self, suspect: Suspect, incarnation: Incarnation, now: Millis) -> bool:
+        """Note an attempt that broke.
+
+        Returns:
+            Whether it is the first at this upstream that is undecided.
+        """
+        first = incarnation not in self._breaks
+        broken = self._breaks.setdefault(incarnation, _Break(now))
+        broken.at = now
+        if suspect not in broken.suspects and self._undecided < MAX_UNDECIDED:
+            broken.suspects.add(suspect)
+            self._undecided += 1
+        return first
+
+    def answered(self, incarnation: Incarnation, now: Millis) -> None:
+        """Note that an upstream has answered."""
+        broken = self._breaks.get(incarnation)
+        if broken is not None and now - broken.at >= SIGN_OF_LIFE:
+            self._drop(incarnation)
+
+    def ended(self, incarnation: Incarnation, now: Millis) -> tuple[CrashRow, ...]:
+        """Note that an upstream has ended; return what is news to the others."""
+        broken = self._drop(incarnation)
+        if broken is None:
+            return ()
+        rows = [
+            CrashRow(one.fingerprint, one.account, one.size, (incarnation,))
+            for one in broken.suspects
+        ]
+        merged = [self.book.merge(row, now) for row in rows]
+        return tuple(row for row in merged if row is not None)
+
+    def review(
+        self, presence: Callable[[Incarnation], Presence], now: Millis
+    ) -> tuple[CrashRow, ...]:
+        """Look at what registrations say; return what is news to the others."""
+        news: list[CrashRow] = []
+        for incarnation, broken in list(self._breaks.items()):
+            match presence(incarnation):
+                case Presence.GONE:
+                    news += self.ended(incarnation, now)
+                case Presence.LEAVES:
+                    self._drop(incarnation)
+                case Presence.SERVES if now - broken.at > UNDECIDED_LIMIT:
+                    self._drop(incarnation)
+        return tuple(news)
+
+    def told(self, rows: Iterable[CrashRow], now: Millis) -> tuple[Fingerprint, ...]:
+        """Take what others have seen; return the requests that are convicted by it."""
+        fresh = []
+        for row in rows:
+            known = self.book.convicts(row.fingerprint)
+            self.book.merge(row, now)
+            if not known and self.book.convicts(row.fingerprint):
+                fresh.append(row.fingerprint)
+        return tuple(fresh)
+
+    def answered_whole(self, suspect: Suspect, now: Millis) -> CrashRow | None:
+        """Acquit a request that has run to its end; return what is news, if any."""
+        for broken in self._breaks.values():
+            if suspect in broken.suspects:
+                broken.suspects.remove(suspect)
+                self._undecided -= 1
+        return self.book.void(suspect.fingerprint, now)
+
+    def on_trial(self, suspect: Suspect) -> bool:
+        """Tell whether a request would be convicted if its upstreams have ended."""
+        undecided = sum(suspect in one.suspects for one in self._breaks.values())
+        return self.book.count(suspect.fingerprint) + undecided >= CONVICTING
+
+    def may_know(self, account: str, size: int) -> bool:
+        """Tell whether a request may be known, before its body is digested."""
+        return self.book.may_hold(account, size) or any(
+            (one.account, one.size) == (account, size)
+            for broken in self._breaks.values()
+            for one in broken.suspects
+        )
+
+    def _drop(self, incarnation: Incarnation) -> _Break | None:
+        broken = self._breaks.pop(incarnation, None)
+        if broken is not None:
+            self._undecided -= len(broken.suspects)
+        return broken
--- a/src/leadseam/entry/answers.py
+++ b/src/leadseam/entry/answers.py
@@ -36,6 +36,8 @@
     Reason.UPSTREAM_RESTARTED: 502,
     Reason.UPSTREAM_FULL: 503,
     Reason.RETRIES_EXHAUSTED: 502,
+    Reason.CRASHES_UPSTREAMS: 503,
+    Reason.MAY_CRASH_UPSTREAMS: 503,
     Reason.CLAIM_UNAVAILABLE: 503,
     Reason.CLAIM_HELD: 409,
     Reason.CLAIM_MISMATCH: 422,
@@ -64,6 +66,10 @@
     Reason.UPSTREAM_RESTARTED: "the upstream has started again meanwhile",
     Reason.UPSTREAM_FULL: "no upstream had room for this",
     Reason.RETRIES_EXHAUSTED: "no further attempt was allowed",
+    Reason.CRASHES_UPSTREAMS: "this request has crashed several upstreams; do not"
+    " send it again",
+    Reason.MAY_CRASH_UPSTREAMS: "several upstreams have crashed under this request;"
+    " whether it is the cause is not known yet",
     Reason.CLAIM_UNAVAILABLE: "the Idempotency-Key could not be claimed",
     Reason.CLAIM_HELD: "a request with this Idempotency-Key was already accepted",
     Reason.CLAIM_MISMATCH: "this Idempotency-Key was used for another request",
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -17,6 +17,7 @@
 from leadseam.wire.backoff import Backoff
 from leadseam.wire.claim import ClaimReply
 from leadseam.wire.codec import decode
+from leadseam.wire.crashes import Crashes
 from leadseam.wire.feed import (
     Current,
     Delta,
@@ -69,6 +70,8 @@
             own report in them.
         on_restarts: Called with incarnations of upstreams that are over, as a later
             start of theirs is known.
+        on_crashes: Called with what others know of requests that end upstreams.
+        greeting: Returns what a replica has to know that is followed anew, or None.
     """
 
     def __init__(
@@ -85,6 +88,8 @@
         address_of: Callable[[str], Endpoint | None] = lambda _: None,
         on_sums: Callable[[int, LoadSums], None] = lambda _number, _sums: None,
         on_restarts: Callable[[Iterable[Incarnation]], None] = lambda _: None,
+        on_crashes: Callable[[Crashes], None] = lambda _: None,
+        greeting: Callable[[], AnyMessage | None] = lambda: None,
     ) -> None:
         self.configuration = Configuration()
         self.confirmed = False
@@ -101,6 +106,8 @@
         self._address_of = address_of
         self._on_sums = on_sums
         self._on_restarts = on_restarts
+        self._on_crashes = on_crashes
+        self._greeting = greeting
         self._first = asyncio.Event()
         self._confirmed_at: Millis = -FRESH_LIMIT
         self._followed: set[Endpoint] = set()
@@ -170,6 +177,11 @@
             extra = {"replica": self._summing.chosen, "before": before}
             log.info("loads are added up by another replica", extra=extra)
 
+    def tell(self, message: AnyMessage) -> None:
+        """Send a message to all replicas that are followed."""
+        for link in self._links:
+            link.send(message)
+
     async def _follow(self, endpoint: Endpoint, backoff: Backoff) -> None:
         async with dial(endpoint.ip, endpoint.port, self._traffic) as link:
             link.send(self._subscription())
@@ -199,6 +211,9 @@
                 self._links.append(link)
                 self._names[link] = replica
                 log.info("replica followed", extra={"replica": replica})
+                greeting = self._greeting()
+                if greeting is not None:
+                    link.send(greeting)
             backoff.reached()
             self._handle(link, replica, message)
             if isinstance(message, Replicas):
@@ -225,6 +240,8 @@
                     self._confirm(link, message)
             case ClaimReply():
                 self.claims.take_reply(message)
+            case Crashes():
+                self._on_crashes(message)
             case _:
                 self._handle_membership(replica, message)
 
--- /dev/null
+++ b/src/leadseam/feed/crash_server.py
@@ -0,0 +1,132 @@
+"""The replica's part in knowing requests that end upstreams.
+
+Entries tell every replica they follow. A replica merges what it hears and tells entries
+of a request once a second upstream has ended under it; the third one convicts it. That
+needs no quorum. A verdict is written to the log besides, so that it outlives the loss
+of power everywhere: it is rare, so the write costs nothing that matters.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Millis, sleep
+from leadseam.control.raft_work import Role
+from leadseam.control.state import NoteCrashes
+from leadseam.crashes.book import CONVICTING, CrashBook
+from leadseam.wire.crashes import Crashes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from leadseam.clock import Clock
+    from leadseam.control.replica import Replica
+    from leadseam.wire.crashes import CrashRow
+
+TOLD = CONVICTING - 1
+"""Ends from which on entries are told. Of an end, nearly all that ran there end well at
+their next attempt; telling 68 entries of each would cost 2 MB an end (worked out from
+30 rows of 100 bytes through 9 replicas)."""
+FOLLOWER_DELAY: Millis = 300
+"""Time that the leader has to write a verdict before the others ask it to."""
+RETRY_DELAY: Millis = 200
+"""Pause after a write that no quorum has confirmed."""
+
+log = logging.getLogger(__name__)
+
+
+class CrashServer:
+    """Merges what entries have seen, and tells them.
+
+    Args:
+        replica: Where verdicts are written.
+        clock: Source of time.
+        tell_all: Sends a message to all subscribers.
+    """
+
+    def __init__(
+        self, replica: Replica, clock: Clock, tell_all: Callable[[Crashes], None]
+    ) -> None:
+        self._replica = replica
+        self._clock = clock
+        self._tell_all = tell_all
+        self._book = CrashBook()
+        self._written = -1
+        self._wake = asyncio.Event()
+
+    def __repr__(self) -> str:
+        return f"CrashServer({self._book!r})"
+
+    def greeting(self) -> Crashes | None:
+        """Return what a new subscriber has to know, or None."""
+        self._merge(self._replica.state.crashes.rows())
+        rows = tuple(row for row in self._book.rows() if _is_told(row))
+        return Crashes(rows) if rows else None
+
+    def take(self, message: Crashes) -> None:
+        """Merge what an entry has seen, and tell the others what is news."""
+        self._tell(self._merge(message.rows))
+
+    def applied(self) -> None:
+        """Tell entries of verdicts that have come through the log."""
+        if self._replica.state.crashes.changes == self._written:
+            return
+        self._written = self._replica.state.crashes.changes
+        self._tell(self._merge(self._replica.state.crashes.rows()))
+
+    def fade(self) -> None:
+        """Forget suspects of long ago."""
+        self._book.fade(self._clock.now())
+
+    async def run(self) -> None:
+        """Write verdicts until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            if self._replica.raft.role is not Role.LEADER:
+                await sleep(FOLLOWER_DELAY)
+            await self._write(self._unwritten())
+
+    async def _write(self, rows: tuple[CrashRow, ...]) -> None:
+        if not rows:
+            return
+        if await self._replica.submit(NoteCrashes(rows)) is None:
+            await sleep(RETRY_DELAY)
+            self._wake.set()
+
+    def _merge(self, rows: Iterable[CrashRow]) -> tuple[CrashRow, ...]:
+        """Merge rows and return those that are news."""
+        now = self._clock.now()
+        merged = (self._book.merge(row, now) for row in rows)
+        return tuple(row for row in merged if row is not None)
+
+    def _tell(self, news: tuple[CrashRow, ...]) -> None:
+        told = tuple(row for row in news if _is_told(row))
+        if not told:
+            return
+        self._tell_all(Crashes(told))
+        for row in told:
+            if len(row.counted) >= CONVICTING:
+                extra = {
+                    "fingerprint": row.fingerprint,
+                    "account": row.account,
+                    "ended": list(map(str, row.ended)),
+                }
+                log.warning("request crashes upstreams", extra=extra)
+        self._wake.set()
+
+    def _unwritten(self) -> tuple[CrashRow, ...]:
+        """Return verdicts, and what voids them, that the log does not hold yet."""
+        written = self._replica.state.crashes
+        return tuple(
+            row
+            for row in self._book.rows()
+            if self._book.convicts(row.fingerprint)
+            is not written.convicts(row.fingerprint)
+        )
+
+
+def _is_told(row: CrashRow) -> bool:
+    return len(row.counted) >= TOLD or bool(row.void)
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -9,6 +9,7 @@
 from leadseam.clock import Clock, Millis, SystemClock, seconds, sleep
 from leadseam.feed.claim_server import ClaimServer
 from leadseam.feed.configuration_push import FIRST_LEAD, ConfigurationPush, Subscriber
+from leadseam.feed.crash_server import CrashServer
 from leadseam.feed.pace import SHORTEST, interval_for
 from leadseam.feed.totals import LoadSummer
 from leadseam.incarnation import NO_START
@@ -16,6 +17,7 @@
 from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.claim import Claim, ClaimDone, ClaimRelease
+from leadseam.wire.crashes import Crashes
 from leadseam.wire.feed import (
     Current,
     Expired,
@@ -73,6 +75,7 @@
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
         self._claims = ClaimServer(replica, metrics)
+        self._crashes = CrashServer(replica, self._clock, self._tell_all)
         self._push = ConfigurationPush(replica, metrics)
         self._pushing_later = False
 
@@ -85,6 +88,7 @@
         """Push until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._claims.run())
+            group.create_task(self._crashes.run())
             group.create_task(self._push_changes())
             group.create_task(self._push_heartbeats())
             group.create_task(self._push_totals())
@@ -175,6 +179,9 @@
         left = tuple(self._replica.state.departed)[-MAX_LEFT_TOLD:]
         if left:
             subscriber.link.send(Left(left))
+        # Before the configuration, so that nobody serves without knowing these.
+        if crashes := self._crashes.greeting():
+            subscriber.link.send(crashes)
         self._push.send(subscriber)
         self._send_heartbeat(subscriber)
 
@@ -186,6 +193,8 @@
         match message:
             case LoadReport():
                 self._sums.take(subscriber.number, message, self._clock.now())
+            case Crashes():
+                self._crashes.take(message)
             case InForce(version=version, clock=clock):
                 subscriber.in_force = max(subscriber.in_force, version)
                 subscriber.clock = max(subscriber.clock, clock)
@@ -198,6 +207,7 @@
         while True:
             await self._replica.next_applied()
             self._push_left()
+            self._crashes.applied()
             self._push_newly_named()
             for subscriber in self.subscribers:
                 if self._push.is_first_for(subscriber):
@@ -240,6 +250,7 @@
         while True:
             await sleep(HEARTBEAT_INTERVAL)
             self._expire()
+            self._crashes.fade()
             for subscriber in self.subscribers:
                 self._push.send(subscriber)
                 self._send_heartbeat(subscriber)
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -87,6 +87,15 @@
                 self._forget(known)
         return fresh
 
+    def has_left(self, incarnation: Incarnation) -> bool:
+        """Tell whether an upstream has announced its end."""
+        return incarnation in self._departed
+
+    def serves(self, incarnation: Incarnation) -> bool:
+        """Tell whether an incarnation is heard, and holds its address."""
+        known = self._get(incarnation)
+        return known is not None and self._addresses.holds(known.registration)
+
     def answered(self, incarnation: Incarnation, now: Millis) -> None:
         """Note that an upstream has answered a request that was meant for it."""
         if self._get(incarnation) is not None:
--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -34,6 +34,8 @@
     UPSTREAM_RESTARTED = "upstream_restarted"
     UPSTREAM_FULL = "upstream_full"
     RETRIES_EXHAUSTED = "retries_exhausted"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
+    MAY_CRASH_UPSTREAMS = "may_crash_upstreams"
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIM_HELD = "claim_held"
     CLAIM_MISMATCH = "claim_mismatch"
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -30,6 +30,7 @@
     from leadseam.control.configuration import Configuration
     from leadseam.incarnation import Incarnation
     from leadseam.platform.settings import NodeSettings
+    from leadseam.wire.crashes import Crashes
     from leadseam.wire.feed import LoadSums
 
 INCARNATION_BITS = 53
@@ -74,6 +75,8 @@
             address_of=settings.inner,
             on_sums=self._take_sums,
             on_restarts=self._end_attempts,
+            on_crashes=self._take_crashes,
+            greeting=self._greeting,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
         self._lag = LoopLag(self._clock, self._show_lag)
@@ -152,6 +155,8 @@
         while True:
             await sleep(SWEEP_INTERVAL)
             self._view.sweep(self._clock.now())
+            if self._gateway is not None:
+                self._gateway.crash_guard.review()
 
     async def _report_load(self) -> None:
         assert self._gateway is not None
@@ -174,10 +179,21 @@
 
     def _end_attempts(self, over: Iterable[Incarnation]) -> None:
         assert self._gateway is not None
+        over = tuple(over)
         ended = self._gateway.restarts.over(over)
+        for incarnation in over:
+            self._gateway.crash_guard.ended(incarnation)
         if ended:
             log.info("attempts at earlier starts ended", extra={"attempts": ended})
 
+    def _take_crashes(self, message: Crashes) -> None:
+        assert self._gateway is not None
+        self._gateway.crash_guard.take(message)
+
+    def _greeting(self) -> Crashes | None:
+        assert self._gateway is not None
+        return self._gateway.crash_guard.greeting()
+
     def _configure(self, configuration: Configuration) -> None:
         assert self._gateway is not None
         self._gateway.configure(configuration)
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -49,9 +49,11 @@
 
     Args:
         local: Whether this box is at fault, for it lacks descriptors or memory.
+        refused: Whether nothing listens at the upstream's address.
     """
 
     local: bool = False
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +146,9 @@
             repeatable=repeatable,
         )
     except aiohttp.ClientConnectorError as exc:
-        return Unreachable(local=exc.errno in LOCAL_FAULTS)
+        return Unreachable(
+            local=exc.errno in LOCAL_FAULTS, refused=exc.errno == errno.ECONNREFUSED
+        )
     except aiohttp.ConnectionTimeoutError:
         return Unreachable()
     except (aiohttp.ClientError, OSError, ValueError):
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -180,6 +180,22 @@
         await self._pooled.close()
         await self._single_use.close()
 
+    async def is_refused(self, ip: str, port: int) -> bool:
+        """Tell whether an upstream's address refuses connections.
+
+        Refused is not silent, and not reset: nothing listens there any more.
+        """
+        try:
+            async with asyncio.timeout(seconds(CONNECT_TIMEOUT)):
+                _, writer = await asyncio.open_connection(ip, port)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            # Timeouts too. Nothing is known then; the line on the attempt stands.
+            return False
+        writer.close()
+        return False
+
     async def send(
         self,
         ip: str,
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -77,6 +77,8 @@
         self._gateway = gateway
         self._request = admitted
         self._progress = _Progress()
+        self._watch: SilenceWatch | None = None
+        self._ended_here = False
         self._reply = Reply(
             http,
             prepare=gateway.prepare,
@@ -86,6 +88,11 @@
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
         self.placement: Placement | None = None
 
+    @property
+    def admitted(self) -> Admitted:
+        """The request."""
+        return self._request
+
     @property
     def instance(self) -> str:
         """How lines name the upstream that was sent to last, or an empty text."""
@@ -101,6 +108,12 @@
         """When the first byte went to the caller, `NOT_YET` before."""
         return self._reply.first_byte_at
 
+    def end_attempt(self) -> None:
+        """End the attempt under way, if any: the request must not reach upstreams."""
+        if self._watch is not None:
+            self._ended_here = True
+            self._watch.end()
+
     async def run(self) -> web.StreamResponse:
         """Return the finished response; the caller's connection may be cut instead."""
         left = self._request.deadline - self._gateway.now()
@@ -122,6 +135,11 @@
             )
             if isinstance(flight, Reason):
                 return self._not_placed(flight)
+            reason = self._gateway.crash_guard.refusal(self._request)
+            if reason is not None:
+                # It may have been convicted while it waited for room.
+                flight.end()
+                return self._give_up(reason)
             ending = await self._send(flight)
             done = await self._finish(flight.upstream, ending)
             if done is not None:
@@ -152,12 +170,15 @@
             watch.end()
 
         restarts = self._gateway.restarts.watch(flight.upstream.incarnation, on_restart)
+        self._watch = watch
         try:
             async with watch:
                 with restarts:
                     return await self._answered(flight, watch)
         except TimeoutError:
-            return Broken(reason)
+            return Broken(Reason.CRASHES_UPSTREAMS if self._ended_here else reason)
+        finally:
+            self._watch = None
 
     async def _answered(self, flight: Flight, watch: SilenceWatch) -> Ending:
         route = self._request.route
@@ -216,6 +237,8 @@
     ) -> web.StreamResponse | None:
         """Return the response, or None to try another upstream."""
         self._gateway.note_ending(upstream, ending)
+        if not self._ended_here:
+            self._gateway.crash_guard.note_ending(upstream, self._request, ending)
         retry = self._may_retry(ending)
         self._gateway.request_log.attempt(self, self._request, ending, retry=retry)
         if retry:
@@ -237,6 +260,8 @@
     def _may_retry(self, ending: Ending) -> bool:
         if self._progress.sends >= MAX_SENDS or self._too_late():
             return False
+        if self._gateway.crash_guard.refusal(self._request) is not None:
+            return False
         runs = self._progress.runs
         match ending:
             case Unreachable():
@@ -292,13 +317,17 @@
             self._cut(reason)
         if self._progress.runs == 0:
             return self._refuse(reason)
+        if reason in (Reason.CRASHES_UPSTREAMS, Reason.MAY_CRASH_UPSTREAMS):
+            # It has run, and 503 would say that it has not.
+            reason = Reason.UPSTREAM_BROKEN
         unsafe = self._request.route.repeat is Repeat.ONCE
         self.outcome = Unknown(reason) if unsafe else Failed(reason)
         return self._gateway.error(self.outcome)
 
     def _refuse(self, reason: Reason) -> web.StreamResponse:
         """End a request that has certainly not run."""
-        self.outcome = NotRun(reason, self._come_back())
+        pause = None if reason is Reason.CRASHES_UPSTREAMS else self._come_back()
+        self.outcome = NotRun(reason, pause)
         return self._gateway.error(self.outcome)
 
     def _come_back(self) -> Millis:
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -18,6 +18,7 @@
     Whole,
 )
 from leadseam.routing.budget import PoolRetryBudget
+from leadseam.routing.crash_guard import CrashGuard
 from leadseam.routing.dialect import Sender
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.first_configuration import FirstConfiguration
@@ -60,6 +61,9 @@
 """Callers' connections above which answers end their connection. An idle one takes
 some 16 KB; callers that open one for each request left 4,000 of them in 20 s, which is
 all the descriptors of a box of today, and half of its memory."""
+UNDECIDED_PAUSE: Millis = 1_000
+"""Pause told while it is not known if an upstream has ended under a request: twice the
+interval at which registrations are looked at."""
 BUSY_PAUSE: Millis = 150
 """Pause told to a caller that a busy entry refuses; other entries have time now."""
 
@@ -105,6 +109,7 @@
         self._connections = connections
         self._first_configuration = FirstConfiguration(feed)
         self.restarts = Restarts()
+        self.crash_guard = CrashGuard(feed=feed, client=client, clock=clock)
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self.placer = Placer(feed=feed, health=self._health, clock=clock, rng=rng)
@@ -165,6 +170,8 @@
         if not self.stopping:
             await self._first_configuration.wait(req.patience)
         admitted = self._admit(req, body, arrived)
+        if isinstance(admitted, Admitted):
+            admitted = self._checked(admitted)
         if isinstance(admitted, NotRun):
             return self._refuse(Sender(req.request_id, req.key), admitted, arrived)
         return await self._run(http, admitted)
@@ -183,12 +190,14 @@
         self, http: web.BaseRequest, admitted: Admitted
     ) -> web.StreamResponse:
         exchange = Exchange(self, http, admitted)
+        self.crash_guard.enter(exchange)
         try:
             return await exchange.run()
         except CallerGoneError:
             # The connection is closed or cut already; nothing can be sent on it.
             return web.Response(status=499)
         finally:
+            self.crash_guard.leave(exchange)
             self.request_log.end(exchange, admitted)
 
     # Admission
@@ -219,6 +228,17 @@
             deadline=arrived + limit,
         )
 
+    def _checked(self, admitted: Admitted) -> Admitted | NotRun:
+        """Refuse a request that ends upstreams, or may do so."""
+        match self.crash_guard.refusal(admitted):
+            case None:
+                return admitted
+            case Reason.CRASHES_UPSTREAMS as reason:
+                # Nobody is to come back with it, so no pause is told.
+                return NotRun(reason)
+            case reason:
+                return NotRun(reason, self.spread(UNDECIDED_PAUSE))
+
     def _busy(self) -> NotRun:
         return NotRun(Reason.ENTRY_BUSY, self.spread(BUSY_PAUSE))
 
@@ -270,11 +290,14 @@
         match ending:
             case Declined(misdirected=True):
                 left_alone = False
+                self.crash_guard.ended(upstream.incarnation)
                 if self._feed.view.misdirected(upstream.incarnation):
                     self.request_log.address_lost(upstream)
             case Unreachable(local=True) | Declined():
                 left_alone = False
-            case Unreachable():
+            case Unreachable(refused=refused):
+                if refused:
+                    self.crash_guard.ended(upstream.incarnation)
                 left_alone = self._health.unreachable(upstream.incarnation, now)
             case Broken():
                 left_alone = self._health.failed(upstream.incarnation, now)
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -17,6 +17,7 @@
     Vote,
     VoteReply,
 )
+from leadseam.wire.crashes import Crashes
 from leadseam.wire.dispatch import (
     Accepted,
     Backlog,
@@ -94,6 +95,7 @@
     | Replicas
     | LoadReport
     | LoadTotals
+    | Crashes
     | Claim
     | ClaimDone
     | ClaimRelease
--- /dev/null
+++ b/tests/crashes/samples.py
@@ -0,0 +1,28 @@
+"""Literal rows and suspects for the tests of requests that end upstreams."""
+
+from __future__ import annotations
+
+from leadseam.crashes.suspects import Suspect
+from leadseam.incarnation import Incarnation
+from leadseam.wire.crashes import CrashRow
+
+DEADLY = Suspect("d" * 32, "bank", 7)
+GOOD = Suspect("a" * 32, "bank", 7)
+
+
+def upstream(number: int) -> Incarnation:
+    """Return an incarnation."""
+    return Incarnation(f"i-{number}")
+
+
+def make_row(
+    *ended: int, suspect: Suspect = DEADLY, void: tuple[int, ...] = ()
+) -> CrashRow:
+    """Return a row of upstreams that have ended under a suspect."""
+    return CrashRow(
+        suspect.fingerprint,
+        suspect.account,
+        suspect.size,
+        tuple(map(upstream, ended)),
+        tuple(map(upstream, void)),
+    )
--- /dev/null
+++ b/tests/crashes/test_fleet.py
@@ -0,0 +1,172 @@
+"""Entries and replicas that tell each other, in any order, with losses. No I/O.
+
+The model knows how many upstreams a request has ended. Once all that was said has been
+heard by a replica and an entry that are whole, that entry sends it nowhere.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, cast
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from leadseam.clock import ManualClock
+from leadseam.crashes.book import CONVICTING, CrashBook
+from leadseam.crashes.suspects import Suspects
+from leadseam.feed.crash_server import CrashServer
+from leadseam.wire.crashes import Crashes
+from tests.crashes.samples import DEADLY, GOOD, upstream
+
+if TYPE_CHECKING:
+    from leadseam.incarnation import Incarnation
+
+ENTRIES = range(3)
+REPLICAS = range(3)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Three entries that follow three replicas; one deadly request, one good one."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0
+        self.log = CrashBook()
+        self.upstreams = 0
+        self.ended = 0
+        self.broken: list[tuple[int, Incarnation]] = []
+        self.links: dict[tuple[str, int, int], deque[Crashes]] = {}
+        self.entries = {number: Suspects() for number in ENTRIES}
+        self.replicas = {number: self.new_replica(number) for number in REPLICAS}
+
+    def new_replica(self, number: int) -> CrashServer:
+        replica = SimpleNamespace(state=SimpleNamespace(crashes=self.log))
+        clock = ManualClock(0)
+
+        def tell_all(message: Crashes) -> None:
+            for entry in ENTRIES:
+                self.link("down", entry, number).append(message)
+
+        return CrashServer(cast("Any", replica), clock, tell_all)
+
+    def link(self, way: str, entry: int, replica: int) -> deque[Crashes]:
+        return self.links.setdefault((way, entry, replica), deque())
+
+    def report(self, entry: int, rows: tuple[Any, ...]) -> None:
+        if rows:
+            for replica in REPLICAS:
+                self.link("up", entry, replica).append(Crashes(rows))
+
+    @rule(entry=st.sampled_from(ENTRIES), late=st.booleans(), good=st.booleans())
+    def send(self, entry: int, late: bool, good: bool) -> None:
+        """An entry sends the deadly request, if it may; a good one may run beside."""
+        suspects = self.entries[entry]
+        if suspects.book.convicts(DEADLY.fingerprint) or suspects.on_trial(DEADLY):
+            return
+        self.now += 1
+        self.upstreams += 1
+        self.ended += 1
+        incarnation = upstream(self.upstreams)
+        suspects.broke(DEADLY, incarnation, self.now)
+        if good:
+            suspects.broke(GOOD, incarnation, self.now)
+        self.broken.append((entry, incarnation))
+        if not late:
+            self.find_out(-1)
+        if good:
+            row = suspects.answered_whole(GOOD, self.now)
+            self.report(entry, (row,) if row is not None else ())
+
+    @precondition(lambda self: self.broken)
+    @rule(which=st.integers(0, 5))
+    def find_out(self, which: int) -> None:
+        """An entry learns that an upstream has ended."""
+        entry, incarnation = self.broken.pop(which % len(self.broken))
+        self.report(entry, self.entries[entry].ended(incarnation, self.now))
+
+    @rule(
+        way=st.sampled_from(["up", "down"]),
+        entry=st.sampled_from(ENTRIES),
+        replica=st.sampled_from(REPLICAS),
+        twice=st.booleans(),
+    )
+    def deliver(self, way: str, entry: int, replica: int, twice: bool) -> None:
+        """A message arrives, maybe once more later."""
+        queue = self.link(way, entry, replica)
+        if not queue:
+            return
+        message = queue.popleft()
+        if twice:
+            queue.append(message)
+        self.take(way, entry, replica, message)
+
+    def take(self, way: str, entry: int, replica: int, message: Crashes) -> None:
+        if way == "up":
+            self.replicas[replica].take(message)
+        else:
+            self.entries[entry].told(message.rows, self.now)
+
+    @rule(entry=st.sampled_from(ENTRIES), replica=st.sampled_from(REPLICAS))
+    def follow_anew(self, entry: int, replica: int) -> None:
+        """A link breaks: what was under way is lost, and both sides greet."""
+        for way in ("up", "down"):
+            self.link(way, entry, replica).clear()
+        self.link("up", entry, replica).append(Crashes(self.entries[entry].book.rows()))
+        if greeting := self.replicas[replica].greeting():
+            self.link("down", entry, replica).append(greeting)
+
+    @rule(replica=st.sampled_from(REPLICAS))
+    def lose_replica(self, replica: int) -> None:
+        """A replica starts with nothing but the log."""
+        self.replicas[replica] = self.new_replica(replica)
+        for entry in ENTRIES:
+            self.follow_anew(entry, replica)
+
+    @rule(replica=st.sampled_from(REPLICAS))
+    def write(self, replica: int) -> None:
+        """A replica's verdicts are committed; all hear of it at some time."""
+        for row in self.replicas[replica]._unwritten():
+            self.log.merge(row)
+
+    @rule(replica=st.sampled_from(REPLICAS))
+    def apply(self, replica: int) -> None:
+        """A replica looks at the log."""
+        self.replicas[replica].applied()
+
+    @rule()
+    def lose_all(self) -> None:
+        """All boxes lose power; what is in the log stays."""
+        self.links.clear()
+        self.broken.clear()
+        written = self.log.convicts(DEADLY.fingerprint)
+        self.entries = {number: Suspects() for number in ENTRIES}
+        for replica in REPLICAS:
+            self.lose_replica(replica)
+        if not written:
+            self.ended = 0
+
+    @rule()
+    def settle(self) -> None:
+        """Everything that is to be learned is learned, and every message arrives."""
+        while self.broken:
+            self.find_out(0)
+        for _ in range(4):
+            for (way, entry, replica), queue in list(self.links.items()):
+                while queue:
+                    self.take(way, entry, replica, queue.popleft())
+        known = self.ended >= CONVICTING
+        for suspects in self.entries.values():
+            assert suspects.book.convicts(DEADLY.fingerprint) is known
+
+    @invariant()
+    def good_requests_are_never_convicted(self) -> None:
+        """A request that was answered whole each time stays innocent."""
+        for suspects in self.entries.values():
+            assert not suspects.book.convicts(GOOD.fingerprint)
+
+
+TestFleet = Fleet.TestCase
+TestFleet.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
--- a/tests/platform/test_deadly_request.py
+++ b/tests/platform/test_deadly_request.py
@@ -1,17 +1,17 @@
 """A request that crashes each upstream which begins it, with real processes.
 
-What users saw: engines of a pool ended one after another for ten seconds, and hardly any
-request to them was answered. Thirteen ended under one request, five of them after three
-had ended and everybody could have known.
-The order of events: a request comes in and its engine ends some 50 ms after it has begun
-it; the entry sends it to the next engine at once; its caller sends it again under another
-id, at any entry; engines that start anew end within seconds.
+What users saw: engines of a pool ended one after another for ten seconds, and hardly
+any request to them was answered. Thirteen ended under one request, five of them after
+three had ended and everybody could have known.
+The order of events: a request comes in and its engine ends some 50 ms after it has
+begun it; the entry sends it to the next engine at once; its caller sends it again under
+another id, at any entry; engines that start anew end within seconds.
 The cause: nothing knew the request again. Failures were kept by upstream, by pool and
 within one exchange, so each arrival was the first.
 The evidence: in the users' record one attempt that broke 46 ms after its begin and was
-sent on 12 ms later; ends of engines only, ordering servers were whole; in lines of a play,
-an engine that ended with a single attempt under way. Here: before the repair each of the
-twelve calls below reached two upstreams and ended both, 24 in all.
+sent on 12 ms later; ends of engines only, ordering servers were whole; in lines of a
+play, an engine that ended with a single attempt under way. Here: before the repair each
+of the twelve calls below reached two upstreams and ended both, 24 in all.
 """
 
 from __future__ import annotations
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -131,8 +131,8 @@
             return
         for site in list(self._runner.sites):
             # Closes the listening socket at once; the rest is awaited later.
-            if site._server is not None:  # type: ignore[attr-defined]
-                site._server.close()  # type: ignore[attr-defined]
+            if site._server is not None:
+                site._server.close()
         for conn in list(self._server.connections):
             if conn.transport is not None:
                 conn.transport.abort()
