--- a/src/leadseam/feed/crash_server.py
+++ b/src/leadseam/feed/crash_server.py
@@ -92,9 +92,13 @@
     async def _write(self, rows: tuple[CrashRow, ...]) -> None:
         if not rows:
             return
+        extra = {"fingerprints": [row.fingerprint for row in rows]}
         if await self._replica.submit(NoteCrashes(rows)) is None:
+            log.warning("verdict not written in time", extra=extra)
             await sleep(RETRY_DELAY)
             self._wake.set()
+            return
+        log.info("verdict written", extra=extra)
 
     def _merge(self, rows: Iterable[CrashRow]) -> tuple[CrashRow, ...]:
         """Merge rows and return those that are news."""
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -26,6 +26,16 @@
     assert summary.checked["recovered"] == 2
 
 
+@pytest.mark.parametrize("seed", [100, 102])
+async def test_promises_are_kept_beside_requests_that_crash_servers(
+    tmp_path: Path, seed: int
+) -> None:
+    summary = await run_seed(tmp_path, seed, replace(SIZE, deadly=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["deadly stays known"] == 4
+    assert summary.checked["recovered"] == 2
+
+
 @pytest.mark.parametrize("seed", [3, 5, 18, 22, 922])
 async def test_promises_are_kept(tmp_path: Path, seed: int) -> None:
     summary = await run_seed(tmp_path, seed, SIZE)
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -113,6 +113,7 @@
         """Go away without a word."""
         if self._coming_back is not None and not self._coming_back.done():
             self._coming_back.cancel()
+            await asyncio.wait([self._coming_back])
         await self._end()
 
     async def _end(self) -> None:
@@ -145,6 +146,9 @@
             self.instance = f"i-{next(_instances)}"
         else:
             self.born = time.time_ns() // 1_000_000
+        # Nothing that it announced before is true of this start.
+        self.state = "ready"
+        self.left_at = None
         await self.start()
 
     async def drain(self) -> None:
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -16,6 +16,7 @@
   --untimed      Do not check bounds on time, as on a busy machine.
   --same-ids     Servers start again under their ids, and somebody writes registrations
                  that name none.
+  --deadly       Some requests crash the servers that begin them.
 
 The exit code is 0 if all promises were kept, else 1.
 """
@@ -49,6 +50,7 @@
         callers=int(args["--callers"]),
         timed=not args["--untimed"],
         same_ids=args["--same-ids"],
+        deadly=args["--deadly"],
     )
     if args["--replay"]:
         sys.exit(_replay(int(args["--replay"]), size))
--- /dev/null
+++ b/tools/soak/deadly.py
@@ -0,0 +1,147 @@
+"""Callers who send again and again what crashes each server that begins it."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from tools.platform.nodes import KEY
+from tools.waiting import until
+
+if TYPE_CHECKING:
+    from tools.platform.nodes import Answer
+    from tools.platform.standin import Run, Server
+    from tools.soak.promises import Promises
+    from tools.soak.world import World
+
+PATHS = ("/safe/deadly", "/stream/deadly")
+"""What is asked for: a plain answer, and a stream that begins before the crash."""
+BODY = b'{"deadly":true}'
+LONGEST_PAUSE = 0.5
+"""Seconds between two sends of one path, at the most."""
+DOWN = 0.8
+"""Seconds until a crashed server is back."""
+BORNE = 3
+"""Servers that end before a request is known, and later sends that are borne."""
+BOUND = 3.0
+"""Seconds after the third end from which sends count: the users' least bound."""
+WRITTEN = "verdict written"
+"""Line of a control box once a verdict outlives the loss of power everywhere."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """One send of a deadly request.
+
+    Args:
+        entry: Entry that it went to.
+        path: What it asked for.
+        at: When, on the steady clock.
+    """
+
+    entry: str
+    path: str
+    at: float
+
+
+class Deadly:
+    """Sends deadly requests for as long as a run lasts.
+
+    Args:
+        world: Nodes and servers.
+        seed: Seed of the choices.
+        promises: Where broken promises are noted.
+    """
+
+    def __init__(self, world: World, seed: int, promises: Promises) -> None:
+        self._world = world
+        self._rng = random.Random(seed + 3)
+        self._promises = promises
+        self._numbers = itertools.count(1)
+        self._sent: dict[str, Sent] = {}
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            for path in PATHS:
+                group.create_task(self._keep_sending(path))
+
+    async def wait_known(self) -> None:
+        """Wait until all entries refuse both, and that outlives a loss of power."""
+        await until(self._is_known, "deadly requests are refused")
+        await until(self._is_written, "verdicts are written")
+
+    async def check_known(self) -> None:
+        """Check that all entries refuse both at once."""
+        for path in PATHS:
+            for entry in self._world.entry_ips:
+                refused = await self._is_refused(entry, path)
+                self._promises.check(
+                    "deadly stays known", refused, f"{path} at {entry}"
+                )
+
+    def at_end(self, *, timed: bool) -> None:
+        """Check how often servers were reached after three had ended."""
+        for path in PATHS:
+            runs = sorted(self._runs_of(path), key=lambda run: run.at)
+            if len(runs) < BORNE:
+                continue
+            late = [run for run in runs if self._is_late(run, runs[BORNE - 1].at)]
+            detail = f"{path}: {len(runs)} servers ended, {len(late)} by late sends"
+            if timed:
+                kept = len(late) <= BORNE
+                self._promises.check("deadly known in time", kept, detail)
+
+    async def _keep_sending(self, path: str) -> None:
+        while True:
+            await self._send(self._rng.choice(self._world.entry_ips), path)
+            await asyncio.sleep(self._rng.uniform(0, LONGEST_PAUSE))
+
+    async def _send(self, entry: str, path: str) -> Answer:
+        for server in self._world.servers:
+            # Servers come and go; each of them crashes under it.
+            server.behave["deadly"] = "crash"
+            server.down = DOWN
+        request_id = f"d{next(self._numbers)}"
+        self._sent[request_id] = Sent(entry, path, time.monotonic())
+        return await self._world.call(
+            entry, path, body=BODY, request_id=request_id, key=KEY
+        )
+
+    async def _is_known(self) -> bool:
+        pairs = itertools.product(self._world.entry_ips, PATHS)
+        return all([await self._is_refused(entry, path) for entry, path in pairs])
+
+    async def _is_refused(self, entry: str, path: str) -> bool:
+        return b'"crashes_upstreams"' in (await self._send(entry, path)).body
+
+    async def _is_written(self) -> bool:
+        boxes = self._world.control_ips
+        lines = [line for box in boxes for line in self._world.log(box)]
+        written = {
+            fingerprint
+            for line in lines
+            if line["message"] == WRITTEN
+            for fingerprint in line["fingerprints"]
+        }
+        return len(written) >= len(PATHS)
+
+    def _runs_of(self, path: str) -> list[Run]:
+        servers: list[Server] = list(self._world.ever)
+        crashes = (run for server in servers for run in server.crashes)
+        return [run for run in crashes if run.target == path]
+
+    def _is_late(self, run: Run, third: float) -> bool:
+        """Tell whether a send counts: late, and from an entry that was undisturbed."""
+        sent = self._sent[run.request_id]
+        if run.at <= third + BOUND:
+            return False
+        ledger = self._world.ledger
+        return not any(
+            ledger.touched(box, sent.at - BOUND, run.at)
+            for box in (sent.entry, *self._world.control_ips)
+        )
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -99,6 +99,10 @@
         """Check what became of a document that names no server."""
         self._check("strangers refused", refused, "", detail)
 
+    def check(self, promise: str, kept: bool, detail: str) -> None:
+        """Note a check that another part has made."""
+        self._check(promise, kept, "", detail)
+
     def fail(self, promise: str, detail: str) -> None:
         """Note a promise that another part found broken."""
         self._check(promise, False, "", detail)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -9,6 +9,7 @@
 
 from tools.platform.nodes import document
 from tools.soak.callers import Callers
+from tools.soak.deadly import Deadly
 from tools.soak.injector import Injector
 from tools.soak.plan import draw
 from tools.soak.promises import Promises
@@ -42,6 +43,7 @@
         timed: Whether bounds on time are checked.
         same_ids: Whether servers start again under their ids, while somebody writes
             registrations that name none.
+        deadly: Whether some requests crash the servers that begin them.
     """
 
     seconds: float = 20.0
@@ -49,6 +51,7 @@
     callers: int = 6
     timed: bool = True
     same_ids: bool = False
+    deadly: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,15 +112,23 @@
         if self._size.same_ids:
             strangers = Strangers(world, self._seed, promises)
             disturbing.append(asyncio.create_task(strangers.run()))
+        deadly = Deadly(world, self._seed, promises)
+        if self._size.deadly:
+            disturbing.append(asyncio.create_task(deadly.run()))
         await self._do_all(faults)
         for task in disturbing:
             task.cancel()
         await asyncio.gather(*disturbing, return_exceptions=True)
         await self._recover_in_time(promises)
+        if self._size.deadly:
+            await deadly.wait_known()
         await self._injector.lose_all_that_may_be_lost()
         await self._recover_in_time(promises)
         callers.stop()
         await calling
+        if self._size.deadly:
+            await deadly.check_known()
+            deadly.at_end(timed=self._size.timed)
         promises.at_end()
         return self._summary(faults, promises)
 
