Failing tests: boxes that are suspended for seconds

A preloaded library of the tests leaves stopped time out of the steady clock, so that a real process can be suspended without root; CLOCK_BOOTTIME and the time of day go on. On the code as it is: the clock counts 1 ms of 1 s, an upstream is told of 4,948 ms where 3,000 are left, and a request past its deadline ends after one that has 2 s left.

--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -19,6 +19,7 @@
 
 from leadseam.platform import names
 from tools.platform.standin import Operator, Server
+from tools.platform.suspension import SteadyClock
 from tools.waiting import until
 
 if TYPE_CHECKING:
@@ -65,12 +66,14 @@
         servers: Servers that run.
         states_starts: Whether servers state their starts, and start again under the id
             that they had.
+        suspendable: Whether boxes can be suspended.
     """
 
     folder: Path
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
     servers: list[Server] = field(default_factory=list)
     states_starts: bool = False
+    suspendable: bool = False
 
     def __post_init__(self) -> None:
         self.control_ips = [f"127.0.0.{number}" for number in (21, 22, 23)]
@@ -84,6 +87,7 @@
             *self.server_ips,
         ]
         self._log_begins: dict[str, int] = {}
+        self._clocks: dict[str, SteadyClock] = {}
         self.control_port = free_port(every)
         self.inner_port = free_port(every)
         self.front_port = free_port(every)
@@ -156,7 +160,11 @@
             self._log_begins[ip] = log.tell()
             self.processes[ip] = subprocess.Popen(
                 [sys.executable, "-m", "leadseam.cli.node", role],
-                env={**os.environ, names.SETTINGS_VARIABLE: str(path)},
+                env={
+                    **os.environ,
+                    names.SETTINGS_VARIABLE: str(path),
+                    **self._clock_environment(ip),
+                },
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -208,6 +216,16 @@
         """Send a signal to the process of a box."""
         self.processes[ip].send_signal(number)
 
+    async def suspend(self, ip: str, length: float) -> None:
+        """Suspend the box of an address for some seconds."""
+        await self._clocks[ip].suspend(lambda number: self.signal(ip, number), length)
+
+    def _clock_environment(self, ip: str) -> dict[str, str]:
+        if not self.suspendable:
+            return {}
+        clock = self._clocks[ip] = SteadyClock(self.folder, ip)
+        return clock.environment
+
     def kill(self, ip: str) -> None:
         """Kill the process of a box."""
         self.processes[ip].kill()
