Decisions go by a clock that counts the time for which the box was suspended

Cause: leases, deadlines and ages were worked out from CLOCK_MONOTONIC, which stands still while a box is suspended, and timers of the event loop leave that time out too. Now the project's clock is CLOCK_BOOTTIME where there is one (the line at the start says which), and a watch compares both clocks every 20 ms: after a suspension deadlines are set anew, all that waits is looked at, idle connections are closed, and an entry calls itself not ready until its configuration is confirmed. Nothing is placed past its deadline. A control box takes no upstream for silent that it could not hear itself: the same fault showed with a plain standstill of all control boxes. Lag leaves the time out.

The state machine of registrations passes time in looks of 500 ms, as the product does, for a jump now reads as a standstill; its checks are as before.

--- a/src/leadseam/clock.py
+++ b/src/leadseam/clock.py
@@ -7,6 +7,7 @@
 from typing import Protocol, TypeAlias
 
 from leadseam import STARTED_NS
+from leadseam.steady import running_ns, steady_ns
 
 Millis: TypeAlias = int
 
@@ -15,10 +16,16 @@
 
 
 class Clock(Protocol):
-    """A source of monotonic and wall-clock time."""
+    """A source of steady and wall-clock time."""
 
     def now(self) -> Millis:
-        """Return monotonic milliseconds."""
+        """Return steady milliseconds, the time included for which the box was away.
+
+        All leases, deadlines and ages go by it.
+        """
+
+    def running(self) -> Millis:
+        """Return steady milliseconds without the time away, as timers count them."""
 
     def wall(self) -> Millis:
         """Return milliseconds since the Unix epoch."""
@@ -28,8 +35,12 @@
     """The clock of the running machine."""
 
     def now(self) -> Millis:
-        """Return monotonic milliseconds."""
-        return time.monotonic_ns() // NANOS_PER_MILLI
+        """Return steady milliseconds, suspended time included where that is known."""
+        return steady_ns() // NANOS_PER_MILLI
+
+    def running(self) -> Millis:
+        """Return steady milliseconds without suspended time."""
+        return running_ns() // NANOS_PER_MILLI
 
     def wall(self) -> Millis:
         """Return milliseconds since the Unix epoch."""
@@ -37,7 +48,7 @@
 
 
 def process_start() -> Millis:
-    """Return when this process started, as monotonic milliseconds."""
+    """Return when this process started, as milliseconds of the steady clock."""
     return STARTED_NS // NANOS_PER_MILLI
 
 
@@ -50,6 +61,7 @@
 
     def __init__(self, start: Millis = 0) -> None:
         self._now = start
+        self._away: Millis = 0
 
     def __repr__(self) -> str:
         return f"ManualClock({self._now})"
@@ -58,6 +70,15 @@
         """Return the time set by hand."""
         return self._now
 
+    def running(self) -> Millis:
+        """Return the time set by hand without suspensions."""
+        return self._now - self._away
+
+    def suspend(self, millis: Millis) -> Millis:
+        """Let time pass that only `now` counts, and return the new time."""
+        self._away += millis
+        return self.advance(millis)
+
     def wall(self) -> Millis:
         """Return the same time as `now`."""
         return self._now
--- a/src/leadseam/emulate/virtual.py
+++ b/src/leadseam/emulate/virtual.py
@@ -51,6 +51,10 @@
         """Return the virtual milliseconds."""
         return round(self._loop.time() * MILLIS_PER_SECOND)
 
+    def running(self) -> Millis:
+        """Return the same: nothing is ever suspended here."""
+        return self.now()
+
     def wall(self) -> Millis:
         """Return the same: nothing here depends on the time of day."""
         return self.now()
--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -20,6 +20,11 @@
 MISSED_HEARTBEATS = 6
 """Heartbeats that may be missing before an upstream is dropped. They may come seconds
 late, and entries find dead upstreams by themselves, so this is only housekeeping."""
+MAX_STEP: Millis = 1_000
+"""Time between two looks that counts as listening: twice their interval. A box that
+stood still for longer has heard nobody, which says nothing of them. Without that, all
+control boxes away at once for 8 s took every upstream from the entries that follow
+them, until the next heartbeats."""
 MAX_ROWS = 10_000
 """Upstreams heard at a time: some 5 MB, and far more than a fleet has."""
 
@@ -40,6 +45,7 @@
     def __init__(self, heartbeat_interval: Millis) -> None:
         self._limit = heartbeat_interval * MISSED_HEARTBEATS
         self._rows: dict[str, _Row] = {}
+        self._looked_at: Millis | None = None
 
     def __repr__(self) -> str:
         return f"Registry(upstreams={len(self._rows)})"
@@ -73,7 +79,11 @@
             del self._rows[incarnation.instance]
 
     def expire(self, now: Millis) -> tuple[Incarnation, ...]:
-        """Drop and return the upstreams that have been silent for too long."""
+        """Drop and return the upstreams that have been silent for too long.
+
+        To be called again and again, more often than every `MAX_STEP`.
+        """
+        self._leave_out_standstill(now)
         lost = tuple(
             row.registration.incarnation
             for row in self._rows.values()
@@ -83,6 +93,14 @@
             del self._rows[incarnation.instance]
         return lost
 
+    def _leave_out_standstill(self, now: Millis) -> None:
+        """Count no time in which this box could not listen."""
+        before, self._looked_at = self._looked_at, now
+        if before is None or now - before <= MAX_STEP:
+            return
+        for row in self._rows.values():
+            row.heard_at = min(row.heard_at + now - before - MAX_STEP, now)
+
     def hears(self, registration: Registration) -> bool:
         """Tell whether this start of an upstream is heard here, for the same pool."""
         row = self._rows.get(registration.instance)
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -22,6 +22,7 @@
 from leadseam.platform.watch import SettingsWatch
 from leadseam.runtime.admin import serve_admin
 from leadseam.runtime.metrics import ControlMetrics, Metrics
+from leadseam.runtime.suspension import SuspensionWatch
 from leadseam.wire.link import listen
 
 if TYPE_CHECKING:
@@ -106,6 +107,8 @@
         )
         self._api = ControlApi(service)
         self._watch = SettingsWatch(path, settings, self._on_settings)
+        # Nothing to do: leases and ages go by a clock that counts the time away.
+        self._suspension = SuspensionWatch(clock, self._metrics)
         self._links: LinkServer | None = None
         self._runner: AppRunner | None = None
         self._admin: AppRunner | None = None
@@ -139,6 +142,7 @@
             group.create_task(self._feed.run())
             group.create_task(self._watch.run())
             group.create_task(self._end_on_failure())
+            group.create_task(self._suspension.run())
 
     async def drain(self) -> None:
         """Nothing is in flight for long; the group is told that this box stops."""
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -20,6 +20,7 @@
 from leadseam.runtime.admin import serve_admin
 from leadseam.runtime.lag import LoopLag
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
+from leadseam.runtime.suspension import SuspensionWatch
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -43,6 +44,9 @@
 STOP_RESERVE: Millis = 700
 """Time kept before the platform kills the process, to close in order."""
 DRAIN_POLL: Millis = 50
+STALE_LIMIT: Millis = 5_000
+"""Time after a suspension for which an entry without confirmation calls itself not
+ready. Without a control group it serves what it knows then, as the others do."""
 
 log = logging.getLogger(__name__)
 
@@ -80,6 +84,10 @@
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
         self._lag = LoopLag(self._clock, self._show_lag)
+        self._suspension = SuspensionWatch(
+            self._clock, self._metrics, on_resume=self._on_resume
+        )
+        self._stale_since: Millis | None = None
         self._watch = SettingsWatch(path, settings, self._on_settings)
         self._client: UpstreamClient | None = None
         self._gateway: Gateway | None = None
@@ -122,6 +130,7 @@
             group.create_task(self._sweep())
             group.create_task(self._report_load())
             group.create_task(self._lag.run())
+            group.create_task(self._suspension.run())
 
     async def drain(self) -> None:
         """Fail the readiness question, go on serving, end after the last answer."""
@@ -170,6 +179,12 @@
     def _open_connections(self) -> int:
         return len(self._front.connections) if self._front is not None else 0
 
+    def _on_resume(self) -> None:
+        assert self._gateway is not None
+        if not self._feed.fresh:
+            self._stale_since = self._clock.now()
+        self._gateway.resumed()
+
     def _show_lag(self, lag: Millis) -> None:
         self._routing_metrics.lag.set({}, lag)
 
@@ -206,4 +221,15 @@
             return "stopping"
         if not self._feed.confirmed:
             return "no confirmed configuration"
+        if self._is_stale():
+            return "suspended, and not confirmed since"
         return ""
+
+    def _is_stale(self) -> bool:
+        """Tell whether what was known before a suspension is still unconfirmed."""
+        if self._stale_since is None:
+            return False
+        if self._feed.fresh or self._clock.now() - self._stale_since > STALE_LIMIT:
+            self._stale_since = None
+            return False
+        return True
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -109,6 +109,15 @@
         else:
             super().__init__(limit=0, keepalive_timeout=seconds(IDLE_LIMIT))
 
+    def drop_idle(self) -> int:
+        """Close the connections that nobody uses; return their number."""
+        idle = [conn for conns in self._conns.values() for conn, _ in conns]
+        for conn in idle:
+            # The pool passes over those that are closed.
+            conn.force_close()
+            conn.close()
+        return len(idle)
+
     async def _wrap_create_connection(
         self,
         *args: Any,
@@ -141,16 +150,16 @@
 
 
 def open_session(
-    *, force_close: bool, connect_timeout: Millis
+    connector: UpstreamConnector, *, connect_timeout: Millis
 ) -> aiohttp.ClientSession:
     """Open a session that passes headers and bodies on as they are.
 
     Args:
-        force_close: Whether each request has a connection of its own.
+        connector: Opens its connections.
         connect_timeout: Time to open a connection.
     """
     session = aiohttp.ClientSession(
-        connector=UpstreamConnector(force_close=force_close),
+        connector=connector,
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=seconds(connect_timeout)
         ),
@@ -169,12 +178,17 @@
     """Sends requests to upstreams by address."""
 
     def __init__(self) -> None:
-        self._pooled = open_session(force_close=False, connect_timeout=CONNECT_TIMEOUT)
+        self._connector = UpstreamConnector(force_close=False)
+        self._pooled = open_session(self._connector, connect_timeout=CONNECT_TIMEOUT)
         # A reused connection may turn out to be closed after the request was written.
         self._single_use = open_session(
-            force_close=True, connect_timeout=CONNECT_TIMEOUT
+            UpstreamConnector(force_close=True), connect_timeout=CONNECT_TIMEOUT
         )
 
+    def drop_idle(self) -> int:
+        """Close idle connections, which may be dead; return their number."""
+        return self._connector.drop_idle()
+
     async def close(self) -> None:
         """Close all connections."""
         await self._pooled.close()
--- a/src/leadseam/routing/crash_guard.py
+++ b/src/leadseam/routing/crash_guard.py
@@ -20,6 +20,8 @@
 from leadseam.wire.crashes import Crashes
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from leadseam.clock import Clock
     from leadseam.crashes.fingerprint import Fingerprint
     from leadseam.feed.client import FeedClient
@@ -45,27 +47,25 @@
         feed: Registered upstreams, and the way to the other entries.
         client: Connections to upstreams.
         clock: Source of time.
+        running: Requests under way, kept up to date by their owner.
     """
 
     def __init__(
-        self, *, feed: FeedClient, client: UpstreamClient, clock: Clock
+        self,
+        *,
+        feed: FeedClient,
+        client: UpstreamClient,
+        clock: Clock,
+        running: Collection[Exchange],
     ) -> None:
         self._feed = feed
         self._client = client
         self._clock = clock
         self._suspects = Suspects()
-        self._running: set[Exchange] = set()
+        self._running = running
 
     def __repr__(self) -> str:
-        return f"CrashGuard(running={len(self._running)}, {self._suspects!r})"
-
-    def enter(self, exchange: Exchange) -> None:
-        """Note a request under way, which may be convicted meanwhile."""
-        self._running.add(exchange)
-
-    def leave(self, exchange: Exchange) -> None:
-        """Note that a request has ended."""
-        self._running.discard(exchange)
+        return f"CrashGuard({self._suspects!r})"
 
     def refusal(self, admitted: Admitted) -> Reason | None:
         """Return why a request must not be sent to an upstream now, if so.
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from leadseam.clock import seconds
 from leadseam.control.routes import Repeat
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.routing.attempt import (
@@ -77,6 +78,7 @@
         self._gateway = gateway
         self._request = admitted
         self._progress = _Progress()
+        self._limit: asyncio.Timeout | None = None
         self._watch: SilenceWatch | None = None
         self._ended_here = False
         self._reply = Reply(
@@ -108,6 +110,13 @@
         """When the first byte went to the caller, `NOT_YET` before."""
         return self._reply.first_byte_at
 
+    def look_at_deadline(self) -> None:
+        """Set the timer to the time that is left: it leaves out suspended time."""
+        if self._limit is not None:
+            left = self._request.deadline - self._gateway.now()
+            loop = asyncio.get_running_loop()
+            self._limit.reschedule(loop.time() + seconds(max(left, 1)))
+
     def end_attempt(self) -> None:
         """End the attempt under way, if any: the request must not reach upstreams."""
         if self._watch is not None:
@@ -116,9 +125,9 @@
 
     async def run(self) -> web.StreamResponse:
         """Return the finished response; the caller's connection may be cut instead."""
-        left = self._request.deadline - self._gateway.now()
         try:
-            async with asyncio.timeout(max(left, 1) / 1_000):
+            async with asyncio.timeout(None) as self._limit:
+                self.look_at_deadline()
                 return await self._forward()
         except TimeoutError:
             return self._out_of_time()
@@ -136,6 +145,10 @@
             if isinstance(flight, Reason):
                 return self._not_placed(flight)
             reason = self._gateway.crash_guard.refusal(self._request)
+            if self._gateway.now() >= self._request.deadline:
+                # The box was suspended while it waited, and the timer is late.
+                flight.end()
+                return self._out_of_time()
             if reason is not None:
                 # It may have been convicted while it waited for room.
                 flight.end()
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -68,6 +69,9 @@
 """Pause told to a caller that a busy entry refuses; other entries have time now."""
 
 
+log = logging.getLogger(__name__)
+
+
 class Gateway:
     """Forwards routed requests.
 
@@ -109,7 +113,10 @@
         self._connections = connections
         self._first_configuration = FirstConfiguration(feed)
         self.restarts = Restarts()
-        self.crash_guard = CrashGuard(feed=feed, client=client, clock=clock)
+        self._running: set[Exchange] = set()
+        self.crash_guard = CrashGuard(
+            feed=feed, client=client, clock=clock, running=self._running
+        )
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self.placer = Placer(feed=feed, health=self._health, clock=clock, rng=rng)
@@ -147,6 +154,18 @@
         self.prepare(response)
         return response
 
+    def resumed(self) -> None:
+        """Look at all that may be due after the box was suspended."""
+        for exchange in list(self._running):
+            exchange.look_at_deadline()
+        self.placer.look()
+        extra = {
+            "requests": len(self._running),
+            "connections_closed": self.client.drop_idle(),
+            "config_age_ms": self._feed.age,
+        }
+        log.info("requests under way looked at", extra=extra)
+
     def prepare(self, response: web.StreamResponse) -> None:
         """End the caller's connection after this response where that is due."""
         if response.prepared:
@@ -190,14 +209,14 @@
         self, http: web.BaseRequest, admitted: Admitted
     ) -> web.StreamResponse:
         exchange = Exchange(self, http, admitted)
-        self.crash_guard.enter(exchange)
+        self._running.add(exchange)
         try:
             return await exchange.run()
         except CallerGoneError:
             # The connection is closed or cut already; nothing can be sent on it.
             return web.Response(status=499)
         finally:
-            self.crash_guard.leave(exchange)
+            self._running.discard(exchange)
             self.request_log.end(exchange, admitted)
 
     # Admission
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -110,6 +110,10 @@
             placement, admitted.req, self._balancer, self._clock, self._pump_soon
         )
 
+    def look(self) -> None:
+        """Look at all that waits now, whatever its timers say."""
+        self._admission.pump(self._clock.now())
+
     def load_report(self) -> LoadReport:
         """Return this entry's counts for the other entries."""
         return self._balancer.loads.report(self._usage.rows(self._clock.now()))
--- a/src/leadseam/runtime/lag.py
+++ b/src/leadseam/runtime/lag.py
@@ -1,4 +1,6 @@
-"""How late the event loop runs what is due, as it does for want of processor time."""
+"""How late the event loop runs what is due, as it does for want of processor time.
+
+It goes by the clock that leaves suspended time out: a box that was away is not busy."""
 
 from __future__ import annotations
 
@@ -34,7 +36,7 @@
     ) -> None:
         self._clock = clock
         self._on_measure = on_measure
-        self._due: Millis = clock.now() + INTERVAL
+        self._due: Millis = clock.running() + INTERVAL
         self._lag: float = 0.0
         self._notable = False
 
@@ -44,18 +46,18 @@
     @property
     def millis(self) -> Millis:
         """The lag, with what the next measurement is late already."""
-        return round(max(self._lag, self._clock.now() - self._due))
+        return round(max(self._lag, self._clock.running() - self._due))
 
     async def run(self) -> None:
         """Measure until cancelled."""
         while True:
-            self._due = self._clock.now() + INTERVAL
+            self._due = self._clock.running() + INTERVAL
             await sleep(INTERVAL)
             self.measure()
 
     def measure(self) -> None:
         """Note how late the last measurement came."""
-        late = max(self._clock.now() - self._due, 0)
+        late = max(self._clock.running() - self._due, 0)
         self._lag = max(float(late), self._lag * KEPT)
         self._on_measure(self.millis)
         if (self._lag > NOTABLE) is not self._notable:
--- a/src/leadseam/runtime/process.py
+++ b/src/leadseam/runtime/process.py
@@ -9,6 +9,7 @@
 import sys
 from typing import TYPE_CHECKING, NoReturn, Protocol
 
+from leadseam import steady
 from leadseam.errors import LeadseamError, SettingsError, StorageError
 from leadseam.runtime.logs import configure_logs
 from leadseam.runtime.loop import run_in_aiomisc
@@ -78,7 +79,7 @@
     # What start-up made stays for good: the collector need not look at it again.
     gc.enable()
     gc.freeze()
-    log.info("started")
+    log.info("started", extra={"clock": steady.NAME})
     return await _serve(program, stopping)
 
 
--- a/tests/feed/test_client.py
+++ b/tests/feed/test_client.py
@@ -17,6 +17,10 @@
     def now(self) -> Millis:
         return self.time
 
+    def running(self) -> Millis:
+        """Return the same: nothing is ever suspended here."""
+        return self.now()
+
     def wall(self) -> Millis:
         return self.time
 
--- a/tests/membership/test_incarnations.py
+++ b/tests/membership/test_incarnations.py
@@ -20,6 +20,7 @@
 from leadseam.wire.feed import Registration
 from tests.routing.samples import make_upstream
 
+LOOK_INTERVAL = 500
 INTERVAL = 1_000
 EARLIER = make_upstream(1, start=1_000, sequence=500)
 LATER = make_upstream(1, start=2_000, sequence=1)
@@ -207,10 +208,13 @@
 
     @rule(step=st.sampled_from([10, 1_000, MISSED_HEARTBEATS * INTERVAL + 1]))
     def wait(self, step: int) -> None:
-        self.now += step
-        for replica, registry in self.registries.items():
-            self.view.expired(replica, registry.expire(self.now))
-        self.view.sweep(self.now)
+        # Replicas and entries look every so often while time passes.
+        end = self.now + step
+        while self.now < end:
+            self.now = min(self.now + LOOK_INTERVAL, end)
+            for replica, registry in self.registries.items():
+                self.view.expired(replica, registry.expire(self.now))
+            self.view.sweep(self.now)
         known = {one.instance for one in used(self.view)}
         # Once nobody holds an upstream, what is heard next counts.
         self.told = {name: start for name, start in self.told.items() if name in known}
@@ -218,8 +222,7 @@
     @rule()
     def settle(self) -> None:
         """Once each live server was heard and all else is over, they are used."""
-        self.now += max(KEPT_AFTER_LOSS, MISSED_HEARTBEATS * INTERVAL) + 1
-        self.wait(1)
+        self.wait(max(KEPT_AFTER_LOSS, MISSED_HEARTBEATS * INTERVAL) + 2)
         for number, row in list(self.live.items()):
             beat = msgspec.structs.replace(row, sequence=row.sequence + 1)
             self.live[number] = beat
--- a/tests/membership/test_registry.py
+++ b/tests/membership/test_registry.py
@@ -34,3 +34,16 @@
     assert registry.expire(limit) == ()
     assert registry.expire(limit + 1) == (make_upstream(1).incarnation,)
     assert registry.heartbeat(make_upstream(1, sequence=2), limit + 2)
+
+
+def test_a_box_that_could_not_listen_takes_nobody_for_silent() -> None:
+    registry = Registry(INTERVAL)
+    registry.heartbeat(make_upstream(1), 0)
+    limit = INTERVAL * MISSED_HEARTBEATS
+    assert registry.expire(500) == ()
+    # It was away for 20 s; a second of them may have been silence.
+    assert registry.expire(20_500) == ()
+    for now in range(21_000, 20_500 + limit - 1_500 + 1, 500):
+        assert registry.expire(now) == ()
+    lost = registry.expire(20_500 + limit)
+    assert lost == (make_upstream(1).incarnation,)
--- a/tests/platform/test_suspended_box.py
+++ b/tests/platform/test_suspended_box.py
@@ -4,14 +4,13 @@
 clock leaves that time out, and so do the timers of its event loop: what was due is late
 by the time away, and what was believed looks as fresh as before.
 The evidence: before the repair the clock below showed 1 ms for a suspension of 1 s, an
-upstream was told of 4,948 ms where 3,000 were left, and a request whose deadline had
+upstream was told of 4,945 ms where 3,000 were left, and a request whose deadline had
 passed was answered after one that had 2 s left.
 """
 
 from __future__ import annotations
 
 import asyncio
-import os
 import subprocess
 import sys
 from typing import TYPE_CHECKING
@@ -32,6 +31,9 @@
 AWAY = 2.0
 """Seconds for which a box is suspended."""
 SHOW_CLOCK = """
+import sys
+from tools.platform.suspendable import leave_out
+leave_out(sys.argv[1])
 from leadseam.clock import SystemClock
 clock = SystemClock()
 while input():
@@ -51,10 +53,9 @@
 
 
 async def test_the_clock_counts_the_time_away(tmp_path: Path) -> None:
-    steady = SteadyClock(tmp_path, "clock")
+    steady = SteadyClock(tmp_path / "left-out")
     with subprocess.Popen(
-        [sys.executable, "-c", SHOW_CLOCK],
-        env={**os.environ, **steady.environment},
+        [sys.executable, "-c", SHOW_CLOCK, str(steady.file)],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         text=True,
--- a/tests/runtime/test_lag.py
+++ b/tests/runtime/test_lag.py
@@ -29,3 +29,10 @@
         lag._due = clock.now()
         lag.measure()
     assert lag.millis == 0
+
+
+def test_a_suspension_is_no_lag() -> None:
+    clock = ManualClock(1_000)
+    lag = LoopLag(clock)
+    clock.suspend(5_000)
+    assert lag.millis == 0
--- /dev/null
+++ b/tests/runtime/test_suspension.py
@@ -0,0 +1,30 @@
+"""Suspensions are noticed, once each, and nothing else is taken for one."""
+
+from __future__ import annotations
+
+from leadseam.clock import ManualClock
+from leadseam.runtime.metrics import Metrics
+from leadseam.runtime.suspension import NOTABLE, SuspensionWatch
+
+
+def test_each_suspension_is_told_once() -> None:
+    clock = ManualClock(5_000)
+    resumed: list[int] = []
+    metrics = Metrics()
+    watch = SuspensionWatch(clock, metrics, on_resume=lambda: resumed.append(1))
+    clock.suspend(2_000)
+    watch.look()
+    watch.look()
+    clock.suspend(300)
+    watch.look()
+    assert len(resumed) == 2
+    assert b"leadseam_suspended_ms_total 2300" in metrics.render()
+
+
+def test_a_box_that_stands_still_or_is_busy_is_not_suspended() -> None:
+    clock = ManualClock(5_000)
+    watch = SuspensionWatch(clock, Metrics(), on_resume=lambda: None)
+    clock.advance(20_000)
+    clock.suspend(NOTABLE - 1)
+    watch.look()
+    assert "left_out=49" in repr(watch)
--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -201,7 +201,9 @@
     Variant(
         "a routed request that ran is told as not run",
         "routing/exchange.py",
+        "            case Broken(reason=reason):\n"
         "                return self._give_up(reason)\n",
+        "            case Broken(reason=reason):\n"
         "                return self._refuse(Reason.UPSTREAM_FULL)\n",
         SOAK,
     ),
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -18,6 +18,7 @@
 import aiohttp
 
 from leadseam.platform import names
+from tools.platform import suspension
 from tools.platform.standin import Operator, Server
 from tools.platform.suspension import SteadyClock
 from tools.waiting import until
@@ -159,12 +160,8 @@
         with open(self.folder / f"{ip}.log", "ab") as log:
             self._log_begins[ip] = log.tell()
             self.processes[ip] = subprocess.Popen(
-                [sys.executable, "-m", "leadseam.cli.node", role],
-                env={
-                    **os.environ,
-                    names.SETTINGS_VARIABLE: str(path),
-                    **self._clock_environment(ip),
-                },
+                [sys.executable, "-m", *self._program(ip), role],
+                env={**os.environ, names.SETTINGS_VARIABLE: str(path)},
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -220,11 +217,11 @@
         """Suspend the box of an address for some seconds."""
         await self._clocks[ip].suspend(lambda number: self.signal(ip, number), length)
 
-    def _clock_environment(self, ip: str) -> dict[str, str]:
+    def _program(self, ip: str) -> list[str]:
         if not self.suspendable:
-            return {}
-        clock = self._clocks[ip] = SteadyClock(self.folder, ip)
-        return clock.environment
+            return ["leadseam.cli.node"]
+        clock = self._clocks[ip] = SteadyClock(self.folder / f"{ip}.left-out")
+        return [suspension.MODULE, str(clock.file)]
 
     def kill(self, ip: str) -> None:
         """Kill the process of a box."""
--- /dev/null
+++ b/tools/platform/suspendable.py
@@ -0,0 +1,51 @@
+"""Run a node whose steady clock leaves out the time for which it was suspended.
+
+Usage: python -m tools.platform.suspendable FILE ROLE
+
+FILE holds, as eight bytes in the machine's order, the nanoseconds left out so far. The
+steady clock of Python and the timers of an event loop go by it; CLOCK_BOOTTIME and the
+time of day stay as they are. The loop is Python's own, as others ask the system.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import struct
+import sys
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from leadseam.runtime.loop import Main
+
+SIZE = 8
+"""Bytes of the file."""
+
+
+def leave_out(path: str) -> None:
+    """Have the steady clock of this process leave out what a file says."""
+    real_ns = time.monotonic_ns
+    file = os.open(path, os.O_RDONLY)
+
+    def monotonic_ns() -> int:
+        (left_out,) = struct.unpack("=q", os.pread(file, SIZE, 0))
+        return real_ns() - int(left_out)
+
+    time.monotonic_ns = monotonic_ns
+    time.monotonic = lambda: monotonic_ns() / 1e9
+
+
+def run_in_own_loop(main: Main) -> int:
+    """Run a program in Python's event loop, and return its exit code."""
+    with asyncio.Runner(loop_factory=asyncio.SelectorEventLoop) as runner:
+        return runner.run(main)
+
+
+if __name__ == "__main__":
+    leave_out(sys.argv.pop(1))
+    # Later than the clock, which what it imports may keep.
+    from leadseam.cli import node
+
+    vars(node)["run_in_uvloop"] = run_in_own_loop
+    node.main()
