--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -21,6 +21,8 @@
 BOXES = ("a", "b", "c")
 TICK = 50
 MAX_MESSAGES = 400
+MAX_DELIVERED = 100_000
+"""Messages handed over in one round, far above what a round brings about."""
 
 
 @dataclass
@@ -64,6 +66,7 @@
         self.losses = (len(names) - 1) // 2
         self.boxes: dict[str, Box] = {}
         self.cut_off: set[str] = set()
+        self.suspended: dict[str, list[tuple[str, RaftMessage]]] = {}
         self.network: list[tuple[str, RaftMessage]] = []
         self.leaders: dict[int, str] = {}
         self.committed: dict[int, bytes] = {}
@@ -76,6 +79,7 @@
 
     def start(self, name: str) -> None:
         """Start a replica from its disk."""
+        self.suspended.pop(name, None)
         box = self.boxes[name]
         self.seed += 1
         disk = box.disk
@@ -91,6 +95,15 @@
         box.raft.set_snapshot_data(disk.snapshot)
         box.applied = decode_applied(disk.snapshot)
 
+    def suspend(self, name: str) -> None:
+        """Let a box stand still; what it is about to send is sent later."""
+        self.suspended.setdefault(name, [])
+
+    def resume(self, name: str) -> None:
+        """Let a box go on: first with what it was doing."""
+        for target, message in self.suspended.pop(name, []):
+            self._carry(target, message)
+
     def work(self, name: str) -> None:
         """Do what a replica's core asks for, as its owner does."""
         box = self.boxes[name]
@@ -120,8 +133,14 @@
         for target in targets:
             if self.cut_off & {sender, target}:
                 continue
-            if len(self.network) < MAX_MESSAGES:
-                self.network.append((target, message))
+            if sender in self.suspended:
+                self.suspended[sender].append((target, message))
+            else:
+                self._carry(target, message)
+
+    def _carry(self, target: str, message: RaftMessage) -> None:
+        if len(self.network) < MAX_MESSAGES:
+            self.network.append((target, message))
 
     def _apply(self, box: Box, entries: tuple[LogEntry, ...]) -> None:
         for entry in entries:
@@ -140,6 +159,10 @@
         to, message = self.network[position]
         if not keep:
             del self.network[position]
+        if to in self.suspended:
+            # It waits in the box's socket, if there is room.
+            self.network.append((to, message))
+            return
         raft = self.boxes[to].raft if to in self.boxes else None
         if raft is not None:
             raft.receive(self.now, message)
@@ -149,7 +172,7 @@
         """Let time pass for all."""
         self.now += millis
         for name, box in self.boxes.items():
-            if box.raft is not None:
+            if box.raft is not None and name not in self.suspended:
                 box.raft.tick(self.now)
                 self.work(name)
 
@@ -157,8 +180,18 @@
         """Run without faults."""
         for _ in range(rounds):
             self.tick(TICK)
-            while self.network:
-                self.deliver(0)
+            for _ in range(MAX_DELIVERED):
+                position = self._deliverable()
+                if position is None:
+                    break
+                self.deliver(position)
+
+    def _deliverable(self) -> int | None:
+        """Return the position of the first message that its box can read, or None."""
+        for position, (to, _) in enumerate(self.network):
+            if to not in self.suspended:
+                return position
+        return None
 
     def leader(self) -> Raft | None:
         """Return the leader of the highest term, if any."""
@@ -166,10 +199,19 @@
         leading = [raft for raft in rafts if raft.role is Role.LEADER]
         return max(leading, key=lambda raft: raft.term, default=None)
 
+    def holding_leases(self) -> list[Raft]:
+        """Return the leaders that may answer for the group at this moment."""
+        rafts = [box.raft for box in self.boxes.values() if box.raft is not None]
+        return [
+            raft
+            for raft in rafts
+            if raft.role is Role.LEADER and raft.holds_lease(self.now)
+        ]
+
     def propose(self, data: bytes) -> bool:
         """Propose through the leader."""
         leader = self.leader()
-        if leader is None:
+        if leader is None or base_name(leader.identity) in self.suspended:
             return False
         index = leader.propose(self.now, EntryKind.COMMAND, data)
         self.work(base_name(leader.identity))
--- a/tests/platform/test_suspended_box.py
+++ b/tests/platform/test_suspended_box.py
@@ -58,20 +58,19 @@
         [sys.executable, "-c", SHOW_CLOCK, str(steady.file)],
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
-        text=True,
     ) as process:
         assert process.stdin is not None and process.stdout is not None
 
         def show() -> int:
             assert process.stdin is not None and process.stdout is not None
-            process.stdin.write("now\n")
+            process.stdin.write(b"now\n")
             process.stdin.flush()
             return int(process.stdout.readline())
 
         before = show()
-        await steady.suspend(process.send_signal, 1.0)
+        await steady.suspend(process, 1.0)
         assert show() - before >= 1_000
-        process.stdin.write("\n")
+        process.stdin.write(b"\n")
 
 
 async def held_by(platform: Platform, path: str) -> Server:
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -36,6 +36,16 @@
     assert summary.checked["recovered"] == 2
 
 
+@pytest.mark.parametrize("seed", [202, 203])
+async def test_promises_are_kept_where_boxes_are_suspended(
+    tmp_path: Path, seed: int
+) -> None:
+    summary = await run_seed(tmp_path, seed, replace(SIZE, suspended=True))
+    assert not summary.broken, str(summary)
+    assert summary.faults["Freeze"] >= 4
+    assert summary.checked["recovered"] == 2
+
+
 @pytest.mark.parametrize("seed", [3, 5, 18, 22, 922])
 async def test_promises_are_kept(tmp_path: Path, seed: int) -> None:
     summary = await run_seed(tmp_path, seed, SIZE)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -81,6 +81,25 @@
         self.cluster.start(name)
         self.cluster.work(name)
 
+    @rule(name=st.sampled_from(BOXES))
+    def suspend(self, name: str) -> None:
+        """Let a box stand still from now on, also before it sends what it decided."""
+        self.cluster.suspend(name)
+
+    @rule(name=st.sampled_from(BOXES))
+    def suspend_before_it_sends(self, name: str) -> None:
+        """Let it stand still between its decision, as synced, and the message on it."""
+        box = self.cluster.boxes[name]
+        if box.raft is None or name in self.cluster.suspended:
+            return
+        box.raft.tick(self.cluster.now)
+        self.cluster.suspend(name)
+        self.cluster.work(name)
+
+    @rule(name=st.sampled_from(BOXES))
+    def resume(self, name: str) -> None:
+        self.cluster.resume(name)
+
     @rule(name=st.sampled_from(BOXES))
     def compact(self, name: str) -> None:
         box = self.cluster.boxes[name]
@@ -104,6 +123,11 @@
         assert leader is not None
         assert self.cluster.boxes[name].disk.identity in leader.membership.voters
 
+    @invariant()
+    def one_leader_at_most_holds_a_lease(self) -> None:
+        if hasattr(self, "cluster"):
+            assert len(self.cluster.holding_leases()) <= 1
+
     @invariant()
     def logs_agree(self) -> None:
         for box in self.cluster.boxes.values():
@@ -121,6 +145,8 @@
             assert box.applied == expected
 
     def _repair(self) -> None:
+        for name in list(self.cluster.suspended):
+            self.cluster.resume(name)
         for name, box in self.cluster.boxes.items():
             if box.raft is None:
                 self.cluster.start(name)
@@ -158,6 +184,21 @@
     assert not leader.is_current(cluster.now)
 
 
+def test_a_leader_that_was_suspended_holds_no_lease_beside_the_next_one() -> None:
+    cluster = elected()
+    before = cluster.leader()
+    assert before is not None
+    cluster.suspend(base_name(before.identity))
+    suspended_at = cluster.now
+    cluster.settle(20)
+    after = cluster.leader()
+    assert after is not None and after.identity != before.identity
+    cluster.resume(base_name(before.identity))
+    assert cluster.holding_leases() == [after]
+    # By a clock that leaves the time away out, both would answer for the group.
+    assert before.role is Role.LEADER and before.holds_lease(suspended_at)
+
+
 def test_a_cut_off_follower_is_not_current() -> None:
     cluster = elected()
     follower = next(
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -215,13 +215,15 @@
 
     async def suspend(self, ip: str, length: float) -> None:
         """Suspend the box of an address for some seconds."""
-        await self._clocks[ip].suspend(lambda number: self.signal(ip, number), length)
+        await self._clocks[ip].suspend(self.processes[ip], length)
 
     def _program(self, ip: str) -> list[str]:
         if not self.suspendable:
             return ["leadseam.cli.node"]
-        clock = self._clocks[ip] = SteadyClock(self.folder / f"{ip}.left-out")
-        return [suspension.MODULE, str(clock.file)]
+        if ip not in self._clocks:
+            # One for all processes of a box: the clock is the box's.
+            self._clocks[ip] = SteadyClock(self.folder / f"{ip}.left-out")
+        return [suspension.MODULE, str(self._clocks[ip].file)]
 
     def kill(self, ip: str) -> None:
         """Kill the process of a box."""
--- a/tools/platform/suspension.py
+++ b/tools/platform/suspension.py
@@ -14,8 +14,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from pathlib import Path
+    from subprocess import Popen
 
 MODULE = "tools.platform.suspendable"
 
@@ -30,25 +30,28 @@
     def __init__(self, file: Path) -> None:
         self.file = file
         self._nanos = 0
+        self._under_way = 0
+        self._began = 0
         self._write()
 
-    async def suspend(
-        self, send: Callable[[signal.Signals], None], length: float
-    ) -> None:
-        """Suspend a process for some seconds.
+    async def suspend(self, process: Popen[bytes], length: float) -> None:
+        """Suspend a process for some seconds; one may begin before another is over.
 
-        Args:
-            send: Sends it a signal.
-            length: Seconds.
+        A process that is killed meanwhile takes nothing over to the next one.
         """
-        send(signal.SIGSTOP)
-        began = time.monotonic_ns()
+        self._under_way += 1
+        process.send_signal(signal.SIGSTOP)
+        if self._under_way == 1:
+            self._began = time.monotonic_ns()
         try:
             await asyncio.sleep(length)
         finally:
-            self._nanos += time.monotonic_ns() - began
-            self._write()
-            send(signal.SIGCONT)
+            self._under_way -= 1
+            if not self._under_way and process.poll() is None:
+                self._nanos += time.monotonic_ns() - self._began
+                self._write()
+            if not self._under_way:
+                process.send_signal(signal.SIGCONT)
 
     def _write(self) -> None:
         # In place: the process has the file open.
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -17,6 +17,7 @@
   --same-ids     Servers start again under their ids, and somebody writes registrations
                  that name none.
   --deadly       Some requests crash the servers that begin them.
+  --suspended    Boxes stand still more often, and their steady clocks with them.
 
 The exit code is 0 if all promises were kept, else 1.
 """
@@ -51,6 +52,7 @@
         timed=not args["--untimed"],
         same_ids=args["--same-ids"],
         deadly=args["--deadly"],
+        suspended=args["--suspended"],
     )
     if args["--replay"]:
         sys.exit(_replay(int(args["--replay"]), size))
--- a/tools/soak/injector.py
+++ b/tools/soak/injector.py
@@ -119,6 +119,10 @@
 
     async def _frozen(self, box: str, length: float) -> None:
         span = self._ledger.begin(box)
+        if self._world.suspendable:
+            await self._world.suspend(box, length)
+            self._ledger.end(span)
+            return
         process = self._world.processes[box]
         process.send_signal(signal.SIGSTOP)
         await asyncio.sleep(length)
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -20,6 +20,8 @@
 """Part of the changes of settings that come with a signal."""
 PLANNED_PART = 0.4
 """Part of the replacements in which the new box comes before the old one goes."""
+ROLE_PART = 0.5
+"""Part of the standstills that concern all boxes of a role."""
 GROUP_PART = 0.3
 """Part of the kills of a control process that take all of them at once."""
 SERVER_LINK_PART = 0.3
@@ -179,9 +181,14 @@
     servers: tuple[str, ...]
 
 
-def draw(seed: int, seconds: float, boxes: Boxes) -> tuple[Planned, ...]:
+def draw(
+    seed: int, seconds: float, boxes: Boxes, *, standstills: bool = False
+) -> tuple[Planned, ...]:
     """Return the faults of a seed, in the order of their times.
 
+    With `standstills`, boxes stand still in place of faults that end a process; in half
+    of the cases all control boxes or all entries do so at once.
+
     Disks are lost and filled, and boxes replaced, one at a time, as the group bears one
     loss; whatever else there is may overlap.
     """
@@ -190,7 +197,11 @@
     for _ in range(round(seconds * FAULTS_PER_SECOND)):
         at = rng.uniform(0, seconds)
         length = rng.uniform(LEAST_LENGTH, MOST_LENGTH)
-        planned.append(Planned(at, length, _fault(rng, boxes)))
+        fault = _fault(rng, boxes)
+        if standstills and isinstance(fault, Kill | Stop | KillControl):
+            planned += _standstill(rng, at, length, boxes)
+        else:
+            planned.append(Planned(at, length, fault))
     planned.sort(key=lambda one: one.at)
     return _apart(planned)
 
@@ -226,6 +237,15 @@
             return _bad_link(rng, boxes)
 
 
+def _standstill(
+    rng: random.Random, at: float, length: float, boxes: Boxes
+) -> list[Planned]:
+    """Let one box stand still, or all of a role within some 100 ms."""
+    role = rng.choice([boxes.controls, boxes.entries])
+    some = role if rng.random() < ROLE_PART else (rng.choice(role),)
+    return [Planned(at + rng.uniform(0, 0.1), length, Freeze(box)) for box in some]
+
+
 def _bad_link(rng: random.Random, boxes: Boxes) -> BadLink:
     how = rng.choice(list(LinkFault))
     delay = rng.choice(DELAYS)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -44,6 +44,8 @@
         same_ids: Whether servers start again under their ids, while somebody writes
             registrations that name none.
         deadly: Whether some requests crash the servers that begin them.
+        suspended: Whether boxes that stand still leave that time out of their steady
+            clocks.
     """
 
     seconds: float = 20.0
@@ -52,6 +54,7 @@
     timed: bool = True
     same_ids: bool = False
     deadly: bool = False
+    suspended: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,7 +107,12 @@
         """Return what the seed showed."""
         world = self._world
         await world.open()
-        faults = draw(self._seed, self._size.seconds, world.boxes)
+        faults = draw(
+            self._seed,
+            self._size.seconds,
+            world.boxes,
+            standstills=self._size.suspended,
+        )
         promises = Promises(world, self._size.timed)
         callers = Callers(world, self._seed, promises.on_call)
         calling = asyncio.create_task(callers.run(self._size.callers))
@@ -211,7 +219,12 @@
 
 async def run_seed(folder: Path, seed: int, size: Size) -> Summary:
     """Run one seed in an empty folder and return what it showed."""
-    world = World(folder, entries=size.entries, states_starts=size.same_ids)
+    world = World(
+        folder,
+        entries=size.entries,
+        states_starts=size.same_ids,
+        suspendable=size.suspended,
+    )
     try:
         return await Soak(world, seed, size).run()
     finally:
