Operators list, explain and lift verdicts on requests that crash upstreams

A lifted request is refused anew after three more ends. Tests of what a replica tells, writes and forgets; the command against real processes.

--- a/src/leadseam/feed/crash_server.py
+++ b/src/leadseam/feed/crash_server.py
@@ -23,6 +23,7 @@
 
     from leadseam.clock import Clock
     from leadseam.control.replica import Replica
+    from leadseam.crashes.fingerprint import Fingerprint
     from leadseam.wire.crashes import CrashRow
 
 TOLD = CONVICTING - 1
@@ -76,6 +77,25 @@
         self._written = self._replica.state.crashes.changes
         self._tell(self._merge(self._replica.state.crashes.rows()))
 
+    def verdicts(self) -> tuple[CrashRow, ...]:
+        """Return the requests that are refused, as far as this replica knows."""
+        self._merge(self._replica.state.crashes.rows())
+        return tuple(row for row in self._book.rows() if len(row.counted) >= CONVICTING)
+
+    async def lift(self, fingerprint: Fingerprint) -> bool:
+        """Let nothing that is known so far count against a request.
+
+        Returns:
+            Whether that is written; if not, entries hear of it all the same, and it is
+            written later.
+        """
+        row = self._book.void(fingerprint, self._clock.now())
+        if row is None:
+            return True
+        log.warning("verdict lifted", extra={"fingerprint": fingerprint})
+        self._tell((row,))
+        return await self._replica.submit(NoteCrashes((row,))) is not None
+
     def fade(self) -> None:
         """Forget suspects of long ago."""
         self._book.fade(self._clock.now())
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -75,7 +75,7 @@
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
         self._claims = ClaimServer(replica, metrics)
-        self._crashes = CrashServer(replica, self._clock, self._tell_all)
+        self.crashes = CrashServer(replica, self._clock, self._tell_all)
         self._push = ConfigurationPush(replica, metrics)
         self._pushing_later = False
 
@@ -88,7 +88,7 @@
         """Push until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._claims.run())
-            group.create_task(self._crashes.run())
+            group.create_task(self.crashes.run())
             group.create_task(self._push_changes())
             group.create_task(self._push_heartbeats())
             group.create_task(self._push_totals())
@@ -180,7 +180,7 @@
         if left:
             subscriber.link.send(Left(left))
         # Before the configuration, so that nobody serves without knowing these.
-        if crashes := self._crashes.greeting():
+        if crashes := self.crashes.greeting():
             subscriber.link.send(crashes)
         self._push.send(subscriber)
         self._send_heartbeat(subscriber)
@@ -194,7 +194,7 @@
             case LoadReport():
                 self._sums.take(subscriber.number, message, self._clock.now())
             case Crashes():
-                self._crashes.take(message)
+                self.crashes.take(message)
             case InForce(version=version, clock=clock):
                 subscriber.in_force = max(subscriber.in_force, version)
                 subscriber.clock = max(subscriber.clock, clock)
@@ -207,7 +207,7 @@
         while True:
             await self._replica.next_applied()
             self._push_left()
-            self._crashes.applied()
+            self.crashes.applied()
             self._push_newly_named()
             for subscriber in self.subscribers:
                 if self._push.is_first_for(subscriber):
@@ -250,7 +250,7 @@
         while True:
             await sleep(HEARTBEAT_INTERVAL)
             self._expire()
-            self._crashes.fade()
+            self.crashes.fade()
             for subscriber in self.subscribers:
                 self._push.send(subscriber)
                 self._send_heartbeat(subscriber)
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -17,6 +17,7 @@
 from leadseam.control.storage import Storage
 from leadseam.errors import StorageError
 from leadseam.feed.server import FeedServer
+from leadseam.feed.verdict_routes import verdict_routes
 from leadseam.membership.registry import Registry
 from leadseam.platform.control_api import ControlApi
 from leadseam.platform.watch import SettingsWatch
@@ -127,7 +128,11 @@
             self._runner, settings.control.ip, settings.control.port
         ).start()
         self._admin = await serve_admin(
-            settings.ip, settings.metrics_port, self._metrics, self.replica.readiness
+            settings.ip,
+            settings.metrics_port,
+            self._metrics,
+            self.replica.readiness,
+            more=verdict_routes(self._feed.crashes, own_ip=settings.ip),
         )
 
     async def run(self) -> None:
--- a/src/leadseam/runtime/admin.py
+++ b/src/leadseam/runtime/admin.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from leadseam.runtime.metrics import Metrics
 
@@ -67,9 +67,14 @@
 
 
 async def serve_admin(
-    ip: str, port: int, metrics: Metrics, readiness: Callable[[], str]
+    ip: str,
+    port: int,
+    metrics: Metrics,
+    readiness: Callable[[], str],
+    *,
+    more: Iterable[web.AbstractRouteDef] = (),
 ) -> web.AppRunner:
-    """Serve only the admin routes."""
+    """Serve the admin routes, and more that a role has."""
     app = web.Application()
-    app.add_routes(admin_routes(metrics, readiness))
+    app.add_routes([*admin_routes(metrics, readiness), *more])
     return await serve_http(ip, port, app)
--- /dev/null
+++ b/tests/feed/test_crash_server.py
@@ -0,0 +1,132 @@
+"""What a replica tells of requests that end upstreams, and what it writes."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, cast
+
+from leadseam.clock import ManualClock
+from leadseam.control.raft_work import Role
+from leadseam.control.state import ControlState, CrashesNoted, NoteCrashes
+from leadseam.crashes.book import SUSPECT_LIFE
+from leadseam.feed.crash_server import CrashServer
+from leadseam.wire.codec import decode_frame, encode_frame
+from leadseam.wire.crashes import Crashes
+from tests.crashes.samples import DEADLY, GOOD, make_row
+
+if TYPE_CHECKING:
+    from leadseam.control.state import Command
+
+
+class Box:
+    """A replica that commits at once, where it has a quorum."""
+
+    def __init__(self) -> None:
+        self.state = ControlState()
+        self.raft = SimpleNamespace(role=Role.LEADER)
+        self.quorum = True
+        self.written: list[Command] = []
+
+    async def submit(self, command: Command) -> Any:
+        """Apply a command."""
+        if not self.quorum:
+            return None
+        self.written.append(command)
+        return self.state.apply(command)
+
+
+class Fixture:
+    """A replica's part, and what it has told."""
+
+    def __init__(self) -> None:
+        self.box = Box()
+        self.clock = ManualClock(0)
+        self.told: list[Crashes] = []
+        self.server = CrashServer(cast("Any", self.box), self.clock, self.told.append)
+
+    async def settle(self) -> None:
+        """Let it write."""
+        task = asyncio.create_task(self.server.run())
+        for _ in range(10):
+            await asyncio.sleep(0)
+        task.cancel()
+
+
+def test_entries_hear_of_a_request_from_the_second_end_on() -> None:
+    one = Fixture()
+    one.server.take(Crashes((make_row(1),)))
+    assert one.told == []
+    assert one.server.greeting() is None
+    one.server.take(Crashes((make_row(2),)))
+    assert one.told == [Crashes((make_row(1, 2),))]
+    assert one.server.greeting() == Crashes((make_row(1, 2),))
+
+
+async def test_a_verdict_is_told_at_once_and_written_once() -> None:
+    one = Fixture()
+    one.server.take(Crashes((make_row(1, 2, 3), make_row(1, suspect=GOOD))))
+    assert one.told == [Crashes((make_row(1, 2, 3),))]
+    await one.settle()
+    one.server.take(Crashes((make_row(3),)))
+    await one.settle()
+    assert one.box.written == [NoteCrashes((make_row(1, 2, 3),))]
+
+
+async def test_it_needs_no_quorum_to_tell() -> None:
+    one = Fixture()
+    one.box.quorum = False
+    one.server.take(Crashes((make_row(1, 2, 3),)))
+    await one.settle()
+    assert one.told and not one.box.written
+    one.box.quorum = True
+    one.server._wake.set()
+    await one.settle()
+    assert one.box.written == [NoteCrashes((make_row(1, 2, 3),))]
+
+
+def test_what_comes_through_the_log_is_told_once() -> None:
+    one = Fixture()
+    assert one.box.state.apply(NoteCrashes((make_row(1, 2, 3),))) == CrashesNoted(1)
+    one.server.applied()
+    one.server.applied()
+    assert one.told == [Crashes((make_row(1, 2, 3),))]
+
+
+def test_a_replica_that_starts_anew_greets_with_what_is_written() -> None:
+    one = Fixture()
+    one.box.state.apply(NoteCrashes((make_row(1, 2, 3),)))
+    saved = one.box.state.save()
+    other = Fixture()
+    other.box.state.restore(saved)
+    assert other.server.greeting() == Crashes((make_row(1, 2, 3),))
+    assert other.server.verdicts() == (make_row(1, 2, 3),)
+
+
+async def test_a_verdict_that_is_lifted_is_over_everywhere() -> None:
+    one = Fixture()
+    one.server.take(Crashes((make_row(1, 2, 3),)))
+    await one.settle()
+    assert await one.server.lift(DEADLY.fingerprint)
+    lifted = make_row(1, 2, 3, void=(1, 2, 3))
+    assert one.told[-1] == Crashes((lifted,))
+    assert one.server.verdicts() == ()
+    assert not one.box.state.crashes.convicts(DEADLY.fingerprint)
+    # An entry that has not heard of it repeats what it knows.
+    one.server.take(Crashes((make_row(1, 2, 3),)))
+    assert one.server.verdicts() == ()
+    assert await one.server.lift("unknown")
+
+
+def test_suspects_fade_at_a_replica() -> None:
+    one = Fixture()
+    one.server.take(Crashes((make_row(1),)))
+    one.clock.advance(SUSPECT_LIFE + 1)
+    one.server.fade()
+    one.server.take(Crashes((make_row(2),)))
+    assert one.told == []
+
+
+def test_rows_pass_the_wire() -> None:
+    message = Crashes((make_row(1, 2, void=(1,)),))
+    assert decode_frame(encode_frame([message])) == (message,)
--- a/tests/platform/test_deadly_request.py
+++ b/tests/platform/test_deadly_request.py
@@ -18,6 +18,9 @@
 
 import asyncio
 import itertools
+import json
+import sys
+from asyncio.subprocess import PIPE
 from typing import TYPE_CHECKING
 
 import pytest
@@ -101,6 +104,38 @@
     assert (await platform.call(entry, "/safe/good", body=b'{"n":1}')).status == 200
 
 
+async def test_an_operator_sees_and_lifts_a_verdict(platform: Platform) -> None:
+    servers = await four_servers(platform)
+    for round_ in range(ROUNDS // 2):
+        await call_again(platform, round_)
+        await wait_up(platform, servers)
+    control = platform.metrics_address(platform.control_ips[0])
+    listed = json.loads(await verdicts("--json", control))
+    assert [(row["account"], row["body_bytes"]) for row in listed] == [("bank", 7)]
+    assert len(listed[0]["ended"]) == BORNE
+    assert listed[0]["fingerprint"] in await verdicts(control)
+    for server in servers:
+        server.behave.clear()
+    await verdicts("--lift", listed[0]["fingerprint"], control)
+
+    async def served() -> bool:
+        answers = [await call_again(platform, round_) for round_ in range(2)]
+        return all(answer.status == 200 for answer in answers)
+
+    await until(served, "the request is served again")
+    assert json.loads(await verdicts("--json", control)) == []
+
+
+async def verdicts(*args: str) -> str:
+    """Run the operators' command on the control box, and return its output."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "leadseam.cli.verdicts", *args, stdout=PIPE
+    )
+    output, _ = await process.communicate()
+    assert process.returncode == 0
+    return output.decode()
+
+
 async def test_it_stays_known_when_all_boxes_have_lost_power(
     platform: Platform,
 ) -> None:
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -18,6 +18,7 @@
 import aiohttp
 
 from leadseam.platform import names
+from leadseam.platform.settings import METRICS_OFFSET
 from tools.platform import suspension
 from tools.platform.standin import Operator, Server
 from tools.platform.suspension import SteadyClock
@@ -205,6 +206,10 @@
         lines = "".join(f"{key}={value}\n" for key, value in fields.items())
         (self.folder / f"{ip}.conf").write_text(lines)
 
+    def metrics_address(self, ip: str) -> str:
+        """Return where a box shows its metrics."""
+        return f"{ip}:{self.inner_port_of(ip) + METRICS_OFFSET}"
+
     def inner_port_of(self, ip: str) -> int:
         """Return the first of the ports that a box uses for links between nodes."""
         return self.inner_port
