What reached no upstream is told 503, not 502; a gauge of verdicts

Cause: the status went by the reason alone, so a request whose four sends were all refused connections was told 502. That promises nothing, so who must not repeat a request did not come back, though it had certainly not run. Failed and unknown ends stay 502.

--- a/src/leadseam/entry/answers.py
+++ b/src/leadseam/entry/answers.py
@@ -13,6 +13,8 @@
     from leadseam.clock import Millis
 
 MILLIS_PER_SECOND = 1_000
+BAD_GATEWAY = 502
+UNAVAILABLE = 503
 
 STATUS = {
     Reason.NO_KEY: 401,
@@ -108,8 +110,16 @@
     headers = {"X-Leadseam-Outcome": outcome_name(outcome)}
     if isinstance(outcome, NotRun) and outcome.retry_after is not None:
         headers["Retry-After"] = str(_whole_seconds(outcome.retry_after))
+    body = error_body(outcome)
+    return web.json_response(body, status=_status(outcome), headers=headers)
+
+
+def _status(outcome: NotRun | Failed | Unknown) -> int:
+    """Return the status; callers may believe 503 that a request has not run."""
     status = STATUS[outcome.reason]
-    return web.json_response(error_body(outcome), status=status, headers=headers)
+    if isinstance(outcome, NotRun) and status == BAD_GATEWAY:
+        return UNAVAILABLE
+    return status
 
 
 def error_event(outcome: Failed | Unknown) -> bytes:
--- a/src/leadseam/feed/crash_server.py
+++ b/src/leadseam/feed/crash_server.py
@@ -24,6 +24,7 @@
     from leadseam.clock import Clock
     from leadseam.control.replica import Replica
     from leadseam.crashes.fingerprint import Fingerprint
+    from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.crashes import CrashRow
 
 TOLD = CONVICTING - 1
@@ -44,14 +45,20 @@
     Args:
         replica: Where verdicts are written.
         clock: Source of time.
+        metrics: Where the number of verdicts is shown.
         tell_all: Sends a message to all subscribers.
     """
 
     def __init__(
-        self, replica: Replica, clock: Clock, tell_all: Callable[[Crashes], None]
+        self,
+        replica: Replica,
+        clock: Clock,
+        metrics: ControlMetrics,
+        tell_all: Callable[[Crashes], None],
     ) -> None:
         self._replica = replica
         self._clock = clock
+        self._metrics = metrics
         self._tell_all = tell_all
         self._book = CrashBook()
         self._written = -1
@@ -131,6 +138,7 @@
         if not told:
             return
         self._tell_all(Crashes(told))
+        self._metrics.verdicts.set({}, len(self.verdicts()))
         for row in told:
             if len(row.counted) >= CONVICTING:
                 extra = {
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -75,7 +75,7 @@
         self._subscribers: dict[int, Subscriber] = {}
         self._next_id = 0
         self._claims = ClaimServer(replica, metrics)
-        self.crashes = CrashServer(replica, self._clock, self._tell_all)
+        self.crashes = CrashServer(replica, self._clock, metrics, self._tell_all)
         self._push = ConfigurationPush(replica, metrics)
         self._pushing_later = False
 
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -210,6 +210,10 @@
         self.feed_bytes = metrics.counter(
             "feed_bytes_total", "Bytes of configuration sent to subscribers."
         )
+        self.verdicts = metrics.gauge(
+            "requests_refused_for_crashes",
+            "Requests that are refused because upstreams have crashed under them.",
+        )
         self.unexpected = metrics.counter(
             "unexpected_messages_total", "Messages of a type not expected on a link."
         )
