Measurement: what a request costs that crashes each upstream which begins it

make measure-crashes plays one, two, four and eight callers of it for 10 s beside six callers of good requests (two entries, four upstreams, real processes). More than three crash where several copies begin at once: open.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo measure slopes broken-variants soak
+.PHONY: setup test demo measure measure-crashes slopes broken-variants soak
 
 setup: $(VENV)/.ready
 
@@ -24,6 +24,9 @@
 	$(BIN)/python -m tools.measure
 	$(BIN)/python -m tools.measure_control
 
+measure-crashes: setup
+	$(BIN)/python -m tools.measure_crashes
+
 slopes: setup
 	$(BIN)/python -m tools.slopes
 	$(BIN)/python -m tools.path_cost
--- /dev/null
+++ b/tools/measure_crashes.py
@@ -0,0 +1,172 @@
+"""Measure what a request costs that crashes each upstream which begins it.
+
+Two entries, four plain upstreams, real processes. Some callers send the request again
+0.3 s after each answer, through one entry after the other; six others send good ones.
+
+Usage:
+  measure_crashes [--seconds S] [--callers LIST]
+  measure_crashes (-h | --help)
+
+Options:
+  --seconds S     Length of each row [default: 10].
+  --callers LIST  Callers of the deadly request, with commas [default: 1,2,4,8].
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import tempfile
+import time
+import timeit
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any, cast
+
+from docopt import docopt
+
+from leadseam.clock import ManualClock
+from leadseam.routing.crash_guard import CrashGuard
+from tools.platform.nodes import Platform
+
+if TYPE_CHECKING:
+    from tools.platform.standin import Run
+
+GOOD_CALLERS = 6
+GOOD_PAUSE = 0.02
+"""Seconds between two good requests of a caller."""
+DEADLY_PAUSE = 0.3
+RUN_TIME = 0.02
+"""Seconds that a good request runs."""
+CONVICTING = 3
+"""Upstreams after whose end a request is refused."""
+LOOKS = 100_000
+"""Calls of which the cost of a look is the mean."""
+
+
+@dataclass
+class Row:
+    """What one number of callers showed.
+
+    Args:
+        callers: Callers of the deadly request.
+        good: Good requests by status.
+        deadly: Deadly requests by status.
+        crashes: Runs that crashed an upstream, in the order of time.
+        verdicts: Requests that are refused in the end.
+    """
+
+    callers: int
+    good: Counter[int] = field(default_factory=Counter)
+    deadly: Counter[int] = field(default_factory=Counter)
+    crashes: list[Run] = field(default_factory=list)
+    verdicts: int = 0
+
+    def __str__(self) -> str:
+        late = self.crashes[CONVICTING:]
+        after = late[-1].at - self.crashes[CONVICTING - 1].at if late else 0.0
+        return (
+            f"| {self.callers} | {sum(self.deadly.values())} | {len(self.crashes)}"
+            f" | {after:.2f} | {self.good[200]} / {self.good[502]} / {self.good[503]}"
+            f" | {self.verdicts} |"
+        )
+
+
+class Experiment:
+    """Callers of one row.
+
+    Args:
+        platform: Running nodes and servers.
+        callers: Callers of the deadly request.
+        seconds: Length.
+    """
+
+    def __init__(self, platform: Platform, callers: int, seconds: float) -> None:
+        self._platform = platform
+        self._end = time.monotonic() + seconds
+        self.row = Row(callers)
+
+    async def run(self) -> None:
+        """Call until the end."""
+        async with asyncio.TaskGroup() as group:
+            for number in range(self.row.callers):
+                group.create_task(self._call_deadly(number))
+            for number in range(GOOD_CALLERS):
+                group.create_task(self._call_good(number))
+        servers = self._platform.of("plain")
+        runs = [run for server in servers for run in server.crashes]
+        self.row.crashes = sorted(runs, key=lambda run: run.at)
+        self.row.verdicts = await self._count_verdicts()
+
+    async def _call_deadly(self, number: int) -> None:
+        for turn in itertools.count(number):
+            if time.monotonic() > self._end:
+                return
+            answer = await self._call(turn, "/safe/deadly")
+            self.row.deadly[answer] += 1
+            await asyncio.sleep(DEADLY_PAUSE)
+
+    async def _call_good(self, number: int) -> None:
+        for turn in itertools.count(number):
+            if time.monotonic() > self._end:
+                return
+            self.row.good[await self._call(turn, f"/safe/{number}-{turn}")] += 1
+            await asyncio.sleep(GOOD_PAUSE)
+
+    async def _call(self, turn: int, path: str) -> int:
+        entries = self._platform.entry_ips
+        answer = await self._platform.call(entries[turn % len(entries)], path)
+        return answer.status
+
+    async def _count_verdicts(self) -> int:
+        platform = self._platform
+        address = platform.metrics_address(platform.control_ips[0])
+        async with platform.http.get(f"http://{address}/verdicts") as resp:
+            return len(await resp.json()) if resp.status == 200 else 0
+
+
+async def measure(callers: int, seconds: float) -> Row:
+    """Return what one number of callers shows."""
+    with tempfile.TemporaryDirectory() as folder:
+        platform = Platform(Path(folder))
+        try:
+            await platform.start_all()
+            for ip in platform.server_ips[4:6]:
+                await platform.add_server(ip, "plain")
+            for server in platform.of("plain"):
+                server.behave["deadly"] = "crash"
+                server.pause = RUN_TIME
+            experiment = Experiment(platform, callers, seconds)
+            await experiment.run()
+            return experiment.row
+        finally:
+            await platform.close()
+
+
+def cost_of_a_look() -> float:
+    """Return the microseconds of one look while nothing is suspected."""
+    guard = CrashGuard(
+        feed=cast("Any", None),
+        client=cast("Any", None),
+        clock=ManualClock(),
+        running=(),
+    )
+    admitted = cast("Any", SimpleNamespace(account="bank", body=b"x" * 2_000))
+    took = timeit.timeit(lambda: guard.refusal(admitted), number=LOOKS)
+    return took / LOOKS * 1e6
+
+
+def main() -> None:
+    """Entry point."""
+    args = docopt(__doc__)
+    print("| callers | sent | crashed | last late s | good 200/502/503 | refused |")
+    print("|---|---|---|---|---|---|")
+    for callers in args["--callers"].split(","):
+        print(asyncio.run(measure(int(callers), float(args["--seconds"]))))
+    print(f"a look while nothing is suspected: {cost_of_a_look():.2f} us")
+
+
+if __name__ == "__main__":
+    main()
