Who is cut off convicts nobody, what is cut here counts for nothing, verdicts end

An attempt that the entry itself cuts, for a verdict, is no failure of its upstream. A verdict is lifted after an hour by whoever leads: three more ends an hour at the most, and a request that is innocent after all is served again.

--- a/src/leadseam/crashes/suspects.py
+++ b/src/leadseam/crashes/suspects.py
@@ -39,6 +39,7 @@
     SERVES = auto()
     LEAVES = auto()
     GONE = auto()
+    UNKNOWN = auto()
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +128,7 @@
                     news += self.ended(incarnation, now)
                 case Presence.LEAVES:
                     self._drop(incarnation)
-                case Presence.SERVES if now - broken.at > UNDECIDED_LIMIT:
+                case _ if now - broken.at > UNDECIDED_LIMIT:
                     self._drop(incarnation)
         return tuple(news)
 
--- a/src/leadseam/feed/crash_server.py
+++ b/src/leadseam/feed/crash_server.py
@@ -16,6 +16,7 @@
 from leadseam.control.raft_work import Role
 from leadseam.control.state import NoteCrashes
 from leadseam.crashes.book import CONVICTING, CrashBook
+from leadseam.runtime.tasks import spawn
 from leadseam.wire.crashes import Crashes
 
 if TYPE_CHECKING:
@@ -33,6 +34,10 @@
 30 rows of 100 bytes through 9 replicas)."""
 FOLLOWER_DELAY: Millis = 300
 """Time that the leader has to write a verdict before the others ask it to."""
+VERDICT_LIFE: Millis = 3_600_000
+"""Time after which a verdict is lifted, counted by whoever leads since it knows of it.
+A request that is innocent after all, or whose upstreams were mended, is served again;
+one that is not crashes three more upstreams an hour."""
 RETRY_DELAY: Millis = 200
 """Pause after a write that no quorum has confirmed."""
 
@@ -62,6 +67,7 @@
         self._tell_all = tell_all
         self._book = CrashBook()
         self._written = -1
+        self._convicted_at: dict[Fingerprint, Millis] = {}
         self._wake = asyncio.Event()
 
     def __repr__(self) -> str:
@@ -104,8 +110,16 @@
         return await self._replica.submit(NoteCrashes((row,))) is not None
 
     def fade(self) -> None:
-        """Forget suspects of long ago."""
-        self._book.fade(self._clock.now())
+        """Forget suspects of long ago, and lift verdicts that are old."""
+        now = self._clock.now()
+        self._book.fade(now)
+        current = {row.fingerprint for row in self.verdicts()}
+        self._convicted_at = {one: self._convicted_at.get(one, now) for one in current}
+        if self._replica.raft.role is not Role.LEADER:
+            return
+        for fingerprint, since in self._convicted_at.items():
+            if now - since > VERDICT_LIFE:
+                spawn(self.lift(fingerprint))
 
     async def run(self) -> None:
         """Write verdicts until cancelled."""
--- a/src/leadseam/routing/crash_guard.py
+++ b/src/leadseam/routing/crash_guard.py
@@ -148,7 +148,8 @@
             return Presence.LEAVES
         if self._feed.view.serves(incarnation):
             return Presence.SERVES
-        return Presence.GONE
+        # An entry that is cut off forgets upstreams that go on.
+        return Presence.GONE if self._feed.fresh else Presence.UNKNOWN
 
     def _report(self, rows: tuple[CrashRow, ...]) -> None:
         if not rows:
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -249,8 +249,9 @@
         self, upstream: Registration, ending: Ending
     ) -> web.StreamResponse | None:
         """Return the response, or None to try another upstream."""
-        self._gateway.note_ending(upstream, ending)
         if not self._ended_here:
+            # Else it was cut here, which says nothing of the upstream or the request.
+            self._gateway.note_ending(upstream, ending)
             self._gateway.crash_guard.note_ending(upstream, self._request, ending)
         retry = self._may_retry(ending)
         self._gateway.request_log.attempt(self, self._request, ending, retry=retry)
--- a/tests/feed/test_crash_server.py
+++ b/tests/feed/test_crash_server.py
@@ -10,7 +10,7 @@
 from leadseam.control.raft_work import Role
 from leadseam.control.state import ControlState, CrashesNoted, NoteCrashes
 from leadseam.crashes.book import SUSPECT_LIFE
-from leadseam.feed.crash_server import CrashServer
+from leadseam.feed.crash_server import VERDICT_LIFE, CrashServer
 from leadseam.runtime.metrics import ControlMetrics, Metrics
 from leadseam.wire.codec import decode_frame, encode_frame
 from leadseam.wire.crashes import Crashes
@@ -136,3 +136,18 @@
 def test_rows_pass_the_wire() -> None:
     message = Crashes((make_row(1, 2, void=(1,)),))
     assert decode_frame(encode_frame([message])) == (message,)
+
+
+async def test_an_old_verdict_is_lifted_by_whoever_leads() -> None:
+    one = Fixture()
+    one.box.raft.role = Role.FOLLOWER
+    one.server.take(Crashes((make_row(1, 2, 3),)))
+    one.server.fade()
+    one.clock.advance(VERDICT_LIFE + 1)
+    one.server.fade()
+    assert one.server.verdicts() == (make_row(1, 2, 3),)
+    one.box.raft.role = Role.LEADER
+    one.server.fade()
+    await asyncio.sleep(0)
+    assert one.server.verdicts() == ()
+    assert not one.box.state.crashes.convicts(DEADLY.fingerprint)
