--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -7,10 +7,10 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Millis
+from leadseam.control.election import ELECTION_TIMEOUT, Election
 from leadseam.control.group_health import ANSWER_LIMIT, GroupHealth, MissingVoter
 from leadseam.control.liveness import Liveness
 from leadseam.control.membership import Bounds, Step, joined, next_step
@@ -41,24 +41,14 @@
     from leadseam.control.progress import Progress
     from leadseam.control.raft_work import RaftMessage, TermMessage
 
-ELECTION_TIMEOUT: Millis = 500
-"""Least silence of a leader before an election; at most twice that. A hundred times the
-round trip within a region, and four heartbeats."""
 HEARTBEAT_INTERVAL: Millis = 120
 LEASE: Millis = 440
 """How long no other leader can exist after a quorum has answered: below the least
 election timeout by more than clocks drift apart in that time."""
 CURRENT_LIMIT: Millis = 900
 """Age of a leader's word up to which a follower is current: seven heartbeats."""
-PRE_VOTE_PAUSE: Millis = 150
-"""Least pause between two attempts to be elected, at most twice that: thirty round
-trips within a region. A voter that has just started grants nothing for an election
-timeout; with a whole timeout between attempts, a group of which all were killed had a
-leader 0.6 to 1.1 s after its quorum ran, where 0.5 s has to pass."""
 MAX_APPEND_ENTRIES = 256
 CATCH_UP_DISTANCE = 32
-FOUNDING_DELAY: Millis = 150
-"""Longest wait for the first election of a group that never had a leader."""
 JOIN_INTERVAL: Millis = 300
 """Pause between requests to be taken in; a new box should count within seconds."""
 LEAVE_PAUSE: Millis = 2 * HEARTBEAT_INTERVAL
@@ -97,28 +87,23 @@
         self.leader = ""
         self.commit_index = mark.index
         self.membership = mark.membership
-        self._random = random.Random(seed)
+        self._election = Election(seed, now)
         self._bounds = Bounds(losses)
         self._stops = False
         self._told_at: Millis | None = None
         self._followers = Followers()
-        self._votes: set[str] = set()
-        self._pre_votes: set[str] = set()
         self._liveness = Liveness()
         self._pending = Pending()
         self._applied = mark.index
         self._snapshot_data: bytes = b""
         self._current_at: Millis = -1
-        # A restarted voter may have heard a leader just before: its lease holds.
-        self._leader_heard: Millis = now
-        self._election_at: Millis = 0
         self._heartbeat_at: Millis = 0
         self._elected_at: Millis = 0
         self._join_at: Millis = 0
         self._recompute_membership()
-        self._reset_election(now)
+        self._election.put_off(now)
         if self.term == 0 and not log:
-            self._found(now)
+            self._election.found(now)
 
     def __repr__(self) -> str:
         return (
@@ -181,8 +166,8 @@
             member = self.identity in self.membership.everyone
             if not member or not self._hears_leader(now):
                 self._ask_to_join(now)
-        elif now >= self._election_at:
-            self._try_again_soon(now)
+        elif self._election.is_due(now):
+            self._election.try_again_soon(now)
             self._start_pre_vote(now)
 
     def leave(self, now: Millis) -> None:
@@ -193,7 +178,7 @@
         leader steps down, so that another one can do that.
         """
         self._stops = True
-        self._pre_votes.clear()
+        self._election.stop_asking()
         if self.role is not Role.FOLLOWER:
             self._step_down(now)
 
@@ -305,20 +290,6 @@
 
     # Elections
 
-    def _found(self, now: Millis) -> None:
-        """Elect soon: nobody can hold a lease in a group that was just founded."""
-        self._leader_heard = now - ELECTION_TIMEOUT
-        self._election_at = now + self._random.randrange(1, FOUNDING_DELAY)
-
-    def _try_again_soon(self, now: Millis) -> None:
-        """Set the time of the next attempt, should this one elect nobody."""
-        jitter = self._random.randrange(PRE_VOTE_PAUSE)
-        self._election_at = now + PRE_VOTE_PAUSE + jitter
-
-    def _reset_election(self, now: Millis) -> None:
-        jitter = self._random.randrange(ELECTION_TIMEOUT)
-        self._election_at = now + ELECTION_TIMEOUT + jitter
-
     def _set_term(self, term: int, vote: str) -> None:
         if (term, vote) != (self.term, self.vote):
             self.term = term
@@ -328,15 +299,12 @@
     def _step_down(self, now: Millis) -> None:
         if self.role is not Role.FOLLOWER:
             self.role = Role.FOLLOWER
-            self._reset_election(now)
+            self._election.put_off(now)
         self.leader = ""
-        self._votes.clear()
-        self._pre_votes.clear()
+        self._election.give_up()
 
     def _hears_leader(self, now: Millis) -> bool:
-        if self.role is Role.LEADER:
-            return True
-        return now - self._leader_heard < ELECTION_TIMEOUT
+        return self.leads or self._election.hears_leader(now)
 
     def _log_is_newer(self, last_term: int, last_index: int) -> bool:
         mine = (self.log.last_term, self.log.last_index)
@@ -345,8 +313,8 @@
     def _start_pre_vote(self, now: Millis) -> None:
         self.role = Role.FOLLOWER
         self.leader = ""
-        self._pre_votes = {self.identity}
-        if self.membership.quorum(self._pre_votes):
+        self._election.ask_first(self.identity)
+        if self._election.may_stand(self.membership):
             self._start_election(now)
             return
         for peer in self._other_voters():
@@ -370,19 +338,18 @@
     def _on_pre_vote_reply(self, now: Millis, message: PreVoteReply) -> None:
         self._liveness.answered(message.sender, now)
         expected = self.role is Role.FOLLOWER and message.term == self.term + 1
-        if not (expected and message.granted and self._pre_votes):
+        if not (expected and message.granted and self._election.asks):
             return
-        self._pre_votes.add(message.sender)
-        if self.membership.quorum(self._pre_votes):
+        self._election.granted_first(message.sender)
+        if self._election.may_stand(self.membership):
             self._start_election(now)
 
     def _start_election(self, now: Millis) -> None:
         self.role = Role.CANDIDATE
-        self._pre_votes.clear()
         self._set_term(self.term + 1, self.identity)
-        self._votes = {self.identity}
-        self._try_again_soon(now)
-        if self.membership.quorum(self._votes):
+        self._election.stand(self.identity)
+        self._election.try_again_soon(now)
+        if self._election.is_won(self.membership):
             self._become_leader(now)
             return
         for peer in self._other_voters():
@@ -428,15 +395,15 @@
         )
         if granted:
             self._set_term(self.term, message.sender)
-            self._reset_election(now)
+            self._election.put_off(now)
         self._send(message.sender, VoteReply(self.identity, self.term, granted))
 
     def _on_vote_reply(self, now: Millis, message: VoteReply) -> None:
         self._liveness.answered(message.sender, now)
         if self.role is not Role.CANDIDATE or not message.granted:
             return
-        self._votes.add(message.sender)
-        if self.membership.quorum(self._votes):
+        self._election.granted(message.sender)
+        if self._election.is_won(self.membership):
             self._become_leader(now)
 
     def _become_leader(self, now: Millis) -> None:
@@ -623,11 +590,10 @@
             raise InvariantError(f"two leaders in term {self.term}")
         self.role = Role.FOLLOWER
         self.leader = leader
-        self._leader_heard = now
         if self._stops and self._told_at is None:
             # What is answered from here on says so.
             self._told_at = now
-        self._reset_election(now)
+        self._election.hear_leader(now)
 
     def _on_append(self, now: Millis, message: Append) -> None:
         self._follow(now, message.sender)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -17,12 +17,8 @@
     rule,
 )
 
-from leadseam.control.raft import (
-    ELECTION_TIMEOUT,
-    LEASE,
-    PRE_VOTE_PAUSE,
-    Raft,
-)
+from leadseam.control.election import ELECTION_TIMEOUT, PRE_VOTE_PAUSE
+from leadseam.control.raft import LEASE, Raft
 from leadseam.control.raft_log import base_name
 from leadseam.control.raft_work import Role
 from leadseam.wire.consensus import PreVote, PreVoteReply, Vote, VoteReply
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -132,7 +132,7 @@
         "an attempt that elects nobody is repeated soon",
         (
             Replacement(
-                "control/raft.py",
+                "control/election.py",
                 "PRE_VOTE_PAUSE: Millis = 150",
                 "PRE_VOTE_PAUSE: Millis = 500",
             ),
