--- a/tests/crashes/test_fleet.py
+++ b/tests/crashes/test_fleet.py
@@ -63,7 +63,11 @@
             for replica in REPLICAS:
                 self.link("up", entry, replica).append(Crashes(rows))
 
-    @rule(entry=st.sampled_from(ENTRIES), late=st.booleans(), good=st.booleans())
+    @rule(
+        entry=st.sampled_from(ENTRIES),
+        late=st.sampled_from([False, False, True]),
+        good=st.sampled_from([True, True, False]),
+    )
     def send(self, entry: int, late: bool, good: bool) -> None:
         """An entry sends the deadly request, if it may; a good one may run beside."""
         suspects = self.entries[entry]
@@ -172,4 +176,4 @@
 
 
 TestFleet = Fleet.TestCase
-TestFleet.settings = settings(max_examples=150, stateful_step_count=40, deadline=None)
+TestFleet.settings = settings(max_examples=300, stateful_step_count=40, deadline=None)
--- a/tests/platform/test_deadly_request.py
+++ b/tests/platform/test_deadly_request.py
@@ -96,7 +96,7 @@
     for round_ in range(ROUNDS):
         answers.append(await call_again(platform, round_))
         await wait_up(platform, servers)
-    assert arrivals(servers) <= 2 * BORNE
+    assert arrivals(servers) <= BORNE + 1
     for answer in answers[-2 * len(platform.entry_ips) :]:
         assert_known(answer)
     # Another body is another request, and everybody else is served.
@@ -144,7 +144,7 @@
         await call_again(platform, round_)
         await wait_up(platform, servers)
     known = arrivals(servers)
-    assert BORNE <= known <= 2 * BORNE
+    assert BORNE <= known <= BORNE + 1
     boxes = [*platform.control_ips, *platform.entry_ips]
     for ip in boxes:
         platform.kill(ip)
--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -52,6 +52,7 @@
 REPLACED = "tests/control/test_replaced_box.py"
 RESTARTED = "tests/membership/test_incarnations.py"
 SHARES = "tests/emulate/test_shares.py"
+DEADLY = "tests/platform/test_deadly_request.py"
 
 VARIANTS = (
     Variant(
@@ -287,6 +288,50 @@
         "tests/platform/test_restarted_server.py"
         "::test_what_runs_at_an_earlier_start_is_not_waited_for",
     ),
+    Variant(
+        "nobody is told of upstreams that have ended",
+        "feed/crash_server.py",
+        "        self._tell_all(Crashes(told))\n",
+        "        pass\n",
+        f"{DEADLY}::test_it_is_refused_everywhere_once_three_have_ended",
+    ),
+    Variant(
+        "verdicts are not written",
+        "feed/crash_server.py",
+        "            await self._write(self._unwritten())\n",
+        "            pass\n",
+        f"{DEADLY}::test_it_stays_known_when_all_boxes_have_lost_power",
+    ),
+    Variant(
+        "a break alone speaks against a request",
+        "crashes/suspects.py",
+        "                case Presence.GONE:\n",
+        "                case Presence.GONE | Presence.SERVES:\n",
+        "tests/crashes/test_suspects.py"
+        "::test_an_upstream_that_is_not_heard_any_more_has_ended",
+    ),
+    Variant(
+        "nobody is acquitted",
+        "crashes/suspects.py",
+        "        return self.book.void(suspect.fingerprint, now)\n",
+        "        return None\n",
+        "tests/crashes/test_fleet.py",
+    ),
+    Variant(
+        "the clock leaves out suspended time",
+        "steady.py",
+        "    return running_ns() if _BOOTTIME is None else",
+        "    return running_ns() if True else",
+        "tests/platform/test_suspended_box.py",
+    ),
+    Variant(
+        "timers are not looked at after a suspension",
+        "routing/gateway.py",
+        "            exchange.look_at_deadline()\n",
+        "            pass\n",
+        "tests/platform/test_suspended_box.py"
+        "::test_what_is_past_its_deadline_ends_before_what_has_time_left",
+    ),
 )
 
 
