Large plain answers are passed on as they come

Cause: an answer above 1 MiB that is no event stream went through the splitter of events, which holds bytes back up to an empty line and takes a line 'id: 7' for an event's. A failing answer too large to hold acquits nobody.

--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -101,11 +101,13 @@
         resp: The open answer.
         headers: Its end-to-end headers.
         held: Bytes of the body that were read already.
+        events: Whether the body is a sequence of events.
     """
 
     resp: aiohttp.ClientResponse
     headers: Headers
     held: bytes = b""
+    events: bool = True
 
 
 Ending: TypeAlias = Unreachable | Declined | Broken | Whole | Streaming
@@ -182,7 +184,7 @@
         while data := await resp.content.readany():
             held += data
             if len(held) > MAX_HELD:
-                return Streaming(resp, headers, held)
+                return Streaming(resp, headers, held, events=False)
     except (aiohttp.ClientError, OSError):
         resp.close()
         return Broken(Reason.UPSTREAM_BROKEN)
--- a/src/leadseam/routing/crash_guard.py
+++ b/src/leadseam/routing/crash_guard.py
@@ -92,9 +92,9 @@
                 self._broke(upstream, admitted)
             case Whole(status=status) if status < FIRST_REDIRECTION:
                 self._answered_whole(upstream, admitted)
-            case Streaming():
+            case Streaming(resp=resp) if resp.status < FIRST_REDIRECTION:
                 self._answered_whole(upstream, admitted)
-            case Whole():
+            case Whole() | Streaming():
                 self._suspects.answered(upstream.incarnation, self._clock.now())
 
     def ended(self, incarnation: Incarnation) -> None:
--- a/src/leadseam/routing/events.py
+++ b/src/leadseam/routing/events.py
@@ -55,6 +55,16 @@
         return min(ends, default=0)
 
 
+class Unsplit:
+    """Gives out bytes as they come: a body that is no sequence of events."""
+
+    pending = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take bytes and return them, with no identity to go on from."""
+        return [Event(data, None)] if data else []
+
+
 def _is_one_event(data: bytes) -> bool:
     return (
         data.endswith(_END)
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -9,7 +9,7 @@
 
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import Broken, Ending, Streaming
-from leadseam.routing.events import Event, EventSplitter
+from leadseam.routing.events import Event, EventSplitter, Unsplit
 from leadseam.routing.pump import Pump, connection_of
 
 if TYPE_CHECKING:
@@ -73,7 +73,7 @@
             CallerGoneError: If nothing can be sent to the caller any more.
         """
         try:
-            splitter = EventSplitter()
+            splitter = EventSplitter() if streaming.events else Unsplit()
             await self._write(streaming, splitter.feed(streaming.held))
             while data := await streaming.resp.content.readany():
                 on_data()
@@ -130,7 +130,7 @@
     async def _pump(
         self,
         streaming: Streaming,
-        splitter: EventSplitter,
+        splitter: EventSplitter | Unsplit,
         on_data: Callable[[], None],
     ) -> None:
         """Pass on events where they come in, for as long as the caller keeps up."""
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -14,8 +14,8 @@
 from leadseam.platform import names
 from leadseam.routing.gateway import MAX_KEPT
 from tools.platform.nodes import HOST, KEY, document
-from tools.platform.standin import WHOLE_STREAM, event
-from tools.waiting import until
+from tools.platform.standin import LARGE_BEGIN, LARGE_BODY, WHOLE_STREAM, event
+from tools.waiting import CONDITION_TIMEOUT, until
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +23,30 @@
     from tools.platform.nodes import Platform
 
 
+async def test_a_large_plain_answer_is_passed_on_as_it_comes(
+    platform: Platform,
+) -> None:
+    # It went through the splitter of events, which held it back up to an empty line,
+    # here until its end, and took a line of it for the identity of an event.
+    for server in platform.of("plain"):
+        server.behave["large"] = "large"
+    received = asyncio.Event()
+
+    def on_data(data: bytes) -> None:
+        if len(data) > LARGE_BEGIN // 2:
+            received.set()
+
+    entry = platform.entry_ips[0]
+    call = asyncio.create_task(platform.call(entry, "/once/large", on_data=on_data))
+    async with asyncio.timeout(CONDITION_TIMEOUT):
+        await received.wait()
+    for server in platform.of("plain"):
+        server.release.set()
+    answer = await call
+    assert (answer.status, answer.cut) == (200, False)
+    assert answer.body == LARGE_BODY
+
+
 async def test_each_kind_of_request_comes_back_byte_for_byte(
     platform: Platform,
 ) -> None:
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -28,6 +28,10 @@
 """Seconds until an operator asks the next control box."""
 REQUEST_TIMEOUT = 2.0
 """Seconds that a control box may take to answer."""
+LARGE_BODY = b"\nid: 7\n" * 300_000
+"""Body of a plain answer that is passed on before it is whole: 2.1 MB."""
+LARGE_BEGIN = 1_400_000
+"""Bytes of it that come at once."""
 _instances = itertools.count(1)
 
 
@@ -238,6 +242,8 @@
                 return web.Response(body=b"x", headers=signed)
             case "error":
                 return web.Response(status=500, headers=self._signed(http))
+            case "large":
+                return await self._large(http)
             case _ if "stream" in http.path:
                 return await self._stream(http, action)
             case "lose":
@@ -251,6 +257,18 @@
         body = f"{self.instance} {http.raw_path}".encode()
         return web.Response(body=body, headers=self._signed(http))
 
+    async def _large(self, http: web.BaseRequest) -> web.StreamResponse:
+        """Answer with more than is held, the rest of it when that is released."""
+        headers = {**self._signed(http), "Content-Type": "application/json"}
+        response = web.StreamResponse(headers=headers)
+        response.content_length = len(LARGE_BODY)
+        await response.prepare(http)
+        await response.write(LARGE_BODY[:LARGE_BEGIN])
+        await self.release.wait()
+        await response.write(LARGE_BODY[LARGE_BEGIN:])
+        await response.write_eof()
+        return response
+
     async def _stream(self, http: web.BaseRequest, action: str) -> web.StreamResponse:
         headers = {**self._signed(http), "Content-Type": "text/event-stream"}
         response = web.StreamResponse(headers=headers)
