The gauge of log lines that were left out is set

It was registered and never set, so nobody could tell a quiet entry from one whose lines were over their budget or that standard output did not take.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -166,6 +166,7 @@
             self._view.sweep(self._clock.now())
             if self._gateway is not None:
                 self._gateway.crash_guard.review()
+                self._gateway.request_log.show_dropped()
 
     async def _report_load(self) -> None:
         assert self._gateway is not None
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -10,7 +10,7 @@
 from leadseam.routing.attempt import FIRST_SERVER_ERROR, Broken, Streaming, Whole
 from leadseam.routing.balance import own_tokens
 from leadseam.routing.reply import NOT_YET
-from leadseam.runtime.logs import LineBudget
+from leadseam.runtime.logs import LineBudget, lines_not_written
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -58,6 +58,11 @@
         self._metrics = metrics
         self._lines = LineBudget(clock)
 
+    def show_dropped(self) -> None:
+        """Show how many lines were left out, here or for want of an outlet."""
+        dropped = self._lines.suppressed + lines_not_written()
+        self._metrics.logs_dropped.set({}, dropped)
+
     def refusal(
         self,
         request_id: str,
--- a/src/leadseam/runtime/logs.py
+++ b/src/leadseam/runtime/logs.py
@@ -105,6 +105,12 @@
         return True
 
 
+def lines_not_written() -> int:
+    """Return the lines that standard output could not take."""
+    handlers = logging.getLogger().handlers
+    return sum(one.dropped for one in handlers if isinstance(one, DroppingHandler))
+
+
 def configure_logs(node: str, *, level: str = "info") -> None:
     """Send all log lines to standard output.
 
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -23,6 +23,7 @@
 from leadseam.routing.gateway import BUSY_PAUSE, EXCESS_LAG, MAX_LAG, Gateway
 from leadseam.routing.router import Router
 from leadseam.routing.usage import Standing
+from leadseam.runtime.logs import LINES_PER_SECOND
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 from leadseam.wire.feed import UsageRow
 from tests.routing.samples import make_request, make_route, make_upstream
@@ -58,7 +59,7 @@
 class Entry:
     """A gateway between fakes."""
 
-    def __init__(self) -> None:
+    def __init__(self, metrics: Metrics | None = None) -> None:
         feed = SimpleNamespace(
             configuration=Configuration(accounts=ACCOUNTS),
             confirmed=True,
@@ -76,7 +77,7 @@
             client=cast("Any", None),
             clock=ManualClock(1_000),
             retry_limits=RetryLimits(),
-            metrics=RoutingMetrics(Metrics()),
+            metrics=RoutingMetrics(metrics or Metrics()),
             rng=random.Random(1),
             lag=cast("Any", self.lag),
             connections=lambda: self.connections,
@@ -148,6 +149,15 @@
     assert view.pool("p") == [stale]
 
 
+def test_lines_that_were_left_out_are_counted() -> None:
+    metrics = Metrics()
+    entry = Entry(metrics)
+    for number in range(LINES_PER_SECOND + 7):
+        entry.gateway._refuse(Sender(f"r-{number}", None), NotRun(Reason.NO_KEY), 0)
+    entry.gateway.request_log.show_dropped()
+    assert b"leadseam_log_lines_dropped 7" in metrics.render()
+
+
 async def test_a_stopping_entry_lets_nobody_wait_for_a_configuration() -> None:
     async def no_body() -> bytes:
         return b""
