--- a/src/leadseam/routing/crash_guard.py
+++ b/src/leadseam/routing/crash_guard.py
@@ -1,9 +1,9 @@
 """Keeps requests that end upstreams from ending more of them, at one entry.
 
-Load: one caller repeats one request that crashes whatever begins it. Unguarded, two
-sends a second kept all upstreams of a pool down and took a third of everybody's answers
-Load: one caller repeats one request that crashes whatever begins it. Unguarded, two
-real processes). Guarded, twelve sends end three in all.
+Load: one caller repeats one request that crashes whatever begins it, three times a
+second for 10 s, beside six callers of good ones (four upstreams, two entries, real
+processes). Unguarded it ended 58 upstreams, and 406 good requests were answered;
+guarded it ends 3, and 1,183 are.
 """
 
 from __future__ import annotations
--- a/tests/control/test_losses_borne.py
+++ b/tests/control/test_losses_borne.py
@@ -13,7 +13,13 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
 
 from tests.control.replacements import (
     CATCH_UP,
@@ -86,6 +92,14 @@
         self.cluster.cut_off.add(name)
         self._away_for(name, rounds, lambda: self.cluster.cut_off.discard(name))
 
+    @precondition(lambda self: self._may_lose())
+    @rule(pick=st.integers(0), rounds=st.integers(1, 7 * SECOND))
+    def suspend(self, pick: int, rounds: int) -> None:
+        """A box stands still, and sends what it was about to send when it goes on."""
+        name = self._pick(pick)
+        self.cluster.suspend(name)
+        self._away_for(name, rounds, lambda: self.cluster.resume(name))
+
     @precondition(lambda self: self._may_lose())
     @rule(pick=st.integers(0), rounds=st.integers(1, 4 * SECOND))
     def lose_power(self, pick: int, rounds: int) -> None:
@@ -124,6 +138,11 @@
             self._returned(name)
         self._assert_whole(before)
 
+    @invariant()
+    def one_leader_at_most_holds_a_lease(self) -> None:
+        if hasattr(self, "cluster"):
+            assert len(self.cluster.holding_leases()) <= 1
+
     def teardown(self) -> None:
         if hasattr(self, "cluster"):
             self._assert_whole(dict(self.cluster.committed))
