--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, sleep
@@ -17,6 +16,7 @@
 from leadseam.sidecar.attempts import AttemptKey, AttemptState, AttemptTable
 from leadseam.sidecar.breaker import Breaker, Health
 from leadseam.sidecar.gate import Gate
+from leadseam.sidecar.running import EntryPeer, RunningAttempt, final_of
 from leadseam.sidecar.scheduler import Scheduler
 from leadseam.sidecar.upstream import Upstream, UpstreamAddress, Window
 from leadseam.wire.dispatch import (
@@ -53,46 +53,6 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class EntryPeer:
-    """A connected entry.
-
-    Args:
-        hello: Who it is.
-        link: The link it dialled.
-        running: Its attempts that run here now.
-    """
-
-    hello: Hello
-    link: Link
-    running: dict[int, RunningAttempt] = field(default_factory=dict)
-
-
-@dataclass(slots=True)
-class RunningAttempt:
-    """An attempt that holds a slot.
-
-    Args:
-        lease: The lease that it used.
-        req: The request.
-        window: Flow control of its response.
-        service: Service measured so far, not normalised.
-        released: Reserved service given back so far.
-        entered: Whether it may have reached the upstream.
-        broken: Whether it was ended because the upstream hangs.
-        task: The task that runs it.
-    """
-
-    lease: Lease
-    req: Dispatch
-    window: Window
-    service: int = 0
-    released: int = 0
-    entered: bool = False
-    broken: bool = False
-    task: asyncio.Task[Final] | None = None
-
-
 class Agent:
     """Owns the slots of one upstream.
 
@@ -275,7 +235,7 @@
         running.task = spawn(self._run(peer, running))
         # A task cancelled before its first step never enters its own `finally`.
         running.task.add_done_callback(
-            lambda task: self._end(peer, running, key, _final_of(running, task))
+            lambda task: self._end(peer, running, key, final_of(running, task))
         )
 
     def _refusal(self, lease: Lease | None, key: AttemptKey) -> RefusalReason | None:
@@ -454,13 +414,3 @@
     async def _retire(self, upstream: Upstream) -> None:
         await self.wait_idle()
         await upstream.close()
-
-
-def _final_of(running: RunningAttempt, task: asyncio.Task[Final]) -> Final | None:
-    """Return what to tell the entry, or None if nobody wants to know."""
-    if not task.cancelled() and task.exception() is None:
-        return task.result()
-    if task.cancelled() and not running.broken:
-        return None
-    reason = Reason.UPSTREAM_BROKEN
-    return Final(running.req.attempt, 0, 0, reason, started=running.entered)
