--- a/tests/soak/test_deadly.py
+++ b/tests/soak/test_deadly.py
@@ -41,8 +41,8 @@
 
 
 async def test_a_server_that_was_stopped_does_not_crash_and_come_back() -> None:
-    # In CI a request that crashes servers reached one while it was taken away, which came
-    # back where its successor was to listen: its port was in use.
+    # In CI a request that crashes servers reached one while it was taken away, which
+    # came back where its successor was to listen: its port was in use.
     server = Server("127.0.0.41", 0, "plain", ["127.0.0.1:1"])
     await server.start()
     await server.stop()
