--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -22,9 +22,9 @@
 late, and entries find dead upstreams by themselves, so this is only housekeeping."""
 MAX_STEP: Millis = 1_000
 """Time between two looks that counts as listening: twice their interval. A box that
-stood still for longer has heard nobody, which says nothing of them. Without that, all
-control boxes away at once for 8 s took every upstream from the entries that follow
-them, until the next heartbeats."""
+stood still for longer has heard nobody, which says nothing of them. Without that, a
+look after more than six heartbeats of standstill drops every upstream (by the table
+alone; not measured on a fleet)."""
 MAX_ROWS = 10_000
 """Upstreams heard at a time: some 5 MB, and far more than a fleet has."""
 
