HTTP connections are opened by the event loop everywhere, not by entries alone

The HTTP library opens a socket and hands it to the event loop; if whoever asked leaves just then, both close the descriptor. The second close hits whoever has the number by then, and the loop, finding a descriptor gone that it polls, aborts. This was known and mended for entries' calls; sidecars, their list of boxes, the verdicts' command and all tools kept the library's way. The tests' servers crash since, and each crash gives a heartbeat up in the middle, so tests and the soak meet it often now.

Shown: give-ups at random moments beside four busy connections, 3,000 a process: aborted in 3 of 3 with the library's connector, in 0 of 3 with the loop's. Narrowed down by parts: the hand-over alone aborts 3 of 3; the library's connect alone, the loop's connect on a socket, and the loop's own connecting 0 of 3 each. Ruled out: links between processes (3,000 give-ups, 0 of 3), child processes of the loop (1,800, none), tests of the client alone (100 runs, none).

A test holds each handed-over socket and its inode, and fails for the sidecar's probe and list of boxes, the tools' heartbeats and operators before, passes now. The old one looked for sockets that others had lost, and passed for all of these. Another reads all sources for the library's own connector.

--- a/src/leadseam/cli/verdicts.py
+++ b/src/leadseam/cli/verdicts.py
@@ -30,6 +30,7 @@
 from leadseam.errors import SettingsError
 from leadseam.feed.verdict_routes import LIFT_PATH, LIST_PATH
 from leadseam.platform.settings import read_address
+from leadseam.runtime.connector import LoopConnector
 from leadseam.runtime.process import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 
 if TYPE_CHECKING:
@@ -89,7 +90,9 @@
 
 
 def _session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TIMEOUT_S))
+    return aiohttp.ClientSession(
+        connector=LoopConnector(), timeout=aiohttp.ClientTimeout(total=TIMEOUT_S)
+    )
 
 
 if __name__ == "__main__":
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -17,6 +17,7 @@
 from yarl import URL
 
 from leadseam.clock import Millis, seconds
+from leadseam.runtime.connector import LoopConnector
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -96,18 +97,18 @@
             self.listener()
 
 
-class UpstreamConnector(aiohttp.TCPConnector):
-    """A pool of `UpstreamConnection`s, opened by the event loop itself.
+class UpstreamConnector(LoopConnector):
+    """A pool of `UpstreamConnection`s, closed if their peer does not answer.
 
-    The library opens a socket and hands it to the loop; if a caller leaves in between,
-    both close its descriptor, and the second close hits whoever has the number by then.
+    Args:
+        keepalive: Seconds that an idle connection is kept; None closes each after one
+            request.
     """
 
-    def __init__(self, *, force_close: bool) -> None:
-        if force_close:
-            super().__init__(limit=0, force_close=True)
-        else:
-            super().__init__(limit=0, keepalive_timeout=seconds(IDLE_LIMIT))
+    def __init__(self, *, keepalive: float | None = None) -> None:
+        super().__init__(keepalive=keepalive)
+        make: Callable[..., ResponseHandler] = UpstreamConnection
+        self._factory = functools.partial(make, loop=self._loop)
 
     def drop_idle(self) -> int:
         """Close the connections that nobody uses; return their number."""
@@ -119,24 +120,9 @@
         return len(idle)
 
     async def _wrap_create_connection(
-        self,
-        *args: Any,
-        addr_infos: list[Any],
-        req: aiohttp.ClientRequest,
-        timeout: aiohttp.ClientTimeout,
-        client_error: type[Exception] = aiohttp.ClientConnectorError,
-        **kwargs: Any,
+        self, *args: Any, **kwargs: Any
     ) -> tuple[asyncio.Transport, ResponseHandler]:
-        ip, port = addr_infos[0][4][:2]
-        loop = self._loop
-        make = functools.partial(UpstreamConnection, loop=loop)
-        try:
-            async with asyncio.timeout(timeout.sock_connect):
-                transport, conn = await loop.create_connection(make, ip, port)
-        except OSError as exc:
-            if isinstance(exc, TimeoutError):
-                raise
-            raise client_error(req.connection_key, exc) from exc
+        transport, conn = await super()._wrap_create_connection(*args, **kwargs)
         _watch_peer(transport.get_extra_info("socket"))
         return transport, conn
 
@@ -178,11 +164,11 @@
     """Sends requests to upstreams by address."""
 
     def __init__(self) -> None:
-        self._connector = UpstreamConnector(force_close=False)
+        self._connector = UpstreamConnector(keepalive=seconds(IDLE_LIMIT))
         self._pooled = open_session(self._connector, connect_timeout=CONNECT_TIMEOUT)
         # A reused connection may turn out to be closed after the request was written.
         self._single_use = open_session(
-            UpstreamConnector(force_close=True), connect_timeout=CONNECT_TIMEOUT
+            UpstreamConnector(), connect_timeout=CONNECT_TIMEOUT
         )
 
     def drop_idle(self) -> int:
--- a/src/leadseam/sidecar/platform.py
+++ b/src/leadseam/sidecar/platform.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from leadseam.clock import Millis, seconds, sleep
+from leadseam.runtime.connector import LoopConnector
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,7 +36,9 @@
         on_leaving: Called once.
     """
     timeout = aiohttp.ClientTimeout(total=seconds(FETCH_TIMEOUT))
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    async with aiohttp.ClientSession(
+        connector=LoopConnector(), timeout=timeout
+    ) as session:
         while not await _is_leaving(session, url, box):
             await sleep(POLL_INTERVAL)
     on_leaving()
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -11,6 +11,7 @@
 
 from leadseam.clock import Clock, Millis, seconds
 from leadseam.outcome import Reason
+from leadseam.runtime.connector import KEEPALIVE_S, LoopConnector
 from leadseam.sidecar.meter import meter_for
 from leadseam.wire.dispatch import Chunk, Final, Head
 
@@ -104,9 +105,9 @@
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=seconds(CONNECT_TIMEOUT)
         )
-        self._pooled = self._session(force_close=False)
+        self._pooled = self._session(keepalive=KEEPALIVE_S)
         # A reused connection may make the client library send a request twice.
-        self._single_use = self._session(force_close=True)
+        self._single_use = self._session(keepalive=None)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -180,9 +181,9 @@
         """Return the time."""
         return self._clock.now()
 
-    def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
+    def _session(self, *, keepalive: float | None) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+            connector=LoopConnector(keepalive=keepalive),
             timeout=self._timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -3,19 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import os
+import functools
 import socket
 import struct
 import threading
 from contextlib import asynccontextmanager
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-import aiohappyeyeballs
 import aiohttp
 import pytest
 
 from leadseam.routing.client import UpstreamClient
+from tests.descriptors import assert_closed_once
 from tools.ports import LOOPBACK
 
 if TYPE_CHECKING:
@@ -195,42 +194,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """A descriptor closed twice would be one that another connection has by then."""
-
-    async def script(
-        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        with contextlib.suppress(ConnectionError):
-            await reader.read()
-
-    calls: list[asyncio.Task[aiohttp.ClientResponse]] = []
-    start_connection = aiohappyeyeballs.start_connection
-
-    async def give_up_once_connected(**kwargs: Any) -> socket.socket:
-        # Where the library connects a socket of its own, the caller leaves just then.
-        sock = await start_connection(**kwargs)
-        asyncio.get_running_loop().call_soon(calls[-1].cancel)
-        return sock
-
-    monkeypatch.setattr(aiohappyeyeballs, "start_connection", give_up_once_connected)
-    async with upstream(script) as port, client() as made:
-        for turns in range(40):
-            calls.append(asyncio.create_task(send(made, port)))
-            for _ in range(turns % 20):
-                await asyncio.sleep(0)
-            if turns >= 20:
-                calls[-1].cancel()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(0.05):
-                    await asyncio.wait(calls)
-            calls[-1].cancel()
-            await asyncio.wait(calls)
-            calls.clear()
-            # These get the numbers that were just given back.
-            others = [socket.socket() for _ in range(8)]
-            await asyncio.sleep(0.001)
-            for other in others:
-                os.fstat(other.fileno())
-                other.close()
+    async with client() as made:
+        await assert_closed_once(functools.partial(send, made), monkeypatch)
 
 
 async def test_a_connection_that_leads_nowhere_is_found_by_probes() -> None:
--- /dev/null
+++ b/tests/runtime/test_connector.py
@@ -0,0 +1,137 @@
+"""Connections are opened by the event loop itself, wherever HTTP is spoken.
+
+What was seen: a run of all tests ended by SIGABRT in the middle of a test; two runs of
+the soak with servers that crash ended early without a word.
+The order of events: a server of the tests crashes and gives its heartbeat up while it
+connects; the library and the loop both close the socket's descriptor; by then it is
+that of another connection; the loop polls a descriptor that is gone, and aborts.
+The cause: this was known of the entries' calls and mended there alone. The sidecar's
+calls, its list of boxes, and the tools still had the library's own connector.
+The evidence: `SIGABRT` in three of three processes that gave up 3,000 connects each
+beside four busy connections, none of three with the loop's own way to connect.
+"""
+
+from __future__ import annotations
+
+import ast
+import asyncio
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from leadseam.clock import SystemClock
+from leadseam.runtime.connector import LoopConnector
+from leadseam.sidecar.platform import watch_platform
+from leadseam.sidecar.upstream import Upstream, UpstreamAddress
+from tests.descriptors import assert_closed_once
+from tools.platform.standin import Operator, tell
+from tools.ports import LOOPBACK
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+ROOT = Path(__file__).parents[2]
+FOLDERS = ("src", "tests", "tools")
+
+
+async def probe(port: int) -> None:
+    upstream = Upstream(UpstreamAddress(LOOPBACK, port, engine=True), SystemClock())
+    try:
+        await upstream.probe()
+    finally:
+        await upstream.close()
+
+
+async def watch(port: int) -> None:
+    await watch_platform(f"http://{LOOPBACK}:{port}/boxes", "box-1", lambda: None)
+
+
+async def report(port: int) -> None:
+    await tell(f"{LOOPBACK}:{port}", "/v1/x", b"{}")
+
+
+async def operate(port: int) -> None:
+    await Operator([f"{LOOPBACK}:{port}"]).read()
+
+
+@pytest.mark.parametrize("call", [probe, watch, report, operate])
+async def test_a_connect_that_is_given_up_closes_no_descriptor_twice(
+    call: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    assert callable(call)
+    await assert_closed_once(call, monkeypatch)
+
+
+async def test_the_next_address_of_a_name_is_tried() -> None:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        await writer.drain()
+        writer.close()
+
+    connector = LoopConnector()
+    server = await asyncio.start_server(answer, LOOPBACK, 0)
+    port = server.sockets[0].getsockname()[1]
+    connector._resolver = TwoAddresses()
+    async with aiohttp.ClientSession(connector=connector) as http:
+        async with http.get(f"http://upstream.test:{port}/") as resp:
+            assert await resp.text() == "ok"
+        server.close()
+        await server.wait_closed()
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await http.get(f"http://upstream.test:{port}/")
+
+
+class TwoAddresses(aiohttp.abc.AbstractResolver):
+    """Knows two addresses for each name; nothing listens on the first."""
+
+    async def resolve(
+        self, host: str, port: int = 0, family: int = 0
+    ) -> list[aiohttp.abc.ResolveResult]:
+        return [
+            {
+                "hostname": host,
+                "host": ip,
+                "port": port,
+                "family": 2,
+                "proto": 0,
+                "flags": 0,
+            }
+            for ip in ("127.0.0.99", LOOPBACK)
+        ]
+
+    async def close(self) -> None:
+        return
+
+
+def test_nothing_opens_connections_in_the_library_s_way() -> None:
+    found = [
+        f"{path.relative_to(ROOT)}:{call.lineno}"
+        for folder in FOLDERS
+        for path in sorted((ROOT / folder).rglob("*.py"))
+        for call in calls(path)
+        if opens_its_own_way(call)
+    ]
+    assert found == []
+
+
+def calls(path: Path) -> Iterator[ast.Call]:
+    """Yield the calls in a file."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Call):
+            yield node
+
+
+def opens_its_own_way(call: ast.Call) -> bool:
+    """Tell whether a call makes a connector of the library, or leaves it to it."""
+    match call.func:
+        case ast.Attribute(attr=name) | ast.Name(id=name):
+            pass
+        case _:
+            return False
+    connectors = [word for word in call.keywords if word.arg == "connector"]
+    return name == "TCPConnector" or (name == "ClientSession" and not connectors)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -17,6 +17,7 @@
 import aiohttp
 import yaml
 
+from leadseam.runtime.connector import KEEPALIVE_S, LoopConnector
 from tools.node import Node
 from tools.ports import LOOPBACK, PortPool
 from tools.waiting import until
@@ -59,7 +60,7 @@
     def http(self) -> aiohttp.ClientSession:
         """A client session for the whole test."""
         if self._http is None:
-            connector = aiohttp.TCPConnector(limit=0)
+            connector = LoopConnector(keepalive=KEEPALIVE_S)
             timeout = aiohttp.ClientTimeout(total=120)
             self._http = aiohttp.ClientSession(connector=connector, timeout=timeout)
         return self._http
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -19,6 +19,7 @@
 
 from leadseam.platform import names
 from leadseam.platform.settings import METRICS_OFFSET
+from leadseam.runtime.connector import LoopConnector
 from tools.platform import suspension
 from tools.platform.standin import Operator, Server
 from tools.platform.suspension import SteadyClock
@@ -99,7 +100,7 @@
         self.seeds = self.controls
         self.operator = Operator(self.controls)
         self.http = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(force_close=True),
+            connector=LoopConnector(),
             auto_decompress=False,
             skip_auto_headers=("Accept", "Accept-Encoding", "User-Agent"),
         )
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -15,6 +15,7 @@
 from multidict import CIMultiDict
 
 from leadseam.platform import names
+from leadseam.runtime.connector import LoopConnector
 from tools.waiting import until
 
 if TYPE_CHECKING:
@@ -359,7 +360,7 @@
 def _session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
         timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT),
-        connector=aiohttp.TCPConnector(force_close=True),
+        connector=LoopConnector(),
     )
 
 
