A process that is aborted leaves its stack on standard error

Cause: a SIGABRT from within the event loop's library left not a word, so that a run that ended so could not be told from one that was killed. Python's own handler of fatal signals writes the stack; it costs nothing while nothing happens. The test fails before (standard error empty).

--- a/src/leadseam/runtime/process.py
+++ b/src/leadseam/runtime/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import gc
 import logging
 import signal
@@ -59,6 +60,8 @@
         run: Runs the event loop. Defaults to aiomisc's entry point.
     """
     configure_logs(node, level=level)
+    # An abort within a library leaves no line: its stack goes to standard error.
+    faulthandler.enable()
     sys.exit(run(_supervise(make)))
 
 
--- /dev/null
+++ b/tests/runtime/test_process.py
@@ -0,0 +1,30 @@
+"""What a process leaves behind when it ends."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+
+ABORTING = """
+import os
+from leadseam.runtime.process import run_program
+
+class Aborting:
+    async def start(self): pass
+    async def run(self): os.abort()
+    async def drain(self): pass
+    async def stop(self): pass
+
+run_program("node-1", Aborting, level="info")
+"""
+
+
+def test_an_abort_within_a_library_leaves_its_stack() -> None:
+    """A loop that polls a descriptor that is gone aborts, and said nothing then."""
+    ended = subprocess.run(
+        [sys.executable, "-c", ABORTING], capture_output=True, check=False
+    )
+    assert ended.returncode == -signal.SIGABRT
+    assert b"Fatal Python error: Aborted" in ended.stderr
+    assert b"in run\n" in ended.stderr
