Programs of the path through sidecars look at what is due after a suspension

Now limits are kept with the time of our clock at which they pass, and set anew when the watch sees that the box was away; readiness and idle connections as on the platform (its entry's rule moved to feed/staleness.py, unchanged).

A test with real processes fails first: at an entry suspended for 1.5 s, a request whose deadline had passed was refused after one with a second left; now before it. A first form of the test (5 s away) could not show it: the link to the sidecar is lost by then and the second request is refused at once for want of an upstream.

--- a/src/leadseam/control/program.py
+++ b/src/leadseam/control/program.py
@@ -19,6 +19,7 @@
 from leadseam.feed.server import FeedServer
 from leadseam.runtime.admin import serve_admin
 from leadseam.runtime.metrics import ControlMetrics, Metrics
+from leadseam.runtime.suspension import SuspensionWatch
 from leadseam.wire.link import listen
 
 if TYPE_CHECKING:
@@ -66,6 +67,7 @@
         clock: Clock | None = None,
     ) -> None:
         identity = open_folder(settings, found=found)
+        clock = clock or SystemClock()
         metrics = Metrics()
         control_metrics = ControlMetrics(metrics)
         self._settings = settings
@@ -77,7 +79,7 @@
             endpoints=settings.replicas,
             storage=self._storage,
             recovered=self._storage.open(),
-            clock=clock or SystemClock(),
+            clock=clock,
             metrics=control_metrics,
             traffic=metrics.traffic,
             seed=secrets.randbits(64),
@@ -88,6 +90,7 @@
             self.replica, self._feed, settings.operators, control_metrics
         )
         self._operator = Server([service])
+        self._suspension = SuspensionWatch(clock, metrics)
         self._links: LinkServer | None = None
         self._admin: AppRunner | None = None
 
@@ -109,6 +112,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.replica.run())
             group.create_task(self._feed.run())
+            group.create_task(self._suspension.run())
 
     async def drain(self) -> None:
         """Nothing is in flight for long; the group is told that this box stops."""
--- a/src/leadseam/entry/dispatcher.py
+++ b/src/leadseam/entry/dispatcher.py
@@ -14,6 +14,7 @@
 from leadseam.fairness.merge import ServiceMerge
 from leadseam.outcome import NotRun, Reason
 from leadseam.runtime.tasks import spawn
+from leadseam.runtime.timeouts import Timeouts
 from leadseam.wire.messages import Hello
 
 if TYPE_CHECKING:
@@ -52,6 +53,7 @@
         self.metrics = metrics
         self.traffic = traffic
         self.window = limits.window_bytes
+        self.timeouts = Timeouts(clock)
         self._node = node
         self._incarnation = incarnation
         self._clock = clock
--- a/src/leadseam/entry/program.py
+++ b/src/leadseam/entry/program.py
@@ -12,8 +12,10 @@
 from leadseam.entry.dispatcher import Dispatcher
 from leadseam.entry.http import Frontend
 from leadseam.feed.client import FeedClient
+from leadseam.feed.staleness import Staleness
 from leadseam.runtime.admin import admin_routes, serve_http
 from leadseam.runtime.metrics import EntryMetrics, Metrics
+from leadseam.runtime.suspension import SuspensionWatch
 
 if TYPE_CHECKING:
     from leadseam.settings.models import EntrySettings
@@ -61,6 +63,10 @@
             metrics=metrics,
             clock=clock,
         )
+        self._staleness = Staleness(self._feed, clock)
+        self._suspension = SuspensionWatch(
+            clock, self._metrics, on_resume=self._on_resume
+        )
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -80,6 +86,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.dispatcher.run())
             group.create_task(self._feed.run())
+            group.create_task(self._suspension.run())
 
     async def drain(self) -> None:
         """Fail the readiness check, then wait for the last response."""
@@ -99,11 +106,17 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    def _on_resume(self) -> None:
+        self._staleness.resumed()
+        self.dispatcher.timeouts.look()
+
     def _readiness(self) -> str:
         if self._frontend.stopping:
             return "stopping"
         if not self._feed.confirmed:
             return "no confirmed configuration"
+        if self._staleness.holds():
+            return "suspended, and not confirmed since"
         if not self.dispatcher.connected:
             return "connecting to sidecars"
         return ""
--- a/src/leadseam/entry/relay.py
+++ b/src/leadseam/entry/relay.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from leadseam.clock import Clock, Millis, seconds
+from leadseam.clock import Clock, Millis
 from leadseam.entry.answers import error_event
 from leadseam.entry.request import (
     CallerRequest,
@@ -128,9 +128,8 @@
                     self._prepare_retry(item, decision)
 
     async def _wait_for_grant(self, item: Waiting) -> bool:
-        left = self._req.deadline - self._clock.now()
         try:
-            async with asyncio.timeout(seconds(left)):
+            async with self._dispatcher.timeouts.until(self._req.deadline):
                 event = await item.events.get()
         except TimeoutError:
             self._dispatcher.withdraw(item)
@@ -193,9 +192,9 @@
 
     async def _receive(self, item: Waiting) -> AttemptEvent:
         """Wait for an event; a deadline counts as a lost answer."""
-        left = self._req.deadline - self._clock.now()
+        limit = max(self._req.deadline, self._clock.now()) + DEADLINE_GRACE
         try:
-            async with asyncio.timeout(seconds(max(left, 0) + DEADLINE_GRACE)):
+            async with self._dispatcher.timeouts.until(limit):
                 return await item.events.get()
         except TimeoutError:
             self._drop_attempt()
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -11,6 +11,7 @@
 from leadseam.clock import Clock, Millis, SystemClock, sleep
 from leadseam.feed.client import FeedClient
 from leadseam.feed.pace import SHORTEST, interval_for, report_size
+from leadseam.feed.staleness import Staleness
 from leadseam.membership.view import UpstreamView
 from leadseam.platform.front import FrontServer, ReadyServer
 from leadseam.platform.headers import PlatformDialect
@@ -44,9 +45,6 @@
 STOP_RESERVE: Millis = 700
 """Time kept before the platform kills the process, to close in order."""
 DRAIN_POLL: Millis = 50
-STALE_LIMIT: Millis = 5_000
-"""Time after a suspension for which an entry without confirmation calls itself not
-ready. Without a control group it serves what it knows then, as the others do."""
 
 log = logging.getLogger(__name__)
 
@@ -87,7 +85,7 @@
         self._suspension = SuspensionWatch(
             self._clock, self._metrics, on_resume=self._on_resume
         )
-        self._stale_since: Millis | None = None
+        self._staleness = Staleness(self._feed, self._clock)
         self._watch = SettingsWatch(path, settings, self._on_settings)
         self._client: UpstreamClient | None = None
         self._gateway: Gateway | None = None
@@ -182,8 +180,7 @@
 
     def _on_resume(self) -> None:
         assert self._gateway is not None
-        if not self._feed.fresh:
-            self._stale_since = self._clock.now()
+        self._staleness.resumed()
         self._gateway.resumed()
 
     def _show_lag(self, lag: Millis) -> None:
@@ -222,15 +219,6 @@
             return "stopping"
         if not self._feed.confirmed:
             return "no confirmed configuration"
-        if self._is_stale():
+        if self._staleness.holds():
             return "suspended, and not confirmed since"
         return ""
-
-    def _is_stale(self) -> bool:
-        """Tell whether what was known before a suspension is still unconfirmed."""
-        if self._stale_since is None:
-            return False
-        if self._feed.fresh or self._clock.now() - self._stale_since > STALE_LIMIT:
-            self._stale_since = None
-            return False
-        return True
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -110,15 +110,6 @@
         make: Callable[..., ResponseHandler] = UpstreamConnection
         self._factory = functools.partial(make, loop=self._loop)
 
-    def drop_idle(self) -> int:
-        """Close the connections that nobody uses; return their number."""
-        idle = [conn for conns in self._conns.values() for conn, _ in conns]
-        for conn in idle:
-            # The pool passes over those that are closed.
-            conn.force_close()
-            conn.close()
-        return len(idle)
-
     async def _wrap_create_connection(
         self, *args: Any, **kwargs: Any
     ) -> tuple[asyncio.Transport, ResponseHandler]:
--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -13,6 +13,7 @@
 from leadseam.fairness.service import normalise
 from leadseam.outcome import Reason, RefusalReason
 from leadseam.runtime.tasks import spawn
+from leadseam.runtime.timeouts import Timeouts
 from leadseam.sidecar.attempts import AttemptKey, AttemptState, AttemptTable
 from leadseam.sidecar.breaker import Breaker, Health
 from leadseam.sidecar.gate import Gate
@@ -82,6 +83,7 @@
         self._metrics = metrics
         self._configuration = Configuration()
         self._upstream: Upstream | None = None
+        self._timeouts = Timeouts(clock)
         self._ledger = Ledger()
         self._scheduler = Scheduler(self._ledger, Picker(self._ledger), self._share_of)
         self._gate = Gate()
@@ -123,11 +125,18 @@
         kind = configuration.pools[row.pool].kind
         address = UpstreamAddress(row.ip, row.port, kind is PoolKind.ENGINE)
         if self._upstream is None or self._upstream.address != address:
-            old, self._upstream = self._upstream, Upstream(address, self._clock)
+            old = self._upstream
+            self._upstream = Upstream(address, self._clock, self._timeouts)
             if old is not None:
                 spawn(self._retire(old))
         self._update_slots()
 
+    def resumed(self) -> None:
+        """Look at all that may be due after the box was suspended."""
+        self._timeouts.look()
+        if self._upstream is not None:
+            self._upstream.drop_idle()
+
     def leave(self, reason: str) -> None:
         """Take no new work in this incarnation, for good."""
         if self.leaving:
--- a/src/leadseam/sidecar/program.py
+++ b/src/leadseam/sidecar/program.py
@@ -8,8 +8,10 @@
 
 from leadseam.clock import Clock, SystemClock, sleep
 from leadseam.feed.client import FeedClient
+from leadseam.feed.staleness import Staleness
 from leadseam.runtime.admin import serve_admin
 from leadseam.runtime.metrics import Metrics, SidecarMetrics
+from leadseam.runtime.suspension import SuspensionWatch
 from leadseam.sidecar.agent import Agent
 from leadseam.sidecar.platform import watch_platform
 from leadseam.wire.link import listen
@@ -53,6 +55,10 @@
             traffic=self._metrics.traffic,
             on_change=self.agent.configure,
         )
+        self._staleness = Staleness(self._feed, clock)
+        self._suspension = SuspensionWatch(
+            clock, self._metrics, on_resume=self._on_resume
+        )
         self._links: Server | None = None
         self._admin: AppRunner | None = None
 
@@ -74,6 +80,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self.agent.run())
             group.create_task(self._feed.run())
+            group.create_task(self._suspension.run())
             if self._settings.platform_list:
                 group.create_task(self._watch_platform())
 
@@ -100,6 +107,10 @@
         if self._admin is not None:
             await self._admin.cleanup()
 
+    def _on_resume(self) -> None:
+        self._staleness.resumed()
+        self.agent.resumed()
+
     def _readiness(self) -> str:
         if not self._feed.confirmed:
             return "no confirmed configuration"
@@ -107,4 +118,6 @@
             return f"upstream {self._settings.upstream!r} is not configured"
         if self.agent.leaving:
             return "leaving"
+        if self._staleness.holds():
+            return "suspended, and not confirmed since"
         return ""
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from leadseam.runtime.timeouts import Timeouts
     from leadseam.sidecar.meter import Meter
     from leadseam.wire.dispatch import Dispatch
 
@@ -97,23 +98,32 @@
     Args:
         address: Where it is.
         clock: Source of time.
+        timeouts: Time limits of requests.
     """
 
-    def __init__(self, address: UpstreamAddress, clock: Clock) -> None:
+    def __init__(
+        self, address: UpstreamAddress, clock: Clock, timeouts: Timeouts
+    ) -> None:
         self.address = address
         self._clock = clock
+        self._timeouts = timeouts
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=seconds(CONNECT_TIMEOUT)
         )
-        self._pooled = self._session(keepalive=KEEPALIVE_S)
+        self._connector = LoopConnector(keepalive=KEEPALIVE_S)
+        self._pooled = self._session(self._connector)
         # A reused connection may make the client library send a request twice.
-        self._single_use = self._session(keepalive=None)
+        self._single_use = self._session(LoopConnector())
 
     async def close(self) -> None:
         """Close all connections."""
         await self._pooled.close()
         await self._single_use.close()
 
+    def drop_idle(self) -> int:
+        """Close idle connections, which may be dead; return their number."""
+        return self._connector.drop_idle()
+
     async def probe(self) -> bool:
         """Ask whether the upstream works."""
         timeout = aiohttp.ClientTimeout(total=seconds(PROBE_TIMEOUT))
@@ -146,7 +156,7 @@
         """
         stream = _Stream(self, req, window, send, charge)
         try:
-            async with asyncio.timeout(_time_limit(req)):
+            async with self._timeouts.until(self._time_limit(req)):
                 await stream.run()
         except aiohttp.ClientConnectorError:
             return stream.final(Reason.UPSTREAM_UNREACHABLE, started=False)
@@ -181,9 +191,15 @@
         """Return the time."""
         return self._clock.now()
 
-    def _session(self, *, keepalive: float | None) -> aiohttp.ClientSession:
+    def _time_limit(self, req: Dispatch) -> Millis | None:
+        """Return when a request may be cut off, or None."""
+        if not (req.deadline and req.repeatable):
+            return None
+        return self._clock.now() + req.deadline
+
+    def _session(self, connector: LoopConnector) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
-            connector=LoopConnector(keepalive=keepalive),
+            connector=connector,
             timeout=self._timeout,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
@@ -246,11 +262,6 @@
             self._size += len(part)
 
 
-def _time_limit(req: Dispatch) -> float | None:
-    """Return the seconds after which a request may be cut off, or None."""
-    return seconds(req.deadline) if req.deadline and req.repeatable else None
-
-
 def _end_to_end(resp: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
     kept = HOP_BY_HOP - {"content-encoding"}
     items = resp.headers.items()
--- /dev/null
+++ b/tests/failures/test_suspended.py
@@ -0,0 +1,63 @@
+"""Programs of the path through sidecars that are suspended, as real processes.
+
+The story: an entry is suspended while a request waits for a slot; the loop's timer that
+ends the wait leaves the time away out, so the refusal comes late by all of it.
+The evidence: before the repair, at an entry that was suspended for 1.5 s a request
+whose deadline had passed was refused after one that had a second left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+from tests.test_callers import engine_busy
+from tools.waiting import until
+
+if TYPE_CHECKING:
+    from tools.fleet import Fleet
+
+CHAT = "/v1/chat/completions"
+AWAY = 1.5
+"""Seconds for which a process is suspended."""
+
+
+async def test_what_is_past_its_deadline_is_refused_before_what_has_time_left(
+    fleet: Fleet,
+) -> None:
+    fleet.add_control()
+    fleet.add_pool("rates-1", model="rates")
+    fleet.add_upstream(
+        "engine-1", pool="rates-1", kind="engine", slots=1, token_interval=100
+    )
+    fleet.add_account("tellers", models=("rates",))
+    fleet.add_entry("entry-1")
+    fleet.make_suspendable("entry-1")
+    await fleet.start_all()
+    running = asyncio.create_task(
+        fleet.chat("entry-1", "tellers", "rates", tokens=1_000)
+    )
+    await until(lambda: engine_busy(fleet), "the engine is busy")
+    ended: list[str] = []
+
+    async def call(name: str, left: int) -> tuple[int, str]:
+        headers = {"X-Leadseam-Deadline-Ms": str(left)}
+        body = json.dumps({"model": "rates", "messages": []}).encode()
+        status, answer = await fleet.post("entry-1", CHAT, "tellers", body, headers)
+        ended.append(name)
+        return status, json.loads(answer)["error"]["code"]
+
+    first = asyncio.create_task(call("first", 1_400))
+    await until(lambda: _one_waits(fleet), "the first request waits")
+    await fleet.suspend("entry-1", AWAY)
+    second = asyncio.create_task(call("second", 1_000))
+    passed = (504, "deadline_passed")
+    assert (await first, await second) == (passed, passed)
+    assert ended == ["first", "second"]
+    assert await fleet.metric("entry-1", "suspended_ms_total")
+    running.cancel()
+
+
+async def _one_waits(fleet: Fleet) -> bool:
+    return (await fleet.metric("entry-1", "waiting_requests")).get("") == 1
--- /dev/null
+++ b/tests/feed/test_staleness.py
@@ -0,0 +1,44 @@
+"""A box that was suspended is not ready until what it knows is confirmed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, cast
+
+from leadseam.clock import ManualClock
+from leadseam.feed.staleness import Staleness
+
+if TYPE_CHECKING:
+    from leadseam.feed.client import FeedClient
+
+
+@dataclass
+class Feed:
+    """Says whether what it told is confirmed."""
+
+    fresh: bool = True
+
+
+def test_it_holds_until_the_feed_is_fresh() -> None:
+    feed, clock = Feed(), ManualClock()
+    staleness = Staleness(cast("FeedClient", feed), clock)
+    staleness.resumed()
+    assert not staleness.holds()
+    feed.fresh = False
+    assert not staleness.holds()
+    staleness.resumed()
+    assert staleness.holds()
+    feed.fresh = True
+    assert not staleness.holds()
+    feed.fresh = False
+    assert not staleness.holds()
+
+
+def test_it_holds_no_longer_than_five_seconds() -> None:
+    feed, clock = Feed(fresh=False), ManualClock()
+    staleness = Staleness(cast("FeedClient", feed), clock)
+    staleness.resumed()
+    clock.advance(5_000)
+    assert staleness.holds()
+    clock.advance(1)
+    assert not staleness.holds()
--- a/tests/runtime/test_connector.py
+++ b/tests/runtime/test_connector.py
@@ -13,31 +13,32 @@
 
 from __future__ import annotations
 
-import ast
 import asyncio
+import re
 from pathlib import Path
-from typing import TYPE_CHECKING
 
 import aiohttp
 import pytest
 
 from leadseam.clock import SystemClock
 from leadseam.runtime.connector import LoopConnector
+from leadseam.runtime.timeouts import Timeouts
 from leadseam.sidecar.platform import watch_platform
 from leadseam.sidecar.upstream import Upstream, UpstreamAddress
 from tests.descriptors import assert_closed_once
 from tools.platform.standin import Operator, tell
 from tools.ports import LOOPBACK
 
-if TYPE_CHECKING:
-    from collections.abc import Iterator
-
 ROOT = Path(__file__).parents[2]
 FOLDERS = ("src", "tests", "tools")
+SESSION = re.compile(r"(?:TCPConnector|ClientSession)\((?:[^()]|\([^()]*\))*\)")
+"""A call that makes a connector, or that makes a session with one or without."""
 
 
 async def probe(port: int) -> None:
-    upstream = Upstream(UpstreamAddress(LOOPBACK, port, engine=True), SystemClock())
+    clock = SystemClock()
+    address = UpstreamAddress(LOOPBACK, port, engine=True)
+    upstream = Upstream(address, clock, Timeouts(clock))
     try:
         await upstream.probe()
     finally:
@@ -110,28 +111,17 @@
 
 def test_nothing_opens_connections_in_the_library_s_way() -> None:
     found = [
-        f"{path.relative_to(ROOT)}:{call.lineno}"
+        f"{path.relative_to(ROOT)}: {call}"
         for folder in FOLDERS
         for path in sorted((ROOT / folder).rglob("*.py"))
-        for call in calls(path)
-        if opens_its_own_way(call)
+        for call in SESSION.findall(path.read_text())
+        if "connector=" not in call
     ]
     assert found == []
 
 
-def calls(path: Path) -> Iterator[ast.Call]:
-    """Yield the calls in a file."""
-    for node in ast.walk(ast.parse(path.read_text())):
-        if isinstance(node, ast.Call):
-            yield node
-
-
-def opens_its_own_way(call: ast.Call) -> bool:
-    """Tell whether a call makes a connector of the library, or leaves it to it."""
-    match call.func:
-        case ast.Attribute(attr=name) | ast.Name(id=name):
-            pass
-        case _:
-            return False
-    connectors = [word for word in call.keywords if word.arg == "connector"]
-    return name == "TCPConnector" or (name == "ClientSession" and not connectors)
+@pytest.mark.parametrize("args", ["", "timeout=Timeout(total=1)", "limit=0"])
+@pytest.mark.parametrize("name", ["ClientSession", "TCPConnector"])
+def test_the_library_s_way_is_found(name: str, args: str) -> None:
+    made = f"{name}({args})"
+    assert SESSION.findall(f"async with aiohttp.{made} as http:") == [made]
--- /dev/null
+++ b/tests/runtime/test_timeouts.py
@@ -0,0 +1,45 @@
+"""Time limits hold although the loop's timers left suspended time out."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from leadseam.clock import ManualClock
+from leadseam.runtime.timeouts import Timeouts
+
+LONG = 3_600_000
+"""Limit that no timer of a test reaches."""
+
+
+async def test_a_limit_that_passed_meanwhile_cuts_off_at_once() -> None:
+    clock = ManualClock()
+    timeouts = Timeouts(clock)
+    with pytest.raises(TimeoutError):
+        async with timeouts.until(LONG):
+            clock.suspend(LONG)
+            timeouts.look()
+            await asyncio.Event().wait()
+    assert repr(timeouts) == "Timeouts(0)"
+
+
+async def test_a_limit_that_has_not_passed_cuts_off_nothing() -> None:
+    clock = ManualClock()
+    timeouts = Timeouts(clock)
+    async with timeouts.until(LONG), timeouts.until(None):
+        clock.suspend(LONG - 60_000)
+        timeouts.look()
+        await asyncio.sleep(0.01)
+    assert repr(timeouts) == "Timeouts(0)"
+
+
+async def test_a_limit_that_is_passing_is_left_alone() -> None:
+    clock = ManualClock()
+    timeouts = Timeouts(clock)
+    with pytest.raises(TimeoutError):
+        async with timeouts.until(0):
+            try:
+                await asyncio.Event().wait()
+            finally:
+                timeouts.look()
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -19,6 +19,8 @@
 
 from leadseam.runtime.connector import KEEPALIVE_S, LoopConnector
 from tools.node import Node
+from tools.platform import suspension
+from tools.platform.suspension import SteadyClock
 from tools.ports import LOOPBACK, PortPool
 from tools.waiting import until
 
@@ -55,6 +57,7 @@
         self.platform_list = ""
         self._http: aiohttp.ClientSession | None = None
         self._closers: list[Callable[[], Awaitable[None]]] = []
+        self._clocks: dict[str, SteadyClock] = {}
 
     @property
     def http(self) -> aiohttp.ClientSession:
@@ -198,13 +201,27 @@
         path.write_text(yaml.safe_dump(node.settings))
         for port in node.ports:
             self.ports.release(port)
-        module = f"leadseam.cli.{node.program}"
-        command = [sys.executable, "-m", module, *extra, str(path)]
+        command = [sys.executable, "-m", *self._program(node), *extra, str(path)]
         with open(node.log, "ab") as log:
             node.process = subprocess.Popen(
                 command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
             )
 
+    def make_suspendable(self, name: str) -> None:
+        """Have a process started so that it can be suspended."""
+        self._clocks[name] = SteadyClock(self.folder / f"{name}.left-out")
+
+    async def suspend(self, name: str, length: float) -> None:
+        """Suspend a process for some seconds."""
+        process = self.nodes[name].process
+        assert process is not None
+        await self._clocks[name].suspend(process, length)
+
+    def _program(self, node: Node) -> list[str]:
+        if node.name not in self._clocks:
+            return [f"leadseam.cli.{node.program}"]
+        return [suspension.MODULE, str(self._clocks[node.name].file), node.program]
+
     async def start_all(self) -> None:
         """Start everything, apply the configuration and wait until all is ready."""
         control = self.names("control")
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -229,7 +229,7 @@
         if ip not in self._clocks:
             # One for all processes of a box: the clock is the box's.
             self._clocks[ip] = SteadyClock(self.folder / f"{ip}.left-out")
-        return [suspension.MODULE, str(self._clocks[ip].file)]
+        return [suspension.MODULE, str(self._clocks[ip].file), "node"]
 
     def kill(self, ip: str) -> None:
         """Kill the process of a box."""
--- a/tools/platform/suspendable.py
+++ b/tools/platform/suspendable.py
@@ -1,6 +1,8 @@
-"""Run a node whose steady clock leaves out the time for which it was suspended.
+"""Run a program whose steady clock leaves out the time for which it was suspended.
 
-Usage: python -m tools.platform.suspendable FILE ROLE
+Usage: python -m tools.platform.suspendable FILE PROGRAM ARGUMENT...
+
+PROGRAM is a module of `leadseam.cli`; it gets the arguments.
 
 FILE holds, as eight bytes in the machine's order, the nanoseconds left out so far. The
 steady clock of Python and the timers of an event loop go by it; CLOCK_BOOTTIME and the
@@ -10,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import os
 import struct
 import sys
@@ -45,7 +48,11 @@
 if __name__ == "__main__":
     leave_out(sys.argv.pop(1))
     # Later than the clock, which what it imports may keep.
-    from leadseam.cli import node
-
-    vars(node)["run_in_uvloop"] = run_in_own_loop
-    node.main()
+    from leadseam.runtime import process
+
+    program = importlib.import_module(f"leadseam.cli.{sys.argv.pop(1)}")
+    vars(program)["run_in_uvloop"] = run_in_own_loop
+    defaults = process.run_program.__kwdefaults__
+    assert defaults is not None
+    defaults["run"] = run_in_own_loop
+    program.main()
