What a suspension does at nine places, asked of the places themselves

The table in docs/design/suspension.md was worked out from the code in most rows. Nine places and two kinds of limits are now prepared, left for 0.2, 2 and 20 s, and asked by the clock that counts that time and by one that leaves it out; the table's rows with a star say what they said. One expectation was wrong by rounding (904 for 905 tokens, 367 for 368); none by meaning.

--- /dev/null
+++ b/tests/runtime/test_suspended_places.py
@@ -0,0 +1,197 @@
+"""What a suspension does at each place that compares two readings of a clock.
+
+Each place is prepared, then the box is away for 0.2, 2 and 20 s, then the place is
+asked once by the clock that counts that time, and once by one that leaves it out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, TypeAlias
+
+import pytest
+
+from leadseam.clock import ManualClock, Millis
+from leadseam.control.raft_work import Role
+from leadseam.crashes.book import CrashBook
+from leadseam.feed.client import FeedClient
+from leadseam.incarnation import Incarnation
+from leadseam.membership.registry import Registry
+from leadseam.membership.view import UpstreamView
+from leadseam.routing.budget import PoolRetryBudget, RetryLimits
+from leadseam.routing.health import UpstreamHealth
+from leadseam.routing.load import Load, LoadBook
+from leadseam.routing.usage import UsageBook
+from leadseam.runtime.timeouts import Timeouts
+from leadseam.settings.models import Endpoint
+from leadseam.wire.crashes import CrashRow
+from leadseam.wire.traffic import Traffic
+from tests.control.cluster import elected
+from tests.routing.samples import make_upstream
+from tests.routing.test_load import exchange
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    Ask: TypeAlias = Callable[[Millis], object]
+    Read: TypeAlias = Callable[[ManualClock], Millis]
+
+AWAY: tuple[Millis, ...] = (200, 2_000, 20_000)
+ENGINE = Incarnation("i-1")
+
+
+def leader_lease() -> Ask:
+    """Whether a leader answers for the group by its lease."""
+    cluster = elected()
+    leader = cluster.leader()
+    assert leader is not None and leader.holds_lease(cluster.now)
+    return lambda now: leader.holds_lease(cluster.now + now)
+
+
+def follower_is_current() -> Ask:
+    """Whether a follower says that it holds the newest."""
+    cluster = elected()
+    follower = next(
+        box.raft
+        for box in cluster.boxes.values()
+        if box.raft is not None and box.raft.role is Role.FOLLOWER
+    )
+    assert follower.is_current(cluster.now)
+    return lambda now: follower.is_current(cluster.now + now)
+
+
+def retries_again() -> Ask:
+    """How many retries an entry has that had used all up."""
+    budget = PoolRetryBudget(RetryLimits(ratio=0.2, slack=10, window=10_000))
+    while budget.take("p", 0, 1):
+        pass
+    return lambda now: sum(budget.take("p", now, 1) for _ in range(20))
+
+
+def failing_upstream() -> Ask:
+    """Whether an upstream that was paused for 0.5 s is used."""
+    health = UpstreamHealth()
+    while not health.failed(ENGINE, 0):
+        pass
+    return lambda now: health.usable(ENGINE, now)
+
+
+def load_of_others() -> Ask:
+    """Requests of others that count at an engine."""
+    books = [LoadBook(), LoadBook()]
+    books[1].begin(ENGINE, Load(requests=1))
+    exchange(books)
+    return lambda now: books[0].total(ENGINE, now).requests
+
+
+def service_of_late() -> Ask:
+    """Service of an account that still counts, of 1,000 tokens."""
+    book = UsageBook()
+    book.served("tellers", 1_000, 0)
+    return lambda now: sum(row.served for row in book.rows(now))
+
+
+def upstream_of_a_lost_replica() -> Ask:
+    """Upstreams that an entry uses after it lost the replica that told of them."""
+    view = UpstreamView()
+    view.update("a", [make_upstream(1)], 0)
+    view.disconnected("a", 0)
+
+    def ask(now: Millis) -> int:
+        view.sweep(now)
+        return len(view.pool("p"))
+
+    return ask
+
+
+def silent_upstream() -> Ask:
+    """Upstreams that a control box takes for gone at its first look."""
+    registry = Registry(1_000)
+    registry.heartbeat(make_upstream(1), 0)
+    registry.expire(0)
+    return lambda now: len(registry.expire(now))
+
+
+def suspected_request() -> Ask:
+    """Whether a suspect of 590 s ago is still known."""
+    book = CrashBook()
+    book.merge(CrashRow("f", "tellers", 7, (ENGINE,)), 0)
+
+    def ask(now: Millis) -> int:
+        book.fade(590_000 + now)
+        return len(book)
+
+    return ask
+
+
+PLACES: list[tuple[Callable[[], Ask], list[object], list[object]]] = [
+    (leader_lease, [True, True, True], [True, False, False]),
+    (follower_is_current, [True, True, True], [True, False, False]),
+    (retries_again, [0, 0, 0], [0, 0, 8]),
+    (failing_upstream, [False, False, False], [False, True, True]),
+    (load_of_others, [1, 1, 1], [1, 0, 0]),
+    (service_of_late, [1_000, 1_000, 1_000], [905, 368, 0]),
+    (upstream_of_a_lost_replica, [1, 1, 1], [1, 1, 0]),
+    (silent_upstream, [0, 0, 0], [0, 0, 0]),
+    (suspected_request, [1, 1, 1], [1, 1, 0]),
+]
+"""Each place, what it says by a clock that leaves the time away out, and by ours."""
+
+
+@pytest.mark.parametrize(("prepare", "left_out", "counted"), PLACES)
+def test_what_a_place_says_after_a_suspension(
+    prepare: Callable[[], Ask], left_out: list[object], counted: list[object]
+) -> None:
+    assert [asked(prepare, away, ManualClock.running) for away in AWAY] == left_out
+    assert [asked(prepare, away, ManualClock.now) for away in AWAY] == counted
+
+
+def asked(prepare: Callable[[], Ask], away: Millis, read: Read) -> object:
+    """Return what a place says when the box was away."""
+    clock = ManualClock()
+    ask = prepare()
+    clock.suspend(away)
+    return ask(read(clock))
+
+
+@pytest.mark.parametrize(
+    ("away", "left_out", "counted"),
+    [(200, True, True), (2_000, True, False), (20_000, True, False)],
+)
+def test_an_entry_calls_nothing_absent_by_an_old_confirmation(
+    away: Millis, left_out: bool, counted: bool
+) -> None:
+    clock = ManualClock(100_000)
+    feed = FeedClient(
+        node="entry-1",
+        incarnation=1,
+        endpoints=(Endpoint("10.0.0.1", 7_000),),
+        clock=clock,
+        traffic=Traffic(),
+        on_change=lambda _: None,
+    )
+    feed.confirmed = True
+    feed._confirmed_at = clock.now()
+    assert feed.fresh is left_out
+    clock.suspend(away)
+    assert feed.fresh is counted
+
+
+@pytest.mark.parametrize(
+    ("away", "cut_off"), [(200, False), (2_000, True), (20_000, True)]
+)
+async def test_a_limit_of_a_second_cuts_off_on_going_on(
+    away: Millis, cut_off: bool
+) -> None:
+    clock = ManualClock()
+    timeouts = Timeouts(clock)
+    passed = False
+    try:
+        async with timeouts.until(1_000):
+            clock.suspend(away)
+            timeouts.look()
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+    except TimeoutError:
+        passed = True
+    assert passed is cut_off
