A stream that an entry cuts says why on its line, not `link_lost`

The handler is not needed: an exchange begins with that outcome. A cut stream of a route that must not repeat is `unknown` now, as its plain answers are; it said `failed`.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -22,7 +22,7 @@
     attempt,
 )
 from leadseam.routing.dialect import AttemptHead
-from leadseam.routing.reply import CallerGoneError, Reply
+from leadseam.routing.reply import Reply
 from leadseam.routing.silence import SilenceWatch, first_limit, pause_limit
 
 if TYPE_CHECKING:
@@ -131,9 +131,6 @@
                 return await self._forward()
         except TimeoutError:
             return self._out_of_time()
-        except (ConnectionError, CallerGoneError):
-            self.outcome = Unknown(Reason.LINK_LOST)
-            raise
 
     async def _forward(self) -> web.StreamResponse:
         self._gateway.budget.note_request(self._request.pool, self._gateway.now())
@@ -334,9 +331,14 @@
         if reason in (Reason.CRASHES_UPSTREAMS, Reason.MAY_CRASH_UPSTREAMS):
             # It has run, and 503 would say that it has not.
             reason = Reason.UPSTREAM_BROKEN
+        lost = self._lost(reason)
+        self.outcome = lost
+        return self._gateway.error(lost)
+
+    def _lost(self, reason: Reason) -> Failed | Unknown:
+        """Return the outcome of a request that may have run, without an answer."""
         unsafe = self._request.route.repeat is Repeat.ONCE
-        self.outcome = Unknown(reason) if unsafe else Failed(reason)
-        return self._gateway.error(self.outcome)
+        return Unknown(reason) if unsafe else Failed(reason)
 
     def _refuse(self, reason: Reason) -> web.StreamResponse:
         """End a request that has certainly not run."""
@@ -357,5 +359,5 @@
         return self._gateway.error(self.outcome)
 
     def _cut(self, reason: Reason) -> NoReturn:
-        self.outcome = Failed(reason)
+        self.outcome = self._lost(reason)
         self._reply.cut(reason)
