A whole answer acquits its request although it was convicted meanwhile

Cause: an attempt that is to end for a conviction counted as cut here even if its answer had come in whole by then, so the one observation that speaks for an innocent request was left out and it stayed refused for an hour. Only an attempt that broke counts as cut. A request that crashes upstreams is not helped: it is never answered whole by one.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -246,8 +246,10 @@
         self, upstream: Registration, ending: Ending
     ) -> web.StreamResponse | None:
         """Return the response, or None to try another upstream."""
-        if not self._ended_here:
-            # Else it was cut here, which says nothing of the upstream or the request.
+        cut_here = self._ended_here and isinstance(ending, Broken)
+        if not cut_here:
+            # A cut says nothing of the upstream or the request; an answer that was
+            # whole by then does.
             self._gateway.note_ending(upstream, ending)
             self._gateway.crash_guard.note_ending(upstream, self._request, ending)
         retry = self._may_retry(ending)
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -9,8 +9,9 @@
 import pytest
 
 from leadseam.control.routes import Repeat
-from leadseam.outcome import Failed, NotRun, Outcome, Reason, Unknown
+from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.routing.admitted import Admitted
+from leadseam.routing.attempt import Whole
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.reply import CallerGoneError
 from leadseam.routing.restarts import Restarts
@@ -110,3 +111,19 @@
     exchange = make_exchange(shared)
     await exchange.run()
     assert exchange.outcome == NotRun(Reason.NO_UPSTREAM, 1_333)
+
+
+async def test_a_whole_answer_speaks_for_its_request_whatever_was_heard() -> None:
+    """Its request was convicted while it ran; that it ran to its end was not told."""
+    shared = Shared()
+    exchange = make_exchange(shared)
+    whole = Whole(200, (), b"x")
+
+    async def attempt(_: object) -> Ending:
+        exchange.end_attempt()
+        return whole
+
+    vars(exchange)["_attempt"] = attempt
+    await exchange.run()
+    assert shared.endings == [whole]
+    assert exchange.outcome == Answered(200)
