--- a/src/leadseam/wire/consensus.py
+++ b/src/leadseam/wire/consensus.py
@@ -110,9 +110,15 @@
 
 
 class Join(Message, frozen=True, array_like=True, tag=57):
-    """A replica on a new disk asks the leader to take it in."""
+    """A replica on a new disk asks the leader to take it in.
+
+    Args:
+        sender: The replica.
+        passed: Whether a follower has passed it on; this is done once.
+    """
 
     sender: str
+    passed: bool = False
 
 
 class Forward(Message, frozen=True, array_like=True, tag=58):
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -21,7 +21,7 @@
 from leadseam.control.raft import LEASE, Raft
 from leadseam.control.raft_log import base_name
 from leadseam.control.raft_work import Role
-from leadseam.wire.consensus import PreVote, PreVoteReply, Vote, VoteReply
+from leadseam.wire.consensus import Join, PreVote, PreVoteReply, Vote, VoteReply
 from tests.control.cluster import (
     BOXES,
     MAX_MESSAGES,
@@ -301,3 +301,31 @@
             granted
         ]
     assert LEASE < ELECTION_TIMEOUT
+
+
+def test_a_request_to_join_is_passed_on_once() -> None:
+    """Followers that take each other for the leader passed it in a ring for ever."""
+    cluster = elected()
+    followers = [
+        box.raft
+        for box in cluster.boxes.values()
+        if box.raft is not None and box.raft.role is Role.FOLLOWER
+    ]
+    first, second = followers
+    for follower in followers:
+        follower.take_ready()
+    first.leader, second.leader = second.identity, first.identity
+    first.receive(cluster.now, Join("d#new"))
+    ((to, passed),) = first.take_ready().send
+    assert (to, passed) == (second.identity, Join("d#new", passed=True))
+    second.receive(cluster.now, passed)
+    assert second.take_ready().send == ()
+
+
+def test_a_leader_takes_a_request_to_join_that_was_passed_on() -> None:
+    cluster = elected()
+    leader = cluster.leader()
+    assert leader is not None
+    leader.receive(cluster.now, Join("d#new", passed=True))
+    cluster.settle(5)
+    assert "d#new" in leader.membership.everyone
