Who merely ran where upstreams end is not refused with the request that ends them

Hypothesis: what crashes an upstream as it begins does so each time some ms after its send; who merely ran there is hit at any moment. Ends within 200 ms of the send, with no byte of an answer, weigh 5, others 3; 15 convict. So three early ends convict as before, and five late ones: two more than the rule's third, of the three retries that it bears.

A test with real processes is served now; with equal weights it is refused.

--- a/src/leadseam/crashes/book.py
+++ b/src/leadseam/crashes/book.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from leadseam.clock import Millis
+from leadseam.crashes import evidence
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -19,9 +20,6 @@
     from leadseam.crashes.fingerprint import Fingerprint
     from leadseam.wire.crashes import CrashRow
 
-CONVICTING = 3
-"""Upstreams that end under a request until it is refused. One end takes everything that
-ran there with it, some 4 to 60 requests, and a repeat may meet a second one."""
 MAX_ENDED = 8
 """Incarnations kept in a row; more say nothing new."""
 MAX_ROWS_OF_ACCOUNT = 256
@@ -77,7 +75,13 @@
 
     def convicts(self, fingerprint: Fingerprint) -> bool:
         """Tell whether a request is to be refused."""
-        return self.count(fingerprint) >= CONVICTING
+        row = self.get(fingerprint)
+        return row is not None and evidence.convicts(row)
+
+    def weight(self, fingerprint: Fingerprint) -> int:
+        """Return how much is known against a request."""
+        row = self.get(fingerprint)
+        return evidence.weight_of(row) if row is not None else 0
 
     def may_hold(self, account: str, size: int) -> bool:
         """Tell whether a request may have a row, before its body is digested."""
@@ -129,7 +133,7 @@
 
     def _bound(self, rows: _Rows) -> None:
         while len(rows) > MAX_ROWS_OF_ACCOUNT:
-            least = min(rows.values(), key=lambda row: len(row.counted))
+            least = min(rows.values(), key=evidence.weight_of)
             self._forget(least.fingerprint)
         while len(self._accounts) > MAX_ACCOUNTS:
             for fingerprint in list(next(iter(self._accounts.values()))):
@@ -151,6 +155,10 @@
     """Return both rows in one; the newest ends are kept beyond `MAX_ENDED`."""
     ended = tuple(dict.fromkeys([*known.ended, *row.ended]))
     void = tuple(dict.fromkeys([*known.void, *row.void]))
+    early = tuple(dict.fromkeys([*known.early, *row.early]))
     return msgspec.structs.replace(
-        known, ended=ended[-MAX_ENDED:], void=void[-MAX_ENDED:]
+        known,
+        ended=ended[-MAX_ENDED:],
+        void=void[-MAX_ENDED:],
+        early=early[-MAX_ENDED:],
     )
--- a/src/leadseam/crashes/suspects.py
+++ b/src/leadseam/crashes/suspects.py
@@ -14,7 +14,8 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Millis
-from leadseam.crashes.book import CONVICTING, CrashBook
+from leadseam.crashes import evidence
+from leadseam.crashes.book import CrashBook
 from leadseam.wire.crashes import CrashRow
 
 if TYPE_CHECKING:
@@ -57,12 +58,30 @@
     size: int
 
 
+@dataclass(frozen=True, slots=True)
+class News:
+    """What was learned from ends of upstreams.
+
+    Args:
+        rows: What is news to the others.
+        convicted: Requests that are refused from now on.
+    """
+
+    rows: tuple[CrashRow, ...] = ()
+    convicted: tuple[Fingerprint, ...] = ()
+
+
 @dataclass(slots=True)
 class _Break:
-    """Attempts that broke at one upstream, which may have ended."""
+    """Attempts that broke at one upstream, which may have ended.
+
+    Args:
+        at: When the last of them broke.
+        suspects: Their requests, and whether they had just begun there.
+    """
 
     at: Millis
-    suspects: set[Suspect] = field(default_factory=set)
+    suspects: dict[Suspect, bool] = field(default_factory=dict)
 
 
 class Suspects:
@@ -85,17 +104,27 @@
         """Whether it is not known yet of some upstream if it has ended."""
         return bool(self._breaks)
 
-    def broke(self, suspect: Suspect, incarnation: Incarnation, now: Millis) -> bool:
+    def broke(
+        self, suspect: Suspect, incarnation: Incarnation, now: Millis, *, early: bool
+    ) -> bool:
         """Note an attempt that broke.
 
+        Args:
+            suspect: Its request.
+            incarnation: Where it ran.
+            now: Current time.
+            early: Whether it had just begun there, and nothing was answered.
+
         Returns:
             Whether it is the first at this upstream that is undecided.
         """
         first = incarnation not in self._breaks
         broken = self._breaks.setdefault(incarnation, _Break(now))
         broken.at = now
-        if suspect not in broken.suspects and self._undecided < MAX_UNDECIDED:
-            broken.suspects.add(suspect)
+        if suspect in broken.suspects:
+            broken.suspects[suspect] |= early
+        elif self._undecided < MAX_UNDECIDED:
+            broken.suspects[suspect] = early
             self._undecided += 1
         return first
 
@@ -105,32 +134,39 @@
         if broken is not None and now - broken.at >= SIGN_OF_LIFE:
             self._drop(incarnation)
 
-    def ended(self, incarnation: Incarnation, now: Millis) -> tuple[CrashRow, ...]:
-        """Note that an upstream has ended; return what is news to the others."""
+    def ended(self, incarnation: Incarnation, now: Millis) -> News:
+        """Note that an upstream has ended; return what is learned from it."""
         broken = self._drop(incarnation)
         if broken is None:
-            return ()
+            return News()
         rows = [
-            CrashRow(one.fingerprint, one.account, one.size, (incarnation,))
-            for one in broken.suspects
+            _row(suspect, incarnation, early=early)
+            for suspect, early in broken.suspects.items()
         ]
+        free = [row for row in rows if not self.book.convicts(row.fingerprint)]
         merged = [self.book.merge(row, now) for row in rows]
-        return tuple(row for row in merged if row is not None)
+        return News(
+            tuple(row for row in merged if row is not None),
+            tuple(
+                row.fingerprint for row in free if self.book.convicts(row.fingerprint)
+            ),
+        )
 
-    def review(
-        self, presence: Callable[[Incarnation], Presence], now: Millis
-    ) -> tuple[CrashRow, ...]:
-        """Look at what registrations say; return what is news to the others."""
-        news: list[CrashRow] = []
+    def review(self, presence: Callable[[Incarnation], Presence], now: Millis) -> News:
+        """Look at what registrations say; return what is learned from it."""
+        news = News()
         for incarnation, broken in list(self._breaks.items()):
             match presence(incarnation):
                 case Presence.GONE:
-                    news += self.ended(incarnation, now)
+                    ended = self.ended(incarnation, now)
+                    news = News(
+                        news.rows + ended.rows, news.convicted + ended.convicted
+                    )
                 case Presence.LEAVES:
                     self._drop(incarnation)
                 case _ if now - broken.at > UNDECIDED_LIMIT:
                     self._drop(incarnation)
-        return tuple(news)
+        return news
 
     def told(self, rows: Iterable[CrashRow], now: Millis) -> tuple[Fingerprint, ...]:
         """Take what others have seen; return the requests that are convicted by it."""
@@ -146,14 +182,19 @@
         """Acquit a request that has run to its end; return what is news, if any."""
         for broken in self._breaks.values():
             if suspect in broken.suspects:
-                broken.suspects.remove(suspect)
+                del broken.suspects[suspect]
                 self._undecided -= 1
         return self.book.void(suspect.fingerprint, now)
 
     def on_trial(self, suspect: Suspect) -> bool:
         """Tell whether a request would be convicted if its upstreams have ended."""
-        undecided = sum(suspect in one.suspects for one in self._breaks.values())
-        return self.book.count(suspect.fingerprint) + undecided >= CONVICTING
+        undecided = sum(
+            evidence.weight(early=one.suspects[suspect])
+            for one in self._breaks.values()
+            if suspect in one.suspects
+        )
+        known = self.book.weight(suspect.fingerprint)
+        return known + undecided >= evidence.CONVICTING
 
     def may_know(self, account: str, size: int) -> bool:
         """Tell whether a request may be known, before its body is digested."""
@@ -168,3 +209,13 @@
         if broken is not None:
             self._undecided -= len(broken.suspects)
         return broken
+
+
+def _row(suspect: Suspect, incarnation: Incarnation, *, early: bool) -> CrashRow:
+    return CrashRow(
+        suspect.fingerprint,
+        suspect.account,
+        suspect.size,
+        ended=(incarnation,),
+        early=(incarnation,) if early else (),
+    )
--- a/src/leadseam/feed/crash_server.py
+++ b/src/leadseam/feed/crash_server.py
@@ -15,7 +15,8 @@
 from leadseam.clock import Millis, sleep
 from leadseam.control.raft_work import Role
 from leadseam.control.state import NoteCrashes
-from leadseam.crashes.book import CONVICTING, CrashBook
+from leadseam.crashes import evidence
+from leadseam.crashes.book import CrashBook
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.crashes import Crashes
 
@@ -28,7 +29,7 @@
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.crashes import CrashRow
 
-TOLD = CONVICTING - 1
+TOLD = 2
 """Ends from which on entries are told. Of an end, nearly all that ran there end well at
 their next attempt; telling 68 entries of each would cost 1 MB an end (worked out from
 30 rows of 54 bytes through 9 replicas)."""
@@ -93,7 +94,7 @@
     def verdicts(self) -> tuple[CrashRow, ...]:
         """Return the requests that are refused, as far as this replica knows."""
         self._merge(self._replica.state.crashes.rows())
-        return tuple(row for row in self._book.rows() if len(row.counted) >= CONVICTING)
+        return tuple(filter(evidence.convicts, self._book.rows()))
 
     async def lift(self, fingerprint: Fingerprint) -> bool:
         """Let nothing that is known so far count against a request.
@@ -154,7 +155,7 @@
         self._tell_all(Crashes(told))
         self._metrics.verdicts.set({}, len(self.verdicts()))
         for row in told:
-            if len(row.counted) >= CONVICTING:
+            if evidence.convicts(row):
                 extra = {
                     "fingerprint": row.fingerprint,
                     "account": row.account,
--- a/src/leadseam/routing/crash_guard.py
+++ b/src/leadseam/routing/crash_guard.py
@@ -12,8 +12,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Millis, sleep
-from leadseam.crashes.book import CONVICTING
-from leadseam.crashes.suspects import Presence, Suspect, Suspects
+from leadseam.crashes.suspects import News, Presence, Suspect, Suspects
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import FIRST_REDIRECTION, Broken, Streaming, Whole
 from leadseam.runtime.tasks import spawn
@@ -30,7 +29,6 @@
     from leadseam.routing.attempt import Ending
     from leadseam.routing.client import UpstreamClient
     from leadseam.routing.exchange import Exchange
-    from leadseam.wire.crashes import CrashRow
     from leadseam.wire.feed import Registration
 
 LOOK_DELAY: Millis = 20
@@ -84,12 +82,24 @@
         return None
 
     def note_ending(
-        self, upstream: Registration, admitted: Admitted, ending: Ending
+        self,
+        upstream: Registration,
+        admitted: Admitted,
+        ending: Ending,
+        *,
+        early: bool,
     ) -> None:
-        """Learn from an attempt; one that this entry has cut itself is none."""
+        """Learn from an attempt; one that this entry has cut itself is none.
+
+        Args:
+            upstream: Where it was made.
+            admitted: Its request.
+            ending: How it ended.
+            early: Whether it ended soon after its send, before a byte of an answer.
+        """
         match ending:
             case Broken():
-                self._broke(upstream, admitted)
+                self._broke(upstream, admitted, early=early)
             case Whole(status=status) if status < FIRST_REDIRECTION:
                 self._answered_whole(upstream, admitted)
             case Streaming(resp=resp) if resp.status < FIRST_REDIRECTION:
@@ -119,10 +129,13 @@
         rows = self._suspects.book.rows()
         return Crashes(rows) if rows else None
 
-    def _broke(self, upstream: Registration, admitted: Admitted) -> None:
+    def _broke(
+        self, upstream: Registration, admitted: Admitted, *, early: bool
+    ) -> None:
         suspect = _suspect(admitted)
         incarnation = upstream.incarnation
-        if self._suspects.broke(suspect, incarnation, self._clock.now()):
+        now = self._clock.now()
+        if self._suspects.broke(suspect, incarnation, now, early=early):
             spawn(self._look(upstream))
 
     async def _look(self, upstream: Registration) -> None:
@@ -151,19 +164,17 @@
         # An entry that is cut off forgets upstreams that go on.
         return Presence.GONE if self._feed.fresh else Presence.UNKNOWN
 
-    def _report(self, rows: tuple[CrashRow, ...]) -> None:
-        if not rows:
+    def _report(self, news: News) -> None:
+        if not news.rows:
             return
-        self._feed.tell(Crashes(rows))
+        self._feed.tell(Crashes(news.rows))
         extra = {
-            "instance": str(rows[0].ended[-1]),
-            "requests": len(rows),
-            "most_ended": max(len(row.counted) for row in rows),
+            "instance": str(news.rows[0].ended[-1]),
+            "requests": len(news.rows),
+            "most_ended": max(len(row.counted) for row in news.rows),
         }
         log.info("upstream has ended under requests", extra=extra)
-        self._convict(
-            tuple(row.fingerprint for row in rows if len(row.counted) == CONVICTING)
-        )
+        self._convict(news.convicted)
 
     def _convict(self, fingerprints: tuple[Fingerprint, ...]) -> None:
         """Refuse requests from now on, and end their attempts under way."""
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -151,7 +151,7 @@
                 flight.end()
                 return self._give_up(reason)
             ending = await self._send(flight)
-            done = await self._finish(flight.upstream, ending)
+            done = await self._finish(flight, ending)
             if done is not None:
                 return done
 
@@ -243,15 +243,17 @@
     # After an attempt
 
     async def _finish(
-        self, upstream: Registration, ending: Ending
+        self, flight: Flight, ending: Ending
     ) -> web.StreamResponse | None:
         """Return the response, or None to try another upstream."""
         cut_here = self._ended_here and isinstance(ending, Broken)
         if not cut_here:
             # A cut says nothing of the upstream or the request; an answer that was
             # whole by then does.
-            self._gateway.note_ending(upstream, ending)
-            self._gateway.crash_guard.note_ending(upstream, self._request, ending)
+            self._gateway.note_ending(flight.upstream, ending)
+            self._gateway.crash_guard.note_ending(
+                flight.upstream, self._request, ending, early=flight.ended_early()
+            )
         retry = self._may_retry(ending)
         self._gateway.request_log.attempt(self, self._request, ending, retry=retry)
         if retry:
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from leadseam.crashes.evidence import EARLY_LIMIT
 from leadseam.routing.load import Load
 
 if TYPE_CHECKING:
@@ -78,6 +79,10 @@
         )
         self._on_room()
 
+    def ended_early(self) -> bool:
+        """Tell whether the attempt ends now soon after its send, with no answer."""
+        return not self._read and self._clock.now() - self._sent <= EARLY_LIMIT
+
     def end(self) -> None:
         """Note that the attempt has ended."""
         load = self._placement.load
--- a/src/leadseam/wire/crashes.py
+++ b/src/leadseam/wire/crashes.py
@@ -19,6 +19,7 @@
         ended: Incarnations that have ended under it.
         void: Those among them that do not count, as it was answered whole since, or an
             operator says so.
+        early: Those among them that have ended as soon as the request began there.
     """
 
     fingerprint: str
@@ -26,6 +27,7 @@
     size: int
     ended: tuple[Incarnation, ...]
     void: tuple[Incarnation, ...] = ()
+    early: tuple[Incarnation, ...] = ()
 
     @property
     def counted(self) -> frozenset[Incarnation]:
--- a/tests/platform/test_deadly_request.py
+++ b/tests/platform/test_deadly_request.py
@@ -25,6 +25,7 @@
 
 import pytest
 
+from leadseam.crashes.evidence import EARLY_LIMIT
 from leadseam.platform import names
 from tools.waiting import until
 
@@ -156,3 +157,47 @@
     for round_ in range(len(platform.entry_ips)):
         assert_known(await call_again(platform, round_))
     assert arrivals(servers) == known
+
+
+async def test_one_that_is_hit_by_the_ends_of_others_is_served(
+    platform: Platform,
+) -> None:
+    """Beside a deadly request, 8 of 24 callers of longer ones were refused too."""
+    servers = await four_servers(platform)
+    for server in servers:
+        server.behave["long"] = "hold"
+    hits = 0
+    while hits < BORNE:
+        call = asyncio.create_task(call_again(platform, hits, "/once/long"))
+        running = await run_by(servers, hits)
+        # It runs for some time already: what crashes now is not its doing.
+        await asyncio.sleep(2 * EARLY_LIMIT / 1_000)
+        assert running.crash()
+        assert (await call).status == 502
+        hits += 1
+        await wait_up(platform, servers)
+    for server in servers:
+        server.behave.clear()
+    for round_ in range(len(platform.entry_ips)):
+        answer = await call_again(platform, round_, "/once/long")
+        assert answer.status == 200
+
+
+async def run_by(servers: list[Server], before: int) -> Server:
+    """Wait until one more run of the long request has begun, and return its server."""
+
+    def runs(server: Server) -> int:
+        return sum(run.target == "/once/long" for run in server.runs)
+
+    counts = [runs(server) for server in servers]
+    assert sum(counts) in (before, before + 1)
+
+    async def begun() -> bool:
+        return sum(map(runs, servers)) > before
+
+    await until(begun, "the long request runs")
+    return next(
+        server
+        for server in servers
+        if any(run.target == "/once/long" and not run.ended for run in server.runs)
+    )
--- a/tools/broken_variants.py
+++ b/tools/broken_variants.py
@@ -310,6 +310,13 @@
         "tests/crashes/test_suspects.py"
         "::test_an_upstream_that_is_not_heard_any_more_has_ended",
     ),
+    Variant(
+        "each end weighs the same",
+        "crashes/evidence.py",
+        "LATE_WEIGHT = 3\n",
+        "LATE_WEIGHT = EARLY_WEIGHT\n",
+        f"{DEADLY}::test_one_that_is_hit_by_the_ends_of_others_is_served",
+    ),
     Variant(
         "nobody is acquitted",
         "crashes/suspects.py",
