A leader suspended between an acknowledgement's quorum and its answer, in the state machine

The issue on suspensions asks for this moment by name; suspensions at any moment met it by chance only. A rule of the state machine proposes, delivers until a quorum has the change, and lets the leader stand still before it tells anybody; a test plays one such case to its end: the next leader has the change, and the first one's late answer is true. No fault was found.

What three tests asked for in their own words (the followers of a cluster, the feed of an entry) stands once.

--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -199,6 +199,11 @@
         leading = [raft for raft in rafts if raft.role is Role.LEADER]
         return max(leading, key=lambda raft: raft.term, default=None)
 
+    def followers(self) -> list[Raft]:
+        """Return the replicas that follow, in the order of their boxes."""
+        rafts = [box.raft for box in self.boxes.values() if box.raft is not None]
+        return [raft for raft in rafts if raft.role is Role.FOLLOWER]
+
     def holding_leases(self) -> list[Raft]:
         """Return the leaders that may answer for the group at this moment."""
         rafts = [box.raft for box in self.boxes.values() if box.raft is not None]
@@ -217,6 +222,26 @@
         self.work(base_name(leader.identity))
         return index is not None
 
+    def suspend_between_quorum_and_answer(self, data: bytes) -> bool:
+        """Propose, and let the leader stand still once a quorum has it.
+
+        Returns:
+            Whether a quorum had it; what stands still then has told nobody.
+        """
+        leader = self.leader()
+        if leader is None or not self.propose(data):
+            return False
+        index = leader.log.last_index
+        for _ in range(MAX_MESSAGES):
+            position = self._deliverable()
+            if position is None or leader.commit_index >= index:
+                break
+            self.deliver(position)
+        if leader.commit_index < index:
+            return False
+        self.suspend(base_name(leader.identity))
+        return True
+
     def stop(self, name: str) -> None:
         """End a box's process; its disk stays."""
         self.boxes[name].raft = None
--- a/tests/feed/test_client.py
+++ b/tests/feed/test_client.py
@@ -3,9 +3,8 @@
 from __future__ import annotations
 
 from leadseam.clock import Millis
-from leadseam.feed.client import FRESH_LIMIT, FeedClient
-from leadseam.settings.models import Endpoint
-from leadseam.wire.traffic import Traffic
+from leadseam.feed.client import FRESH_LIMIT
+from tests.feed.samples import make_feed
 
 
 class Hand:
@@ -27,14 +26,7 @@
 
 def test_an_age_is_told_only_once_a_replica_has_confirmed_something() -> None:
     clock = Hand()
-    feed = FeedClient(
-        node="entry-1",
-        incarnation=1,
-        endpoints=(Endpoint("10.0.0.1", 7_000),),
-        clock=clock,
-        traffic=Traffic(),
-        on_change=lambda _: None,
-    )
+    feed = make_feed(clock)
     assert (feed.age, feed.fresh) == (-1, False)
     feed.confirmed = True
     assert feed.age >= FRESH_LIMIT
--- a/tests/runtime/test_suspended_places.py
+++ b/tests/runtime/test_suspended_places.py
@@ -12,9 +12,7 @@
 import pytest
 
 from leadseam.clock import ManualClock, Millis
-from leadseam.control.raft_work import Role
 from leadseam.crashes.book import CrashBook
-from leadseam.feed.client import FeedClient
 from leadseam.incarnation import Incarnation
 from leadseam.membership.registry import Registry
 from leadseam.membership.view import UpstreamView
@@ -23,10 +21,9 @@
 from leadseam.routing.load import Load, LoadBook
 from leadseam.routing.usage import UsageBook
 from leadseam.runtime.timeouts import Timeouts
-from leadseam.settings.models import Endpoint
 from leadseam.wire.crashes import CrashRow
-from leadseam.wire.traffic import Traffic
 from tests.control.cluster import elected
+from tests.feed.samples import make_feed
 from tests.routing.samples import make_upstream
 from tests.routing.test_load import exchange
 
@@ -51,11 +48,7 @@
 def follower_is_current() -> Ask:
     """Whether a follower says that it holds the newest."""
     cluster = elected()
-    follower = next(
-        box.raft
-        for box in cluster.boxes.values()
-        if box.raft is not None and box.raft.role is Role.FOLLOWER
-    )
+    follower = cluster.followers()[0]
     assert follower.is_current(cluster.now)
     return lambda now: follower.is_current(cluster.now + now)
 
@@ -162,14 +155,7 @@
     away: Millis, left_out: bool, counted: bool
 ) -> None:
     clock = ManualClock(100_000)
-    feed = FeedClient(
-        node="entry-1",
-        incarnation=1,
-        endpoints=(Endpoint("10.0.0.1", 7_000),),
-        clock=clock,
-        traffic=Traffic(),
-        on_change=lambda _: None,
-    )
+    feed = make_feed(clock)
     feed.confirmed = True
     feed._confirmed_at = clock.now()
     assert feed.fresh is left_out
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -92,6 +92,10 @@
         self.cluster.suspend(name)
         self.cluster.work(name)
 
+    @rule()
+    def suspend_between_quorum_and_answer(self) -> None:
+        self.cluster.suspend_between_quorum_and_answer(b"acknowledged")
+
     @rule(name=st.sampled_from(BOXES))
     def resume(self, name: str) -> None:
         self.cluster.resume(name)
@@ -160,11 +164,7 @@
     cluster = elected()
     assert cluster.propose(b"kept")
     cluster.settle(5)
-    raft = next(
-        box.raft
-        for box in cluster.boxes.values()
-        if box.raft is not None and box.raft.role is Role.FOLLOWER
-    )
+    raft = cluster.followers()[0]
     later = cluster.now + 2 * ELECTION_TIMEOUT
     raft.receive(later, Vote("x#first", raft.term + 1, 1, 1))
     replies = [message for _, message in raft.take_ready().send]
@@ -195,13 +195,27 @@
     assert before.role is Role.LEADER and before.holds_lease(suspended_at)
 
 
+def test_what_a_quorum_has_is_kept_though_its_answer_comes_later() -> None:
+    cluster = elected()
+    before = cluster.leader()
+    assert before is not None
+    assert cluster.suspend_between_quorum_and_answer(b"kept")
+    index = before.log.last_index
+    cluster.settle(20)
+    after = cluster.leader()
+    assert after is not None and after.identity != before.identity
+    assert cluster.propose(b"later")
+    cluster.settle(5)
+    # Only now does the first leader answer; what it says is true.
+    cluster.resume(base_name(before.identity))
+    cluster.settle(5)
+    for box in cluster.boxes.values():
+        assert (index, b"kept") in box.applied
+
+
 def test_a_cut_off_follower_is_not_current() -> None:
     cluster = elected()
-    follower = next(
-        box.raft
-        for box in cluster.boxes.values()
-        if box.raft is not None and box.raft.role is Role.FOLLOWER
-    )
+    follower = cluster.followers()[0]
     assert follower.is_current(cluster.now)
     assert not follower.is_current(cluster.now + 2 * ELECTION_TIMEOUT)
 
@@ -306,13 +320,8 @@
 def test_a_request_to_join_is_passed_on_once() -> None:
     """Followers that take each other for the leader passed it in a ring for ever."""
     cluster = elected()
-    followers = [
-        box.raft
-        for box in cluster.boxes.values()
-        if box.raft is not None and box.raft.role is Role.FOLLOWER
-    ]
-    first, second = followers
-    for follower in followers:
+    first, second = cluster.followers()
+    for follower in (first, second):
         follower.take_ready()
     first.leader, second.leader = second.identity, first.identity
     first.receive(cluster.now, Join("d#new"))
