Test of links: its server's handler ends with the test

Cause: the handler waited for ever and outlived its loop; the collector took it apart during any later test ("coroutine ignored GeneratorExit", the warning listed as open; with a collection after each test it shows right behind this one). The handler ends now, and the server is waited for. After it: no such warning from this test and those of the feed, the path, whole answers and runtime with a collection after each.

--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -19,9 +19,12 @@
 
 
 async def test_a_peer_that_stops_reading_ends_the_link() -> None:
+    over = asyncio.Event()
+
     async def stop_reading(conn: ServerConnection) -> None:
         conn.transport.pause_reading()
-        await asyncio.Event().wait()
+        await over.wait()
+        conn.transport.abort()
 
     server = await serve(stop_reading, LOOPBACK, 0, ping_interval=None)
     port = next(iter(server.sockets)).getsockname()[1]
@@ -34,4 +37,7 @@
                 async for _ in link.messages():
                     pass
     finally:
+        over.set()
         server.close(close_connections=False)
+        # A handler that outlives the loop is taken apart at any later moment.
+        await server.wait_closed()
