--- a/src/leadseam/cli/emulate.py
+++ b/src/leadseam/cli/emulate.py
@@ -1,7 +1,7 @@
 """Play a fleet's decisions against a model of engines, in virtual time.
 
 Usage:
-  leadseam-emulate [--check] EXPERIMENT
+  leadseam-emulate [--check] [--crashes] EXPERIMENT
   leadseam-emulate (-h | --help)
 
 EXPERIMENT is a YAML file: a fleet, seeds, and variants of the fleet. Each variant is
@@ -9,7 +9,8 @@
 within its interval says nothing. See examples/emulate.yaml.
 
 Options:
-  --check   Only check the file: exit code 0 or 2.
+  --check    Only check the file: exit code 0 or 2.
+  --crashes  The file is of requests that crash upstreams; see examples/crashes.yaml.
 """
 
 from __future__ import annotations
@@ -19,8 +20,11 @@
 
 from docopt import docopt
 
+from leadseam.emulate.crash_settings import CrashExperiment
+from leadseam.emulate.crashes import HEAD, CrashPlay
+from leadseam.emulate.crashes import render as render_crashes
 from leadseam.emulate.experiment import render, run_experiment
-from leadseam.emulate.settings import Experiment
+from leadseam.emulate.settings import Experiment, with_variants
 from leadseam.errors import SettingsError
 from leadseam.runtime.process import EXIT_USAGE
 from leadseam.settings.load import load_settings
@@ -31,6 +35,9 @@
     args = docopt(__doc__)
     path = Path(args["EXPERIMENT"])
     try:
+        if args["--crashes"]:
+            _play_crashes(path, check=args["--check"])
+            return
         experiment = load_settings(path, Experiment)
         if not args["--check"]:
             print(render(run_experiment(experiment, str(path))))
@@ -39,5 +46,16 @@
         sys.exit(EXIT_USAGE)
 
 
+def _play_crashes(path: Path, *, check: bool) -> None:
+    experiment = load_settings(path, CrashExperiment)
+    fleets = with_variants(experiment.crashes, experiment.variants, str(path))
+    if check:
+        return
+    print(HEAD)
+    for name, cfg in fleets.items():
+        tallies = [CrashPlay(cfg, seed=seed).run() for seed in experiment.seeds]
+        print(render_crashes(name, tallies), flush=True)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/src/leadseam/emulate/crashes.py
@@ -0,0 +1,335 @@
+"""Plays requests that crash upstreams against the entries' own book of suspects.
+
+What is the product's: `Suspects`, its book and the weight of ends, at each entry and in
+one replica. Modelled: upstreams with slots that crash and come back, the times until an
+end is certain and until others hear of it, callers that send again. Left out: losses of
+messages, replicas that fail, processor time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from leadseam.clock import MILLIS_PER_SECOND, Millis
+from leadseam.crashes.book import CrashBook
+from leadseam.crashes.evidence import EARLY_LIMIT
+from leadseam.crashes.suspects import Suspect, Suspects
+from leadseam.feed.crash_server import TOLD
+from leadseam.incarnation import Incarnation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from leadseam.emulate.crash_settings import CrashFleet
+    from leadseam.wire.crashes import CrashRow
+
+    Act = Callable[[], None]
+
+RUN_SPREAD = 0.6
+"""Standard deviation of the logarithm of a good request's time."""
+MASS_INTERVAL: Millis = 100
+"""Time between two draws of upstreams that crash by themselves."""
+DEADLY = Suspect("deadly", "account", 7)
+HOT = Suspect("hot", "account", 7)
+
+
+@dataclass(slots=True)
+class CrashTally:
+    """What came of one play.
+
+    Attributes:
+        crashes: Upstreams that crashed under the deadly request.
+        by_themselves: Upstreams that crashed by themselves.
+        known_after: From its first crash until all entries refuse it, or -1.
+        good: Good requests.
+        answered: Those that were answered.
+        hit: Those that lost an upstream at least once.
+        hit_answered: Those among them that were answered.
+        convicted: Good requests that were refused as crashing upstreams.
+        put_off: Sends of good ones that were put off for a suspicion.
+        rows: Rows told between entries and replica.
+    """
+
+    crashes: int = 0
+    by_themselves: int = 0
+    known_after: Millis = -1
+    good: int = 0
+    answered: int = 0
+    hit: int = 0
+    hit_answered: int = 0
+    convicted: int = 0
+    put_off: int = 0
+    rows: int = 0
+
+
+@dataclass(slots=True)
+class _Call:
+    """One request of a caller until it is answered or given up."""
+
+    suspect: Suspect
+    until: Millis
+    run: Millis
+    sends: int = 0
+    hit: bool = False
+    over: bool = False
+
+    @property
+    def deadly(self) -> bool:
+        return self.suspect is DEADLY
+
+
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    """A request at an upstream, sent by an entry."""
+
+    call: _Call
+    entry: int
+    number: int
+    sent: Millis
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class _Upstream:
+    """One upstream; its incarnation changes with each start."""
+
+    incarnation: Incarnation
+    running: list[_Attempt] = field(default_factory=list)
+    up: bool = True
+
+
+class CrashPlay:
+    """One play in virtual time.
+
+    Args:
+        cfg: Its settings.
+        seed: Seed of all that is random.
+
+    Attributes:
+        tally: What came of it.
+    """
+
+    def __init__(self, cfg: CrashFleet, *, seed: int) -> None:
+        self.tally = CrashTally()
+        self._cfg = cfg
+        self._rng = random.Random(seed)
+        self._now: Millis = 0
+        self._order = itertools.count()
+        self._due: list[tuple[Millis, int, Act]] = []
+        self._names = itertools.count(1)
+        self._upstreams = [_Upstream(self._start()) for _ in range(cfg.upstreams)]
+        self._entries = [Suspects() for _ in range(cfg.entries)]
+        self._book = CrashBook()
+        self._first_crash: Millis = -1
+
+    def __repr__(self) -> str:
+        return f"CrashPlay(now={self._now}, {self.tally})"
+
+    def run(self) -> CrashTally:
+        """Play the settings' span, and let all that is under way end."""
+        self._later(0, self._arrive)
+        if self._cfg.mass:
+            self._later(MASS_INTERVAL, self._draw_crashes)
+        for _ in range(self._cfg.deadly):
+            call = _Call(DEADLY, self._cfg.span, self._cfg.deadly_after)
+            self._later(self._rng.randrange(1_000), self._sender(call))
+        while self._due:
+            self._now, _, act = heapq.heappop(self._due)
+            act()
+        return self.tally
+
+    def _later(self, delay: Millis, act: Act) -> None:
+        heapq.heappush(self._due, (self._now + delay, next(self._order), act))
+
+    def _start(self) -> Incarnation:
+        return Incarnation(f"u-{next(self._names)}")
+
+    # Callers
+
+    def _arrive(self) -> None:
+        """Have a good request arrive, and the next one later."""
+        if self._now >= self._cfg.span:
+            return
+        gap = self._rng.expovariate(self._cfg.rate) * MILLIS_PER_SECOND
+        self._later(round(gap), self._arrive)
+        self.tally.good += 1
+        suspect = HOT
+        if self._rng.random() >= self._cfg.hot:
+            suspect = Suspect(f"good-{self.tally.good}", "account", 7)
+        run = self._cfg.run * self._rng.lognormvariate(0, RUN_SPREAD)
+        self._send(_Call(suspect, self._now + self._cfg.patience, round(run) + 1))
+
+    def _sender(self, call: _Call) -> Act:
+        return lambda: self._send(call)
+
+    def _send(self, call: _Call) -> None:
+        """Send a request through an entry, unless its caller has given up."""
+        if self._now >= call.until:
+            return
+        call.sends += 1
+        self._try(call, self._rng.randrange(self._cfg.entries), 1)
+
+    def _come_back(self, call: _Call) -> None:
+        pause = self._cfg.deadly_pause if call.deadly else self._cfg.pause
+        self._later(pause, self._sender(call))
+
+    # Entries
+
+    def _try(self, call: _Call, entry: int, number: int) -> None:
+        """Send an attempt to the least loaded upstream, if it may be."""
+        suspects = self._entries[entry]
+        if suspects.book.convicts(call.suspect.fingerprint):
+            self._refuse(call)
+            return
+        if suspects.on_trial(call.suspect):
+            self.tally.put_off += not call.deadly
+            self._come_back(call)
+            return
+        free = [
+            one
+            for one in self._upstreams
+            if one.up and len(one.running) < self._cfg.slots
+        ]
+        if not free:
+            self._come_back(call)
+            return
+        least = min(len(one.running) for one in free)
+        upstream = self._rng.choice([one for one in free if len(one.running) == least])
+        attempt = _Attempt(call, entry, number, self._now)
+        upstream.running.append(attempt)
+        self._later(call.run, lambda: self._end(upstream, attempt))
+
+    def _refuse(self, call: _Call) -> None:
+        if call.deadly:
+            self._come_back(call)
+            return
+        self.tally.convicted += not call.over
+        call.over = True
+
+    def _end(self, upstream: _Upstream, attempt: _Attempt) -> None:
+        """End an attempt in good order, or with its upstream."""
+        if attempt.over:
+            return
+        if attempt.call.deadly:
+            self.tally.crashes += 1
+            if self._first_crash < 0:
+                self._first_crash = self._now
+            self._crash(upstream)
+            return
+        attempt.over = True
+        upstream.running.remove(attempt)
+        self.tally.answered += 1
+        self.tally.hit_answered += attempt.call.hit
+        entry = self._entries[attempt.entry]
+        row = entry.answered_whole(attempt.call.suspect, self._now)
+        if row is not None:
+            self._tell((row,))
+
+    # Upstreams
+
+    def _draw_crashes(self) -> None:
+        if self._now >= self._cfg.span:
+            return
+        self._later(MASS_INTERVAL, self._draw_crashes)
+        chance = self._cfg.mass * MASS_INTERVAL / MILLIS_PER_SECOND
+        for upstream in self._upstreams:
+            if upstream.up and self._rng.random() < chance:
+                self.tally.by_themselves += 1
+                self._crash(upstream)
+
+    def _crash(self, upstream: _Upstream) -> None:
+        upstream.up = False
+        ended, upstream.running = upstream.running, []
+        incarnation = upstream.incarnation
+        seen = sorted({attempt.entry for attempt in ended})
+        for attempt in ended:
+            self._break(attempt, incarnation)
+        for entry in seen:
+            self._later(self._cfg.certain, lambda e=entry: self._learn(e, incarnation))  # type: ignore[misc]
+        self._later(self._rng.randint(*self._cfg.down), lambda: self._back(upstream))
+
+    def _back(self, upstream: _Upstream) -> None:
+        upstream.incarnation = self._start()
+        upstream.up = True
+
+    def _break(self, attempt: _Attempt, incarnation: Incarnation) -> None:
+        """Note an attempt that broke, and make the next one."""
+        attempt.over = True
+        call = attempt.call
+        if not call.deadly and not call.hit:
+            call.hit = True
+            self.tally.hit += 1
+        self._entries[attempt.entry].broke(
+            call.suspect, incarnation, self._now, early=self._is_early(attempt)
+        )
+        if attempt.number < self._cfg.attempts:
+            number = attempt.number + 1
+            self._later(1, lambda: self._try(call, attempt.entry, number))
+        else:
+            self._come_back(call)
+
+    def _is_early(self, attempt: _Attempt) -> bool:
+        if self._cfg.alike:
+            return True
+        age = self._now - attempt.sent
+        begun = not attempt.call.deadly and (
+            age >= attempt.call.run * self._cfg.first_byte
+        )
+        return age <= EARLY_LIMIT and not begun
+
+    # What is told
+
+    def _learn(self, entry: int, incarnation: Incarnation) -> None:
+        self._tell(self._entries[entry].ended(incarnation, self._now).rows)
+        self._look_whether_known()
+
+    def _tell(self, rows: tuple[CrashRow, ...]) -> None:
+        """Merge rows at the replica, and have all entries hear what is news."""
+        self.tally.rows += len(rows)
+        merged = [self._book.merge(row, self._now) for row in rows]
+        told = [row for row in merged if row is not None and _is_told(row)]
+        if told:
+            self._later(self._cfg.heard, lambda: self._hear(told))
+
+    def _hear(self, rows: list[CrashRow]) -> None:
+        self.tally.rows += len(rows) * len(self._entries)
+        for suspects in self._entries:
+            suspects.told(rows, self._now)
+        self._look_whether_known()
+
+    def _look_whether_known(self) -> None:
+        if self.tally.known_after >= 0 or self._first_crash < 0:
+            return
+        if all(one.book.convicts(DEADLY.fingerprint) for one in self._entries):
+            self.tally.known_after = self._now - self._first_crash
+
+
+def _is_told(row: CrashRow) -> bool:
+    return len(row.counted) >= TOLD or bool(row.void)
+
+
+def render(name: str, tallies: list[CrashTally]) -> str:
+    """Return one line of a table for the plays of a variant, added up."""
+
+    def total(field_name: str) -> int:
+        return sum(getattr(one, field_name) for one in tallies)
+
+    known = max(one.known_after for one in tallies)
+    hit = total("hit")
+    share = total("hit_answered") / hit if hit else 1.0
+    return (
+        f"| {name} | {total('by_themselves')} | {max(one.crashes for one in tallies)}"
+        f" | {known} | {total('good')} | {total('answered')} | {hit} | {share:.4f}"
+        f" | {total('convicted')} | {total('put_off')} | {total('rows')} |"
+    )
+
+
+HEAD = (
+    "| variant | crashed by themselves | crashed by the deadly one, most of a seed"
+    " | known everywhere after ms | good | answered | hit | of these answered"
+    " | convicted | put off | rows |\n|---|---|---|---|---|---|---|---|---|---|---|"
+)
--- a/src/leadseam/emulate/experiment.py
+++ b/src/leadseam/emulate/experiment.py
@@ -7,20 +7,15 @@
 from statistics import mean, stdev
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from leadseam.clock import MILLIS_PER_SECOND
 from leadseam.emulate.fleet import play
-from leadseam.emulate.settings import FleetSettings
-from leadseam.settings.load import parse_settings
+from leadseam.emulate.settings import with_variants
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
-    from leadseam.emulate.settings import Experiment
+    from leadseam.emulate.settings import Experiment, FleetSettings
 
-AS_GIVEN = "as given"
-"""Name of the fleet without a variant's changes."""
 STUDENT_95 = (12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26)
 """Factor of the 95% interval of a mean of 2, 3, ... 10 values; 2 beyond."""
 
@@ -62,11 +57,7 @@
     Raises:
         SettingsError: If a variant is not a valid fleet.
     """
-    fleets = {AS_GIVEN: experiment.fleet}
-    for variant, changes in experiment.variants.items():
-        data = msgspec.to_builtins(experiment.fleet) | changes
-        where = f"{name}: variant {variant}"
-        fleets[variant] = parse_settings(data, FleetSettings, where)
+    fleets = with_variants(experiment.fleet, experiment.variants, name)
     return [
         Compared(variant, tuple(outcome(cfg, seed) for seed in experiment.seeds))
         for variant, cfg in fleets.items()
--- a/src/leadseam/emulate/settings.py
+++ b/src/leadseam/emulate/settings.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 from msgspec import Meta
 
+from leadseam.settings.load import parse_settings
+
+AS_GIVEN = "as given"
+"""Name of the fleet without a variant's changes."""
+
+Fleet = TypeVar("Fleet", bound=msgspec.Struct)
 Count = Annotated[int, Meta(ge=1)]
 Span = Annotated[int, Meta(ge=0)]
 Positive = Annotated[float, Meta(gt=0)]
@@ -121,3 +127,24 @@
     fleet: FleetSettings
     seeds: Annotated[tuple[int, ...], Meta(min_length=1)] = (1, 2, 3)
     variants: dict[str, dict[str, object]] = {}
+
+
+def with_variants(
+    given: Fleet, variants: dict[str, dict[str, object]], name: str
+) -> dict[str, Fleet]:
+    """Return the fleets of an experiment by variant, the one as given first.
+
+    Args:
+        given: The fleet as given.
+        variants: By name, fields of it with other values.
+        name: Name of the experiment's file, for errors.
+
+    Raises:
+        SettingsError: If a variant is not a valid fleet.
+    """
+    fleets = {AS_GIVEN: given}
+    for variant, changes in variants.items():
+        data = msgspec.to_builtins(given) | changes
+        where = f"{name}: variant {variant}"
+        fleets[variant] = parse_settings(data, type(given), where)
+    return fleets
--- a/tests/emulate/test_experiment.py
+++ b/tests/emulate/test_experiment.py
@@ -9,14 +9,13 @@
 
 from leadseam.cli import emulate
 from leadseam.emulate.experiment import (
-    AS_GIVEN,
     Compared,
     Outcome,
     half_interval,
     render,
     run_experiment,
 )
-from leadseam.emulate.settings import Experiment
+from leadseam.emulate.settings import AS_GIVEN, Experiment
 from leadseam.errors import SettingsError
 from leadseam.runtime.process import EXIT_USAGE
 from leadseam.settings.load import load_settings, parse_settings
