Tools: operators' stand-in has a module of its own

A request is posted in one place for operators and for whoever else writes. No change of what is done.

--- a/tests/platform/test_restarted_server.py
+++ b/tests/platform/test_restarted_server.py
@@ -13,7 +13,8 @@
 from typing import TYPE_CHECKING
 
 from leadseam.platform import names
-from tools.platform.standin import Server, tell
+from tools.platform.operator import tell
+from tools.platform.standin import Server
 from tools.waiting import until
 
 if TYPE_CHECKING:
--- a/tests/runtime/test_connector.py
+++ b/tests/runtime/test_connector.py
@@ -26,7 +26,7 @@
 from leadseam.sidecar.platform import watch_platform
 from leadseam.sidecar.upstream import Upstream, UpstreamAddress
 from tests.descriptors import assert_closed_once
-from tools.platform.standin import Operator, tell
+from tools.platform.operator import Operator, tell
 from tools.ports import LOOPBACK
 
 ROOT = Path(__file__).parents[2]
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -21,7 +21,8 @@
 from leadseam.platform.settings import METRICS_OFFSET
 from leadseam.runtime.connector import LoopConnector
 from tools.platform import suspension
-from tools.platform.standin import Operator, Server
+from tools.platform.operator import Operator
+from tools.platform.standin import Server
 from tools.platform.suspension import SteadyClock
 from tools.waiting import until
 
--- /dev/null
+++ b/tools/platform/operator.py
@@ -0,0 +1,76 @@
+"""A small stand-in of the platform's operators, and of others who write to a node."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from leadseam.platform import names
+from leadseam.runtime.connector import LoopConnector
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+OPERATOR_PAUSE = 0.05
+"""Seconds until an operator asks the next control box."""
+REQUEST_TIMEOUT = 2.0
+"""Seconds that a control box may take to answer."""
+
+
+@dataclass
+class Operator:
+    """Sends whole configurations, to any node that answers."""
+
+    controls: Sequence[str]
+
+    async def replace(self, document: bytes) -> int:
+        """Send a configuration until it has a clear answer; return its status."""
+        for control in itertools.cycle(self.controls):
+            status = await self._try(control, document)
+            if status and status < 500:
+                return status
+            await asyncio.sleep(OPERATOR_PAUSE)
+        raise AssertionError
+
+    async def read(self) -> bytes:
+        """Read the newest configuration from any node that knows it."""
+        async with open_session() as session:
+            for control in itertools.cycle(self.controls):
+                url = f"http://{control}{names.READ_PATH}"
+                with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                    async with session.get(url) as resp:
+                        if resp.status == 200:
+                            return await resp.read()
+                await asyncio.sleep(OPERATOR_PAUSE)
+        raise AssertionError
+
+    async def _try(self, control: str, document: bytes) -> int:
+        url = f"http://{control}{names.REPLACE_PATH}"
+        try:
+            return await _post(url, document)
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return 0
+
+
+async def tell(control: str, path: str, body: bytes) -> int:
+    """Send bytes to a control box, as any writer may, and return the status."""
+    url = f"http://{control}{path}"
+    return await _post(url, body)
+
+
+async def _post(url: str, body: bytes) -> int:
+    async with open_session() as session, session.post(url, data=body) as resp:
+        return resp.status
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Open a session in which each request has a connection of its own."""
+    return aiohttp.ClientSession(
+        timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT),
+        connector=LoopConnector(),
+    )
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -1,4 +1,4 @@
-"""Small stand-ins of the platform: a server that registers itself, and an operator."""
+"""A small stand-in of the platform's servers, which registers itself."""
 
 from __future__ import annotations
 
@@ -15,7 +15,7 @@
 from multidict import CIMultiDict
 
 from leadseam.platform import names
-from leadseam.runtime.connector import LoopConnector
+from tools.platform.operator import open_session, tell
 from tools.waiting import until
 
 if TYPE_CHECKING:
@@ -25,10 +25,6 @@
 """Seconds between two heartbeats of a server, as its nodes' settings state."""
 EVENTS = 6
 """Events of each stream."""
-OPERATOR_PAUSE = 0.05
-"""Seconds until an operator asks the next control box."""
-REQUEST_TIMEOUT = 2.0
-"""Seconds that a control box may take to answer."""
 LARGE_BODY = b"\nid: 7\n" * 300_000
 """Body of a plain answer that is passed on before it is whole: 2.1 MB."""
 LARGE_BEGIN = 1_400_000
@@ -110,7 +106,7 @@
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, self.ip, self.port).start()
-        self._session = _session()
+        self._session = open_session()
         self._beats = asyncio.create_task(self._beat())
         self._coming_back: asyncio.Task[None] | None = None
         self._stopped = False
@@ -319,55 +315,5 @@
 """Body of a stream that is complete."""
 
 
-@dataclass
-class Operator:
-    """Sends whole configurations, to any node that answers."""
-
-    controls: Sequence[str]
-
-    async def replace(self, document: bytes) -> int:
-        """Send a configuration until it has a clear answer; return its status."""
-        for control in itertools.cycle(self.controls):
-            status = await self._try(control, document)
-            if status and status < 500:
-                return status
-            await asyncio.sleep(OPERATOR_PAUSE)
-        raise AssertionError
-
-    async def read(self) -> bytes:
-        """Read the newest configuration from any node that knows it."""
-        async with _session() as session:
-            for control in itertools.cycle(self.controls):
-                url = f"http://{control}{names.READ_PATH}"
-                with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-                    async with session.get(url) as resp:
-                        if resp.status == 200:
-                            return await resp.read()
-                await asyncio.sleep(OPERATOR_PAUSE)
-        raise AssertionError
-
-    async def _try(self, control: str, document: bytes) -> int:
-        url = f"http://{control}{names.REPLACE_PATH}"
-        try:
-            async with _session() as session, session.post(url, data=document) as resp:
-                return resp.status
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return 0
-
-
-async def tell(control: str, path: str, body: bytes) -> int:
-    """Send bytes to a control box, as any writer may, and return the status."""
-    url = f"http://{control}{path}"
-    async with _session() as session, session.post(url, data=body) as resp:
-        return resp.status
-
-
-def _session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
-        timeout=aiohttp.ClientTimeout(total=REQUEST_TIMEOUT),
-        connector=LoopConnector(),
-    )
-
-
 async def _true(value: bool) -> bool:
     return value
--- a/tools/soak/strangers.py
+++ b/tools/soak/strangers.py
@@ -10,7 +10,7 @@
 import aiohttp
 
 from leadseam.platform import names
-from tools.platform.standin import tell
+from tools.platform.operator import tell
 
 if TYPE_CHECKING:
     from tools.soak.promises import Promises
