--- a/src/leadseam/cli/explain.py
+++ b/src/leadseam/cli/explain.py
@@ -3,6 +3,7 @@
 Usage:
   leadseam-explain [--by KEYS] [--rows N] [--request ID] [LOG ...]
   leadseam-explain --accounts [--rows N] [LOG ...]
+  leadseam-explain --plot FILE [LOG ...]
   leadseam-explain (-h | --help)
 
 Reads the named files, or standard input. Lines that tell of no ended request are passed
@@ -14,6 +15,8 @@
                  standing, size, second. [default: route,reason,account]
   --accounts     What client accounts asked for and got, second by second, at the
                  entries that refused somebody.
+  --plot FILE    Draw how requests ended, by second and by client account, as PNG or SVG
+                 by the file's suffix. Needs the extra `plots`.
   --rows N       Rows of each table; with --accounts, of each second. [default: 20]
   --request ID   Only requests with this identifier.
 """
@@ -21,18 +24,22 @@
 from __future__ import annotations
 
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from docopt import docopt
 
 from leadseam.explain.accounts import read_accounts, render_accounts
+from leadseam.explain.plot import PlotError, draw
 from leadseam.explain.records import read_records
 from leadseam.explain.tables import Key, render, tally
-from leadseam.runtime.process import EXIT_USAGE
+from leadseam.runtime.process import EXIT_FAILED, EXIT_USAGE
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from leadseam.explain.records import EndedRequest
+
 
 def main() -> None:
     """Entry point of `leadseam-explain`."""
@@ -47,12 +54,23 @@
         print(render_accounts(read_accounts(_lines(args["LOG"])), most=most))
         return
     requests = list(read_records(_lines(args["LOG"])))
+    if args["--plot"]:
+        _plot(requests, Path(args["--plot"]))
+        return
     if args["--request"]:
         requests = [one for one in requests if one.request_id == args["--request"]]
     for key in keys:
         print(render(tally(requests, key), key, most=most), end="\n\n")
 
 
+def _plot(requests: list[EndedRequest], path: Path) -> None:
+    try:
+        draw(requests, path)
+    except PlotError as exc:
+        print(f"leadseam-explain: {exc}", file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+
+
 def _lines(paths: list[str]) -> Iterator[str]:
     if not paths:
         yield from sys.stdin
