--- a/src/leadseam/crashes/evidence.py
+++ b/src/leadseam/crashes/evidence.py
@@ -27,9 +27,9 @@
 LATE_WEIGHT = 4
 CONVICTING = 3 * EARLY_WEIGHT
 """Weight from which on a request is refused: three early ends, two with two late ones,
-or four late ones: one more than are to be borne, of the three repeats that are. One end
-takes everything that ran there with it, some 4 to 60 requests, and a repeat may meet a
-second one."""
+or four late ones. Three ends are to be borne, and three sends after them; a fourth end
+leaves two of these for copies that are under way then. One end takes everything that
+ran there with it, some 4 to 60 requests, and a repeat may meet a second one."""
 
 
 def weight(*, early: bool) -> int:
