Operators evacuate failure domains: orders, the log, and copies that come late

Cause: the orders were answered 404. An order carries no version and may be sent again for some seconds, to any replica, so two equal orders cannot be told apart by themselves.

Chosen: a table in the replicated log. A replica states the last switch of the domain that it knew of when the order came, so that whatever delays an order inside the group, it meets that switch or changes nothing. A copy that comes late from outside: an order whose caller has hung up is not carried out, and one that repeats an order undone since, within the time in which that may be sent again, is answered 503 until the time is over. Ruled out: the order that came last wins (a late copy evacuates for good, or ends an evacuation that holds); versions given out by the operator (there are none). Not provable: a copy that arrives after that time on a connection that is still open.

--- a/src/leadseam/control/configuration.py
+++ b/src/leadseam/control/configuration.py
@@ -67,6 +67,7 @@
         services: Plain services it may call.
         max_waiting: Waiting requests allowed at one entry.
         priority: Rank of its requests, in place of the route's; None leaves that.
+        regions: Regions in which its requests may be served; empty allows all.
     """
 
     name: str
@@ -76,6 +77,7 @@
     services: tuple[str, ...] = ()
     max_waiting: int = 1_000
     priority: int | None = None
+    regions: tuple[str, ...] = ()
 
 
 class Pool(_ConfigRecord, frozen=True, tag="pool"):
@@ -88,6 +90,8 @@
         version: Version of that model.
         max_connections: Connections that one upstream takes from all callers.
         engine: What is stated about its engines; None where nothing is.
+        cold_rate: Requests a second that one of its upstreams bears while it is cold; 0
+            where that is not stated.
     """
 
     name: str
@@ -96,6 +100,7 @@
     version: str = ""
     max_connections: int = 1_000
     engine: EngineProfile | None = None
+    cold_rate: float = 0
 
 
 class Upstream(_ConfigRecord, frozen=True, tag="upstream"):
--- a/src/leadseam/control/routes.py
+++ b/src/leadseam/control/routes.py
@@ -54,6 +54,7 @@
         max_pause: Longest pause between events in time, in ms; 0 for no such limit.
         priority: Rank, 0 is the most urgent.
         anonymous: Whether a request without a key is taken.
+        regions: Regions in which requests may be served; empty allows all.
     """
 
     name: str
@@ -69,6 +70,7 @@
     max_pause: int = 0
     priority: int = 0
     anonymous: bool = False
+    regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
--- a/src/leadseam/control/service.py
+++ b/src/leadseam/control/service.py
@@ -9,6 +9,7 @@
 
 from leadseam.clock import Clock, Millis, seconds, sleep
 from leadseam.control.state import ChangeResult, Leave, LeaveResult, Replace
+from leadseam.feed.evacuation_server import OrderStatus
 from leadseam.incarnation import Incarnation
 from leadseam.runtime.logs import LineBudget
 
@@ -129,6 +130,23 @@
         self._feed.register(registration)
         return Accepted()
 
+    async def evacuate(self, domain: str, *, evacuated: bool) -> Reply:
+        """Commit that a failure domain is evacuated, or taken back."""
+        status = await self._feed.evacuations.order(
+            domain, evacuated=evacuated, submit=self._submit
+        )
+        match status:
+            case OrderStatus.TAKEN:
+                return Accepted()
+            case OrderStatus.TOO_MANY_DOMAINS:
+                return Invalid(("too many failure domains",))
+            case OrderStatus.MAY_BE_LATE:
+                return Unavailable("it may be a late copy of an earlier order")
+            case OrderStatus.OVERTAKEN:
+                return Unavailable("another order came first")
+            case OrderStatus.NOT_COMMITTED:
+                return Unavailable("no quorum confirmed it in time")
+
     async def leave_unstated(self, instance: str) -> Reply:
         """Commit that an upstream leaves that does not say which start of it does.
 
--- a/src/leadseam/control/state.py
+++ b/src/leadseam/control/state.py
@@ -15,6 +15,7 @@
     Operation,
     operation_faults,
 )
+from leadseam.control.evacuations import EvacuationRow, Evacuations
 from leadseam.crashes.book import CrashBook
 from leadseam.incarnation import NO_START, Incarnation
 from leadseam.membership.departures import Departures
@@ -112,7 +113,25 @@
     at: int = 0
 
 
-Command: TypeAlias = Change | Claims | Barrier | Replace | Leave | NoteCrashes
+class Evacuate(Record, frozen=True, array_like=True, tag=7):
+    """Evacuate a failure domain, or take it back.
+
+    Args:
+        domain: Its name.
+        evacuated: What it is to be.
+        expected: Switches of the domain known to the replica that took the order.
+        at: Wall time stamped by the leader.
+    """
+
+    domain: str
+    evacuated: bool
+    expected: int
+    at: int = 0
+
+
+Command: TypeAlias = (
+    Change | Claims | Barrier | Replace | Leave | NoteCrashes | Evacuate
+)
 
 
 class ChangeResult(Record, frozen=True, array_like=True, tag=1):
@@ -154,8 +173,25 @@
     rows: int
 
 
+class EvacuationResult(Record, frozen=True, array_like=True, tag=6):
+    """Outcome of an order on a failure domain.
+
+    Args:
+        as_ordered: Whether the domain is as ordered.
+        revision: Revision of the table of evacuations.
+    """
+
+    as_ordered: bool
+    revision: int
+
+
 CommandResult: TypeAlias = (
-    ChangeResult | ClaimResults | BarrierResult | LeaveResult | CrashesNoted
+    ChangeResult
+    | ClaimResults
+    | BarrierResult
+    | LeaveResult
+    | CrashesNoted
+    | EvacuationResult
 )
 
 
@@ -177,6 +213,7 @@
     left_without_start: tuple[str, ...] = ()
     departed: tuple[Incarnation, ...] = ()
     crashes: tuple[CrashRow, ...] = ()
+    evacuations: tuple[EvacuationRow, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +233,7 @@
         self.deltas: list[VersionedOperations] = []
         self.departed = Departures()
         self.crashes = CrashBook()
+        self.evacuations = Evacuations()
         self._changes: OrderedDict[str, ChangeResult] = OrderedDict()
         self._claims = ClaimTable({})
 
@@ -226,6 +264,11 @@
                 for row in rows:
                     self.crashes.merge(row)
                 return CrashesNoted(len(rows))
+            case Evacuate(domain=domain, evacuated=evacuated):
+                as_ordered = self.evacuations.switch(
+                    domain, evacuated, expected=command.expected, at=command.at
+                )
+                return EvacuationResult(as_ordered, self.evacuations.revision)
 
     def deltas_after(self, version: int) -> list[VersionedOperations] | None:
         """Return the operations since a version, or None if some are forgotten."""
@@ -245,6 +288,7 @@
             tuple(claims),
             departed=tuple(self.departed),
             crashes=self.crashes.rows(),
+            evacuations=self.evacuations.rows(),
         )
         return encode(saved)
 
@@ -262,6 +306,7 @@
         older = map(Incarnation, saved.left_without_start)
         self.departed = Departures([*older, *saved.departed])
         self.crashes = CrashBook(saved.crashes)
+        self.evacuations = Evacuations(saved.evacuations)
 
     def _replace(self, configuration: Configuration) -> ChangeResult:
         if configuration.version > self.configuration.version:
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -10,6 +10,7 @@
 from leadseam.feed.claim_server import ClaimServer
 from leadseam.feed.configuration_push import FIRST_LEAD, ConfigurationPush, Subscriber
 from leadseam.feed.crash_server import CrashServer
+from leadseam.feed.evacuation_server import RESEND_LIMIT, EvacuationServer
 from leadseam.feed.pace import SHORTEST, interval_for
 from leadseam.feed.totals import LoadSummer
 from leadseam.incarnation import NO_START
@@ -55,6 +56,7 @@
         metrics: Counters.
         registry: Upstreams that register by heartbeat. Defaults to an empty one.
         clock: Source of time. Defaults to the machine's.
+        resend_limit: Milliseconds for which operators may send an order again.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         *,
         registry: Registry | None = None,
         clock: Clock | None = None,
+        resend_limit: Millis = RESEND_LIMIT,
     ) -> None:
         self._replica = replica
         self._metrics = metrics
@@ -76,6 +79,9 @@
         self._next_id = 0
         self._claims = ClaimServer(replica, metrics)
         self.crashes = CrashServer(replica, self._clock, metrics, self._tell_all)
+        self.evacuations = EvacuationServer(
+            replica, self._clock, metrics, self._tell_all, resend_limit=resend_limit
+        )
         self._push = ConfigurationPush(replica, metrics)
         self._pushing_later = False
 
@@ -180,6 +186,8 @@
         if left:
             subscriber.link.send(Left(left))
         # Before the configuration, so that nobody serves without knowing these.
+        if evacuated := self.evacuations.greeting():
+            subscriber.link.send(evacuated)
         if crashes := self.crashes.greeting():
             subscriber.link.send(crashes)
         self._push.send(subscriber)
@@ -207,6 +215,7 @@
         while True:
             await self._replica.next_applied()
             self._push_left()
+            self.evacuations.applied()
             self.crashes.applied()
             self._push_newly_named()
             for subscriber in self.subscribers:
--- a/src/leadseam/platform/control_api.py
+++ b/src/leadseam/platform/control_api.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from leadseam.clock import Millis, sleep
 from leadseam.control.service import Accepted, Invalid, Unavailable
 from leadseam.errors import DocumentError
 from leadseam.incarnation import Incarnation
@@ -25,6 +27,12 @@
 
 MAX_DOCUMENT = 16 * 1024 * 1024
 """Bytes of a request's body that are read at all."""
+CALLER_CHECK: Millis = 20
+"""Time after which an order without a version is carried out if its caller still waits:
+several round trips between boxes, in which a call that was held up on its way is seen
+to have been given up."""
+_DOMAIN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}", re.ASCII)
+"""Names of failure domains that may stand in a log line as they are."""
 
 
 class ControlApi:
@@ -46,6 +54,8 @@
                 web.get(names.READ_PATH, self._read),
                 web.post(names.HEARTBEAT_PATH, self._heartbeat),
                 web.post(names.LEAVE_PATH, self._leave),
+                web.post(names.EVACUATE_PATH, self._evacuate),
+                web.post(names.RESTORE_PATH, self._restore),
             ]
         )
         return app
@@ -87,6 +97,21 @@
             return _response(await self._service.leave_unstated(instance))
         return _response(await self._service.leave(Incarnation(instance, start)))
 
+    async def _evacuate(self, http: web.Request) -> web.Response:
+        return await self._switch(http, evacuated=True)
+
+    async def _restore(self, http: web.Request) -> web.Response:
+        return await self._switch(http, evacuated=False)
+
+    async def _switch(self, http: web.Request, *, evacuated: bool) -> web.Response:
+        domain = http.match_info["domain"]
+        if not _DOMAIN.fullmatch(domain):
+            return _refusal(400, "not the name of a failure domain")
+        await sleep(CALLER_CHECK)
+        if http.transport is None or http.transport.is_closing():
+            return _refusal(503, "the caller is gone")
+        return _response(await self._service.evacuate(domain, evacuated=evacuated))
+
     def _unknown_writer(self, instance: str, exc: UnknownWriterError) -> web.Response:
         self._service.note_unknown_writer(instance, exc.fault.value, exc.message)
         return _refusal(400, exc.message)
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -98,6 +98,7 @@
             metrics,
             registry=Registry(settings.heartbeat_interval),
             clock=clock,
+            resend_limit=settings.resend_limit,
         )
         service = ControlService(
             self.replica,
--- a/src/leadseam/platform/names.py
+++ b/src/leadseam/platform/names.py
@@ -36,6 +36,8 @@
 READ_PATH = "/leadseam/config/get"
 HEARTBEAT_PATH = "/leadseam/instances/{instance}/heartbeat"
 LEAVE_PATH = "/leadseam/instances/{instance}/deregister"
+EVACUATE_PATH = "/leadseam/evacuations/{domain}/start"
+RESTORE_PATH = "/leadseam/evacuations/{domain}/stop"
 
 READY = "ready"
 DRAINING = "draining"
--- a/src/leadseam/platform/settings.py
+++ b/src/leadseam/platform/settings.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.errors import SettingsError
+from leadseam.feed.evacuation_server import RESEND_LIMIT
 from leadseam.platform.names import SETTINGS_VARIABLE
 from leadseam.routing.budget import RetryLimits
 from leadseam.settings.models import Endpoint
@@ -28,6 +29,7 @@
         node: Name of the process' box.
         ip: IP number of that box.
         failure_domain: Failure domain of that box.
+        regions: Region of each failure domain.
         front: Where callers connect, or None.
         ready: Where readiness is asked for, or None.
         control: Where upstreams and operators call, or None.
@@ -38,6 +40,7 @@
         data_dir: Data folder, or None on a box without a disk.
         loss_tolerance: Control boxes that may be lost at once.
         heartbeat_interval: Milliseconds between the heartbeats of an upstream.
+        resend_limit: Milliseconds for which operators may send an order again.
         grace: Milliseconds from the request to stop until the process is killed.
         retry_limits: Fleet-wide bounds on repeated sends.
     """
@@ -45,6 +48,7 @@
     node: str
     ip: str
     failure_domain: str
+    regions: dict[str, str]
     front: Endpoint | None
     ready: Endpoint | None
     control: Endpoint | None
@@ -55,6 +59,7 @@
     data_dir: str | None
     loss_tolerance: int
     heartbeat_interval: Millis
+    resend_limit: Millis
     grace: Millis
     retry_limits: RetryLimits
 
@@ -75,6 +80,7 @@
             node=fields.text("node"),
             ip=fields.text("ip"),
             failure_domain=fields.text("zone"),
+            regions=fields.table("zones"),
             front=fields.address("listen.front"),
             ready=fields.address("listen.ready"),
             control=fields.address("listen.control"),
@@ -85,6 +91,7 @@
             data_dir=fields.text("dataDir", "") or None,
             loss_tolerance=fields.integer("tolerate.machines", 0),
             heartbeat_interval=fields.integer("heartbeatMs", 1_000),
+            resend_limit=fields.integer("bounds.ackMs", RESEND_LIMIT),
             grace=fields.integer("bounds.graceS", 8) * MILLIS_PER_SECOND,
             retry_limits=fields.retry_limits(),
         )
@@ -119,6 +126,15 @@
     def integer(self, key: str, default: int) -> int:
         return round(self.number(key, default))
 
+    def table(self, key: str) -> dict[str, str]:
+        """Return the fields below a key, by the rest of their names."""
+        prefix = f"{key}."
+        return {
+            name.removeprefix(prefix): value
+            for name, value in self._fields.items()
+            if name.startswith(prefix)
+        }
+
     def integer_list(self, key: str) -> list[int]:
         value = self.text(key)
         try:
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -146,6 +146,9 @@
             "request_seconds", "Time to the end of the answer.", LATENCY_BUCKETS
         )
         self.lag = metrics.gauge("event_loop_lag_ms", "How late the event loop runs.")
+        self.evacuated_domains = metrics.gauge(
+            "evacuated_failure_domains", "Failure domains that get no requests."
+        )
         self.logs_dropped = metrics.gauge(
             "log_lines_dropped", "Log lines not written to keep the volume bounded."
         )
@@ -214,6 +217,10 @@
             "requests_refused_for_crashes",
             "Requests that are refused because upstreams have crashed under them.",
         )
+        self.evacuated_domains = metrics.gauge(
+            "evacuated_failure_domains",
+            "Failure domains that are evacuated, as far as this replica knows.",
+        )
         self.unexpected = metrics.counter(
             "unexpected_messages_total", "Messages of a type not expected on a link."
         )
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -120,6 +120,18 @@
     incarnations: tuple[Incarnation, ...]
 
 
+class Evacuated(Message, frozen=True, array_like=True, tag=46):
+    """All failure domains that are evacuated; replaces an older revision.
+
+    Args:
+        revision: Grows with each change.
+        domains: Their names.
+    """
+
+    revision: int
+    domains: tuple[str, ...]
+
+
 class Replicas(Message, frozen=True, array_like=True, tag=38):
     """Names of the boxes of the control group."""
 
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -40,6 +40,7 @@
 from leadseam.wire.feed import (
     Current,
     Delta,
+    Evacuated,
     Expired,
     InForce,
     Left,
@@ -92,6 +93,7 @@
     | Registered
     | Expired
     | Left
+    | Evacuated
     | Replicas
     | LoadReport
     | LoadTotals
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -24,6 +24,9 @@
 bounds.retryBudgetRatio=0.2
 bounds.budgetWindowS=10
 bounds.retrySlack=58
+bounds.ackMs=4000
+zones.a=north
+zones.b=south
 something.new=1
 """
 
@@ -33,6 +36,7 @@
         node="core-a-1",
         ip="10.1.0.35",
         failure_domain="a",
+        regions={"a": "north", "b": "south"},
         front=None,
         ready=None,
         control=Endpoint(ip="10.1.0.35", port=8785),
@@ -46,6 +50,7 @@
         data_dir="/data/my-core",
         loss_tolerance=2,
         heartbeat_interval=1_200,
+        resend_limit=4_000,
         grace=8_000,
         retry_limits=RetryLimits(ratio=0.2, slack=58, window=10_000),
     )
@@ -55,7 +60,7 @@
     ("line", "message"),
     [
         ("ip=", None),
-        ("no sign", "f: line 16: expected KEY=VALUE"),
+        ("no sign", "f: line 19: expected KEY=VALUE"),
         ("internalPorts=x", "f: internalPorts: expected whole numbers, got 'x'"),
         ("bounds.graceS=x", "f: bounds.graceS: expected a number, got 'x'"),
         ("seeds=10.1.0.1", "f: seeds: expected IP:PORT, got '10.1.0.1'"),
--- a/tools/platform/operator.py
+++ b/tools/platform/operator.py
@@ -37,6 +37,17 @@
             await asyncio.sleep(OPERATOR_PAUSE)
         raise AssertionError
 
+    async def switch(self, domain: str, *, evacuated: bool) -> int:
+        """Order an evacuation or its end until it has a clear answer."""
+        path = names.EVACUATE_PATH if evacuated else names.RESTORE_PATH
+        for control in itertools.cycle(self.controls):
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                status = await tell(control, path.format(domain=domain), b"")
+                if status < 500:
+                    return status
+            await asyncio.sleep(OPERATOR_PAUSE)
+        raise AssertionError
+
     async def read(self) -> bytes:
         """Read the newest configuration from any node that knows it."""
         async with open_session() as session:
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -79,6 +79,8 @@
         down: Seconds after a crash until it is back: as another incarnation, under a
             new id or, if it states its starts, under the one that it had.
         crashes: Requests that have crashed it.
+        zone: Failure domain that it states.
+        cold: Milliseconds for which it says that it is cold.
     """
 
     ip: str
@@ -99,6 +101,8 @@
     born: int | None = None
     down: float = 0.6
     crashes: list[Run] = field(default_factory=list)
+    zone: str = "a"
+    cold: int = 0
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -198,11 +202,11 @@
         return stated | {
             "service": self.service,
             "address": self.advertised or f"{self.ip}:{self.port}",
-            "zone": "a",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "coldRemainingMs": 0,
+            "coldRemainingMs": self.cold,
             "sequence": sequence,
         }
 
