Entries send nothing to evacuated domains, little to cold upstreams, nothing out of region

Evacuations had no effect at entries, and bounds by region were not decoded.

The three are one filter of the view, so they come in one commit. Evacuated domains are left out of every choice; shares are taken of the places that are left; a domain that is taken back counts as cold for three heartbeats. For a cold upstream each entry keeps to a part that adds up: one or more requests in 1,250 ms each while entries are at most 1.25 times the rate, else a few entries drawn by a hash of both. The number of entries is the largest count of the last 30 s. Ruled out: leases of tokens from a replica (a message for each request of a rare state, and nothing while the replica is gone). Requests bound to regions by route, account or both go nowhere else.

Tests by exact counts in virtual time at 1 to 1,000 entries with delays of links, the view, the registry, and real processes (evacuation over a restart of all boxes, running streams that end, orders that may be late or whose caller hung up, three regions, a server that turns cold). Tests that built a Waiter or an order of engines by the name of a pool name a Scope now and ask the same.

--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -17,6 +17,7 @@
 from leadseam.emulate.engine import Engine, Run, later
 from leadseam.emulate.tally import Tally
 from leadseam.emulate.virtual import VirtualClock, VirtualLoop
+from leadseam.feed.entry_count import EntryCount
 from leadseam.feed.pace import SHORTEST, interval_for
 from leadseam.feed.totals import LoadSummer
 from leadseam.incarnation import Incarnation
@@ -30,13 +31,14 @@
 from leadseam.wire.feed import LoadSums, Registration
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Sequence
+    from collections.abc import Coroutine, Iterable, Sequence
 
     from leadseam.clock import Millis
     from leadseam.emulate.callers import Arrival
     from leadseam.emulate.settings import FleetSettings, Kind
     from leadseam.feed.client import FeedClient
     from leadseam.routing.flight import Flight
+    from leadseam.routing.scope import Regions
 
 POOL = "emulated"
 HOP: Millis = 1
@@ -61,9 +63,18 @@
     def __init__(self, rows: Sequence[Registration]) -> None:
         self._rows = rows
 
-    def pool(self, _: str) -> Sequence[Registration]:
+    def pool(self, _: str, _regions: Regions = None) -> Sequence[Registration]:
         return self._rows
 
+    def all_warm(self, _: Millis) -> bool:
+        return True
+
+    def cold_until(self, _: Registration) -> Millis:
+        return 0
+
+    def part_left(self, _: Iterable[str]) -> float:
+        return 1.0
+
 
 class _Feed:
     """The part of a feed that placing asks for."""
@@ -73,6 +84,7 @@
         profile = EngineProfile(slots=speed.slots, memory_tokens=speed.memory_tokens)
         limits = CallerLimits(tokens_per_s=cfg.stated)
         self.view = _View(rows)
+        self.entries = EntryCount()
         self.configuration = _Configured(limits, {POOL: _Pool(profile)})
 
 
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -12,6 +12,7 @@
 from leadseam.control.configuration import Configuration, Operation
 from leadseam.feed.claim_client import ClaimClient
 from leadseam.feed.directory import ReplicaDirectory
+from leadseam.feed.entry_count import EntryCount
 from leadseam.feed.summing import SummingReplica
 from leadseam.membership.view import UpstreamView
 from leadseam.wire.backoff import Backoff
@@ -21,6 +22,7 @@
 from leadseam.wire.feed import (
     Current,
     Delta,
+    Evacuated,
     Expired,
     InForce,
     Left,
@@ -94,6 +96,7 @@
         self.configuration = Configuration()
         self.confirmed = False
         self.subscribers = 0
+        self.entries = EntryCount()
         self.view = view or UpstreamView()
         self._node = node
         self._incarnation = incarnation
@@ -258,6 +261,8 @@
                 if fresh:
                     extra = {"instances": list(map(str, fresh))}
                     log.info("upstreams leave", extra=extra)
+            case Evacuated(revision=revision, domains=domains):
+                self._take_evacuations(replica, revision, domains)
             case LoadTotals(included=included, data=data):
                 if self._summing.answered(replica):
                     self._on_sums(included, decode(data, LoadSums))
@@ -271,6 +276,13 @@
             log.info("upstreams have started again", extra=extra)
             self._on_restarts(over)
 
+    def _take_evacuations(
+        self, replica: str, revision: int, domains: tuple[str, ...]
+    ) -> None:
+        if self.view.evacuate(revision, domains, self._clock.now()):
+            extra = {"revision": revision, "domains": domains, "replica": replica}
+            log.warning("evacuations in force", extra=extra)
+
     def _take_members(self, replica: Endpoint, message: Replicas) -> None:
         addresses = (self._address_of(name) for name in message.names)
         self._directory.told(replica, [one for one in addresses if one is not None])
@@ -279,6 +291,7 @@
         self.confirmed = True
         self._confirmed_at = max(self._confirmed_at, message.echo)
         self.subscribers = message.subscribers
+        self.entries.take(message.subscribers, self._clock.now())
         link.send(InForce(self.version, self._clock.now()))
 
     def _put_in_force(self, link: Link, candidate: Configuration) -> None:
--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -25,6 +25,9 @@
 stood still for longer has heard nobody, which says nothing of them. Without that, a
 look after more than six heartbeats of standstill drops every upstream (by the table
 alone; not measured on a fleet)."""
+COLD_TOLERANCE: Millis = 500
+"""Change of the end of a cold time below which entries are not told: heartbeats come as
+late as that."""
 MAX_ROWS = 10_000
 """Upstreams heard at a time: some 5 MB, and far more than a fleet has."""
 
@@ -34,6 +37,11 @@
     registration: Registration
     heard_at: Millis
 
+    @property
+    def cold_until(self) -> Millis:
+        """Until when the upstream is cold; when it was heard if it is not."""
+        return self.heard_at + self.registration.cold_left
+
 
 class Registry:
     """Upstreams heard by this replica, the latest start of each.
@@ -68,6 +76,7 @@
         if not _is_newer(registration, row.registration):
             return False
         changed = _substance(registration) != _substance(row.registration)
+        changed = changed or _cold_moved(row, registration, now)
         row.registration = registration
         row.heard_at = now
         return changed
@@ -129,6 +138,12 @@
     return registration.sequence > known.sequence
 
 
+def _cold_moved(row: _Row, registration: Registration, now: Millis) -> bool:
+    """Tell whether an upstream is cold for longer, or warm sooner, than it was."""
+    expected = max(row.cold_until - now, 0)
+    return abs(registration.cold_left - expected) > COLD_TOLERANCE
+
+
 def _substance(registration: Registration) -> Registration:
     """Return a registration without what changes from heartbeat to heartbeat."""
     return msgspec.structs.replace(registration, sequence=0, cold_left=0)
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -15,13 +15,18 @@
 from leadseam.membership.departures import Departures
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from leadseam.incarnation import Incarnation
     from leadseam.wire.feed import Registration
 
 KEPT_AFTER_LOSS: Millis = 12_000
 """How long a lost replica's upstreams are kept: ten heartbeats of 1.2 s."""
+DOUBTED_HEARTBEATS = 3
+"""Heartbeats for which upstreams count as cold once their failure domain is taken back:
+they may have turned cold just before, and one heartbeat may be late."""
+DEFAULT_HEARTBEAT: Millis = 1_000
+"""Heartbeat interval of upstreams where the settings give none."""
 
 
 @dataclass(slots=True)
@@ -29,6 +34,7 @@
     """An upstream, and until when each replica holds it; None without an end."""
 
     registration: Registration
+    cold_until: Millis = 0
     until: dict[str, Millis | None] = field(default_factory=dict)
 
     @property
@@ -38,12 +44,30 @@
 
 
 class UpstreamView:
-    """Upstreams known to an entry, the latest start of each."""
+    """Upstreams known to an entry, the latest start of each.
 
-    def __init__(self) -> None:
+    Args:
+        regions: Region of each failure domain.
+        heartbeat_interval: Milliseconds between the heartbeats of an upstream.
+    """
+
+    def __init__(
+        self,
+        regions: Mapping[str, str] | None = None,
+        *,
+        heartbeat_interval: Millis = DEFAULT_HEARTBEAT,
+    ) -> None:
+        self.evacuated: frozenset[str] = frozenset()
+        self._regions = regions or {}
+        self._doubt = DOUBTED_HEARTBEATS * heartbeat_interval
+        self._evacuation_revision = 0
+        self._doubted: dict[str, Millis] = {}
+        self._last_cold: Millis = 0
         self._known: dict[str, _Known] = {}
         self._departed = Departures()
         self._by_pool: dict[str, list[Registration]] | None = None
+        self._by_scope: dict[tuple[str, frozenset[str]], list[Registration]] = {}
+        self._slots: dict[str, tuple[int, int]] = {}
         self._addresses = AddressBook()
 
     def __repr__(self) -> str:
@@ -87,6 +111,45 @@
                 self._forget(known)
         return fresh
 
+    def evacuate(self, revision: int, domains: Iterable[str], now: Millis) -> bool:
+        """Send nothing to the upstreams of some failure domains from now on.
+
+        Args:
+            revision: Revision of the evacuations; an older one changes nothing.
+            domains: All failure domains that are evacuated.
+            now: Current time.
+
+        Returns:
+            Whether that is news.
+        """
+        if revision <= self._evacuation_revision:
+            return False
+        self._evacuation_revision = revision
+        before, self.evacuated = self.evacuated, frozenset(domains)
+        for domain in before - self.evacuated:
+            self._doubted[domain] = now + self._doubt
+            self._last_cold = max(self._last_cold, self._doubted[domain])
+        self._by_pool = None
+        return True
+
+    def cold_until(self, row: Registration) -> Millis:
+        """Return until when an upstream is taken to be cold; 0 if it is not."""
+        known = self._known.get(row.incarnation.instance)
+        if known is None or known.incarnation != row.incarnation:
+            return 0
+        return max(known.cold_until, self._doubted.get(row.failure_domain, 0))
+
+    def all_warm(self, now: Millis) -> bool:
+        """Tell whether no upstream at all is cold: so it is nearly always."""
+        return now >= self._last_cold
+
+    def part_left(self, pools: Iterable[str]) -> float:
+        """Return the part of the places of some pools that is not evacuated."""
+        self.pool("")
+        counts = [self._slots.get(pool, (0, 0)) for pool in pools]
+        total = sum(every for _, every in counts)
+        return sum(left for left, _ in counts) / total if total else 1.0
+
     def has_left(self, incarnation: Incarnation) -> bool:
         """Tell whether an upstream has announced its end."""
         return incarnation in self._departed
@@ -121,11 +184,27 @@
                     del known.until[replica]
             self._drop_if_unheld(known)
 
-    def pool(self, name: str) -> Sequence[Registration]:
-        """Return the upstreams of a pool that take new work."""
+    def pool(
+        self, name: str, regions: frozenset[str] | None = None
+    ) -> Sequence[Registration]:
+        """Return the upstreams of a pool that take new work.
+
+        Args:
+            name: The pool.
+            regions: Regions in which they have to be, or None for any.
+        """
         if self._by_pool is None:
             self._by_pool = self._group()
-        return self._by_pool.get(name, ())
+            self._by_scope.clear()
+        rows = self._by_pool.get(name, ())
+        if regions is None:
+            return rows
+        key = (name, regions)
+        if key not in self._by_scope:
+            self._by_scope[key] = [
+                row for row in rows if self._regions.get(row.failure_domain) in regions
+            ]
+        return self._by_scope[key]
 
     def _group(self) -> dict[str, list[Registration]]:
         grouped: dict[str, list[Registration]] = {}
@@ -133,7 +212,16 @@
             row = known.registration
             if row.ready and self._addresses.holds(row):
                 grouped.setdefault(row.pool, []).append(row)
-        return {pool: _with_starts(rows) for pool, rows in grouped.items()}
+        stated = {pool: _with_starts(rows) for pool, rows in grouped.items()}
+        left = {pool: self._not_evacuated(rows) for pool, rows in stated.items()}
+        self._slots = {
+            pool: (_slots_of(left[pool]), _slots_of(rows))
+            for pool, rows in stated.items()
+        }
+        return left
+
+    def _not_evacuated(self, rows: list[Registration]) -> list[Registration]:
+        return [row for row in rows if row.failure_domain not in self.evacuated]
 
     def _take(self, replica: str, row: Registration, now: Millis) -> Incarnation | None:
         """Take a row; return the incarnation that it replaces, if any."""
@@ -141,20 +229,28 @@
         known = self._known.get(row.instance)
         if known is None:
             known = self._known[row.instance] = _Known(row)
+            self._note_cold(known, now)
             self._addresses.claim(row, now)
         elif row.incarnation.replaces(known.incarnation):
             over = known.incarnation
             self._addresses.succeed(known.registration, row)
             known = self._known[row.instance] = _Known(row)
+            self._note_cold(known, now)
         elif row.incarnation != known.incarnation:
             # A replica that has not heard of the later start yet.
             return None
         elif row.sequence > known.registration.sequence:
             known.registration = row
+            self._note_cold(known, now)
         known.until[replica] = None
         self._by_pool = None
         return over
 
+    def _note_cold(self, known: _Known, now: Millis) -> None:
+        left = known.registration.cold_left
+        known.cold_until = now + left if left else 0
+        self._last_cold = max(self._last_cold, known.cold_until)
+
     def _get(self, incarnation: Incarnation) -> _Known | None:
         """Return what is known of an incarnation that is still the latest."""
         known = self._known.get(incarnation.instance)
@@ -179,6 +275,10 @@
         self._by_pool = None
 
 
+def _slots_of(rows: Iterable[Registration]) -> int:
+    return sum(row.slots for row in rows)
+
+
 def _with_starts(rows: list[Registration]) -> list[Registration]:
     """Return the upstreams of a pool without those that only look like some.
 
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -64,7 +64,9 @@
         self._settings = settings
         self._clock = clock or SystemClock()
         self._metrics = Metrics()
-        self._view = UpstreamView()
+        self._view = UpstreamView(
+            settings.regions, heartbeat_interval=settings.heartbeat_interval
+        )
         self._feed = FeedClient(
             node=settings.node,
             incarnation=secrets.randbits(INCARNATION_BITS),
@@ -110,6 +112,7 @@
             rng=random.Random(secrets.randbits(64)),
             lag=self._lag,
             connections=self._open_connections,
+            entry=settings.node,
         )
         self._front = FrontServer(self._gateway.handle)
         await self._front.start(settings.front)
@@ -165,6 +168,8 @@
             if self._gateway is not None:
                 self._gateway.crash_guard.review()
                 self._gateway.request_log.show_dropped()
+            evacuated = len(self._view.evacuated)
+            self._routing_metrics.evacuated_domains.set({}, evacuated)
 
     async def _report_load(self) -> None:
         assert self._gateway is not None
--- a/src/leadseam/platform/manifest.py
+++ b/src/leadseam/platform/manifest.py
@@ -41,6 +41,7 @@
     allow_anonymous: bool = False
     resumable: bool = False
     gap_target_ms: float = 0
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -57,6 +58,7 @@
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     max_connections: int = 1_000
+    cold_per_s: float = 0
     engine: _Engine | None = None
 
 
@@ -72,6 +74,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class _Manifest(msgspec.Struct, frozen=True):
@@ -129,13 +132,19 @@
         max_pause=round(wire.gap_target_ms),
         priority=wire.priority,
         anonymous=wire.allow_anonymous,
+        regions=wire.allowed_regions,
     )
 
 
 def _pool(wire: _Service) -> Pool:
     engine = wire.engine
     if engine is None:
-        return Pool(wire.name, PoolKind.SERVICE, max_connections=wire.max_connections)
+        return Pool(
+            wire.name,
+            PoolKind.SERVICE,
+            max_connections=wire.max_connections,
+            cold_rate=max(wire.cold_per_s, 0),
+        )
     return Pool(
         wire.name,
         PoolKind.ENGINE,
@@ -146,6 +155,7 @@
             memory_tokens=engine.kv_capacity,
             tokens_per_event=max(round(engine.stride), 1),
         ),
+        cold_rate=max(wire.cold_per_s, 0),
     )
 
 
@@ -161,4 +171,9 @@
 
 def _account(wire: _Tenant) -> Account:
     hashes = (hashlib.sha256(key.encode()).hexdigest() for key in wire.api_keys)
-    return Account(wire.name, key_hashes=tuple(hashes), priority=wire.priority)
+    return Account(
+        wire.name,
+        key_hashes=tuple(hashes),
+        priority=wire.priority,
+        regions=wire.allowed_regions,
+    )
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -22,6 +22,7 @@
     from leadseam.routing.balance import Balancer
     from leadseam.routing.dialect import RoutedRequest
     from leadseam.routing.placement import Placement
+    from leadseam.routing.scope import Scope
     from leadseam.wire.feed import Registration
 
 ENTITLED_PART = 0.85
@@ -48,7 +49,7 @@
     Args:
         req: The request.
         account: Client account that pays, or an empty text.
-        pool: Its pool.
+        scope: Where it may go.
         profile: What is stated about the pool's engines.
         objective: Milliseconds from `arrived` in which the first token is in time.
         arrived: When it could first be placed.
@@ -63,7 +64,7 @@
 
     req: RoutedRequest
     account: str
-    pool: str
+    scope: Scope
     profile: EngineProfile
     objective: Millis
     arrived: Millis
@@ -82,13 +83,13 @@
 
     Args:
         balancer: Loads and estimates.
-        candidates: Returns the upstreams of a pool that may be used.
+        candidates: Returns the upstreams of a scope that may be used.
         standing: Returns what an account may claim.
         level: Returns the service that an account got of late.
     """
 
     balancer: Balancer
-    candidates: Callable[[str], Sequence[Registration]]
+    candidates: Callable[[Scope], Sequence[Registration]]
     standing: Callable[[str, Millis], Standing]
     level: Callable[[str, Millis], int]
     _waiting: list[Waiter] = field(default_factory=list)
@@ -110,7 +111,7 @@
 
     def _longest_wait(self, waiter: Waiter) -> Millis:
         """Return how long a request may wait and still be in time, if it is alone."""
-        alone = self.balancer.alone(waiter.pool, waiter.req)
+        alone = self.balancer.alone(waiter.scope.pool, waiter.req)
         in_time = waiter.objective * ENTITLED_PART - alone
         return round(max(in_time, waiter.objective * LEAST_WAIT_PART))
 
@@ -133,9 +134,9 @@
             return
         self._sort(now)
         # Most looks find engines full: then one look at them serves all that wait.
-        room: dict[tuple[str, Millis], frozenset[Incarnation]] = {}
+        room: dict[tuple[Scope, Millis], frozenset[Incarnation]] = {}
         for waiter in list(self._waiting):
-            key = (waiter.pool, waiter.objective)
+            key = (waiter.scope, waiter.objective)
             if key not in room:
                 room[key] = self._with_room(*key, now)
             placement = self._place(waiter, now, among=room[key])
@@ -152,10 +153,10 @@
         self._waiting.sort(key=lambda one: (levels[one.account], one.arrived))
 
     def _with_room(
-        self, pool: str, objective: Millis, now: Millis
+        self, scope: Scope, objective: Millis, now: Millis
     ) -> frozenset[Incarnation]:
         limit = objective * ENTITLED_PART
-        return self.balancer.with_room(self.candidates(pool), limit, now)
+        return self.balancer.with_room(self.candidates(scope), limit, now)
 
     def _lowest_level(self, now: Millis) -> float:
         accounts = {one.account for one in self._waiting}
@@ -210,10 +211,10 @@
 
     def _rank(self, waiter: Waiter) -> None:
         """Order the engines that a request may use anew, if they have changed."""
-        rows = self.candidates(waiter.pool)
+        rows = self.candidates(waiter.scope)
         if rows != waiter.rows:
             waiter.rows = rows
-            order = self.balancer.orders.of(waiter.pool, rows, waiter.req)
+            order = self.balancer.orders.of(waiter.scope, rows, waiter.req)
             waiter.ranked = [
                 row for row in order if row.incarnation not in waiter.tried
             ]
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -20,7 +20,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from leadseam.clock import Millis
     from leadseam.control.routes import EngineProfile
@@ -94,14 +94,32 @@
         return least > self.limit or (best is not None and least >= best.cost)
 
 
+def _all_allowed(_row: Registration, _now: Millis) -> bool:
+    return True
+
+
+def _ignore(_row: Registration) -> None:
+    pass
+
+
 class Balancer:
     """Knows loads and picks upstreams.
 
     Args:
         rng: Source of random numbers, for ties.
+        allows: Tells whether an upstream may get one more request now. Defaults to yes.
+        on_begin: Called with the upstream of each request that is sent.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        *,
+        allows: Callable[[Registration, Millis], bool] = _all_allowed,
+        on_begin: Callable[[Registration], None] = _ignore,
+    ) -> None:
+        self._on_begin = on_begin
+        self._allows = allows
         self.loads = LoadBook()
         self.prompts = PromptBook()
         self.estimates = EstimateBook()
@@ -114,11 +132,13 @@
     def begin(self, placement: Placement) -> None:
         """Count a request that is sent."""
         self.loads.begin(placement.upstream.incarnation, placement.load)
+        self._on_begin(placement.upstream)
 
     def least_loaded(
         self, rows: Sequence[Registration], now: Millis
     ) -> Placement | None:
         """Return the upstream with the least in flight for its slots, or None."""
+        rows = [row for row in rows if self._allows(row, now)]
         if not rows:
             return None
 
@@ -195,7 +215,9 @@
     ) -> Placement | None:
         """Return the best engine for a request that goes on, room or not."""
         scored = [
-            self._score(row, req, now, place=place) for place, row in enumerate(ranked)
+            self._score(row, req, now, place=place)
+            for place, row in enumerate(ranked)
+            if self._allows(row, now)
         ]
         best = min(scored, key=lambda one: one.cost, default=None)
         return best.placement if best is not None else None
@@ -221,7 +243,7 @@
     def _is_open(self, row: Registration, limit: float, now: Millis) -> bool:
         """Tell whether an engine has a slot, and time for a first token."""
         total = self.loads.total(row.incarnation, now)
-        if total.requests >= row.slots:
+        if total.requests >= row.slots or not self._allows(row, now):
             return False
         waited = self.estimates.engine(row).millis(total.unread)
         return not total.unread or waited <= limit
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -29,6 +29,7 @@
 from leadseam.routing.request_log import RequestLog
 from leadseam.routing.restarts import Restarts
 from leadseam.routing.router import Router, choose_pool
+from leadseam.routing.scope import allowed_regions
 from leadseam.routing.usage import Standing
 
 if TYPE_CHECKING:
@@ -85,6 +86,7 @@
         rng: Source of random numbers.
         lag: Lag of this process' event loop.
         connections: Returns the number of callers' open connections.
+        entry: Name of this entry.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         rng: random.Random,
         lag: LoopLag,
         connections: Callable[[], int] = lambda: 0,
+        entry: str = "",
     ) -> None:
         self.dialect = dialect
         self.client = client
@@ -119,7 +122,9 @@
         )
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
-        self.placer = Placer(feed=feed, health=self._health, clock=clock, rng=rng)
+        self.placer = Placer(
+            feed=feed, health=self._health, clock=clock, rng=rng, entry=entry
+        )
         self.request_log = RequestLog(
             feed=feed,
             standing=self.placer.standing,
@@ -245,6 +250,9 @@
             account=account.name if account is not None else None,
             arrived=arrived,
             deadline=arrived + limit,
+            regions=allowed_regions(
+                route.regions, account.regions if account is not None else ()
+            ),
         )
 
     def _checked(self, admitted: Admitted) -> Admitted | NotRun:
--- a/src/leadseam/routing/order.py
+++ b/src/leadseam/routing/order.py
@@ -15,6 +15,7 @@
     from collections.abc import Sequence
 
     from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.scope import Scope
     from leadseam.wire.feed import Registration
 
 MAX_ORDERS = 4_096
@@ -28,29 +29,29 @@
     """
 
     def __init__(self) -> None:
-        self._rows: dict[str, Sequence[Registration]] = {}
-        self._orders: dict[str, OrderedDict[str, Sequence[Registration]]] = {}
+        self._rows: dict[Scope, Sequence[Registration]] = {}
+        self._orders: dict[Scope, OrderedDict[str, Sequence[Registration]]] = {}
 
     def __repr__(self) -> str:
         return f"EngineOrders(pools={len(self._orders)})"
 
     def of(
-        self, pool: str, rows: Sequence[Registration], req: RoutedRequest
+        self, scope: Scope, rows: Sequence[Registration], req: RoutedRequest
     ) -> Sequence[Registration]:
         """Return the engines of a pool, the preferred one first.
 
         Args:
-            pool: Name of the pool.
+            scope: Where the request may go.
             rows: Its engines that may be used.
             req: The request.
         """
         affinity = affinity_key(req)
         if affinity is None:
             return rows
-        if self._rows.get(pool) != rows:
-            self._rows[pool] = rows
-            self._orders[pool] = OrderedDict()
-        orders = self._orders[pool]
+        if self._rows.get(scope) != rows:
+            self._rows[scope] = rows
+            self._orders[scope] = OrderedDict()
+        orders = self._orders[scope]
         order = orders.get(affinity)
         if order is None:
             order = orders[affinity] = ranked_for(rows, req)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -11,8 +11,10 @@
 from leadseam.routing.account_log import AccountLog
 from leadseam.routing.admission import Admission, Waiter
 from leadseam.routing.balance import Balancer, service_of
+from leadseam.routing.cold import ColdBudget
 from leadseam.routing.flight import Flight
 from leadseam.routing.order import ranked_for
+from leadseam.routing.scope import Scope
 from leadseam.routing.usage import MEMORY, UsageBook
 
 if TYPE_CHECKING:
@@ -42,6 +44,7 @@
         health: Which upstreams to leave alone.
         clock: Source of time.
         rng: Source of random numbers, for ties.
+        entry: Name of this entry.
     """
 
     def __init__(
@@ -51,11 +54,18 @@
         health: UpstreamHealth,
         clock: Clock,
         rng: random.Random,
+        entry: str = "",
     ) -> None:
         self._feed = feed
         self._health = health
         self._clock = clock
-        self._balancer = Balancer(rng)
+        self._cold = ColdBudget(
+            entry,
+            rate_of=self._cold_rate,
+            cold_until=feed.view.cold_until,
+            entries=feed.entries.most,
+        )
+        self._balancer = Balancer(rng, allows=self._allows, on_begin=self._note_begin)
         self._usage = UsageBook()
         self.account_log = AccountLog(self._usage, clock)
         self._admission = Admission(
@@ -122,8 +132,11 @@
         """Take the counts of all entries, with the own report of a number in them."""
         now = self._clock.now()
         own = self._balancer.loads.take_sums(included, sums, now)
-        limits = self._feed.configuration.limits
-        capacity = limits.tokens_per_s * MEMORY // MILLIS_PER_SECOND
+        cfg = self._feed.configuration
+        engines = [name for name, pool in cfg.pools.items() if pool.engine is not None]
+        # What is evacuated makes no tokens, so nobody may count on a share of it.
+        rate = cfg.limits.tokens_per_s * self._feed.view.part_left(engines)
+        capacity = round(rate * MEMORY / MILLIS_PER_SECOND)
         self._usage.take_sums(sums, own, capacity=capacity, now=now)
         self._pump_soon()
 
@@ -131,7 +144,7 @@
         self, admitted: Admitted, tried: set[Incarnation], *, again: bool
     ) -> Placement | EngineProfile | None:
         """Place a request that need not wait; else return its pool's profile."""
-        rows = self._candidates(admitted.pool)
+        rows = self._candidates(admitted.scope)
         if tried:
             rows = [row for row in rows if row.incarnation not in tried]
         pool = self._feed.configuration.pools.get(admitted.pool)
@@ -152,7 +165,7 @@
         waiter = Waiter(
             req=admitted.req,
             account=admitted.account or "",
-            pool=admitted.pool,
+            scope=admitted.scope,
             profile=profile,
             objective=admitted.route.latency_objective,
             # Not when it was read: it may have waited for a first configuration.
@@ -179,10 +192,22 @@
         if placement is not None:
             self._balancer.loads.end(placement.upstream.incarnation, placement.load)
 
-    def _candidates(self, pool: str) -> Sequence[Registration]:
-        """Return the upstreams of a pool, without those that fail, if any is left."""
+    def _note_begin(self, row: Registration) -> None:
+        now = self._clock.now()
+        if not self._feed.view.all_warm(now):
+            self._cold.begin(row, now)
+
+    def _allows(self, row: Registration, now: Millis) -> bool:
+        return self._feed.view.all_warm(now) or self._cold.allows(row, now)
+
+    def _cold_rate(self, pool: str) -> float:
+        row = self._feed.configuration.pools.get(pool)
+        return row.cold_rate if row is not None else 0.0
+
+    def _candidates(self, scope: Scope) -> Sequence[Registration]:
+        """Return the upstreams of a scope, without those that fail, if any is left."""
         now = self._clock.now()
-        rows = self._feed.view.pool(pool)
+        rows = self._feed.view.pool(scope.pool, scope.regions)
         if self._health.all_usable(now):
             return rows
         sound = [row for row in rows if self._health.usable(row.incarnation, now)]
--- /dev/null
+++ b/tests/platform/test_evacuation.py
@@ -0,0 +1,239 @@
+"""Evacuated failure domains, cold servers and regions, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from functools import partial
+from typing import TYPE_CHECKING
+
+from leadseam.platform import names
+from tools.platform.nodes import document
+from tools.platform.operator import tell
+from tools.waiting import until
+
+if TYPE_CHECKING:
+    from tools.platform.nodes import Platform
+    from tools.platform.standin import Server
+
+CALLS = 12
+
+
+async def spread_over(platform: Platform, *zones: str) -> None:
+    """Have the servers of each service state these failure domains."""
+    for service in ("model", "plain"):
+        for server, zone in zip(platform.of(service), zones, strict=True):
+            server.zone = zone
+            acks = server.acks
+            await until(partial(_more, server, acks), f"{zone} is registered")
+
+
+async def _more(server: Server, acks: int) -> bool:
+    # Heartbeats go to all boxes in turn, so each has the new domain then.
+    return server.acks > acks + 2 * len(server.controls)
+
+
+async def wait_evacuated(platform: Platform, *domains: str) -> None:
+    """Wait until the last word of each entry is that these are evacuated."""
+    for entry in platform.entry_ips:
+
+        async def is_told(entry: str = entry) -> bool:
+            lines = platform.log(entry)
+            told = [one for one in lines if one["message"] == "evacuations in force"]
+            return bool(told) and set(told[-1]["domains"]) == set(domains)
+
+        await until(is_told, f"{entry} knows that {domains} are evacuated")
+
+
+async def call_all(platform: Platform) -> None:
+    """Call both services through both entries."""
+    for number in range(CALLS):
+        entry = platform.entry_ips[number % 2]
+        assert (await platform.call(entry, "/once/x")).status == 200
+        assert (await platform.call(entry, "/stream/x")).status == 200
+
+
+async def test_an_evacuated_domain_gets_nothing_also_after_all_boxes_restart(
+    platform: Platform,
+) -> None:
+    await spread_over(platform, "a", "b")
+    emptied = [one for one in platform.servers if one.zone == "b"]
+    assert await platform.operator.switch("b", evacuated=True) == 200
+    await wait_evacuated(platform, "b")
+    before = [len(server.runs) for server in emptied]
+    await call_all(platform)
+    assert [len(server.runs) for server in emptied] == before
+    # A second order is acknowledged and changes nothing.
+    assert await platform.operator.switch("b", evacuated=True) == 200
+    boxes = [*platform.control_ips, *platform.entry_ips]
+    for ip in boxes:
+        platform.kill(ip)
+    for ip in boxes:
+        platform.start(ip, founding=False)
+    for ip in platform.entry_ips:
+        await platform.wait_ready(ip)
+        await platform.wait_served(ip)
+    await call_all(platform)
+    assert [len(server.runs) for server in emptied] == before
+    assert await platform.operator.switch("b", evacuated=False) == 200
+    await wait_evacuated(platform)
+
+    async def served_again() -> bool:
+        await call_all(platform)
+        return all(len(s.runs) > b for s, b in zip(emptied, before, strict=True))
+
+    await until(served_again, "the domain serves again")
+
+
+async def test_what_runs_in_a_domain_that_is_evacuated_ends_there(
+    platform: Platform,
+) -> None:
+    await spread_over(platform, "a", "a")
+    for server in platform.of("model"):
+        server.behave["long"] = "pause"
+    entry = platform.entry_ips[0]
+    call = asyncio.create_task(
+        platform.call(entry, "/stream/long", request_id="running")
+    )
+
+    async def runs() -> bool:
+        return any(server.count("running") for server in platform.of("model"))
+
+    await until(runs, "the request runs")
+    assert await platform.operator.switch("a", evacuated=True) == 200
+    for server in platform.of("model"):
+        server.release.set()
+    answer = await call
+    assert (answer.status, answer.cut) == (200, False)
+    assert sum(server.count("running") for server in platform.of("model")) == 1
+    await wait_evacuated(platform, "a")
+    # No domain is left: refused at once, with a time to come back.
+    refused = await platform.call(entry, "/stream/x")
+    assert refused.status == 503
+    assert b"no_upstream" in refused.body
+    assert float(refused.headers[names.RETRY_AFTER]) > 0
+    plain = await platform.call(entry, "/once/x")
+    assert plain.status == 503
+
+
+async def test_orders_that_cannot_be_told_from_late_copies_wait(
+    platform: Platform,
+) -> None:
+    operator = platform.operator
+    assert await operator.switch("b", evacuated=True) == 200
+    assert await operator.switch("b", evacuated=False) == 200
+    box = platform.controls[0]
+    # Within the time in which the first order may be sent again.
+    status = await tell(box, names.EVACUATE_PATH.format(domain="b"), b"")
+    lines = [
+        line["status"]
+        for ip in platform.control_ips
+        for line in platform.log(ip)
+        if line["message"] == "evacuation ordered"
+    ]
+    assert (status == 503) is ("may_be_late" in lines)
+    assert await operator.switch("b", evacuated=True) == 200
+    await wait_evacuated(platform, "b")
+    assert await operator.switch("x/y", evacuated=True) in (400, 404)
+
+
+async def test_an_order_whose_caller_has_hung_up_is_not_carried_out(
+    platform: Platform,
+) -> None:
+    # An order that a suspended box finds in its socket was sent again elsewhere, and
+    # may have been undone since.
+    ip = platform.control_ips[0]
+    platform.signal(ip, signal.SIGSTOP)
+    _, writer = await asyncio.open_connection(ip, platform.control_port)
+    path = names.EVACUATE_PATH.format(domain="b")
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+    writer.write(head.encode())
+    await writer.drain()
+    writer.close()
+    await writer.wait_closed()
+    platform.signal(ip, signal.SIGCONT)
+    assert await platform.operator.switch("c", evacuated=True) == 200
+    await wait_evacuated(platform, "c")
+    ordered = [
+        line["domain"]
+        for box in platform.control_ips
+        for line in platform.log(box)
+        if line["message"] == "evacuation ordered"
+    ]
+    assert set(ordered) == {"c"}
+
+
+async def test_bodies_stay_within_the_regions_of_route_and_account(
+    platform: Platform,
+) -> None:
+    for ip in platform.server_ips[4:6]:
+        await platform.add_server(ip, "plain")
+    zones = ("a", "b", "c", "c")
+    for server, zone in zip(platform.of("plain"), zones, strict=True):
+        server.zone = zone
+        acks = server.acks
+        await until(partial(_more, server, acks), f"{zone} is registered")
+    routes = json.loads(document(2))["routes"]
+    routes[0]["allowedRegions"] = ["east", "west"]
+    routes[1]["allowedRegions"] = ["north"]
+    tenants = [
+        {"name": "bank", "apiKeys": ["key-of-bank"]},
+        {"name": "west", "apiKeys": ["k-west"], "allowedRegions": ["west", "north"]},
+    ]
+    newer = document(2, routes=routes, tenants=tenants)
+    assert await platform.operator.replace(newer) == 200
+    for entry in platform.entry_ips:
+
+        async def in_force(entry: str = entry) -> bool:
+            return (await platform.call(entry, "/once/x", key="k-west")).status == 200
+
+        await until(in_force, "the bounds are in force")
+    for server in platform.of("plain"):
+        server.runs.clear()
+    for number in range(CALLS):
+        entry = platform.entry_ips[number % 2]
+        for path, key, allowed in (
+            ("/once/x", "key-of-bank", "ab"),
+            ("/once/x", "k-west", "b"),
+            ("/safe/x", "k-west", "c"),
+        ):
+            request_id = f"{path}{key}{number}".replace("/", "-")
+            answer = await platform.call(entry, path, key=key, request_id=request_id)
+            assert answer.status == 200
+            (server,) = [s for s in platform.of("plain") if s.count(request_id)]
+            assert server.zone in allowed
+
+
+async def test_a_server_that_turns_cold_gets_its_part_of_the_rate(
+    platform: Platform,
+) -> None:
+    services = json.loads(document(2))["services"]
+    services[0]["coldPerS"] = 2
+    newer = document(2, services=services)
+    assert await platform.operator.replace(newer) == 200
+    cold, _ = platform.of("plain")
+    cold.cold = 60_000
+    for entry in platform.entry_ips:
+
+        async def is_kept_back(entry: str = entry) -> bool:
+            before = len(cold.runs)
+            for _ in range(CALLS):
+                assert (await platform.call(entry, "/once/x")).status == 200
+            return len(cold.runs) <= before + 2
+
+        await until(is_kept_back, "the entry knows that the server is cold")
+    before = len(cold.runs)
+    for number in range(CALLS):
+        await platform.call(platform.entry_ips[number % 2], "/once/x")
+    # Two entries send one each in a window, and these calls span two windows at most.
+    assert len(cold.runs) <= before + 4
+    cold.cold = 0
+    seen = len(cold.runs)
+
+    async def serves_again() -> bool:
+        for number in range(CALLS):
+            await platform.call(platform.entry_ips[number % 2], "/once/x")
+        return len(cold.runs) > seen + CALLS
+
+    await until(serves_again, "the server is warm again")
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -17,6 +17,7 @@
 from leadseam.routing.dialect import PromptPart
 from leadseam.routing.estimate import FIRST_BASE, FIRST_RATE
 from leadseam.routing.load import Load
+from leadseam.routing.scope import Scope
 from leadseam.routing.usage import Standing
 from tests.routing.samples import make_request, make_upstream
 
@@ -54,7 +55,7 @@
         waiter = Waiter(
             req=req,
             account=account,
-            pool="p",
+            scope=Scope("p"),
             profile=PROFILE,
             objective=OBJECTIVE,
             arrived=now,
--- a/tests/routing/test_any_deployment.py
+++ b/tests/routing/test_any_deployment.py
@@ -12,6 +12,7 @@
 from leadseam.routing.admission import Admission, Waiter
 from leadseam.routing.balance import MEMORY_PART, Balancer, memory_need
 from leadseam.routing.dialect import PromptPart
+from leadseam.routing.scope import Scope
 from leadseam.routing.usage import Standing
 from tests.routing.samples import make_request, make_upstream
 
@@ -52,7 +53,7 @@
     waiter = Waiter(
         req=req,
         account="a",
-        pool="p",
+        scope=Scope("p"),
         profile=profile,
         objective=objective,
         arrived=0,
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -14,6 +14,7 @@
 
 from leadseam.clock import ManualClock
 from leadseam.control.configuration import Account, Configuration
+from leadseam.feed.entry_count import EntryCount
 from leadseam.incarnation import Incarnation
 from leadseam.membership.view import UpstreamView
 from leadseam.outcome import NotRun, Reason
@@ -66,6 +67,7 @@
             version=1,
             age=0,
             view=UpstreamView(),
+            entries=EntryCount(),
         )
         self.feed = feed
         self.dialect = Dialect()
--- a/tests/routing/test_placing_cost.py
+++ b/tests/routing/test_placing_cost.py
@@ -26,6 +26,7 @@
 from leadseam.routing.dialect import PromptPart, RoutedRequest
 from leadseam.routing.load import Load
 from leadseam.routing.order import EngineOrders, ranked_for
+from leadseam.routing.scope import Scope
 from tests.routing.samples import make_request, make_upstream
 
 SLOTS = 12
@@ -64,7 +65,7 @@
     with mock.patch.object(balancer, "_score", wraps=balancer._score) as score:
         for number in range(requests):
             req, objective = make_prompt(rng, number)
-            order = balancer.orders.of("p", rows, req)
+            order = balancer.orders.of(Scope("p"), rows, req)
             placement = balancer.place(order, req, PROFILE, 0.85 * objective, number)
             if placement is not None:
                 upstream = placement.upstream.incarnation
@@ -107,7 +108,7 @@
 def test_an_order_is_worked_out_once_while_the_engines_stay_the_same() -> None:
     orders = EngineOrders()
     req = make_request("system", "subject", "own")
-    first = orders.of("p", ROWS[:39], req)
+    first = orders.of(Scope("p"), ROWS[:39], req)
     assert first == ranked_for(ROWS[:39], req)
-    assert orders.of("p", ROWS[:39], req) is first
-    assert orders.of("p", ROWS[:38], req) == ranked_for(ROWS[:38], req)
+    assert orders.of(Scope("p"), ROWS[:39], req) is first
+    assert orders.of(Scope("p"), ROWS[:38], req) == ranked_for(ROWS[:38], req)
--- /dev/null
+++ b/tests/routing/test_scope.py
@@ -0,0 +1,13 @@
+"""Regions to which a request is bound."""
+
+from __future__ import annotations
+
+from leadseam.routing.scope import allowed_regions
+
+
+def test_both_bounds_bind_where_both_are_stated() -> None:
+    assert allowed_regions((), ()) is None
+    assert allowed_regions(("east",), ()) == frozenset({"east"})
+    assert allowed_regions((), ("east", "west")) == frozenset({"east", "west"})
+    assert allowed_regions(("east", "north"), ("east", "west")) == frozenset({"east"})
+    assert allowed_regions(("north",), ("west",)) == frozenset()
--- a/tools/slopes/decisions.py
+++ b/tools/slopes/decisions.py
@@ -21,6 +21,7 @@
 from leadseam.routing.balance import Balancer
 from leadseam.routing.dialect import PromptPart
 from leadseam.routing.load import Load
+from leadseam.routing.scope import Scope
 from leadseam.sidecar.scheduler import Scheduler
 from leadseam.wire.codec import decode_frame, encode, encode_frame
 from leadseam.wire.dispatch import (
@@ -184,7 +185,7 @@
             PromptPart("own", 1_800),
         )
         req = replace(make_request(), parts=parts, tokens_in=2_368)
-        order = balancer.orders.of("p", rows, req)
+        order = balancer.orders.of(Scope("p"), rows, req)
         balancer.place(order, req, profile, 212, 0, ahead=100)
 
     return cpu_of(work, 2_000)
