leadseam-evacuations: operators list, evacuate and restore failure domains

The list tells state, age and the requests that still run in a domain, from the loads that entries share, where this control box adds them up. Orders are taken from the box itself, as verdicts are. Calls of both commands share one module.

--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -139,6 +139,14 @@
             return NO_START
         return start
 
+    def requests_in(self, domain: str) -> int | None:
+        """Return the requests under way in a failure domain; None if not known here."""
+        rows = self._registry.rows()
+        digests = {
+            row.incarnation.digest() for row in rows if row.failure_domain == domain
+        }
+        return self._sums.requests_at(digests)
+
     async def serve(self, link: Link) -> None:
         """Handle one inner link: of another replica, or of a subscriber."""
         async for message in link.messages():
--- a/src/leadseam/feed/totals.py
+++ b/src/leadseam/feed/totals.py
@@ -9,6 +9,8 @@
 from leadseam.wire.feed import LoadRow, LoadSums, LoadTotals, UsageRow
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from leadseam.clock import Millis
     from leadseam.wire.feed import LoadReport
 
@@ -39,6 +41,16 @@
         """Drop the report of a subscriber that is gone."""
         self._reports.pop(subscriber, None)
 
+    def requests_at(self, upstreams: Collection[int]) -> int | None:
+        """Return the requests under way at some upstreams, by their digests.
+
+        Returns:
+            None where no entry reports to this replica.
+        """
+        if not self._reports:
+            return None
+        return sum(row.requests for row in self._rows() if row.upstream in upstreams)
+
     def totals(self, now: Millis) -> dict[int, LoadTotals]:
         """Return the totals for each subscriber that reports.
 
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -16,6 +16,7 @@
 from leadseam.control.service import ControlService
 from leadseam.control.storage import Storage
 from leadseam.errors import StorageError
+from leadseam.feed.evacuation_routes import evacuation_routes
 from leadseam.feed.server import FeedServer
 from leadseam.feed.verdict_routes import verdict_routes
 from leadseam.membership.registry import Registry
@@ -100,14 +101,14 @@
             clock=clock,
             resend_limit=settings.resend_limit,
         )
-        service = ControlService(
+        self._service = ControlService(
             self.replica,
             self._feed,
             clock,
             metrics,
             min_voters=2 * settings.loss_tolerance + 1,
         )
-        self._api = ControlApi(service)
+        self._api = ControlApi(self._service)
         self._watch = SettingsWatch(path, settings, self._on_settings)
         # Nothing to do: leases and ages go by a clock that counts the time away.
         self._suspension = SuspensionWatch(clock, self._metrics)
@@ -133,7 +134,10 @@
             settings.metrics_port,
             self._metrics,
             self.replica.readiness,
-            more=verdict_routes(self._feed.crashes, own_ip=settings.ip),
+            more=[
+                *verdict_routes(self._feed.crashes, own_ip=settings.ip),
+                *evacuation_routes(self._service, self._feed, own_ip=settings.ip),
+            ],
         )
 
     async def run(self) -> None:
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import signal
+import sys
+from asyncio.subprocess import PIPE
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -237,3 +239,26 @@
         return len(cold.runs) > seen + CALLS
 
     await until(serves_again, "the server is warm again")
+
+
+async def test_operators_evacuate_and_list_on_a_control_box(
+    platform: Platform,
+) -> None:
+    box = platform.metrics_address(platform.control_ips[0])
+
+    async def run(*args: str) -> tuple[int | None, str]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "leadseam.cli.evacuations", *args, box, stdout=PIPE
+        )
+        out, _ = await process.communicate()
+        return process.returncode, out.decode()
+
+    assert (await run("--json")) == (0, "[]\n")
+    assert (await run("--evacuate", "b"))[0] == 0
+    await wait_evacuated(platform, "b")
+    code, out = await run("--json")
+    (row,) = json.loads(out)
+    assert (code, row["domain"], row["evacuated"]) == (0, "b", True)
+    assert (await run("--restore", "b"))[0] == 0
+    await wait_evacuated(platform)
+    assert "in use" in (await run())[1]
