A busy entry refuses the first request of a connection from its bytes

Hypothesis: a refusal that needs no parser, task or response leaves that time to others. Ruled out: entries that call themselves unready (one caller's connections all go to one entry, whichever it is).

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -114,7 +114,9 @@
             connections=self._open_connections,
             entry=settings.node,
         )
-        self._front = FrontServer(self._gateway.handle)
+        self._front = FrontServer(
+            self._gateway.handle, refuse=self._gateway.refuse_early
+        )
         await self._front.start(settings.front)
         await self._ready.start(settings.ready)
         self._admin = await serve_admin(
--- a/src/leadseam/platform/front.py
+++ b/src/leadseam/platform/front.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from leadseam.platform import names
+from leadseam.platform.first_bytes import FirstBytes
 
 if TYPE_CHECKING:
     import asyncio
@@ -18,6 +19,9 @@
     from aiohttp.streams import StreamReader
     from aiohttp.web_protocol import RequestHandler
 
+    from leadseam.outcome import NotRun
+    from leadseam.platform.first_bytes import Refuse
+    from leadseam.routing.dialect import Sender
     from leadseam.settings.models import Endpoint
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -36,19 +40,18 @@
 1,000 connections a second."""
 
 
-class FrontServer:
-    """Hands every request of callers to one handler, whatever its path.
+def _refuse_none(_: Sender) -> NotRun | None:
+    return None
 
-    Args:
-        handler: Serves a request.
-    """
 
-    def __init__(self, handler: Handler) -> None:
-        self._handler = handler
-        self._busy: set[object] = set()
-        self._closed: set[object] = set()
-        self._server = web.Server(
-            self._handle,
+class _Server(web.Server):
+    """Makes the library's protocol of a connection once its first bytes are in."""
+
+    def __init__(
+        self, handler: Handler, *, refuse: Refuse, waiting: set[FirstBytes]
+    ) -> None:
+        super().__init__(
+            handler,
             request_factory=_make_request,
             handler_cancellation=True,
             keepalive_timeout=IDLE_TIMEOUT_S,
@@ -58,6 +61,28 @@
             access_log=None,
             lingering_time=0.5,
         )
+        self._refuse = refuse
+        self._waiting = waiting
+
+    def __call__(self) -> FirstBytes:  # type: ignore[override]
+        return FirstBytes(super().__call__, self._refuse, self._waiting, IDLE_TIMEOUT_S)
+
+
+class FrontServer:
+    """Hands every request of callers to one handler, whatever its path.
+
+    Args:
+        handler: Serves a request.
+        refuse: Returns the refusal of the first request of a connection, or None to
+            have it served. Defaults to none.
+    """
+
+    def __init__(self, handler: Handler, *, refuse: Refuse = _refuse_none) -> None:
+        self._handler = handler
+        self._waiting: set[FirstBytes] = set()
+        self._busy: set[object] = set()
+        self._closed: set[object] = set()
+        self._server = _Server(self._handle, refuse=refuse, waiting=self._waiting)
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.2)
         self._sites: list[web.SockSite] = []
 
@@ -73,16 +98,19 @@
             await site.start()
 
     @property
-    def connections(self) -> list[RequestHandler]:
+    def connections(self) -> list[RequestHandler | FirstBytes]:
         """Open connections of callers."""
-        return self._server.connections
+        return [*self._waiting, *self._server.connections]
 
     async def close_idle(self) -> None:
         """Take no new connection, and end each open one after its current request."""
         for site in self._sites:
             await site.stop()
         for conn in self.connections:
-            if conn in self._busy:
+            if isinstance(conn, FirstBytes):
+                self._closed.add(conn)
+                conn.close()
+            elif conn in self._busy:
                 conn.close()
             else:
                 # `close` would end the task of an idle connection, not the connection.
@@ -91,6 +119,8 @@
 
     async def stop(self) -> None:
         """Close everything."""
+        for conn in list(self._waiting):
+            conn.close()
         await self._runner.cleanup()
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -47,16 +47,16 @@
         request_id = headers.get(names.REQUEST_ID)
         if not request_id:
             return None
-        tokens_in, tokens_out = _read_tokens(headers.get(names.TOKENS, ""))
+        tokens_in, tokens_out = read_tokens(headers.get(names.TOKENS, ""))
         return RoutedRequest(
             request_id=request_id,
             host=headers.get("Host", "").partition(":")[0],
             method=http.method,
             target=http.raw_path,
             headers=_end_to_end(http),
-            key=_read_key(headers.get(names.AUTHORIZATION)),
+            key=read_key(headers.get(names.AUTHORIZATION)),
             patience=_read_number(headers.get(names.DEADLINE)),
-            parts=_read_parts(headers.get(names.PROMPT_PARTS, "")),
+            parts=read_parts(headers.get(names.PROMPT_PARTS, "")),
             tokens_in=tokens_in,
             tokens_out=tokens_out,
             resume_after=headers.get(names.LAST_EVENT),
@@ -65,7 +65,7 @@
     def read_sender(self, http: web.BaseRequest) -> Sender:
         """Read who sends a request, and nothing else of it."""
         headers = http.headers
-        key = _read_key(headers.get(names.AUTHORIZATION))
+        key = read_key(headers.get(names.AUTHORIZATION))
         return Sender(headers.get(names.REQUEST_ID, ""), key)
 
     def attempt_headers(
@@ -110,7 +110,8 @@
     )
 
 
-def _read_key(value: str | None) -> str | None:
+def read_key(value: str | None) -> str | None:
+    """Return the bearer key of an authorization, if there is one."""
     if value is None:
         return None
     return value.removeprefix(names.BEARER).strip()
@@ -125,12 +126,14 @@
         return None
 
 
-def _read_tokens(value: str) -> tuple[int, int]:
+def read_tokens(value: str) -> tuple[int, int]:
+    """Return the tokens of a prompt, and the most to be generated."""
     first, _, second = value.partition(",")
     return _read_number(first or None) or 0, _read_number(second or None) or 0
 
 
-def _read_parts(value: str) -> tuple[PromptPart, ...]:
+def read_parts(value: str) -> tuple[PromptPart, ...]:
+    """Return the parts of a prompt in order."""
     parts = []
     for item in value.split(","):
         identity, sign, tokens = item.strip().partition(":")
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -281,7 +281,12 @@
 
 def service_of(req: RoutedRequest) -> int:
     """Return the service that a request is expected to take, for its account."""
-    return own_tokens(req) + MADE_TOKEN * min(req.tokens_out, EXPECTED_MADE)
+    return service_of_tokens(own_tokens(req), req.tokens_out)
+
+
+def service_of_tokens(own: int, most_made: int) -> int:
+    """Return the expected service of prompt tokens and of tokens to be generated."""
+    return own + MADE_TOKEN * min(most_made, EXPECTED_MADE)
 
 
 def own_tokens(req: RoutedRequest) -> int:
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -36,10 +36,14 @@
     Args:
         request_id: The caller's identifier, or an empty text.
         key: The caller's bearer key, or None.
+        own_tokens: Prompt tokens that no other request shares; 0 if not read.
+        tokens_out: Most tokens to be generated; 0 if not read.
     """
 
     request_id: str
     key: str | None
+    own_tokens: int = 0
+    tokens_out: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -18,6 +18,7 @@
     Unreachable,
     Whole,
 )
+from leadseam.routing.balance import service_of_tokens
 from leadseam.routing.budget import PoolRetryBudget
 from leadseam.routing.crash_guard import CrashGuard
 from leadseam.routing.dialect import Sender
@@ -159,6 +160,27 @@
         self.prepare(response)
         return response
 
+    def refuse_early(self, sender: Sender) -> NotRun | None:
+        """Refuse a request of which only the head was looked at, if that is due.
+
+        The rules are those of `_serve`; an account's work counts as asked for where it
+        is refused although it may be within its share.
+        """
+        lag = self._lag.millis
+        account = self._account_of(sender) if lag > EXCESS_LAG else None
+        if account is None:
+            return None
+        now = self.now()
+        if not self._has_had_its_share(sender, now):
+            if lag <= MAX_LAG:
+                return None
+            service = service_of_tokens(sender.own_tokens, sender.tokens_out)
+            self.placer.asked_service(account, service, now)
+        refusal = self._busy()
+        self._note_refusal(sender, refusal, now)
+        self._metrics.refusals.inc(refusal.reason.value)
+        return refusal
+
     def resumed(self) -> None:
         """Look at all that may be due after the box was suspended."""
         for exchange in list(self._running):
@@ -201,6 +223,10 @@
         return await self._run(http, admitted)
 
     def _refuse(self, sender: Sender, refusal: NotRun, arrived: Millis) -> web.Response:
+        self._note_refusal(sender, refusal, arrived)
+        return self.error(refusal)
+
+    def _note_refusal(self, sender: Sender, refusal: NotRun, arrived: Millis) -> None:
         self.request_log.refusal(
             sender.request_id,
             self._account_of(sender),
@@ -208,7 +234,6 @@
             arrived,
             lag=self._lag.millis,
         )
-        return self.error(refusal)
 
     async def _run(
         self, http: web.BaseRequest, admitted: Admitted
--- /dev/null
+++ b/tests/platform/test_first_bytes.py
@@ -0,0 +1,159 @@
+"""Requests that a busy entry refuses from their first bytes.
+
+Two of 22 entries got 26,000 requests in 57 s that they refused as busy, all but a few
+of one account each, whose callers use one entry; they had no processor time left for
+those that they could have served (0.1 M tokens a second placed of 1 M asked for). A
+refusal took 0.38 and 0.41 ms of processor time, now 0.20 and 0.21 (4,000 connections a
+run, on a workstation).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+from aiohttp import web
+
+from leadseam.outcome import NotRun, Reason
+from leadseam.platform.first_bytes import FirstHead, read_first_head
+from leadseam.platform.front import FrontServer
+from leadseam.routing.dialect import Sender
+from leadseam.settings.models import Endpoint
+from tools.ports import LOOPBACK, PortPool
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+HEAD = (
+    b"POST /a/ HTTP/1.1\r\nhost: x\r\nAuthorization: Bearer k1\r\n"
+    b"LEADSEAM-REQUEST-ID: r-1\r\nLeadseam-Token-Usage: 900,80\r\n"
+    b"Leadseam-Prompt-Prefix: aa:200,bb:100,cc:600\r\n"
+)
+SENDER = Sender("r-1", "k1", own_tokens=600, tokens_out=80)
+
+
+def head_of(*lines: bytes, body: bytes = b"") -> FirstHead | None:
+    """Read a head with further lines."""
+    return read_first_head(
+        HEAD + b"".join(b"%b\r\n" % x for x in lines) + b"\r\n" + body
+    )
+
+
+def test_a_head_tells_who_sends_how_much() -> None:
+    assert head_of() == FirstHead(SENDER, 0)
+    assert head_of(b"Content-Length: 12", body=b"12345") == FirstHead(SENDER, 7)
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        (b"Content-Length: 1", b"content-length: 2"),
+        (b"Transfer-Encoding: chunked",),
+        (b"Content-Length: 3", b"Transfer-Encoding: chunked"),
+        (b"Content-Length: -1",),
+        (b"Content-Length: +1",),
+        (b"Content-Length: \xc2\xb2",),
+        (b"Authorization: Bearer other",),
+        (b"Expect: 100-continue",),
+    ],
+)
+def test_what_is_not_plain_is_left_to_the_library(lines: tuple[bytes, ...]) -> None:
+    assert head_of(*lines) is None
+
+
+def test_bytes_that_are_no_whole_request_are_left_to_the_library() -> None:
+    assert read_first_head(HEAD) is None
+    # A second request behind the first.
+    assert head_of(b"Content-Length: 1", body=b"1POST") is None
+
+
+class Busy:
+    """A front server that refuses the key `k1` while it is busy."""
+
+    def __init__(self) -> None:
+        self.busy = True
+        self.seen: list[Sender] = []
+        self.served: list[bytes] = []
+        self.front = FrontServer(self._handle, refuse=self._refuse)
+        ports = PortPool()
+        self.port = ports.reserve()
+        ports.release(self.port)
+
+    def _refuse(self, sender: Sender) -> NotRun | None:
+        self.seen.append(sender)
+        if self.busy and sender.key == "k1":
+            return NotRun(Reason.ENTRY_BUSY, 120)
+        return None
+
+    async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
+        self.served.append(await http.read())
+        return web.Response(body=b"done")
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection."""
+        return await asyncio.open_connection(LOOPBACK, self.port)
+
+
+@pytest.fixture
+async def busy() -> AsyncIterator[Busy]:
+    """A running front server."""
+    busy = Busy()
+    await busy.front.start(Endpoint(ip=LOOPBACK, port=busy.port))
+    try:
+        yield busy
+    finally:
+        await busy.front.stop()
+
+
+async def test_a_refusal_is_whole_true_and_ends_the_connection(busy: Busy) -> None:
+    reader, writer = await busy.connect()
+    writer.write(HEAD + b"Content-Length: 6\r\n\r\nabc")
+    await writer.drain()
+    while not busy.seen:
+        await asyncio.sleep(0)
+    # The rest of the body is read before the answer, or a reset could overtake it.
+    writer.write(b"def")
+    answer = await reader.read()
+    head, _, body = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 503 Service Unavailable\r\n")
+    assert b"\r\nRetry-After: 0.120" in head
+    assert b"\r\nConnection: close" in head
+    assert json.loads(body)["error"]["code"] == "entry_busy"
+    assert json.loads(body)["error"]["outcome"] == "not_run"
+    assert f"Content-Length: {len(body)}".encode() in head
+    assert busy.served == []
+    assert busy.seen == [SENDER]
+    assert busy.front.connections == []
+    writer.close()
+
+
+async def test_what_is_not_refused_is_served_with_all_its_bytes(busy: Busy) -> None:
+    busy.busy = False
+    reader, writer = await busy.connect()
+    writer.write(HEAD + b"Content-Length: 6\r\n\r\nabc")
+    await writer.drain()
+    while not busy.seen:
+        await asyncio.sleep(0)
+    writer.write(b"def")
+    await reader.readuntil(b"\r\n\r\n")
+    assert await reader.readexactly(4) == b"done"
+    # The connection is the library's from then on.
+    writer.write(HEAD + b"\r\n")
+    await reader.readuntil(b"\r\n\r\n")
+    assert busy.served == [b"abcdef", b""]
+    assert len(busy.seen) == 1
+    writer.close()
+
+
+async def test_a_head_in_pieces_is_served_by_the_library(busy: Busy) -> None:
+    reader, writer = await busy.connect()
+    writer.write(HEAD)
+    await writer.drain()
+    while not any(not hasattr(c, "_waiting") for c in busy.front.connections):
+        await asyncio.sleep(0)
+    writer.write(b"\r\n")
+    await reader.readuntil(b"\r\n\r\n")
+    assert busy.served == [b""]
+    writer.close()
