Registrations are gathered for 50 ms and encoded once for all entries

Cause: after a kill of all, 3,001 upstreams register within a second or two, and each was a message, a log line and an encoding for each of 150 entries: 90,000 of them at each of five replicas. What goes to all subscribers is encoded once now; the line names up to 20 upstreams.

--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -18,6 +18,7 @@
 from leadseam.membership.registry import Registry
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.claim import Claim, ClaimDone, ClaimRelease
+from leadseam.wire.codec import prepare
 from leadseam.wire.crashes import Crashes
 from leadseam.wire.feed import (
     Current,
@@ -42,6 +43,12 @@
 """Interval of the confirmations that a version is the newest."""
 DEFAULT_HEARTBEAT: Millis = 1_000
 """Heartbeat interval of upstreams where the settings give none."""
+REGISTRATION_INTERVAL: Millis = 50
+"""Pause in which registrations are gathered for one message to all subscribers: when
+all control boxes have started again, thousands of upstreams register within a second,
+and a message for each of them to hundreds of entries takes a replica many seconds."""
+MAX_NAMED = 20
+"""Upstreams named on one log line."""
 MAX_LEFT_TOLD = 1_000
 """Left upstreams told to a new subscriber; older ones have ended long ago."""
 
@@ -82,6 +89,8 @@
         self.evacuations = EvacuationServer(
             replica, self._clock, metrics, self._tell_all, resend_limit=resend_limit
         )
+        self._fresh: dict[str, Registration] = {}
+        self._registered = asyncio.Event()
         self._push = ConfigurationPush(replica, metrics)
         self._pushing_later = False
 
@@ -98,24 +107,37 @@
             group.create_task(self._push_changes())
             group.create_task(self._push_heartbeats())
             group.create_task(self._push_totals())
+            group.create_task(self._push_registrations())
 
     def register(self, registration: Registration) -> None:
-        """Take an upstream's heartbeat and tell subscribers what changed."""
+        """Take an upstream's heartbeat; subscribers are told soon what changed."""
         if registration.incarnation in self._replica.state.departed:
             return
         if not self._registry.heartbeat(registration, self._clock.now()):
             return
         if self._is_named(registration):
-            log.info(
-                "upstream registered",
-                extra={
-                    "instance": str(registration.incarnation),
-                    "pool": registration.pool,
-                    "ready": registration.ready,
-                    "sequence": registration.sequence,
-                },
-            )
-            self._tell_all(Registered((registration,)))
+            self._fresh[registration.instance] = registration
+            self._registered.set()
+
+    def push_registrations(self) -> None:
+        """Tell subscribers of the upstreams whose registration has changed."""
+        rows, self._fresh = tuple(self._fresh.values()), {}
+        if not rows:
+            return
+        extra = {
+            "count": len(rows),
+            "instances": [str(row.incarnation) for row in rows[:MAX_NAMED]],
+            "pools": sorted({row.pool for row in rows}),
+        }
+        log.info("upstreams registered", extra=extra)
+        self._tell_all(Registered(rows))
+
+    async def _push_registrations(self) -> None:
+        while True:
+            await self._registered.wait()
+            await sleep(REGISTRATION_INTERVAL)
+            self._registered.clear()
+            self.push_registrations()
 
     def takes(self, registration: Registration) -> bool:
         """Tell whether a registration may be of an upstream.
@@ -202,8 +224,11 @@
         self._send_heartbeat(subscriber)
 
     def _tell_all(self, message: AnyMessage) -> None:
+        if not self._subscribers:
+            return
+        prepared = prepare(message)
         for subscriber in self.subscribers:
-            subscriber.link.send(message)
+            subscriber.link.send(prepared)
 
     def _handle(self, subscriber: Subscriber, message: AnyMessage) -> None:
         match message:
--- a/src/leadseam/wire/codec.py
+++ b/src/leadseam/wire/codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import struct
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, TypeVar, get_args
 
 import cbor2
@@ -52,9 +54,38 @@
         raise WireError(f"cannot decode: {exc}") from exc
 
 
-def encode_frame(messages: Iterable[AnyMessage]) -> bytes:
+@dataclass(frozen=True, slots=True)
+class Prepared:
+    """A message that goes to many peers, encoded once for all of them.
+
+    Args:
+        message: The message.
+        data: Its encoding.
+    """
+
+    message: AnyMessage
+    data: bytes
+
+
+def prepare(message: AnyMessage) -> Prepared:
+    """Encode a message that goes to many peers."""
+    return Prepared(message, encode(message))
+
+
+def encode_frame(messages: Iterable[AnyMessage | Prepared]) -> bytes:
     """Encode messages into one frame."""
-    return encode(tuple(messages))
+    messages = tuple(messages)
+    if not any(isinstance(one, Prepared) for one in messages):
+        return encode(messages)
+    items = [one.data if isinstance(one, Prepared) else encode(one) for one in messages]
+    return b"".join([_array_head(len(items)), *items])
+
+
+def _array_head(length: int) -> bytes:
+    """Return the head of a CBOR array of a length."""
+    if length < 24:
+        return bytes([0x80 | length])
+    return b"\x99" + struct.pack(">H", length)
 
 
 def decode_frame(data: bytes) -> tuple[AnyMessage, ...]:
