--- a/src/leadseam/crashes/evidence.py
+++ b/src/leadseam/crashes/evidence.py
@@ -1,10 +1,8 @@
 """How much the ends of upstreams speak against a request that ran there. No I/O.
 
 A request that crashes whatever begins it ends its upstream within some ms, before a
-byte of an answer: 46 ms after its send in the users' record. One that merely ran there
-is hit at any moment of its time. With ends counted alike, 8 of 24 callers of requests
-that run for 1 s were refused for an hour beside one deadly caller, and 14 and 3 in two
-plays of 20 s with 15% of four upstreams crashing each second by themselves.
+byte of an answer. One that merely ran there is hit at any moment of its time, so its
+ends weigh less.
 """
 
 from __future__ import annotations
@@ -17,15 +15,11 @@
     from leadseam.wire.crashes import CrashRow
 
 EARLY_LIMIT: Millis = 200
-"""Time from a send within which a break is early, if nothing was answered: four times
-that of the record, as a busy event loop adds some 100 ms. At 300 ms, two of the 24
-callers were still refused: who is hit is sent again with the one that hits it."""
+"""Time from a send within which a break is early, if nothing was answered: a crash
+takes some 50 ms, and a busy event loop adds some 100."""
 EARLY_LIMIT_OF_PROMPTS: Millis = 2_000
 """The same at an engine, where a request may stand in a queue before it is begun, and
-where its first token tells when it was. Worked out, not measured: callers give a
-stream up after some 3 s. It costs innocent requests: emulated with a first byte after
-0.3 of a run and 15% of 20 upstreams crashing each second, 29 of 7,308 were refused,
-17 of 7,241 with 200 ms; beside one and four deadly callers none either way."""
+where its first token tells when it was: callers give a stream up after some 3 s."""
 EARLY_WEIGHT = 5
 LATE_WEIGHT = 4
 CONVICTING = 3 * EARLY_WEIGHT
--- a/src/leadseam/crashes/fingerprint.py
+++ b/src/leadseam/crashes/fingerprint.py
@@ -19,8 +19,8 @@
 def fingerprint(req: RoutedRequest, account: str | None, body: bytes) -> Fingerprint:
     """Return the digest of what a request asks for, and on whose behalf.
 
-    It takes 2.4 us for a body of 2 KB and 0.8 ms for one of 1 MB (least of five loops
-    of 2,000 and 50 calls), so it is worked out only where a request is suspected.
+    A large body takes most of a millisecond, so it is worked out only where a request
+    is suspected.
 
     Args:
         req: The request. Its query counts only where there is no body to tell requests
--- a/src/leadseam/feed/configuration_push.py
+++ b/src/leadseam/feed/configuration_push.py
@@ -103,8 +103,7 @@
     def _snapshot_of(self, configuration: Configuration) -> Snapshot:
         """Return a snapshot, encoded once for all subscribers.
 
-        Nodes do not need the operators' document that it was read from: 24 of 49 KB
-        with 49 routes and 60 accounts.
+        Nodes do not need the operators' document that it was read from, half of it.
         """
         if self._snapshot.version != configuration.version:
             bare = msgspec.structs.replace(configuration, document=b"")
--- a/src/leadseam/feed/crash_server.py
+++ b/src/leadseam/feed/crash_server.py
@@ -31,8 +31,7 @@
 
 TOLD = 2
 """Ends from which on entries are told. Of an end, nearly all that ran there end well at
-their next attempt; telling 68 entries of each would cost 1 MB an end (worked out from
-30 rows of 54 bytes through 9 replicas)."""
+their next attempt, so telling all entries of each would be waste."""
 FOLLOWER_DELAY: Millis = 300
 """Time that the leader has to write a verdict before the others ask it to."""
 VERDICT_LIFE: Millis = 3_600_000
--- a/src/leadseam/feed/pace.py
+++ b/src/leadseam/feed/pace.py
@@ -15,13 +15,11 @@
 SHORTEST: Millis = 50
 """Least interval: short against latency objectives of 250 ms and more."""
 LONGEST: Millis = 200
-"""Longest interval. At 39 engines and 68 entries 9 in 100 fewer tokens were begun with
-it than with 50 ms (1.72 for 1.89 M a second over 32 s of flood, one run each), and
-what callers value fell by 0.015, within noise."""
+"""Longest interval: staler sums cost more than the bytes that they save."""
 BYTES_PER_MILLI = 20
 """Bytes that one node may get: the operators' limit for control is 20 KB/s."""
 ROW_BYTES = 20
-"""Encoded size of a row: 20 at 50 to 500 rows, half engines and half accounts."""
+"""Encoded size of a row of an engine or an account."""
 
 
 def interval_for(size: int) -> Millis:
--- a/src/leadseam/feed/totals.py
+++ b/src/leadseam/feed/totals.py
@@ -54,8 +54,7 @@
     def totals(self, now: Millis) -> dict[int, LoadTotals]:
         """Return the totals for each subscriber that reports.
 
-        The sums are encoded once. To encode 100 rows for each of 68 subscribers, 20
-        times a second, takes 0.05 of a core (worked out from 0.35 us a row).
+        The sums are encoded once for all.
         """
         for subscriber, reported in list(self._reports.items()):
             if now - reported.at > REPORT_LIMIT:
--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -22,9 +22,7 @@
 late, and entries find dead upstreams by themselves, so this is only housekeeping."""
 MAX_STEP: Millis = 1_000
 """Time between two looks that counts as listening: twice their interval. A box that
-stood still for longer has heard nobody, which says nothing of them. Without that, a
-look after more than six heartbeats of standstill drops every upstream (by the table
-alone; not measured on a fleet)."""
+stood still for longer has received nothing, which says nothing of them."""
 COLD_TOLERANCE: Millis = 500
 """Change of the end of a cold time below which entries are not told: heartbeats come as
 late as that."""
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -30,17 +30,13 @@
 """Part of the objective that the expected first token may take."""
 LEAST_WAIT_PART = 0.22
 """Part of the objective that a request waits at least, also one whose prompt is too
-long for the objective: it may find an engine with nothing to read. Longer waits of such
-prompts gained nothing (0.61 of what callers value for 0.61, five days)."""
+long for the objective: it may find an engine with nothing to read."""
 READING_AHEAD: Millis = 100
 """Reading that may be ahead of a request at an engine. The rest waits here, where those
-that are short go first and none stands behind a long prompt by chance. On three days of
-overload 0.59 of what callers value was earned with it, 0.57 with 150 ms and 0.56 with
-200 ms; one run each."""
+that are short go first and none stands behind a long prompt by chance."""
 BEYOND_AHEAD: Millis = 0
 """The same for an account beyond its share of the stated capacity: it gets an engine
-that has nothing else to read. With 50 ms for accounts ahead of others, 0.56 of what
-callers value was earned on three days of overload, for 0.60 with this; one run each."""
+that has nothing else to read."""
 
 
 @dataclass(slots=True)
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -82,9 +82,7 @@
 
         One that does not hold the part that decides the order would read it, at a
         weight that grows with its place. So of many engines only the first few and
-        those that hold the part are looked at. With a look at each of them placing took
-        0.29 ms at 39 engines and 6.0 ms at 500, now 0.11 and 0.37 (2,000 requests in a
-        loop, of a mix of long and short prompts).
+        those that hold the part are looked at.
         """
         if place == 0 or not self._part or row.incarnation in self._holders:
             return False
--- a/src/leadseam/routing/order.py
+++ b/src/leadseam/routing/order.py
@@ -32,10 +32,7 @@
 
 
 class EngineOrders:
-    """Keeps orders while the engines of a pool stay the same.
-
-    To hash and sort 39 engines for each request took 60 us.
-    """
+    """Keeps orders while the engines of a pool stay the same."""
 
     def __init__(self) -> None:
         self._rows: dict[Scope, Sequence[Registration]] = {}
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -29,9 +29,7 @@
 seconds of it; the mean age of what counts is that of the 4 s in which the platform
 takes shares."""
 SHORT_PART = 0.95
-"""An account is short if it got less than this part of what it is due. With this and
-the leads below (0.8, 1.3 and 1.5 before), the worst served accounts got 0.693 of what
-they were due for 0.660, by the mean of five days of overload, one run each."""
+"""An account is short if it got less than this part of what it is due."""
 LEAD = 1.15
 """How far an account may be ahead of one that is short before the other goes first:
 well below 2, where the platform calls it unfair."""
@@ -39,9 +37,8 @@
 """How far an account may be ahead of one that is short at all. The platform compares
 spans of six seconds, and counts lag; so it is well below 2 too."""
 SCARCE = 1.25
-"""How much more must be asked for than served for engines to be taken as full. Worked
-out, not measured: a request waits up to 0.85 of its objective, 0.34 of the 2 s that
-count at 400 ms, so with room for all a sixth may be asked for and not served yet."""
+"""How much more must be asked for than served for engines to be taken as full: more
+than what waits for up to its objective while there is room for all."""
 GIVEN_PART = 0.75
 """Part of the stated capacity that engines have to give for shares to be taken of it.
 Down to here `LEAST_PART` of a stated share is at most 0.67 of what can be had, so the
@@ -95,10 +92,7 @@
 
     It does not drop out of a window, where what an account got in one second counted in
     full for four and then not at all: one far ahead was stopped for three seconds, and
-    all that were stopped together went on together. Of 56 seconds of accounts that
-    flood modelled engines 7 to 13 were dry with a window of 4 s, 0 to 4 are now, and
-    the least part that one got of its due in six seconds rose from 0.60 to 0.73 (means
-    of nine plays). A time constant of 1.5 or 3 s does as well.
+    all that were stopped together went on together.
     """
 
     value: float = 0.0
@@ -214,17 +208,13 @@
     """
     demands = [max(row.asked, row.served) for row in rows]
     given = given_capacity(rows, capacity)
-    # Unequal to the level below where engines give more than is stated. Without it
-    # 1,500 requests of accounts within this share were refused on a day of overload
-    # (lines on all requests); 0.59 of what callers value was earned, not 0.62, on two
-    # such days.
+    # Unequal to the level below where engines give more than is stated: an account
+    # within this share must not be refused for what others get beyond it.
     stated = fair_level(demands, min(capacity or given, given))
     level = fair_level(demands, given)
     stop = lead_level(rows, level, STOP_LEAD)
     if given < capacity:
         # The share is a guess there: what accounts got, and less is got once some stop.
-        # With them stopped sooner modelled engines began 406,000 tokens a second, not
-        # 488,000, and no more answers were in time (one seed each).
         stop = max(stop, STOP_LEAD * stated)
     return Shares(
         stated=stated, even=min(level, lead_level(rows, level, LEAD)), stop=stop
@@ -237,10 +227,8 @@
     They may give more than is stated, or far less: engines are gone, their places are
     taken by long answers, or shared parts of prompts are read again. Were shares taken
     of what is stated then, every account would be within its share, and nothing would
-    order those that come through different entries. Where modelled engines gave half
-    of what was stated, an account got down to 0.18 of its part of six seconds (three
-    seeds); now none gets less than half. Less is believed only while much of what is
-    asked for is not served.
+    order those that come through different entries. Less is believed only while much
+    of what is asked for is not served.
 
     Args:
         rows: What accounts asked for and got.
--- a/src/leadseam/runtime/connector.py
+++ b/src/leadseam/runtime/connector.py
@@ -3,9 +3,7 @@
 `aiohttp` opens a socket and hands it to the loop. If whoever asked leaves in between,
 both close its descriptor, and the second close hits whoever has the number by then: an
 answer goes to another connection, or the loop, which finds a descriptor gone that it
-still polls, aborts the whole process. Of six processes that gave up 3,000 connects each
-at random moments beside four busy connections, the three with the library's connector
-aborted, and the three with this one ended whole.
+still polls, aborts the whole process.
 """
 
 from __future__ import annotations
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -92,7 +92,7 @@
 class Tally:
     """Counts by one label, handed to the registry only when somebody reads it.
 
-    The registry takes some 10 us for each count, much of what a refusal costs.
+    The registry's own count is much of what a refusal costs.
 
     Args:
         counter: Where the counts go.
