Soak: an operator empties a failure domain and takes it back all the time

Checked: a domain that is acknowledged as evacuated gets nothing from undisturbed entries after 2 s (timed runs), it stays so when all processes are lost and one disk with them, and it serves again once it is taken back.

--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -44,6 +44,14 @@
     assert summary.checked["deadly stays known"] == 4
 
 
+@pytest.mark.parametrize("seed", [301, 302])
+async def test_promises_are_kept_beside_evacuations(tmp_path: Path, seed: int) -> None:
+    summary = await run_seed(tmp_path, seed, replace(SIZE, evacuations=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["evacuation held"] == 1
+    assert summary.checked["evacuation taken back"] == 1
+
+
 @pytest.mark.parametrize("seed", [202, 203])
 async def test_promises_are_kept_where_boxes_are_suspended(
     tmp_path: Path, seed: int
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -130,15 +130,18 @@
             await self.wait_ready(ip)
             await self.wait_served(ip)
 
-    async def add_server(self, ip: str, service: str, *, earlier: str = "") -> Server:
+    async def add_server(
+        self, ip: str, service: str, *, earlier: str = "", zone: str = "a"
+    ) -> Server:
         """Start a server.
 
         Args:
             ip: Its address.
             service: What it serves.
             earlier: Id under which it ran before. Defaults to a new one.
+            zone: Failure domain that it states.
         """
-        server = Server(ip, self.server_port, service, self.controls)
+        server = Server(ip, self.server_port, service, self.controls, zone=zone)
         if self.states_starts:
             server.born = time.time_ns() // 1_000_000
             server.instance = earlier or server.instance
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -18,6 +18,7 @@
                  that name none.
   --deadly       Some requests crash the servers that begin them.
   --suspended    Boxes stand still more often, and their steady clocks with them.
+  --evacuations  An operator empties a failure domain and takes it back all the time.
 
 The exit code is 0 if all promises were kept, else 1.
 """
@@ -53,6 +54,7 @@
         same_ids=args["--same-ids"],
         deadly=args["--deadly"],
         suspended=args["--suspended"],
+        evacuations=args["--evacuations"],
     )
     if args["--replay"]:
         sys.exit(_replay(int(args["--replay"]), size))
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -10,6 +10,7 @@
 from tools.platform.nodes import document
 from tools.soak.callers import Callers
 from tools.soak.deadly import Deadly
+from tools.soak.evacuations import Evacuations
 from tools.soak.injector import Injector
 from tools.soak.plan import draw
 from tools.soak.promises import Promises
@@ -46,6 +47,7 @@
         deadly: Whether some requests crash the servers that begin them.
         suspended: Whether boxes that stand still leave that time out of their steady
             clocks.
+        evacuations: Whether an operator empties a failure domain again and again.
     """
 
     seconds: float = 20.0
@@ -55,6 +57,7 @@
     same_ids: bool = False
     deadly: bool = False
     suspended: bool = False
+    evacuations: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +126,10 @@
         deadly = Deadly(world, self._seed, promises)
         if self._size.deadly:
             disturbing.append(asyncio.create_task(deadly.run()))
+        evacuations = Evacuations(world, self._seed, promises)
+        if self._size.evacuations:
+            await evacuations.begin()
+            disturbing.append(asyncio.create_task(evacuations.run()))
         await self._do_all(faults)
         for task in disturbing:
             task.cancel()
@@ -130,13 +137,19 @@
         await self._recover_in_time(promises)
         if self._size.deadly:
             await self._wait_known(deadly, promises)
+        if self._size.evacuations:
+            await evacuations.hold()
         await self._injector.lose_all_that_may_be_lost()
         await self._recover_in_time(promises)
+        if self._size.evacuations:
+            await evacuations.check_held()
         callers.stop()
         await calling
         if self._size.deadly:
             await deadly.check_known()
             deadly.at_end(timed=self._size.timed)
+        if self._size.evacuations:
+            evacuations.at_end(timed=self._size.timed)
         promises.at_end()
         return self._summary(faults, promises)
 
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -136,7 +136,9 @@
         self.gone.append(old)
         self.servers.remove(old)
         await asyncio.sleep(pause)
-        server = await self.add_server(old.ip, old.service, earlier=old.instance)
+        server = await self.add_server(
+            old.ip, old.service, earlier=old.instance, zone=old.zone
+        )
         server.pause = EVENT_PAUSE
 
     def server_at(self, ip: str) -> Server | None:
