--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -13,6 +13,7 @@
 
 from leadseam.clock import Millis
 from leadseam.routing.order import MAX_LOOKED
+from leadseam.routing.spare import SpareRoom
 from leadseam.routing.usage import Standing
 
 if TYPE_CHECKING:
@@ -36,7 +37,7 @@
 that are short go first and none stands behind a long prompt by chance."""
 BEYOND_AHEAD: Millis = 0
 """The same for an account beyond its share of the stated capacity: it gets an engine
-that has nothing else to read."""
+that has nothing else to read, while there is no room to spare."""
 
 
 @dataclass(slots=True)
@@ -90,6 +91,13 @@
     standing: Callable[[str, Millis], Standing]
     level: Callable[[str, Millis], int]
     _waiting: list[Waiter] = field(default_factory=list)
+    _spare: SpareRoom = field(init=False)
+
+    def __post_init__(self) -> None:
+        loads = self.balancer.loads
+        self._spare = SpareRoom(
+            self.candidates, lambda row, now: loads.total(row.incarnation, now)
+        )
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -205,10 +213,13 @@
             case Standing.WITHIN:
                 return READING_AHEAD
             case Standing.EVEN | Standing.AHEAD:
-                return BEYOND_AHEAD
+                return READING_AHEAD if self._has_spare(waiter, now) else BEYOND_AHEAD
             case Standing.STOPPED:
                 return None
 
+    def _has_spare(self, waiter: Waiter, now: Millis) -> bool:
+        return self._spare.there_is(waiter.scope, now)
+
     def _rank(self, waiter: Waiter) -> None:
         """Order the engines that a request may use anew, if they have changed."""
         rows = self.candidates(waiter.scope)
