--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -15,7 +15,7 @@
 from leadseam.feed.totals import LoadSummer
 from leadseam.incarnation import NO_START
 from leadseam.membership.departures import Departures
-from leadseam.membership.registry import Registry
+from leadseam.membership.registry import DEFAULT_HEARTBEAT, Registry
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.claim import Claim, ClaimDone, ClaimRelease
 from leadseam.wire.codec import prepare
@@ -41,8 +41,6 @@
 
 HEARTBEAT_INTERVAL: Millis = 500
 """Interval of the confirmations that a version is the newest."""
-DEFAULT_HEARTBEAT: Millis = 1_000
-"""Heartbeat interval of upstreams where the settings give none."""
 REGISTRATION_INTERVAL: Millis = 50
 """Pause in which registrations are gathered for one message to all subscribers: when
 all control boxes have started again, thousands of upstreams register within a second,
--- a/src/leadseam/membership/registry.py
+++ b/src/leadseam/membership/registry.py
@@ -17,6 +17,8 @@
     from leadseam.clock import Millis
     from leadseam.incarnation import Incarnation
 
+DEFAULT_HEARTBEAT: Millis = 1_000
+"""Heartbeat interval of upstreams where the settings give none."""
 MISSED_HEARTBEATS = 6
 """Heartbeats that may be missing before an upstream is dropped. They may come seconds
 late, and entries find dead upstreams by themselves, so this is only housekeeping."""
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -13,6 +13,7 @@
 from leadseam.clock import Millis
 from leadseam.membership.addresses import AddressBook
 from leadseam.membership.departures import Departures
+from leadseam.membership.registry import DEFAULT_HEARTBEAT
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -25,8 +26,6 @@
 DOUBTED_HEARTBEATS = 3
 """Heartbeats for which upstreams count as cold once their failure domain is taken back:
 they may have turned cold just before, and one heartbeat may be late."""
-DEFAULT_HEARTBEAT: Millis = 1_000
-"""Heartbeat interval of upstreams where the settings give none."""
 
 
 @dataclass(slots=True)
@@ -145,7 +144,7 @@
 
     def part_left(self, pools: Iterable[str]) -> float:
         """Return the part of the places of some pools that is not evacuated."""
-        self.pool("")
+        self._pools()
         counts = [self._slots.get(pool, (0, 0)) for pool in pools]
         total = sum(every for _, every in counts)
         return sum(left for left, _ in counts) / total if total else 1.0
@@ -193,10 +192,7 @@
             name: The pool.
             regions: Regions in which they have to be, or None for any.
         """
-        if self._by_pool is None:
-            self._by_pool = self._group()
-            self._by_scope.clear()
-        rows = self._by_pool.get(name, ())
+        rows = self._pools().get(name, ())
         if regions is None:
             return rows
         key = (name, regions)
@@ -206,6 +202,13 @@
             ]
         return self._by_scope[key]
 
+    def _pools(self) -> dict[str, list[Registration]]:
+        """Return the upstreams that take new work by pool, grouped anew if need be."""
+        if self._by_pool is None:
+            self._by_pool = self._group()
+            self._by_scope.clear()
+        return self._by_pool
+
     def _group(self) -> dict[str, list[Registration]]:
         grouped: dict[str, list[Registration]] = {}
         for known in self._known.values():
