Lines on what upstreams say of themselves in their answers

The head of each answer is read now, on any status and before the answer is judged, with a line and a counter. A pause is the longest of the values stated, fractions included, an hour at the most; what cannot be read is shown as it came. An answer 421 speaks for another upstream and is left out. No decision follows from any of it yet.

Tests: what is read of odd, repeated and missing values; lines and counter.

--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from math import ceil, nan
 from typing import TYPE_CHECKING
 
+from leadseam.clock import MILLIS_PER_SECOND
 from leadseam.platform import names
 from leadseam.routing.attempt import HOP_BY_HOP
 from leadseam.routing.dialect import (
@@ -16,13 +18,21 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from aiohttp import web
+    from multidict import MultiMapping
 
     from leadseam.clock import Millis
 
 EVENT_STREAM = "text/event-stream"
+SERVICE_UNAVAILABLE = 503
+"""The status with which an upstream may ask for a pause."""
+LONGEST_PAUSE: Millis = 3_600_000
+"""Longest pause that an upstream gets, an hour: a longer one is an error of its own,
+and would outlast whoever could mend it."""
+MAX_SHOWN = 40
+"""Characters of a header in a log line."""
 
 _SET_BY_US = frozenset(
     name.lower()
@@ -85,14 +95,20 @@
             headers.append((names.LAST_EVENT, attempt.resume_after))
         return headers
 
-    def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+    def read_answer(self, status: int, headers: MultiMapping[str]) -> AnswerHead:
         """Read the head of an upstream's answer."""
         content_type = headers.get("Content-Type", "")
+        pause, odd_pause = 0, ""
+        if status == SERVICE_UNAVAILABLE:
+            pause, odd_pause = read_pause(headers.getall(names.RETRY_AFTER, []))
         return AnswerHead(
             request_id=headers.get(names.REQUEST_ID),
             not_run=names.NOT_RUN in headers,
             signed=names.SIGNATURE in headers,
             event_stream=content_type.startswith(EVENT_STREAM),
+            pause=pause,
+            odd_pause=odd_pause,
+            leaving=names.LEAVING_SET in headers.getall(names.LEAVING, []),
         )
 
     def retry_after(self, pause: Millis) -> Headers:
@@ -110,6 +126,29 @@
     )
 
 
+def read_pause(values: Sequence[str]) -> tuple[Millis, str]:
+    """Read the pause that an upstream asks for.
+
+    Args:
+        values: Values of all headers that state it, in seconds. A date is not read, as
+            clocks of boxes are not compared.
+
+    Returns:
+        The longest pause stated, 0 if there is none, and a text that could not be read.
+    """
+    pause, odd = 0, ""
+    for value in values:
+        try:
+            stated = float(value)
+        except ValueError:
+            stated = nan
+        if not stated >= 0:
+            odd = value[:MAX_SHOWN] or "empty"
+            continue
+        pause = max(pause, ceil(min(stated * MILLIS_PER_SECOND, LONGEST_PAUSE)))
+    return pause, odd
+
+
 def read_key(value: str | None) -> str | None:
     """Return the bearer key of an authorization, if there is one."""
     if value is None:
--- a/src/leadseam/platform/names.py
+++ b/src/leadseam/platform/names.py
@@ -28,6 +28,9 @@
 ENGINE_CONTROLS = (HOLD, PIN, BACKUP_TO, RESUME_FROM, FETCH_FROM)
 """Orders to an engine that only the system may give, never a caller."""
 RETRY_AFTER = "Retry-After"
+LEAVING = "Server-Leaving"
+"""Set to 1 in all answers of a server that is about to end."""
+LEAVING_SET = "1"
 AUTHORIZATION = "Authorization"
 BEARER = "Bearer "
 
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -11,8 +11,16 @@
 from leadseam.outcome import Reason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from leadseam.routing.client import UpstreamClient
-    from leadseam.routing.dialect import AttemptHead, Dialect, Headers, RoutedRequest
+    from leadseam.routing.dialect import (
+        AnswerHead,
+        AttemptHead,
+        Dialect,
+        Headers,
+        RoutedRequest,
+    )
     from leadseam.wire.feed import Registration
 
 MAX_HELD = 1024 * 1024
@@ -122,6 +130,7 @@
     upstream: Registration,
     head: AttemptHead,
     repeatable: bool,
+    on_head: Callable[[int, AnswerHead], None],
 ) -> Ending:
     """Send a request to an upstream and judge the head of its answer.
 
@@ -133,6 +142,7 @@
         upstream: Where to send it.
         head: What the upstream is told besides.
         repeatable: Whether a connection may be used that could turn out closed.
+        on_head: Called with the status and head of an answer, good or not.
 
     Returns:
         How it ended; a `Streaming` answer has to be read or closed by the caller.
@@ -155,13 +165,14 @@
         return Unreachable()
     except (aiohttp.ClientError, OSError, ValueError):
         return Broken(Reason.UPSTREAM_BROKEN)
-    return await _judge(dialect, req, resp)
+    answer = dialect.read_answer(resp.status, resp.headers)
+    on_head(resp.status, answer)
+    return await _judge(answer, req, resp)
 
 
 async def _judge(
-    dialect: Dialect, req: RoutedRequest, resp: aiohttp.ClientResponse
+    answer: AnswerHead, req: RoutedRequest, resp: aiohttp.ClientResponse
 ) -> Ending:
-    answer = dialect.read_answer(resp.status, resp.headers)
     if answer.request_id != req.request_id:
         resp.close()
         return Broken(Reason.UPSTREAM_BROKEN)
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -6,9 +6,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from aiohttp import web
+    from multidict import MultiMapping
 
     from leadseam.clock import Millis
 
@@ -111,12 +110,19 @@
         not_run: Whether the upstream declares that it did not run the request.
         signed: Whether it carries the upstream's signature.
         event_stream: Whether the body is a sequence of events.
+        pause: Milliseconds in which the upstream wants nothing more from this entry;
+            0 if it does not say.
+        odd_pause: What it said of a pause that could not be read, or an empty text.
+        leaving: Whether it says that it is about to end.
     """
 
     request_id: str | None
     not_run: bool
     signed: bool
     event_stream: bool
+    pause: Millis = 0
+    odd_pause: str = ""
+    leaving: bool = False
 
 
 class Dialect(Protocol):
@@ -133,7 +139,7 @@
     ) -> list[tuple[str, str]]:
         """Return all headers of a request to an upstream."""
 
-    def read_answer(self, status: int, headers: Mapping[str, str]) -> AnswerHead:
+    def read_answer(self, status: int, headers: MultiMapping[str]) -> AnswerHead:
         """Read the head of an upstream's answer."""
 
     def retry_after(self, pause: Millis) -> Headers:
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 from typing import TYPE_CHECKING, NoReturn
 
 from aiohttp import web
@@ -238,6 +239,7 @@
             upstream=upstream,
             head=head,
             repeatable=request.route.repeatable,
+            on_head=partial(self._gateway.note_head, upstream, request),
         )
 
     # After an attempt
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -12,6 +12,7 @@
 from leadseam.routing.admitted import Admitted
 from leadseam.routing.attempt import (
     FIRST_SERVER_ERROR,
+    MISDIRECTED,
     Broken,
     Declined,
     Streaming,
@@ -46,7 +47,7 @@
     from leadseam.routing.attempt import Ending
     from leadseam.routing.budget import RetryLimits
     from leadseam.routing.client import UpstreamClient
-    from leadseam.routing.dialect import Dialect, RoutedRequest
+    from leadseam.routing.dialect import AnswerHead, Dialect, RoutedRequest
     from leadseam.runtime.lag import LoopLag
     from leadseam.runtime.metrics import RoutingMetrics
     from leadseam.wire.feed import Registration
@@ -333,6 +334,18 @@
             self._metrics.retries_denied.inc("budget")
         return allowed
 
+    def note_head(
+        self, upstream: Registration, admitted: Admitted, status: int, head: AnswerHead
+    ) -> None:
+        """Learn what an upstream says of itself in an answer, whatever it is worth."""
+        if status == MISDIRECTED:
+            # Whoever answers there is not the upstream that was meant.
+            return
+        if head.pause or head.odd_pause:
+            self.request_log.asks_pause(upstream, admitted, head)
+        if head.leaving:
+            self.request_log.says_it_leaves(upstream, admitted, status)
+
     def note_ending(self, upstream: Registration, ending: Ending) -> None:
         """Learn about an upstream from an attempt."""
         now = self.now()
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -20,6 +20,7 @@
     from leadseam.routing.account_log import AccountLog
     from leadseam.routing.admitted import Admitted
     from leadseam.routing.attempt import Ending
+    from leadseam.routing.dialect import AnswerHead
     from leadseam.routing.exchange import Exchange
     from leadseam.routing.usage import Standing
     from leadseam.runtime.metrics import RoutingMetrics
@@ -119,6 +120,32 @@
             }
             log.info("upstream silent", extra=extra)
 
+    def asks_pause(
+        self, upstream: Registration, admitted: Admitted, head: AnswerHead
+    ) -> None:
+        """Note that an upstream turns a request away and asks for a pause."""
+        self._metrics.pauses_asked.inc("read" if head.pause else "not_read")
+        if self._lines.take():
+            extra = {
+                **self._context(admitted),
+                "instance": str(upstream.incarnation),
+                "pause_ms": head.pause,
+                "not_read": head.odd_pause,
+            }
+            log.info("upstream asks for a pause", extra=extra)
+
+    def says_it_leaves(
+        self, upstream: Registration, admitted: Admitted, status: int
+    ) -> None:
+        """Note an answer in which an upstream says that it is about to end."""
+        if self._lines.take():
+            extra = {
+                **self._context(admitted),
+                "instance": str(upstream.incarnation),
+                "status": status,
+            }
+            log.info("upstream says in an answer that it leaves", extra=extra)
+
     def left_alone(self, upstream: Registration, ending: Ending) -> None:
         """Write a line, outside the budget, for an upstream that gets no new work."""
         extra = {"instance": str(upstream.incarnation), "ending": repr(ending)}
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -139,6 +139,11 @@
             "Retries that were not allowed, by rule.",
             "rule",
         )
+        self.pauses_asked = metrics.tally(
+            "upstream_pauses_asked_total",
+            "Answers of upstreams that ask for a pause, by whether it can be read.",
+            "result",
+        )
         self.first_byte = metrics.histogram(
             "first_byte_seconds", "Time to the first byte.", LATENCY_BUCKETS
         )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDict
 
 from leadseam.platform.headers import PlatformDialect
-from leadseam.routing.dialect import AttemptHead
+from leadseam.routing.dialect import AnswerHead, AttemptHead
 
 OURS = (
     "Leadseam-Hold",
@@ -67,3 +67,46 @@
     )
     sent = sent_for(*pairs)
     assert [pair for pair in sent if pair in pairs] == list(pairs)
+
+
+def answer_with(status: int, *pairs: tuple[str, str]) -> AnswerHead:
+    """Read the head of an answer."""
+    return PlatformDialect().read_answer(status, CIMultiDict(pairs))
+
+
+@pytest.mark.parametrize(
+    ("values", "pause", "odd"),
+    [
+        ([], 0, ""),
+        (["3"], 3_000, ""),
+        (["0"], 0, ""),
+        (["0.2504"], 251, ""),
+        (["1", "2.5"], 2_500, ""),
+        (["1e12"], 3_600_000, ""),
+        (["inf"], 3_600_000, ""),
+        ([""], 0, "empty"),
+        (["-1"], 0, "-1"),
+        (["nan"], 0, "nan"),
+        (["Wed, 21 Oct 2026 07:28:00 GMT"], 0, "Wed, 21 Oct 2026 07:28:00 GMT"),
+        (["soon", "2"], 2_000, "soon"),
+        (["9" * 400], 3_600_000, ""),
+        (["x" * 400], 0, "x" * 40),
+    ],
+)
+def test_a_pause_is_read_or_shown_as_it_came(
+    values: list[str], pause: int, odd: str
+) -> None:
+    head = answer_with(503, *(("Retry-After", value) for value in values))
+    assert (head.pause, head.odd_pause) == (pause, odd)
+
+
+@pytest.mark.parametrize("status", [200, 429, 500])
+def test_only_a_503_asks_for_a_pause(status: int) -> None:
+    assert answer_with(status, ("Retry-After", "3")).pause == 0
+
+
+@pytest.mark.parametrize("status", [200, 429, 503])
+def test_any_answer_may_say_that_its_upstream_leaves(status: int) -> None:
+    assert answer_with(status, ("server-leaving", "1")).leaving
+    assert not answer_with(status, ("Server-Leaving", "0")).leaving
+    assert not answer_with(status).leaving
--- a/tests/routing/samples.py
+++ b/tests/routing/samples.py
@@ -4,7 +4,8 @@
 
 from leadseam.control.routes import PoolShare, Repeat, Route
 from leadseam.incarnation import NO_START, Incarnation
-from leadseam.routing.dialect import PromptPart, RoutedRequest
+from leadseam.routing.admitted import Admitted
+from leadseam.routing.dialect import AnswerHead, PromptPart, RoutedRequest
 from leadseam.wire.feed import Registration
 
 
@@ -58,3 +59,38 @@
         max_attempts=2,
         time_limit=time_limit,
     )
+
+
+def make_admitted(
+    request_id: str = "r-1", *, arrived: int = 0, deadline: int = 5_000
+) -> Admitted:
+    """Return a request for the pool `p` that came in through a safe route."""
+    return Admitted(
+        req=make_request(request_id=request_id),
+        body=b"{}",
+        route=make_route("r", "/chat/", "p"),
+        pool="p",
+        account="bank",
+        arrived=arrived,
+        deadline=deadline,
+    )
+
+
+def make_head(
+    *,
+    request_id: str = "r-1",
+    not_run: bool = False,
+    pause: int = 0,
+    odd_pause: str = "",
+    leaving: bool = False,
+) -> AnswerHead:
+    """Return the head of a signed answer."""
+    return AnswerHead(
+        request_id=request_id,
+        not_run=not_run,
+        signed=True,
+        event_stream=False,
+        pause=pause,
+        odd_pause=odd_pause,
+        leaving=leaving,
+    )
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -28,7 +28,13 @@
 from leadseam.runtime.logs import LINES_PER_SECOND
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 from leadseam.wire.feed import UsageRow
-from tests.routing.samples import make_request, make_route, make_upstream
+from tests.routing.samples import (
+    make_admitted,
+    make_head,
+    make_request,
+    make_route,
+    make_upstream,
+)
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -178,3 +184,27 @@
     await asyncio.sleep(0)
     assert not waiting.done()
     waiting.cancel()
+
+
+def test_what_upstreams_say_of_themselves_is_counted_and_shown(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    metrics = Metrics()
+    entry = Entry(metrics)
+    admitted = make_admitted()
+    with caplog.at_level("INFO"):
+        for status, head in (
+            (503, make_head(pause=3_000)),
+            (503, make_head(odd_pause="soon")),
+            (200, make_head(leaving=True)),
+            (421, make_head(pause=3_000, leaving=True)),
+        ):
+            entry.gateway.note_head(make_upstream(1), admitted, status, head)
+    assert [record.getMessage() for record in caplog.records] == [
+        "upstream asks for a pause",
+        "upstream asks for a pause",
+        "upstream says in an answer that it leaves",
+    ]
+    shown = metrics.render()
+    assert b'pauses_asked_total{result="read"} 1' in shown
+    assert b'pauses_asked_total{result="not_read"} 1' in shown
