--- /dev/null
+++ b/tools/platform/rests.py
@@ -0,0 +1,67 @@
+"""Counts what reaches a server from an entry while it wants nothing from it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from tools.platform.standin import Server
+
+SLACK = 0.5
+"""Seconds after a refusal in which requests may still be on their way."""
+
+
+@dataclass(frozen=True, slots=True)
+class Rest:
+    """A refusal with which a server asks for a rest.
+
+    Args:
+        at: When it was sent, on the steady clock.
+        length: Seconds for which nothing more is wanted.
+        request_id: Request that was turned away.
+    """
+
+    at: float
+    length: float
+    request_id: str
+
+    def covers(self, at: float) -> bool:
+        """Tell whether nothing is to arrive at a time."""
+        return self.at + SLACK < at < self.at + self.length
+
+
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """Requests that reached a server in one of its rests.
+
+    Args:
+        entry: Entry that sent them.
+        count: How many.
+        rest: The rest.
+    """
+
+    entry: str
+    count: int
+    rest: Rest | None
+
+
+def arrivals_in_rests(server: Server, entry_of: Mapping[str, str]) -> Arrivals:
+    """Return the most arrivals from one entry in one rest that the entry was asked for.
+
+    Args:
+        server: The server.
+        entry_of: Entry that each request was sent to.
+    """
+    most = Arrivals("", 0, None)
+    for rest in server.rests:
+        entry = entry_of.get(rest.request_id, "")
+        count = sum(
+            rest.covers(arrival.at) and entry_of.get(arrival.request_id) == entry
+            for arrival in server.arrivals
+        )
+        if count > most.count:
+            most = Arrivals(entry, count, rest)
+    return most
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -16,6 +16,7 @@
 
 from leadseam.platform import names
 from tools.platform.operator import open_session, tell
+from tools.platform.rests import Rest
 from tools.waiting import until
 
 if TYPE_CHECKING:
@@ -55,6 +56,19 @@
     at: float = field(default_factory=time.monotonic)
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that has reached a server.
+
+    Args:
+        request_id: Its identifier.
+        at: When its head was read, on the steady clock.
+    """
+
+    request_id: str
+    at: float = field(default_factory=time.monotonic)
+
+
 @dataclass
 class Server:
     """One server.
@@ -81,6 +95,10 @@
         crashes: Requests that have crashed it.
         zone: Failure domain that it states.
         cold: Milliseconds for which it says that it is cold.
+        rest: Seconds of rest for which it asks when it turns a request away.
+        rests: Refusals with which it has asked for a rest.
+        arrivals: Requests that have reached it, run or not.
+        says_leaving: Whether its answers say that it is about to end.
     """
 
     ip: str
@@ -103,6 +121,10 @@
     crashes: list[Run] = field(default_factory=list)
     zone: str = "a"
     cold: int = 0
+    rest: float = 0.0
+    rests: list[Rest] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    says_leaving: bool = False
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -213,12 +235,16 @@
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         if http.headers.get(names.EXPECT_INSTANCE) != self.instance:
             return web.Response(status=421, headers=self._echo(http))
+        request_id = http.headers[names.REQUEST_ID]
+        self.arrivals.append(Arrival(request_id))
         action = self.behave.get(http.path.rsplit("/", 1)[-1], self.usual)
         if action == "full":
             headers = {**self._echo(http), names.NOT_RUN: "1"}
             return web.Response(status=503, headers=headers)
+        if action == "rest":
+            return self._ask_for_rest(http)
         run = Run(
-            http.headers[names.REQUEST_ID],
+            request_id,
             http.method,
             http.raw_path,
             await http.read(),
@@ -303,8 +329,18 @@
         http.transport.abort()
         return web.Response()
 
+    def _ask_for_rest(self, http: web.BaseRequest) -> web.Response:
+        headers = {**self._echo(http), names.NOT_RUN: "1"}
+        headers[names.RETRY_AFTER] = f"{self.rest:g}"
+        rest = Rest(time.monotonic(), self.rest, http.headers[names.REQUEST_ID])
+        self.rests.append(rest)
+        return web.Response(status=503, headers=headers)
+
     def _echo(self, http: web.BaseRequest) -> dict[str, str]:
-        return {names.REQUEST_ID: http.headers[names.REQUEST_ID]}
+        headers = {names.REQUEST_ID: http.headers[names.REQUEST_ID]}
+        if self.says_leaving:
+            headers[names.LEAVING] = names.LEAVING_SET
+        return headers
 
     def _signed(self, http: web.BaseRequest) -> dict[str, str]:
         return self._echo(http) | {names.SIGNATURE: f"signed-{self.instance}"}
