A pause that an upstream asks for is kept on every path

Cause: a refusal with Retry-After ended its attempt, and nothing else. Each path chose by load, and an engine that runs nothing looks best.

Paused upstreams are no candidates; where all are, requests are refused at once, with the time until the first is back, spread over half a second; what waits for room is refused then too. Each request passes one place just before it is written (the connector), which asks once more: a connection may take half a second to open.

--- a/src/leadseam/entry/answers.py
+++ b/src/leadseam/entry/answers.py
@@ -37,6 +37,7 @@
     Reason.UPSTREAM_SILENT: 502,
     Reason.UPSTREAM_RESTARTED: 502,
     Reason.UPSTREAM_FULL: 503,
+    Reason.UPSTREAMS_PAUSED: 503,
     Reason.RETRIES_EXHAUSTED: 502,
     Reason.CRASHES_UPSTREAMS: 503,
     Reason.MAY_CRASH_UPSTREAMS: 503,
@@ -67,6 +68,7 @@
     Reason.UPSTREAM_SILENT: "the upstream fell silent",
     Reason.UPSTREAM_RESTARTED: "the upstream has started again meanwhile",
     Reason.UPSTREAM_FULL: "no upstream had room for this",
+    Reason.UPSTREAMS_PAUSED: "all upstreams have asked for a pause",
     Reason.RETRIES_EXHAUSTED: "no further attempt was allowed",
     Reason.CRASHES_UPSTREAMS: "this request has crashed several upstreams; do not"
     " send it again",
--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -33,6 +33,7 @@
     UPSTREAM_SILENT = "upstream_silent"
     UPSTREAM_RESTARTED = "upstream_restarted"
     UPSTREAM_FULL = "upstream_full"
+    UPSTREAMS_PAUSED = "upstreams_paused"
     RETRIES_EXHAUSTED = "retries_exhausted"
     CRASHES_UPSTREAMS = "crashes_upstreams"
     MAY_CRASH_UPSTREAMS = "may_crash_upstreams"
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -170,6 +170,9 @@
             if self._gateway is not None:
                 self._gateway.crash_guard.review()
                 self._gateway.request_log.show_dropped()
+                self._gateway.placer.sweep()
+                paused = self._gateway.placer.paused()
+                self._routing_metrics.paused_upstreams.set({}, paused)
             evacuated = len(self._view.evacuated)
             self._routing_metrics.evacuated_domains.set({}, evacuated)
 
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -147,7 +147,8 @@
             placement = self._place(waiter, now, among=room[key])
             if placement is not None:
                 self._finish(waiter, placement)
-            elif now >= waiter.refuse_at:
+            elif now >= waiter.refuse_at or not self.candidates(waiter.scope):
+                # Without a candidate nothing can become free in time.
                 self._finish(waiter, None)
 
     def _sort(self, now: Millis) -> None:
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from leadseam.outcome import Reason
+from leadseam.routing.client import WithheldError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,6 +65,11 @@
     refused: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Withheld:
+    """Nothing was sent: the upstream must not get it any more."""
+
+
 @dataclass(frozen=True, slots=True)
 class Declined:
     """The upstream declares that it did not run the request.
@@ -118,7 +124,7 @@
     events: bool = True
 
 
-Ending: TypeAlias = Unreachable | Declined | Broken | Whole | Streaming
+Ending: TypeAlias = Withheld | Unreachable | Declined | Broken | Whole | Streaming
 
 
 async def attempt(
@@ -130,6 +136,7 @@
     upstream: Registration,
     head: AttemptHead,
     repeatable: bool,
+    may_send: Callable[[], bool],
     on_head: Callable[[int, AnswerHead], None],
 ) -> Ending:
     """Send a request to an upstream and judge the head of its answer.
@@ -142,6 +149,7 @@
         upstream: Where to send it.
         head: What the upstream is told besides.
         repeatable: Whether a connection may be used that could turn out closed.
+        may_send: Asked before the first byte is written.
         on_head: Called with the status and head of an answer, good or not.
 
     Returns:
@@ -156,7 +164,10 @@
             headers=dialect.attempt_headers(req, head),
             body=body,
             repeatable=repeatable,
+            may_send=may_send,
         )
+    except WithheldError:
+        return Withheld()
     except aiohttp.ClientConnectorError as exc:
         return Unreachable(
             local=exc.errno in LOCAL_FAULTS, refused=exc.errno == errno.ECONNREFUSED
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -10,6 +10,8 @@
 import asyncio
 import functools
 import socket
+from collections.abc import Callable
+from contextvars import ContextVar
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
@@ -20,7 +22,8 @@
 from leadseam.runtime.connector import LoopConnector
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from aiohttp.connector import Connection
+    from aiohttp.tracing import Trace
 
 CONNECT_TIMEOUT: Millis = 500
 """Time to open a connection. Boxes of one region are a few ms apart; the first packet
@@ -36,6 +39,18 @@
 this tells a request that was sent into silence from one that takes long."""
 
 
+def _always() -> bool:
+    return True
+
+
+_may_send: ContextVar[Callable[[], bool]] = ContextVar("_may_send", default=_always)
+"""Tells, for the request of this task, whether it may be written."""
+
+
+class WithheldError(aiohttp.ClientError):
+    """A request was not written, as it must not be sent any more."""
+
+
 class UpstreamConnection(ResponseHandler):
     """A client connection that tells a reset from an end, and distrusts surplus.
 
@@ -100,6 +115,9 @@
 class UpstreamConnector(LoopConnector):
     """A pool of `UpstreamConnection`s, closed if their peer does not answer.
 
+    Each request passes here just before it is written; one that must not be sent any
+    more ends here, and leaves its connection for others.
+
     Args:
         keepalive: Seconds that an idle connection is kept; None closes each after one
             request.
@@ -110,6 +128,23 @@
         make: Callable[..., ResponseHandler] = UpstreamConnection
         self._factory = functools.partial(make, loop=self._loop)
 
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        """Return a connection for a request.
+
+        Raises:
+            WithheldError: If the request must not be sent any more.
+        """
+        conn = await super().connect(req, traces, timeout)
+        if not _may_send.get()():
+            conn.release()
+            raise WithheldError
+        return conn
+
     async def _wrap_create_connection(
         self, *args: Any, **kwargs: Any
     ) -> tuple[asyncio.Transport, ResponseHandler]:
@@ -197,13 +232,26 @@
         headers: list[tuple[str, str]],
         body: bytes,
         repeatable: bool,
+        may_send: Callable[[], bool] = _always,
     ) -> aiohttp.ClientResponse:
         """Send a request and wait for the head of its answer.
 
+        Args:
+            ip: Address of the upstream.
+            port: Its port.
+            method: HTTP method.
+            target: Raw path and query.
+            headers: All headers.
+            body: The body.
+            repeatable: Whether a connection may be used that could turn out closed.
+            may_send: Asked before the first byte is written. Defaults to yes.
+
         Raises:
+            WithheldError: If `may_send` says no; nothing was written.
             aiohttp.ClientConnectorError: If no byte of the request was sent.
             aiohttp.ClientError: If the connection failed later.
         """
+        _may_send.set(may_send)
         session = self._pooled if repeatable else self._single_use
         return await session.request(
             method,
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -20,6 +20,7 @@
     Streaming,
     Unreachable,
     Whole,
+    Withheld,
     attempt,
 )
 from leadseam.routing.dialect import AttemptHead
@@ -43,6 +44,8 @@
 """Part of the time left that a caller may be told to wait; more is not heeded."""
 MAX_COME_BACK: Millis = 4_000
 """Longest pause told: bursts last a few seconds."""
+RETURN_SPREAD: Millis = 500
+"""Time over which callers come back once an upstream takes requests again."""
 
 
 @dataclass(slots=True)
@@ -166,8 +169,13 @@
             ending = await self._watched(flight)
         finally:
             flight.end()
-        if not isinstance(ending, Unreachable | Declined):
-            progress.runs += 1
+        match ending:
+            case Withheld():
+                progress.sends -= 1
+            case Unreachable() | Declined():
+                pass
+            case _:
+                progress.runs += 1
         return ending
 
     async def _watched(self, flight: Flight) -> Ending:
@@ -239,6 +247,7 @@
             upstream=upstream,
             head=head,
             repeatable=request.route.repeatable,
+            may_send=partial(self._gateway.placer.may_send, upstream),
             on_head=partial(self._gateway.note_head, upstream, request),
         )
 
@@ -267,6 +276,8 @@
                 response = await self._reply.end()
                 self.outcome = Answered(response.status)
                 return response
+            case Withheld():
+                return self._give_up(Reason.NO_UPSTREAM)
             case Unreachable():
                 return self._give_up(Reason.UPSTREAM_UNREACHABLE)
             case Declined():
@@ -281,7 +292,7 @@
             return False
         runs = self._progress.runs
         match ending:
-            case Unreachable():
+            case Withheld() | Unreachable():
                 return True
             case Declined():
                 return self._may_send_again()
@@ -353,6 +364,10 @@
         return self._gateway.error(self.outcome)
 
     def _come_back(self) -> Millis:
+        paused = self._gateway.placer.pause_left(self._request.scope)
+        if paused:
+            # Sooner there is nobody to serve it, and not all are to return at once.
+            return paused + self._gateway.spread(RETURN_SPREAD)
         left = max(self._request.deadline - self._gateway.now(), 0)
         return self._gateway.spread(min(round(left * COME_BACK_PART), MAX_COME_BACK))
 
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -11,6 +11,7 @@
 from leadseam.outcome import NotRun, Reason
 from leadseam.routing.admitted import Admitted
 from leadseam.routing.attempt import (
+    FIRST_REDIRECTION,
     FIRST_SERVER_ERROR,
     MISDIRECTED,
     Broken,
@@ -18,6 +19,7 @@
     Streaming,
     Unreachable,
     Whole,
+    Withheld,
 )
 from leadseam.routing.balance import service_of_tokens
 from leadseam.routing.budget import PoolRetryBudget
@@ -343,6 +345,10 @@
             return
         if head.pause or head.odd_pause:
             self.request_log.asks_pause(upstream, admitted, head)
+        if head.pause:
+            self.placer.pause(upstream, head.pause)
+        elif status < FIRST_REDIRECTION:
+            self.placer.answered(upstream)
         if head.leaving:
             self.request_log.says_it_leaves(upstream, admitted, status)
 
@@ -356,7 +362,7 @@
                 self.crash_guard.ended(upstream.incarnation)
                 if self._feed.view.misdirected(upstream.incarnation):
                     self.request_log.address_lost(upstream)
-            case Unreachable(local=True) | Declined():
+            case Withheld() | Unreachable(local=True) | Declined():
                 left_alone = False
             case Unreachable(refused=refused):
                 if refused:
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -14,6 +14,7 @@
 from leadseam.routing.balance import Balancer, service_of
 from leadseam.routing.cold import ColdBudget
 from leadseam.routing.flight import Flight
+from leadseam.routing.pauses import PauseBook
 from leadseam.routing.scope import Scope
 from leadseam.routing.usage import MEMORY, UsageBook
 
@@ -34,16 +35,20 @@
 PUMP_INTERVAL: Millis = 5
 """Least pause between two looks at all that waits: small against objectives of 250 ms,
 and at an overloaded entry it bounds the processor time of looking."""
+PAUSE_SPREAD = 10
+"""Part of a pause, one in so many, over which entries spread its end by chance: they do
+not know of each other's pauses."""
 
 
 @dataclass(frozen=True, slots=True)
 class _Sound:
-    """Upstreams of a scope that do not fail, kept for all that look at once.
+    """Upstreams of a scope that may be used, kept for all that look at once.
 
     Args:
         at: When they were worked out.
         of: Upstreams of the scope.
-        rows: Those that do not fail, or all if none is left.
+        rows: Those that are not paused and do not fail. If all fail, all that are not
+            paused.
     """
 
     at: Millis
@@ -74,6 +79,8 @@
         self._feed = feed
         self._health = health
         self._clock = clock
+        self._rng = rng
+        self._pauses = PauseBook()
         self._cold = ColdBudget(
             entry,
             rate_of=self._cold_rate,
@@ -130,7 +137,9 @@
             if placement is not None:
                 self._balancer.begin(placement)
         if placement is None:
-            return reason
+            return (
+                Reason.UPSTREAMS_PAUSED if self.pause_left(admitted.scope) else reason
+            )
         if admitted.account is not None:
             service = service_of(admitted.req)
             self._usage.served(admitted.account, service, self._clock.now())
@@ -139,6 +148,45 @@
             placement, admitted.req, self._balancer, self._clock, self._pump_soon
         )
 
+    def may_send(self, row: Registration) -> bool:
+        """Tell whether a request may still be written to the upstream it is placed at.
+
+        It may have waited for its turn, or for a connection, since that was decided.
+        """
+        return not self._pauses.is_paused(row.incarnation, self._clock.now())
+
+    def pause(self, row: Registration, length: Millis) -> None:
+        """Send nothing to an upstream for a while, as it asks."""
+        spread = self._rng.randint(0, length // PAUSE_SPREAD)
+        self._pauses.asked(row.incarnation, self._clock.now() + length + spread)
+        self._sound.clear()
+
+    def answered(self, row: Registration) -> None:
+        """Note a good answer of an upstream, which may get more after a pause."""
+        if self._pauses.answered(row, self._clock.now()):
+            self._pump_soon()
+
+    def pause_left(self, scope: Scope) -> Millis:
+        """Return the time until an upstream of a scope is used again, if all pause.
+
+        Returns:
+            Milliseconds; 0 if there is none, or one that is not paused.
+        """
+        now = self._clock.now()
+        if not self._pauses.any_paused(now):
+            return 0
+        rows = self._feed.view.pool(scope.pool, scope.regions)
+        ends = (self._pauses.until(row.incarnation) for row in rows)
+        return max(min(ends, default=0) - now, 0)
+
+    def paused(self) -> int:
+        """Return the number of upstreams that are paused."""
+        return self._pauses.count(self._clock.now())
+
+    def sweep(self) -> None:
+        """Forget what is over."""
+        self._pauses.sweep(self._clock.now())
+
     def look(self) -> None:
         """Look at all that waits now, whatever its timers say."""
         self._admission.pump(self._clock.now())
@@ -211,10 +259,13 @@
 
     def _note_begin(self, row: Registration) -> None:
         now = self._clock.now()
+        self._pauses.sent(row.incarnation, now)
         if not self._feed.view.all_warm(now):
             self._cold.begin(row, now)
 
     def _allows(self, row: Registration, now: Millis) -> bool:
+        if not self._pauses.allows(row.incarnation, now):
+            return False
         return self._feed.view.all_warm(now) or self._cold.allows(row, now)
 
     def _cold_rate(self, pool: str) -> float:
@@ -222,17 +273,28 @@
         return row.cold_rate if row is not None else 0.0
 
     def _candidates(self, scope: Scope) -> Sequence[Registration]:
-        """Return the upstreams of a scope, without those that fail, if any is left."""
+        """Return the upstreams of a scope that may be used."""
         now = self._clock.now()
         rows = self._feed.view.pool(scope.pool, scope.regions)
-        if self._health.all_usable(now):
+        if self._health.all_usable(now) and not self._pauses.any_paused(now):
             return rows
         known = self._sound.get(scope)
         if known is None or known.of is not rows or now - known.at > PUMP_INTERVAL:
-            sound = [row for row in rows if self._health.usable(row.incarnation, now)]
-            known = self._sound[scope] = _Sound(now, rows, sound or rows)
+            known = self._sound[scope] = _Sound(now, rows, self._sound_of(rows, now))
         return known.rows
 
+    def _sound_of(
+        self, rows: Sequence[Registration], now: Millis
+    ) -> Sequence[Registration]:
+        """Return the upstreams that neither pause nor fail.
+
+        Those that fail are a guess, and get work if there are no others. A pause is the
+        upstream's own word, and always kept.
+        """
+        pauses, health = self._pauses, self._health
+        awake = [row for row in rows if not pauses.is_paused(row.incarnation, now)]
+        return [row for row in awake if health.usable(row.incarnation, now)] or awake
+
     def _pump_soon(self) -> None:
         if len(self._admission) and not self._pumping:
             self._pumping = True
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -154,6 +154,9 @@
         self.evacuated_domains = metrics.gauge(
             "evacuated_failure_domains", "Failure domains that get no requests."
         )
+        self.paused_upstreams = metrics.gauge(
+            "paused_upstreams", "Upstreams that have asked this entry for a pause."
+        )
         self.logs_dropped = metrics.gauge(
             "log_lines_dropped", "Log lines not written to keep the volume bounded."
         )
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -11,7 +11,7 @@
 from leadseam.control.routes import Repeat
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.routing.admitted import Admitted
-from leadseam.routing.attempt import Whole
+from leadseam.routing.attempt import Whole, Withheld
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.reply import CallerGoneError
 from leadseam.routing.restarts import Restarts
@@ -33,9 +33,12 @@
 
     def __init__(self, placed: Reason | None = None) -> None:
         self.placed = placed
+        self.paused = 0
         self.endings: list[Ending] = []
         self.budget = SimpleNamespace(note_request=lambda *_: None)
-        self.placer = SimpleNamespace(place=self._place)
+        self.placer = SimpleNamespace(
+            place=self._place, pause_left=lambda _: self.paused, may_send=lambda _: True
+        )
         self.crash_guard = SimpleNamespace(
             refusal=lambda _: None,
             note_ending=self._note_ending,
@@ -120,6 +123,31 @@
     assert exchange.outcome == NotRun(Reason.NO_UPSTREAM, 1_333)
 
 
+async def test_where_all_upstreams_pause_callers_are_told_when_one_is_back() -> None:
+    shared = Shared(Reason.UPSTREAMS_PAUSED)
+    shared.paused = 2_750
+    shared.spread = lambda pause: pause // 2  # type: ignore[attr-defined]
+    shared.error = lambda _: None  # type: ignore[attr-defined]
+    exchange = make_exchange(shared)
+    await exchange.run()
+    # Spread over the half second after it, so that not all return at once.
+    assert exchange.outcome == NotRun(Reason.UPSTREAMS_PAUSED, 3_000)
+
+
+async def test_a_send_that_was_withheld_is_none() -> None:
+    shared = Shared()
+    exchange = make_exchange(shared)
+    endings: list[Ending] = [Withheld(), Whole(200, (), b"x")]
+
+    async def attempt(_: object) -> Ending:
+        return endings.pop(0)
+
+    vars(exchange)["_attempt"] = attempt
+    await exchange.run()
+    assert exchange.outcome == Answered(200)
+    assert exchange.sends == 1
+
+
 async def test_a_whole_answer_speaks_for_its_request_whatever_was_heard() -> None:
     """Its request was convicted while it ran; that it ran to its end was not told."""
     shared = Shared()
--- /dev/null
+++ b/tests/routing/test_withheld.py
@@ -0,0 +1,60 @@
+"""A request passes one place before it is written, whatever waited for a connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from leadseam.routing.client import UpstreamClient, WithheldError
+from tools.ports import LOOPBACK
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+async def test_a_word_that_comes_while_a_connection_is_opened_counts(
+    repeatable: bool,
+) -> None:
+    received: list[bytes] = []
+    asked: list[bool] = []
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        while data := await reader.read(4_096):
+            received.append(data)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(script, LOOPBACK, 0)
+    port = server.sockets[0].getsockname()[1]
+    client = UpstreamClient()
+
+    async def send(*, allowed: bool) -> int:
+        def may_send() -> bool:
+            asked.append(allowed)
+            return allowed
+
+        resp = await client.send(
+            LOOPBACK,
+            port,
+            method="GET",
+            target="/x",
+            headers=[],
+            body=b"",
+            repeatable=repeatable,
+            may_send=may_send,
+        )
+        await resp.read()
+        return resp.status
+
+    try:
+        with pytest.raises(WithheldError):
+            await send(allowed=False)
+        assert await send(allowed=True) == 200
+        with pytest.raises(WithheldError):
+            await send(allowed=False)
+    finally:
+        await client.close()
+        server.close()
+    assert asked == [False, True, False]
+    assert len(received) == 1
