Entries send nothing new to an upstream that says in an answer that it leaves

Cause: only heartbeats were read for it, and only while an entry is in touch. Same class as the pause: what an answer says of its upstream was not read.

The place that each request passes before it is written asks for departures and evacuated failure domains too. Two ways weighed: entries tell each other, or each learns by itself (kept). Heartbeats tell all that can be told; a false word takes an upstream from one entry, not from all. Not measured.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -349,7 +349,8 @@
             self.placer.pause(upstream, head.pause)
         elif status < FIRST_REDIRECTION:
             self.placer.answered(upstream)
-        if head.leaving:
+        if head.leaving and self._feed.view.left([upstream.incarnation]):
+            # Heartbeats may not say it, or this entry may not be told of them.
             self.request_log.says_it_leaves(upstream, admitted, status)
 
     def note_ending(self, upstream: Registration, ending: Ending) -> None:
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -153,6 +153,9 @@
 
         It may have waited for its turn, or for a connection, since that was decided.
         """
+        view = self._feed.view
+        if view.has_left(row.incarnation) or row.failure_domain in view.evacuated:
+            return False
         return not self._pauses.is_paused(row.incarnation, self._clock.now())
 
     def pause(self, row: Registration, length: Millis) -> None:
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -137,14 +137,13 @@
     def says_it_leaves(
         self, upstream: Registration, admitted: Admitted, status: int
     ) -> None:
-        """Note an answer in which an upstream says that it is about to end."""
-        if self._lines.take():
-            extra = {
-                **self._context(admitted),
-                "instance": str(upstream.incarnation),
-                "status": status,
-            }
-            log.info("upstream says in an answer that it leaves", extra=extra)
+        """Write a line, outside the budget, for an upstream that is about to end."""
+        extra = {
+            **self._context(admitted),
+            "instance": str(upstream.incarnation),
+            "status": status,
+        }
+        log.info("upstream says in an answer that it leaves", extra=extra)
 
     def left_alone(self, upstream: Registration, ending: Ending) -> None:
         """Write a line, outside the budget, for an upstream that gets no new work."""
--- a/tests/routing/test_words_of_upstreams.py
+++ b/tests/routing/test_words_of_upstreams.py
@@ -54,7 +54,7 @@
     st.builds(
         lambda spells, leaves: (tuple(spells), leaves),
         st.lists(spells, max_size=3),
-        st.just(float("inf")),
+        st.sampled_from([float("inf")] * 4 + [1.0, 3.0]),
     ),
     min_size=1,
     max_size=5,
@@ -141,6 +141,14 @@
     assert len(made[0].arrivals) == 4
 
 
+def test_one_that_leaves_gets_nothing_new_and_callers_do_not_notice() -> None:
+    made = modelled(3, leaves_at=1.0)
+    fleet = play(lambda: GatewayFleet(made), call_on)
+    assert max(one.at for one in made[0].arrivals) < 1.5
+    assert {word.entry for word in made[0].words} == {0, 1}
+    assert all(isinstance(one, Answered) for one in fleet.outcomes)
+
+
 def test_the_end_of_a_rest_is_no_step_of_load() -> None:
     made = modelled(2, spells=(Spell(1.0, 2.0, 2.0),))
     fleet = play(lambda: GatewayFleet(made, entries=1), call_on)
