Soak: servers that rest, and servers that leave by the word of answers only

From what servers saw: at most two arrivals from an entry in a rest, none later than 2 s after an answer that was passed on; excused are only disturbances of that entry or its way to that server.

--- a/tests/platform/test_upstreams_words.py
+++ b/tests/platform/test_upstreams_words.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.platform import names
-from tools.platform.rests import SLACK, arrivals_in_rests
+from tools.platform.rests import MOST_ARRIVALS, SLACK, arrivals_in_rests
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Answer, Platform
@@ -19,8 +19,6 @@
 """Callers of each entry, fewer than one server alone takes at a time."""
 DRAIN = 2.0
 """Seconds after which a leaving server gets nothing new: the users' shortest bound."""
-MOST_ARRIVALS = 2
-"""Requests that may reach a server while it rests: the users' bound."""
 
 
 class Callers:
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -52,6 +52,14 @@
     assert summary.checked["evacuation taken back"] == 1
 
 
+async def test_promises_are_kept_beside_servers_that_rest_and_leave(
+    tmp_path: Path,
+) -> None:
+    summary = await run_seed(tmp_path, 501, replace(SIZE, rests=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["recovered"] == 2
+
+
 @pytest.mark.parametrize("seed", [202, 203])
 async def test_promises_are_kept_where_boxes_are_suspended(
     tmp_path: Path, seed: int
--- a/tools/platform/rests.py
+++ b/tools/platform/rests.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import time
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -12,6 +13,8 @@
 
 SLACK = 0.5
 """Seconds after a refusal in which requests may still be on their way."""
+MOST_ARRIVALS = 2
+"""Requests that may reach a server while it rests: the users' bound."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,15 +25,34 @@
         at: When it was sent, on the steady clock.
         length: Seconds for which nothing more is wanted.
         request_id: Request that was turned away.
+        incarnation: Start of the server that asks.
     """
 
     at: float
     length: float
     request_id: str
+    incarnation: str
 
-    def covers(self, at: float) -> bool:
-        """Tell whether nothing is to arrive at a time."""
-        return self.at + SLACK < at < self.at + self.length
+    def covers(self, arrival: Arrival) -> bool:
+        """Tell whether a request arrived where none was wanted."""
+        if arrival.incarnation != self.incarnation:
+            return False
+        return self.at + SLACK < arrival.at < self.at + self.length
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that has reached a server, run or not.
+
+    Args:
+        request_id: Its identifier.
+        incarnation: Start of the server.
+        at: When its head was read, on the steady clock.
+    """
+
+    request_id: str
+    incarnation: str
+    at: float = field(default_factory=time.monotonic)
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +81,7 @@
     for rest in server.rests:
         entry = entry_of.get(rest.request_id, "")
         count = sum(
-            rest.covers(arrival.at) and entry_of.get(arrival.request_id) == entry
+            rest.covers(arrival) and entry_of.get(arrival.request_id) == entry
             for arrival in server.arrivals
         )
         if count > most.count:
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -16,7 +16,7 @@
 
 from leadseam.platform import names
 from tools.platform.operator import open_session, tell
-from tools.platform.rests import Rest
+from tools.platform.rests import Arrival, Rest
 from tools.waiting import until
 
 if TYPE_CHECKING:
@@ -56,19 +56,6 @@
     at: float = field(default_factory=time.monotonic)
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A request that has reached a server.
-
-    Args:
-        request_id: Its identifier.
-        at: When its head was read, on the steady clock.
-    """
-
-    request_id: str
-    at: float = field(default_factory=time.monotonic)
-
-
 @dataclass
 class Server:
     """One server.
@@ -155,6 +142,11 @@
         """Whether it serves."""
         return self._coming_back is None or self._coming_back.done()
 
+    @property
+    def incarnation(self) -> str:
+        """Which start of it this is."""
+        return f"{self.instance}@{self.born or 0}"
+
     def crash(self) -> bool:
         """End all connections and tasks at once, and come back after a while.
 
@@ -183,6 +175,7 @@
             self.born = time.time_ns() // 1_000_000
         # Nothing that it announced before is true of this start.
         self.state = "ready"
+        self.says_leaving = False
         self.left_at = None
         await self.start()
 
@@ -236,7 +229,7 @@
         if http.headers.get(names.EXPECT_INSTANCE) != self.instance:
             return web.Response(status=421, headers=self._echo(http))
         request_id = http.headers[names.REQUEST_ID]
-        self.arrivals.append(Arrival(request_id))
+        self.arrivals.append(Arrival(request_id, self.incarnation))
         action = self.behave.get(http.path.rsplit("/", 1)[-1], self.usual)
         if action == "full":
             headers = {**self._echo(http), names.NOT_RUN: "1"}
@@ -332,8 +325,9 @@
     def _ask_for_rest(self, http: web.BaseRequest) -> web.Response:
         headers = {**self._echo(http), names.NOT_RUN: "1"}
         headers[names.RETRY_AFTER] = f"{self.rest:g}"
-        rest = Rest(time.monotonic(), self.rest, http.headers[names.REQUEST_ID])
-        self.rests.append(rest)
+        request_id = http.headers[names.REQUEST_ID]
+        now = time.monotonic()
+        self.rests.append(Rest(now, self.rest, request_id, self.incarnation))
         return web.Response(status=503, headers=headers)
 
     def _echo(self, http: web.BaseRequest) -> dict[str, str]:
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -19,6 +19,8 @@
   --deadly       Some requests crash the servers that begin them.
   --suspended    Boxes stand still more often, and their steady clocks with them.
   --evacuations  An operator empties a failure domain and takes it back all the time.
+  --rests        Servers turn all away and ask for rests, or say in answers that they
+                 leave.
 
 The exit code is 0 if all promises were kept, else 1.
 """
@@ -55,6 +57,7 @@
         deadly=args["--deadly"],
         suspended=args["--suspended"],
         evacuations=args["--evacuations"],
+        rests=args["--rests"],
     )
     if args["--replay"]:
         sys.exit(_replay(int(args["--replay"]), size))
--- /dev/null
+++ b/tools/soak/rests.py
@@ -0,0 +1,118 @@
+"""Servers that turn all away and ask for a rest, or say in answers that they leave."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+from leadseam.platform import names
+from tools.platform.rests import MOST_ARRIVALS, SLACK
+
+if TYPE_CHECKING:
+    from tools.platform.rests import Rest
+    from tools.platform.standin import Server
+    from tools.soak.callers import Call
+    from tools.soak.promises import Promises
+    from tools.soak.world import World
+
+MOST_PAUSE = 1.0
+"""Longest pause between two servers that begin to rest or to leave, in seconds."""
+LEAST_REST, MOST_REST = 0.6, 3.0
+"""Seconds of rest that a server asks for."""
+MOST_SPELL = 3.0
+"""Longest time for which a server turns requests away, in seconds."""
+LEAVING_PART = 0.2
+"""Part of the spells in which a server leaves instead, by the word of answers only."""
+LEAVES_FOR = 4.0
+"""Seconds from that word until it ends and starts anew."""
+DRAIN = 2.0
+"""Seconds after such an answer in which new requests may come: the users' bound."""
+
+
+class Rests:
+    """Has servers rest and leave at random, also several at a time.
+
+    Args:
+        world: The nodes and servers.
+        seed: Seed of the choices.
+        promises: Where checks are noted.
+    """
+
+    def __init__(self, world: World, seed: int, promises: Promises) -> None:
+        self._world = world
+        self._rng = random.Random(seed + 11)
+        self._promises = promises
+
+    async def run(self) -> None:
+        """Go on until cancelled; what has begun ends first."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(self._rng.uniform(0, MOST_PAUSE))
+                server = self._rng.choice(self._world.servers)
+                leaves = self._rng.random() < LEAVING_PART
+                group.create_task(self._leave(server) if leaves else self._rest(server))
+
+    async def _rest(self, server: Server) -> None:
+        server.rest = self._rng.uniform(LEAST_REST, MOST_REST)
+        server.usual = "rest"
+        try:
+            await asyncio.sleep(self._rng.uniform(0, MOST_SPELL))
+        finally:
+            server.usual = "answer"
+
+    async def _leave(self, server: Server) -> None:
+        server.says_leaving = True
+        try:
+            await asyncio.sleep(LEAVES_FOR)
+        finally:
+            # Its next start says nothing of the kind.
+            server.crash()
+
+    def at_end(self, *, timed: bool) -> None:
+        """Check what has reached servers against their words."""
+        if not timed:
+            return
+        entries = {call.request_id: call.entry for call in self._promises.calls}
+        for server in self._world.ever:
+            for rest in server.rests:
+                if entry := entries.get(rest.request_id):
+                    self._check_rest(server, rest, entry, entries)
+        for call in self._promises.calls:
+            if call.headers.get(names.LEAVING) == names.LEAVING_SET and not call.cut:
+                self._check_left(call)
+
+    def _check_rest(
+        self, server: Server, rest: Rest, entry: str, entries: dict[str, str]
+    ) -> None:
+        if self._excused(entry, server, rest.at, rest.at + rest.length):
+            return
+        count = sum(
+            rest.covers(arrival) and entries.get(arrival.request_id) == entry
+            for arrival in server.arrivals
+        )
+        detail = f"{count} from {entry} in {rest.length:.2f} s at {rest.incarnation}"
+        kept = count <= MOST_ARRIVALS
+        self._promises.check("rest kept", kept, f"{rest.request_id}: {detail}")
+
+    def _check_left(self, call: Call) -> None:
+        """Nothing that came in later than the bound reached that server."""
+        instance = call.headers.get(names.SIGNATURE, "").removeprefix("signed-")
+        late = [
+            later
+            for later in self._promises.calls
+            if later.entry == call.entry
+            and later.start > call.end + DRAIN
+            and later.headers.get(names.SIGNATURE) == f"signed-{instance}"
+            and later.headers.get(names.LEAVING) == names.LEAVING_SET
+            and not self._world.ledger.touched(call.entry, call.end, later.start)
+        ]
+        detail = f"{[one.request_id for one in late]} after {call.request_id}"
+        self._promises.check("left by answers", not late, detail)
+
+    def _excused(self, entry: str, server: Server, since: float, until: float) -> bool:
+        """Tell whether the entry, or its way to the server, was disturbed."""
+        ledger = self._world.ledger
+        return ledger.touched(entry, since - SLACK, until) or ledger.touched(
+            server.ip, since - SLACK, until
+        )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -14,6 +14,7 @@
 from tools.soak.injector import Injector
 from tools.soak.plan import draw
 from tools.soak.promises import Promises
+from tools.soak.rests import Rests
 from tools.soak.strangers import Strangers
 from tools.soak.world import World
 from tools.waiting import until
@@ -48,6 +49,8 @@
         suspended: Whether boxes that stand still leave that time out of their steady
             clocks.
         evacuations: Whether an operator empties a failure domain again and again.
+        rests: Whether servers turn all away and ask for rests, or leave by the word of
+            their answers only.
     """
 
     seconds: float = 20.0
@@ -58,6 +61,7 @@
     deadly: bool = False
     suspended: bool = False
     evacuations: bool = False
+    rests: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +134,9 @@
         if self._size.evacuations:
             await evacuations.begin()
             disturbing.append(asyncio.create_task(evacuations.run()))
+        rests = Rests(world, self._seed, promises)
+        if self._size.rests:
+            disturbing.append(asyncio.create_task(rests.run()))
         await self._do_all(faults)
         for task in disturbing:
             task.cancel()
@@ -150,6 +157,8 @@
             deadly.at_end(timed=self._size.timed)
         if self._size.evacuations:
             evacuations.at_end(timed=self._size.timed)
+        if self._size.rests:
+            rests.at_end(timed=self._size.timed)
         promises.at_end()
         return self._summary(faults, promises)
 
