--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -15,7 +15,6 @@
 from leadseam.routing.cold import ColdBudget
 from leadseam.routing.flight import Flight
 from leadseam.routing.pauses import PauseBook
-from leadseam.routing.plain import PlainShares
 from leadseam.routing.scope import Scope
 from leadseam.routing.usage import MEMORY, UsageBook
 
@@ -82,7 +81,6 @@
         self._clock = clock
         self._rng = rng
         self._pauses = PauseBook()
-        self._plain = PlainShares()
         self._cold = ColdBudget(
             entry,
             rate_of=self._cold_rate,
@@ -221,35 +219,13 @@
         profile = pool.engine if pool is not None else None
         now = self._clock.now()
         if profile is None:
-            return self._place_plain(admitted, _without(rows, tried), now, again=again)
+            return self._balancer.least_loaded(_without(rows, tried), now)
         if again:
             order = self._balancer.orders.of(admitted.scope, rows, admitted.req)
             ranked = _without(order, tried)
             return self._balancer.place_anyway(ranked, admitted.req, now)
         return profile if _without(rows, tried) else None
 
-    def _place_plain(
-        self,
-        admitted: Admitted,
-        rows: Sequence[Registration],
-        now: Millis,
-        *,
-        again: bool,
-    ) -> Placement | None:
-        placement = self._balancer.least_loaded(rows, now)
-        account = admitted.account
-        if account is None or again:
-            return placement
-        self._plain.asked(admitted.pool, account, now)
-        if placement is None:
-            return None
-        row = placement.upstream
-        load = self._balancer.loads.total(row.incarnation, now)
-        if not self._plain.may_send(row, account, load, now):
-            return None
-        self._plain.served(admitted.pool, account, now)
-        return placement
-
     async def _wait_for_room(
         self, admitted: Admitted, profile: EngineProfile, tried: set[Incarnation]
     ) -> Placement | None:
