Variants without the mechanisms of pauses and of leaving by answers

New test: what waits for a connection of up to 450 ms goes elsewhere. The placer asks for the upstreams of a scope in one place, as the variant of regions wants the text once. No behaviour changes.

--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -161,7 +161,8 @@
     def pause(self, row: Registration, length: Millis) -> None:
         """Send nothing to an upstream for a while, as it asks."""
         spread = self._rng.randint(0, length // PAUSE_SPREAD)
-        self._pauses.asked(row.incarnation, self._clock.now() + length + spread)
+        until = self._clock.now() + length + spread
+        self._pauses.asked(row.incarnation, until)
         self._sound.clear()
 
     def answered(self, row: Registration) -> None:
@@ -178,8 +179,7 @@
         now = self._clock.now()
         if not self._pauses.any_paused(now):
             return 0
-        rows = self._feed.view.pool(scope.pool, scope.regions)
-        ends = (self._pauses.until(row.incarnation) for row in rows)
+        ends = (self._pauses.until(row.incarnation) for row in self._upstreams(scope))
         return max(min(ends, default=0) - now, 0)
 
     def paused(self) -> int:
@@ -275,10 +275,13 @@
         row = self._feed.configuration.pools.get(pool)
         return row.cold_rate if row is not None else 0.0
 
+    def _upstreams(self, scope: Scope) -> Sequence[Registration]:
+        return self._feed.view.pool(scope.pool, scope.regions)
+
     def _candidates(self, scope: Scope) -> Sequence[Registration]:
         """Return the upstreams of a scope that may be used."""
         now = self._clock.now()
-        rows = self._feed.view.pool(scope.pool, scope.regions)
+        rows = self._upstreams(scope)
         if self._health.all_usable(now) and not self._pauses.any_paused(now):
             return rows
         known = self._sound.get(scope)
--- a/tests/routing/test_words_of_upstreams.py
+++ b/tests/routing/test_words_of_upstreams.py
@@ -104,6 +104,20 @@
     assert turned_away <= 2 * 2 * 2
 
 
+def test_what_waits_for_a_connection_goes_elsewhere_once_its_engine_rests() -> None:
+    made = modelled(3, spells=(Spell(1.0, 2.0, 3.0),))
+
+    async def call_now_and_then(fleet: GatewayFleet) -> None:
+        await fleet.keep_calling(every=0.05, span=SPAN)
+
+    fleet = play(
+        lambda: GatewayFleet(made, entries=1, connect_s=0.45), call_now_and_then
+    )
+    assert made[0].words
+    assert made[0].broken_words() == []
+    assert all(isinstance(one, Answered) for one in fleet.outcomes)
+
+
 def test_where_all_rest_callers_are_refused_at_once_and_told_when_to_return() -> None:
     spell = Spell(0.0, 100.0, 2.0)
     made = modelled(2, spells=(spell,))
@@ -151,7 +165,11 @@
 
 def test_the_end_of_a_rest_is_no_step_of_load() -> None:
     made = modelled(2, spells=(Spell(1.0, 2.0, 2.0),))
-    fleet = play(lambda: GatewayFleet(made, entries=1), call_on)
+
+    async def call_often(fleet: GatewayFleet) -> None:
+        await fleet.keep_calling(every=0.005, span=SPAN)
+
+    fleet = play(lambda: GatewayFleet(made, entries=1, engines=False), call_often)
     word = made[0].words[-1]
     after = [one.at for one in made[0].arrivals if one.at >= word.until]
     # One request, and no other before the first is answered.
--- a/tests/test_variants.py
+++ b/tests/test_variants.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tools.ablation import ABLATIONS
-from tools.broken_variants import VARIANTS
+from tools.mechanisms import VARIANTS
 from tools.variants import ROOT, SOURCES, Replacement, replace_in
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/tools/mechanisms.py
@@ -0,0 +1,436 @@
+"""Mechanisms of the product, and the test of each that fails without it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """One mechanism taken away.
+
+    Args:
+        name: Its name.
+        file: Source file below `src/leadseam`.
+        old: Text that stands there once.
+        new: What it becomes.
+        test: Test that must fail.
+    """
+
+    name: str
+    file: str
+    old: str
+    new: str
+    test: str
+
+
+AT_MOST_ONCE = "tests/failures/test_at_most_once.py"
+CONFIGURATION = "tests/failures/test_configuration.py"
+LEAVING = "tests/failures/test_leaving.py"
+WHOLE = "tests/failures/test_whole_answers.py"
+SOAK = "tests/soak/test_short.py"
+REPLACED = "tests/control/test_replaced_box.py"
+RESTARTED = "tests/membership/test_incarnations.py"
+SHARES = "tests/emulate/test_shares.py"
+DEADLY = "tests/platform/test_deadly_request.py"
+EVACUATIONS = "tests/control/test_evacuations.py"
+EVACUATION = "tests/platform/test_evacuation.py"
+COLD = "tests/routing/test_cold.py"
+WORDS = "tests/routing/test_words_of_upstreams.py"
+
+VARIANTS = (
+    Variant(
+        "lost links are retried",
+        "entry/retry.py",
+        "    if req.repeatable:\n        return Retry(reason.value",
+        "    if True:\n        return Retry(reason.value",
+        f"{AT_MOST_ONCE}::test_links_cut_again_and_again",
+    ),
+    Variant(
+        "a lost link counts as not run",
+        "entry/sidecars.py",
+        "item.events.put_nowait(LinkLost() if started else NeverStarted())",
+        "item.events.put_nowait(NeverStarted())",
+        f"{AT_MOST_ONCE}::test_signs_of_a_started_call_are_held_back",
+    ),
+    Variant(
+        "an answer nobody reads keeps its window",
+        "sidecar/agent.py",
+        "            running.window.open()\n",
+        "            pass\n",
+        f"{AT_MOST_ONCE}::test_large_answer_to_a_dead_entry_frees_its_slot",
+    ),
+    Variant(
+        "a question leaves no tombstone",
+        "sidecar/attempts.py",
+        "        self.refuse(key)\n",
+        "        self._states.setdefault(key, AttemptState.NEVER)\n"
+        "        if self._states[key] is AttemptState.NEVER:\n"
+        "            del self._states[key]\n"
+        "            return False\n",
+        "tests/test_attempts.py::test_a_question_forbids_a_late_dispatch",
+    ),
+    Variant(
+        "a held claim is granted again",
+        "control/claims.py",
+        "        return ClaimResult(Verdict.HELD)\n\n    def _complete",
+        "        return ClaimResult(Verdict.GRANTED)\n\n    def _complete",
+        f"{AT_MOST_ONCE}::test_two_resends_at_once_run_once",
+    ),
+    Variant(
+        "runs unclaimed without a quorum",
+        "entry/http.py",
+        "            case Verdict.GRANTED:",
+        "            case Verdict.GRANTED | Verdict.UNAVAILABLE:",
+        f"{AT_MOST_ONCE}::test_no_quorum_means_not_run",
+    ),
+    Variant(
+        "leaving does not end grants",
+        "sidecar/agent.py",
+        "not (self.leaving or draining)",
+        "True",
+        f"{LEAVING}::test_no_new_work_and_nothing_cut",
+    ),
+    Variant(
+        "a stopping sidecar does not wait",
+        "sidecar/program.py",
+        "        await self.agent.wait_idle()\n",
+        "",
+        f"{LEAVING}::test_planned_stop_of_every_entry_and_sidecar_in_turn",
+    ),
+    Variant(
+        "a broken answer ends like a whole one",
+        "entry/relay.py",
+        "                    return await self._break_off(response, event)",
+        "                    await response.write_eof()\n"
+        "                    return Answered(response.status)",
+        f"{WHOLE}::test_upstream_cut_in_mid_stream_is_an_explicit_error",
+    ),
+    Variant(
+        "hanging work is not ended",
+        "sidecar/agent.py",
+        "            self._abort_hanging()\n",
+        "            pass\n",
+        f"{WHOLE}::test_hanging_upstream_is_taken_out_and_its_work_moves",
+    ),
+    Variant(
+        "a caller that goes away is not noticed",
+        "sidecar/agent.py",
+        "        elif running.task is not None:\n            running.task.cancel()",
+        "        elif False:\n            pass",
+        f"{WHOLE}::test_caller_that_goes_away_frees_its_slot",
+    ),
+    Variant(
+        "a stale replica feeds its nodes",
+        "control/replica.py",
+        "return not self.failure and self._raft.is_current(self._clock.now())",
+        "return not self.failure",
+        f"{CONFIGURATION}::test_node_without_control_is_not_ready",
+    ),
+    Variant(
+        "equal versions both win",
+        "control/state.py",
+        "        if change.expect_version != version:",
+        "        if change.expect_version < version - 1:",
+        f"{CONFIGURATION}::test_operators_race_with_equal_versions",
+    ),
+    Variant(
+        "a resend is a new change",
+        "control/state.py",
+        "        if known is not None:\n            return known\n",
+        "",
+        f"{CONFIGURATION}::test_resend_gets_the_first_answer",
+    ),
+    Variant(
+        "acknowledged before it is synced",
+        "control/storage.py",
+        "        while view:\n            view = view[os.write(self._fd, view) :]\n",
+        "        return\n",
+        f"{CONFIGURATION}::test_all_replicas_killed_at_once",
+    ),
+    Variant(
+        "votes without a look at the log",
+        "control/raft.py",
+        "return (last_term, last_index) >= mine",
+        "return True",
+        "tests/test_raft.py::test_a_shorter_log_gets_no_vote",
+    ),
+    Variant(
+        "checksums are not compared",
+        "control/storage.py",
+        "return payload if zlib.crc32(payload) == checksum else None",
+        "return payload",
+        "tests/test_storage.py",
+    ),
+    Variant(
+        "idle accounts keep their credit",
+        "fairness/picker.py",
+        "        self._ledger.raise_to(account, self._level)\n",
+        "        return\n",
+        "tests/test_fairness.py",
+    ),
+    Variant(
+        "sidecars do not hear of each other",
+        "fairness/ledger.py",
+        "            if row.served >= known[0]:",
+        "            if False:",
+        "tests/test_fairness.py",
+    ),
+    Variant(
+        "routed requests that must not repeat run again",
+        "routing/exchange.py",
+        "        return route.repeatable and runs < route.max_attempts",
+        "        return True",
+        SOAK,
+    ),
+    Variant(
+        "a routed request that ran is told as not run",
+        "routing/exchange.py",
+        "            case Broken(reason=reason):\n"
+        "                return self._give_up(reason)\n",
+        "            case Broken(reason=reason):\n"
+        "                return self._refuse(Reason.UPSTREAM_FULL)\n",
+        SOAK,
+    ),
+    Variant(
+        "a stream starts again instead of going on",
+        "routing/exchange.py",
+        "resume_after=self._reply.last_event",
+        "resume_after=None",
+        SOAK,
+    ),
+    Variant(
+        "a voter that is gone stays",
+        "control/membership.py",
+        "    if gone_voters and len(voters) > bounds.floor:\n",
+        "    if False:\n",
+        f"{REPLACED}::test_a_box_that_goes_after_its_successor_has_come_costs_no_later_loss",
+    ),
+    Variant(
+        "a stop is not told",
+        "control/raft.py",
+        "        self._stops = True\n",
+        "        self._stops = False\n",
+        f"{REPLACED}::test_a_box_that_says_that_it_stops_is_replaced_without_being_found_silent",
+    ),
+    Variant(
+        "silences die with their leader",
+        "control/liveness.py",
+        "        before = self._told.get(name, self._elected_at)\n",
+        "        before = self._elected_at\n",
+        f"{REPLACED}::test_the_next_leader_goes_on_counting_a_silence",
+    ),
+    Variant(
+        "replicas that are gone are not forgotten",
+        "feed/directory.py",
+        "        kept = [endpoint for endpoint in self._order if endpoint in wanted]\n",
+        "        kept = list(self._order)\n",
+        "tests/feed/test_directory.py"
+        "::test_a_box_that_nobody_names_any_more_is_not_tried_again",
+    ),
+    Variant(
+        "service never fades",
+        "routing/usage.py",
+        "        return self.value * exp(-max(now - self.at, 0) / MEMORY)\n",
+        "        return self.value\n",
+        "tests/routing/test_usage.py::test_service_fades_steadily",
+    ),
+    Variant(
+        "the stated capacity is believed",
+        "routing/usage.py",
+        "    return served if asked > SCARCE * served else capacity\n",
+        "    return capacity\n",
+        f"{SHARES}::test_floods_get_alike_where_engines_give_less_than_is_stated",
+    ),
+    Variant(
+        "an id stands for one start",
+        "membership/registry.py",
+        "    if registration.incarnation != known.incarnation:\n",
+        "    if not registration.instance:\n",
+        f"{RESTARTED}::test_a_later_start_counts_whatever_its_sequence",
+    ),
+    Variant(
+        "leaving is final for an id",
+        "membership/departures.py",
+        "        return start is not None and incarnation.start <= start\n",
+        "        return start is not None\n",
+        f"{RESTARTED}::test_one_that_left_comes_back_with_a_later_start",
+    ),
+    Variant(
+        "pools that nobody named are taken",
+        "feed/server.py",
+        "        return self._is_named(registration) or",
+        "        return True or",
+        "tests/control/test_departed.py"
+        "::test_upstreams_of_a_pool_that_nobody_named_are_handed_on_once_it_is",
+    ),
+    Variant(
+        "attempts at earlier starts go on",
+        "routing/restarts.py",
+        "            on_restart()\n",
+        "            pass\n",
+        "tests/platform/test_restarted_server.py"
+        "::test_what_runs_at_an_earlier_start_is_not_waited_for",
+    ),
+    Variant(
+        "nobody is told of upstreams that have ended",
+        "feed/crash_server.py",
+        "        self._tell_all(Crashes(told))\n",
+        "        pass\n",
+        f"{DEADLY}::test_it_is_refused_everywhere_once_three_have_ended",
+    ),
+    Variant(
+        "verdicts are not written",
+        "feed/crash_server.py",
+        "            await self._write(self._unwritten())\n",
+        "            pass\n",
+        f"{DEADLY}::test_it_stays_known_when_all_boxes_have_lost_power",
+    ),
+    Variant(
+        "a break alone speaks against a request",
+        "crashes/suspects.py",
+        "                case Presence.GONE:\n",
+        "                case Presence.GONE | Presence.SERVES:\n",
+        "tests/crashes/test_suspects.py"
+        "::test_an_upstream_that_is_not_heard_any_more_has_ended",
+    ),
+    Variant(
+        "each end weighs the same",
+        "crashes/evidence.py",
+        "LATE_WEIGHT = 4\n",
+        "LATE_WEIGHT = EARLY_WEIGHT\n",
+        f"{DEADLY}::test_one_that_is_hit_by_the_ends_of_others_is_served",
+    ),
+    Variant(
+        "nobody is acquitted",
+        "crashes/suspects.py",
+        "        return self.book.void(suspect.fingerprint, now)\n",
+        "        return None\n",
+        "tests/crashes/test_fleet.py",
+    ),
+    Variant(
+        "the clock leaves out suspended time",
+        "steady.py",
+        "    return running_ns() if _BOOTTIME is None else",
+        "    return running_ns() if True else",
+        "tests/platform/test_suspended_box.py",
+    ),
+    Variant(
+        "timers are not looked at after a suspension",
+        "routing/gateway.py",
+        "            exchange.look_at_deadline()\n",
+        "            pass\n",
+        "tests/platform/test_suspended_box.py"
+        "::test_what_is_past_its_deadline_ends_before_what_has_time_left",
+    ),
+    Variant(
+        "late copies of orders are carried out",
+        "control/order_guard.py",
+        "        return seen is not None and now - seen <= self._resend_limit",
+        "        return False",
+        f"{EVACUATIONS}::TestOrders",
+    ),
+    Variant(
+        "an order counts whatever came before it",
+        "control/evacuations.py",
+        "        if row.switches != expected or self.is_full_for(domain):",
+        "        if self.is_full_for(domain):",
+        f"{EVACUATIONS}::test_an_order_that_was_delayed_in_the_group_changes_nothing",
+    ),
+    Variant(
+        "orders of callers that are gone are carried out",
+        "platform/control_api.py",
+        "        if http.transport is None or http.transport.is_closing():",
+        "        if False:",
+        f"{EVACUATION}::test_an_order_whose_caller_has_hung_up_is_not_carried_out",
+    ),
+    Variant(
+        "evacuated domains get requests",
+        "membership/view.py",
+        "return [row for row in rows if row.failure_domain not in self.evacuated]",
+        "return rows",
+        f"{EVACUATION}"
+        "::test_an_evacuated_domain_gets_nothing_also_after_all_boxes_restart",
+    ),
+    Variant(
+        "evacuations are not in snapshots",
+        "control/state.py",
+        "            evacuations=self.evacuations.rows(),\n",
+        "",
+        f"{EVACUATIONS}"
+        "::test_evacuations_are_kept_in_a_snapshot_and_older_ones_are_read",
+    ),
+    Variant(
+        "each entry uses all that a cold upstream bears",
+        "routing/cold.py",
+        "            return max(int(rate / entries), 1)",
+        "            return int(rate)",
+        f"{COLD}::test_no_second_holds_more_than_a_cold_upstream_bears",
+    ),
+    Variant(
+        "entries do not hear that an upstream turns cold",
+        "membership/registry.py",
+        "        changed = changed or _cold_moved(row, registration, now)\n",
+        "",
+        "tests/platform/test_evacuation.py"
+        "::test_a_server_that_turns_cold_gets_its_part_of_the_rate",
+    ),
+    Variant(
+        "bounds by region are ignored",
+        "routing/placer.py",
+        "self._feed.view.pool(scope.pool, scope.regions)",
+        "self._feed.view.pool(scope.pool)",
+        f"{EVACUATION}::test_bodies_stay_within_the_regions_of_route_and_account",
+    ),
+    Variant(
+        "a body is not read before it is refused",
+        "platform/first_bytes.py",
+        "        if self._body_left <= 0 and self._transport is not None:",
+        "        if self._transport is not None:",
+        "tests/platform/test_first_bytes.py"
+        "::test_a_refusal_is_whole_true_and_ends_the_connection",
+    ),
+    Variant(
+        "a pause is not kept",
+        "routing/placer.py",
+        "        self._pauses.asked(row.incarnation, until)",
+        "        pass",
+        f"{WORDS}::test_callers_do_not_notice_that_two_of_five_engines_rest",
+    ),
+    Variant(
+        "nothing is asked before a request is written",
+        "routing/placer.py",
+        "        return not self._pauses.is_paused(row.incarnation, self._clock.now())",
+        "        return True",
+        f"{WORDS}"
+        "::test_what_waits_for_a_connection_goes_elsewhere_once_its_engine_rests",
+    ),
+    Variant(
+        "a connection is used without asking",
+        "routing/client.py",
+        "        if not _may_send.get()():",
+        "        if False:",
+        "tests/routing/test_withheld.py",
+    ),
+    Variant(
+        "what waits is not refused once all rest",
+        "routing/admission.py",
+        " or not self.candidates(waiter.scope):",
+        ":",
+        f"{WORDS}::test_what_waits_for_an_engine_is_refused_once_all_rest",
+    ),
+    Variant(
+        "the end of a pause is a step of load",
+        "routing/pauses.py",
+        "        return row.credit > 0 or now - row.sent_at >= NEXT_TRIAL",
+        "        return True",
+        f"{WORDS}::test_the_end_of_a_rest_is_no_step_of_load",
+    ),
+    Variant(
+        "the word of leaving in answers is not read",
+        "platform/headers.py",
+        "            leaving=names.LEAVING_SET in headers.getall(names.LEAVING, []),",
+        "",
+        f"{WORDS}::test_one_that_leaves_gets_nothing_new_and_callers_do_not_notice",
+    ),
+)
