--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -433,4 +433,18 @@
         "",
         f"{WORDS}::test_one_that_leaves_gets_nothing_new_and_callers_do_not_notice",
     ),
+    Variant(
+        "a full plain pool lets nobody wait",
+        "routing/placer.py",
+        "        return placement if taken < PLACES * row.slots else None",
+        "        return placement",
+        "tests/emulate/test_plain_entries.py",
+    ),
+    Variant(
+        "who got least of a plain pool does not go first",
+        "routing/plain.py",
+        "        return self._level(waiter, now), waiter.arrived",
+        "        return 0.0, waiter.arrived",
+        "tests/routing/test_plain.py",
+    ),
 )
