The placer waits for engines and for plain upstreams in one place

The two waits did the same with timers and callers that leave. With it: what waits for a plain pool is refused at once when no upstream of it is left or all pause, as for engines, and is looked at after a suspension.

--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from leadseam.clock import MILLIS_PER_SECOND, seconds
 from leadseam.control.routes import EngineProfile
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from leadseam.clock import Clock, Millis
     from leadseam.feed.client import FeedClient
@@ -33,6 +33,8 @@
     from leadseam.routing.usage import Standing
     from leadseam.wire.feed import LoadReport, LoadSums, Registration
 
+_W = TypeVar("_W", Waiter, PlainWaiter)
+
 PUMP_INTERVAL: Millis = 5
 """Least pause between two looks at all that waits: small against objectives of 250 ms,
 and at an overloaded entry it bounds the processor time of looking."""
@@ -102,7 +104,11 @@
             standing=self._usage.standing,
             level=self._usage.level,
         )
-        self._plain = PlainQueue(self._pick_plain, self._balancer.begin)
+        self._plain = PlainQueue(
+            candidates=self._candidates,
+            pick=self._pick_plain,
+            begin=self._balancer.begin,
+        )
         self._pumping = False
         self._sound: dict[Scope, _Sound] = {}
 
@@ -202,7 +208,9 @@
 
     def look(self) -> None:
         """Look at all that waits now, whatever its timers say."""
-        self._admission.pump(self._clock.now())
+        now = self._clock.now()
+        self._admission.pump(now)
+        self._plain.pump(now)
 
     def load_report(self) -> LoadReport:
         """Return this entry's counts for the other entries."""
@@ -255,33 +263,22 @@
     ) -> Placement | None:
         woken = asyncio.Event()
         now = self._clock.now()
-        longest = round(admitted.route.latency_objective * WAIT_PART)
         waiter = PlainWaiter(
             account=admitted.account or "",
             scope=admitted.scope,
             tried=tried,
             arrived=now,
-            refuse_at=now + longest,
+            refuse_at=now + round(admitted.route.latency_objective * WAIT_PART),
             wake=woken.set,
         )
         self._plain.enter(waiter, now)
-        if not waiter.done:
-            self._pump_soon()
-            asyncio.get_running_loop().call_later(seconds(longest), self._pump)
-        try:
-            await woken.wait()
-        except asyncio.CancelledError:
-            self._plain.withdraw(waiter)
-            if waiter.placement is not None:
-                placement = waiter.placement
-                self._balancer.loads.end(placement.upstream.incarnation, placement.load)
-            raise
-        return waiter.placement
+        return await self._until_done(self._plain.withdraw, waiter, woken)
 
     async def _wait_for_room(
         self, admitted: Admitted, profile: EngineProfile, tried: set[Incarnation]
     ) -> Placement | None:
         woken = asyncio.Event()
+        now = self._clock.now()
         waiter = Waiter(
             req=admitted.req,
             account=admitted.account or "",
@@ -289,11 +286,17 @@
             profile=profile,
             objective=admitted.route.latency_objective,
             # Not when it was read: it may have waited for a first configuration.
-            arrived=self._clock.now(),
+            arrived=now,
             tried=tried,
             wake=woken.set,
         )
-        self._admission.enter(waiter, self._clock.now())
+        self._admission.enter(waiter, now)
+        return await self._until_done(self._admission.withdraw, waiter, woken)
+
+    async def _until_done(
+        self, withdraw: Callable[[_W], None], waiter: _W, woken: asyncio.Event
+    ) -> Placement | None:
+        """Wait until a request is placed or refused, or its caller is gone."""
         if not waiter.done:
             self._pump_soon()
             delay = seconds(max(waiter.refuse_at - self._clock.now(), 0))
@@ -301,17 +304,13 @@
         try:
             await woken.wait()
         except asyncio.CancelledError:
-            self._withdraw(waiter)
+            withdraw(waiter)
+            placement = waiter.placement
+            if placement is not None:
+                self._balancer.loads.end(placement.upstream.incarnation, placement.load)
             raise
         return waiter.placement
 
-    def _withdraw(self, waiter: Waiter) -> None:
-        """Take back a request whose caller is gone, placed or not."""
-        self._admission.withdraw(waiter)
-        placement = waiter.placement
-        if placement is not None:
-            self._balancer.loads.end(placement.upstream.incarnation, placement.load)
-
     def _note_begin(self, row: Registration) -> None:
         now = self._clock.now()
         self._pauses.sent(row.incarnation, now)
@@ -361,8 +360,7 @@
 
     def _pump(self) -> None:
         self._pumping = False
-        self._admission.pump(self._clock.now())
-        self._plain.pump(self._clock.now())
+        self.look()
 
 
 def _without(
--- a/src/leadseam/routing/plain.py
+++ b/src/leadseam/routing/plain.py
@@ -16,11 +16,12 @@
 from leadseam.clock import Millis
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from leadseam.incarnation import Incarnation
     from leadseam.routing.placement import Placement
     from leadseam.routing.scope import Scope
+    from leadseam.wire.feed import Registration
 
 PLACES = 3.0
 """Requests under way at an upstream for each of its slots, up to which it has room. The
@@ -73,10 +74,12 @@
     """The requests for plain pools that wait at one entry.
 
     Args:
+        candidates: Returns the upstreams of a scope that may be used.
         pick: Returns an upstream of a scope with room that was not tried, or None.
         begin: Counts a request at its upstream.
     """
 
+    candidates: Callable[[Scope], Sequence[Registration]]
     pick: Callable[[Scope, set[Incarnation], Millis], Placement | None]
     begin: Callable[[Placement], None]
     _waiting: list[PlainWaiter] = field(default_factory=list)
@@ -103,7 +106,10 @@
         for waiter in sorted(self._waiting, key=lambda one: self._order(one, now)):
             if waiter.scope not in full and not self._try(waiter, now):
                 full.add(waiter.scope)
-            if not waiter.done and now >= waiter.refuse_at:
+            if waiter.done:
+                continue
+            if now >= waiter.refuse_at or not self.candidates(waiter.scope):
+                # Without a candidate nothing can become free in time.
                 self._finish(waiter, None)
 
     def _is_next(self, waiter: PlainWaiter, now: Millis) -> bool:
--- a/tests/routing/test_plain.py
+++ b/tests/routing/test_plain.py
@@ -18,7 +18,10 @@
     def __init__(self, room: int = 0) -> None:
         self.room = room
         self.order: list[str] = []
-        self.queue = PlainQueue(self._pick, self._begin)
+        self.upstreams = [PLACEMENT.upstream]
+        self.queue = PlainQueue(
+            candidates=lambda _: self.upstreams, pick=self._pick, begin=self._begin
+        )
 
     def _pick(self, scope: Scope, *_: object) -> Placement | None:
         return PLACEMENT if self.room and scope == SCOPE else None
@@ -101,6 +104,15 @@
     assert len(pool.queue) == 0
 
 
+def test_it_is_refused_at_once_when_no_upstream_is_left() -> None:
+    pool = Pool()
+    waiter = pool.come("a", 0)
+    pool.upstreams = []
+    pool.queue.pump(5)
+    assert waiter.done
+    assert waiter.placement is None
+
+
 def test_a_full_pool_keeps_nobody_else_waiting() -> None:
     pool = Pool(room=1)
     other = pool.come("a", 0, scope=Scope("other"))
