--- a/src/leadseam/control/routes.py
+++ b/src/leadseam/control/routes.py
@@ -10,6 +10,10 @@
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
+BITS_PER_BYTE = 8
+BITS_PER_MS = 1_000
+"""Bits that a link of 1 Mbit/s transfers in a millisecond."""
+
 
 class Repeat(StrEnum):
     """Whether a request may run more than once (`SAFE`) or not (`ONCE`)."""
@@ -105,11 +109,27 @@
         slots: Maximum number of requests in one engine's batch.
         memory_tokens: Number of tokens that fit into an engine's KV cache.
         tokens_per_event: Number of tokens in one event of a stream.
+        fetches: Whether an engine can fetch cached prompt parts from another one.
+        token_bytes: Bytes of one cached token; 0 if not stated.
+        link_mbps: Bandwidth of an engine's link for cached tokens, in Mbit/s; 0 if not
+            stated.
+        event_calls: Maximum concurrent calls for cache events that an engine accepts.
     """
 
     slots: int
     memory_tokens: int
     tokens_per_event: int = 1
+    fetches: bool = False
+    token_bytes: int = 0
+    link_mbps: float = 0.0
+    event_calls: int = 0
+
+    @property
+    def fetch_ms_per_token(self) -> float:
+        """Milliseconds to fetch one cached token; 0 if engines cannot fetch."""
+        if not self.fetches or self.token_bytes <= 0 or self.link_mbps <= 0:
+            return 0.0
+        return self.token_bytes * BITS_PER_BYTE / (self.link_mbps * BITS_PER_MS)
 
 
 def route_faults(routes: Iterable[Route], pools: Collection[str]) -> list[str]:
--- a/src/leadseam/platform/manifest.py
+++ b/src/leadseam/platform/manifest.py
@@ -53,6 +53,10 @@
     kv_capacity: int
     stride: float = 1
     models: tuple[_Model, ...] = ()
+    moves: bool = False
+    kv_token_bytes: float = 0
+    link_mbps: float = 0
+    most: int = 0
 
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
@@ -161,6 +165,10 @@
             slots=engine.slots,
             memory_tokens=engine.kv_capacity,
             tokens_per_event=max(round(engine.stride), 1),
+            fetches=engine.moves,
+            token_bytes=round(engine.kv_token_bytes),
+            link_mbps=engine.link_mbps,
+            event_calls=engine.most,
         ),
         cold_rate=max(source.cold_per_s, 0),
     )
--- a/src/leadseam/platform/settings.py
+++ b/src/leadseam/platform/settings.py
@@ -46,6 +46,8 @@
         resend_limit: Milliseconds during which operators may send an order again.
         grace: Milliseconds from the request to stop until the process is killed.
         retry_limits: Fleet-wide limits on retries.
+        processor_share: Share of a core that the process may use; 0 if not stated.
+        memory_mb: Memory that the process may use, in MB; 0 if not stated.
     """
 
     node: str
@@ -65,6 +67,8 @@
     resend_limit: Millis
     grace: Millis
     retry_limits: RetryLimits
+    processor_share: float = 0.0
+    memory_mb: int = 0
 
     @classmethod
     def parse(cls, text: str, name: str) -> NodeSettings:
@@ -98,6 +102,8 @@
             resend_limit=fields.integer("bounds.ackMs", RESEND_LIMIT),
             grace=fields.integer("bounds.graceS", 8) * MILLIS_PER_SECOND,
             retry_limits=fields.retry_limits(),
+            processor_share=fields.number("limits.cpuShare", 0.0),
+            memory_mb=fields.integer("limits.memoryMb", 0),
         )
 
     def internal_endpoint(self, ip: str) -> Endpoint:
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -166,11 +166,40 @@
         account: The client account.
         served: Service of requests that were sent to upstreams.
         requested: Service of requests that arrived.
+        refused_busy: The part of `requested` that entries refused because they were
+            busy themselves.
     """
 
     account: str
     served: int
     requested: int
+    refused_busy: int = 0
+
+
+class EntryRoom(Record, frozen=True, array_like=True):
+    """Whether an entry can take more requests.
+
+    Args:
+        failure_domain: Failure domain of its box.
+        has_room: Whether it can take more requests than it gets.
+    """
+
+    failure_domain: str
+    has_room: bool
+
+
+class DomainRoom(Record, frozen=True, array_like=True):
+    """How many entries of a failure domain can take more requests.
+
+    Args:
+        failure_domain: The failure domain.
+        entries: Entries that reported recently.
+        with_room: Those that can take more requests.
+    """
+
+    failure_domain: str
+    entries: int
+    with_room: int
 
 
 class LoadReport(Message, frozen=True, array_like=True, tag=39):
@@ -180,11 +209,13 @@
         sequence: Number of the report.
         rows: Upstreams with requests in flight.
         usage: Client accounts with recent requests.
+        room: Whether the entry can take more requests, or None if it cannot tell.
     """
 
     sequence: int
     rows: tuple[LoadRow, ...]
     usage: tuple[UsageRow, ...]
+    room: EntryRoom | None = None
 
 
 class LoadSums(Record, frozen=True, array_like=True):
@@ -193,10 +224,12 @@
     Args:
         rows: Upstreams with requests in flight.
         usage: Client accounts with recent requests.
+        rooms: Failure domains with entries that report their room.
     """
 
     rows: tuple[LoadRow, ...]
     usage: tuple[UsageRow, ...]
+    rooms: tuple[DomainRoom, ...] = ()
 
 
 class LoadTotals(Message, frozen=True, array_like=True, tag=44):
@@ -209,3 +242,55 @@
 
     included: int
     data: bytes
+
+
+class DomainSums(Message, frozen=True, array_like=True, tag=49):
+    """Sums of the entries that report to one replica, sent to other replicas.
+
+    Args:
+        replica: Name of the sending replica.
+        sequence: Grows with each message of one run of that replica.
+        data: The sums as CBOR of `LoadSums`.
+    """
+
+    replica: str
+    sequence: int
+    data: bytes
+
+
+class PartInterest(Message, frozen=True, array_like=True, tag=47):
+    """Shared prompt parts whose holders an entry wants to know.
+
+    Args:
+        parts: Digests of the parts; see `routing.part_holders.part_digest`.
+    """
+
+    parts: tuple[int, ...]
+
+
+class EngineCache(Record, frozen=True, array_like=True):
+    """Prompt parts in one engine's memory, or changes of them.
+
+    Args:
+        engine: Digest of the engine's incarnation.
+        whole: Whether `held` replaces everything told of this engine before.
+        held: Digests of parts and the number of tokens kept of each.
+        gone: Digests of parts that are no longer held.
+    """
+
+    engine: int
+    whole: bool
+    held: tuple[tuple[int, int], ...] = ()
+    gone: tuple[int, ...] = ()
+
+
+class CacheChanges(Message, frozen=True, array_like=True, tag=48):
+    """Prompt parts held by engines that the sending replica watches.
+
+    Args:
+        rows: One row for each engine with changes.
+        unwatched: Digests of engines that the replica no longer watches.
+    """
+
+    rows: tuple[EngineCache, ...]
+    unwatched: tuple[int, ...] = ()
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -38,14 +38,17 @@
     SlotStatus,
 )
 from leadseam.wire.feed import (
+    CacheChanges,
     Current,
     Delta,
+    DomainSums,
     Evacuated,
     Expired,
     InForce,
     Left,
     LoadReport,
     LoadTotals,
+    PartInterest,
     Registered,
     Replicas,
     Snapshot,
@@ -97,6 +100,9 @@
     | Replicas
     | LoadReport
     | LoadTotals
+    | DomainSums
+    | PartInterest
+    | CacheChanges
     | Crashes
     | Claim
     | ClaimDone
