Watch engines' cache events and send changes to entries

Cause: the index needs events, and entries its contents. Change: a replica polls the engines whose heartbeats it receives while there is interest and the configuration states event calls and fetching; entries send their interest each second, and all of it to a newly followed replica. Nothing is polled in existing configurations.

--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -15,11 +15,13 @@
 from leadseam.feed.directory import ReplicaDirectory
 from leadseam.feed.entry_count import EntryCount
 from leadseam.membership.view import UpstreamView
+from leadseam.routing.part_holders import PartHolders
 from leadseam.wire.backoff import Backoff
 from leadseam.wire.claim import ClaimReply
 from leadseam.wire.codec import decode
 from leadseam.wire.crashes import Crashes
 from leadseam.wire.feed import (
+    CacheChanges,
     Current,
     Delta,
     Evacuated,
@@ -75,7 +77,7 @@
         on_restarts: Called with incarnations of upstreams that have ended, as a later
             start of the same upstream is known.
         on_crashes: Called with reports of requests that crash upstreams.
-        greeting: Returns the message to send to a newly followed replica, or None.
+        greeting: Returns the messages to send to a newly followed replica.
 
     Attributes:
         configuration: The configuration in force.
@@ -83,6 +85,7 @@
         subscribers: Number of subscribers in the last confirmation.
         entries: Number of entries that replicas have counted recently.
         view: Registered upstreams and evacuated failure domains.
+        holders: Prompt parts that engines hold, as replicas tell.
         claims: Client of claims on the same links.
     """
 
@@ -101,13 +104,14 @@
         on_sums: Callable[[int, LoadSums], None] = lambda _number, _sums: None,
         on_restarts: Callable[[Iterable[Incarnation]], None] = lambda _: None,
         on_crashes: Callable[[Crashes], None] = lambda _: None,
-        greeting: Callable[[], AnyMessage | None] = lambda: None,
+        greeting: Callable[[], Iterable[AnyMessage]] = lambda: (),
     ) -> None:
         self.configuration = Configuration()
         self.confirmed = False
         self.subscribers = 0
         self.entries = EntryCount()
         self.view = view or UpstreamView()
+        self.holders = PartHolders()
         self._node = node
         self._incarnation = incarnation
         # Shuffled, so that the nodes of a fleet don't all try the same replica first.
@@ -205,6 +209,7 @@
                 if link in self._links:
                     self._links.remove(link)
                     del self._names[link]
+                    self.holders.drop_replica(str(endpoint))
                     log.info("replica lost", extra={"replica": str(endpoint)})
 
     async def _receive(
@@ -224,8 +229,7 @@
                 self._links.append(link)
                 self._names[link] = replica
                 log.info("replica followed", extra={"replica": replica})
-                greeting = self._greeting()
-                if greeting is not None:
+                for greeting in self._greeting():
                     link.send(greeting)
             backoff.reset()
             self._handle(link, replica, message)
@@ -256,6 +260,8 @@
                 self.claims.take_reply(message)
             case Crashes():
                 self._on_crashes(message)
+            case CacheChanges():
+                self.holders.apply(replica, message)
             case _:
                 self._handle_membership(replica, message)
 
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, SystemClock, seconds, sleep
+from leadseam.feed.cache_watch import CacheWatch, is_watchable
 from leadseam.feed.claim_server import ClaimServer
 from leadseam.feed.configuration_push import (
     PRIMARY_HEAD_START,
@@ -30,6 +31,7 @@
     InForce,
     Left,
     LoadReport,
+    PartInterest,
     Registered,
     Replicas,
     Subscribe,
@@ -37,7 +39,10 @@
 from leadseam.wire.messages import Hello
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from leadseam.control.replica import Replica
+    from leadseam.feed.cache_watch import EventSource
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.feed import Registration
     from leadseam.wire.link import Link
@@ -68,6 +73,8 @@
         registry: Upstreams that register by heartbeat. Defaults to an empty one.
         clock: Source of time. Defaults to the system clock.
         resend_limit: Milliseconds for which operators may resend an order.
+        event_source: Source of engines' cache events. Defaults to none, so that no
+            engine is watched.
 
     Attributes:
         crashes: Server for reports of requests that crash upstreams.
@@ -82,6 +89,7 @@
         registry: Registry | None = None,
         clock: Clock | None = None,
         resend_limit: Millis = RESEND_LIMIT,
+        event_source: EventSource | None = None,
     ) -> None:
         self._replica = replica
         self._metrics = metrics
@@ -101,6 +109,15 @@
         self._registered = asyncio.Event()
         self._push = ConfigurationPush(replica, metrics)
         self._pushing_later = False
+        self._cache_watch: CacheWatch | None = None
+        if event_source is not None:
+            self._cache_watch = CacheWatch(
+                event_source,
+                engines=self._watchable_engines,
+                send=self._send_to,
+                clock=self._clock,
+                metrics=metrics,
+            )
 
     @property
     def subscribers(self) -> list[Subscriber]:
@@ -116,6 +133,8 @@
             group.create_task(self._push_heartbeats())
             group.create_task(self._push_totals())
             group.create_task(self._push_registrations())
+            if self._cache_watch is not None:
+                group.create_task(self._cache_watch.run())
 
     def register(self, registration: Registration) -> None:
         """Record an upstream's heartbeat, and schedule a message if it has changed."""
@@ -224,6 +243,8 @@
         finally:
             del self._subscribers[number]
             self._sums.remove(number)
+            if self._cache_watch is not None:
+                self._cache_watch.remove_subscriber(number)
 
     def _send_initial_state(self, subscriber: Subscriber) -> None:
         """Send a new subscriber the complete state."""
@@ -249,8 +270,24 @@
         for subscriber in self.subscribers:
             subscriber.link.send(prepared)
 
+    def _send_to(self, numbers: Collection[int], message: AnyMessage) -> None:
+        """Send a message, encoded once, to some subscribers."""
+        prepared = encode_message(message)
+        for number in numbers:
+            self._subscribers[number].link.send(prepared)
+
+    def _watchable_engines(self) -> list[Registration]:
+        pools = self._replica.state.configuration.pools
+        names = {name for name, pool in pools.items() if is_watchable(pool)}
+        if not names:
+            return []
+        return [row for row in self._registry.rows() if row.pool in names]
+
     def _handle(self, subscriber: Subscriber, message: AnyMessage) -> None:
         match message:
+            case PartInterest():
+                if self._cache_watch is not None:
+                    self._cache_watch.receive(subscriber.number, message)
             case LoadReport():
                 self._sums.update(subscriber.number, message, self._clock.now())
             case Crashes():
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -21,6 +21,7 @@
 from leadseam.feed.verdict_routes import verdict_routes
 from leadseam.membership.registry import Registry
 from leadseam.platform.control_api import ControlApi
+from leadseam.platform.engine_cache import EngineCacheCalls
 from leadseam.platform.watch import SettingsWatch
 from leadseam.runtime.admin import serve_admin
 from leadseam.runtime.metrics import ControlMetrics, Metrics
@@ -101,6 +102,7 @@
             registry=Registry(settings.heartbeat_interval),
             clock=clock,
             resend_limit=settings.resend_limit,
+            event_source=EngineCacheCalls(),
         )
         self._service = ControlService(
             self.replica,
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -18,13 +18,15 @@
 from leadseam.platform.watch import SettingsWatch
 from leadseam.routing.client import UpstreamClient
 from leadseam.routing.gateway import Gateway
+from leadseam.routing.part_interest import SEND_INTERVAL
 from leadseam.runtime.admin import serve_admin
 from leadseam.runtime.lag import LoopLag
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 from leadseam.runtime.suspension import SuspensionWatch
+from leadseam.wire.feed import PartInterest
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
     from pathlib import Path
 
     from aiohttp.web import AppRunner
@@ -34,6 +36,7 @@
     from leadseam.platform.settings import NodeSettings
     from leadseam.wire.crashes import Crashes
     from leadseam.wire.feed import LoadSums
+    from leadseam.wire.messages import AnyMessage
 
 INCARNATION_BITS = 53
 REPLICAS_FOLLOWED = 9
@@ -81,7 +84,7 @@
             on_sums=self._apply_sums,
             on_restarts=self._end_attempts,
             on_crashes=self._receive_crashes,
-            greeting=self._initial_report,
+            greeting=self._initial_messages,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
         self._lag = LoopLag(self._clock, self._record_lag)
@@ -114,6 +117,7 @@
             lag=self._lag,
             connections=self._open_connections,
             entry=settings.node,
+            holders=self._feed.holders,
         )
         self._front = FrontServer(
             self._gateway.handle, refuse=self._gateway.refuse_early
@@ -133,6 +137,7 @@
             group.create_task(self._watch.run())
             group.create_task(self._sweep())
             group.create_task(self._report_load())
+            group.create_task(self._send_part_interest())
             group.create_task(self._lag.run())
             group.create_task(self._suspension.run())
 
@@ -190,6 +195,18 @@
             self._feed.report(report)
             interval = interval_for(report_size(report))
 
+    async def _send_part_interest(self) -> None:
+        assert self._gateway is not None
+        placer = self._gateway.placer
+        while True:
+            await sleep(SEND_INTERVAL)
+            due = placer.part_interest.due(self._clock.now())
+            if due:
+                self._feed.broadcast(PartInterest(due))
+            self._routing_metrics.part_rows.set({}, len(placer.holders))
+            count = len(placer.part_interest)
+            self._routing_metrics.parts_of_interest.set({}, count)
+
     def _open_connections(self) -> int:
         return len(self._front.connections) if self._front is not None else 0
 
@@ -218,9 +235,14 @@
         assert self._gateway is not None
         self._gateway.crash_guard.receive(message)
 
-    def _initial_report(self) -> Crashes | None:
+    def _initial_messages(self) -> Iterator[AnyMessage]:
+        """Yield the messages to a newly followed replica."""
         assert self._gateway is not None
-        return self._gateway.crash_guard.initial_report()
+        if report := self._gateway.crash_guard.initial_report():
+            yield report
+        interest = self._gateway.placer.part_interest
+        if parts := interest.current(self._clock.now()):
+            yield PartInterest(parts)
 
     def _configure(self, configuration: Configuration) -> None:
         assert self._gateway is not None
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -49,6 +49,7 @@
     from leadseam.routing.attempt import Ending
     from leadseam.routing.client import UpstreamClient
     from leadseam.routing.dialect import AnswerHead, Dialect, RoutedRequest
+    from leadseam.routing.part_holders import PartHolders
     from leadseam.routing.retry_budget import RetryLimits
     from leadseam.runtime.lag import LoopLag
     from leadseam.runtime.metrics import RoutingMetrics
@@ -87,6 +88,7 @@
         lag: Measured lag of the event loop.
         connections: Returns the number of callers' open connections.
         entry: Name of this entry.
+        holders: Prompt parts that engines hold. Defaults to an empty table.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         lag: LoopLag,
         connections: Callable[[], int] = lambda: 0,
         entry: str = "",
+        holders: PartHolders | None = None,
     ) -> None:
         self.dialect = dialect
         self.client = client
@@ -124,7 +127,12 @@
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self.placer = Placer(
-            feed=feed, health=self._health, clock=clock, rng=rng, entry=entry
+            feed=feed,
+            health=self._health,
+            clock=clock,
+            rng=rng,
+            entry=entry,
+            holders=holders,
         )
         self.request_log = RequestLog(
             feed=feed,
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -14,6 +14,8 @@
 from leadseam.routing.balance import Balancer, expected_service
 from leadseam.routing.cold_budget import ColdBudget
 from leadseam.routing.flight import Flight
+from leadseam.routing.part_holders import PartHolders
+from leadseam.routing.part_interest import PartInterestTable
 from leadseam.routing.pauses import PauseTable
 from leadseam.routing.plain_queue import (
     MAX_PER_SLOT,
@@ -80,6 +82,12 @@
         clock: Source of time.
         rng: Source of random numbers, for ties and jitter.
         entry: Name of this entry.
+        holders: Prompt parts that engines hold. Defaults to an empty table.
+
+    Attributes:
+        account_log: Counts of recent requests by client account.
+        holders: Prompt parts that engines hold.
+        part_interest: Shared prompt parts whose holders this entry wants to know.
     """
 
     def __init__(
@@ -90,6 +98,7 @@
         clock: Clock,
         rng: random.Random,
         entry: str = "",
+        holders: PartHolders | None = None,
     ) -> None:
         self._feed = feed
         self._health = health
@@ -105,6 +114,9 @@
         self._balancer = Balancer(rng, allows=self._allows, on_begin=self._note_begin)
         self._usage = UsageTable()
         self.account_log = AccountLog(self._usage, clock)
+        # An empty table is false, so it must not be replaced by `or`.
+        self.holders = PartHolders() if holders is None else holders
+        self.part_interest = PartInterestTable()
         self._admission = Admission(
             balancer=self._balancer,
             candidates=self._candidates,
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -159,6 +159,12 @@
         self.paused_upstreams = metrics.gauge(
             "paused_upstreams", "Upstreams that have asked this entry for a pause."
         )
+        self.part_rows = metrics.gauge(
+            "part_holder_rows", "Known pairs of an engine and a prompt part it holds."
+        )
+        self.parts_of_interest = metrics.gauge(
+            "parts_of_interest", "Shared prompt parts that requests have used recently."
+        )
         self.logs_dropped = metrics.gauge(
             "log_lines_dropped", "Log lines not written to keep the volume bounded."
         )
@@ -234,3 +240,12 @@
         self.unexpected_messages = metrics.counter(
             "unexpected_messages_total", "Messages of a type not expected on a link."
         )
+        self.cache_events = metrics.counter(
+            "cache_events_total", "Cache events read from engines."
+        )
+        self.cache_polls = metrics.buffered_counter(
+            "cache_polls_total", "Calls to engines for cache events.", "result"
+        )
+        self.engines_watched = metrics.gauge(
+            "cache_engines_watched", "Engines whose cache events are read."
+        )
