--- /dev/null
+++ b/tests/platform/test_engine_cache.py
@@ -0,0 +1,97 @@
+"""Calls for cache events, against a small server that speaks the platform's form."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+from aiohttp import web
+
+from leadseam.feed.cache_watch import CallFailed, CallRefused
+from leadseam.feed.prefix_index import CacheEvent, EventPage
+from leadseam.platform import engine_cache
+from leadseam.platform.engine_cache import EngineCacheCalls
+from tests.routing.samples import make_upstream
+from tools.ports import LOOPBACK
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from leadseam.feed.cache_watch import EventAnswer
+
+PAGE = (
+    '{"epoch": 17, "nextPageToken": 42, "lost": true, "events":'
+    ' [[41, "+", "", "terms", 2520, "m"], [42, "-", "", "terms", 0, "m"]], "x": 1}'
+)
+
+
+@asynccontextmanager
+async def engine(status: int, body: str) -> AsyncIterator[tuple[int, list[str]]]:
+    """Run an engine; yields its port and the requests that it receives."""
+    received: list[str] = []
+
+    async def handle(http: web.BaseRequest) -> web.Response:
+        received.append(f"{http.method} {http.path_qs} {http.headers['Wait-Ms']}")
+        return web.Response(status=status, text=body)
+
+    runner = web.ServerRunner(web.Server(handle))
+    await runner.setup()
+    site = web.TCPSite(runner, LOOPBACK, 0)
+    await site.start()
+    try:
+        yield runner.addresses[0][1], received
+    finally:
+        await runner.cleanup()
+
+
+async def read(port: int) -> EventAnswer:
+    """Read the events after number 40."""
+    row = msgspec.structs.replace(make_upstream(1), ip=LOOPBACK, port=port)
+    calls = EngineCacheCalls()
+    try:
+        return await calls.read(row, "40", 1_000)
+    finally:
+        await calls.close()
+
+
+async def test_a_page_of_events_is_read() -> None:
+    events = (CacheEvent(41, "terms", 2_520), CacheEvent(42, "terms", 0))
+    async with engine(200, PAGE) as (port, received):
+        assert await read(port) == EventPage("17", "42", True, events)
+    assert received == ["GET /leadseam/kv-events?since=40 1000"]
+
+
+async def test_too_many_calls_are_told_from_other_failures() -> None:
+    async with engine(429, PAGE) as (port, _):
+        assert await read(port) == CallRefused()
+    async with engine(500, PAGE) as (port, _):
+        assert await read(port) == CallFailed("status 500")
+    assert await read(port) == CallFailed("ClientConnectorError")
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "",
+        "[]",
+        "{}",
+        PAGE[:-1],
+        PAGE.replace("2520", "-1"),
+        PAGE.replace("2520", "1e999"),
+        PAGE.replace('"terms"', "7"),
+    ],
+)
+async def test_an_answer_that_cannot_be_read_is_a_failure(body: str) -> None:
+    """The poll of an engine would otherwise end with an exception."""
+    async with engine(200, body) as (port, _):
+        assert isinstance(await read(port), CallFailed)
+
+
+async def test_an_endless_answer_is_not_read_into_memory(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(engine_cache, "MAX_PAGE_BYTES", len(PAGE) - 1)
+    async with engine(200, PAGE) as (port, _):
+        assert await read(port) == CallFailed("answer too large")
