Assume scarcity only while engines are loaded

Cause: in a trough little service is received because little is requested. When an account then floods, requested service exceeds received service, and the received service was taken for the capacity of the engines. The fair level shrank to a few percent of it, and accounts were stopped while engines had hardly anything to read.

Change: routing/engine_load.py averages the used part of the engines (slots, memory, reading) over the time constant of the usage counts. Below a used part of 0.5 the stated capacity is assumed, and above it the received service divided by the used part. A stopped account may use engines with nothing to read while half of the engines, memory included, is unused and no request of another account waits.

--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -11,8 +11,9 @@
 from leadseam.outcome import Reason
 from leadseam.routing.account_log import AccountLog
 from leadseam.routing.admission import Admission, Waiter
-from leadseam.routing.balance import Balancer, expected_service
+from leadseam.routing.balance import MEMORY_PART, Balancer, expected_service
 from leadseam.routing.cold_budget import ColdBudget
+from leadseam.routing.engine_load import EngineUse, LoadAverage, mean_used_part
 from leadseam.routing.flight import Flight
 from leadseam.routing.pauses import PauseTable
 from leadseam.routing.plain_queue import (
@@ -104,6 +105,7 @@
         )
         self._balancer = Balancer(rng, allows=self._allows, on_begin=self._note_begin)
         self._usage = UsageTable()
+        self._engine_load = LoadAverage(DECAY_TIME)
         self.account_log = AccountLog(self._usage, clock)
         self._admission = Admission(
             balancer=self._balancer,
@@ -236,13 +238,37 @@
         now = self._clock.now()
         own = self._balancer.loads.apply_sums(included, sums, now)
         cfg = self._feed.configuration
-        engines = [name for name, pool in cfg.pools.items() if pool.engine is not None]
+        profiles = {
+            name: pool.engine
+            for name, pool in cfg.pools.items()
+            if pool.engine is not None
+        }
         # Evacuated engines generate no tokens, so shares exclude their capacity.
-        rate = cfg.limits.tokens_per_s * self._feed.view.available_fraction(engines)
+        rate = cfg.limits.tokens_per_s * self._feed.view.available_fraction(
+            list(profiles)
+        )
         capacity = round(rate * DECAY_TIME / MILLIS_PER_SECOND)
-        self._usage.apply_sums(sums, own, capacity=capacity, now=now)
+        used_part = self._engine_load.add(
+            [self._used_part(name, profile) for name, profile in profiles.items()], now
+        )
+        self._usage.apply_sums(
+            sums, own, capacity=capacity, now=now, used_part=used_part
+        )
         self._pump_soon()
 
+    def _used_part(self, pool: str, profile: EngineProfile) -> float | None:
+        """Return the mean used part of a pool's engines; None if it has none."""
+        now = self._clock.now()
+        loads = self._balancer.loads
+        return mean_used_part(
+            EngineUse(
+                row.slots,
+                round(profile.memory_tokens * MEMORY_PART),
+                loads.total(row.incarnation, now),
+            )
+            for row in self._candidates(Scope(pool))
+        )
+
     def _place_at_once(
         self, admitted: AdmittedRequest, tried: set[Incarnation], *, again: bool
     ) -> Placement | EngineProfile | _PlainWait | None:
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -15,6 +15,7 @@
 from math import exp
 from typing import TYPE_CHECKING
 
+from leadseam.routing.engine_load import LOADED_PART, reachable_service
 from leadseam.routing.load import MAX_TOTALS_AGE
 from leadseam.wire.feed import UsageRow
 
@@ -35,8 +36,8 @@
 is well below 2, which the platform counts as unfair."""
 STOP_LEAD = 1.3
 """Ratio by which an account may be ahead of a short one before it gets no service at
-all. It is well below 2 as well, because the platform compares periods of six seconds
-and the counts lag."""
+all, unless engines have spare capacity. It is well below 2 as well, because the
+platform compares periods of six seconds and the counts lag."""
 SCARCITY_RATIO = 1.25
 """Ratio of requested to received service above which engines are considered full. It
 exceeds the ratio that requests waiting up to their objective cause while there is
@@ -62,7 +63,7 @@
     AHEAD = auto()
     """Beyond its stated share, and ahead of the others."""
     STOPPED = auto()
-    """So far ahead of a short account that it gets no service."""
+    """So far ahead of a short account that it gets only service that nobody needs."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +73,7 @@
     Args:
         stated: Share of the capacity stated by the operators.
         even: Service beyond which an account is ahead of the others.
-        stop: Service beyond which an account gets no service.
+        stop: Service beyond which an account gets only service that nobody needs.
     """
 
     stated: float = float("inf")
@@ -180,6 +181,7 @@
         *,
         capacity: int,
         now: Millis,
+        used_part: float = 1.0,
     ) -> None:
         """Apply the sums of all entries and compute the fair shares.
 
@@ -188,13 +190,14 @@
             own: The own report that the sums contain, or None.
             capacity: Stated service of all upstreams in `DECAY_TIME`; 0 if unknown.
             now: Current time.
+            used_part: Average used part of the engines, or 1 if it is unknown.
         """
         self._totals_at = now
         own_rows = {row.account: row for row in own.usage} if own is not None else {}
         self._others = {
             row.account: _subtract(row, own_rows.get(row.account)) for row in sums.usage
         }
-        self.shares = compute_shares(sums.usage, capacity)
+        self.shares = compute_shares(sums.usage, capacity, used_part)
 
     def _has_current_totals(self, now: Millis) -> bool:
         return self._totals_at is not None and now - self._totals_at <= MAX_TOTALS_AGE
@@ -203,16 +206,19 @@
         return self._own.setdefault(name, _Account())
 
 
-def compute_shares(rows: Sequence[UsageRow], capacity: int) -> Shares:
+def compute_shares(
+    rows: Sequence[UsageRow], capacity: int, used_part: float = 1.0
+) -> Shares:
     """Compute the shares from the service that accounts requested and received.
 
     Args:
         rows: The sums of all entries.
         capacity: Service of all upstreams in `DECAY_TIME` as stated by the operators;
             0 if none is stated.
+        used_part: Average used part of the engines, or 1 if it is unknown.
     """
     demands = [max(row.requested, row.served) for row in rows]
-    actual = actual_capacity(rows, capacity)
+    actual = actual_capacity(rows, capacity, used_part)
     # Differs from the level below where engines provide more than is stated: an account
     # within its stated share must not be refused because others get more than theirs.
     stated = fair_level(demands, min(capacity or actual, actual))
@@ -227,24 +233,30 @@
     )
 
 
-def actual_capacity(rows: Sequence[UsageRow], capacity: int) -> int:
+def actual_capacity(
+    rows: Sequence[UsageRow], capacity: int, used_part: float = 1.0
+) -> int:
     """Return the service that upstreams provide in `DECAY_TIME`, as far as is known.
 
     They may provide more than is stated, or far less: engines are gone, their slots are
     taken by long answers, or shared parts of prompts are read again. If shares were
     then based on the stated capacity, every account would be within its share, and
     accounts that come through different entries would not be ordered. Less than the
-    stated capacity is assumed only while much of the requested service is not received.
+    stated capacity is assumed only while much of the requested service is not received
+    and the engines are loaded.
 
     Args:
         rows: What accounts requested and received.
         capacity: Capacity stated by the operators; 0 if none is stated.
+        used_part: Average used part of the engines, or 1 if it is unknown.
     """
     served = sum(row.served for row in rows)
-    if served >= capacity * MIN_ACTUAL_PART:
+    if served >= capacity * MIN_ACTUAL_PART or used_part < LOADED_PART:
         return max(served, capacity)
     requested = sum(max(row.requested, row.served) for row in rows)
-    return served if requested > SCARCITY_RATIO * served else capacity
+    if requested <= SCARCITY_RATIO * served:
+        return capacity
+    return min(reachable_service(served, used_part), capacity)
 
 
 def fair_level(demands: Iterable[int], capacity: int) -> float:
