Redirect callers of a busy entry to entries with room

Cause: callers are spread by a hash, a flood reaches one small entry, and its callers are asked to pause for seconds while the other entries are idle. Change: entries report whether they have room, totals state it by failure domain, and a busy entry whose domain has room refuses at once with a pause of 1 to 20 ms.

--- a/src/leadseam/feed/load_aggregator.py
+++ b/src/leadseam/feed/load_aggregator.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.wire.codec import encode
-from leadseam.wire.feed import LoadRow, LoadSums, LoadTotals, UsageRow
+from leadseam.wire.feed import DomainRoom, LoadRow, LoadSums, LoadTotals, UsageRow
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -62,7 +62,7 @@
         for subscriber, stored in list(self._reports.items()):
             if now - stored.at > MAX_REPORT_AGE:
                 del self._reports[subscriber]
-        data = encode(LoadSums(self._rows(), self._usage()))
+        data = encode(LoadSums(self._rows(), self._usage(), self._rooms()))
         return {
             subscriber: LoadTotals(stored.report.sequence, data)
             for subscriber, stored in self._reports.items()
@@ -86,3 +86,13 @@
                 counts[0] += row.served
                 counts[1] += row.requested
         return tuple(UsageRow(name, *counts) for name, counts in sums.items())
+
+    def _rooms(self) -> tuple[DomainRoom, ...]:
+        counts: dict[str, list[int]] = {}
+        for stored in self._reports.values():
+            room = stored.report.room
+            if room is not None:
+                entries = counts.setdefault(room.failure_domain, [0, 0])
+                entries[0] += 1
+                entries[1] += room.has_room
+        return tuple(DomainRoom(name, *entries) for name, entries in counts.items())
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -17,8 +17,10 @@
 from leadseam.platform.headers import PlatformDialect
 from leadseam.platform.watch import SettingsWatch
 from leadseam.routing.client import UpstreamClient
+from leadseam.routing.entry_room import EntryRooms
 from leadseam.routing.gateway import Gateway
 from leadseam.runtime.admin import serve_admin
+from leadseam.runtime.entry_room import RoomSensor
 from leadseam.runtime.lag import LoopLag
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 from leadseam.runtime.suspension import SuspensionWatch
@@ -84,6 +86,7 @@
             greeting=self._initial_report,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
+        self._room = RoomSensor(self._clock, memory_mb=settings.memory_mb)
         self._lag = LoopLag(self._clock, self._record_lag)
         self._suspension = SuspensionWatch(
             self._clock, self._metrics, on_resume=self._on_resume
@@ -114,6 +117,10 @@
             lag=self._lag,
             connections=self._open_connections,
             entry=settings.node,
+            rooms=EntryRooms(
+                settings.failure_domain,
+                enabled=settings.processor_share > 0 and settings.memory_mb > 0,
+            ),
         )
         self._front = FrontServer(
             self._gateway.handle, refuse=self._gateway.refuse_early
@@ -178,6 +185,8 @@
                 self._gateway.placer.sweep()
                 paused = self._gateway.placer.paused_count()
                 self._routing_metrics.paused_upstreams.set({}, paused)
+                others = self._gateway.rooms.others_with_room(self._clock.now())
+                self._routing_metrics.entries_with_room.set({}, others)
             evacuated = len(self._view.evacuated)
             self._routing_metrics.evacuated_domains.set({}, evacuated)
 
@@ -186,7 +195,9 @@
         interval = MIN_INTERVAL
         while True:
             await sleep(interval)
-            report = self._gateway.placer.load_report()
+            has_room = self._room.has_room() and not self._stopping
+            room = self._gateway.rooms.report(has_room=has_room)
+            report = self._gateway.placer.load_report(room)
             self._feed.report(report)
             interval = interval_for(report_size(report))
 
@@ -200,10 +211,12 @@
 
     def _record_lag(self, lag: Millis) -> None:
         self._routing_metrics.lag.set({}, lag)
+        self._room.record_lag(lag)
 
     def _apply_sums(self, included: int, sums: LoadSums) -> None:
         assert self._gateway is not None
         self._gateway.placer.apply_sums(included, sums)
+        self._gateway.rooms.apply(sums.rooms, self._clock.now())
 
     def _end_attempts(self, ended_incarnations: Iterable[Incarnation]) -> None:
         assert self._gateway is not None
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -25,6 +25,7 @@
 from leadseam.routing.busy import BusyPeriod
 from leadseam.routing.crash_guard import CrashGuard
 from leadseam.routing.dialect import Sender
+from leadseam.routing.entry_room import FIRST_PAUSE, LAST_PAUSE, EntryRooms
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.first_configuration import FirstConfiguration
 from leadseam.routing.health import UpstreamHealth
@@ -87,6 +88,7 @@
         lag: Measured lag of the event loop.
         connections: Returns the number of callers' open connections.
         entry: Name of this entry.
+        rooms: Which entries have room for callers of this one. By default none.
     """
 
     def __init__(
@@ -102,6 +104,7 @@
         lag: LoopLag,
         connections: Callable[[], int] = lambda: 0,
         entry: str = "",
+        rooms: EntryRooms | None = None,
     ) -> None:
         self.dialect = dialect
         self.client = client
@@ -114,6 +117,7 @@
         self._rng = rng
         self._lag = lag
         self._busy_period = BusyPeriod()
+        self.rooms = rooms or EntryRooms()
         self._connections = connections
         self._first_configuration = FirstConfiguration(feed)
         self.restarts = Restarts()
@@ -172,11 +176,11 @@
             return None
         now = self.now()
         if not self._exceeds_share(sender, now):
-            if lag <= MAX_LAG:
+            if lag <= self._max_lag(now):
                 return None
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
-        refusal = self._busy_refusal()
+        refusal = self._busy_refusal(account)
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
         return refusal
@@ -208,7 +212,8 @@
         if self._lag.millis > EXCESS_LAG:
             sender = self.dialect.read_sender(http)
             if self._exceeds_share(sender, arrived):
-                return self._refuse(sender, self._busy_refusal(), arrived)
+                account_name = self._account_of(sender)
+                return self._refuse(sender, self._busy_refusal(account_name), arrived)
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
@@ -265,8 +270,8 @@
             return account
         if account is not None:
             self.placer.record_request(account.name, req, arrived)
-        if self._lag.millis > MAX_LAG:
-            return self._busy_refusal()
+        if self._lag.millis > self._max_lag(arrived):
+            return self._busy_refusal(account.name if account is not None else None)
         limit = route.time_limit
         if req.max_wait is not None:
             limit = min(limit, req.max_wait)
@@ -294,8 +299,29 @@
             case reason:
                 return NotRun(reason, self.jitter(UNDECIDED_PAUSE))
 
-    def _busy_refusal(self) -> NotRun:
-        pause = self._busy_period.refused(self.now())
+    def _max_lag(self, now: Millis) -> Millis:
+        """Return the lag above which requests of any account are refused.
+
+        It is lower where callers can be redirected: another entry serves them sooner.
+        """
+        return EXCESS_LAG if self.rooms.redirects(now) else MAX_LAG
+
+    def _busy_refusal(self, account: str | None) -> NotRun:
+        """Refuse a request at a busy entry, or redirect its caller to another entry.
+
+        An account that gets no service is not redirected: the other entry would refuse
+        it as well, and the caller would have used its retry.
+        """
+        now = self.now()
+        stopped = (
+            account is not None
+            and self.placer.standing(account, now) is Standing.STOPPED
+        )
+        if self.rooms.redirects(now) and not stopped:
+            self._metrics.busy.inc("redirected")
+            return NotRun(Reason.ENTRY_BUSY, self._rng.randint(FIRST_PAUSE, LAST_PAUSE))
+        self._metrics.busy.inc("paused")
+        pause = self._busy_period.refused(now)
         return NotRun(Reason.ENTRY_BUSY, self.jitter(pause))
 
     def _exceeds_share(self, sender: Sender, now: Millis) -> bool:
--- a/src/leadseam/routing/load.py
+++ b/src/leadseam/routing/load.py
@@ -18,7 +18,7 @@
 
     from leadseam.clock import Millis
     from leadseam.incarnation import Incarnation
-    from leadseam.wire.feed import LoadSums
+    from leadseam.wire.feed import EntryRoom, LoadSums
 
 MAX_TOTALS_AGE: Millis = 1_000
 """Age above which totals are ignored: five times their longest interval."""
@@ -112,14 +112,16 @@
             cached = self._cached_totals[incarnation] = self._compute_total(incarnation)
         return cached
 
-    def report(self, usage: Iterable[UsageRow]) -> LoadReport:
+    def report(
+        self, usage: Iterable[UsageRow], room: EntryRoom | None = None
+    ) -> LoadReport:
         """Return a report of the own counts, and keep it for later totals."""
         self._sequence += 1
         rows = tuple(
             LoadRow(incarnation.digest(), load.requests, load.unread, load.memory)
             for incarnation, load in self._own.items()
         )
-        report = LoadReport(self._sequence, rows, tuple(usage))
+        report = LoadReport(self._sequence, rows, tuple(usage), room)
         self._reports.append(report)
         return report
 
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -36,7 +36,7 @@
     from leadseam.routing.health import UpstreamHealth
     from leadseam.routing.placement import Placement
     from leadseam.routing.usage import Standing
-    from leadseam.wire.feed import LoadReport, LoadSums, Registration
+    from leadseam.wire.feed import EntryRoom, LoadReport, LoadSums, Registration
 
 _W = TypeVar("_W", Waiter, PlainWaiter)
 
@@ -222,9 +222,13 @@
         self._admission.pump(now)
         self._plain.pump(now)
 
-    def load_report(self) -> LoadReport:
-        """Return this entry's load and usage counts for the other entries."""
-        return self._balancer.loads.report(self._usage.rows(self._clock.now()))
+    def load_report(self, room: EntryRoom | None = None) -> LoadReport:
+        """Return this entry's load and usage counts for the other entries.
+
+        Args:
+            room: Whether this entry has room for more requests, or None if unknown.
+        """
+        return self._balancer.loads.report(self._usage.rows(self._clock.now()), room)
 
     def apply_sums(self, included: int, sums: LoadSums) -> None:
         """Apply the fleet-wide sums.
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -153,6 +153,16 @@
             "request_seconds", "Time to the end of the answer.", LATENCY_BUCKETS
         )
         self.lag = metrics.gauge("event_loop_lag_ms", "How late the event loop runs.")
+        self.busy = metrics.buffered_counter(
+            "busy_refusals_total",
+            "Requests refused by this entry because it was busy, by whether callers"
+            " were redirected to entries with room or asked for a pause.",
+            "result",
+        )
+        self.entries_with_room = metrics.gauge(
+            "entries_with_room",
+            "Other entries of the failure domain that have room; 0 if not known.",
+        )
         self.evacuated_domains = metrics.gauge(
             "evacuated_failure_domains", "Failure domains that get no requests."
         )
