--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -309,15 +309,11 @@
     def _busy_refusal(self, account: str | None) -> NotRun:
         """Refuse a request at a busy entry, or redirect its caller to another entry.
 
-        An account that gets no service is not redirected: the other entry would refuse
-        it as well, and the caller would have used its retry.
+        An account beyond its share is not redirected: the other entry would refuse it
+        as well, and the caller would have used its retry.
         """
         now = self.now()
-        stopped = (
-            account is not None
-            and self.placer.standing(account, now) is Standing.STOPPED
-        )
-        if self.rooms.redirects(now) and not stopped:
+        if self.rooms.redirects(now) and not self._is_beyond_share(account, now):
             self._metrics.busy.inc("redirected")
             return NotRun(Reason.ENTRY_BUSY, self._rng.randint(FIRST_PAUSE, LAST_PAUSE))
         self._metrics.busy.inc("paused")
@@ -326,7 +322,9 @@
 
     def _exceeds_share(self, sender: Sender, now: Millis) -> bool:
         """Check by the key alone whether the sender's account exceeds its share."""
-        account = self._account_of(sender)
+        return self._is_beyond_share(self._account_of(sender), now)
+
+    def _is_beyond_share(self, account: str | None, now: Millis) -> bool:
         if account is None:
             return False
         standing = self.placer.standing(account, now)
