Subtract the included report from the rooms of all entries

An entry subtracted the room of its latest report from sums that contain an earlier one. An entry that had just become busy counted itself among the others with room, which is a third of them in a domain of four entries. It now subtracts the report that the sums name, as loads do. If that report is no longer kept, the entry is taken for one with room.

An entry that does not know its limits no longer shows other entries' rooms in its gauge.

Under load not measured.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -215,8 +215,9 @@
 
     def _apply_sums(self, included: int, sums: LoadSums) -> None:
         assert self._gateway is not None
-        self._gateway.placer.apply_sums(included, sums)
-        self._gateway.rooms.apply(sums.rooms, self._clock.now())
+        own = self._gateway.placer.apply_sums(included, sums)
+        own_room = own.room if own is not None else None
+        self._gateway.rooms.apply(sums.rooms, own_room, self._clock.now())
 
     def _end_attempts(self, ended_incarnations: Iterable[Incarnation]) -> None:
         assert self._gateway is not None
--- a/src/leadseam/routing/entry_room.py
+++ b/src/leadseam/routing/entry_room.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from leadseam.wire.feed import EntryRoom
@@ -34,46 +33,56 @@
 together over a few measurements of the event loop's lag."""
 
 
-@dataclass(slots=True)
 class EntryRooms:
-    """Which entries have room, as the load totals state.
+    """Which other entries of the failure domain have room, as the load sums state.
 
     Args:
         failure_domain: Failure domain of this entry.
         enabled: Whether this entry knows its own limits, and thus whether it has room.
     """
 
-    failure_domain: str = ""
-    enabled: bool = False
-    _has_room: bool = True
-    _others: int = 0
-    _others_with_room: int = 0
-    _applied_at: Millis = -MAX_AGE
+    def __init__(self, failure_domain: str = "", *, enabled: bool = False) -> None:
+        self._failure_domain = failure_domain
+        self._enabled = enabled
+        self._others = 0
+        self._others_with_room = 0
+        self._applied_at: Millis = -MAX_AGE
+
+    def __repr__(self) -> str:
+        return f"EntryRooms(others={self._others}, with_room={self._others_with_room})"
 
     def report(self, *, has_room: bool) -> EntryRoom | None:
         """Return what this entry reports of itself, or None if it cannot tell."""
-        if not self.enabled:
-            return None
-        self._has_room = has_room
-        return EntryRoom(self.failure_domain, has_room)
-
-    def apply(self, rooms: Iterable[DomainRoom], now: Millis) -> None:
-        """Apply the rooms of all entries, which contain this entry's last report."""
-        for row in rooms:
-            if row.failure_domain == self.failure_domain:
-                self._others = row.entries - 1
-                self._others_with_room = row.with_room - self._has_room
-                self._applied_at = now
+        return EntryRoom(self._failure_domain, has_room) if self._enabled else None
+
+    def apply(
+        self, rooms: Iterable[DomainRoom], own: EntryRoom | None, now: Millis
+    ) -> None:
+        """Apply the rooms of all entries.
+
+        Args:
+            rooms: Rooms by failure domain. If this entry's domain is missing, nothing
+                is known of its entries.
+            own: What this entry stated in the report that the sums contain. If it is
+                not known, the entry is taken for one of those with room, so that the
+                others are not overestimated.
+            now: Current time.
+        """
+        if not self._enabled:
+            return
+        rows = [row for row in rooms if row.failure_domain == self._failure_domain]
+        own_room = own is None or own.has_room
+        self._others = max(sum(row.entries for row in rows) - 1, 0)
+        self._others_with_room = max(sum(row.with_room for row in rows) - own_room, 0)
+        self._applied_at = now
 
     def others_with_room(self, now: Millis) -> int:
         """Return the number of other entries of the failure domain that have room."""
-        return max(self._others_with_room, 0) if self._is_current(now) else 0
+        return self._others_with_room if self._is_current(now) else 0
 
     def redirects(self, now: Millis) -> bool:
         """Return whether this entry, if busy, redirects callers to the others."""
-        if not self.enabled or not self._is_current(now):
-            return False
-        if self._others + 1 < MIN_ENTRIES:
+        if self._others + 1 < MIN_ENTRIES or not self._is_current(now):
             return False
         return self._others_with_room >= MIN_PART_WITH_ROOM * self._others
 
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -230,12 +230,15 @@
         """
         return self._balancer.loads.report(self._usage.rows(self._clock.now()), room)
 
-    def apply_sums(self, included: int, sums: LoadSums) -> None:
+    def apply_sums(self, included: int, sums: LoadSums) -> LoadReport | None:
         """Apply the fleet-wide sums.
 
         Args:
             included: Sequence number of the own report that the sums contain.
             sums: Counts of all entries.
+
+        Returns:
+            The own report that the sums contain, or None if it is no longer kept.
         """
         now = self._clock.now()
         own = self._balancer.loads.apply_sums(included, sums, now)
@@ -246,6 +249,7 @@
         capacity = round(rate * DECAY_TIME / MILLIS_PER_SECOND)
         self._usage.apply_sums(sums, own, capacity=capacity, now=now)
         self._pump_soon()
+        return own
 
     def _place_at_once(
         self, admitted: AdmittedRequest, tried: set[Incarnation], *, again: bool
