Determine an account's standing once per busy refusal

The early refusal determined the standing of the account twice, and the later one hashed the sender's key twice. The standing is now passed on.

Measured: early refusal of an account within its share, without its log line, on this shared machine, best of 7 times 20,000, two runs each: 17.0 and 19.5 us before, 14.7 and 16.6 us after; runs differ by 2 us. The budget is 100 us.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -175,12 +175,13 @@
         if account is None:
             return None
         now = self.now()
-        if not self._exceeds_share(sender, now):
+        exceeds_share = self._exceeds_share(account, now)
+        if not exceeds_share:
             if lag <= self._max_lag(now):
                 return None
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
-        refusal = self._busy_refusal(account)
+        refusal = self._busy_refusal(exceeds_share=exceeds_share)
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
         return refusal
@@ -211,9 +212,9 @@
         arrived = self.now()
         if self._lag.millis > EXCESS_LAG:
             sender = self.dialect.read_sender(http)
-            if self._exceeds_share(sender, arrived):
-                account_name = self._account_of(sender)
-                return self._refuse(sender, self._busy_refusal(account_name), arrived)
+            if self._exceeds_share(self._account_of(sender), arrived):
+                refusal = self._busy_refusal(exceeds_share=True)
+                return self._refuse(sender, refusal, arrived)
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
@@ -271,7 +272,9 @@
         if account is not None:
             self.placer.record_request(account.name, req, arrived)
         if self._lag.millis > self._max_lag(arrived):
-            return self._busy_refusal(account.name if account is not None else None)
+            name = account.name if account is not None else None
+            exceeds_share = self._exceeds_share(name, arrived)
+            return self._busy_refusal(exceeds_share=exceeds_share)
         limit = route.time_limit
         if req.max_wait is not None:
             limit = min(limit, req.max_wait)
@@ -306,25 +309,23 @@
         """
         return EXCESS_LAG if self.rooms.redirects(now) else MAX_LAG
 
-    def _busy_refusal(self, account: str | None) -> NotRun:
+    def _busy_refusal(self, *, exceeds_share: bool) -> NotRun:
         """Refuse a request at a busy entry, or redirect its caller to another entry.
 
-        An account beyond its share is not redirected: the other entry would refuse it
-        as well, and the caller would have used its retry.
+        Args:
+            exceeds_share: Whether the request's account exceeds its share. Its callers
+                are not redirected: the other entry would refuse them as well, and they
+                would have used their retry.
         """
         now = self.now()
-        if self.rooms.redirects(now) and not self._is_beyond_share(account, now):
+        if not exceeds_share and self.rooms.redirects(now):
             self._metrics.busy.inc("redirected")
             return NotRun(Reason.ENTRY_BUSY, self._rng.randint(FIRST_PAUSE, LAST_PAUSE))
         self._metrics.busy.inc("paused")
         pause = self._busy_period.refused(now)
         return NotRun(Reason.ENTRY_BUSY, self.jitter(pause))
 
-    def _exceeds_share(self, sender: Sender, now: Millis) -> bool:
-        """Check by the key alone whether the sender's account exceeds its share."""
-        return self._is_beyond_share(self._account_of(sender), now)
-
-    def _is_beyond_share(self, account: str | None, now: Millis) -> bool:
+    def _exceeds_share(self, account: str | None, now: Millis) -> bool:
         if account is None:
             return False
         standing = self.placer.standing(account, now)
