Judge rooms after the body of a request was read

Admission compared the age of rooms with the time when the request arrived. Rooms that were learned while a slow body arrived counted as fresh at its end, however old they were by then. The current time is now used.

The tests also cover which callers are redirected, and that without room elsewhere or with old sums an entry refuses as without redirecting.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -271,10 +271,11 @@
             return account
         if account is not None:
             self.placer.record_request(account.name, req, arrived)
-        if self._lag.millis > self._max_lag(arrived):
+        # Reading the body may have taken long, so rooms are judged now.
+        now = self.now()
+        if self._lag.millis > self._max_lag(now):
             name = account.name if account is not None else None
-            exceeds_share = self._exceeds_share(name, arrived)
-            return self._busy_refusal(exceeds_share=exceeds_share)
+            return self._busy_refusal(exceeds_share=self._exceeds_share(name, now))
         limit = route.time_limit
         if req.max_wait is not None:
             limit = min(limit, req.max_wait)
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -21,13 +21,14 @@
 from leadseam.routing.attempt import Declined, Whole
 from leadseam.routing.busy import SHORTEST_PAUSE
 from leadseam.routing.dialect import Sender
+from leadseam.routing.entry_room import EntryRooms
 from leadseam.routing.gateway import EXCESS_LAG, MAX_LAG, Gateway
 from leadseam.routing.retry_budget import RetryLimits
 from leadseam.routing.router import Router
 from leadseam.routing.usage import Standing
 from leadseam.runtime.logs import MAX_LINES_PER_SECOND
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
-from leadseam.wire.feed import UsageRow
+from leadseam.wire.feed import DomainRoom, EntryRoom, UsageRow
 from tests.routing.samples import (
     make_admitted,
     make_head,
@@ -80,18 +81,31 @@
         self.dialect = Dialect()
         self.lag = SimpleNamespace(millis=0)
         self.connections = 0
+        self.clock = ManualClock(1_000)
+        self.rooms = EntryRooms("a", enabled=True)
         self.gateway = Gateway(
             feed=cast("Any", feed),
             dialect=cast("Any", self.dialect),
             client=cast("Any", None),
-            clock=ManualClock(1_000),
+            clock=self.clock,
             retry_limits=RetryLimits(),
             metrics=RoutingMetrics(metrics or Metrics()),
             rng=random.Random(1),
             lag=cast("Any", self.lag),
             connections=lambda: self.connections,
+            rooms=self.rooms,
         )
 
+    def learn_rooms(self, entries: int, with_room: int) -> None:
+        """Apply sums that state the rooms of the entry's domain."""
+        row = DomainRoom("a", entries, with_room)
+        self.rooms.apply([row], EntryRoom("a", has_room=False), self.clock.now())
+
+    def early_pause(self, account: str) -> int | None:
+        """Return the pause of an early refusal, or None if there is none."""
+        refusal = self.gateway.refuse_early(Sender("r-1", account))
+        return refusal.retry_after if refusal is not None else None
+
     async def serve(self, account: str) -> web.StreamResponse:
         """Serve a request of an account."""
         return await self.gateway._serve(cast("Any", account))
@@ -130,6 +144,62 @@
     assert entry.dialect.read == 1
 
 
+def test_callers_within_their_share_are_redirected_where_others_have_room(
+    entry: Entry,
+) -> None:
+    entry.learn_rooms(8, 7)
+    entry.lag.millis = 10
+    assert entry.early_pause("small") is None
+    entry.lag.millis = 11
+    pauses = {entry.early_pause("small") for _ in range(500)}
+    assert pauses == set(range(1, 21))
+
+
+def test_accounts_beyond_their_share_get_the_pause_of_a_busy_entry(
+    entry: Entry,
+) -> None:
+    # Another entry would refuse them as well, and each would have used its retry.
+    metrics = Metrics()
+    entry.gateway._metrics = RoutingMetrics(metrics)
+    entry.learn_rooms(8, 7)
+    entry.lag.millis = 11
+    pause = entry.early_pause("large")
+    assert pause is not None
+    assert 75 <= pause <= 150
+    entry.early_pause("small")
+    shown = metrics.render()
+    assert b'busy_refusals_total{result="paused"} 1' in shown
+    assert b'busy_refusals_total{result="redirected"} 1' in shown
+
+
+@pytest.mark.parametrize(("with_room", "age"), [(3, 0), (7, 1_001)])
+def test_without_room_elsewhere_an_entry_refuses_as_without_redirecting(
+    entry: Entry, with_room: int, age: int
+) -> None:
+    entry.learn_rooms(8, with_room)
+    entry.clock.advance(age)
+    entry.lag.millis = 30
+    assert entry.early_pause("small") is None
+    entry.lag.millis = 31
+    pause = entry.early_pause("small")
+    assert pause is not None
+    assert 75 <= pause <= 150
+
+
+def test_rooms_are_judged_after_the_body_was_read(entry: Entry) -> None:
+    # Rooms that were learned while a body arrived counted as fresh at its end, however
+    # long that took.
+    entry.gateway._router = Router(
+        Configuration(accounts=ACCOUNTS, routes={"r": make_route("r", "/chat/", "p")})
+    )
+    req = replace(make_request("own"), key="small")
+    entry.lag.millis = 11
+    entry.learn_rooms(8, 7)
+    assert isinstance(entry.gateway._admit(req, b"", 0), NotRun)
+    entry.clock.advance(1_001)
+    assert not isinstance(entry.gateway._admit(req, b"", 0), NotRun)
+
+
 async def test_work_that_a_busy_entry_refuses_counts_as_requested() -> None:
     entry = Entry()
     entry.gateway._router = Router(
