Count redirected callers as refusals of a busy period

A busy entry estimates how long it stays busy by the time for which it has refused. Redirected callers did not count, so when the other entries lost their room after seconds, the first pauses were 150 ms again, and callers returned to the same busy entry.

Measured: after 1.1 s of redirecting the pause is 550 to 1,100 ms (test_pauses_grow_while_callers_are_redirected); under load not measured.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -319,11 +319,12 @@
                 would have used their retry.
         """
         now = self.now()
+        # Redirected callers count as well: their entry is as busy.
+        pause = self._busy_period.refused(now)
         if not exceeds_share and self.rooms.redirects(now):
             self._metrics.busy.inc("redirected")
             return NotRun(Reason.ENTRY_BUSY, self._rng.randint(FIRST_PAUSE, LAST_PAUSE))
         self._metrics.busy.inc("paused")
-        pause = self._busy_period.refused(now)
         return NotRun(Reason.ENTRY_BUSY, self.jitter(pause))
 
     def _exceeds_share(self, account: str | None, now: Millis) -> bool:
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -186,6 +186,20 @@
     assert 75 <= pause <= 150
 
 
+def test_pauses_grow_while_callers_are_redirected(entry: Entry) -> None:
+    # Otherwise callers are told to return within 150 ms to an entry that has been busy
+    # for seconds, once the others have no room either.
+    entry.learn_rooms(8, 7)
+    entry.lag.millis = 31
+    for _ in range(11):
+        entry.early_pause("small")
+        entry.clock.advance(100)
+    entry.learn_rooms(8, 0)
+    pause = entry.early_pause("small")
+    assert pause is not None
+    assert 550 <= pause <= 1_100
+
+
 def test_rooms_are_judged_after_the_body_was_read(entry: Entry) -> None:
     # Rooms that were learned while a body arrived counted as fresh at its end, however
     # long that took.
