Report no room for an entry that is not ready

Only a stopping entry reported no room. An entry without a confirmed configuration, or one that was suspended and has not been confirmed since, is not ready either: it gets no callers, and must not count as one that can take them.

Not measured.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -195,7 +195,7 @@
         interval = MIN_INTERVAL
         while True:
             await sleep(interval)
-            has_room = self._room.has_room() and not self._stopping
+            has_room = self._room.has_room() and not self._readiness()
             room = self._gateway.rooms.report(has_room=has_room)
             report = self._gateway.placer.load_report(room)
             self._feed.report(report)
