Include an overdue lag in the reported room

After an iteration of the event loop that takes long, the load report can be made before the lag is measured, and it then stated room for one more interval although the loop was late.

Not measured.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -195,6 +195,8 @@
         interval = MIN_INTERVAL
         while True:
             await sleep(interval)
+            # After a long iteration of the loop, this may run before the measurement.
+            self._room.record_lag(self._lag.millis)
             has_room = self._room.has_room() and not self._readiness()
             room = self._gateway.rooms.report(has_room=has_room)
             report = self._gateway.placer.load_report(room)
