Measure room only where it is reported

An entry that does not know its limits reports no room, but measured it and logged "room for more requests" at each change. It now does neither.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -24,6 +24,7 @@
 from leadseam.runtime.lag import LoopLag
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 from leadseam.runtime.suspension import SuspensionWatch
+from leadseam.wire.feed import EntryRoom
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -195,14 +196,23 @@
         interval = MIN_INTERVAL
         while True:
             await sleep(interval)
-            # After a long iteration of the loop, this may run before the measurement.
-            self._room.record_lag(self._lag.millis)
-            has_room = self._room.has_room() and not self._readiness()
-            room = self._gateway.rooms.report(has_room=has_room)
-            report = self._gateway.placer.load_report(room)
+            report = self._gateway.placer.load_report(self._own_room())
             self._feed.report(report)
             interval = interval_for(report_size(report))
 
+    def _own_room(self) -> EntryRoom | None:
+        """Return whether this entry has room, or None if it does not know its limits.
+
+        One that is not ready gets no callers.
+        """
+        assert self._gateway is not None
+        if not self._gateway.rooms.enabled:
+            return None
+        # After a long iteration of the loop, this may run before the measurement.
+        self._room.record_lag(self._lag.millis)
+        has_room = self._room.has_room() and not self._readiness()
+        return EntryRoom(self._settings.failure_domain, has_room)
+
     def _open_connections(self) -> int:
         return len(self._front.connections) if self._front is not None else 0
 
--- a/src/leadseam/routing/entry_room.py
+++ b/src/leadseam/routing/entry_room.py
@@ -10,13 +10,11 @@
 
 from typing import TYPE_CHECKING
 
-from leadseam.wire.feed import EntryRoom
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from leadseam.clock import Millis
-    from leadseam.wire.feed import DomainRoom
+    from leadseam.wire.feed import DomainRoom, EntryRoom
 
 MIN_ENTRIES = 4
 """Entries of a failure domain below which callers are not redirected: with fewer, many
@@ -43,7 +41,7 @@
 
     def __init__(self, failure_domain: str = "", *, enabled: bool = False) -> None:
         self._failure_domain = failure_domain
-        self._enabled = enabled
+        self.enabled = enabled
         self._others = 0
         self._others_with_room = 0
         self._applied_at: Millis = -MAX_AGE
@@ -51,10 +49,6 @@
     def __repr__(self) -> str:
         return f"EntryRooms(others={self._others}, with_room={self._others_with_room})"
 
-    def report(self, *, has_room: bool) -> EntryRoom | None:
-        """Return what this entry reports of itself, or None if it cannot tell."""
-        return EntryRoom(self._failure_domain, has_room) if self._enabled else None
-
     def apply(
         self, rooms: Iterable[DomainRoom], own: EntryRoom | None, now: Millis
     ) -> None:
@@ -68,7 +62,7 @@
                 others are not overestimated.
             now: Current time.
         """
-        if not self._enabled:
+        if not self.enabled:
             return
         rows = [row for row in rooms if row.failure_domain == self._failure_domain]
         own_room = own is None or own.has_room
