--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -64,6 +64,7 @@
         ("internalPorts=x", "f: internalPorts: expected whole numbers, got 'x'"),
         ("bounds.graceS=x", "f: bounds.graceS: expected a number, got 'x'"),
         ("seeds=10.1.0.1", "f: seeds: expected IP:PORT, got '10.1.0.1'"),
+        ("limits.cpuShare=x", "f: limits.cpuShare: expected a number, got 'x'"),
         ("listen.front=:a", "f: listen.front: expected IP:PORT, got ':a'"),
     ],
 )
@@ -74,3 +75,11 @@
     with pytest.raises(SettingsError) as caught:
         NodeSettings.parse(TEXT + line, "f")
     assert caught.value.message == message
+
+
+def test_the_limits_of_the_process_are_read_if_they_are_stated() -> None:
+    limits = "limits.cpuShare=0.387\nlimits.memoryMb=128\n"
+    settings = NodeSettings.parse(TEXT + limits, "f")
+    assert (settings.processor_share, settings.memory_mb) == (0.387, 128)
+    settings = NodeSettings.parse(TEXT, "f")
+    assert (settings.processor_share, settings.memory_mb) == (0.0, 0)
