--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -17,13 +17,15 @@
 from leadseam.platform.headers import PlatformDialect
 from leadseam.platform.watch import SettingsWatch
 from leadseam.routing.client import UpstreamClient
+from leadseam.routing.entry_room import EntryRooms
 from leadseam.routing.gateway import Gateway
 from leadseam.routing.part_interest import SEND_INTERVAL
 from leadseam.runtime.admin import serve_admin
+from leadseam.runtime.entry_room import RoomSensor
 from leadseam.runtime.lag import LoopLag
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
 from leadseam.runtime.suspension import SuspensionWatch
-from leadseam.wire.feed import PartInterest
+from leadseam.wire.feed import EntryRoom, PartInterest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -87,6 +89,7 @@
             greeting=self._initial_messages,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
+        self._room = RoomSensor(self._clock, memory_mb=settings.memory_mb)
         self._lag = LoopLag(self._clock, self._record_lag)
         self._suspension = SuspensionWatch(
             self._clock, self._metrics, on_resume=self._on_resume
@@ -118,6 +121,10 @@
             connections=self._open_connections,
             entry=settings.node,
             holders=self._feed.holders,
+            rooms=EntryRooms(
+                settings.failure_domain,
+                enabled=settings.processor_share > 0 and settings.memory_mb > 0,
+            ),
         )
         self._front = FrontServer(
             self._gateway.handle, refuse=self._gateway.refuse_early
@@ -183,6 +190,8 @@
                 self._gateway.placer.sweep()
                 paused = self._gateway.placer.paused_count()
                 self._routing_metrics.paused_upstreams.set({}, paused)
+                others = self._gateway.rooms.others_with_room(self._clock.now())
+                self._routing_metrics.entries_with_room.set({}, others)
             evacuated = len(self._view.evacuated)
             self._routing_metrics.evacuated_domains.set({}, evacuated)
 
@@ -191,7 +200,7 @@
         interval = MIN_INTERVAL
         while True:
             await sleep(interval)
-            report = self._gateway.placer.load_report()
+            report = self._gateway.placer.load_report(self._own_room())
             self._feed.report(report)
             interval = interval_for(report_size(report))
 
@@ -207,6 +216,19 @@
             count = len(placer.part_interest)
             self._routing_metrics.parts_of_interest.set({}, count)
 
+    def _own_room(self) -> EntryRoom | None:
+        """Return whether this entry has room, or None if it does not know its limits.
+
+        One that is not ready gets no callers.
+        """
+        assert self._gateway is not None
+        if not self._gateway.rooms.enabled:
+            return None
+        # After a long iteration of the loop, this may run before the measurement.
+        self._room.record_lag(self._lag.millis)
+        has_room = self._room.has_room() and not self._readiness()
+        return EntryRoom(self._settings.failure_domain, has_room)
+
     def _open_connections(self) -> int:
         return len(self._front.connections) if self._front is not None else 0
 
@@ -217,10 +239,13 @@
 
     def _record_lag(self, lag: Millis) -> None:
         self._routing_metrics.lag.set({}, lag)
+        self._room.record_lag(lag)
 
     def _apply_sums(self, included: int, sums: LoadSums) -> None:
         assert self._gateway is not None
-        self._gateway.placer.apply_sums(included, sums)
+        own = self._gateway.placer.apply_sums(included, sums)
+        own_room = own.room if own is not None else None
+        self._gateway.rooms.apply(sums.rooms, own_room, self._clock.now())
 
     def _end_attempts(self, ended_incarnations: Iterable[Incarnation]) -> None:
         assert self._gateway is not None
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -25,6 +25,7 @@
 from leadseam.routing.busy import BusyPeriod
 from leadseam.routing.crash_guard import CrashGuard
 from leadseam.routing.dialect import Sender
+from leadseam.routing.entry_room import FIRST_PAUSE, LAST_PAUSE, EntryRooms
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.first_configuration import FirstConfiguration
 from leadseam.routing.health import UpstreamHealth
@@ -89,6 +90,7 @@
         connections: Returns the number of callers' open connections.
         entry: Name of this entry.
         holders: Prompt parts that engines hold. Defaults to an empty table.
+        rooms: Which entries have room for callers of this one. By default none.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
         connections: Callable[[], int] = lambda: 0,
         entry: str = "",
         holders: PartHolders | None = None,
+        rooms: EntryRooms | None = None,
     ) -> None:
         self.dialect = dialect
         self.client = client
@@ -117,6 +120,7 @@
         self._rng = rng
         self._lag = lag
         self._busy_period = BusyPeriod()
+        self.rooms = rooms or EntryRooms()
         self._connections = connections
         self._first_configuration = FirstConfiguration(feed)
         self.restarts = Restarts()
@@ -179,12 +183,13 @@
         if account is None:
             return None
         now = self.now()
-        if not self._exceeds_share(sender, now):
-            if lag <= MAX_LAG:
+        exceeds_share = self._exceeds_share(account, now)
+        if not exceeds_share:
+            if lag <= self._max_lag(now):
                 return None
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
-        refusal = self._busy_refusal()
+        refusal = self._busy_refusal(exceeds_share=exceeds_share)
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
         return refusal
@@ -215,8 +220,9 @@
         arrived = self.now()
         if self._lag.millis > EXCESS_LAG:
             sender = self.dialect.read_sender(http)
-            if self._exceeds_share(sender, arrived):
-                return self._refuse(sender, self._busy_refusal(), arrived)
+            if self._exceeds_share(self._account_of(sender), arrived):
+                refusal = self._busy_refusal(exceeds_share=True)
+                return self._refuse(sender, refusal, arrived)
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
@@ -273,8 +279,11 @@
             return account
         if account is not None:
             self.placer.record_request(account.name, req, arrived)
-        if self._lag.millis > MAX_LAG:
-            return self._busy_refusal()
+        # Reading the body may have taken long, so rooms are judged now.
+        now = self.now()
+        if self._lag.millis > self._max_lag(now):
+            name = account.name if account is not None else None
+            return self._busy_refusal(exceeds_share=self._exceeds_share(name, now))
         limit = route.time_limit
         if req.max_wait is not None:
             limit = min(limit, req.max_wait)
@@ -302,13 +311,31 @@
             case reason:
                 return NotRun(reason, self.jitter(UNDECIDED_PAUSE))
 
-    def _busy_refusal(self) -> NotRun:
-        pause = self._busy_period.refused(self.now())
+    def _max_lag(self, now: Millis) -> Millis:
+        """Return the lag above which requests of any account are refused.
+
+        It is lower where callers can be redirected: another entry serves them sooner.
+        """
+        return EXCESS_LAG if self.rooms.redirects(now) else MAX_LAG
+
+    def _busy_refusal(self, *, exceeds_share: bool) -> NotRun:
+        """Refuse a request at a busy entry, or redirect its caller to another entry.
+
+        Args:
+            exceeds_share: Whether the request's account exceeds its share. Its callers
+                are not redirected: the other entry would refuse them as well, and they
+                would have used their retry.
+        """
+        now = self.now()
+        # Redirected callers count as well: their entry is as busy.
+        pause = self._busy_period.refused(now)
+        if not exceeds_share and self.rooms.redirects(now):
+            self._metrics.busy.inc("redirected")
+            return NotRun(Reason.ENTRY_BUSY, self._rng.randint(FIRST_PAUSE, LAST_PAUSE))
+        self._metrics.busy.inc("paused")
         return NotRun(Reason.ENTRY_BUSY, self.jitter(pause))
 
-    def _exceeds_share(self, sender: Sender, now: Millis) -> bool:
-        """Check by the key alone whether the sender's account exceeds its share."""
-        account = self._account_of(sender)
+    def _exceeds_share(self, account: str | None, now: Millis) -> bool:
         if account is None:
             return False
         standing = self.placer.standing(account, now)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -39,7 +39,7 @@
     from leadseam.routing.health import UpstreamHealth
     from leadseam.routing.placement import Placement
     from leadseam.routing.usage import Standing
-    from leadseam.wire.feed import LoadReport, LoadSums, Registration
+    from leadseam.wire.feed import EntryRoom, LoadReport, LoadSums, Registration
 
 _W = TypeVar("_W", Waiter, PlainWaiter)
 
@@ -236,16 +236,23 @@
         self._admission.pump(now)
         self._plain.pump(now)
 
-    def load_report(self) -> LoadReport:
-        """Return this entry's load and usage counts for the other entries."""
-        return self._balancer.loads.report(self._usage.rows(self._clock.now()))
+    def load_report(self, room: EntryRoom | None = None) -> LoadReport:
+        """Return this entry's load and usage counts for the other entries.
 
-    def apply_sums(self, included: int, sums: LoadSums) -> None:
+        Args:
+            room: Whether this entry has room for more requests, or None if unknown.
+        """
+        return self._balancer.loads.report(self._usage.rows(self._clock.now()), room)
+
+    def apply_sums(self, included: int, sums: LoadSums) -> LoadReport | None:
         """Apply the fleet-wide sums.
 
         Args:
             included: Sequence number of the own report that the sums contain.
             sums: Counts of all entries.
+
+        Returns:
+            The own report that the sums contain, or None if it is no longer kept.
         """
         now = self._clock.now()
         own = self._balancer.loads.apply_sums(included, sums, now)
@@ -267,6 +274,7 @@
             sums, own, capacity=capacity, now=now, used_part=used_part
         )
         self._pump_soon()
+        return own
 
     def _used_part(self, pool: str, profile: EngineProfile) -> float | None:
         """Return the mean used part of a pool's engines; None if it has none."""
