List the engines that prompt parts may be fetched from

Cause: engines that accept no new requests, or leave, still hold parts and answer. Change: the view lists them by digest besides those of the pool; a leaving engine is left out once another one claims its address.

--- a/src/leadseam/membership/addresses.py
+++ b/src/leadseam/membership/addresses.py
@@ -46,6 +46,10 @@
         claims = self._claims.get((row.ip, row.port))
         return claims is not None and claims.holder == row.incarnation
 
+    def is_claimed(self, row: Registration) -> bool:
+        """Return whether any registered incarnation claims the address of a row."""
+        return (row.ip, row.port) in self._claims
+
     def claim(self, row: Registration, now: Millis) -> None:
         """Add a new incarnation; it gets its address unless the holder has proof."""
         address = (row.ip, row.port)
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -23,6 +23,9 @@
 
 LOST_REPLICA_TTL: Millis = 12_000
 """Time for which a lost replica's upstreams are kept: ten heartbeats of 1.2 s."""
+MAX_LEAVING = 256
+"""Upstreams kept after they have announced that they leave, about 100 KB. An engine
+that leaves answers for some seconds more, and prompt parts can be fetched from it."""
 COLD_HEARTBEATS_AFTER_RESTORE = 3
 """Heartbeats for which the upstreams of a failure domain count as cold once its
 evacuation ends: they may have turned cold just before, and a heartbeat may be late."""
@@ -70,8 +73,12 @@
         self._all_warm_at: Millis = 0
         self._upstreams: dict[str, _KnownUpstream] = {}
         self._departed = Departures()
+        self._leaving: dict[Incarnation, Registration] = {}
         self._by_pool: dict[str, list[Registration]] | None = None
         self._by_regions: dict[tuple[str, frozenset[str]], list[Registration]] = {}
+        self._sources: dict[
+            tuple[str, frozenset[str] | None], dict[int, Registration]
+        ] = {}
         self._slots_by_pool: dict[str, tuple[int, int]] = {}
         self._addresses = AddressTable()
 
@@ -120,6 +127,9 @@
             if known is not None and known.incarnation in self._departed:
                 del self._upstreams[incarnation.instance]
                 self._release_address(known)
+                self._leaving[incarnation] = known.registration
+                if len(self._leaving) > MAX_LEAVING:
+                    del self._leaving[next(iter(self._leaving))]
         return new
 
     def evacuate(self, revision: int, domains: Iterable[str], now: Millis) -> bool:
@@ -219,6 +229,37 @@
             ]
         return self._by_regions[key]
 
+    def sources(
+        self, name: str, regions: frozenset[str] | None = None
+    ) -> Mapping[int, Registration]:
+        """Return upstreams that cached prompt parts may be fetched from, by digest.
+
+        Unlike `pool`, the result includes upstreams that accept no new requests, and
+        those that leave while no other upstream is registered at their address.
+
+        Args:
+            name: Name of the pool.
+            regions: Allowed regions, or None for any.
+        """
+        self._pools()
+        key = (name, regions)
+        if key not in self._sources:
+            self._sources[key] = {
+                row.incarnation.digest(): row
+                for row in self._source_rows(name)
+                if regions is None or self._regions.get(row.failure_domain) in regions
+            }
+        return self._sources[key]
+
+    def _source_rows(self, pool: str) -> list[Registration]:
+        registered = (known.registration for known in self._upstreams.values())
+        rows = [row for row in registered if self._addresses.holds(row)]
+        rows += [
+            row for row in self._leaving.values() if not self._addresses.is_claimed(row)
+        ]
+        rows = _without_foreign_rows([row for row in rows if row.pool == pool])
+        return self._not_evacuated(rows)
+
     def _pools(self) -> dict[str, list[Registration]]:
         """Return the upstreams that accept new requests by pool.
 
@@ -227,6 +268,7 @@
         if self._by_pool is None:
             self._by_pool = self._group()
             self._by_regions.clear()
+            self._sources.clear()
         return self._by_pool
 
     def _group(self) -> dict[str, list[Registration]]:
