Name the source of a fetch in the head of an attempt

Cause: an engine fetches parts from the address in Kv-Fetch. Change: AttemptHead has fetch_from, and the platform's dialect writes the header if it is set. Not measured.

--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -96,6 +96,8 @@
             headers.append((names.ACCOUNT, attempt.account))
         if attempt.resume_after is not None:
             headers.append((names.LAST_EVENT, attempt.resume_after))
+        if attempt.fetch_from:
+            headers.append((names.FETCH_FROM, attempt.fetch_from))
         return headers
 
     def read_answer(self, status: int, headers: MultiMapping[str]) -> AnswerHead:
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -94,6 +94,8 @@
             not passed on to upstreams.
         time_left: Milliseconds until the deadline of the request.
         resume_after: Id of the last event already delivered, or None.
+        fetch_from: Address (`IP:PORT`) of the engine to fetch cached prompt parts from,
+            or an empty string.
     """
 
     instance: str
@@ -101,6 +103,7 @@
     uses_account_keys: bool
     time_left: Millis
     resume_after: str | None
+    fetch_from: str = ""
 
 
 @dataclass(frozen=True, slots=True)
