--- a/src/leadseam/routing/placement.py
+++ b/src/leadseam/routing/placement.py
@@ -21,6 +21,9 @@
             including those of other requests.
         reread: Tokens of shared parts that the upstream is expected to read again.
         rank: Position of the upstream in the engine order of the prompt.
+        fetched: Tokens of shared parts that the upstream is told to fetch.
+        source: Engine that it is told to fetch them from, or None.
+        fetch_ms: Milliseconds that fetching them is expected to take.
     """
 
     upstream: Registration
@@ -28,3 +31,6 @@
     unread: int
     reread: int = 0
     rank: int = 0
+    fetched: int = 0
+    source: Registration | None = None
+    fetch_ms: float = 0.0
--- a/src/leadseam/routing/prompts.py
+++ b/src/leadseam/routing/prompts.py
@@ -18,9 +18,14 @@
 
 
 class PromptTable:
-    """Prompt parts that this entry has sent, and the engines that received them."""
+    """Prompt parts that this entry has sent, and the engines that received them.
 
-    def __init__(self) -> None:
+    Args:
+        retention: Time for which an engine is assumed to hold a part.
+    """
+
+    def __init__(self, retention: Millis = RETENTION) -> None:
+        self._retention = retention
         # Keyed by part and not by engine: each request looks up the holders of a part,
         # so that the other engines can be skipped.
         self._sent: OrderedDict[str, dict[Incarnation, Millis]] = OrderedDict()
@@ -43,7 +48,7 @@
         sent = self._sent.get(identity)
         if sent is None:
             return frozenset()
-        old = [one for one, at in sent.items() if now - at >= RETENTION]
+        old = [one for one, at in sent.items() if now - at >= self._retention]
         for incarnation in old:
             del sent[incarnation]
         return frozenset(sent)
@@ -73,13 +78,14 @@
         held = True
         for position, part in enumerate(parts):
             last = position == len(parts) - 1
-            held = held and ((home and not last) or self._holds(incarnation, part, now))
+            held = held and ((home and not last) or self.holds(incarnation, part, now))
             if not held:
                 total += part.tokens
                 shared += 0 if last else part.tokens
         return total, shared
 
-    def _holds(self, incarnation: Incarnation, part: PromptPart, now: Millis) -> bool:
+    def holds(self, incarnation: Incarnation, part: PromptPart, now: Millis) -> bool:
+        """Return whether an engine is assumed to hold a part."""
         sent = self._sent.get(part.identity)
         at = sent.get(incarnation) if sent is not None else None
-        return at is not None and now - at < RETENTION
+        return at is not None and now - at < self._retention
