Place requests by what engines hold, and let them fetch parts

Cause: a request whose parts are held by a full engine was refused while others were idle. Change: where a pool is memory-bound and its engines can fetch, the balancer scores fetches with FETCH_WEIGHT; retries get a plan, unless an attempt with a source broke off. Other pools are placed as before.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -116,11 +116,11 @@
         placement = self._place(waiter, now) if is_next else None
         self._waiting.append(waiter)
         if placement is not None:
-            self._finish(waiter, placement)
+            self._finish(waiter, placement, now)
         elif not self._may_wait(waiter, now):
             # Other waiting requests take precedence for any capacity that becomes free
             # before this one would be refused.
-            self._finish(waiter, None)
+            self._finish(waiter, None, now)
 
     def _longest_wait(self, waiter: Waiter) -> Millis:
         """Return how long a request may wait and still be in time on an idle engine."""
@@ -155,10 +155,10 @@
                 open_engines[key] = self._with_capacity(*key, now)
             placement = self._place(waiter, now, among=open_engines[key])
             if placement is not None:
-                self._finish(waiter, placement)
+                self._finish(waiter, placement, now)
             elif now >= waiter.refuse_at or not self.candidates(waiter.scope):
                 # Without a candidate no capacity can become free in time.
-                self._finish(waiter, None)
+                self._finish(waiter, None, now)
 
     def _sort(self, now: Millis) -> None:
         levels = {
@@ -182,12 +182,12 @@
             (self.recent_service(name, now) for name in accounts), default=float("inf")
         )
 
-    def _finish(self, waiter: Waiter, placement: Placement | None) -> None:
+    def _finish(self, waiter: Waiter, placement: Placement | None, now: Millis) -> None:
         waiter.done = True
         self._waiting.remove(waiter)
         if placement is not None:
             # Counted at once, so that the next request in the queue sees the load.
-            self.balancer.begin(placement)
+            self.balancer.begin(placement, waiter.req.parts, now)
         waiter.placement = placement
         waiter.wake()
 
@@ -215,6 +215,7 @@
             now,
             ahead=ahead,
             among=among,
+            scope=waiter.scope,
         )
 
     def _max_ahead(self, waiter: Waiter, now: Millis) -> Millis | None:
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -3,8 +3,9 @@
 For an engine pool, the balancer picks the engine with the earliest expected first token
 among those with capacity. Shared prompt parts that would have to be read again are
 weighted several times. All entries assume that the engine ranked first by rendezvous
-hashing holds the shared parts. For other pools, it picks the upstream with the fewest
-requests in flight per slot.
+hashing holds the shared parts, unless it is known which engines hold them, as
+`PrefixFetch` states. For other pools, it picks the upstream with the fewest requests in
+flight per slot.
 """
 
 from __future__ import annotations
@@ -26,7 +27,9 @@
     from leadseam.clock import Millis
     from leadseam.control.routes import EngineProfile
     from leadseam.incarnation import Incarnation
-    from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.dialect import PromptPart, RoutedRequest
+    from leadseam.routing.prefix_fetch import FetchPlan, PrefixFetch, PrefixLookup
+    from leadseam.routing.scope import Scope
     from leadseam.wire.feed import Registration
 
 MEMORY_PART = 0.92
@@ -37,6 +40,9 @@
 REREAD_WEIGHT = 30.0
 """Weight of a shared prompt token that is read again, relative to other tokens. Reading
 it again takes capacity from all requests and evicts other parts from memory."""
+FETCH_WEIGHT = 1.2
+"""Weight of a shared prompt token that is fetched, or that no engine holds, relative to
+the time to prefill it. A copy takes memory of the engine, but little of its time."""
 RANK_STEP = 0.4
 """Increase of the weight per position in the engine order of a prompt. It makes entries
 that cannot use the first engine agree on the second."""
@@ -51,7 +57,8 @@
 
     Args:
         placement: The placement.
-        shared: Shared prompt tokens that would have to be read again.
+        shared: Shared prompt tokens that would have to be read again, although another
+            engine holds them.
         ahead: Expected milliseconds of reading ahead of the request.
         wait: Expected milliseconds to the first token.
         cost: Weighted cost in milliseconds; the lowest is picked.
@@ -72,12 +79,19 @@
         req: The request.
         limit: Milliseconds that the first token may take.
         now: Current time.
+        lookup: Known holders of the prompt's parts, or None if there are none.
     """
 
     def __init__(
-        self, balancer: Balancer, req: RoutedRequest, limit: float, now: Millis
+        self,
+        balancer: Balancer,
+        req: RoutedRequest,
+        limit: float,
+        now: Millis,
+        lookup: PrefixLookup | None = None,
     ) -> None:
         self.req = req
+        self.lookup = lookup
         self.limit = limit
         self.now = now
         self.memory = expected_memory(req)
@@ -99,6 +113,13 @@
         if position == 0 or not self._shared_tokens or row.incarnation in self._holders:
             return False
         estimate = self._estimates.engine(row)
+        if self.lookup is not None:
+            if best is None or self.lookup.may_hold(row.incarnation):
+                return False
+            # It would have to fetch the part, or to prefill it.
+            weight = fetch_weight(position)
+            least = estimate.base + weight * self._shared_tokens / estimate.rate
+            return least >= best.cost
         weight = 1 + reread_weight(position)
         least = estimate.base + weight * self._shared_tokens / estimate.rate
         return least > self.limit or (best is not None and least >= best.cost)
@@ -120,6 +141,7 @@
         allows: Returns whether an upstream may get one more request now. By default it
             always may.
         on_begin: Called with the upstream of each request that is sent.
+        fetches: Plans which prompt parts engines fetch, or None if they fetch none.
     """
 
     def __init__(
@@ -128,8 +150,10 @@
         *,
         allows: Callable[[Registration, Millis], bool] = _all_allowed,
         on_begin: Callable[[Registration], None] = _ignore,
+        fetches: PrefixFetch | None = None,
     ) -> None:
         self._on_begin = on_begin
+        self._fetches = fetches
         self._allows = allows
         self.loads = LoadTable()
         self.prompts = PromptTable()
@@ -140,10 +164,37 @@
     def __repr__(self) -> str:
         return f"Balancer({self.loads!r})"
 
-    def begin(self, placement: Placement) -> None:
-        """Count a request at the upstream to which it is sent."""
+    def begin(
+        self,
+        placement: Placement,
+        parts: tuple[PromptPart, ...] = (),
+        now: Millis = 0,
+    ) -> None:
+        """Count a request at the upstream to which it is sent.
+
+        Args:
+            placement: Where the request is placed.
+            parts: Its prompt.
+            now: Current time, if there is a prompt.
+        """
         self.loads.begin(placement.upstream.incarnation, placement.load)
         self._on_begin(placement.upstream)
+        if self._fetches is not None and parts:
+            self._fetches.begin(placement, parts, now)
+
+    def record_read(
+        self, placement: Placement, parts: tuple[PromptPart, ...], now: Millis
+    ) -> None:
+        """Record that an engine holds a prompt, as it has begun to answer."""
+        self.prompts.sent(placement.upstream.incarnation, parts, now)
+        if self._fetches is not None and parts:
+            self._fetches.record_sent(placement.upstream.incarnation, parts, now)
+        self.end_fetch(placement)
+
+    def end_fetch(self, placement: Placement) -> None:
+        """Record that the fetch of a placement has ended, if it has one."""
+        if self._fetches is not None:
+            self._fetches.end(placement)
 
     def least_loaded(
         self, rows: Sequence[Registration], now: Millis
@@ -188,6 +239,7 @@
         *,
         ahead: Millis | None = None,
         among: frozenset[Incarnation] | None = None,
+        scope: Scope | None = None,
     ) -> Placement | None:
         """Return the best engine with capacity, or None.
 
@@ -200,8 +252,10 @@
             ahead: Maximum milliseconds of reading that may be ahead of the request at
                 the engine, or None if only the time of the first token counts.
             among: Engines that may have capacity, if already computed.
+            scope: Pool and regions of the request; without them nothing is fetched.
         """
-        search = _Search(self, req, limit, now)
+        lookup = self._look_up(scope, req, profile, now)
+        search = _Search(self, req, limit, now, lookup)
         best: _Scored | None = None
         for position, row in enumerate(ranked):
             if among is not None and row.incarnation not in among:
@@ -227,17 +281,49 @@
         return self.estimates.pool(pool).millis(own_tokens(req))
 
     def place_over_limits(
-        self, ranked: Sequence[Registration], req: RoutedRequest, now: Millis
+        self,
+        ranked: Sequence[Registration],
+        req: RoutedRequest,
+        now: Millis,
+        *,
+        scope: Scope | None = None,
+        profile: EngineProfile | None = None,
+        fetching: bool = True,
     ) -> Placement | None:
-        """Return the best engine for a retried request, even if none has capacity."""
+        """Return the best engine for a retried request, even if none has capacity.
+
+        Args:
+            ranked: Engines that may be used, in the order of `EngineOrders`.
+            req: The request.
+            now: Current time.
+            scope: Pool and regions of the request; without them nothing is fetched.
+            profile: Stated properties of the engines, if parts may be fetched.
+            fetching: Whether the engine may be told to fetch parts.
+        """
+        lookup = None
+        if profile is not None:
+            lookup = self._look_up(scope, req, profile, now, fetching=fetching)
         scored = [
-            self._score(row, req, now, position=position)
+            self._score(row, req, now, position=position, lookup=lookup)
             for position, row in enumerate(ranked)
             if self._allows(row, now)
         ]
         best = min(scored, key=lambda one: one.cost, default=None)
         return best.placement if best is not None else None
 
+    def _look_up(
+        self,
+        scope: Scope | None,
+        req: RoutedRequest,
+        profile: EngineProfile,
+        now: Millis,
+        *,
+        fetching: bool = True,
+    ) -> PrefixLookup | None:
+        if self._fetches is None or scope is None:
+            return None
+        return self._fetches.look_up(scope, req, profile, now, fetching=fetching)
+
     def _score_if_open(
         self, row: Registration, position: int, search: _Search, profile: EngineProfile
     ) -> _Scored | None:
@@ -247,7 +333,9 @@
         filled = self.loads.total(row.incarnation, search.now).memory + search.memory
         if filled > profile.memory_tokens * MEMORY_PART:
             return None
-        scored = self._score(row, search.req, search.now, position=position)
+        scored = self._score(
+            row, search.req, search.now, position=position, lookup=search.lookup
+        )
         # A prompt that exceeds the limit even on an idle engine may go to an engine
         # that has nothing else to read.
         is_alone = scored.placement.unread == scored.placement.load.unread
@@ -266,9 +354,20 @@
         return not total.unread or waited <= limit
 
     def _score(
-        self, row: Registration, req: RoutedRequest, now: Millis, *, position: int
+        self,
+        row: Registration,
+        req: RoutedRequest,
+        now: Millis,
+        *,
+        position: int,
+        lookup: PrefixLookup | None = None,
     ) -> _Scored:
         home = position == 0
+        if lookup is not None:
+            rate = self.estimates.engine(row).rate
+            plan = lookup.plan(row, rate, home=home)
+            if plan is not None:
+                return self._score_plan(row, req, now, plan, position=position)
         own, shared = self.prompts.unread(row.incarnation, req.parts, now, home=home)
         total = self.loads.total(row.incarnation, now)
         unread = total.unread + own
@@ -280,6 +379,48 @@
         placement = Placement(row, load, unread, shared, position)
         return _Scored(placement, shared, total.unread / estimate.rate, wait, cost)
 
+    def _score_plan(
+        self,
+        row: Registration,
+        req: RoutedRequest,
+        now: Millis,
+        plan: FetchPlan,
+        *,
+        position: int,
+    ) -> _Scored:
+        """Score an engine of which it is known what it holds."""
+        own = plan.prefilled
+        last = req.parts[-1]
+        if own or plan.fetched or not self.prompts.holds(row.incarnation, last, now):
+            own += last.tokens
+        # All entries prefer the first engine for the prompt, so the parts are meant to
+        # be prefilled there whoever else holds them.
+        again = plan.again if position else 0
+        light = plan.fetched + plan.prefilled - again
+        total = self.loads.total(row.incarnation, now)
+        unread = total.unread + own
+        estimate = self.estimates.engine(row)
+        wait = estimate.millis(unread) + plan.fetch_ms
+        penalty = reread_weight(position) * again + fetch_weight(position) * light
+        load = Load(requests=1, unread=own, memory=expected_memory(req))
+        cost = wait + penalty / estimate.rate + RUNNING_COST * total.requests
+        placement = Placement(
+            row,
+            load,
+            unread,
+            plan.prefilled,
+            position,
+            plan.fetched,
+            plan.source,
+            plan.fetch_ms,
+        )
+        return _Scored(placement, again, total.unread / estimate.rate, wait, cost)
+
+
+def fetch_weight(position: int) -> float:
+    """Return the weight of fetched shared tokens, by the engine's position."""
+    return FETCH_WEIGHT * (1 + RANK_STEP * position)
+
 
 def reread_weight(position: int) -> float:
     """Return the weight of shared tokens read again, by the engine's position."""
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -34,7 +34,6 @@
     from leadseam.routing.flight import Flight
     from leadseam.routing.gateway import Gateway
     from leadseam.routing.placement import Placement
-    from leadseam.wire.feed import Registration
 
 MAX_SENDS = 4
 """Sends of one request at most, including those to upstreams that did not run it."""
@@ -59,6 +58,8 @@
         tried: Incarnations of the upstreams that were tried.
         last: Incarnation that was tried last, or None.
         retry_taken: Whether a retry was taken from the budget and is not yet used.
+        fetching: Whether an engine may be told to fetch prompt parts. It is not after
+            an attempt that was told so broke off, as the fetch may be the reason.
     """
 
     sends: int = 0
@@ -66,6 +67,7 @@
     tried: set[Incarnation] = field(default_factory=set)
     last: Incarnation | None = None
     retry_taken: bool = False
+    fetching: bool = True
 
 
 class Exchange:
@@ -146,7 +148,10 @@
         while True:
             progress = self._progress
             flight = await self._gateway.placer.place(
-                self._request, progress.tried, again=progress.sends > 0
+                self._request,
+                progress.tried,
+                again=progress.sends > 0,
+                fetching=progress.fetching,
             )
             if isinstance(flight, Reason):
                 return self._not_placed(flight)
@@ -174,6 +179,8 @@
             ending = await self._attempt_watched(flight)
         finally:
             flight.end()
+        if isinstance(ending, Broken) and flight.placement.source is not None:
+            progress.fetching = False
         match ending:
             case Withheld():
                 progress.sends -= 1
@@ -209,7 +216,7 @@
         watch.reset(
             first_byte_limit(route.latency_objective, flight.expected_first_token)
         )
-        ending = await self._attempt(flight.upstream)
+        ending = await self._attempt(flight.placement)
         if isinstance(ending, Streaming):
             ending = await self._relay(ending, flight, watch)
         return ending
@@ -237,14 +244,16 @@
         self._progress.retry_taken = self._may_send_again()
         return self._progress.retry_taken
 
-    async def _attempt(self, upstream: Registration) -> Ending:
+    async def _attempt(self, placement: Placement) -> Ending:
         request = self._request
+        upstream, source = placement.upstream, placement.source
         head = AttemptHead(
             instance=upstream.instance,
             account=request.account,
             uses_account_keys=self._gateway.uses_account_keys,
             time_left=max(request.deadline - self._gateway.now(), 1),
             resume_after=self._reply.last_event,
+            fetch_from=f"{source.ip}:{source.port}" if source is not None else "",
         )
         return await attempt(
             self._gateway.client,
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -63,7 +63,7 @@
         if not self._placement.unread:
             return 0.0
         estimate = self._balancer.estimates.engine(self.upstream)
-        return estimate.millis(self._placement.unread)
+        return estimate.millis(self._placement.unread) + self._placement.fetch_ms
 
     def first_byte(self) -> None:
         """Record the start of the answer; only the first call has an effect."""
@@ -73,9 +73,11 @@
         now = self._clock.now()
         incarnation = self.upstream.incarnation
         self._balancer.loads.mark_read(incarnation, self._placement.load.unread)
-        self._balancer.prompts.sent(incarnation, self._req.parts, now)
+        self._balancer.record_read(self._placement, self._req.parts, now)
+        # The estimates are of prefilling alone.
+        millis = max(now - self._sent - round(self._placement.fetch_ms), 0)
         self._balancer.estimates.add_measurement(
-            self.upstream, self._placement.unread, now - self._sent
+            self.upstream, self._placement.unread, millis
         )
         self._on_capacity()
 
@@ -89,5 +91,7 @@
         load = self._placement.load
         if self._answered:
             load = Load(requests=load.requests, memory=load.memory)
+        else:
+            self._balancer.end_fetch(self._placement)
         self._balancer.loads.end(self.upstream.incarnation, load)
         self._on_capacity()
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
@@ -14,6 +15,8 @@
 from leadseam.routing.balance import Balancer, expected_service
 from leadseam.routing.cold_budget import ColdBudget
 from leadseam.routing.flight import Flight
+from leadseam.routing.memory_pressure import MemoryPressure
+from leadseam.routing.part_holders import PartHolders
 from leadseam.routing.pauses import PauseTable
 from leadseam.routing.plain_queue import (
     MAX_PER_SLOT,
@@ -21,12 +24,13 @@
     PlainQueue,
     PlainWaiter,
 )
+from leadseam.routing.prefix_fetch import PrefixFetch, can_fetch
 from leadseam.routing.scope import Scope
 from leadseam.routing.usage import DECAY_TIME, UsageTable
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Mapping, Sequence
 
     from leadseam.clock import Clock, Millis
     from leadseam.feed.client import FeedClient
@@ -38,6 +42,8 @@
     from leadseam.routing.usage import Standing
     from leadseam.wire.feed import LoadReport, LoadSums, Registration
 
+log = logging.getLogger(__name__)
+
 _W = TypeVar("_W", Waiter, PlainWaiter)
 
 PUMP_INTERVAL: Millis = 5
@@ -102,7 +108,20 @@
             cold_until=feed.view.cold_until,
             entries=feed.entries.recent_max,
         )
-        self._balancer = Balancer(rng, allows=self._allows, on_begin=self._note_begin)
+        self.holders = PartHolders()
+        self._memory = MemoryPressure()
+        self._fetches = PrefixFetch(
+            self.holders,
+            enabled=self._fetches_parts,
+            sources=self._sources,
+            usable=self._is_usable_source,
+        )
+        self._balancer = Balancer(
+            rng,
+            allows=self._allows,
+            on_begin=self._note_begin,
+            fetches=self._fetches,
+        )
         self._usage = UsageTable()
         self.account_log = AccountLog(self._usage, clock)
         self._admission = Admission(
@@ -136,7 +155,12 @@
         return self._usage.standing(account, now)
 
     async def place(
-        self, admitted: AdmittedRequest, tried: set[Incarnation], *, again: bool
+        self,
+        admitted: AdmittedRequest,
+        tried: set[Incarnation],
+        *,
+        again: bool,
+        fetching: bool = True,
     ) -> Flight | Reason:
         """Find the upstream for an attempt.
 
@@ -146,11 +170,14 @@
             admitted: The request.
             tried: Incarnations that must not be used.
             again: Whether the request was already sent to an upstream.
+            fetching: Whether the engine of a retry may be told to fetch prompt parts.
 
         Returns:
             The request in flight, or the reason why it is refused.
         """
-        placement = self._place_at_once(admitted, tried, again=again)
+        if not again:
+            self._note_request(admitted)
+        placement = self._place_at_once(admitted, tried, again=again, fetching=fetching)
         if isinstance(placement, EngineProfile):
             placement = await self._wait_for_engine(admitted, placement, tried)
             reason = Reason.UPSTREAM_FULL
@@ -160,7 +187,8 @@
         else:
             reason = Reason.NO_UPSTREAM
             if placement is not None:
-                self._balancer.begin(placement)
+                now = self._clock.now()
+                self._balancer.begin(placement, admitted.req.parts, now)
         if placement is None:
             return (
                 Reason.UPSTREAMS_PAUSED if self.pause_left(admitted.scope) else reason
@@ -243,8 +271,54 @@
         self._usage.apply_sums(sums, own, capacity=capacity, now=now)
         self._pump_soon()
 
+    def memory_bound_pools(self) -> int:
+        """Return the number of memory-bound pools."""
+        return self._memory.bound_pools()
+
+    def _note_request(self, admitted: AdmittedRequest) -> None:
+        """Count the size of a request for an engine pool."""
+        pool = self._feed.configuration.pools.get(admitted.pool)
+        profile = pool.engine if pool is not None else None
+        if profile is None:
+            return
+        before = self._memory.is_memory_bound(admitted.pool, profile)
+        self._memory.record(admitted.pool, admitted.req)
+        bound = self._memory.is_memory_bound(admitted.pool, profile)
+        if bound is not before:
+            extra = {
+                "pool": admitted.pool,
+                "memory_bound": bound,
+                "mean_tokens": self._memory.mean_tokens(admitted.pool),
+                "fetches": can_fetch(profile),
+            }
+            log.info("memory limits of a pool changed", extra=extra)
+        if bound and can_fetch(profile):
+            self._note_parts(admitted.req)
+
+    def _note_parts(self, req: RoutedRequest) -> None:
+        """Tell replicas which prompt parts matter, if this entry can."""
+        interest = getattr(self, "part_interest", None)
+        if interest is not None:
+            interest.saw(req.parts, self._clock.now())
+
+    def _fetches_parts(self, pool: str, profile: EngineProfile) -> bool:
+        return can_fetch(profile) and self._memory.is_memory_bound(pool, profile)
+
+    def _sources(self, scope: Scope) -> Mapping[int, Registration]:
+        return self._feed.view.sources(scope.pool, scope.regions)
+
+    def _is_usable_source(self, row: Registration, now: Millis) -> bool:
+        return not self._pauses.is_paused(row.incarnation, now) and self._health.usable(
+            row.incarnation, now
+        )
+
     def _place_at_once(
-        self, admitted: AdmittedRequest, tried: set[Incarnation], *, again: bool
+        self,
+        admitted: AdmittedRequest,
+        tried: set[Incarnation],
+        *,
+        again: bool,
+        fetching: bool,
     ) -> Placement | EngineProfile | _PlainWait | None:
         """Place a request that does not have to wait.
 
@@ -264,7 +338,14 @@
         if again:
             order = self._balancer.orders.order_for(admitted.scope, rows, admitted.req)
             ranked = _exclude_tried(order, tried)
-            return self._balancer.place_over_limits(ranked, admitted.req, now)
+            return self._balancer.place_over_limits(
+                ranked,
+                admitted.req,
+                now,
+                scope=admitted.scope,
+                profile=profile,
+                fetching=fetching,
+            )
         return profile if _exclude_tried(rows, tried) else None
 
     def _pick_plain(
@@ -330,6 +411,7 @@
             placement = waiter.placement
             if placement is not None:
                 self._balancer.loads.end(placement.upstream.incarnation, placement.load)
+                self._balancer.end_fetch(placement)
             raise
         return waiter.placement
 
