Emulate fetches of prompt parts and the events that report caches

Cause: what fetching gains has to be tested under load. Change: an emulated engine fetches a prefix over its link, one after another, and reports what it caches; the fleet tells entries at a configured interval, and counts refusals while an engine had been idle.

--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, cast
 
-from leadseam.clock import sleep
+from leadseam.clock import MILLIS_PER_SECOND, seconds, sleep
 from leadseam.control.routes import CallerLimits, EngineProfile, PoolShare, Route
 from leadseam.emulate.callers import ArrivalGenerator
 from leadseam.emulate.engine import Engine, Run, call_after
@@ -27,9 +27,11 @@
 from leadseam.routing.balance import expected_service
 from leadseam.routing.exchange import MAX_RETRY_PAUSE, MAX_SENDS, RETRY_AFTER_SHARE
 from leadseam.routing.health import UpstreamHealth
+from leadseam.routing.part_holders import part_digest
 from leadseam.routing.placer import Placer
+from leadseam.routing.usage import Standing
 from leadseam.wire.codec import decode
-from leadseam.wire.feed import LoadSums, Registration
+from leadseam.wire.feed import CacheChanges, EngineCache, LoadSums, Registration
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine, Iterable, Sequence
@@ -47,6 +49,8 @@
 DRAIN_TIME: Millis = 4_000
 """Time after the last arrival during which retries are made and finish."""
 ADDRESSES_PER_SUBNET = 250
+EVENT_CALLS = 12
+"""Concurrent calls for cache events that an engine is stated to accept."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,10 +67,14 @@
 class _ViewStub:
     def __init__(self, rows: Sequence[Registration]) -> None:
         self._rows = rows
+        self._by_digest = {row.incarnation.digest(): row for row in rows}
 
     def pool(self, _: str, _regions: Regions = None) -> Sequence[Registration]:
         return self._rows
 
+    def sources(self, _: str, _regions: Regions = None) -> dict[int, Registration]:
+        return self._by_digest
+
     def all_warm(self, _: Millis) -> bool:
         return True
 
@@ -82,7 +90,14 @@
 
     def __init__(self, rows: Sequence[Registration], cfg: FleetSettings) -> None:
         speed = cfg.engine
-        profile = EngineProfile(slots=speed.slots, memory_tokens=speed.memory_tokens)
+        profile = EngineProfile(
+            slots=speed.slots,
+            memory_tokens=speed.memory_tokens,
+            fetches=speed.link_mbps > 0,
+            token_bytes=speed.token_bytes,
+            link_mbps=speed.link_mbps,
+            event_calls=EVENT_CALLS,
+        )
         limits = CallerLimits(tokens_per_s=cfg.stated)
         self.view = _ViewStub(rows)
         self.entries = EntryCount()
@@ -109,6 +124,7 @@
         self._placers = [self._make_placer(feed) for _ in range(cfg.entries)]
         self._routes = {kind.name: _make_route(kind) for kind in cfg.kinds}
         self._aggregator = LoadAggregator()
+        self._shared_parts: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -119,6 +135,8 @@
         for number in range(len(self._placers)):
             self._spawn(self._report_load(number))
         self._spawn(self._aggregate_loads())
+        if self._cfg.cache_events:
+            self._spawn(self._report_caches())
         for arrival in self._arrivals.arrivals():
             await sleep(max(arrival.at - self._clock.now(), 0))
             self._spawn(self._serve(arrival))
@@ -135,6 +153,7 @@
 
     async def _serve(self, arrival: Arrival) -> None:
         """Send a request; if it is refused, retry it once at a random entry."""
+        self._shared_parts.update(part.identity for part in arrival.req.parts[:-1])
         self.tally.arrived(arrival, expected_service(arrival.req))
         deadline = self._clock.now() + arrival.kind.patience
         if await self._attempt_entry(arrival, arrival.entry, deadline):
@@ -165,6 +184,8 @@
         while len(tried) < MAX_SENDS:
             flight = await placer.place(admitted, tried, again=bool(tried))
             if isinstance(flight, Reason):
+                if placer.standing(arrival.account, now) is not Standing.STOPPED:
+                    self._note_refusal(now)
                 return False
             pause = self._requested_pause(flight)
             if not pause:
@@ -177,6 +198,11 @@
             placer.pause(flight.upstream, pause)
         return False
 
+    def _note_refusal(self, arrived: Millis) -> None:
+        idle_since = min(one.idle_since for one in self.engines.values())
+        if idle_since <= seconds(arrived):
+            self.tally.idle_refusals[arrived // MILLIS_PER_SECOND] += 1
+
     def _requested_pause(self, flight: Flight) -> Millis:
         """Return the pause that the engine of a flight asks for; 0 if it accepts it."""
         now = self._clock.now()
@@ -200,14 +226,31 @@
                 self.tally.ends["engine full"] += 1
                 flight.end()
 
+        source = flight.placement.source
         run = Run(
             arrival.req,
             arrival.made,
             on_first=lambda: call_after(HOP_LATENCY, record_first_token),
             on_end=lambda: call_after(HOP_LATENCY, flight.end),
+            source=None if source is None else self.engines[source.incarnation],
         )
         call_after(HOP_LATENCY, deliver)
 
+    # Cache events
+
+    async def _report_caches(self) -> None:
+        """Tell all entries regularly which shared parts engines hold, as replicas do.
+
+        All parts of a prompt are reported at the next time after they are cached.
+        """
+        while True:
+            rows = tuple(
+                _cache_row(one, self._shared_parts) for one in self.engines.values()
+            )
+            for placer in self._placers:
+                placer.holders.apply("replica", CacheChanges(rows))
+            await sleep(self._cfg.cache_events)
+
     # Load sums
 
     async def _report_load(self, number: int) -> None:
@@ -261,6 +304,20 @@
     )
 
 
+def _cache_row(engine: Engine, shared_parts: set[str]) -> EngineCache:
+    changes = {
+        part_digest(identity): tokens
+        for identity, tokens in engine.take_cache_changes().items()
+        if identity in shared_parts
+    }
+    return EngineCache(
+        engine.row.incarnation.digest(),
+        whole=False,
+        held=tuple((part, tokens) for part, tokens in changes.items() if tokens),
+        gone=tuple(part for part, tokens in changes.items() if not tokens),
+    )
+
+
 def _make_route(kind: RequestKind) -> Route:
     return Route(
         name=kind.name,
--- a/src/leadseam/emulate/settings.py
+++ b/src/leadseam/emulate/settings.py
@@ -30,6 +30,9 @@
         memory_tokens: Tokens that fit into the KV cache, as stated by operators.
         parts_kept: Number of prompt parts that stay cached; the least recently used
             one is evicted first.
+        token_bytes: Bytes of one cached token.
+        link_mbps: Bandwidth of an engine's link for cached tokens, in Mbit/s; 0 if
+            engines cannot fetch prompt parts from each other.
     """
 
     slots: PositiveInt = 12
@@ -37,6 +40,8 @@
     step_ms: PositiveFloat = 3.55
     memory_tokens: PositiveInt = 559_032
     parts_kept: PositiveInt = 60
+    token_bytes: PositiveInt = 131_072
+    link_mbps: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class RequestKind(
@@ -122,6 +127,8 @@
         crowded: Number of entries to which a load balancer hashes half of all callers;
             0 if callers are spread evenly.
         spells: Periods in which engines refuse requests.
+        cache_events: Milliseconds between the times at which all entries learn which
+            prompt parts engines hold; 0 if they never do.
         span: Simulated time in milliseconds.
     """
 
@@ -136,6 +143,7 @@
     floods: tuple[Flood, ...] = ()
     crowded: NonNegativeInt = 0
     spells: tuple[RefusalPeriod, ...] = ()
+    cache_events: NonNegativeInt = 0
     span: PositiveInt = 10_000
 
 
--- a/src/leadseam/emulate/tally.py
+++ b/src/leadseam/emulate/tally.py
@@ -31,6 +31,8 @@
         begun_by_second: Service begun, by account and second.
         owed: Worth of all requests if all were answered in time.
         earned: Worth of the answers given, in time or late.
+        idle_refusals: Refusals of accounts that may claim service while an engine had
+            been idle since the request arrived, by second.
     """
 
     ends: Counter[str] = field(default_factory=Counter)
@@ -40,6 +42,7 @@
     begun_by_second: Counter[tuple[str, int]] = field(default_factory=Counter)
     owed: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
     earned: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+    idle_refusals: Counter[int] = field(default_factory=Counter)
 
     def arrived(self, arrival: Arrival, service: int) -> None:
         """Count a request that has arrived."""
--- a/tests/emulate/test_engine.py
+++ b/tests/emulate/test_engine.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from leadseam.emulate.engine import MAX_QUEUED, Engine, Run
@@ -80,3 +81,41 @@
     events, _, accepted = simulate(*names)
     assert accepted == [True] * (MAX_QUEUED + 1) + [False]
     assert [name for what, name, _ in events if what == "end"] == names[:-1]
+
+
+def test_an_engine_fetches_parts_one_after_another_and_caches_them() -> None:
+    loop = VirtualLoop()
+    clock = VirtualClock(loop)
+    firsts: list[int] = []
+    speed = msgspec.structs.replace(SPEED, slots=2, token_bytes=10, link_mbps=1.0)
+
+    async def run() -> Engine:
+        source, engine = (Engine(make_upstream(one), speed) for one in (1, 2))
+        for name in ("one", "two"):
+            for target, run_source in ((source, None), (engine, source)):
+                own = PromptPart(f"{name}-{target.row.instance}", 10)
+                req = replace(make_request(), parts=(PromptPart(name, 100), own))
+                first = firsts if run_source else []
+                assert target.submit(
+                    Run(
+                        req,
+                        1,
+                        on_first=lambda first=first: first.append(clock.now()),  # type: ignore[misc]
+                        on_end=lambda: None,
+                        source=run_source,
+                    )
+                )
+        await asyncio.sleep(1)
+        return engine
+
+    try:
+        engine = loop.run_until_complete(run())
+    finally:
+        loop.close()
+    # Each fetch takes 8 ms, the own part 1 ms, and the first token a step of 2 ms.
+    assert firsts == [8 + 1 + 2, 16 + 1 + 2]
+    assert engine.fetched_tokens == 200
+    assert engine.prefilled_tokens == 20
+    changes = engine.take_cache_changes()
+    assert changes == {"one": 0, "two": 100, "one-i-2": 10, "two-i-2": 10}
+    assert engine.take_cache_changes() == {}
