Report planned fetches in log lines, metrics and tables

Cause: fetches were not visible. Change: the line of an ended request has fetched and source; counters of planned fetches and tokens by whether the source is in the own failure domain; a gauge of memory-bound pools; leadseam-explain shows fetched beside reread. Not measured; tests of explain pass.

--- a/src/leadseam/explain/records.py
+++ b/src/leadseam/explain/records.py
@@ -44,6 +44,7 @@
             the request was refused, or an empty string.
         prompt: Prompt tokens of its own, without shared prompt parts.
         reread: Tokens of shared prompt parts that were expected to be read again.
+        fetched: Tokens of shared prompt parts that the upstream was told to fetch.
         duration: Milliseconds from arrival to end.
     """
 
@@ -58,6 +59,7 @@
     standing: str
     prompt: int
     reread: int
+    fetched: int
     duration: Millis
 
 
@@ -96,6 +98,7 @@
         standing=fields.get("standing", ""),
         prompt=fields.get("prompt", 0),
         reread=fields.get("reread", 0),
+        fetched=fields.get("fetched", 0),
         duration=fields.get("ms", 0),
     )
 
--- a/src/leadseam/explain/tables.py
+++ b/src/leadseam/explain/tables.py
@@ -42,11 +42,13 @@
         name: Value of the key that the requests share.
         counts: Number of requests by ending.
         reread: Tokens of shared prompt parts that were expected to be read again.
+        fetched: Tokens of shared prompt parts that upstreams were told to fetch.
     """
 
     name: str
     counts: Counter[Ending]
     reread: int
+    fetched: int
 
     @property
     def total(self) -> int:
@@ -78,7 +80,8 @@
         key: Key by which the requests are grouped.
         max_rows: Maximum rows; the number of omitted rows is shown.
     """
-    headings = [key.value, "all", *(ending.value for ending in Ending), "reread"]
+    endings = (ending.value for ending in Ending)
+    headings = [key.value, "all", *endings, "reread", "fetched"]
     texts = [headings, *(_row_texts(row) for row in rows[:max_rows])]
     lines = render_columns(texts)
     if len(rows) > max_rows:
@@ -94,7 +97,8 @@
 
 def _row(name: str, group: list[EndedRequest]) -> Row:
     counts = Counter(request.ending for request in group)
-    return Row(name, counts, sum(request.reread for request in group))
+    reread = sum(request.reread for request in group)
+    return Row(name, counts, reread, sum(request.fetched for request in group))
 
 
 def _group_name(request: EndedRequest, key: GroupKey) -> str:
@@ -128,7 +132,7 @@
 
 def _row_texts(row: Row) -> list[str]:
     counts = [str(row.counts[ending]) for ending in Ending]
-    return [row.name, str(row.total), *counts, str(row.reread)]
+    return [row.name, str(row.total), *counts, str(row.reread), str(row.fetched)]
 
 
 def _format_line(texts: Sequence[str], widths: Sequence[int]) -> str:
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -178,6 +178,8 @@
                 self._gateway.placer.sweep()
                 paused = self._gateway.placer.paused_count()
                 self._routing_metrics.paused_upstreams.set({}, paused)
+                bound = self._gateway.placer.memory_bound_pools()
+                self._routing_metrics.memory_bound_pools.set({}, bound)
             evacuated = len(self._view.evacuated)
             self._routing_metrics.evacuated_domains.set({}, evacuated)
 
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -175,6 +175,7 @@
         progress.tried.add(flight.upstream.incarnation)
         progress.last = flight.upstream.incarnation
         self.placement = flight.placement
+        self._gateway.request_log.count_fetch(flight.placement)
         try:
             ending = await self._attempt_watched(flight)
         finally:
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -22,6 +22,7 @@
     from leadseam.routing.attempt import Ending
     from leadseam.routing.dialect import AnswerHead
     from leadseam.routing.exchange import Exchange
+    from leadseam.routing.placement import Placement
     from leadseam.routing.usage import Standing
     from leadseam.runtime.metrics import RoutingMetrics
     from leadseam.wire.feed import Registration
@@ -113,6 +114,16 @@
                 extra["fingerprint"] = admitted.fingerprint()
             log.info("attempt failed", extra=extra)
 
+    def count_fetch(self, placement: Placement) -> None:
+        """Count an attempt whose engine is told to fetch prompt parts."""
+        source = placement.source
+        if source is None:
+            return
+        near = source.failure_domain == placement.upstream.failure_domain
+        label = "own_domain" if near else "other_domain"
+        self._metrics.fetches.inc(label)
+        self._metrics.fetched_tokens.inc(label, placement.fetched)
+
     def silence(
         self, upstream: Registration, admitted: AdmittedRequest, *, excluded: bool
     ) -> None:
@@ -195,6 +206,9 @@
             extra["unread"] = exchange.placement.unread
             extra["reread"] = exchange.placement.reread
             extra["rank"] = exchange.placement.rank
+            extra["fetched"] = exchange.placement.fetched
+            if exchange.placement.source is not None:
+                extra["source"] = str(exchange.placement.source.incarnation)
         if exchange.first_byte_at != NOT_SENT:
             extra["first_ms"] = exchange.first_byte_at - admitted.arrived
         if isinstance(outcome, Answered):
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -106,9 +106,9 @@
         self._label = label
         self._counts: dict[str, int] = {}
 
-    def inc(self, value: str) -> None:
-        """Increment the count for a label value."""
-        self._counts[value] = self._counts.get(value, 0) + 1
+    def inc(self, value: str, count: int = 1) -> None:
+        """Increase the count for a label value."""
+        self._counts[value] = self._counts.get(value, 0) + count
 
     def flush(self) -> None:
         """Add all counts to the registry's counter and reset them."""
@@ -146,6 +146,16 @@
             "Answers of upstreams that ask for a pause, by whether it can be read.",
             "result",
         )
+        self.fetches = metrics.buffered_counter(
+            "prompt_fetches_total",
+            "Attempts that name a source of prompt parts, by its failure domain.",
+            "source",
+        )
+        self.fetched_tokens = metrics.buffered_counter(
+            "prompt_fetched_tokens_total",
+            "Tokens that these attempts are expected to fetch.",
+            "source",
+        )
         self.first_byte = metrics.histogram(
             "first_byte_seconds", "Time to the first byte.", LATENCY_BUCKETS
         )
@@ -159,6 +169,9 @@
         self.paused_upstreams = metrics.gauge(
             "paused_upstreams", "Upstreams that have asked this entry for a pause."
         )
+        self.memory_bound_pools = metrics.gauge(
+            "memory_bound_pools", "Pools whose engines lack memory before slots."
+        )
         self.logs_dropped = metrics.gauge(
             "log_lines_dropped", "Log lines not written to keep the volume bounded."
         )
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -31,6 +31,7 @@
         "objective_ms": 400,
         "prompt": 628,
         "reread": 0,
+        "fetched": 0,
     }
     return json.dumps(defaults | fields)
 
@@ -39,7 +40,7 @@
     "12.5 entry-1 " + line("in-time"),
     line("late", first_ms=401, prompt=20_000, instance="i-2", reread=70),
     line("refused", outcome="not_run", reason="upstream_full", standing="ahead"),
-    line("error", status=500),
+    line("error", status=500, fetched=6_300),
     line("broken", outcome="failed", reason="upstream_broken", time=6_100),
     json.dumps({"message": "request refused", "request": "unread", "reason": "busy"}),
     json.dumps({"message": "started", "node": "entry-1"}),
@@ -89,9 +90,9 @@
 def test_a_table() -> None:
     rows = group_requests(read_records(LINES), GroupKey.UPSTREAM)
     assert render(rows, GroupKey.UPSTREAM, max_rows=2) == (
-        "upstream  all  in time  late  refused  failed  reread\n"
-        "i-1         4        1     0        1       2       0\n"
-        "-           1        0     0        1       0       0\n"
+        "upstream  all  in time  late  refused  failed  reread  fetched\n"
+        "i-1         4        1     0        1       2       0     6300\n"
+        "-           1        0     0        1       0       0        0\n"
         "and 1 more"
     )
 
@@ -114,6 +115,7 @@
         "1",
         "0",
         "0",
+        "0",
     ]
     wrong = subprocess.run([*command, "--by", "colour"], capture_output=True, text=True)
     assert wrong.returncode == 2
