Test retries after broken fetches, and variants without fetching

Cause: the mechanisms need tests that fail without them. Change: tests of the retry rule and of the header, and two broken variants.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from aiohttp.test_utils import make_mocked_request
 from multidict import CIMultiDict
@@ -58,6 +60,16 @@
     assert ("X-Odd", "kept") in sent
 
 
+def test_the_source_of_prompt_parts_is_named_once() -> None:
+    # An engine that is told of two sources would fetch from a caller's choice.
+    headers = CIMultiDict([("Leadseam-Request-Id", "r-1"), ("Kv-Fetch", "10.9.9.9:1")])
+    dialect = PlatformDialect()
+    req = dialect.read_request(make_mocked_request("POST", "/a/", headers=headers))
+    assert req is not None
+    sent = dialect.attempt_headers(req, replace(HEAD, fetch_from="10.0.0.7:80"))
+    assert [value for name, value in sent if name == "Kv-Fetch"] == ["10.0.0.7:80"]
+
+
 @pytest.mark.parametrize("name", SYSTEM_HEADERS)
 def test_naming_a_forged_header_for_the_connection_changes_nothing(name: str) -> None:
     sent = sent_headers((name, "7"), ("Connection", f"close, {name}"))
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -11,8 +11,10 @@
 from leadseam.control.routes import Repeat
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.routing.admitted import AdmittedRequest
-from leadseam.routing.attempt import Whole, Withheld
+from leadseam.routing.attempt import Broken, Unreachable, Whole, Withheld
 from leadseam.routing.exchange import Exchange
+from leadseam.routing.load import Load
+from leadseam.routing.placement import Placement
 from leadseam.routing.reply import CallerGoneError
 from leadseam.routing.restarts import Restarts
 from tests.routing.samples import make_request, make_route, make_upstream
@@ -20,6 +22,7 @@
 if TYPE_CHECKING:
     from leadseam.routing.attempt import Ending
     from leadseam.routing.flight import Flight
+    from leadseam.wire.feed import Registration
 
 DEADLINE = 5_000
 
@@ -44,7 +47,11 @@
             note_ending=self._note_ending,
         )
         self.restarts = Restarts()
-        self.request_log = SimpleNamespace(attempt=lambda *_, **__: None)
+        self.request_log = SimpleNamespace(
+            attempt=lambda *_, **__: None, count_fetch=lambda _: None
+        )
+        self.source: Registration | None = None
+        self.fetching: list[bool] = []
         self.set_keep_alive = None
         self.uses_account_keys = False
 
@@ -57,12 +64,20 @@
     def _note_ending(self, _: object, __: object, ending: Ending, **_how: bool) -> None:
         self.endings.append(ending)
 
-    async def _place(self, *_: object, **__: object) -> Reason | Flight:
+    def take_retry(self, _: str) -> bool:
+        return True
+
+    async def _place(
+        self, *_: object, fetching: bool = True, **__: object
+    ) -> Reason | Flight:
+        self.fetching.append(fetching)
         if self.placed is not None:
             return self.placed
         flight = SimpleNamespace(
             upstream=make_upstream(1),
-            placement=None,
+            placement=Placement(
+                make_upstream(1), Load(requests=1), 0, source=self.source
+            ),
             expected_first_token=0,
             end=lambda: None,
             ended_early=lambda: True,
@@ -150,6 +165,30 @@
     assert exchange.sends == 1
 
 
+@pytest.mark.parametrize("fetches", [True, False])
+async def test_a_retry_names_no_source_if_a_fetch_broke_off(fetches: bool) -> None:
+    """The fetch may be why the attempt broke off, and would break off again."""
+    gateway = FakeGateway()
+    gateway.source = make_upstream(2) if fetches else None
+    exchange = make_exchange(gateway)
+    endings: list[Ending] = [
+        Unreachable(),
+        Broken(Reason.UPSTREAM_SILENT),
+        Whole(200, (), b"x"),
+    ]
+    sources: list[Registration | None] = []
+
+    async def attempt(placement: Placement) -> Ending:
+        sources.append(placement.source)
+        return endings.pop(0)
+
+    vars(exchange)["_attempt"] = attempt
+    await exchange.run()
+    assert exchange.outcome == Answered(200)
+    assert sources == [gateway.source] * 3
+    assert gateway.fetching == [True, True, not fetches]
+
+
 async def test_a_whole_answer_is_noted_even_if_its_request_was_convicted() -> None:
     """A whole answer was not noted if the request was convicted while it ran."""
     gateway = FakeGateway()
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -446,4 +446,19 @@
         "        return 0.0, waiter.arrived",
         "tests/routing/test_plain_queue.py",
     ),
+    Variant(
+        "engines never fetch prompt parts",
+        "routing/placer.py",
+        "return can_fetch(profile) and self._memory.is_memory_bound(pool, profile)",
+        "return False",
+        "tests/emulate/test_fetch.py",
+    ),
+    Variant(
+        "a retry fetches again although the fetch may have broken off the attempt",
+        "routing/exchange.py",
+        "            progress.fetching = False\n",
+        "            pass\n",
+        "tests/routing/test_exchange.py"
+        "::test_a_retry_names_no_source_if_a_fetch_broke_off",
+    ),
 )
