--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -192,6 +192,8 @@
                 self._routing_metrics.paused_upstreams.set({}, paused)
                 others = self._gateway.rooms.others_with_room(self._clock.now())
                 self._routing_metrics.entries_with_room.set({}, others)
+                bound = self._gateway.placer.memory_bound_pools()
+                self._routing_metrics.memory_bound_pools.set({}, bound)
             evacuated = len(self._view.evacuated)
             self._routing_metrics.evacuated_domains.set({}, evacuated)
 
