--- a/tests/routing/test_prefix_fetch.py
+++ b/tests/routing/test_prefix_fetch.py
@@ -245,6 +245,9 @@
     entry.report_all(source)
     entry.fill(source)
     if failure == "replica":
+        # Only the lost replica watches the source.
+        unwatched = CacheChanges((), unwatched=(source.incarnation.digest(),))
+        entry.holders.apply("a", unwatched)
         entry.report(source, SHARED, replica="b")
         entry.holders.drop_replica("b")
     placement = entry.place()
