Fetch from the preferred engine where no holder is reported

Cause: parts below 512 tokens are not reported, and no engine is covered while all control boxes are down; such prompts were refused when their preferred engine was full. Change: that engine is assumed to hold the parts and named as the source, at a weight between those of reported and of prefilled tokens.

--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -43,6 +43,10 @@
 FETCH_WEIGHT = 1.2
 """Weight of a shared prompt token that is fetched, or that no engine holds, relative to
 the time to prefill it. A copy takes memory of the engine, but little of its time."""
+ASSUMED_FETCH_WEIGHT = 6.0
+"""The same weight if the source is only assumed to hold the token. It lies between the
+other two: if many parts were placed off the engine that holds them, no engine would
+keep them."""
 RANK_STEP = 0.4
 """Increase of the weight per position in the engine order of a prompt. It makes entries
 that cannot use the first engine agree on the second."""
@@ -79,6 +83,7 @@
         now: Current time.
         ahead: Maximum milliseconds of reading ahead of the request, or None.
         lookup: Known holders of the prompt's parts, or None if there are none.
+        home: The engine that all entries prefer for the prompt, or None.
     """
 
     def __init__(
@@ -90,10 +95,12 @@
         *,
         ahead: Millis | None = None,
         lookup: PrefixLookup | None = None,
+        home: Registration | None = None,
     ) -> None:
         self.req = req
         self.ahead = ahead
         self.lookup = lookup
+        self.home = home
         self.limit = limit
         self.now = now
         self.memory = expected_memory(req)
@@ -128,6 +135,12 @@
                 # the own part in any case.
                 tokens = fetch_weight(position) * missing + self.req.parts[-1].tokens
                 return estimate.base + tokens / estimate.rate >= best.cost
+            if self.home is not None:
+                if row.incarnation in self._holders:
+                    return False
+                weight = fetch_weight(position, assumed=True)
+                tokens = weight * self._shared_tokens + self.req.parts[-1].tokens
+                return estimate.base + tokens / estimate.rate >= best.cost
         if row.incarnation in self._holders:
             return False
         weight = 1 + reread_weight(position)
@@ -265,7 +278,8 @@
             scope: Pool and regions of the request; without them nothing is fetched.
         """
         lookup = self._look_up(scope, req, profile, now)
-        search = _Search(self, req, limit, now, ahead=ahead, lookup=lookup)
+        home = ranked[0] if ranked else None
+        search = _Search(self, req, limit, now, ahead=ahead, lookup=lookup, home=home)
         best: _Scored | None = None
         for position, row in enumerate(ranked):
             if among is not None and row.incarnation not in among:
@@ -312,7 +326,7 @@
         if profile is not None:
             lookup = self._look_up(scope, req, profile, now, fetching=fetching)
         scored = [
-            self._score(row, req, now, position=position, lookup=lookup)
+            self._score(row, req, now, position=position, lookup=lookup, home=ranked[0])
             for position, row in enumerate(ranked)
             if self._allows(row, now)
         ]
@@ -347,7 +361,12 @@
             if reading > search.ahead:
                 return None
         scored = self._score(
-            row, search.req, search.now, position=position, lookup=search.lookup
+            row,
+            search.req,
+            search.now,
+            position=position,
+            lookup=search.lookup,
+            home=search.home,
         )
         # A prompt that exceeds the limit even on an idle engine may go to an engine
         # that has nothing else to read.
@@ -374,17 +393,21 @@
         *,
         position: int,
         lookup: PrefixLookup | None = None,
+        home: Registration | None = None,
     ) -> _Scored:
-        home = position == 0
+        first = position == 0
+        estimate = self.estimates.engine(row)
         if lookup is not None:
-            rate = self.estimates.engine(row).rate
-            plan = lookup.plan(row, rate, home=home)
+            plan = lookup.plan(row, estimate.rate, home=first)
+            if plan is not None:
+                return self._score_plan(row, req, now, plan, position=position)
+        own, shared = self.prompts.unread(row.incarnation, req.parts, now, home=first)
+        if lookup is not None and home is not None and shared:
+            plan = lookup.assumed_plan(row, home, shared, estimate.rate)
             if plan is not None:
                 return self._score_plan(row, req, now, plan, position=position)
-        own, shared = self.prompts.unread(row.incarnation, req.parts, now, home=home)
         total = self.loads.total(row.incarnation, now)
         unread = total.unread + own
-        estimate = self.estimates.engine(row)
         wait = estimate.millis(unread)
         penalty = reread_weight(position) * shared / estimate.rate
         load = Load(requests=1, unread=own, memory=expected_memory(req))
@@ -401,7 +424,7 @@
         *,
         position: int,
     ) -> _Scored:
-        """Score an engine of which it is known what it holds."""
+        """Score an engine that holds, fetches or prefills the shared parts."""
         own = plan.prefilled
         last = req.parts[-1]
         if own or plan.fetched or not self.prompts.holds(row.incarnation, last, now):
@@ -414,7 +437,8 @@
         unread = total.unread + own
         estimate = self.estimates.engine(row)
         wait = estimate.millis(unread) + plan.fetch_ms
-        penalty = reread_weight(position) * again + fetch_weight(position) * light
+        weight = fetch_weight(position, assumed=plan.assumed)
+        penalty = reread_weight(position) * again + weight * light
         load = Load(requests=1, unread=own, memory=expected_memory(req))
         cost = wait + penalty / estimate.rate + RUNNING_COST * total.requests
         placement = Placement(
@@ -430,9 +454,15 @@
         return _Scored(placement, again, wait, cost)
 
 
-def fetch_weight(position: int) -> float:
-    """Return the weight of fetched shared tokens, by the engine's position."""
-    return FETCH_WEIGHT * (1 + RANK_STEP * position)
+def fetch_weight(position: int, *, assumed: bool = False) -> float:
+    """Return the weight of fetched shared tokens, by the engine's position.
+
+    Args:
+        position: Position of the engine in the order of the prompt.
+        assumed: Whether the source is only assumed to hold them.
+    """
+    weight = ASSUMED_FETCH_WEIGHT if assumed else FETCH_WEIGHT
+    return weight * (1 + RANK_STEP * position)
 
 
 def reread_weight(position: int) -> float:
--- a/src/leadseam/routing/prefix_fetch.py
+++ b/src/leadseam/routing/prefix_fetch.py
@@ -3,8 +3,9 @@
 Control replicas tell which engines hold the longer shared parts. For a prompt and an
 engine, a plan states the prefix that the engine holds, the tokens that it can fetch
 from one other engine that holds a longer prefix, and the tokens that it has to prefill.
-Engines that no connected replica watches have no plan, and the assumptions of
-`PromptTable` apply to them.
+Where nothing is reported, because the parts are short or no connected replica watches
+the engine, the assumptions of `PromptTable` apply: the engine that all entries prefer
+for the prompt holds the shared parts, and others may fetch them from there.
 """
 
 from __future__ import annotations
@@ -38,6 +39,9 @@
 gain does not justify the load on the source's link."""
 DISTANT_FACTOR = 2
 """Factor of the time to fetch a token from another failure domain."""
+ASSUMED_MISS_PART = 0.2
+"""Part of assumed tokens that counts as prefilled, as the source may have evicted them
+by now."""
 MAX_DIGESTS = 10_000
 """Maximum cached digests of incarnations, about 1 MB."""
 
@@ -53,6 +57,7 @@
         again: Tokens to prefill that another engine holds but cannot be fetched.
         first: Tokens to prefill that no engine holds.
         fetch_ms: Milliseconds that fetching takes.
+        assumed: Whether the source is only assumed to hold the parts.
     """
 
     held: int
@@ -61,6 +66,7 @@
     again: int = 0
     first: int = 0
     fetch_ms: float = 0.0
+    assumed: bool = False
 
     @property
     def prefilled(self) -> int:
@@ -124,13 +130,11 @@
             fetching: Whether a source may be named.
 
         Returns:
-            The holders, or None if the present assumptions apply to all engines: if the
-            pool's engines do not fetch, or the prompt has no part that is reported.
+            The holders, or None if the pool's engines do not fetch, or the prompt has
+            no shared part.
         """
         shared = req.parts[:-1]
-        if all(part.tokens < MIN_REPORTED_TOKENS for part in shared):
-            return None
-        if not self.enabled(scope.pool, profile):
+        if not shared or not self.enabled(scope.pool, profile):
             return None
         parts = [self._part(part, now) for part in shared]
         sources = self.sources(scope) if fetching else {}
@@ -206,6 +210,7 @@
         self._now = now
         self._token_ms = profile.fetch_ms_per_token
         self._total = sum(part.tokens for part in parts)
+        self._reported = any(part.holders is not None for part in parts)
         self._cached_sources: list[tuple[int, Registration]] | None = None
 
     def missing(self, incarnation: Incarnation) -> int | None:
@@ -214,12 +219,12 @@
         The engine is not the one that all entries prefer for the prompt.
         """
         digest = self._fetch.digest(incarnation)
-        if not self._fetch.holders.covers(digest):
+        if not self._reported or not self._fetch.holders.covers(digest):
             return None
         return self._total - self._prefix(incarnation, digest, home=False)
 
     def plan(self, row: Registration, rate: float, *, home: bool) -> FetchPlan | None:
-        """Return the plan for an engine, or None if it is not covered.
+        """Return the plan for an engine, or None if nothing is reported of it.
 
         Args:
             row: The engine.
@@ -227,7 +232,7 @@
             home: Whether all entries prefer this engine for the prompt.
         """
         digest = self._fetch.digest(row.incarnation)
-        if not self._fetch.holders.covers(digest):
+        if not self._reported or not self._fetch.holders.covers(digest):
             return None
         held = self._prefix(row.incarnation, digest, home=home)
         if held == self._total:
@@ -248,6 +253,35 @@
             fetch_ms=fetched * self._token_ms * _distance(row, source),
         )
 
+    def assumed_plan(
+        self, row: Registration, source: Registration, missing: int, rate: float
+    ) -> FetchPlan | None:
+        """Return the plan for an engine if another one is assumed to hold the parts.
+
+        Args:
+            row: The engine.
+            source: The engine that all entries prefer for the prompt.
+            missing: Shared tokens that the engine is assumed to lack.
+            rate: Prompt tokens that it prefills per millisecond.
+
+        Returns:
+            The plan, or None if the engine should prefill the tokens instead.
+        """
+        distance = _distance(row, source)
+        if not self._rows or row.incarnation == source.incarnation:
+            return None
+        if self._token_ms * distance * rate >= MAX_FETCH_RATIO:
+            return None
+        first = round(missing * ASSUMED_MISS_PART)
+        return FetchPlan(
+            self._total - missing,
+            missing - first,
+            source,
+            first=first,
+            fetch_ms=missing * self._token_ms * distance,
+            assumed=True,
+        )
+
     def _prefix(self, incarnation: Incarnation, digest: int, *, home: bool) -> int:
         """Return the tokens of the longest prefix that an engine holds.
 
