Prefer engines of the own failure domain where parts can be fetched

Change: where engines fetch parts, each domain has its own order of engines for prompts with up to 1,000 shared tokens, and an engine in another domain costs 20 ms more.

--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -120,6 +120,7 @@
             lag=self._lag,
             connections=self._open_connections,
             entry=settings.node,
+            failure_domain=settings.failure_domain,
             holders=self._feed.holders,
             rooms=EntryRooms(
                 settings.failure_domain,
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -256,7 +256,9 @@
         rows = self.candidates(waiter.scope)
         if rows is not waiter.rows and rows != waiter.rows:
             waiter.rows = rows
-            order = self.balancer.orders.order_for(waiter.scope, rows, waiter.req)
+            order = self.balancer.order_for(
+                waiter.scope, rows, waiter.req, waiter.profile
+            )
             waiter.ranked = [
                 row for row in order if row.incarnation not in waiter.tried
             ]
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -50,6 +50,12 @@
 RANK_STEP = 0.4
 """Increase of the weight per position in the engine order of a prompt. It makes entries
 that cannot use the first engine agree on the second."""
+MAX_NEAR_TOKENS = 1_000
+"""Shared tokens up to which each failure domain has its own preferred engine for a
+prompt. Longer prefixes take too much memory to keep a copy in each domain."""
+DISTANT_COST = 20.0
+"""Cost in milliseconds of an engine in another failure domain. Bytes between domains
+are limited, and an engine nearby that answers this much later is preferred."""
 RUNNING_COST = 0.5
 """Cost in milliseconds of each request in flight. Each request slows the others a
 little, and among engines with nothing to read the least loaded one should be picked."""
@@ -165,6 +171,8 @@
             always may.
         on_begin: Called with the upstream of each request that is sent.
         fetches: Plans which prompt parts engines fetch, or None if they fetch none.
+        failure_domain: Failure domain of this entry. Its engines are preferred where
+            engines fetch prompt parts.
     """
 
     def __init__(
@@ -174,7 +182,9 @@
         allows: Callable[[Registration, Millis], bool] = _all_allowed,
         on_begin: Callable[[Registration], None] = _ignore,
         fetches: PrefixFetch | None = None,
+        failure_domain: str = "",
     ) -> None:
+        self._failure_domain = failure_domain
         self._on_begin = on_begin
         self._fetches = fetches
         self._allows = allows
@@ -238,6 +248,27 @@
 
         return Placement(min(rows, key=key), Load(requests=1), 0)
 
+    def order_for(
+        self,
+        scope: Scope,
+        rows: Sequence[Registration],
+        req: RoutedRequest,
+        profile: EngineProfile,
+    ) -> Sequence[Registration]:
+        """Return the engines that a request considers, the preferred one first.
+
+        Args:
+            scope: Pool and regions of the request.
+            rows: Usable engines of the scope.
+            req: The request.
+            profile: Stated properties of the engines.
+        """
+        near = ""
+        if self._fetches is not None and self._fetches.enabled(scope.pool, profile):
+            shared = sum(part.tokens for part in req.parts[:-1])
+            near = self._failure_domain if shared <= MAX_NEAR_TOKENS else ""
+        return self.orders.order_for(scope, rows, req, near=near)
+
     def with_capacity(
         self, rows: Sequence[Registration], limit: float, now: Millis
     ) -> frozenset[Incarnation]:
@@ -412,6 +443,8 @@
         penalty = reread_weight(position) * shared / estimate.rate
         load = Load(requests=1, unread=own, memory=expected_memory(req))
         cost = wait + penalty + RUNNING_COST * total.requests
+        if lookup is not None:
+            cost += self._distant_cost(row)
         placement = Placement(row, load, unread, shared, position)
         return _Scored(placement, shared, wait, cost)
 
@@ -441,6 +474,7 @@
         penalty = reread_weight(position) * again + weight * light
         load = Load(requests=1, unread=own, memory=expected_memory(req))
         cost = wait + penalty / estimate.rate + RUNNING_COST * total.requests
+        cost += self._distant_cost(row)
         placement = Placement(
             row,
             load,
@@ -453,6 +487,11 @@
         )
         return _Scored(placement, again, wait, cost)
 
+    def _distant_cost(self, row: Registration) -> float:
+        if not self._failure_domain or row.failure_domain == self._failure_domain:
+            return 0.0
+        return DISTANT_COST
+
 
 def fetch_weight(position: int, *, assumed: bool = False) -> float:
     """Return the weight of fetched shared tokens, by the engine's position.
--- a/src/leadseam/routing/engine_order.py
+++ b/src/leadseam/routing/engine_order.py
@@ -4,6 +4,9 @@
 others: entries agree without communicating, and an engine that joins or leaves moves
 few prompts. In a large pool a request only considers the first engines of its order and
 a few others, so that the cost of placing it does not grow with the pool.
+
+An order may prefer the engines of one failure domain. Each domain then has its own
+first engine for a prompt, and fewer requests cross between domains.
 """
 
 from __future__ import annotations
@@ -36,13 +39,20 @@
 
     def __init__(self) -> None:
         self._rows: dict[Scope, Sequence[Registration]] = {}
-        self._orders: dict[Scope, OrderedDict[str, Sequence[Registration]]] = {}
+        self._orders: dict[
+            Scope, OrderedDict[tuple[str, str], Sequence[Registration]]
+        ] = {}
 
     def __repr__(self) -> str:
         return f"EngineOrders(pools={len(self._orders)})"
 
     def order_for(
-        self, scope: Scope, rows: Sequence[Registration], req: RoutedRequest
+        self,
+        scope: Scope,
+        rows: Sequence[Registration],
+        req: RoutedRequest,
+        *,
+        near: str = "",
     ) -> Sequence[Registration]:
         """Return the engines that a request considers, the preferred one first.
 
@@ -50,27 +60,29 @@
             scope: Pool and regions that the request may be sent to.
             rows: Usable engines of the scope.
             req: The request.
+            near: Failure domain whose engines are preferred, or an empty string.
         """
         affinity = affinity_key(req)
         if affinity is None:
             return _sample(rows, req, MAX_CANDIDATES)
-        first = self._cached_order(scope, rows, affinity)
+        first = self._cached_order(scope, rows, affinity, near)
         if len(rows) <= MAX_CANDIDATES:
             return first
         return [*first, *_sample(rows, req, SAMPLED_CANDIDATES)]
 
     def _cached_order(
-        self, scope: Scope, rows: Sequence[Registration], affinity: str
+        self, scope: Scope, rows: Sequence[Registration], affinity: str, near: str
     ) -> Sequence[Registration]:
         known = self._rows.get(scope)
         if known is not rows and known != rows:
             self._rows[scope] = rows
             self._orders[scope] = OrderedDict()
         orders = self._orders[scope]
-        order = orders.get(affinity)
+        key = (affinity, near)
+        order = orders.get(key)
         if order is None:
-            order = orders[affinity] = _by_weight(rows, affinity)
-        orders.move_to_end(affinity)
+            order = orders[key] = _by_weight(rows, affinity, near)
+        orders.move_to_end(key)
         if len(orders) > MAX_CACHED_ORDERS:
             orders.popitem(last=False)
         return order
@@ -90,11 +102,18 @@
     return _by_weight(rows, affinity)
 
 
-def _by_weight(rows: Sequence[Registration], affinity: str) -> Sequence[Registration]:
-    """Return engines by descending weight; of a large pool only the first ones."""
+def _by_weight(
+    rows: Sequence[Registration], affinity: str, near: str = ""
+) -> Sequence[Registration]:
+    """Return engines by descending weight; of a large pool only the first ones.
+
+    Those of the failure domain `near`, if any, come before all others.
+    """
 
-    def weight(row: Registration) -> int:
-        return rendezvous_weight(affinity, row)
+    def weight(row: Registration) -> tuple[bool, int]:
+        return bool(near) and row.failure_domain == near, rendezvous_weight(
+            affinity, row
+        )
 
     if len(rows) <= MAX_CANDIDATES:
         return sorted(rows, key=weight, reverse=True)
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -89,6 +89,7 @@
         lag: Measured lag of the event loop.
         connections: Returns the number of callers' open connections.
         entry: Name of this entry.
+        failure_domain: Failure domain of this entry, or an empty string.
         holders: Prompt parts that engines hold. Defaults to an empty table.
         rooms: Which entries have room for callers of this one. By default none.
     """
@@ -106,6 +107,7 @@
         lag: LoopLag,
         connections: Callable[[], int] = lambda: 0,
         entry: str = "",
+        failure_domain: str = "",
         holders: PartHolders | None = None,
         rooms: EntryRooms | None = None,
     ) -> None:
@@ -136,6 +138,7 @@
             clock=clock,
             rng=rng,
             entry=entry,
+            failure_domain=failure_domain,
             holders=holders,
         )
         self.request_log = RequestLog(
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -88,6 +88,7 @@
         clock: Source of time.
         rng: Source of random numbers, for ties and jitter.
         entry: Name of this entry.
+        failure_domain: Failure domain of this entry, or an empty string.
         holders: Prompt parts that engines hold. Defaults to an empty table.
 
     Attributes:
@@ -104,6 +105,7 @@
         clock: Clock,
         rng: random.Random,
         entry: str = "",
+        failure_domain: str = "",
         holders: PartHolders | None = None,
     ) -> None:
         self._feed = feed
@@ -132,6 +134,7 @@
             allows=self._allows,
             on_begin=self._note_begin,
             fetches=self._fetches,
+            failure_domain=failure_domain,
         )
         self._usage = UsageTable()
         self._engine_load = LoadAverage(DECAY_TIME)
@@ -374,7 +377,9 @@
                 return self._balancer.least_loaded(_exclude_tried(rows, tried), now)
             return _PlainWait() if _exclude_tried(rows, tried) else None
         if again:
-            order = self._balancer.orders.order_for(admitted.scope, rows, admitted.req)
+            order = self._balancer.order_for(
+                admitted.scope, rows, admitted.req, profile
+            )
             ranked = _exclude_tried(order, tried)
             return self._balancer.place_over_limits(
                 ranked,
