Count a redirected request only at the entry that it reaches

A redirected request counted as requested at the busy entry and again at the entry that its caller reached. With 60% of the callers at one small entry, accounts seemed to request 1.5 times what they received. Engines then counted as scarce, the accounts as beyond their share, and their callers got a pause instead of being redirected, although no engine was short. A busy entry no longer counts requests that it redirects. A caller that does not return is not counted.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -168,20 +168,25 @@
         """Refuse a request by its head alone, if the event loop lags too much.
 
         The rules are those of `_serve`. The work of an account that is refused although
-        it may be within its share is counted as requested.
+        it may be within its share is counted as requested, unless the caller is
+        redirected: then the entry that it reaches counts it.
         """
         lag = self._lag.millis
         account = self._account_of(sender) if lag > EXCESS_LAG else None
         if account is None:
             return None
         now = self.now()
-        exceeds_share = self._exceeds_share(account, now)
-        if not exceeds_share:
+        redirects = False
+        if not self._exceeds_share(account, now):
             if lag <= self._max_lag(now):
                 return None
-            service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
-            self.placer.record_requested_service(account, service, now)
-        refusal = self._busy_refusal(exceeds_share=exceeds_share)
+            redirects = self.rooms.redirects(now)
+            if not redirects:
+                service = expected_service_of_tokens(
+                    sender.own_tokens, sender.tokens_out
+                )
+                self.placer.record_requested_service(account, service, now)
+        refusal = self._busy_refusal(redirects=redirects)
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
         return refusal
@@ -213,7 +218,7 @@
         if self._lag.millis > EXCESS_LAG:
             sender = self.dialect.read_sender(http)
             if self._exceeds_share(self._account_of(sender), arrived):
-                refusal = self._busy_refusal(exceeds_share=True)
+                refusal = self._busy_refusal(redirects=False)
                 return self._refuse(sender, refusal, arrived)
         req = self.dialect.read_request(http)
         if req is None:
@@ -269,13 +274,17 @@
         account = self._authenticate(req, route)
         if isinstance(account, NotRun):
             return account
-        if account is not None:
-            self.placer.record_request(account.name, req, arrived)
+        name = account.name if account is not None else None
         # Reading the body may have taken long, so rooms are judged now.
         now = self.now()
-        if self._lag.millis > self._max_lag(now):
-            name = account.name if account is not None else None
-            return self._busy_refusal(exceeds_share=self._exceeds_share(name, now))
+        busy = self._lag.millis > self._max_lag(now)
+        redirects = (
+            busy and self.rooms.redirects(now) and not self._exceeds_share(name, now)
+        )
+        if name is not None and not redirects:
+            self.placer.record_request(name, req, arrived)
+        if busy:
+            return self._busy_refusal(redirects=redirects)
         limit = route.time_limit
         if req.max_wait is not None:
             limit = min(limit, req.max_wait)
@@ -284,7 +293,7 @@
             body=body,
             route=route,
             pool=choose_pool(route, self._rng),
-            account=account.name if account is not None else None,
+            account=name,
             arrived=arrived,
             deadline=arrived + limit,
             regions=allowed_regions(
@@ -310,18 +319,17 @@
         """
         return EXCESS_LAG if self.rooms.redirects(now) else MAX_LAG
 
-    def _busy_refusal(self, *, exceeds_share: bool) -> NotRun:
-        """Refuse a request at a busy entry, or redirect its caller to another entry.
+    def _busy_refusal(self, *, redirects: bool) -> NotRun:
+        """Refuse a request at a busy entry.
 
         Args:
-            exceeds_share: Whether the request's account exceeds its share. Its callers
-                are not redirected: the other entry would refuse them as well, and they
-                would have used their retry.
+            redirects: Whether the caller is redirected to another entry. Callers of an
+                account that exceeds its share are not: the other entry would refuse
+                them as well, and they would have used their retry.
         """
-        now = self.now()
         # Redirected callers count as well: their entry is as busy.
-        pause = self._busy_period.refused(now)
-        if not exceeds_share and self.rooms.redirects(now):
+        pause = self._busy_period.refused(self.now())
+        if redirects:
             self._metrics.busy.inc("redirected")
             return NotRun(Reason.ENTRY_BUSY, self._rng.randint(FIRST_PAUSE, LAST_PAUSE))
         self._metrics.busy.inc("paused")
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -214,6 +214,23 @@
     assert not isinstance(entry.gateway._admit(req, b"", 0), NotRun)
 
 
+async def test_work_of_redirected_callers_does_not_count_as_requested() -> None:
+    # The entry that a caller reaches counts it. When both did, accounts seemed to get
+    # less than they requested, and half of the callers in `test_busy_entries.py` were
+    # taken for callers of an account beyond its share.
+    entry = Entry()
+    entry.gateway._router = Router(
+        Configuration(accounts=ACCOUNTS, routes={"r": make_route("r", "/chat/", "p")})
+    )
+    entry.learn_rooms(8, 7)
+    entry.lag.millis = MAX_LAG + 1
+    req = replace(make_request("system", "own"), key="small")
+    assert isinstance(entry.gateway._admit(req, b"", 1_000), NotRun)
+    sender = Sender("r-1", "small", own_tokens=100, tokens_out=50)
+    assert entry.gateway.refuse_early(sender) is not None
+    assert entry.gateway.placer.load_report().usage == ()
+
+
 async def test_work_that_a_busy_entry_refuses_counts_as_requested() -> None:
     entry = Entry()
     entry.gateway._router = Router(
