--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -71,6 +71,8 @@
         reports_starts: Whether servers report when they started, and start again under
             the id that they had.
         suspendable: Whether boxes can be suspended.
+        entries: Number of entry boxes.
+        limits: Limits that the settings of entries state, by key.
     """
 
     folder: Path
@@ -78,11 +80,13 @@
     servers: list[Server] = field(default_factory=list)
     reports_starts: bool = False
     suspendable: bool = False
+    entries: int = 2
+    limits: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.control_ips = [f"127.0.0.{number}" for number in (21, 22, 23)]
         self.spare_ips = [f"127.0.0.{number}" for number in (24, 25)]
-        self.entry_ips = [f"127.0.0.{number}" for number in (31, 32)]
+        self.entry_ips = [f"127.0.0.{31 + number}" for number in range(self.entries)]
         self.server_ips = [f"127.0.0.{number}" for number in range(41, 47)]
         all_ips = [
             *self.control_ips,
@@ -214,6 +218,7 @@
         else:
             fields["listen.front"] = f"{ip}:{self.front_port}"
             fields["listen.ready"] = f"{ip}:{self.ready_port}"
+            fields |= self.limits
         lines = "".join(f"{key}={value}\n" for key, value in fields.items())
         (self.folder / f"{ip}.conf").write_text(lines)
 
