Add broken variants of redirecting

Four variants: no redirecting, redirecting to busy entries, rooms of any age, and redirected requests counted at both entries.

--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -36,6 +36,7 @@
 EVACUATIONS = "tests/control/test_evacuations.py"
 EVACUATION = "tests/platform/test_evacuation.py"
 COLD_BUDGET = "tests/routing/test_cold_budget.py"
+BUSY_ENTRIES = "tests/routing/test_busy_entries.py"
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
 VARIANTS = (
@@ -446,4 +447,34 @@
         "        return 0.0, waiter.arrived",
         "tests/routing/test_plain_queue.py",
     ),
+    Variant(
+        "a busy entry does not redirect callers to entries with room",
+        "routing/entry_room.py",
+        "        return self._others_with_room >= MIN_PART_WITH_ROOM * self._others",
+        "        return False",
+        f"{BUSY_ENTRIES}"
+        "::test_callers_of_a_flooded_entry_are_served_by_entries_with_room",
+    ),
+    Variant(
+        "a busy entry redirects callers to other busy entries",
+        "routing/entry_room.py",
+        "        return self._others_with_room >= MIN_PART_WITH_ROOM * self._others",
+        "        return True",
+        f"{BUSY_ENTRIES}::test_callers_are_not_sent_around_among_busy_entries",
+    ),
+    Variant(
+        "rooms of other entries are used however old they are",
+        "routing/entry_room.py",
+        "        return now - self._applied_at <= MAX_AGE",
+        "        return True",
+        f"{BUSY_ENTRIES}::test_with_stale_sums_an_entry_refuses_as_without_redirecting",
+    ),
+    Variant(
+        "a redirected request counts at both entries",
+        "routing/gateway.py",
+        "            if not redirects:\n",
+        "            if True:\n",
+        f"{BUSY_ENTRIES}"
+        "::test_callers_of_a_flooded_entry_are_served_by_entries_with_room",
+    ),
 )
