--- a/tools/soak/soak_platform.py
+++ b/tools/soak/soak_platform.py
@@ -22,6 +22,8 @@
 """Interval of the checks that restart processes which ended by themselves."""
 SPARE_BOXES = 4
 """Spare control boxes of a run; a seed of 20 s replaces one or two boxes."""
+ENTRY_LIMITS = {"limits.cpuShare": 0.4, "limits.memoryMb": 256}
+"""Limits that entries are told. From four entries on, a busy one redirects callers."""
 EVENT_PAUSE = 0.05
 """Seconds between the events of a stream, so that faults hit open streams."""
 
@@ -31,7 +33,6 @@
     """Real nodes whose inner links and connections to servers run through proxies.
 
     Args:
-        entries: Number of entry boxes.
         disturbances: Log of disturbances.
         links: The proxies.
         ended_servers: Servers that have ended and were replaced.
@@ -41,13 +42,13 @@
         replaced_boxes: Control boxes that were replaced.
     """
 
-    entries: int = 2
     disturbances: DisturbanceLog = field(default_factory=DisturbanceLog)
     links: FaultyLinks = field(default_factory=FaultyLinks)
     ended_servers: list[Server] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         super().__post_init__()
+        self.limits = ENTRY_LIMITS
         self.entry_ips = [f"127.0.1.{number + 1}" for number in range(self.entries)]
         self.spare_ips = [f"127.0.2.{number + 1}" for number in range(SPARE_BOXES)]
         self.replaced_boxes: set[str] = set()
