Test fetches through the placer

Cause: the tests repeated the placer's rules for sources. Change: they use a placer with a view, pauses and health; a leaving engine whose address another one claims is one of the failures.

--- a/tests/routing/test_prefix_fetch.py
+++ b/tests/routing/test_prefix_fetch.py
@@ -8,6 +8,8 @@
 
 import random
 from dataclasses import replace
+from types import SimpleNamespace
+from typing import Any, cast
 from unittest import mock
 
 import msgspec
@@ -15,22 +17,22 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from leadseam.clock import ManualClock
 from leadseam.control.routes import EngineProfile
 from leadseam.membership.view import UpstreamView
-from leadseam.routing.balance import Balancer, _Search, fetch_weight
+from leadseam.routing.balance import Balancer, _Search
 from leadseam.routing.dialect import PromptPart, RoutedRequest
 from leadseam.routing.engine_order import ranked_for
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.load import Load
-from leadseam.routing.part_holders import PartHolders, part_digest
-from leadseam.routing.pauses import PauseTable
+from leadseam.routing.part_holders import part_digest
 from leadseam.routing.placement import Placement
-from leadseam.routing.prefix_fetch import SENT_RETENTION, PrefixFetch
+from leadseam.routing.placer import Placer
+from leadseam.routing.prefix_fetch import SENT_RETENTION
 from leadseam.routing.scope import Scope
 from leadseam.wire.feed import CacheChanges, EngineCache, Registration
 from tests.routing.samples import make_request, make_upstream
 
-SCOPE = Scope("p")
 PROFILE = EngineProfile(
     slots=64,
     memory_tokens=230_242,
@@ -39,47 +41,43 @@
     link_mbps=1_100_000,
     event_calls=12,
 )
-LETTER = replace(
-    make_request(),
-    parts=(
-        PromptPart("system", 2_520),
-        PromptPart("subject", 3_780),
-        PromptPart("own", 2_890),
-    ),
-    tokens_in=9_190,
-)
 SHARED = {"system": 2_520, "subject": 3_780}
+PARTS = tuple(PromptPart(*one) for one in (*SHARED.items(), ("own", 2_890)))
+LETTER = replace(make_request(), parts=PARTS, tokens_in=9_190)
 
 
 class Entry:
-    """A balancer with its sources, and a replica that reports what engines hold."""
+    """A placer, and a replica that tells it what engines hold.
+
+    Args:
+        rows: Number of engines.
+        domains: Number of failure domains, each in a region of its own.
+        bound: Whether the pool is memory-bound.
+    """
 
     def __init__(self, *, rows: int = 6, domains: int = 1, bound: bool = True) -> None:
         self.rows = [
             msgspec.structs.replace(
-                make_upstream(number),
-                slots=64,
-                failure_domain=f"d{number % domains}",
+                make_upstream(number), slots=64, failure_domain=f"d{number % domains}"
             )
             for number in range(rows)
         ]
-        self.view = UpstreamView({f"d{one}": f"region-{one}" for one in range(domains)})
+        self.view = UpstreamView({f"d{one}": f"r{one}" for one in range(domains)})
         self.view.update("a", self.rows, 0)
-        self.pauses = PauseTable()
+        feed = SimpleNamespace(view=self.view, entries=None)
+        feed.entries = SimpleNamespace(recent_max=lambda _: 1)
         self.health = UpstreamHealth()
-        self.holders = PartHolders()
-        self.fetches = PrefixFetch(
-            self.holders,
-            enabled=lambda _, profile: bound and profile.fetch_ms_per_token > 0,
-            sources=lambda scope: self.view.sources(scope.pool, scope.regions),
-            usable=self._usable,
+        self.placer = Placer(
+            feed=cast("Any", feed),
+            health=self.health,
+            clock=ManualClock(),
+            rng=random.Random(1),
         )
-        self.balancer = Balancer(random.Random(1), fetches=self.fetches)
-        self.scope = SCOPE
-
-    def _usable(self, row: Registration, now: int) -> bool:
-        paused = self.pauses.is_paused(row.incarnation, now)
-        return not paused and self.health.usable(row.incarnation, now)
+        self.holders = self.placer.holders
+        self.balancer = self.placer._balancer
+        self.scope = Scope("p")
+        for _ in range(50 if bound else 0):
+            self.placer._memory.record("p", LETTER)
 
     def report(
         self, row: Registration, parts: dict[str, int], *, replica: str = "a"
@@ -98,65 +96,54 @@
         """Return the engines in the agreed order."""
         return list(ranked_for(self.rows, req))
 
-    def fill(self, row: Registration) -> None:
-        """Use all slots of an engine."""
-        self.balancer.loads.begin(row.incarnation, Load(requests=64))
+    def fill(self, *rows: Registration) -> None:
+        """Use all slots of some engines."""
+        for row in rows:
+            self.balancer.loads.begin(row.incarnation, Load(requests=64))
 
-    def place(self, now: int = 0, req: RoutedRequest = LETTER) -> Placement | None:
-        """Place a request and begin it."""
-        placement = self.balancer.place(
-            self.ranked(req), req, PROFILE, 510, now, ahead=100, scope=self.scope
+    def find(self, now: int = 0, limit: float = 510) -> Placement | None:
+        """Return the placement of a letter."""
+        return self.balancer.place(
+            self.ranked(), LETTER, PROFILE, limit, now, ahead=100, scope=self.scope
         )
-        if placement is not None:
-            self.balancer.begin(placement, req.parts, now)
-        return placement
 
-
-def place_beside_full_home(entry: Entry) -> tuple[Placement, Registration]:
-    """Return a placement while the engine that holds the parts is full."""
-    home = entry.ranked()[0]
-    entry.report_all(home)
-    entry.fill(home)
-    placement = entry.place()
-    assert placement is not None
-    return placement, home
-
-
-def test_the_second_engine_fetches_from_a_full_one() -> None:
-    entry = Entry()
-    placement, home = place_beside_full_home(entry)
-    assert placement.upstream == entry.ranked()[1]
-    assert placement.source == home
-    assert (placement.fetched, placement.reread) == (6_300, 0)
-    assert placement.load.unread == 2_890
-    assert placement.fetch_ms == pytest.approx(6_300 * 131_072 * 8 / 1.1e9)
+    def place(self, now: int = 0) -> Placement:
+        """Place a letter and send it."""
+        placement = self.find(now)
+        assert placement is not None
+        self.balancer.begin(placement, LETTER.parts, now)
+        return placement
 
 
 def test_only_the_prefix_beyond_the_own_one_is_fetched() -> None:
     entry = Entry()
     home, second, *others = entry.ranked()
+    entry.fill(home, *others)
     entry.report_all(home)
+    whole = entry.find()
     entry.report(second, {"system": 2_520})
-    for row in (home, *others):
-        entry.fill(row)
-    placement = entry.place()
-    assert placement is not None
-    assert placement.fetched == 3_780
+    rest = entry.find()
     # A part without those before it is of no use, at the engine and at the source.
     entry.report(second, {"subject": 3_780})
     entry.report(home, {"system": 1_000, "subject": 3_780})
-    placement = entry.place(now=2_000)
-    assert placement is not None
-    assert (placement.fetched, placement.reread) == (1_000, 5_300)
+    begin = entry.find()
+    for placement, fetched, reread in (
+        (whole, 6_300, 0),
+        (rest, 3_780, 0),
+        (begin, 1_000, 5_300),
+    ):
+        assert placement is not None
+        assert (placement.upstream, placement.source) == (second, home)
+        assert (placement.fetched, placement.reread) == (fetched, reread)
+        assert placement.load.unread == 2_890 + reread
+        assert placement.fetch_ms == pytest.approx(fetched * 131_072 * 8 / 1.1e9)
 
 
 def test_an_engine_that_holds_the_parts_is_preferred() -> None:
     entry = Entry()
-    holder = entry.ranked()[4]
-    entry.report_all(holder)
+    entry.report_all(entry.ranked()[4])
     placement = entry.place()
-    assert placement is not None
-    assert placement.upstream == holder
+    assert placement.upstream == entry.ranked()[4]
     assert (placement.fetched, placement.reread, placement.source) == (0, 0, None)
 
 
@@ -164,44 +151,33 @@
     # With the weight of tokens read again they would be refused by all engines.
     entry = Entry()
     entry.report_all()
-    placement = entry.place()
-    assert placement is not None
-    assert placement.upstream == entry.ranked()[0]
-    assert placement.reread == 6_300
-    for row in entry.rows[1:]:
-        if row != entry.ranked()[1]:
-            entry.fill(row)
-    entry.fill(entry.ranked()[0])
-    placement = entry.place(now=2_000)
-    assert placement is not None
-    assert placement.upstream == entry.ranked()[1]
+    for now, row in enumerate(entry.ranked()):
+        placement = entry.place(now * SENT_RETENTION)
+        assert (placement.upstream, placement.reread) == (row, 6_300)
+        entry.fill(row)
 
 
 def test_what_was_just_sent_counts_as_held() -> None:
     entry = Entry()
     entry.report_all()
-    first = entry.place()
-    assert first is not None
-    entry.balancer.loads.end(first.upstream.incarnation, first.load)
-    again = entry.place(now=SENT_RETENTION - 1)
-    assert again is not None
-    assert again.reread == 0
-    entry.balancer.loads.end(again.upstream.incarnation, again.load)
-    later = entry.place(now=2 * SENT_RETENTION)
-    assert later is not None
-    assert later.reread == 6_300
-
-
-def test_short_parts_do_not_break_a_prefix() -> None:
-    # Replicas do not report parts below 512 tokens.
+    rereads = []
+    for now in (0, SENT_RETENTION - 1, 2 * SENT_RETENTION):
+        placement = entry.place(now)
+        rereads.append(placement.reread)
+        entry.balancer.loads.end(placement.upstream.incarnation, placement.load)
+    assert rereads == [6_300, 0, 6_300]
+
+
+def test_parts_too_short_to_be_reported_do_not_break_a_prefix() -> None:
     entry = Entry()
-    short = replace(LETTER, parts=(PromptPart("short", 172), *LETTER.parts))
-    home = entry.ranked()[0]
+    home, second, *_ = entry.ranked()
     entry.report_all(home)
-    entry.fill(home)
-    placement = entry.place(req=short)
-    assert placement is not None
-    assert (placement.fetched, placement.reread) == (6_472, 0)
+    req = replace(LETTER, parts=(PromptPart("short", 172), *LETTER.parts))
+    lookup = entry.placer._fetches.look_up(entry.scope, req, PROFILE, 0)
+    assert lookup is not None
+    plan = lookup.plan(second, 50.0, home=False)
+    assert plan is not None
+    assert (plan.fetched, plan.prefilled) == (6_472, 0)
 
 
 def test_an_engine_that_is_not_covered_follows_the_present_rule() -> None:
@@ -209,48 +185,48 @@
     home, second, *others = entry.ranked()
     for row in others:
         entry.report(row, SHARED)
-        entry.fill(row)
+    entry.fill(*others)
     placement = entry.place()
-    assert placement is not None
     assert placement.upstream == home
     assert (placement.fetched, placement.reread) == (0, 0)
     entry.fill(home)
     # The second engine would read the parts again, which costs more than the limit.
-    assert entry.place() is None
+    assert entry.find() is None
     entry.report(second, {})
-    placement = entry.place()
-    assert placement is not None
-    assert placement.fetched == 6_300
+    assert entry.place().fetched == 6_300
 
 
 @pytest.mark.parametrize(
-    "failure", ["gone", "evacuated", "paused", "failing", "region", "replica"]
+    "failure",
+    ["gone", "address", "evacuated", "paused", "failing", "region", "replica"],
 )
 def test_an_unusable_source_is_not_named(failure: str) -> None:
     entry = Entry(domains=2)
     source = entry.ranked()[0]
-    incarnation = source.incarnation
+    entry.report_all(source)
+    entry.fill(source)
+    assert entry.find() is not None
     match failure:
         case "gone":
-            entry.view.expired("a", [incarnation])
+            entry.view.expired("a", [source.incarnation])
+        case "address":
+            entry.view.left([source.incarnation])
+            successor = msgspec.structs.replace(make_upstream(77), ip=source.ip)
+            entry.view.update("a", [successor], 0)
         case "evacuated":
             entry.view.evacuate(1, [source.failure_domain], 0)
         case "paused":
-            entry.pauses.pause(incarnation, 5_000)
+            entry.placer.pause(source, 5_000)
         case "failing":
-            entry.health.unreachable(incarnation, 0)
+            entry.health.unreachable(source.incarnation, 0)
         case "region":
-            regions = {"region-0", "region-1"} - {f"region-{source.failure_domain[1]}"}
-            entry.scope = Scope("p", frozenset(regions))
-    entry.report_all(source)
-    entry.fill(source)
-    if failure == "replica":
-        entry.report(source, SHARED, replica="b")
-        entry.holders.drop_replica("b")
+            other = "r1" if source.failure_domain == "d0" else "r0"
+            entry.scope = Scope("p", frozenset({other}))
+        case "replica":
+            entry.report(source, SHARED, replica="b")
+            entry.holders.drop_replica("b")
     placement = entry.place()
-    assert placement is not None
-    assert placement.source is None
-    assert (placement.fetched, placement.reread) == (0, 6_300)
+    assert (placement.source, placement.fetched, placement.reread) == (None, 0, 6_300)
 
 
 def test_a_leaving_engine_is_a_source_while_it_is_watched() -> None:
@@ -259,98 +235,65 @@
     entry.report_all(home)
     entry.view.left([home.incarnation])
     entry.rows.remove(home)
-    placement = entry.place()
-    assert placement is not None
-    assert placement.source == home
+    assert entry.place().source == home
     entry.holders.apply("a", CacheChanges((), (home.incarnation.digest(),)))
-    placement = entry.place(now=2_000)
-    assert placement is not None
-    assert placement.source is None
-
-
-def test_an_address_that_passed_to_another_engine_is_no_source() -> None:
-    entry = Entry()
-    home = entry.ranked()[0]
-    entry.report_all(home)
-    entry.view.left([home.incarnation])
-    entry.rows.remove(home)
-    successor = msgspec.structs.replace(
-        make_upstream(77), ip=home.ip, failure_domain="d0"
-    )
-    entry.view.update("a", [successor], 0)
-    placement = entry.place()
-    assert placement is not None
-    assert placement.source is None
+    assert entry.place(2_000).source is None
 
 
 def test_a_stale_row_ends_with_the_event_of_the_prefill() -> None:
     # A row whose removal was lost costs one fetch that finds nothing. The engine then
     # prefills the part and is itself reported as a holder.
     entry = Entry()
-    placement, home = place_beside_full_home(entry)
-    assert placement.source == home
-    entry.report(placement.upstream, SHARED)
-    again = entry.place(now=2_000)
-    assert again is not None
-    assert again.upstream == placement.upstream
-    assert again.fetched == 0
+    home = entry.ranked()[0]
+    entry.report_all(home)
+    entry.fill(home)
+    first = entry.place()
+    assert first.source == home
+    entry.report(first.upstream, SHARED)
+    again = entry.place(2_000)
+    assert (again.upstream, again.source) == (first.upstream, None)
 
 
 def test_sources_in_the_own_domain_and_with_few_fetches_are_preferred() -> None:
     entry = Entry(rows=8, domains=2)
     target = entry.ranked()[1]
-    near = [
-        row
-        for row in entry.rows
-        if row != target and row.failure_domain == target.failure_domain
-    ]
     holding = [row for row in entry.rows if row != target]
     entry.report_all(*holding)
-    for row in holding:
-        entry.fill(row)
-    named = []
+    entry.fill(*holding)
+    near = [row for row in holding if row.failure_domain == target.failure_domain]
+    sent = []
     for number in range(2 * len(near)):
-        placement = entry.place(now=2_000 * number)
-        assert placement is not None
-        assert placement.source is not None
-        named.append(placement.source)
-        entry.balancer.loads.end(target.incarnation, placement.load)
-    assert sorted(named, key=near.index) == [row for row in near for _ in range(2)]
-    for row in near:
-        assert entry.fetches.running(row.incarnation) == 2
+        sent.append(entry.place(2_000 * number))
+        entry.balancer.loads.end(target.incarnation, sent[-1].load)
+    named = [placement.source for placement in sent]
+    assert set(named[: len(near)]) == set(named[len(near) :]) == set(near)
+    entry.balancer.end_fetch(sent[2])
+    assert entry.place(100_000).source == sent[2].source
 
 
 def test_a_fetch_that_takes_too_long_is_not_planned() -> None:
     entry = Entry(domains=2)
-    home = entry.ranked()[0]
+    home, *others = entry.ranked()
     entry.report_all(home)
     # A token takes a fifth of the time to prefill it, and twice that between domains.
     slow = msgspec.structs.replace(PROFILE, link_mbps=131_072 * 8 / 1_000 / 0.2 * 50)
-    lookup = entry.fetches.look_up(SCOPE, LETTER, slow, 0)
+    lookup = entry.placer._fetches.look_up(entry.scope, LETTER, slow, 0)
     assert lookup is not None
-    for row in entry.ranked()[1:]:
+    for row in others:
         plan = lookup.plan(row, 50.0, home=False)
         assert plan is not None
-        if row.failure_domain == home.failure_domain:
-            assert (plan.fetched, plan.again) == (6_300, 0)
-        else:
-            assert (plan.fetched, plan.again) == (0, 6_300)
+        near = row.failure_domain == home.failure_domain
+        assert (plan.fetched, plan.again) == ((6_300, 0) if near else (0, 6_300))
 
 
 def test_copies_of_a_hot_part_spread_in_the_agreed_order() -> None:
     # Copies on all engines at once would evict other parts everywhere.
     entry = Entry(rows=12)
-    home = entry.ranked()[0]
-    entry.report_all(home)
-    used = []
-    for _ in range(20):
-        placement = entry.place()
-        if placement is None:
-            break
-        used.append(entry.ranked().index(placement.upstream))
-    assert sorted(set(used)) == list(range(len(set(used))))
-    assert len(set(used[:6])) < 4
-    assert len(set(used)) > 4
+    entry.report_all(entry.ranked()[0])
+    used = [entry.ranked().index(entry.place().upstream) for _ in range(20)]
+    copies = len(set(used))
+    assert list(dict.fromkeys(used)) == list(range(copies))
+    assert len(set(used[:6])) < 4 < copies < 12
 
 
 @settings(derandomize=True, database=None, deadline=None)
@@ -365,34 +308,32 @@
 ) -> None:
     rng = random.Random(seed)
     entry = Entry(rows=20, bound=case != "not bound")
-    profile = PROFILE
-    if case == "cannot fetch":
-        profile = msgspec.structs.replace(PROFILE, fetches=False)
+    profile = msgspec.structs.replace(PROFILE, fetches=case != "cannot fetch")
     if case != "not covered":
         entry.report_all(*rng.sample(entry.rows, 5))
-    present = Balancer(random.Random(1))
+    present, scope = Balancer(random.Random(1)), entry.scope
     for row in entry.rows:
         load = Load(rng.randrange(66), rng.choice([0, 0, 5_000, 40_000]), 0)
         millis = rng.randrange(20, 400)
         for balancer in (present, entry.balancer):
             balancer.loads.begin(row.incarnation, load)
             balancer.estimates.add_measurement(row, 20_000, 45 + millis)
-    for number in range(20):
+    for now in range(20):
         part = PromptPart(f"subject-{rng.randrange(4)}", rng.choice([100, 600, 3_000]))
-        req = replace(LETTER, parts=(part, PromptPart(f"own-{number}", 500)))
+        req = replace(LETTER, parts=(part, PromptPart(f"own-{now}", 500)))
         ranked = ranked_for(entry.rows, req)
-        expected = present.place(ranked, req, profile, limit, number, ahead=ahead)
-        actual = entry.balancer.place(
-            ranked, req, profile, limit, number, ahead=ahead, scope=SCOPE
+        expected = present.place(ranked, req, profile, limit, now, ahead=ahead)
+        assert expected == entry.balancer.place(
+            ranked, req, profile, limit, now, ahead=ahead, scope=scope
+        )
+        retried = present.place_over_limits(ranked, req, now)
+        assert retried == entry.balancer.place_over_limits(
+            ranked, req, now, scope=scope, profile=profile
         )
-        assert actual == expected
-        assert entry.balancer.place_over_limits(
-            ranked, req, number, scope=SCOPE, profile=profile
-        ) == present.place_over_limits(ranked, req, number)
         if expected is not None:
             for balancer in (present, entry.balancer):
-                balancer.begin(expected, req.parts, number)
-                balancer.record_read(expected, req.parts, number)
+                balancer.begin(expected, req.parts, now)
+                balancer.record_read(expected, req.parts, now)
 
 
 @settings(derandomize=True, database=None, deadline=None)
@@ -406,28 +347,24 @@
         load = Load(rng.randrange(66), rng.choice([0, 0, 5_000, 40_000]), 0)
         entry.balancer.loads.begin(row.incarnation, load)
         entry.balancer.estimates.add_measurement(row, 20_000, rng.randrange(80, 800))
-    entry.balancer.prompts.sent(rng.choice(entry.rows).incarnation, LETTER.parts, 0)
-
-    def choose() -> Placement | None:
-        return entry.balancer.place(
-            entry.ranked(), LETTER, PROFILE, limit, 30, scope=SCOPE
-        )
-
+    entry.balancer.prompts.sent(rng.choice(entry.rows).incarnation, PARTS, 0)
     with mock.patch.object(_Search, "rules_out", return_value=False):
-        every = choose()
-    assert choose() == every
+        every = entry.find(30, limit)
+    assert entry.find(30, limit) == every
 
 
 def test_few_engines_are_scored_and_parts_are_looked_up_once() -> None:
     entry = Entry(rows=96)
     entry.report_all(entry.ranked()[0])
-    looked_up = mock.patch.object(entry.holders, "holders", wraps=entry.holders.holders)
-    scored = mock.patch.object(entry.balancer, "_score", wraps=entry.balancer._score)
-    with looked_up as holders, scored as score:
-        assert entry.place() is not None
-    assert holders.call_count == 2
-    assert score.call_count <= 2
-    assert fetch_weight(10) > fetch_weight(0)
+    entry.fill(entry.ranked()[0])
+    balancer, table = entry.balancer, entry.holders
+    with (
+        mock.patch.object(table, "holders", wraps=table.holders) as looked_up,
+        mock.patch.object(balancer, "_score", wraps=balancer._score) as scored,
+    ):
+        entry.place()
+    assert looked_up.call_count == 2
+    assert scored.call_count == 1
 
 
 def test_a_retry_gets_a_plan_unless_it_must_not_fetch() -> None:
@@ -436,7 +373,7 @@
     entry.report_all(home)
     for fetching in (True, False):
         placement = entry.balancer.place_over_limits(
-            others, LETTER, 0, scope=SCOPE, profile=PROFILE, fetching=fetching
+            others, LETTER, 0, scope=entry.scope, profile=PROFILE, fetching=fetching
         )
         assert placement is not None
         assert (placement.source == home) is fetching
