--- a/src/leadseam/emulate/engine.py
+++ b/src/leadseam/emulate/engine.py
@@ -21,6 +21,8 @@
     from leadseam.routing.dialect import PromptPart, RoutedRequest
     from leadseam.wire.feed import Registration
 
+DISTANT_FACTOR = 2
+"""Factor of the time of a fetch from another failure domain."""
 MAX_QUEUED = 25
 """Maximum number of requests that wait for a slot; further ones are refused."""
 
@@ -122,7 +124,8 @@
     def _fetch(self, run: Run, now: float) -> float:
         """Fetch and cache the parts that only the source holds; return when it ends.
 
-        Links transfer one fetch after another, at the source and here.
+        Links transfer one fetch after another, at the source and here. A fetch from
+        another failure domain takes twice as long.
         """
         if run.source is None:
             return now
@@ -134,6 +137,8 @@
         self.fetched_tokens += tokens
         bits = tokens * self._speed.token_bytes * BITS_PER_BYTE
         fetch_ms = bits / (self._speed.link_mbps * BITS_PER_MS)
+        if run.source.row.failure_domain != self.row.failure_domain:
+            fetch_ms *= DISTANT_FACTOR
         start = max(now, self._link_free_at, run.source._link_free_at)
         end = start + millis_to_seconds(fetch_ms)
         self._link_free_at = run.source._link_free_at = end
--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -312,7 +312,7 @@
         pool=POOL,
         ip=f"10.0.{number // ADDRESSES_PER_SUBNET}.{number % ADDRESSES_PER_SUBNET + 1}",
         port=80,
-        failure_domain="emulated",
+        failure_domain=f"domain-{number % cfg.domains}",
         slots=cfg.engine.slots,
         ready=True,
         sequence=1,
--- a/src/leadseam/emulate/settings.py
+++ b/src/leadseam/emulate/settings.py
@@ -117,6 +117,7 @@
         kinds: Kinds of request.
         entries: Number of entries.
         engines: Number of engines.
+        domains: Number of failure domains that the engines are spread over.
         accounts: Number of client accounts; their request rates fall as 1 / rank.
         rate: Requests per second without floods.
         stated: Capacity in tokens per second, as stated by operators.
@@ -135,6 +136,7 @@
     kinds: Annotated[tuple[RequestKind, ...], Meta(min_length=1)]
     entries: PositiveInt = 68
     engines: PositiveInt = 39
+    domains: PositiveInt = 1
     accounts: PositiveInt = 60
     rate: PositiveFloat = 723.0
     stated: PositiveInt = 1_200_000
