Keep sent parts only for pools whose engines fetch

Cause: an entry of any deployment kept up to 20,000 rows of parts that nothing reads. Change: they are recorded for pools for which fetches are planned. Not measured; the tests of fetching pass.

--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -198,7 +198,7 @@
         """Record that an engine holds a prompt, as it has begun to answer."""
         self.prompts.sent(placement.upstream.incarnation, parts, now)
         if self._fetches is not None and parts:
-            self._fetches.record_sent(placement.upstream.incarnation, parts, now)
+            self._fetches.record_sent(placement.upstream, parts, now)
         self.end_fetch(placement)
 
     def end_fetch(self, placement: Placement) -> None:
--- a/src/leadseam/routing/prefix_fetch.py
+++ b/src/leadseam/routing/prefix_fetch.py
@@ -101,6 +101,7 @@
     _sent: PromptTable = field(default_factory=lambda: PromptTable(SENT_RETENTION))
     _running: Counter[Incarnation] = field(default_factory=Counter)
     _digests: dict[Incarnation, int] = field(default_factory=dict)
+    _pools: set[str] = field(default_factory=set)
 
     def __repr__(self) -> str:
         return f"PrefixFetch(running={self._running.total()}, {self.holders!r})"
@@ -131,7 +132,9 @@
         if all(part.tokens < MIN_REPORTED_TOKENS for part in shared):
             return None
         if not self.enabled(scope.pool, profile):
+            self._pools.discard(scope.pool)
             return None
+        self._pools.add(scope.pool)
         parts = [self._part(part, now) for part in shared]
         sources = self.sources(scope) if fetching else {}
         return PrefixLookup(self, parts, sources, profile, now)
@@ -140,15 +143,19 @@
         self, placement: Placement, parts: tuple[PromptPart, ...], now: Millis
     ) -> None:
         """Record that a prompt is sent to an engine."""
-        self.record_sent(placement.upstream.incarnation, parts, now)
+        self.record_sent(placement.upstream, parts, now)
         if placement.source is not None:
             self._running[placement.source.incarnation] += 1
 
     def record_sent(
-        self, incarnation: Incarnation, parts: tuple[PromptPart, ...], now: Millis
+        self, row: Registration, parts: tuple[PromptPart, ...], now: Millis
     ) -> None:
-        """Record that an engine holds the shared parts of a prompt, or will soon."""
-        self._sent.sent(incarnation, parts[:-1], now)
+        """Record that an engine holds the shared parts of a prompt, or will soon.
+
+        Nothing is kept for pools whose engines do not fetch.
+        """
+        if row.pool in self._pools:
+            self._sent.sent(row.incarnation, parts[:-1], now)
 
     def end(self, placement: Placement) -> None:
         """Record that a fetch has ended."""
