--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -461,6 +461,8 @@
         "            pass\n",
         "tests/routing/test_exchange.py"
         "::test_a_retry_names_no_source_if_a_fetch_broke_off",
+    ),
+    Variant(
         "a busy entry does not redirect callers to entries with room",
         "routing/entry_room.py",
         "        return self._others_with_room >= MIN_PART_WITH_ROOM * self._others",
