Bound the rows of standby tables separately

Cause: with heartbeats that reach five replicas in turn, four of five rows at an entry are not in use, and would take the place of those in use.

--- a/src/leadseam/routing/part_holders.py
+++ b/src/leadseam/routing/part_holders.py
@@ -16,7 +16,10 @@
     from leadseam.wire.feed import CacheChanges
 
 MAX_ROWS = 20_000
-"""Maximum rows of a replica, an engine and a part, about 2 MB."""
+"""Maximum pairs of an engine and a part, about 2 MB."""
+MAX_SPARE_ROWS = 40_000
+"""Maximum rows of tables that are not in use, about 4 MB. They have a limit of their
+own, as with five replicas they may have four times the rows in use."""
 MIN_PART_TOKENS = 512
 """Minimum tokens of a shared part whose holders entries want to know. At the rates
 stated by the two customers with heavy load, prefilling as many takes 12 and 13 ms."""
@@ -40,6 +43,7 @@
         self._tables: dict[int, dict[str, dict[int, int]]] = {}
         self._by_part: dict[int, dict[int, int]] = {}
         self._rows = 0
+        self._spare_rows = 0
 
     def __repr__(self) -> str:
         return f"PartHolders(engines={len(self._tables)}, rows={self._rows})"
@@ -88,9 +92,12 @@
         self, engine: int, held: dict[int, int], part: int, tokens: int, *, in_use: bool
     ) -> None:
         if part not in held:
-            if self._rows >= MAX_ROWS:
+            rows, limit = (
+                (self._rows, MAX_ROWS) if in_use else (self._spare_rows, MAX_SPARE_ROWS)
+            )
+            if rows >= limit:
                 return
-            self._rows += 1
+            self._count(1, in_use=in_use)
         held[part] = tokens
         if in_use:
             self._by_part.setdefault(part, {})[engine] = tokens
@@ -100,10 +107,16 @@
     ) -> None:
         if held.pop(part, None) is None:
             return
-        self._rows -= 1
+        self._count(-1, in_use=in_use)
         if in_use:
             self._remove_holder(engine, part)
 
+    def _count(self, change: int, *, in_use: bool) -> None:
+        if in_use:
+            self._rows += change
+        else:
+            self._spare_rows += change
+
     def _remove_holder(self, engine: int, part: int) -> None:
         engines = self._by_part[part]
         del engines[engine]
@@ -116,12 +129,15 @@
             return
         in_use = self._in_use(engine) is tables[replica]
         held = tables.pop(replica)
-        self._rows -= len(held)
+        self._count(-len(held), in_use=in_use)
         if in_use:
             for part in held:
                 self._remove_holder(engine, part)
         if not tables:
             del self._tables[engine]
         elif in_use:
-            for part, tokens in self._in_use(engine).items():
+            successor = self._in_use(engine)
+            self._count(-len(successor), in_use=False)
+            self._count(len(successor), in_use=True)
+            for part, tokens in successor.items():
                 self._by_part.setdefault(part, {})[engine] = tokens
