Exclude requests refused by busy entries from an account's shortfall

Cause: an account whose callers use one busy entry is short for lack of that entry. Others were held back for it and left capacity that its refused requests do not reach.

Emulated entries can be busy for a period (BusyPeriod).

--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -161,6 +161,11 @@
             deadline=deadline,
         )
         placer.record_request(arrival.account, arrival.req, now)
+        if self._is_busy(entry, now):
+            self.tally.ends["entry busy"] += 1
+            service = expected_service(arrival.req)
+            placer.record_refused_busy(arrival.account, service, now)
+            return False
         tried: set[Incarnation] = set()
         while len(tried) < MAX_SENDS:
             flight = await placer.place(admitted, tried, again=bool(tried))
@@ -177,6 +182,15 @@
             placer.pause(flight.upstream, pause)
         return False
 
+    def _is_busy(self, entry: int, now: Millis) -> bool:
+        """Return whether an entry refuses a request because it is busy."""
+        return any(
+            entry < period.entries
+            and period.at <= now < period.at + period.span
+            and self._rng.random() < period.part
+            for period in self._cfg.busy
+        )
+
     def _requested_pause(self, flight: Flight) -> Millis:
         """Return the pause that the engine of a flight asks for; 0 if it accepts it."""
         now = self._clock.now()
--- a/src/leadseam/emulate/settings.py
+++ b/src/leadseam/emulate/settings.py
@@ -103,6 +103,22 @@
     pause: PositiveInt = 3_000
 
 
+class BusyPeriod(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A period in which some entries refuse requests because they are busy.
+
+    Args:
+        entries: Number of busy entries, counted from the first one.
+        at: Start of the period in milliseconds.
+        span: Duration of the period in milliseconds.
+        part: Fraction of the requests that they refuse.
+    """
+
+    entries: PositiveInt
+    at: NonNegativeInt
+    span: PositiveInt
+    part: Annotated[float, Meta(gt=0, le=1)] = 1.0
+
+
 class FleetSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -122,6 +138,7 @@
         crowded: Number of entries to which a load balancer hashes half of all callers;
             0 if callers are spread evenly.
         spells: Periods in which engines refuse requests.
+        busy: Periods in which entries refuse requests.
         span: Simulated time in milliseconds.
     """
 
@@ -136,6 +153,7 @@
     floods: tuple[Flood, ...] = ()
     crowded: NonNegativeInt = 0
     spells: tuple[RefusalPeriod, ...] = ()
+    busy: tuple[BusyPeriod, ...] = ()
     span: PositiveInt = 10_000
 
 
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -21,7 +21,7 @@
     Whole,
     Withheld,
 )
-from leadseam.routing.balance import expected_service_of_tokens
+from leadseam.routing.balance import expected_service, expected_service_of_tokens
 from leadseam.routing.busy import BusyPeriod
 from leadseam.routing.crash_guard import CrashGuard
 from leadseam.routing.dialect import Sender
@@ -176,6 +176,7 @@
                 return None
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
+            self.placer.record_refused_busy(account, service, now)
         refusal = self._busy_refusal()
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
@@ -266,6 +267,9 @@
         if account is not None:
             self.placer.record_request(account.name, req, arrived)
         if self._lag.millis > MAX_LAG:
+            if account is not None:
+                service = expected_service(req)
+                self.placer.record_refused_busy(account.name, service, arrived)
             return self._busy_refusal()
         limit = route.time_limit
         if req.max_wait is not None:
