Derive Retry-After from the state of the account

Cause: a refused caller returned after a third of its time whatever the state, and a second refusal is final.

Change: routing/return_time.py. Within the share, the pause is the time in which the waiting requests ahead are placed at the rate of the last second, at least 100 ms. Beyond the share, it is the time in which what the account requested (time constant 2 s) decays to the level at which it may wait again, also at a busy entry. Both are spread by half, and are at most a third of the time left and 4 s. With sums older than 1 s, without a stated engine pool or without an account the present rule applies. The histogram return_time_seconds counts pauses by rule. A sender's stated time is read from the first bytes, for the bound of a busy refusal.

A flooding account's received service stays near the level at which it is served, so callers returned after some 100 ms and were refused for good.

--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -25,9 +25,10 @@
 from leadseam.outcome import Reason
 from leadseam.routing.admitted import AdmittedRequest
 from leadseam.routing.balance import expected_service
-from leadseam.routing.exchange import MAX_RETRY_PAUSE, MAX_SENDS, RETRY_AFTER_SHARE
+from leadseam.routing.exchange import MAX_SENDS
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.placer import Placer
+from leadseam.routing.scope import Scope
 from leadseam.wire.codec import decode
 from leadseam.wire.feed import LoadSums, Registration
 
@@ -140,8 +141,10 @@
         if await self._attempt_entry(arrival, arrival.entry, deadline):
             return
         remaining = deadline - self._clock.now()
-        pause = min(round(remaining * RETRY_AFTER_SHARE), MAX_RETRY_PAUSE)
-        await sleep(self._rng.randint(pause // 2, pause))
+        placer = self._placers[arrival.entry]
+        found = placer.return_time(arrival.account, Scope(POOL), remaining)
+        self.tally.return_times[found.rule.value] += 1
+        await sleep(found.pause)
         other = self._rng.randrange(self._cfg.entries)
         if not await self._attempt_entry(arrival, other, deadline):
             self.tally.ends["refused"] += 1
--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -17,7 +17,7 @@
 
 from leadseam.entry.error_responses import error_body, http_status
 from leadseam.platform import names
-from leadseam.platform.headers import read_key, read_parts, read_tokens
+from leadseam.platform.headers import read_key, read_number, read_parts, read_tokens
 from leadseam.routing.dialect import Sender
 
 if TYPE_CHECKING:
@@ -39,6 +39,7 @@
             names.AUTHORIZATION,
             names.TOKENS,
             names.PROMPT_PARTS,
+            names.DEADLINE,
         )
     ),
     re.IGNORECASE,
@@ -95,6 +96,7 @@
         read_key(field(names.AUTHORIZATION) or None),
         own_tokens=parts[-1].tokens if parts else tokens_in,
         tokens_out=tokens_out,
+        max_wait=read_number(field(names.DEADLINE) or None),
     )
 
 
--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -65,7 +65,7 @@
             target=http.raw_path,
             headers=_end_to_end(http),
             key=read_key(headers.get(names.AUTHORIZATION)),
-            max_wait=_read_number(headers.get(names.DEADLINE)),
+            max_wait=read_number(headers.get(names.DEADLINE)),
             parts=read_parts(headers.get(names.PROMPT_PARTS, "")),
             tokens_in=tokens_in,
             tokens_out=tokens_out,
@@ -73,10 +73,11 @@
         )
 
     def read_sender(self, http: web.BaseRequest) -> Sender:
-        """Decode only the request identifier and the key of a request."""
+        """Decode only the identifier, the key and the stated time of a request."""
         headers = http.headers
         key = read_key(headers.get(names.AUTHORIZATION))
-        return Sender(headers.get(names.REQUEST_ID, ""), key)
+        max_wait = read_number(headers.get(names.DEADLINE))
+        return Sender(headers.get(names.REQUEST_ID, ""), key, max_wait=max_wait)
 
     def attempt_headers(
         self, req: RoutedRequest, attempt: AttemptHead
@@ -160,7 +161,7 @@
     return value.removeprefix(names.BEARER).strip()
 
 
-def _read_number(value: str | None) -> int | None:
+def read_number(value: str | None) -> int | None:
     if value is None:
         return None
     try:
@@ -172,7 +173,7 @@
 def read_tokens(value: str) -> tuple[int, int]:
     """Return the number of prompt tokens and the most tokens to be generated."""
     first, _, second = value.partition(",")
-    return _read_number(first or None) or 0, _read_number(second or None) or 0
+    return read_number(first or None) or 0, read_number(second or None) or 0
 
 
 def read_parts(value: str) -> tuple[PromptPart, ...]:
@@ -182,5 +183,5 @@
     for item in value.split(","):
         identity, separator, tokens = item.strip().partition(":")
         if separator:
-            parts.append(PromptPart(identity, _read_number(tokens) or 0))
+            parts.append(PromptPart(identity, read_number(tokens) or 0))
     return tuple(parts)
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -15,6 +15,7 @@
 from leadseam.clock import Millis
 from leadseam.routing.balance import MEMORY_PART
 from leadseam.routing.engine_order import MAX_CANDIDATES
+from leadseam.routing.return_time import RecentPlacements
 from leadseam.routing.spare_capacity import SpareCapacity
 from leadseam.routing.usage import Standing
 
@@ -93,6 +94,7 @@
     standing: Callable[[str, Millis], Standing]
     recent_service: Callable[[str, Millis], int]
     _waiting: list[Waiter] = field(default_factory=list)
+    _placed: dict[Scope, RecentPlacements] = field(default_factory=dict)
     _spare: SpareCapacity = field(init=False)
 
     def __post_init__(self) -> None:
@@ -117,11 +119,11 @@
         placement = self._place(waiter, now) if is_next else None
         self._waiting.append(waiter)
         if placement is not None:
-            self._finish(waiter, placement)
+            self._finish(waiter, placement, now)
         elif not self._may_wait(waiter, now):
             # Other waiting requests take precedence for any capacity that becomes free
             # before this one would be refused.
-            self._finish(waiter, None)
+            self._finish(waiter, None, now)
 
     def _longest_wait(self, waiter: Waiter) -> Millis:
         """Return how long a request may wait and still be in time on an idle engine."""
@@ -156,10 +158,10 @@
                 open_engines[key] = self._with_capacity(*key, now)
             placement = self._place(waiter, now, among=open_engines[key])
             if placement is not None:
-                self._finish(waiter, placement)
+                self._finish(waiter, placement, now)
             elif now >= waiter.refuse_at or not self.candidates(waiter.scope):
                 # Without a candidate no capacity can become free in time.
-                self._finish(waiter, None)
+                self._finish(waiter, None, now)
 
     def _sort(self, now: Millis) -> None:
         levels = {
@@ -177,18 +179,35 @@
             return None
         return self.balancer.with_capacity(rows, objective * FIRST_TOKEN_PART, now)
 
+    def waiting_ahead(self, account: str, scope: Scope, now: Millis) -> int:
+        """Return how many waiting requests go before a new one of an account."""
+        level = self.recent_service(account, now)
+        return sum(
+            one.scope == scope
+            and (
+                one.account == account or self.recent_service(one.account, now) <= level
+            )
+            for one in self._waiting
+        )
+
+    def recently_placed(self, scope: Scope, now: Millis) -> int:
+        """Return how many requests were placed in the last second."""
+        placed = self._placed.get(scope)
+        return placed.count(now) if placed is not None else 0
+
     def _lowest_recent_service(self, now: Millis) -> float:
         accounts = {one.account for one in self._waiting}
         return min(
             (self.recent_service(name, now) for name in accounts), default=float("inf")
         )
 
-    def _finish(self, waiter: Waiter, placement: Placement | None) -> None:
+    def _finish(self, waiter: Waiter, placement: Placement | None, now: Millis) -> None:
         waiter.done = True
         self._waiting.remove(waiter)
         if placement is not None:
             # Counted at once, so that the next request in the queue sees the load.
             self.balancer.begin(placement)
+            self._placed.setdefault(waiter.scope, RecentPlacements()).add(now)
         waiter.placement = placement
         waiter.wake()
 
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -37,12 +37,15 @@
         key: The caller's bearer key, or None.
         own_tokens: Prompt tokens that no other request shares; 0 if not read.
         tokens_out: Maximum number of tokens to generate; 0 if not read.
+        max_wait: Milliseconds that the caller waits for an answer, or None if not
+            stated.
     """
 
     request_id: str
     key: str | None
     own_tokens: int = 0
     tokens_out: int = 0
+    max_wait: Millis | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -25,6 +25,7 @@
 )
 from leadseam.routing.dialect import AttemptHead
 from leadseam.routing.reply import Reply
+from leadseam.routing.return_time import longest_pause
 from leadseam.routing.silence import SilenceWatch, first_byte_limit, gap_limit
 
 if TYPE_CHECKING:
@@ -41,10 +42,6 @@
 MIN_TIME_LEFT: Millis = 20
 """Time to the deadline below which no further attempt is made: a few round trips
 between boxes."""
-RETRY_AFTER_SHARE = 1 / 3
-"""Largest Retry-After pause as a share of the time left; callers ignore longer ones."""
-MAX_RETRY_PAUSE: Millis = 4_000
-"""Longest Retry-After pause: bursts last a few seconds."""
 RETURN_JITTER: Millis = 500
 """Time over which retries of callers are spread once an upstream's pause is over."""
 
@@ -366,19 +363,23 @@
 
     def _refuse(self, reason: Reason) -> web.StreamResponse:
         """End a request that has certainly not run."""
-        pause = None if reason is Reason.CRASHES_UPSTREAMS else self._retry_pause()
+        pause = (
+            None if reason is Reason.CRASHES_UPSTREAMS else self._retry_pause(reason)
+        )
         self.outcome = NotRun(reason, pause)
         return self._gateway.error(self.outcome)
 
-    def _retry_pause(self) -> Millis:
+    def _retry_pause(self, reason: Reason) -> Millis:
         paused = self._gateway.placer.pause_left(self._request.scope)
         if paused:
             # No upstream takes it earlier; jitter keeps callers from retrying at once.
             return paused + self._gateway.jitter(RETURN_JITTER)
         left = max(self._request.deadline - self._gateway.now(), 0)
-        return self._gateway.jitter(
-            min(round(left * RETRY_AFTER_SHARE), MAX_RETRY_PAUSE)
-        )
+        if reason is Reason.UPSTREAM_FULL:
+            # Of the causes of a refusal, the account's state shows only the lack of
+            # engines.
+            return self._gateway.return_pause(self._request, left)
+        return self._gateway.jitter(longest_pause(left))
 
     def _deadline_passed(self) -> web.StreamResponse:
         if self._reply.started:
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -33,9 +33,9 @@
 from leadseam.routing.request_log import RequestLog
 from leadseam.routing.restarts import Restarts
 from leadseam.routing.retry_budget import PoolRetryBudget
+from leadseam.routing.return_time import Rule, is_beyond_share
 from leadseam.routing.router import Router, choose_pool
 from leadseam.routing.scope import allowed_regions
-from leadseam.routing.usage import Standing
 
 if TYPE_CHECKING:
     import random
@@ -177,7 +177,7 @@
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
             self.placer.record_refused_busy(account, service, now)
-        refusal = self._busy_refusal()
+        refusal = self._busy_refusal(account, sender.max_wait)
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
         return refusal
@@ -209,7 +209,9 @@
         if self._lag.millis > EXCESS_LAG:
             sender = self.dialect.read_sender(http)
             if self._exceeds_share(sender, arrived):
-                return self._refuse(sender, self._busy_refusal(), arrived)
+                account = self._account_of(sender)
+                refusal = self._busy_refusal(account, sender.max_wait)
+                return self._refuse(sender, refusal, arrived)
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
@@ -270,7 +272,8 @@
             if account is not None:
                 service = expected_service(req)
                 self.placer.record_refused_busy(account.name, service, arrived)
-            return self._busy_refusal()
+            name = account.name if account is not None else None
+            return self._busy_refusal(name, req.max_wait)
         limit = route.time_limit
         if req.max_wait is not None:
             limit = min(limit, req.max_wait)
@@ -298,17 +301,29 @@
             case reason:
                 return NotRun(reason, self.jitter(UNDECIDED_PAUSE))
 
-    def _busy_refusal(self) -> NotRun:
-        pause = self._busy_period.refused(self.now())
-        return NotRun(Reason.ENTRY_BUSY, self.jitter(pause))
+    def _busy_refusal(
+        self, account: str | None, time_left: Millis | None = None
+    ) -> NotRun:
+        """Return a refusal of this busy entry, with a pause by the account's state.
+
+        Other entries would refuse an account beyond its share too, so its pause follows
+        its recent service instead of the time for which this entry has been busy.
+        """
+        pause = self.jitter(self._busy_period.refused(self.now()))
+        if account is not None and self._is_beyond_share(account, self.now()):
+            found = self.placer.return_time(account, None, time_left)
+            if found.rule is Rule.DECAY:
+                self._metrics.add_return_time(found.rule.value, found.pause)
+                pause = found.pause
+        return NotRun(Reason.ENTRY_BUSY, pause)
 
     def _exceeds_share(self, sender: Sender, now: Millis) -> bool:
         """Check by the key alone whether the sender's account exceeds its share."""
         account = self._account_of(sender)
-        if account is None:
-            return False
-        standing = self.placer.standing(account, now)
-        return standing in (Standing.AHEAD, Standing.STOPPED)
+        return account is not None and self._is_beyond_share(account, now)
+
+    def _is_beyond_share(self, account: str, now: Millis) -> bool:
+        return is_beyond_share(self.placer.standing(account, now))
 
     def _account_of(self, sender: Sender) -> str | None:
         """Return the client account that a key belongs to, if any."""
@@ -338,6 +353,12 @@
 
     # Shared by exchanges
 
+    def return_pause(self, admitted: AdmittedRequest, time_left: Millis) -> Millis:
+        """Return the Retry-After pause of a request for which no engine is free."""
+        found = self.placer.return_time(admitted.account, admitted.scope, time_left)
+        self._metrics.add_return_time(found.rule.value, found.pause)
+        return found.pause
+
     def jitter(self, pause: Millis) -> Millis:
         """Return a random pause between half of the given one and all of it."""
         return self._rng.randint(pause // 2, pause)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -22,6 +22,7 @@
     PlainQueue,
     PlainWaiter,
 )
+from leadseam.routing.return_time import AccountState, ReturnTime, return_time
 from leadseam.routing.scope import Scope
 from leadseam.routing.usage import DECAY_TIME, UsageTable
 
@@ -145,6 +146,41 @@
         """Return the standing of a client account, which limits what it may claim."""
         return self._usage.standing(account, now)
 
+    def return_time(
+        self, account: str | None, scope: Scope | None, time_left: Millis | None
+    ) -> ReturnTime:
+        """Return when a caller should return that is refused for lack of capacity.
+
+        Args:
+            account: Client account of the request, or None.
+            scope: Engines that the request may be sent to; None if it is not known.
+            time_left: Time that the caller has left, or None if it states none.
+        """
+        state = self._account_state(account, scope) if account is not None else None
+        return return_time(state, time_left, self._rng)
+
+    def _account_state(self, account: str, scope: Scope | None) -> AccountState | None:
+        """Return the state of an account; None if it is outdated or has no engines."""
+        now = self._clock.now()
+        if not self._has_engines(scope) or not self._usage.are_sums_current(now):
+            return None
+        queue = self._admission
+        return AccountState(
+            standing=self._usage.standing(account, now),
+            requested=self._usage.recently_requested(account, now),
+            served_at=self._usage.shares.served_again,
+            waiting_ahead=queue.waiting_ahead(account, scope, now) if scope else 0,
+            placed=queue.recently_placed(scope, now) if scope else 0,
+        )
+
+    def _has_engines(self, scope: Scope | None) -> bool:
+        """Return whether a scope, or any pool, consists of engines."""
+        pools = self._feed.configuration.pools
+        if scope is None:
+            return any(pool.engine is not None for pool in pools.values())
+        pool = pools.get(scope.pool)
+        return pool is not None and pool.engine is not None
+
     async def place(
         self, admitted: AdmittedRequest, tried: set[Incarnation], *, again: bool
     ) -> Flight | Reason:
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -80,6 +80,11 @@
     even: float = float("inf")
     stop: float = float("inf")
 
+    @property
+    def served_again(self) -> float:
+        """Recent service at which an account that was held back may wait again."""
+        return max(self.stated, min(self.even, self.stop))
+
     def standing(self, level: int) -> Standing:
         """Return the standing of an account with this much recent service."""
         if level <= self.stated:
@@ -155,6 +160,12 @@
         own = round(self._account(account).served.value_at(now))
         return own + (others.served if others is not None else 0)
 
+    def recently_requested(self, account: str, now: Millis) -> int:
+        """Return the service that an account recently requested, as far as is known."""
+        others = self._others.get(account) if self._has_current_totals(now) else None
+        own = round(self._account(account).requested.value_at(now))
+        return own + (others.requested if others is not None else 0)
+
     def standing(self, account: str, now: Millis) -> Standing:
         """Return the standing of an account.
 
@@ -166,6 +177,10 @@
         level = self.recent_service(account, now)
         return self.shares.standing(level)
 
+    def are_sums_current(self, now: Millis) -> bool:
+        """Return whether the sums are recent enough to decide by them."""
+        return self._has_current_totals(now)
+
     def sums_age(self, now: Millis) -> Millis:
         """Return the age of the sums in use, or -1 before the first."""
         return now - self._totals_at if self._totals_at is not None else -1
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -6,6 +6,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from leadseam.clock import MILLIS_PER_SECOND, Millis
 from leadseam.wire.traffic import Traffic
 
 
@@ -146,6 +147,9 @@
             "Answers of upstreams that ask for a pause, by whether it can be read.",
             "result",
         )
+        self._return_time = metrics.histogram(
+            "return_time_seconds", "Retry-After pauses, by rule.", LATENCY_BUCKETS
+        )
         self.first_byte = metrics.histogram(
             "first_byte_seconds", "Time to the first byte.", LATENCY_BUCKETS
         )
@@ -163,6 +167,10 @@
             "log_lines_dropped", "Log lines not written to keep the volume bounded."
         )
 
+    def add_return_time(self, rule: str, pause: Millis) -> None:
+        """Count a Retry-After pause and the rule that it follows."""
+        self._return_time.add({"rule": rule}, pause / MILLIS_PER_SECOND)
+
 
 class SidecarMetrics:
     """Metrics of a sidecar.
--- a/tests/emulate/plain_callers.py
+++ b/tests/emulate/plain_callers.py
@@ -20,9 +20,10 @@
 from leadseam.membership.view import UpstreamView
 from leadseam.outcome import Reason
 from leadseam.routing.admitted import AdmittedRequest
-from leadseam.routing.exchange import MAX_SENDS, RETRY_AFTER_SHARE
+from leadseam.routing.exchange import MAX_SENDS
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.placer import Placer
+from leadseam.routing.return_time import LONGEST_PART
 from leadseam.wire.codec import decode
 from leadseam.wire.feed import LoadSums
 from tests.routing.samples import make_request, make_route, make_upstream
@@ -143,7 +144,7 @@
         served = await self._attempt(entry, account, began)
         if not served and account != VISITOR:
             left = began + CALLER_TIMEOUT - self.clock.now()
-            pause = round(left * RETRY_AFTER_SHARE)
+            pause = round(left * LONGEST_PART)
             await sleep(self._rng.randint(pause // 2, pause))
             other = self._rng.randrange(ENTRIES)
             served = await self._attempt(other, account, began)
