--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -25,10 +25,11 @@
 from leadseam.outcome import Reason
 from leadseam.routing.admitted import AdmittedRequest
 from leadseam.routing.balance import expected_service
-from leadseam.routing.exchange import MAX_RETRY_PAUSE, MAX_SENDS, RETRY_AFTER_SHARE
+from leadseam.routing.exchange import MAX_SENDS
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.part_holders import part_digest
 from leadseam.routing.placer import Placer
+from leadseam.routing.scope import Scope
 from leadseam.routing.usage import Standing
 from leadseam.wire.codec import decode
 from leadseam.wire.feed import CacheChanges, EngineCache, LoadSums, Registration
@@ -165,8 +166,10 @@
         if await self._attempt_entry(arrival, arrival.entry, deadline):
             return
         remaining = deadline - self._clock.now()
-        pause = min(round(remaining * RETRY_AFTER_SHARE), MAX_RETRY_PAUSE)
-        await sleep(self._rng.randint(pause // 2, pause))
+        placer = self._placers[arrival.entry]
+        found = placer.return_time(arrival.account, Scope(POOL), remaining)
+        self.tally.return_times[found.rule.value] += 1
+        await sleep(found.pause)
         other = self._rng.randrange(self._cfg.entries)
         if not await self._attempt_entry(arrival, other, deadline):
             self.tally.ends["refused"] += 1
@@ -186,6 +189,11 @@
             deadline=deadline,
         )
         placer.record_request(arrival.account, arrival.req, now)
+        if self._is_busy(entry, now):
+            self.tally.ends["entry busy"] += 1
+            service = expected_service(arrival.req)
+            placer.record_refused_busy(arrival.account, service, now)
+            return False
         tried: set[Incarnation] = set()
         while len(tried) < MAX_SENDS:
             flight = await placer.place(admitted, tried, again=bool(tried))
@@ -209,6 +217,15 @@
         if idle_since <= seconds(arrived - SUMS_DELAY):
             self.tally.idle_refusals[arrived // MILLIS_PER_SECOND] += 1
 
+    def _is_busy(self, entry: int, now: Millis) -> bool:
+        """Return whether an entry refuses a request because it is busy."""
+        return any(
+            entry < period.entries
+            and period.at <= now < period.at + period.span
+            and self._rng.random() < period.part
+            for period in self._cfg.busy
+        )
+
     def _requested_pause(self, flight: Flight) -> Millis:
         """Return the pause that the engine of a flight asks for; 0 if it accepts it."""
         now = self._clock.now()
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -15,6 +15,7 @@
 from leadseam.clock import Millis
 from leadseam.routing.balance import MEMORY_PART
 from leadseam.routing.engine_order import MAX_CANDIDATES
+from leadseam.routing.return_time import RecentPlacements
 from leadseam.routing.spare_capacity import SpareCapacity
 from leadseam.routing.usage import Standing
 
@@ -93,6 +94,7 @@
     standing: Callable[[str, Millis], Standing]
     recent_service: Callable[[str, Millis], int]
     _waiting: list[Waiter] = field(default_factory=list)
+    _placed: dict[Scope, RecentPlacements] = field(default_factory=dict)
     _spare: SpareCapacity = field(init=False)
 
     def __post_init__(self) -> None:
@@ -177,6 +179,22 @@
             return None
         return self.balancer.with_capacity(rows, objective * FIRST_TOKEN_PART, now)
 
+    def waiting_ahead(self, account: str, scope: Scope, now: Millis) -> int:
+        """Return how many waiting requests go before a new one of an account."""
+        level = self.recent_service(account, now)
+        return sum(
+            one.scope == scope
+            and (
+                one.account == account or self.recent_service(one.account, now) <= level
+            )
+            for one in self._waiting
+        )
+
+    def recently_placed(self, scope: Scope, now: Millis) -> int:
+        """Return how many requests were placed in the last second."""
+        placed = self._placed.get(scope)
+        return placed.count(now) if placed is not None else 0
+
     def _lowest_recent_service(self, now: Millis) -> float:
         accounts = {one.account for one in self._waiting}
         return min(
@@ -189,6 +207,7 @@
         if placement is not None:
             # Counted at once, so that the next request in the queue sees the load.
             self.balancer.begin(placement, waiter.req.parts, now)
+            self._placed.setdefault(waiter.scope, RecentPlacements()).add(now)
         waiter.placement = placement
         waiter.wake()
 
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -21,7 +21,7 @@
     Whole,
     Withheld,
 )
-from leadseam.routing.balance import expected_service_of_tokens
+from leadseam.routing.balance import expected_service, expected_service_of_tokens
 from leadseam.routing.busy import BusyPeriod
 from leadseam.routing.crash_guard import CrashGuard
 from leadseam.routing.dialect import Sender
@@ -34,9 +34,9 @@
 from leadseam.routing.request_log import RequestLog
 from leadseam.routing.restarts import Restarts
 from leadseam.routing.retry_budget import PoolRetryBudget
+from leadseam.routing.return_time import Rule, is_beyond_share
 from leadseam.routing.router import Router, choose_pool
 from leadseam.routing.scope import allowed_regions
-from leadseam.routing.usage import Standing
 
 if TYPE_CHECKING:
     import random
@@ -187,17 +187,15 @@
         if account is None:
             return None
         now = self.now()
-        redirects = False
-        if not self._exceeds_share(account, now):
-            if lag <= self._max_lag(now):
-                return None
-            redirects = self.rooms.redirects(now)
-            if not redirects:
-                service = expected_service_of_tokens(
-                    sender.own_tokens, sender.tokens_out
-                )
-                self.placer.record_requested_service(account, service, now)
-        refusal = self._busy_refusal(redirects=redirects)
+        exceeds_share = self._exceeds_share(account, now)
+        if not exceeds_share and lag <= self._max_lag(now):
+            return None
+        redirects = self._redirects(now, exceeds_share=exceeds_share)
+        if not exceeds_share and not redirects:
+            service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
+            self.placer.record_requested_service(account, service, now)
+            self.placer.record_refused_busy(account, service, now)
+        refusal = self._busy_refusal(account, sender.max_wait, redirects=redirects)
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
         return refusal
@@ -228,8 +226,12 @@
         arrived = self.now()
         if self._lag.millis > EXCESS_LAG:
             sender = self.dialect.read_sender(http)
-            if self._exceeds_share(self._account_of(sender), arrived):
-                refusal = self._busy_refusal(redirects=False)
+            account = self._account_of(sender)
+            if self._exceeds_share(account, arrived):
+                redirects = self._redirects(arrived, exceeds_share=True)
+                refusal = self._busy_refusal(
+                    account, sender.max_wait, redirects=redirects
+                )
                 return self._refuse(sender, refusal, arrived)
         req = self.dialect.read_request(http)
         if req is None:
@@ -289,13 +291,16 @@
         # Reading the body may have taken long, so rooms are judged now.
         now = self.now()
         busy = self._lag.millis > self._max_lag(now)
-        redirects = (
-            busy and self.rooms.redirects(now) and not self._exceeds_share(name, now)
+        redirects = busy and self._redirects(
+            now, exceeds_share=self._exceeds_share(name, now)
         )
         if name is not None and not redirects:
             self.placer.record_request(name, req, arrived)
+            if busy:
+                service = expected_service(req)
+                self.placer.record_refused_busy(name, service, arrived)
         if busy:
-            return self._busy_refusal(redirects=redirects)
+            return self._busy_refusal(name, req.max_wait, redirects=redirects)
         limit = route.time_limit
         if req.max_wait is not None:
             limit = min(limit, req.max_wait)
@@ -330,27 +335,48 @@
         """
         return EXCESS_LAG if self.rooms.redirects(now) else MAX_LAG
 
-    def _busy_refusal(self, *, redirects: bool) -> NotRun:
-        """Refuse a request at a busy entry.
+    def _redirects(self, now: Millis, *, exceeds_share: bool) -> bool:
+        """Return whether this entry, if busy, redirects a caller to another entry.
+
+        Callers of an account that exceeds its share are redirected only while engines
+        have spare capacity. Otherwise the other entry would refuse them as well, and
+        they would have used their retry.
+        """
+        if exceeds_share and not self.placer.engines_have_spare(now):
+            return False
+        return self.rooms.redirects(now)
+
+    def _busy_refusal(
+        self, account: str | None, time_left: Millis | None, *, redirects: bool
+    ) -> NotRun:
+        """Refuse a request at a busy entry, with a pause by the account's state.
 
         Args:
-            redirects: Whether the caller is redirected to another entry. Callers of an
-                account that exceeds its share are not: the other entry would refuse
-                them as well, and they would have used their retry.
+            account: Client account of the request, or None.
+            time_left: Time that the caller has left, or None if it states none.
+            redirects: Whether the caller is redirected to another entry. Otherwise the
+                pause of an account beyond its share follows its recent service, as
+                other entries would refuse it too.
         """
+        now = self.now()
         # Redirected callers count as well: their entry is as busy.
-        pause = self._busy_period.refused(self.now())
+        busy_for = self._busy_period.refused(now)
         if redirects:
             self._metrics.busy.inc("redirected")
             return NotRun(Reason.ENTRY_BUSY, self._rng.randint(FIRST_PAUSE, LAST_PAUSE))
         self._metrics.busy.inc("paused")
-        return NotRun(Reason.ENTRY_BUSY, self.jitter(pause))
+        pause = self.jitter(busy_for)
+        if account is not None and self._exceeds_share(account, now):
+            found = self.placer.return_time(account, None, time_left)
+            if found.rule is Rule.DECAY:
+                self._metrics.add_return_time(found.rule.value, found.pause)
+                pause = found.pause
+        return NotRun(Reason.ENTRY_BUSY, pause)
 
     def _exceeds_share(self, account: str | None, now: Millis) -> bool:
         if account is None:
             return False
-        standing = self.placer.standing(account, now)
-        return standing in (Standing.AHEAD, Standing.STOPPED)
+        return is_beyond_share(self.placer.standing(account, now))
 
     def _account_of(self, sender: Sender) -> str | None:
         """Return the client account that a key belongs to, if any."""
@@ -380,6 +406,12 @@
 
     # Shared by exchanges
 
+    def return_pause(self, admitted: AdmittedRequest, time_left: Millis) -> Millis:
+        """Return the Retry-After pause of a request for which no engine is free."""
+        found = self.placer.return_time(admitted.account, admitted.scope, time_left)
+        self._metrics.add_return_time(found.rule.value, found.pause)
+        return found.pause
+
     def jitter(self, pause: Millis) -> Millis:
         """Return a random pause between half of the given one and all of it."""
         return self._rng.randint(pause // 2, pause)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -14,8 +14,14 @@
 from leadseam.routing.admission import Admission, Waiter
 from leadseam.routing.balance import MEMORY_PART, Balancer, expected_service
 from leadseam.routing.cold_budget import ColdBudget
-from leadseam.routing.engine_load import EngineUse, LoadAverage, mean_used_part
+from leadseam.routing.engine_load import (
+    LOADED_PART,
+    EngineUse,
+    LoadAverage,
+    mean_used_part,
+)
 from leadseam.routing.flight import Flight
+from leadseam.routing.load import MAX_TOTALS_AGE
 from leadseam.routing.memory_pressure import MemoryPressure
 from leadseam.routing.part_holders import PartHolders
 from leadseam.routing.part_interest import PartInterestTable
@@ -27,6 +33,7 @@
     PlainWaiter,
 )
 from leadseam.routing.prefix_fetch import PrefixFetch, can_fetch
+from leadseam.routing.return_time import AccountState, ReturnTime, return_time
 from leadseam.routing.scope import Scope
 from leadseam.routing.usage import DECAY_TIME, UsageTable
 
@@ -151,6 +158,7 @@
             begin=self._balancer.begin,
         )
         self._pumping = False
+        self._spare_at: Millis | None = None
         self._usable: dict[Scope, _UsableUpstreams] = {}
 
     def __repr__(self) -> str:
@@ -165,10 +173,53 @@
         self._usage.record_requested(account, service, now)
         self.account_log.record_requested(account, service)
 
+    def record_refused_busy(self, account: str, service: int, now: Millis) -> None:
+        """Count the service of a request, already counted as requested.
+
+        It is refused because this entry is busy.
+        """
+        self._usage.record_refused_busy(account, service, now)
+        self.account_log.record_refused_busy(account, service)
+
     def standing(self, account: str, now: Millis) -> Standing:
         """Return the standing of a client account, which limits what it may claim."""
         return self._usage.standing(account, now)
 
+    def return_time(
+        self, account: str | None, scope: Scope | None, time_left: Millis | None
+    ) -> ReturnTime:
+        """Return when a caller should return that is refused for lack of capacity.
+
+        Args:
+            account: Client account of the request, or None.
+            scope: Engines that the request may be sent to; None if it is not known.
+            time_left: Time that the caller has left, or None if it states none.
+        """
+        state = self._account_state(account, scope) if account is not None else None
+        return return_time(state, time_left, self._rng)
+
+    def _account_state(self, account: str, scope: Scope | None) -> AccountState | None:
+        """Return the state of an account; None if it is outdated or has no engines."""
+        now = self._clock.now()
+        if not self._has_engines(scope) or not self._usage.are_sums_current(now):
+            return None
+        queue = self._admission
+        return AccountState(
+            standing=self._usage.standing(account, now),
+            requested=self._usage.recently_requested(account, now),
+            served_at=self._usage.shares.served_again,
+            waiting_ahead=queue.waiting_ahead(account, scope, now) if scope else 0,
+            placed=queue.recently_placed(scope, now) if scope else 0,
+        )
+
+    def _has_engines(self, scope: Scope | None) -> bool:
+        """Return whether a scope, or any pool, consists of engines."""
+        pools = self._feed.configuration.pools
+        if scope is None:
+            return any(pool.engine is not None for pool in pools.values())
+        pool = pools.get(scope.pool)
+        return pool is not None and pool.engine is not None
+
     async def place(
         self,
         admitted: AdmittedRequest,
@@ -296,9 +347,10 @@
             list(profiles)
         )
         capacity = round(rate * DECAY_TIME / MILLIS_PER_SECOND)
-        used_part = self._engine_load.add(
-            [self._used_part(name, profile) for name, profile in profiles.items()], now
-        )
+        parts = [self._used_part(name, profile) for name, profile in profiles.items()]
+        used_part = self._engine_load.add(parts, now)
+        used = [part for part in parts if part is not None]
+        self._spare_at = now if used and max(used) < LOADED_PART else None
         self._usage.apply_sums(
             sums, own, capacity=capacity, now=now, used_part=used_part
         )
@@ -318,6 +370,10 @@
             for row in self._candidates(Scope(pool))
         )
 
+    def engines_have_spare(self, now: Millis) -> bool:
+        """Return whether the last sums showed spare capacity at all engine pools."""
+        return self._spare_at is not None and now - self._spare_at <= MAX_TOTALS_AGE
+
     def memory_bound_pools(self) -> int:
         """Return the number of memory-bound pools."""
         return self._memory.bound_pools()
--- a/src/leadseam/routing/prefix_fetch.py
+++ b/src/leadseam/routing/prefix_fetch.py
@@ -34,7 +34,7 @@
 reported it: engines are polled every 250 ms, and events may be late."""
 MIN_REPORTED_TOKENS = 512
 """Tokens of a part below which replicas do not report who holds it."""
-MAX_FETCH_RATIO = 0.25
+MAX_FETCH_RATIO = 0.4
 """Largest ratio of the time to fetch a token to the time to prefill it. Above it, the
 gain does not justify the load on the source's link."""
 DISTANT_FACTOR = 2
--- a/tests/routing/busy_entries.py
+++ b/tests/routing/busy_entries.py
@@ -24,9 +24,9 @@
 from leadseam.routing.balance import expected_service_of_tokens
 from leadseam.routing.dialect import Sender
 from leadseam.routing.entry_room import LAST_PAUSE, EntryRooms
-from leadseam.routing.exchange import RETRY_AFTER_SHARE
 from leadseam.routing.gateway import Gateway
 from leadseam.routing.retry_budget import RetryLimits
+from leadseam.routing.return_time import LONGEST_PART
 from leadseam.runtime.entry_room import RoomSensor
 from leadseam.runtime.lag import DECAY, INTERVAL
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
@@ -224,7 +224,7 @@
         pause = await self._attempt(entry, account)
         if pause is not None:
             left = began + CALLER_TIMEOUT - self.clock.now()
-            await sleep(min(pause, round(left * RETRY_AFTER_SHARE)) + CONNECT_TIME)
+            await sleep(min(pause, round(left * LONGEST_PART)) + CONNECT_TIME)
             other = self._rng.choice([n for n in range(ENTRIES) if n != entry])
             pause = await self._attempt(other, account)
         if pause is not None:
