Revert the exclusion of requests refused by busy entries

The gap between accounts counts whatever made the account short. Change: this reverts, and an account that is stopped gets no engine again, idle or not; entries have room up to a lag of 10 ms, so that more callers of the short account are redirected.

--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -189,11 +189,6 @@
             deadline=deadline,
         )
         placer.record_request(arrival.account, arrival.req, now)
-        if self._is_busy(entry, now):
-            self.tally.ends["entry busy"] += 1
-            service = expected_service(arrival.req)
-            placer.record_refused_busy(arrival.account, service, now)
-            return False
         tried: set[Incarnation] = set()
         while len(tried) < MAX_SENDS:
             flight = await placer.place(admitted, tried, again=bool(tried))
@@ -217,15 +212,6 @@
         if idle_since <= seconds(arrived - SUMS_DELAY):
             self.tally.idle_refusals[arrived // MILLIS_PER_SECOND] += 1
 
-    def _is_busy(self, entry: int, now: Millis) -> bool:
-        """Return whether an entry refuses a request because it is busy."""
-        return any(
-            entry < period.entries
-            and period.at <= now < period.at + period.span
-            and self._rng.random() < period.part
-            for period in self._cfg.busy
-        )
-
     def _requested_pause(self, flight: Flight) -> Millis:
         """Return the pause that the engine of a flight asks for; 0 if it accepts it."""
         now = self._clock.now()
--- a/src/leadseam/emulate/settings.py
+++ b/src/leadseam/emulate/settings.py
@@ -108,22 +108,6 @@
     pause: PositiveInt = 3_000
 
 
-class BusyPeriod(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """A period in which some entries refuse requests because they are busy.
-
-    Args:
-        entries: Number of busy entries, counted from the first one.
-        at: Start of the period in milliseconds.
-        span: Duration of the period in milliseconds.
-        part: Fraction of the requests that they refuse.
-    """
-
-    entries: PositiveInt
-    at: NonNegativeInt
-    span: PositiveInt
-    part: Annotated[float, Meta(gt=0, le=1)] = 1.0
-
-
 class FleetSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -146,7 +130,6 @@
         spells: Periods in which engines refuse requests.
         cache_events: Milliseconds between the times at which all entries learn which
             prompt parts engines hold; 0 if they never do.
-        busy: Periods in which entries refuse requests.
         span: Simulated time in milliseconds.
     """
 
@@ -163,7 +146,6 @@
     crowded: NonNegativeInt = 0
     spells: tuple[RefusalPeriod, ...] = ()
     cache_events: NonNegativeInt = 0
-    busy: tuple[BusyPeriod, ...] = ()
     span: PositiveInt = 10_000
 
 
--- a/src/leadseam/feed/load_aggregator.py
+++ b/src/leadseam/feed/load_aggregator.py
@@ -82,10 +82,9 @@
         sums: dict[str, list[int]] = {}
         for stored in self._reports.values():
             for row in stored.report.usage:
-                counts = sums.setdefault(row.account, [0, 0, 0])
+                counts = sums.setdefault(row.account, [0, 0])
                 counts[0] += row.served
                 counts[1] += row.requested
-                counts[2] += row.refused_busy
         return tuple(UsageRow(name, *counts) for name, counts in sums.items())
 
     def _rooms(self) -> tuple[DomainRoom, ...]:
--- a/src/leadseam/routing/account_log.py
+++ b/src/leadseam/routing/account_log.py
@@ -34,14 +34,11 @@
     Args:
         requested: Service of the requests that arrived, in tokens.
         placed: Service of the requests that were sent to an upstream, in tokens.
-        refused_busy: Service of the requests that the entry refused because it was
-            busy, in tokens.
         refused: Number of refused requests by reason.
     """
 
     requested: int = 0
     placed: int = 0
-    refused_busy: int = 0
     refused: Counter[str] = field(default_factory=Counter)
 
 
@@ -69,10 +66,6 @@
         """Count the service of a request that was sent to an upstream."""
         self._counts(account).placed += service
 
-    def record_refused_busy(self, account: str, service: int) -> None:
-        """Count the service of a request that was refused as the entry is busy."""
-        self._counts(account).refused_busy += service
-
     def record_refusal(self, account: str, reason: Reason) -> None:
         """Count a request that was refused."""
         self._counts(account).refused[reason.value] += 1
@@ -118,7 +111,6 @@
             "account": name,
             "asked": counts.requested,
             "placed": counts.placed,
-            "refused_busy": counts.refused_busy,
             "refused": dict(counts.refused),
             "served_of_late": self._usage.recent_service(name, now),
             "standing": self._usage.standing(name, now).name.lower(),
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -13,7 +13,6 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Millis
-from leadseam.routing.balance import MEMORY_PART
 from leadseam.routing.engine_order import MAX_CANDIDATES
 from leadseam.routing.return_time import RecentPlacements
 from leadseam.routing.spare_capacity import SpareCapacity
@@ -252,21 +251,8 @@
                     else MAX_READING_AHEAD_BEYOND_SHARE
                 )
             case Standing.STOPPED:
-                # Nothing is taken from short accounts while no request of another
-                # account waits and half of the engines, memory included, is unused.
-                memory = round(waiter.profile.memory_tokens * MEMORY_PART)
-                spare = self._spare.has_spare(waiter.scope, now, memory=memory)
-                if spare and not self._others_wait(waiter):
-                    return MAX_READING_AHEAD_BEYOND_SHARE
                 return None
 
-    def _others_wait(self, waiter: Waiter) -> bool:
-        """Return whether a request of another account waits for the same engines."""
-        return any(
-            one.scope == waiter.scope and one.account != waiter.account
-            for one in self._waiting
-        )
-
     def _has_spare(self, waiter: Waiter, now: Millis) -> bool:
         return self._spare.has_spare(waiter.scope, now)
 
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -21,7 +21,7 @@
     Whole,
     Withheld,
 )
-from leadseam.routing.balance import expected_service, expected_service_of_tokens
+from leadseam.routing.balance import expected_service_of_tokens
 from leadseam.routing.busy import BusyPeriod
 from leadseam.routing.crash_guard import CrashGuard
 from leadseam.routing.dialect import Sender
@@ -194,7 +194,6 @@
         if not exceeds_share and not redirects:
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
-            self.placer.record_refused_busy(account, service, now)
         refusal = self._busy_refusal(account, sender.max_wait, redirects=redirects)
         self._note_refusal(sender, refusal, now)
         self._metrics.refusals.inc(refusal.reason.value)
@@ -296,9 +295,6 @@
         )
         if name is not None and not redirects:
             self.placer.record_request(name, req, arrived)
-            if busy:
-                service = expected_service(req)
-                self.placer.record_refused_busy(name, service, arrived)
         if busy:
             return self._busy_refusal(name, req.max_wait, redirects=redirects)
         limit = route.time_limit
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -173,14 +173,6 @@
         self._usage.record_requested(account, service, now)
         self.account_log.record_requested(account, service)
 
-    def record_refused_busy(self, account: str, service: int, now: Millis) -> None:
-        """Count the service of a request, already counted as requested.
-
-        It is refused because this entry is busy.
-        """
-        self._usage.record_refused_busy(account, service, now)
-        self.account_log.record_refused_busy(account, service)
-
     def standing(self, account: str, now: Millis) -> Standing:
         """Return the standing of a client account, which limits what it may claim."""
         return self._usage.standing(account, now)
--- a/src/leadseam/routing/spare_capacity.py
+++ b/src/leadseam/routing/spare_capacity.py
@@ -3,8 +3,8 @@
 Accounts ahead of others leave capacity to short ones. An account may be short for a
 reason other than the engines, for example when all its callers use one busy entry.
 While engines are idle, holding back the others helps no account. Accounts far ahead of
-a short one then get only engines that have nothing to read. This module handles floods
-that come through few entries to engines with many slots.
+a short one stay stopped. This module handles floods that come through few entries to
+engines with many slots.
 """
 
 from __future__ import annotations
@@ -52,50 +52,33 @@
     ) -> None:
         self._candidates = candidates
         self._total = total
-        self._cached: dict[tuple[Scope, int], _CachedAnswer] = {}
+        self._cached: dict[Scope, _CachedAnswer] = {}
 
     def __repr__(self) -> str:
         return f"SpareCapacity({self._cached!r})"
 
-    def has_spare(self, scope: Scope, now: Millis, *, memory: int = 0) -> bool:
-        """Return whether the engines of a scope have spare capacity.
-
-        Args:
-            scope: The scope.
-            now: Current time.
-            memory: Tokens of each engine's memory that may be filled, of which part has
-                to be spare as well; 0 to ignore memory.
-        """
+    def has_spare(self, scope: Scope, now: Millis) -> bool:
+        """Return whether the engines of a scope have spare capacity."""
         rows = self._candidates(scope)
         if len(rows) <= MAX_CANDIDATES:
-            return self._check(rows, now, memory)
-        cached = self._cached.get((scope, memory))
+            return self._check(rows, now)
+        cached = self._cached.get(scope)
         if cached is None or not 0 <= now - cached.at < CACHE_TIME:
-            cached = _CachedAnswer(now, self._check(rows, now, memory))
-            self._cached[scope, memory] = cached
+            cached = self._cached[scope] = _CachedAnswer(now, self._check(rows, now))
         return cached.spare
 
-    def _check(self, rows: Sequence[Registration], now: Millis, memory: int) -> bool:
-        engines = ((row.slots, self._total(row, now)) for row in rows)
-        return has_spare_capacity(engines, memory=memory)
-
+    def _check(self, rows: Sequence[Registration], now: Millis) -> bool:
+        return has_spare_capacity((row.slots, self._total(row, now)) for row in rows)
 
-def has_spare_capacity(engines: Iterable[tuple[int, Load]], *, memory: int = 0) -> bool:
-    """Return whether engines have spare capacity, given their slots and loads.
 
-    Args:
-        engines: Slots and load of each engine.
-        memory: Tokens of each engine's memory that may be filled; 0 to ignore memory.
-    """
-    total_slots = taken = count = engines_reading = filled = 0
+def has_spare_capacity(engines: Iterable[tuple[int, Load]]) -> bool:
+    """Return whether engines have spare capacity, given their slots and loads."""
+    total_slots = taken = count = engines_reading = 0
     for slots, load in engines:
         total_slots += slots
         taken += load.requests
         count += 1
         engines_reading += load.unread > 0
-        filled += load.memory
     return (
-        taken < MAX_USED_PART * total_slots
-        and engines_reading < MAX_USED_PART * count
-        and (not memory or filled < MAX_USED_PART * memory * count)
+        taken < MAX_USED_PART * total_slots and engines_reading < MAX_USED_PART * count
     )
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -121,7 +121,6 @@
 class _Account:
     served: _DecayingSum = field(default_factory=_DecayingSum)
     requested: _DecayingSum = field(default_factory=_DecayingSum)
-    refused_busy: _DecayingSum = field(default_factory=_DecayingSum)
 
 
 class UsageTable:
@@ -140,13 +139,6 @@
         """Count the service of a request that arrived."""
         self._account(account).requested.add(service, now)
 
-    def record_refused_busy(self, account: str, service: int, now: Millis) -> None:
-        """Count the service of a request, also counted by `record_requested`.
-
-        It was refused because this entry is busy.
-        """
-        self._account(account).refused_busy.add(service, now)
-
     def record_served(self, account: str, service: int, now: Millis) -> None:
         """Count the service of a request that was sent to an upstream."""
         self._account(account).served.add(service, now)
@@ -192,8 +184,7 @@
             served = round(account.served.value_at(now))
             requested = round(account.requested.value_at(now))
             if served or requested:
-                refused = round(account.refused_busy.value_at(now))
-                rows.append(UsageRow(name, served, requested, refused))
+                rows.append(UsageRow(name, served, requested))
             else:
                 del self._own[name]
         return tuple(rows)
@@ -283,11 +274,6 @@
     return min(reachable_service(served, used_part), capacity)
 
 
-def requested_of_engines(row: UsageRow) -> int:
-    """Return the requested service that no entry refused because it was busy."""
-    return max(row.requested - row.refused_busy, 0)
-
-
 def fair_level(demands: Iterable[int], capacity: int) -> float:
     """Return the max-min fair level.
 
@@ -313,8 +299,8 @@
 def lead_level(rows: Iterable[UsageRow], level: float, lead: float) -> float:
     """Return the service beyond which accounts leave capacity to short ones.
 
-    What busy entries refused does not make an account short: holding back the others
-    would leave capacity unused that the refused requests do not reach.
+    An account may be short although engines have capacity for it, for example when all
+    its callers use one busy entry; others would take that capacity in the meantime.
 
     Args:
         rows: What each account requested and received.
@@ -329,7 +315,7 @@
     short = [
         row.served
         for row in rows
-        if requested_of_engines(row) >= level and row.served < SHORT_SHARE_PART * level
+        if row.requested >= level and row.served < SHORT_SHARE_PART * level
     ]
     if not short:
         return float("inf")
@@ -343,5 +329,4 @@
         row.account,
         max(row.served - own.served, 0),
         max(row.requested - own.requested, 0),
-        max(row.refused_busy - own.refused_busy, 0),
     )
--- a/src/leadseam/runtime/entry_room.py
+++ b/src/leadseam/runtime/entry_room.py
@@ -13,9 +13,9 @@
 
     from leadseam.clock import Clock, Millis
 
-LAG_WITH_ROOM: Millis = 5
-"""Lag of the event loop up to which an entry has room: half of the lag at which busy
-entries begin to refuse, so that redirected callers do not make the next one busy."""
+LAG_WITH_ROOM: Millis = 10
+"""Lag of the event loop up to which an entry has room. Above it, a busy entry begins to
+refuse requests itself. Boxes of a third of a core lag by 5 to 9 ms in ordinary use."""
 LAG_WINDOW: Millis = 500
 """Time for which the lag must have stayed below that: several reports, so that an entry
 between two bursts does not attract callers."""
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -166,14 +166,11 @@
         account: The client account.
         served: Service of requests that were sent to upstreams.
         requested: Service of requests that arrived.
-        refused_busy: The part of `requested` that entries refused because they were
-            busy themselves.
     """
 
     account: str
     served: int
     requested: int
-    refused_busy: int = 0
 
 
 class EntryRoom(Record, frozen=True, array_like=True):
--- a/tests/routing/test_account_log.py
+++ b/tests/routing/test_account_log.py
@@ -30,7 +30,6 @@
     account_log = AccountLog(usage, ManualClock(140))
     account_log.record_requested("menus", 300)
     account_log.record_placed("menus", 200)
-    account_log.record_refused_busy("menus", 100)
     account_log.record_refusal("menus", Reason.UPSTREAM_FULL)
     account_log.record_refusal("menus", Reason.ENTRY_BUSY)
     account_log.write()
@@ -43,7 +42,6 @@
             "account": "menus",
             "asked": 300,
             "placed": 200,
-            "refused_busy": 100,
             "refused": {"upstream_full": 1, "entry_busy": 1},
             "served_of_late": 900,
             "standing": "stopped",
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -135,8 +135,7 @@
         (Standing.EVEN, 0, True, False),
         (Standing.AHEAD, 1, False, False),
         (Standing.AHEAD, 0, True, False),
-        (Standing.STOPPED, 1, False, False),
-        (Standing.STOPPED, 0, True, False),
+        (Standing.STOPPED, 0, False, False),
     ):
         harness = AdmissionHarness(standings={"a": standing})
         harness.add_reading(ahead)
@@ -168,10 +167,8 @@
     assert harness.balancer.loads.own(ENGINE.incarnation).requests == 3
 
 
-def test_a_stopped_account_gets_no_capacity_that_is_not_spare() -> None:
+def test_a_stopped_account_gets_no_capacity() -> None:
     harness = AdmissionHarness(standings={"ahead": Standing.STOPPED})
-    for _ in range(2):
-        harness.add_reading(0)
     waiter = harness.enter("ahead")
     assert (waiter.done, waiter.placement) == (True, None)
     assert harness.enter("behind").placement is not None
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -243,7 +243,7 @@
     assert refusal.reason is Reason.ENTRY_BUSY
     # 100 prompt tokens of its own, and 50 generated ones that count twice.
     usage = entry.gateway.placer.load_report().usage
-    assert usage == (UsageRow("small", served=0, requested=200, refused_busy=200),)
+    assert usage == (UsageRow("small", served=0, requested=200),)
 
 
 def test_answers_tell_which_incarnation_holds_an_address() -> None:
--- a/tests/routing/test_load.py
+++ b/tests/routing/test_load.py
@@ -70,13 +70,13 @@
     summer = LoadAggregator()
     table = LoadTable()
     table.begin(ENGINE, Load(requests=1))
-    summer.update(1, table.report([UsageRow("bank", 10, 20, 6)]), 0)
+    summer.update(1, table.report([UsageRow("bank", 10, 20)]), 0)
     summer.update(
-        2, table.report([UsageRow("bank", 1, 2, 1), UsageRow("shop", 3, 4, 1)]), 900
+        2, table.report([UsageRow("bank", 1, 2), UsageRow("shop", 3, 4)]), 900
     )
     both = sums_of(summer.totals(1_000)[2])
     assert both.rows == (LoadRow(ENGINE.digest(), 2, 0, 0),)
-    assert both.usage == (UsageRow("bank", 11, 22, 7), UsageRow("shop", 3, 4, 1))
+    assert both.usage == (UsageRow("bank", 11, 22), UsageRow("shop", 3, 4))
     assert set(summer.totals(1_001)) == {2}
     summer.remove(2)
     assert summer.totals(1_001) == {}
--- a/tests/routing/test_spare_capacity.py
+++ b/tests/routing/test_spare_capacity.py
@@ -26,7 +26,6 @@
 READING = (64, Load(requests=1, unread=900))
 HALF_FULL = (64, Load(requests=32))
 FULL = (64, Load(requests=64))
-ROWS = [make_upstream(number) for number in (1, 2, 3)]
 
 
 @pytest.mark.parametrize(
@@ -47,13 +46,6 @@
     assert has_spare_capacity(engines) is spare
 
 
-def test_memory_has_to_be_spare_as_well_where_it_is_stated() -> None:
-    engines = [(64, Load(requests=2, memory=600)), IDLE]
-    assert has_spare_capacity(engines)
-    assert has_spare_capacity(engines, memory=601)
-    assert not has_spare_capacity(engines, memory=600)
-
-
 def test_the_answer_for_a_large_pool_is_cached() -> None:
     checks: list[int] = []
 
@@ -80,40 +72,13 @@
 
 def test_an_account_ahead_may_wait_behind_reading_while_engines_are_idle() -> None:
     # Of three engines, the one that holds the parts of this prompt has reading ahead.
-    harness = AdmissionHarness(standings={"a": Standing.AHEAD})
-    harness.admission.candidates = lambda _: ROWS
+    harness = AdmissionHarness(standings={"a": Standing.AHEAD, "s": Standing.STOPPED})
+    rows = [make_upstream(number) for number in (1, 2, 3)]
+    harness.admission.candidates = lambda _: rows
     harness.admission.__post_init__()
-    home = ranked_for(ROWS, make_request("system", "own"))[0]
+    home = ranked_for(rows, make_request("system", "own"))[0]
     harness.balancer.loads.begin(home.incarnation, Load(requests=1, unread=2_000))
     placed = harness.enter("a").placement
     assert placed is not None
     assert placed.upstream is home
-
-
-def stopped_harness() -> AdmissionHarness:
-    """Return a queue for three idle engines, and the stopped account "s"."""
-    harness = AdmissionHarness(standings={"s": Standing.STOPPED})
-    harness.admission.candidates = lambda _: ROWS
-    harness.admission.__post_init__()
-    return harness
-
-
-def test_a_stopped_account_gets_engines_with_nothing_to_read_while_most_are_idle() -> (
-    None
-):
-    harness = stopped_harness()
-    first = harness.enter("s").placement
-    second = harness.enter("s").placement
-    assert first is not None
-    # The first one reads now, so two of three engines would be reading.
-    assert second is not None
-    assert second.upstream is not first.upstream
-    assert harness.enter("s").placement is None
-
-
-def test_a_stopped_account_gets_nothing_while_another_account_waits() -> None:
-    harness = stopped_harness()
-    waiting = harness.enter("short")
-    waiting.done, waiting.placement = False, None
-    harness.admission._waiting.append(waiting)
     assert harness.enter("s").placement is None
--- a/tests/routing/test_usage.py
+++ b/tests/routing/test_usage.py
@@ -126,23 +126,6 @@
     assert lead_level((ahead, behind), float("inf"), 1.3) == float("inf")
 
 
-def test_an_account_refused_by_busy_entries_holds_back_no_other() -> None:
-    ahead = UsageRow("ahead", served=480, requested=1_000)
-    refused = UsageRow("refused", served=300, requested=900, refused_busy=401)
-    assert lead_level((ahead, refused), 500.0, 1.3) == float("inf")
-    # It requests its whole share of the engines again, and is short of it.
-    partly = UsageRow("partly", served=300, requested=900, refused_busy=400)
-    assert lead_level((ahead, partly), 500.0, 1.3) == pytest.approx(390.0)
-
-
-def test_what_a_busy_entry_refuses_is_reported_and_decays() -> None:
-    table = UsageTable()
-    table.record_requested("menus", 1_000, 0)
-    table.record_refused_busy("menus", 600, 0)
-    assert table.rows(0) == (UsageRow("menus", 0, 1_000, 600),)
-    assert table.rows(DECAY_TIME) == (UsageRow("menus", 0, 368, 221),)
-
-
 def test_an_account_that_has_just_started_stops_no_other() -> None:
     ahead = UsageRow("ahead", served=450, requested=1_000)
     newcomer = UsageRow("begun", served=0, requested=900)
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -239,7 +239,7 @@
     Variant(
         "the stated capacity is used even if engines deliver less",
         "routing/usage.py",
-        "    return served if requested > SCARCITY_RATIO * served else capacity\n",
+        "    return min(reachable_service(served, used_part), capacity)\n",
         "    return capacity\n",
         f"{SHARES}::test_flooding_accounts_get_equal_service_when_capacity_is_overstated",
     ),
@@ -487,8 +487,8 @@
     Variant(
         "a redirected request counts at both entries",
         "routing/gateway.py",
-        "            if not redirects:\n",
-        "            if True:\n",
+        "        if not exceeds_share and not redirects:\n",
+        "        if not exceeds_share:\n",
         f"{BUSY_ENTRIES}"
         "::test_callers_of_a_flooded_entry_are_served_by_entries_with_room",
     ),
