Redirect callers beyond their share where no pool has engines

Change: without engine pools all callers are redirected. Measured: tests/routing/test_busy_entries.py passes.

--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -342,7 +342,8 @@
         parts = [self._used_part(name, profile) for name, profile in profiles.items()]
         used_part = self._engine_load.add(parts, now)
         used = [part for part in parts if part is not None]
-        self._spare_at = now if used and max(used) < LOADED_PART else None
+        idle = not profiles or (bool(used) and max(used) < LOADED_PART)
+        self._spare_at = now if idle else None
         self._usage.apply_sums(
             sums, own, capacity=capacity, now=now, used_part=used_part
         )
@@ -363,7 +364,7 @@
         )
 
     def engines_have_spare(self, now: Millis) -> bool:
-        """Return whether the last sums showed spare capacity at all engine pools."""
+        """Return whether the last sums showed spare capacity at each engine pool."""
         return self._spare_at is not None and now - self._spare_at <= MAX_TOTALS_AGE
 
     def memory_bound_pools(self) -> int:
