Add the fields with which replicas exchange sums of loads

Cause: an entry cannot tell which replica is in its own failure domain, and a process of the previous version ends a link that carries DomainSums, as it does not know the tag. Change: Subscribe, Replicas and Hello state the sender's failure domain, Current the mode of aggregation, LoadReport whether it only probes, and DomainSums its run and the entries that it contains. All have defaults.

--- a/src/leadseam/control/peers.py
+++ b/src/leadseam/control/peers.py
@@ -16,6 +16,7 @@
     from collections.abc import Callable
 
     from leadseam.settings.models import Endpoint
+    from leadseam.wire.codec import EncodedMessage
     from leadseam.wire.link import Link
     from leadseam.wire.messages import AnyMessage
     from leadseam.wire.traffic import Traffic
@@ -33,6 +34,7 @@
         address_of: Returns the internal address of a box that joined later, or None.
         on_reply: Called with the messages received on these links.
         traffic: Byte counters of the internal links.
+        failure_domain: Failure domain of this box, stated to the other replicas.
     """
 
     def __init__(
@@ -42,8 +44,10 @@
         address_of: Callable[[str], Endpoint | None],
         on_reply: Callable[[AnyMessage], None],
         traffic: Traffic,
+        failure_domain: str = "",
     ) -> None:
         self._name = name
+        self._failure_domain = failure_domain
         self._endpoints = dict(endpoints)
         self._address_of = address_of
         self._on_reply = on_reply
@@ -51,13 +55,17 @@
         self._links: dict[str, Link] = {}
         self._tasks: dict[str, asyncio.Task[None]] = {}
 
-    def send(self, to: str, message: AnyMessage) -> None:
-        """Send to one box, or to all if `to` is empty; dropped if not connected."""
+    def send(self, to: str, message: AnyMessage | EncodedMessage) -> bool:
+        """Send to one box, or to all if `to` is empty; dropped if not connected.
+
+        Returns:
+            Whether any of these boxes is connected.
+        """
         names = [to] if to else list(self._links)
-        for name in names:
-            link = self._links.get(name)
-            if link is not None:
-                link.send(message)
+        links = [self._links[name] for name in names if name in self._links]
+        for link in links:
+            link.send(message)
+        return bool(links)
 
     def set_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
         """Set the boxes to link besides members, from the next `set_members` on."""
@@ -86,7 +94,7 @@
         while True:
             with contextlib.suppress(*LINK_ERRORS):
                 async with dial(endpoint.ip, endpoint.port, self._traffic) as link:
-                    link.send(Hello(self._name, 0))
+                    link.send(Hello(self._name, 0, self._failure_domain))
                     self._links[name] = link
                     backoff.reset()
                     async for message in link.messages():
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -54,6 +54,7 @@
     from leadseam.control.submissions import CommandFuture
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.settings.models import Endpoint
+    from leadseam.wire.codec import EncodedMessage
     from leadseam.wire.link import Link
     from leadseam.wire.messages import AnyMessage
     from leadseam.wire.traffic import Traffic
@@ -111,6 +112,7 @@
         seed: Seed of the election jitter.
         tolerated_losses: Number of boxes, with their disks, that the group has to
             survive losing at the same time.
+        failure_domain: Failure domain of this box, stated to the other replicas.
         silent_since: Time since which this box has certainly not answered any leader,
             such as the start of its process. Defaults to the current time.
     """
@@ -128,6 +130,7 @@
         traffic: Traffic,
         seed: int,
         tolerated_losses: int,
+        failure_domain: str = "",
         silent_since: Millis | None = None,
         address_of: Callable[[str], Endpoint | None] = lambda _: None,
     ) -> None:
@@ -149,7 +152,14 @@
             tolerated_losses=tolerated_losses,
         )
         self._raft.set_snapshot_data(recovered.data)
-        self._peers = Peers(name, endpoints, address_of, self._on_peer_message, traffic)
+        self._peers = Peers(
+            name,
+            endpoints,
+            address_of,
+            self._on_peer_message,
+            traffic,
+            failure_domain,
+        )
         self._inbox: asyncio.Queue[_Event] = asyncio.Queue()
         self._submissions = Submissions()
         self._linked_members: set[str] | None = None
@@ -233,6 +243,10 @@
             case _:
                 self._on_peer_message(message)
 
+    def send(self, to: str, message: AnyMessage | EncodedMessage) -> bool:
+        """Send to one other replica; return False if it is not connected."""
+        return self._peers.send(to, message)
+
     def set_endpoints(self, endpoints: dict[str, Endpoint]) -> None:
         """Replace the boxes that are linked in addition to the group's members."""
         self._peers.set_endpoints(endpoints)
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -15,6 +15,7 @@
         version: Highest version it has, 0 for none.
         clock: The subscriber's clock.
         replica_count: Number of replicas that it subscribes to if they are available.
+        failure_domain: Failure domain of an entry that reports its load, else empty.
     """
 
     node: str
@@ -22,6 +23,7 @@
     version: int
     clock: int = -1
     replica_count: int = 1
+    failure_domain: str = ""
 
 
 class Snapshot(Message, frozen=True, array_like=True, tag=31):
@@ -51,11 +53,14 @@
         echo: The subscriber's clock from its last `InForce`, -1 before the first. It
             shows the heartbeat's age, as one that waited in a buffer is out of date.
         subscribers: Number of subscribed entries, 0 if they are not counted.
+        by_domain: Whether loads are aggregated by domain, a number of
+            `feed.domain_mode.DomainMode`. Replicas of earlier versions send none.
     """
 
     version: int
     echo: int = -1
     subscribers: int = 0
+    by_domain: int = 0
 
 
 class InForce(Message, frozen=True, array_like=True, tag=34):
@@ -138,9 +143,15 @@
 
 
 class Replicas(Message, frozen=True, array_like=True, tag=38):
-    """Names of the boxes of the control group."""
+    """Names of the boxes of the control group.
+
+    Args:
+        names: The names.
+        failure_domain: Failure domain of the sending replica, empty if not stated.
+    """
 
     names: tuple[str, ...]
+    failure_domain: str = ""
 
 
 class LoadRow(Record, frozen=True, array_like=True):
@@ -210,12 +221,15 @@
         rows: Upstreams with requests in flight.
         usage: Client accounts with recent requests.
         room: Whether the entry can take more requests, or None if it cannot tell.
+        probe: Whether the report only asks for an answer and is not to be added up.
+            It withdraws the entry's earlier reports to the same replica.
     """
 
     sequence: int
     rows: tuple[LoadRow, ...]
     usage: tuple[UsageRow, ...]
     room: EntryRoom | None = None
+    probe: bool = False
 
 
 class LoadSums(Record, frozen=True, array_like=True):
@@ -251,11 +265,19 @@
         replica: Name of the sending replica.
         sequence: Grows with each message of one run of that replica.
         data: The sums as CBOR of `LoadSums`.
+        run: Random number of the run of that replica.
+        entries: Digests of the entries whose reports the sums contain, of
+            `feed.domain_sums.ENTRY_DIGEST_BYTES` each.
+        by_domain: Whether the sender needs the sums of the receiver because entries
+            may report to either of them.
     """
 
     replica: str
     sequence: int
     data: bytes
+    run: int = 0
+    entries: bytes = b""
+    by_domain: bool = False
 
 
 class PartInterest(Message, frozen=True, array_like=True, tag=47):
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -63,10 +63,13 @@
     Args:
         node: Name of the sending process.
         incarnation: Random number drawn when that process started.
+        failure_domain: Failure domain of a control replica that accepts `DomainSums`,
+            else empty. A process of an earlier version ends a link that carries them.
     """
 
     node: str
     incarnation: int
+    failure_domain: str = ""
 
 
 AnyMessage: TypeAlias = (
