Aggregate loads by failure domain

Cause: load reports and sums cross between failure domains once for each entry. Change: an entry reports to the first replica of its own domain that answers, if the replicas it follows exchange sums. Metrics and log lines for the mode, the age of sums, entries that report, and bytes sent.

--- a/src/leadseam/feed/aggregator_selector.py
+++ b/src/leadseam/feed/aggregator_selector.py
@@ -1,6 +1,8 @@
 """Selects the control replica that aggregates the load reports of entries. No I/O.
 
 All entries select the first replica by name, so that one replica receives all reports.
+Where loads are aggregated by failure domain, entries select the first replica by name
+of their own domain, if one answers; see `feed.domain_sums`.
 A replica that is frozen or partitioned keeps its connections for seconds, and until
 they end, no entry would receive the loads of the others. So a replica that does not
 answer reports is skipped, and probed from time to time until it answers again.
@@ -10,6 +12,8 @@
 
 from typing import TYPE_CHECKING
 
+from leadseam.feed.domain_mode import DomainMode
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -26,20 +30,43 @@
     """Selects one of the replicas that an entry follows.
 
     `chosen` is the name of that replica, or None if the entry follows none. If no
-    replica answers, it is the first one by name.
+    replica answers, it is selected as if all did.
+
+    Args:
+        failure_domain: Failure domain of the entry, empty if it is not known.
+
+    Attributes:
+        by_domain: Whether loads are aggregated by domain: one of the followed replicas
+            has stated that they are, and none that they are not. So they are not while
+            any followed replica is of a version that does not exchange sums.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, failure_domain: str = "") -> None:
         self.chosen: str | None = None
+        self.by_domain = False
+        self._failure_domain = failure_domain
+        self._domains: dict[str, str] = {}
+        self._modes: dict[str, int] = {}
         self._unanswered: dict[str, Millis] = {}
         self._probed: dict[str, Millis] = {}
 
     def __repr__(self) -> str:
         return f"AggregatorSelector(chosen={self.chosen}, silent={list(self._probed)})"
 
+    def set_domain(self, name: str, failure_domain: str) -> None:
+        """Record the failure domain of a replica."""
+        self._domains[name] = failure_domain
+
+    def set_mode(self, name: str, mode: int) -> None:
+        """Record whether a replica considers loads as aggregated by domain."""
+        self._modes[name] = mode
+
     def targets(self, followed: Iterable[str], now: Millis) -> tuple[str, ...]:
         """Return the receivers of the next report: the chosen and the probed replicas.
 
+        Where loads are aggregated by domain and another replica is chosen, the former
+        one gets a probe as well, which withdraws the reports that it has.
+
         Args:
             followed: Names of the replicas that the entry follows.
             now: Current time.
@@ -47,8 +74,15 @@
         names = sorted(followed)
         self._retain_only(names)
         responsive = [name for name in names if not self._is_silent(name, now)]
-        self.chosen = next(iter(responsive or names), None)
-        targets = [name for name in names if self._is_due(name, now)]
+        former, withdraws = self.chosen, self.by_domain
+        self._update_mode(names)
+        withdraws = withdraws or self.by_domain
+        self.chosen = self._choose(responsive or names)
+        targets = [
+            name
+            for name in names
+            if self._is_due(name, now) or (withdraws and name == former != self.chosen)
+        ]
         for name in targets:
             self._unanswered.setdefault(name, now)
         return tuple(targets)
@@ -59,6 +93,21 @@
         self._probed.pop(name, None)
         return name == self.chosen
 
+    def _update_mode(self, names: list[str]) -> None:
+        modes = {self._modes.get(name, DomainMode.UNDECIDED) for name in names}
+        if DomainMode.DISABLED in modes:
+            self.by_domain = False
+        elif DomainMode.ENABLED in modes:
+            self.by_domain = True
+
+    def _choose(self, names: list[str]) -> str | None:
+        near = [name for name in names if self._is_near(name)] if self.by_domain else []
+        return next(iter(near or names), None)
+
+    def _is_near(self, name: str) -> bool:
+        domain = self._domains.get(name)
+        return bool(domain) and domain == self._failure_domain
+
     def _is_due(self, name: str, now: Millis) -> bool:
         if name == self.chosen:
             return True
@@ -74,6 +123,7 @@
         return since is not None and now - since > SILENCE_LIMIT
 
     def _retain_only(self, names: list[str]) -> None:
-        for removed in self._unanswered.keys() - names:
-            del self._unanswered[removed]
-            self._probed.pop(removed, None)
+        known = (self._unanswered, self._probed, self._domains, self._modes)
+        for removed in {*self._unanswered, *self._domains, *self._modes} - set(names):
+            for table in known:
+                table.pop(removed, None)
--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -6,7 +6,9 @@
 import contextlib
 import logging
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
+
+from msgspec import structs
 
 from leadseam.clock import Clock, Millis, seconds
 from leadseam.control.configuration import Configuration, Operation
@@ -76,6 +78,7 @@
             start of the same upstream is known.
         on_crashes: Called with reports of requests that crash upstreams.
         greeting: Returns the message to send to a newly followed replica, or None.
+        failure_domain: Failure domain of a node that reports loads. Defaults to none.
 
     Attributes:
         configuration: The configuration in force.
@@ -102,6 +105,7 @@
         on_restarts: Callable[[Iterable[Incarnation]], None] = lambda _: None,
         on_crashes: Callable[[Crashes], None] = lambda _: None,
         greeting: Callable[[], AnyMessage | None] = lambda: None,
+        failure_domain: str = "",
     ) -> None:
         self.configuration = Configuration()
         self.confirmed = False
@@ -126,7 +130,8 @@
         self._followed: set[Endpoint] = set()
         self._links: list[Link] = []
         self._names: dict[Link, str] = {}
-        self._aggregator = AggregatorSelector()
+        self._failure_domain = failure_domain
+        self._aggregator = AggregatorSelector(failure_domain)
         self.claims = ClaimClient(clock, self._links)
 
     def __repr__(self) -> str:
@@ -183,11 +188,16 @@
     def report(self, report: LoadReport) -> None:
         """Send a load report to the replica that aggregates the reports."""
         links = {name: link for link, name in self._names.items()}
-        before = self._aggregator.chosen
-        for name in self._aggregator.targets(links, self._clock.now()):
-            links[name].send(report)
-        if self._aggregator.chosen != before:
-            extra = {"replica": self._aggregator.chosen, "before": before}
+        selector = self._aggregator
+        before, by_domain = selector.chosen, selector.by_domain
+        for name in selector.targets(links, self._clock.now()):
+            probe = name != selector.chosen
+            links[name].send(structs.replace(report, probe=probe))
+        if selector.by_domain != by_domain:
+            extra: dict[str, Any] = {"by_domain": selector.by_domain}
+            log.info("aggregation by failure domain has changed", extra=extra)
+        if selector.chosen != before:
+            extra = {"replica": selector.chosen, "before": before}
             log.info("loads are added up by another replica", extra=extra)
 
     def broadcast(self, message: AnyMessage) -> None:
@@ -237,7 +247,14 @@
 
     def _subscription(self) -> Subscribe:
         now = self._clock.now()
-        return Subscribe(self._node, self._incarnation, self.version, now, self._width)
+        return Subscribe(
+            self._node,
+            self._incarnation,
+            self.version,
+            now,
+            self._width,
+            self._failure_domain,
+        )
 
     def _handle(self, link: Link, replica: str, message: AnyMessage) -> None:
         match message:
@@ -249,7 +266,8 @@
             case Delta(version=version, data=data) if version == self.version + 1:
                 operations = decode(data, tuple[Operation, ...])
                 self._put_in_force(link, self.configuration.apply(operations))
-            case Current(version=version):
+            case Current(version=version, by_domain=mode):
+                self._aggregator.set_mode(replica, mode)
                 if version <= self.version:
                     self._confirm(link, message)
             case ClaimReply():
@@ -295,6 +313,7 @@
             log.warning("evacuations in force", extra=extra)
 
     def _update_members(self, replica: Endpoint, message: Replicas) -> None:
+        self._aggregator.set_domain(str(replica), message.failure_domain)
         addresses = (self._address_of(name) for name in message.names)
         self._directory.set_members(
             replica, [one for one in addresses if one is not None]
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import math
+import secrets
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, SystemClock, seconds, sleep
@@ -14,9 +16,8 @@
     Subscriber,
 )
 from leadseam.feed.crash_server import CrashServer
+from leadseam.feed.domain_aggregator import DomainAggregator
 from leadseam.feed.evacuation_server import RESEND_LIMIT, EvacuationServer
-from leadseam.feed.load_aggregator import LoadAggregator
-from leadseam.feed.report_interval import MIN_INTERVAL, interval_for
 from leadseam.incarnation import NO_START
 from leadseam.membership.departures import Departures
 from leadseam.membership.registry import DEFAULT_HEARTBEAT, Registry
@@ -26,6 +27,7 @@
 from leadseam.wire.crashes import Crashes
 from leadseam.wire.feed import (
     Current,
+    DomainSums,
     Expired,
     InForce,
     Left,
@@ -52,6 +54,8 @@
 seconds."""
 MAX_LOGGED_UPSTREAMS = 20
 """Maximum number of upstreams named in a log line."""
+RUN_BITS = 53
+"""Bits of the random number of a replica's run."""
 MAX_DEPARTURES_SENT = 1_000
 """Maximum number of departed upstreams sent to a new subscriber. Upstreams that
 departed earlier have ended long ago."""
@@ -68,6 +72,9 @@
         registry: Upstreams that register by heartbeat. Defaults to an empty one.
         clock: Source of time. Defaults to the system clock.
         resend_limit: Milliseconds for which operators may resend an order.
+        box: Name of the replica's box. Defaults to none.
+        failure_domain: Failure domain of the box; if empty, this replica does not
+            exchange sums of loads with others.
 
     Attributes:
         crashes: Server for reports of requests that crash upstreams.
@@ -82,6 +89,8 @@
         registry: Registry | None = None,
         clock: Clock | None = None,
         resend_limit: Millis = RESEND_LIMIT,
+        box: str = "",
+        failure_domain: str = "",
     ) -> None:
         self._replica = replica
         self._metrics = metrics
@@ -89,8 +98,10 @@
         self._clock = clock or SystemClock()
         self._reported_departures = Departures()
         self._configured_pools: frozenset[str] = frozenset()
-        self._sums = LoadAggregator()
+        self._failure_domain = failure_domain
+        self._loads = DomainAggregator(box, failure_domain, secrets.randbits(RUN_BITS))
         self._subscribers: dict[int, Subscriber] = {}
+        self._peer_links: dict[str, Link] = {}
         self._next_id = 0
         self._claims = ClaimServer(replica, metrics)
         self.crashes = CrashServer(replica, self._clock, metrics, self._broadcast)
@@ -184,7 +195,7 @@
         digests = {
             row.incarnation.digest() for row in rows if row.failure_domain == domain
         }
-        return self._sums.requests_at(digests)
+        return self._loads.requests_at(digests, self._clock.now())
 
     async def serve(self, link: Link) -> None:
         """Handle an internal link from another replica or from a subscriber."""
@@ -194,15 +205,26 @@
                     await self._serve_subscriber(link, message)
                     return
                 case Hello():
-                    await self._serve_replica(link)
+                    await self._serve_replica(link, message)
                     return
                 case _:
                     self._metrics.unexpected_messages.inc({})
                     return
 
-    async def _serve_replica(self, link: Link) -> None:
-        async for message in link.messages():
-            self._replica.receive(link, message)
+    async def _serve_replica(self, link: Link, hello: Hello) -> None:
+        self._loads.connected(hello.node, hello.failure_domain)
+        self._peer_links[hello.node] = link
+        try:
+            async for message in link.messages():
+                if isinstance(message, DomainSums):
+                    self._receive_sums(hello, message)
+                else:
+                    self._replica.receive(link, message)
+        finally:
+            # A restarted replica may have opened another link before.
+            if self._peer_links[hello.node] is link:
+                del self._peer_links[hello.node]
+                self._loads.disconnected(hello.node)
 
     async def _serve_subscriber(self, link: Link, message: Subscribe) -> None:
         self._next_id += 1
@@ -217,13 +239,16 @@
             single_replica=message.replica_count == 1,
         )
         self._subscribers[number] = subscriber
+        self._loads.subscribed(
+            number, message.node, message.incarnation, message.failure_domain
+        )
         try:
             self._send_initial_state(subscriber)
             async for request in link.messages():
                 self._handle(subscriber, request)
         finally:
             del self._subscribers[number]
-            self._sums.remove(number)
+            self._loads.unsubscribed(number)
 
     def _send_initial_state(self, subscriber: Subscriber) -> None:
         """Send a new subscriber the complete state."""
@@ -252,7 +277,7 @@
     def _handle(self, subscriber: Subscriber, message: AnyMessage) -> None:
         match message:
             case LoadReport():
-                self._sums.update(subscriber.number, message, self._clock.now())
+                self._loads.report(subscriber.number, message, self._clock.now())
             case Crashes():
                 self.crashes.receive(message)
             case InForce(version=version, clock=clock):
@@ -312,17 +337,59 @@
             await sleep(HEARTBEAT_INTERVAL)
             self._expire()
             self.crashes.expire()
+            self._review_loads()
             for subscriber in self.subscribers:
                 self._push.send(subscriber)
                 self._send_heartbeat(subscriber)
 
     async def _push_totals(self) -> None:
-        interval = MIN_INTERVAL
         while True:
-            await sleep(interval)
-            for number, totals in self._sums.totals(self._clock.now()).items():
-                self._subscribers[number].link.send(totals)
-                interval = interval_for(len(totals.data))
+            await sleep(self._loads.interval)
+            if self._loads.totals_overdue():
+                self._send_totals()
+            self._send_sums()
+            self._send_totals_if_due()
+
+    def _send_totals_if_due(self) -> None:
+        if self._loads.totals_due(self._clock.now()):
+            self._send_totals()
+
+    def _send_totals(self) -> None:
+        for number, totals in self._loads.totals(self._clock.now()).items():
+            self._subscribers[number].link.send(totals)
+
+    def _send_sums(self) -> None:
+        """Send the sums of the reports to this replica to the other replicas."""
+        outgoing = self._loads.begin_interval(self._clock.now())
+        if outgoing is None:
+            return
+        prepared = encode_message(outgoing.message)
+        for name in outgoing.receivers:
+            if self._replica.send(name, prepared):
+                self._metrics.domain_sums_bytes.add({}, len(prepared.data))
+
+    def _receive_sums(self, hello: Hello, message: DomainSums) -> None:
+        """Keep another replica's sums, and send totals if they are the last awaited."""
+        fault = "sender"
+        if message.replica == hello.node:
+            fault = self._loads.receive(message, self._clock.now()) or ""
+        if fault:
+            self._metrics.domain_sums_rejected.inc({"fault": fault})
+            return
+        self._send_totals_if_due()
+
+    def _review_loads(self) -> None:
+        """Update the mode of aggregation and its metrics."""
+        now = self._clock.now()
+        self._loads.retain_only(self._replica.members | self._loads.peers.keys())
+        self._loads.update_mode(now)
+        self._metrics.by_domain.set({}, int(self._loads.mode))
+        for domain, count in self._loads.entries_by_domain().items():
+            self._metrics.entries_reporting.set({"failure_domain": domain}, count)
+        for name, (domain, age) in self._loads.ages(now).items():
+            labels = {"failure_domain": domain, "replica": name}
+            value = math.nan if age is None else age
+            self._metrics.domain_sums_age.set(labels, value)
 
     def _expire(self) -> None:
         lost = self._registry.expire(self._clock.now())
@@ -335,8 +402,9 @@
         names = tuple(sorted(self._replica.members))
         if subscriber.replicas != names:
             subscriber.replicas = names
-            subscriber.link.send(Replicas(names))
+            subscriber.link.send(Replicas(names, self._failure_domain))
         if self._replica.is_current():
             version = self._replica.state.configuration.version
             count = len(self._subscribers)
-            subscriber.link.send(Current(version, subscriber.clock, count))
+            mode = int(self._loads.mode)
+            subscriber.link.send(Current(version, subscriber.clock, count, mode))
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -92,6 +92,7 @@
             traffic=self._metrics.traffic,
             seed=secrets.randbits(64),
             tolerated_losses=settings.loss_tolerance,
+            failure_domain=settings.failure_domain,
             # After a failed write this is still the process that answered leaders.
             silent_since=None if renew else process_start(),
         )
@@ -101,6 +102,8 @@
             registry=Registry(settings.heartbeat_interval),
             clock=clock,
             resend_limit=settings.resend_limit,
+            box=settings.ip,
+            failure_domain=settings.failure_domain,
         )
         self._service = ControlService(
             self.replica,
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -82,6 +82,7 @@
             on_restarts=self._end_attempts,
             on_crashes=self._receive_crashes,
             greeting=self._initial_report,
+            failure_domain=settings.failure_domain,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
         self._lag = LoopLag(self._clock, self._record_lag)
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -231,6 +231,25 @@
             "evacuated_failure_domains",
             "Failure domains that are evacuated, as far as this replica knows.",
         )
+        self.by_domain = metrics.gauge(
+            "loads_by_domain",
+            "Whether loads are aggregated by failure domain: 0 no, 1 undecided, 2 yes.",
+        )
+        self.entries_reporting = metrics.gauge(
+            "entries_reporting",
+            "Entries that report their loads to this replica, by failure domain.",
+        )
+        self.domain_sums_age = metrics.gauge(
+            "domain_sums_age_ms",
+            "Age of the sums of loads of another replica; not a number if it has none.",
+        )
+        self.domain_sums_bytes = metrics.counter(
+            "domain_sums_bytes_total", "Bytes of sums of loads sent to other replicas."
+        )
+        self.domain_sums_rejected = metrics.counter(
+            "domain_sums_rejected_total",
+            "Sums of loads of other replicas that were not used, by fault.",
+        )
         self.unexpected_messages = metrics.counter(
             "unexpected_messages_total", "Messages of a type not expected on a link."
         )
