Prefer aggregators that have the sums of the others

Change: entries skip a replica that has not decided its mode, while another one has; without any, today's rule applies. Sums count as sent only if the replica is connected.

--- a/src/leadseam/feed/aggregator_selector.py
+++ b/src/leadseam/feed/aggregator_selector.py
@@ -37,8 +37,8 @@
 
     Attributes:
         by_domain: Whether loads are aggregated by domain: one of the followed replicas
-            has stated that they are, and none that they are not. So they are not while
-            any followed replica is of a version that does not exchange sums.
+            states that they are, and none that they are not. So they are not while any
+            followed replica is of a version that does not exchange sums.
     """
 
     def __init__(self, failure_domain: str = "") -> None:
@@ -94,14 +94,22 @@
         return name == self.chosen
 
     def _update_mode(self, names: list[str]) -> None:
+        if not names:
+            return
         modes = {self._modes.get(name, DomainMode.UNDECIDED) for name in names}
-        if DomainMode.DISABLED in modes:
-            self.by_domain = False
-        elif DomainMode.ENABLED in modes:
-            self.by_domain = True
+        self.by_domain = (
+            DomainMode.ENABLED in modes and DomainMode.DISABLED not in modes
+        )
 
     def _choose(self, names: list[str]) -> str | None:
-        near = [name for name in names if self._is_near(name)] if self.by_domain else []
+        if not self.by_domain:
+            return next(iter(names), None)
+        # A replica that has just started does not have the sums of the others yet.
+        enabled = [
+            name for name in names if self._modes.get(name) == DomainMode.ENABLED
+        ]
+        names = enabled or names
+        near = [name for name in names if self._is_near(name)]
         return next(iter(near or names), None)
 
     def _is_near(self, name: str) -> bool:
--- a/src/leadseam/feed/domain_aggregator.py
+++ b/src/leadseam/feed/domain_aggregator.py
@@ -141,8 +141,6 @@
         if not receivers:
             return None
         self._sequence += 1
-        for name in receivers:
-            self._sent_at[name] = now
         message = DomainSums(
             self._replica,
             self._sequence,
@@ -153,6 +151,10 @@
         )
         return OutgoingSums(message, receivers)
 
+    def sent(self, replica: str, now: Millis) -> None:
+        """Record that sums were sent to a replica, which may not be connected."""
+        self._sent_at[replica] = now
+
     def totals_due(self, now: Millis) -> bool:
         """Return whether totals are due before the end of the interval.
 
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -360,12 +360,14 @@
 
     def _send_sums(self) -> None:
         """Send the sums of the reports to this replica to the other replicas."""
-        outgoing = self._loads.begin_interval(self._clock.now())
+        now = self._clock.now()
+        outgoing = self._loads.begin_interval(now)
         if outgoing is None:
             return
         prepared = encode_message(outgoing.message)
         for name in outgoing.receivers:
             if self._replica.send(name, prepared):
+                self._loads.sent(name, now)
                 self._metrics.domain_sums_bytes.add({}, len(prepared.data))
 
     def _receive_sums(self, hello: Hello, message: DomainSums) -> None:
