Add variants without the exchange of sums

Cause: a test of a mechanism must fail without it. Change: four variants: no sums are sent, reports that others contain count, overlapping sums are used, undecided replicas are chosen.

--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -36,6 +36,8 @@
 EVACUATIONS = "tests/control/test_evacuations.py"
 EVACUATION = "tests/platform/test_evacuation.py"
 COLD_BUDGET = "tests/routing/test_cold_budget.py"
+DOMAIN_SUMS = "tests/feed/test_domain_sums.py"
+DOMAIN_AGGREGATION = "tests/feed/test_domain_aggregation.py"
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
 VARIANTS = (
@@ -446,4 +448,33 @@
         "        return 0.0, waiter.arrived",
         "tests/routing/test_plain_queue.py",
     ),
+    Variant(
+        "replicas do not send each other the sums of loads",
+        "feed/domain_aggregator.py",
+        "        if not receivers:\n",
+        "        if True:\n",
+        f"{DOMAIN_AGGREGATION}::test_one_replica_fails_or_changes",
+    ),
+    Variant(
+        "reports of entries that other sums contain are not held back",
+        "feed/load_aggregator.py",
+        "            held_back = stored.entry in elsewhere\n",
+        "            held_back = False\n",
+        f"{DOMAIN_AGGREGATION}::test_one_replica_fails_or_changes",
+    ),
+    Variant(
+        "sums are used although other sums contain the same entries",
+        "feed/domain_sums.py",
+        '            return "overlap"\n',
+        "            pass\n",
+        f"{DOMAIN_SUMS}::test_sums_that_name_an_entry_of_others_are_rejected",
+    ),
+    Variant(
+        "entries choose a replica that does not have the sums of the others yet",
+        "feed/aggregator_selector.py",
+        "        names = enabled or names\n",
+        "",
+        f"{DOMAIN_SUMS}"
+        "::test_entries_choose_by_domain_only_if_all_replicas_exchange_sums",
+    ),
 )
