Send totals after the last sums of an interval

Cause: sums counted as new from the last totals on, so that totals at the beginning of an interval contained sums of the interval before. Loads of other domains reached entries 78 ms after their report, those of the own domain 28. Change: sums count as new from the beginning of the interval.

--- a/src/leadseam/feed/domain_aggregator.py
+++ b/src/leadseam/feed/domain_aggregator.py
@@ -132,6 +132,7 @@
     def begin_interval(self, now: Millis) -> OutgoingSums | None:
         """Begin an interval; return the sums to send to other replicas, if any."""
         self._totals_due = True
+        self.others.begin_interval()
         self._hold_back(now)
         entries = self._reports.entries()
         receivers = self._receivers(now) if entries or self._had_reports else ()
@@ -158,7 +159,8 @@
     def totals_due(self, now: Millis) -> bool:
         """Return whether totals are due before the end of the interval.
 
-        They are once all replicas with entries have sent their sums in this interval.
+        They are once all replicas with entries have sent their sums in this interval,
+        so that totals contain the newest sums of all, whatever the order of intervals.
         """
         return self._totals_due and self.others.is_complete(now)
 
@@ -171,7 +173,6 @@
         self._totals_due = False
         self._hold_back(now)
         totals = self._reports.totals(now, self.others.sums(now))
-        self.others.mark_used()
         for one in totals.values():
             self.interval = interval_for(len(one.data))
             break
--- a/src/leadseam/feed/domain_sums.py
+++ b/src/leadseam/feed/domain_sums.py
@@ -93,7 +93,7 @@
     """The newest sums of one replica; `sums` is None once they are discarded.
 
     `ended` is the run before this one, whose late messages are ignored. `fresh` tells
-    whether the sums came after the last totals, and `lost` whether the link on which
+    whether the sums came in the present interval, and `lost` whether the link on which
     they came has ended since.
     """
 
@@ -203,13 +203,13 @@
         }
 
     def is_complete(self, now: Millis) -> bool:
-        """Return whether all replicas with entries have sent sums since `mark_used`."""
+        """Return whether all replicas with entries have sent sums in this interval."""
         return all(
             kept.fresh or not kept.entries for kept in self._current(now).values()
         )
 
-    def mark_used(self) -> None:
-        """Record that totals contain all sums received so far."""
+    def begin_interval(self) -> None:
+        """Record that an interval begins, in which new sums are expected."""
         for kept in self._kept.values():
             kept.fresh = False
 
--- a/tests/feed/test_domain_sums.py
+++ b/tests/feed/test_domain_sums.py
@@ -9,6 +9,7 @@
 import pytest
 
 from leadseam.feed.aggregator_selector import AggregatorSelector
+from leadseam.feed.domain_aggregator import DomainAggregator
 from leadseam.feed.domain_mode import (
     LINGER_TIME,
     SETTLING_TIME,
@@ -138,6 +139,24 @@
     assert reports.totals(0) == {}
 
 
+def test_totals_are_due_once_all_others_have_sent_sums_in_the_interval() -> None:
+    # Totals at the end of an interval contained sums that were an interval older.
+    loads = DomainAggregator("a", "x", 1)
+    loads.receive(make_sums("b", 1, ONE), 0)
+    loads.receive(make_sums("c", 1, TWO), 0)
+    loads.begin_interval(10)
+    assert not loads.totals_due(10)
+    loads.receive(make_sums("c", 2, TWO), 11)
+    assert not loads.totals_due(11)
+    loads.receive(make_sums("b", 2, ONE), 12)
+    assert loads.totals_due(12)
+    loads.totals(12)
+    assert not loads.totals_due(13)
+    assert not loads.totals_overdue()
+    loads.begin_interval(60)
+    assert loads.totals_overdue()
+
+
 def settle(entries: int, domains: int = 2) -> DomainModeSwitch:
     """Return a switch that has decided."""
     switch = DomainModeSwitch("x")
