--- a/tests/feed/domain_fleet.py
+++ b/tests/feed/domain_fleet.py
@@ -169,8 +169,9 @@
 
     def _apply_sums(self, _included: int, sums: LoadSums) -> None:
         self.sums, self.at = sums, self.fleet.clock.now()
-        self.counts = {row.upstream: row.requests for row in sums.rows}
-        self.fleet.check(self)
+        if self.fleet.load is None:
+            self.counts = {row.upstream: row.requests for row in sums.rows}
+            self.fleet.check(self)
 
     async def _report(self) -> None:
         sequence = 0
