Merge aggregation by domain; redirect only while engines have spare capacity

Change: a busy entry redirects callers only while the engines have spare capacity, and not those of stopped accounts; otherwise it refuses as before. Rooms add up over the sums of domains.

--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -93,6 +93,7 @@
             traffic=self._metrics.traffic,
             seed=secrets.randbits(64),
             tolerated_losses=settings.loss_tolerance,
+            failure_domain=settings.failure_domain,
             # After a failed write this is still the process that answered leaders.
             silent_since=None if renew else process_start(),
         )
@@ -103,6 +104,8 @@
             clock=clock,
             resend_limit=settings.resend_limit,
             event_source=EngineCacheCalls(),
+            box=settings.ip,
+            failure_domain=settings.failure_domain,
         )
         self._service = ControlService(
             self.replica,
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -87,6 +87,7 @@
             on_restarts=self._end_attempts,
             on_crashes=self._receive_crashes,
             greeting=self._initial_messages,
+            failure_domain=settings.failure_domain,
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
         self._room = RoomSensor(self._clock, memory_mb=settings.memory_mb)
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -37,6 +37,7 @@
 from leadseam.routing.return_time import Rule, is_beyond_share
 from leadseam.routing.router import Router, choose_pool
 from leadseam.routing.scope import allowed_regions
+from leadseam.routing.usage import Standing
 
 if TYPE_CHECKING:
     import random
@@ -190,7 +191,7 @@
         exceeds_share = self._exceeds_share(account, now)
         if not exceeds_share and lag <= self._max_lag(now):
             return None
-        redirects = self._redirects(now, exceeds_share=exceeds_share)
+        redirects = self._redirects(account, now)
         if not exceeds_share and not redirects:
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
@@ -227,7 +228,7 @@
             sender = self.dialect.read_sender(http)
             account = self._account_of(sender)
             if self._exceeds_share(account, arrived):
-                redirects = self._redirects(arrived, exceeds_share=True)
+                redirects = self._redirects(account, arrived)
                 refusal = self._busy_refusal(
                     account, sender.max_wait, redirects=redirects
                 )
@@ -290,9 +291,7 @@
         # Reading the body may have taken long, so rooms are judged now.
         now = self.now()
         busy = self._lag.millis > self._max_lag(now)
-        redirects = busy and self._redirects(
-            now, exceeds_share=self._exceeds_share(name, now)
-        )
+        redirects = busy and self._redirects(name, now)
         if name is not None and not redirects:
             self.placer.record_request(name, req, arrived)
         if busy:
@@ -329,18 +328,26 @@
 
         It is lower where callers can be redirected: another entry serves them sooner.
         """
-        return EXCESS_LAG if self.rooms.redirects(now) else MAX_LAG
+        return EXCESS_LAG if self._may_redirect(now) else MAX_LAG
+
+    def _may_redirect(self, now: Millis) -> bool:
+        """Return whether other entries have room and engines have spare capacity.
 
-    def _redirects(self, now: Millis, *, exceeds_share: bool) -> bool:
+        A caller retries once. While engines are loaded, a retry within milliseconds is
+        refused again, and a pause spreads the callers of a flood over time.
+        """
+        return self.rooms.redirects(now) and self.placer.engines_have_spare(now)
+
+    def _redirects(self, account: str | None, now: Millis) -> bool:
         """Return whether this entry, if busy, redirects a caller to another entry.
 
-        Callers of an account that exceeds its share are redirected only while engines
-        have spare capacity. Otherwise the other entry would refuse them as well, and
-        they would have used their retry.
+        Callers of a stopped account are not: other entries would refuse them as well.
         """
-        if exceeds_share and not self.placer.engines_have_spare(now):
+        if not self._may_redirect(now):
             return False
-        return self.rooms.redirects(now)
+        if account is None:
+            return True
+        return self.placer.standing(account, now) is not Standing.STOPPED
 
     def _busy_refusal(
         self, account: str | None, time_left: Millis | None, *, redirects: bool
