Place retried requests before new ones of their account

Cause: a caller's second refusal is final, but its request queued behind new ones.

Change: a request whose stated time is 5 ms or more below the limit of its route counts as a retry (time_waited). It takes the first place among the waiting requests of its account, whose places among those of other accounts stay as they are. A new request of an account does not overtake a waiting retry. Lines of ended requests show waited_ms.

The tests of tests/routing and tests/emulate pass.

--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -28,6 +28,7 @@
 from leadseam.routing.exchange import MAX_SENDS
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.placer import Placer
+from leadseam.routing.return_time import time_waited
 from leadseam.routing.scope import Scope
 from leadseam.wire.codec import decode
 from leadseam.wire.feed import LoadSums, Registration
@@ -162,6 +163,7 @@
             account=arrival.account,
             arrived=now,
             deadline=deadline,
+            waited=time_waited(arrival.kind.patience, deadline - now),
         )
         placer.record_request(arrival.account, arrival.req, now)
         if self._is_busy(entry, now):
--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -56,6 +56,9 @@
         arrived: Time when it could first be placed.
         tried: Incarnations that must not be used.
         wake: Called once when it is placed or refused.
+        retried: Whether its caller was refused before.
+        place: Time by which it is ordered among requests of accounts with the same
+            service: `arrived`, unless exchanged with another one of its account.
         refuse_at: Time when it is refused if it still waits.
         done: Whether it no longer waits.
         rows: Candidate engines from which `ranked` was computed.
@@ -71,6 +74,8 @@
     arrived: Millis
     tried: set[Incarnation]
     wake: Callable[[], None]
+    retried: bool = False
+    place: Millis = 0
     refuse_at: Millis = 0
     done: bool = False
     rows: Sequence[Registration] = ()
@@ -112,10 +117,11 @@
         It is placed at once if there is capacity and no waiting account has less recent
         service. It is refused at once if its account may not wait.
         """
+        waiter.place = waiter.arrived
         waiter.refuse_at = waiter.arrived + self._longest_wait(waiter)
         is_next = self.recent_service(
             waiter.account, now
-        ) <= self._lowest_recent_service(now)
+        ) <= self._lowest_recent_service(now) and not self._retry_waits(waiter)
         placement = self._place(waiter, now) if is_next else None
         self._waiting.append(waiter)
         if placement is not None:
@@ -125,6 +131,13 @@
             # before this one would be refused.
             self._finish(waiter, None, now)
 
+    def _retry_waits(self, waiter: Waiter) -> bool:
+        """Return whether a retry of the same account goes before a new request."""
+        return not waiter.retried and any(
+            one.retried and one.account == waiter.account and one.scope == waiter.scope
+            for one in self._waiting
+        )
+
     def _longest_wait(self, waiter: Waiter) -> Millis:
         """Return how long a request may wait and still be in time on an idle engine."""
         idle_first_token = self.balancer.idle_first_token(waiter.scope.pool, waiter.req)
@@ -168,7 +181,20 @@
             account: self.recent_service(account, now)
             for account in {one.account for one in self._waiting}
         }
-        self._waiting.sort(key=lambda one: (levels[one.account], one.arrived))
+        if any(one.retried for one in self._waiting):
+            self._move_retries_ahead()
+        self._waiting.sort(key=lambda one: (levels[one.account], one.place))
+
+    def _move_retries_ahead(self) -> None:
+        """Give the first places of each account to its retried requests."""
+        by_account: dict[str, list[Waiter]] = {}
+        for one in sorted(self._waiting, key=lambda one: one.place):
+            by_account.setdefault(one.account, []).append(one)
+        for waiters in by_account.values():
+            places = [one.place for one in waiters]
+            waiters.sort(key=lambda one: not one.retried)
+            for one, place in zip(waiters, places, strict=True):
+                one.place = place
 
     def _with_capacity(
         self, scope: Scope, objective: Millis, now: Millis
--- a/src/leadseam/routing/admitted.py
+++ b/src/leadseam/routing/admitted.py
@@ -29,6 +29,7 @@
         account: Client account that it is charged to, or None.
         arrived: Time at which it arrived.
         deadline: Time at which it is given up.
+        waited: Time for which its caller waited before, if this is a retry; else 0.
     """
 
     req: RoutedRequest
@@ -39,6 +40,7 @@
     arrived: Millis
     deadline: Millis
     regions: Regions = None
+    waited: Millis = 0
 
     @property
     def scope(self) -> Scope:
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -33,7 +33,7 @@
 from leadseam.routing.request_log import RequestLog
 from leadseam.routing.restarts import Restarts
 from leadseam.routing.retry_budget import PoolRetryBudget
-from leadseam.routing.return_time import Rule, is_beyond_share
+from leadseam.routing.return_time import Rule, is_beyond_share, time_waited
 from leadseam.routing.router import Router, choose_pool
 from leadseam.routing.scope import allowed_regions
 
@@ -285,6 +285,7 @@
             account=account.name if account is not None else None,
             arrived=arrived,
             deadline=arrived + limit,
+            waited=time_waited(route.time_limit, req.max_wait),
             regions=allowed_regions(
                 route.regions, account.regions if account is not None else ()
             ),
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -381,6 +381,7 @@
             arrived=now,
             tried=tried,
             wake=woken.set,
+            retried=admitted.waited > 0,
         )
         self._admission.enter(waiter, now)
         return await self._until_done(self._admission.withdraw, waiter, woken)
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -195,6 +195,8 @@
             extra["unread"] = exchange.placement.unread
             extra["reread"] = exchange.placement.reread
             extra["rank"] = exchange.placement.rank
+        if admitted.waited:
+            extra["waited_ms"] = admitted.waited
         if exchange.first_byte_at != NOT_SENT:
             extra["first_ms"] = exchange.first_byte_at - admitted.arrived
         if isinstance(outcome, Answered):
--- a/src/leadseam/routing/return_time.py
+++ b/src/leadseam/routing/return_time.py
@@ -32,6 +32,8 @@
 together do not return together."""
 RATE_TIME: Millis = MILLIS_PER_SECOND
 """Time over which placements are counted."""
+SHORTEST_WAIT: Millis = 5
+"""Time waited from which a request counts as a retry: a connection and a round trip."""
 MAX_KEPT = 2_000
 """Placements kept for the rate; an entry places fewer in `RATE_TIME`."""
 
@@ -95,6 +97,20 @@
         return len(self._times)
 
 
+def time_waited(time_limit: Millis, stated: Millis | None) -> Millis:
+    """Return how long the caller of a request has waited before it sent this one.
+
+    Args:
+        time_limit: Time limit of the route, which a first request states.
+        stated: Time that the request states, or None.
+
+    Returns:
+        Milliseconds; 0 for a first request.
+    """
+    waited = time_limit - stated if stated is not None else 0
+    return waited if waited >= SHORTEST_WAIT else 0
+
+
 def is_beyond_share(standing: Standing) -> bool:
     """Return whether requests of such an account may not wait for an engine."""
     return standing in (Standing.AHEAD, Standing.STOPPED)
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -48,7 +48,15 @@
         load = Load(requests=1, unread=round(millis * INITIAL_RATE))
         self.balancer.loads.begin(ENGINE.incarnation, load)
 
-    def enter(self, account: str, now: int = 0, *, prompt: int = 100) -> Waiter:
+    def enter(
+        self,
+        account: str,
+        now: int = 0,
+        *,
+        prompt: int = 100,
+        retried: bool = False,
+        name: str = "",
+    ) -> Waiter:
         """Enter a request of an account."""
         req = make_request("system", "own", request_id=account)
         req = replace(req, parts=(req.parts[0], PromptPart("own", prompt)))
@@ -60,7 +68,8 @@
             objective=OBJECTIVE,
             arrived=now,
             tried=set(),
-            wake=lambda: self.woken.append(account),
+            wake=lambda: self.woken.append(name or account),
+            retried=retried,
         )
         self.admission.enter(waiter, now)
         return waiter
@@ -91,6 +100,48 @@
     assert harness.woken == ["pay", "menus"]
 
 
+def test_a_retried_request_goes_first_within_its_account_only() -> None:
+    # Guards against a second, final refusal of a caller whose new requests are served,
+    # and against an account that gains by retrying.
+    harness = AdmissionHarness(service={"menus": 1_000, "pay": 10})
+    running = [harness.enter("pay") for _ in range(4)]
+    harness.enter("menus", 1, name="new menus")
+    harness.enter("menus", 2, name="old menus", retried=True)
+    harness.enter("pay", 3, name="new pay")
+    harness.enter("pay", 4, name="old pay", retried=True)
+    harness.woken.clear()
+    for number, one in enumerate(running):
+        harness.end(one, 5 + number)
+    assert harness.woken == ["old pay", "new pay", "old menus", "new menus"]
+
+
+def test_retries_do_not_change_the_order_of_accounts_with_equal_service() -> None:
+    harness = AdmissionHarness()
+    running = [harness.enter("a") for _ in range(4)]
+    harness.enter("a", 1, name="a1")
+    harness.enter("b", 2, name="b2")
+    harness.enter("a", 3, name="a3", retried=True)
+    harness.enter("b", 4, name="b4", retried=True)
+    harness.woken.clear()
+    for number, one in enumerate(running):
+        harness.end(one, 5 + number)
+    assert harness.woken == ["a3", "b4", "a1", "b2"]
+
+
+def test_a_new_request_does_not_overtake_a_waiting_retry_of_its_account() -> None:
+    harness = AdmissionHarness()
+    running = [harness.enter("a") for _ in range(4)]
+    retry = harness.enter("a", 1, retried=True)
+    harness.balancer.loads.end(ENGINE.incarnation, Load(requests=1))
+    new = harness.enter("a", 2)
+    assert not new.done
+    harness.admission.pump(3)
+    assert retry.placement is not None
+    assert not new.done
+    harness.end(running[0], 4)
+    assert new.placement is not None
+
+
 def test_a_waiting_request_is_refused_once_it_cannot_be_in_time() -> None:
     harness = AdmissionHarness()
     for _ in range(4):
--- a/tests/routing/test_return_time.py
+++ b/tests/routing/test_return_time.py
@@ -16,6 +16,7 @@
     Rule,
     longest_pause,
     return_time,
+    time_waited,
 )
 from leadseam.routing.usage import Shares, Standing
 
@@ -82,6 +83,17 @@
     assert Shares(stated=100, even=230, stop=345).served_again == 230
 
 
+def test_a_stated_time_below_the_limit_shows_a_retry() -> None:
+    assert [time_waited(6_000, stated) for stated in (6_000, 5_996, 5_995, 4_000)] == [
+        0,
+        0,
+        5,
+        2_000,
+    ]
+    assert time_waited(6_000, None) == 0
+    assert time_waited(6_000, 9_000) == 0
+
+
 def test_placements_count_for_one_second() -> None:
     placements = RecentPlacements()
     for now in (0, 400, 900):
