Refuse at once what must be late and may not wait

Cause: a prompt too long for its objective gets an engine with nothing to read, also for an account beyond its share, whose late answer delays requests of others.

Change: if an account may not wait, a request that cannot be in time on the fastest idle engine is refused at once.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -122,7 +122,8 @@
         is_next = self.recent_service(
             waiter.account, now
         ) <= self._lowest_recent_service(now) and not self._retry_waits(waiter)
-        placement = self._place(waiter, now) if is_next else None
+        may_start = is_next and not self._is_pointless(waiter, now)
+        placement = self._place(waiter, now) if may_start else None
         self._waiting.append(waiter)
         if placement is not None:
             self._finish(waiter, placement, now)
@@ -131,6 +132,18 @@
             # before this one would be refused.
             self._finish(waiter, None, now)
 
+    def _is_pointless(self, waiter: Waiter, now: Millis) -> bool:
+        """Return whether a request would only take capacity from others.
+
+        That is so if it cannot be in time even on an idle engine, its account may not
+        wait, and there is no spare capacity.
+        """
+        if self._may_wait(waiter, now) or self._has_spare(waiter, now):
+            return False
+        rows = self.candidates(waiter.scope)
+        soonest = self.balancer.soonest_first_token(rows, waiter.req)
+        return soonest > waiter.objective
+
     def _retry_waits(self, waiter: Waiter) -> bool:
         """Return whether a retry of the same account goes before a new request."""
         return not waiter.retried and any(
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -226,6 +226,20 @@
         """
         return self.estimates.pool(pool).millis(own_tokens(req))
 
+    def soonest_first_token(
+        self, rows: Sequence[Registration], req: RoutedRequest
+    ) -> float:
+        """Return the expected milliseconds to a first token at the fastest idle engine.
+
+        Args:
+            rows: Engines, which are assumed to hold the shared parts.
+            req: The request.
+        """
+        own = own_tokens(req)
+        return min(
+            (self.estimates.engine(row).millis(own) for row in rows), default=0.0
+        )
+
     def place_over_limits(
         self, ranked: Sequence[Registration], req: RoutedRequest, now: Millis
     ) -> Placement | None:
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -167,6 +167,27 @@
     assert waiter.refuse_at < 100 + OBJECTIVE / 4
 
 
+def test_a_request_that_must_be_late_takes_no_engine_beyond_its_accounts_share() -> (
+    None
+):
+    # Guards against long prompts of a flooding account on the engines that others need.
+    harness = AdmissionHarness(standings={"a": Standing.AHEAD, "e": Standing.EVEN})
+    for _ in range(2):
+        harness.add_reading(0)
+    # With 45 ms and 50 tokens per ms, 17,750 tokens take the whole objective of 400 ms.
+    late = harness.enter("a", prompt=17_751)
+    assert (late.done, late.placement) == (True, None)
+    in_time = harness.enter("a", prompt=17_750)
+    assert in_time.placement is not None
+    harness.end(in_time)
+    assert harness.enter("e", prompt=17_751).placement is not None
+
+
+def test_a_request_that_must_be_late_may_use_spare_capacity() -> None:
+    harness = AdmissionHarness(standings={"a": Standing.AHEAD})
+    assert harness.enter("a", prompt=17_751).placement is not None
+
+
 def test_the_engines_queue_is_kept_short_for_all() -> None:
     harness = AdmissionHarness()
     harness.add_reading(MAX_READING_AHEAD + 1)
