Count refusals by standing and retried requests, and log the new inputs

Change: counters refusals_by_standing_total and retried_requests_total (by outcome). Account lines show engines_used, and asked_of_late and refused_busy_of_late by account.

--- a/src/leadseam/routing/account_log.py
+++ b/src/leadseam/routing/account_log.py
@@ -106,6 +106,7 @@
             "stated_level": _level(shares.stated),
             "even_level": _level(shares.even),
             "stop_level": _level(shares.stop),
+            "engines_used": round(self._usage.used_part, 2),
             "accounts": [
                 self._row(name, accounts[name], now) for name in names[:MAX_ACCOUNTS]
             ],
@@ -121,6 +122,8 @@
             "refused_busy": counts.refused_busy,
             "refused": dict(counts.refused),
             "served_of_late": self._usage.recent_service(name, now),
+            "asked_of_late": self._usage.recently_requested(name, now),
+            "refused_busy_of_late": self._usage.recently_refused_busy(name, now),
             "standing": self._usage.standing(name, now).name.lower(),
         }
 
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -77,6 +77,8 @@
         self._metrics.requests.inc("not_run")
         if account is not None:
             self._account_log.record_refusal(account, refusal.reason)
+            standing = self._standing(account, self._clock.now())
+            self._metrics.refusals_by_standing.inc(standing.name.lower())
         if self._lines.take():
             extra = {
                 "request": request_id,
@@ -165,12 +167,16 @@
         now = self._clock.now()
         outcome: Outcome = exchange.outcome
         self._metrics.requests.inc(outcome_name(outcome))
+        if admitted.waited:
+            self._metrics.retried.inc(outcome_name(outcome))
         self._metrics.duration.add({}, (now - admitted.arrived) / 1_000)
         if exchange.first_byte_at != NOT_SENT:
             first = exchange.first_byte_at - admitted.arrived
             self._metrics.first_byte.add({}, first / 1_000)
         if isinstance(outcome, NotRun) and admitted.account is not None:
             self._account_log.record_refusal(admitted.account, outcome.reason)
+            standing = self._standing(admitted.account, now)
+            self._metrics.refusals_by_standing.inc(standing.name.lower())
         if self._lines.take():
             self._log_end(exchange, admitted, outcome, now)
 
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -125,13 +125,19 @@
 
 
 class UsageTable:
-    """Recent service by account, decaying with `DECAY_TIME`."""
+    """Recent service by account, decaying with `DECAY_TIME`.
+
+    Attributes:
+        shares: Fair shares by the newest sums.
+        used_part: Average used part of the engines at that time; 1 if unknown.
+    """
 
     def __init__(self) -> None:
         self._own: dict[str, _Account] = {}
         self._others: dict[str, UsageRow] = {}
         self._totals_at: Millis | None = None
         self.shares = Shares()
+        self.used_part = 1.0
 
     def __repr__(self) -> str:
         return f"UsageTable(accounts={len(self._own)}, {self.shares!r})"
@@ -160,6 +166,12 @@
         own = round(self._account(account).served.value_at(now))
         return own + (others.served if others is not None else 0)
 
+    def recently_refused_busy(self, account: str, now: Millis) -> int:
+        """Return the requested service of an account that busy entries refused."""
+        others = self._others.get(account) if self._has_current_totals(now) else None
+        own = round(self._account(account).refused_busy.value_at(now))
+        return own + (others.refused_busy if others is not None else 0)
+
     def recently_requested(self, account: str, now: Millis) -> int:
         """Return the service that an account recently requested, as far as is known."""
         others = self._others.get(account) if self._has_current_totals(now) else None
@@ -217,6 +229,7 @@
             used_part: Average used part of the engines, or 1 if it is unknown.
         """
         self._totals_at = now
+        self.used_part = used_part
         own_rows = {row.account: row for row in own.usage} if own is not None else {}
         self._others = {
             row.account: _subtract(row, own_rows.get(row.account)) for row in sums.usage
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -147,6 +147,16 @@
             "Answers of upstreams that ask for a pause, by whether it can be read.",
             "result",
         )
+        self.refusals_by_standing = metrics.buffered_counter(
+            "refusals_by_standing_total",
+            "Refused requests of client accounts, by standing of the account.",
+            "standing",
+        )
+        self.retried = metrics.buffered_counter(
+            "retried_requests_total",
+            "Requests whose caller was refused before, by outcome.",
+            "outcome",
+        )
         self._return_time = metrics.histogram(
             "return_time_seconds", "Retry-After pauses, by rule.", LATENCY_BUCKETS
         )
--- a/tests/routing/test_account_log.py
+++ b/tests/routing/test_account_log.py
@@ -25,8 +25,8 @@
 ) -> None:
     caplog.set_level(logging.INFO)
     usage = UsageTable()
-    rows = (UsageRow("menus", 900, 2_000), UsageRow("pay", 100, 1_000))
-    usage.apply_sums(LoadSums((), rows), None, capacity=1_000, now=100)
+    rows = (UsageRow("menus", 900, 2_000, 700), UsageRow("pay", 100, 1_000))
+    usage.apply_sums(LoadSums((), rows), None, capacity=1_000, now=100, used_part=0.617)
     account_log = AccountLog(usage, ManualClock(140))
     account_log.record_requested("menus", 300)
     account_log.record_placed("menus", 200)
@@ -38,6 +38,7 @@
     (line,) = log_records(caplog)
     assert line["message"] == "accounts refused"
     assert (line["sums_age_ms"], line["stated_level"]) == (40, 500)
+    assert line["engines_used"] == 0.62
     assert line["accounts"] == [
         {
             "account": "menus",
@@ -46,6 +47,8 @@
             "refused_busy": 100,
             "refused": {"upstream_full": 1, "entry_busy": 1},
             "served_of_late": 900,
+            "asked_of_late": 2_000,
+            "refused_busy_of_late": 700,
             "standing": "stopped",
         }
     ]
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -77,6 +77,7 @@
             entries=EntryCount(),
         )
         self.feed = feed
+        self.metrics = metrics or Metrics()
         self.dialect = Dialect()
         self.lag = SimpleNamespace(millis=0)
         self.connections = 0
@@ -86,7 +87,7 @@
             client=cast("Any", None),
             clock=ManualClock(1_000),
             retry_limits=RetryLimits(),
-            metrics=RoutingMetrics(metrics or Metrics()),
+            metrics=RoutingMetrics(self.metrics),
             rng=random.Random(1),
             lag=cast("Any", self.lag),
             connections=lambda: self.connections,
--- a/tests/routing/test_refusal_pauses.py
+++ b/tests/routing/test_refusal_pauses.py
@@ -71,6 +71,9 @@
     entry = make_entry(ENGINES)
     entry.lag.millis = EXCESS_LAG + 1
     response = await entry.serve("large")
+    metrics = entry.metrics.render()
+    assert b'refusals_by_standing_total{standing="stopped"} 1' in metrics
+    assert b'return_time_seconds_count{rule="decay"} 1' in metrics
     # 4,000 requested decay to the level of 500 in 2,000 ms times ln(8), above the cap.
     assert 2_667 <= int(response.headers["Pause"]) <= 4_000
 
