--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -29,6 +29,7 @@
 from leadseam.routing.health import UpstreamHealth
 from leadseam.routing.part_holders import part_digest
 from leadseam.routing.placer import Placer
+from leadseam.routing.return_time import time_waited
 from leadseam.routing.scope import Scope
 from leadseam.routing.usage import Standing
 from leadseam.wire.codec import decode
@@ -132,6 +133,7 @@
         self._routes = {kind.name: _make_route(kind) for kind in cfg.kinds}
         self._aggregator = LoadAggregator()
         self._shared_parts: set[str] = set()
+        self._hurried = {f"account-{rank}" for rank in cfg.hurried}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -165,13 +167,16 @@
         deadline = self._clock.now() + arrival.kind.patience
         if await self._attempt_entry(arrival, arrival.entry, deadline):
             return
+        self.tally.retried["all"] += 1
         remaining = deadline - self._clock.now()
         placer = self._placers[arrival.entry]
         found = placer.return_time(arrival.account, Scope(POOL), remaining)
         self.tally.return_times[found.rule.value] += 1
         await sleep(found.pause)
         other = self._rng.randrange(self._cfg.entries)
-        if not await self._attempt_entry(arrival, other, deadline):
+        if await self._attempt_entry(arrival, other, deadline):
+            self.tally.retried["served"] += 1
+        else:
             self.tally.ends["refused"] += 1
 
     async def _attempt_entry(
@@ -179,6 +184,9 @@
     ) -> bool:
         placer = self._placers[entry]
         now = self._clock.now()
+        stated = deadline - now
+        if arrival.account in self._hurried:
+            stated //= 2
         admitted = AdmittedRequest(
             req=arrival.req,
             body=b"",
@@ -187,8 +195,12 @@
             account=arrival.account,
             arrived=now,
             deadline=deadline,
+            waited=time_waited(arrival.kind.patience, stated),
         )
         placer.record_request(arrival.account, arrival.req, now)
+        if self._is_busy(entry, now):
+            self.tally.ends["entry busy"] += 1
+            return False
         tried: set[Incarnation] = set()
         while len(tried) < MAX_SENDS:
             flight = await placer.place(admitted, tried, again=bool(tried))
@@ -212,6 +224,15 @@
         if idle_since <= seconds(arrived - SUMS_DELAY):
             self.tally.idle_refusals[arrived // MILLIS_PER_SECOND] += 1
 
+    def _is_busy(self, entry: int, now: Millis) -> bool:
+        """Return whether an entry refuses a request because it is busy."""
+        return any(
+            entry < period.entries
+            and period.at <= now < period.at + period.span
+            and self._rng.random() < period.part
+            for period in self._cfg.busy
+        )
+
     def _requested_pause(self, flight: Flight) -> Millis:
         """Return the pause that the engine of a flight asks for; 0 if it accepts it."""
         now = self._clock.now()
@@ -273,17 +294,26 @@
         while True:
             await sleep(interval)
             report = self._placers[number].load_report()
+            if self._is_aggregator_lost():
+                continue
             self._aggregator.update(number, report, self._clock.now())
 
     async def _aggregate_loads(self) -> None:
         interval = self._cfg.interval or MIN_INTERVAL
         while True:
             await sleep(interval)
+            if self._is_aggregator_lost():
+                self._aggregator = LoadAggregator()
+                continue
             for number, totals in self._aggregator.totals(self._clock.now()).items():
                 sums = decode(totals.data, LoadSums)
                 self._placers[number].apply_sums(totals.included, sums)
                 interval = self._cfg.interval or interval_for(len(totals.data))
 
+    def _is_aggregator_lost(self) -> bool:
+        now = self._clock.now()
+        return any(loss.at <= now < loss.at + loss.span for loss in self._cfg.losses)
+
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
--- a/src/leadseam/emulate/settings.py
+++ b/src/leadseam/emulate/settings.py
@@ -108,6 +108,36 @@
     pause: PositiveInt = 3_000
 
 
+class BusyPeriod(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A period in which some entries refuse requests because they are busy.
+
+    Args:
+        entries: Number of busy entries, counted from the first one.
+        at: Start of the period in milliseconds.
+        span: Duration of the period in milliseconds.
+        part: Fraction of the requests that they refuse.
+    """
+
+    entries: PositiveInt
+    at: NonNegativeInt
+    span: PositiveInt
+    part: Annotated[float, Meta(gt=0, le=1)] = 1.0
+
+
+class AggregatorLoss(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """A period without load sums, after which an aggregator starts without reports.
+
+    Args:
+        at: Start of the period in milliseconds.
+        span: Duration of the period in milliseconds.
+    """
+
+    at: NonNegativeInt
+    span: PositiveInt
+
+
 class FleetSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -130,6 +160,10 @@
         spells: Periods in which engines refuse requests.
         cache_events: Milliseconds between the times at which all entries learn which
             prompt parts engines hold; 0 if they never do.
+        busy: Periods in which entries refuse requests.
+        losses: Periods without load sums.
+        hurried: Ranks of the accounts whose callers state half of the time that they
+            wait, so that their first requests look like retries.
         span: Simulated time in milliseconds.
     """
 
@@ -146,6 +180,9 @@
     crowded: NonNegativeInt = 0
     spells: tuple[RefusalPeriod, ...] = ()
     cache_events: NonNegativeInt = 0
+    busy: tuple[BusyPeriod, ...] = ()
+    losses: tuple[AggregatorLoss, ...] = ()
+    hurried: tuple[NonNegativeInt, ...] = ()
     span: PositiveInt = 10_000
 
 
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -124,13 +124,19 @@
 
 
 class UsageTable:
-    """Recent service by account, decaying with `DECAY_TIME`."""
+    """Recent service by account, decaying with `DECAY_TIME`.
+
+    Attributes:
+        shares: Fair shares by the newest sums.
+        used_part: Average used part of the engines at that time; 1 if unknown.
+    """
 
     def __init__(self) -> None:
         self._own: dict[str, _Account] = {}
         self._others: dict[str, UsageRow] = {}
         self._totals_at: Millis | None = None
         self.shares = Shares()
+        self.used_part = 1.0
 
     def __repr__(self) -> str:
         return f"UsageTable(accounts={len(self._own)}, {self.shares!r})"
@@ -208,6 +214,7 @@
             used_part: Average used part of the engines, or 1 if it is unknown.
         """
         self._totals_at = now
+        self.used_part = used_part
         own_rows = {row.account: row for row in own.usage} if own is not None else {}
         self._others = {
             row.account: _subtract(row, own_rows.get(row.account)) for row in sums.usage
--- a/tests/routing/test_account_log.py
+++ b/tests/routing/test_account_log.py
@@ -26,7 +26,7 @@
     caplog.set_level(logging.INFO)
     usage = UsageTable()
     rows = (UsageRow("menus", 900, 2_000), UsageRow("pay", 100, 1_000))
-    usage.apply_sums(LoadSums((), rows), None, capacity=1_000, now=100)
+    usage.apply_sums(LoadSums((), rows), None, capacity=1_000, now=100, used_part=0.617)
     account_log = AccountLog(usage, ManualClock(140))
     account_log.record_requested("menus", 300)
     account_log.record_placed("menus", 200)
@@ -37,6 +37,7 @@
     (line,) = log_records(caplog)
     assert line["message"] == "accounts refused"
     assert (line["sums_age_ms"], line["stated_level"]) == (40, 500)
+    assert line["engines_used"] == 0.62
     assert line["accounts"] == [
         {
             "account": "menus",
@@ -44,6 +45,7 @@
             "placed": 200,
             "refused": {"upstream_full": 1, "entry_busy": 1},
             "served_of_late": 900,
+            "asked_of_late": 2_000,
             "standing": "stopped",
         }
     ]
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -78,6 +78,7 @@
             entries=EntryCount(),
         )
         self.feed = feed
+        self.metrics = metrics or Metrics()
         self.dialect = Dialect()
         self.lag = SimpleNamespace(millis=0)
         self.connections = 0
@@ -89,7 +90,7 @@
             client=cast("Any", None),
             clock=self.clock,
             retry_limits=RetryLimits(),
-            metrics=RoutingMetrics(metrics or Metrics()),
+            metrics=RoutingMetrics(self.metrics),
             rng=random.Random(1),
             lag=cast("Any", self.lag),
             connections=lambda: self.connections,
--- a/tests/routing/test_refusal_pauses.py
+++ b/tests/routing/test_refusal_pauses.py
@@ -17,7 +17,7 @@
 from leadseam.routing.load import MAX_TOTALS_AGE
 from leadseam.routing.return_time import ReturnTime, Rule
 from leadseam.routing.scope import Scope
-from leadseam.routing.usage import Standing
+from leadseam.routing.usage import Standing, compute_shares
 from leadseam.runtime.metrics import Metrics
 from leadseam.wire.feed import LoadSums, UsageRow
 from tests.routing.test_gateway import ACCOUNTS, Entry
@@ -71,10 +71,19 @@
     entry = make_entry(ENGINES)
     entry.lag.millis = EXCESS_LAG + 1
     response = await entry.serve("large")
+    metrics = entry.metrics.render()
+    assert b'refusals_by_standing_total{standing="stopped"} 1' in metrics
+    assert b'return_time_seconds_count{rule="decay"} 1' in metrics
     # 4,000 requested decay to the level of 500 in 2,000 ms times ln(8), above the cap.
     assert 2_667 <= int(response.headers["Pause"]) <= 4_000
 
 
+def test_without_engine_pools_shares_need_no_evidence_of_load() -> None:
+    entry = make_entry(PLAIN)
+    assert entry.gateway.placer._usage.used_part == 1.0
+    assert entry.gateway.placer._usage.shares == compute_shares(ROWS, 0)
+
+
 async def test_without_engine_pools_a_busy_entry_names_its_own_pause() -> None:
     entry = make_entry(PLAIN)
     entry.lag.millis = EXCESS_LAG + 1
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -523,4 +523,33 @@
         f"{DOMAIN_SUMS}"
         "::test_entries_choose_by_domain_only_if_all_replicas_exchange_sums",
     ),
+    Variant(
+        "scarcity is assumed while engines are idle",
+        "routing/usage.py",
+        " or used_part < LOADED_PART:",
+        ":",
+        "tests/routing/test_engine_load.py",
+    ),
+    Variant(
+        "pauses ignore the state of the account",
+        "routing/placer.py",
+        "        return return_time(state, time_left, self._rng)",
+        "        return return_time(None, time_left, self._rng)",
+        "tests/emulate/test_floods.py"
+        "::test_callers_return_when_they_can_be_served_in_time",
+    ),
+    Variant(
+        "retried requests queue behind new ones of their account",
+        "routing/admission.py",
+        "        if any(one.retried for one in self._waiting):",
+        "        if False:",
+        "tests/routing/test_admission.py",
+    ),
+    Variant(
+        "requests that must be late take engines that others need",
+        "routing/admission.py",
+        "        return soonest > waiter.objective",
+        "        return False",
+        "tests/routing/test_admission.py",
+    ),
 )
