--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -36,8 +36,8 @@
 is well below 2, which the platform counts as unfair."""
 STOP_LEAD = 1.3
 """Ratio by which an account may be ahead of a short one before it gets no service at
-all, unless engines have spare capacity. It is well below 2 as well, because the
-platform compares periods of six seconds and the counts lag."""
+all. It is well below 2 as well, because the platform compares periods of six seconds
+and the counts lag."""
 SCARCITY_RATIO = 1.25
 """Ratio of requested to received service above which engines are considered full. It
 exceeds the ratio that requests waiting up to their objective cause while there is
@@ -63,7 +63,7 @@
     AHEAD = auto()
     """Beyond its stated share, and ahead of the others."""
     STOPPED = auto()
-    """So far ahead of a short account that it gets only service that nobody needs."""
+    """So far ahead of a short account that it gets no service."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,7 +73,7 @@
     Args:
         stated: Share of the capacity stated by the operators.
         even: Service beyond which an account is ahead of the others.
-        stop: Service beyond which an account gets only service that nobody needs.
+        stop: Service beyond which an account gets no service.
     """
 
     stated: float = float("inf")
