--- a/tests/platform/test_busy_entry.py
+++ b/tests/platform/test_busy_entry.py
@@ -52,6 +52,8 @@
     redirected: list[Answer] = []
 
     async def is_redirected() -> bool:
+        # The account's callers use another entry as well.
+        await platform.call(other, "/safe/x", headers={names.TOKENS: "900,80"})
         request = ("/safe/x", "POST", b"{}", {"Connection": "close"}, "", KEY)
         answer = await platform._call_once(busy, *request, lambda _: None)
         pause = float(answer.headers.get(names.RETRY_AFTER, "1"))
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -101,8 +101,9 @@
         """Apply sums that state the rooms of the entry's domain."""
         row = DomainRoom("a", entries, with_room)
         self.rooms.apply([row], EntryRoom("a", has_room=False), self.clock.now())
-        # Sums without engine pools show no scarcity.
-        self.gateway.placer.apply_sums(0, LoadSums((), ()))
+        # Sums without engine pools show no scarcity. Both accounts use other entries.
+        usage = tuple(UsageRow(name, 0, 1_000) for name in ("large", "small"))
+        self.gateway.placer.apply_sums(0, LoadSums((), usage))
 
     def early_pause(self, account: str) -> int | None:
         """Return the pause of an early refusal, or None if there is none."""
@@ -172,6 +173,20 @@
     assert 75 <= pause <= 150
 
 
+def test_callers_of_an_account_that_uses_one_entry_are_not_redirected(
+    entry: Entry,
+) -> None:
+    # They would return to this entry with their only retry.
+    entry.learn_rooms(8, 7)
+    entry.gateway.placer.apply_sums(0, LoadSums((), ()))
+    entry.lag.millis = MAX_LAG
+    assert entry.early_pause("small") is None
+    entry.lag.millis = MAX_LAG + 1
+    pause = entry.early_pause("small")
+    assert pause is not None
+    assert 75 <= pause <= 150
+
+
 def test_stopped_accounts_get_the_pause_of_a_busy_entry(
     entry: Entry, monkeypatch: pytest.MonkeyPatch
 ) -> None:
