--- a/src/leadseam/routing/memory_pressure.py
+++ b/src/leadseam/routing/memory_pressure.py
@@ -21,7 +21,7 @@
 and less for all earlier ones."""
 BOUND_UNTIL = 0.65
 """Share below which a pool is no longer memory-bound."""
-MIN_REQUESTS = 20
+MIN_REQUESTS = 50
 """Requests before which a pool is not judged; their sizes differ by a factor of 10."""
 MEASUREMENT_WEIGHT = 0.005
 """Least weight of a request in the mean: about the last 400 requests count, which keeps
