--- a/src/leadseam/feed/cache_watch.py
+++ b/src/leadseam/feed/cache_watch.py
@@ -39,8 +39,7 @@
 REVIEW_INTERVAL: Millis = 250
 """Interval at which the engines to watch are determined."""
 MAX_WATCHED = 100
-"""Maximum engines watched by one replica, which makes 400 calls a second. Chosen, not
-measured; deployments that can fetch prompt parts have 29 engines and fewer."""
+"""Maximum engines watched by one replica, which makes 400 calls a second."""
 MAX_LOGGED_UPSTREAMS = 20
 """Maximum number of engines named in a log line."""
 
