--- a/src/leadseam/platform/names.py
+++ b/src/leadseam/platform/names.py
@@ -20,6 +20,8 @@
 """Number of prompt tokens and the most tokens to be generated: a bound, in spite of its
 name, as nothing has been used yet."""
 LAST_EVENT = "Last-Event-Id"
+RESUMES = "Resumes"
+"""Id of the caller's attempt that brought the first event of a resumed stream."""
 HOLD = "Leadseam-Hold"
 """Identifier of a reservation of a slot and memory; it reserves nothing by itself."""
 PIN = "Leadseam-Pin-Ms"
--- /dev/null
+++ b/tests/platform/test_mixed_versions.py
@@ -0,0 +1,179 @@
+"""Streams while servers of two software versions serve, with real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from leadseam.platform import names
+from tools.platform.standin import WHOLE_STREAM
+from tools.waiting import wait_until
+
+if TYPE_CHECKING:
+    from tools.platform.nodes import Answer, Platform
+    from tools.platform.standin import Server
+
+STREAMS = 24
+"""Concurrent streams of each test."""
+BROKEN_STREAMS = 4 * STREAMS
+"""Streams that break: more than can go on at the right version by chance."""
+PROMPT_REFUSAL = 2.5
+"""Seconds within which a refusal is due: half of the time that callers wait."""
+
+
+def versions_of(platform: Platform, *request_ids: str) -> set[str]:
+    """Return the versions of the servers that ran any of these requests."""
+    return {
+        server.version
+        for server in platform.servers
+        for run in server.runs
+        if run.request_id in request_ids
+    }
+
+
+async def add_versions(platform: Platform) -> list[Server]:
+    """Add servers until two of v1 and two of v2 serve, and return all four."""
+    for ip in platform.server_ips[4:6]:
+        await platform.add_server(ip, "model", version="v2")
+    servers = platform.servers_of("model")
+
+    await wait_used(platform, servers)
+    return servers
+
+
+async def wait_used(platform: Platform, servers: list[Server]) -> None:
+    """Wait until each entry has used each of these servers."""
+    warmed = {
+        (entry, number): f"warm-{entry}-{number}"
+        for entry in platform.entry_ips
+        for number in range(STREAMS)
+    }
+
+    async def used() -> bool:
+        calls = (
+            platform.call(
+                entry, "/stream/warm", request_id=request_id, headers=prompt(number)
+            )
+            for (entry, number), request_id in warmed.items()
+        )
+        await asyncio.gather(*calls)
+        return all(
+            any(run.request_id.startswith(f"warm-{entry}") for run in server.runs)
+            for server in servers
+            for entry in platform.entry_ips
+        )
+
+    await wait_until(used, "all servers are used")
+
+
+def prompt(number: int) -> dict[str, str]:
+    """Return the header of a prompt, which spreads streams over the servers."""
+    return {names.PROMPT_PARTS: f"shared-{number}:100,own-{number}:10"}
+
+
+async def test_a_broken_stream_goes_on_only_at_the_version_that_began_it(
+    platform: Platform,
+) -> None:
+    for server in await add_versions(platform):
+        server.actions["x"] = "lose"
+
+    async def call(number: int) -> Answer:
+        entry = platform.entry_ips[number % 2]
+        request_id = f"broken-{number}"
+        return await platform.call(
+            entry, "/stream/x", request_id=request_id, headers=prompt(number)
+        )
+
+    for first in range(0, BROKEN_STREAMS, STREAMS):
+        await asyncio.gather(*map(call, range(first, first + STREAMS)))
+    mixed = [
+        number
+        for number in range(BROKEN_STREAMS)
+        if len(versions_of(platform, f"broken-{number}")) > 1
+    ]
+    assert mixed == []
+
+
+async def test_a_stream_of_a_killed_entry_goes_on_only_at_the_version_that_began_it(
+    platform: Platform,
+) -> None:
+    servers = await add_versions(platform)
+    for server in servers:
+        server.actions["x"] = "pause"
+    first, second = platform.entry_ips
+    begun: set[int] = set()
+
+    async def begin(number: int) -> Answer:
+        return await platform.call(
+            first,
+            "/stream/x",
+            request_id=f"first-{number}",
+            headers=prompt(number),
+            on_data=lambda _: begun.add(number),
+        )
+
+    calls = [asyncio.create_task(begin(number)) for number in range(STREAMS)]
+
+    async def all_begun() -> bool:
+        return len(begun) == STREAMS
+
+    await wait_until(all_begun, "all streams have begun")
+    platform.kill(first)
+    broken = await asyncio.gather(*calls)
+    for server in servers:
+        server.release.set()
+
+    async def resume(number: int) -> Answer:
+        headers = prompt(number) | {
+            names.LAST_EVENT: str(broken[number].body.count(b"\n\n")),
+            names.RESUMES: f"first-{number}",
+        }
+        return await platform.call(
+            second, "/stream/x", request_id=f"second-{number}", headers=headers
+        )
+
+    resumed = await asyncio.gather(*map(resume, range(STREAMS)))
+    mixed = [
+        number
+        for number in range(STREAMS)
+        if len(versions_of(platform, f"first-{number}", f"second-{number}")) > 1
+    ]
+    assert mixed == []
+    bodies = [one.body + two.body for one, two in zip(broken, resumed, strict=True)]
+    assert bodies == [WHOLE_STREAM] * STREAMS
+
+
+async def test_a_stream_whose_version_is_gone_is_refused_at_once(
+    platform: Platform,
+) -> None:
+    old = platform.servers_of("model")
+    for server in old:
+        server.actions["x"] = "pause"
+    first, second = platform.entry_ips
+    begun = asyncio.Event()
+    call = asyncio.create_task(
+        platform.call(
+            first, "/stream/x", request_id="first", on_data=lambda _: begun.set()
+        )
+    )
+    await begun.wait()
+    await platform.add_server(platform.server_ips[4], "model", version="v2")
+
+    await wait_used(platform, platform.servers[-1:])
+    for server in old:
+        await server.drain()
+        await server.stop()
+    broken = await call
+    headers = {
+        names.LAST_EVENT: str(broken.body.count(b"\n\n")),
+        names.RESUMES: "first",
+    }
+    started = time.monotonic()
+    answer = await platform.call(
+        second, "/stream/x", request_id="second", headers=headers
+    )
+    assert broken.cut
+    assert answer.status == 503
+    assert time.monotonic() - started < PROMPT_REFUSAL
+    assert versions_of(platform, "first", "second") == {"v1"}
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -135,7 +135,13 @@
             await self.wait_served(ip)
 
     async def add_server(
-        self, ip: str, service: str, *, earlier: str = "", zone: str = "a"
+        self,
+        ip: str,
+        service: str,
+        *,
+        earlier: str = "",
+        zone: str = "a",
+        version: str = "v1",
     ) -> Server:
         """Start a server.
 
@@ -144,8 +150,10 @@
             service: Service that it registers for.
             earlier: Id under which it ran before. Defaults to a new one.
             zone: Failure domain that it reports.
+            version: Version of its software.
         """
         server = Server(ip, self.server_port, service, self.controls, zone=zone)
+        server.version = version
         if self.reports_starts:
             server.born = time.time_ns() // 1_000_000
             server.instance = earlier or server.instance
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -86,6 +86,7 @@
         pauses: Refusals with which it has asked for a pause.
         arrivals: Requests that have reached it, whether or not they ran.
         announces_leaving: Whether its responses announce that it is about to stop.
+        version: Version of its software.
     """
 
     ip: str
@@ -112,6 +113,7 @@
     pauses: list[Pause] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     announces_leaving: bool = False
+    version: str = "v1"
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -220,7 +222,7 @@
             "service": self.service,
             "address": self.advertised or f"{self.ip}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "coldRemainingMs": self.cold,
