Log the software version of upstreams and what resumes a stream

The lines of a failed request could not tell whether a stream had changed its version: registrations dropped the version of heartbeats. It travels as the last field, empty where an older replica sends none, and an older row does not erase one that is known. Nothing is decided by it.

--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -10,6 +10,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from msgspec import structs
+
 from leadseam.clock import Millis
 from leadseam.membership.addresses import AddressTable
 from leadseam.membership.departures import Departures
@@ -307,8 +309,10 @@
             # The replica has not received the later start yet.
             return None
         elif row.sequence > known.registration.sequence:
-            known.registration = row
+            known.registration = _with_version(row, known.registration.version)
             self._update_cold_until(known, now)
+        elif row.version and not known.registration.version:
+            known.registration = _with_version(known.registration, row.version)
         known.held_until[replica] = None
         self._by_pool = None
         return replaced
@@ -342,6 +346,13 @@
         self._by_pool = None
 
 
+def _with_version(row: Registration, version: str) -> Registration:
+    """Return a row with the version known before, if its sender knows none."""
+    if row.version or not version:
+        return row
+    return structs.replace(row, version=version)
+
+
 def _slots_of(rows: Iterable[Registration]) -> int:
     return sum(row.slots for row in rows)
 
--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -70,6 +70,7 @@
             tokens_in=tokens_in,
             tokens_out=tokens_out,
             resume_after=headers.get(names.LAST_EVENT),
+            resumes=read_resumed(headers.getall(names.RESUMES, [])),
         )
 
     def read_sender(self, http: web.BaseRequest) -> Sender:
@@ -156,6 +157,19 @@
     return pause, invalid
 
 
+def read_resumed(values: Sequence[str]) -> str | None:
+    """Return the id of the attempt that began a resumed stream.
+
+    Args:
+        values: Values of all `Resumes` headers.
+
+    Returns:
+        None if there is none, or if they differ.
+    """
+    ids = {value.strip() for value in values}
+    return ids.pop() or None if len(ids) == 1 else None
+
+
 def read_key(value: str | None) -> str | None:
     """Return the key of an `Authorization` header, or None without the header."""
     if value is None:
--- a/src/leadseam/platform/heartbeat.py
+++ b/src/leadseam/platform/heartbeat.py
@@ -128,6 +128,7 @@
         ready=heartbeat.state == READY,
         sequence=heartbeat.sequence,
         cold_remaining=round(heartbeat.cold_remaining_ms),
+        version=heartbeat.version,
     )
 
 
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -65,6 +65,8 @@
         tokens_in: Number of prompt tokens.
         tokens_out: Maximum number of tokens to generate.
         resume_after: Id of the last event that the caller has received, or None.
+        resumes: Id of the caller's attempt that brought the first event of the stream
+            that this request resumes, or None.
     """
 
     request_id: str
@@ -78,6 +80,7 @@
     tokens_in: int
     tokens_out: int
     resume_after: str | None
+    resumes: str | None = None
 
     @property
     def path(self) -> str:
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -104,6 +104,11 @@
         """Name of the last upstream tried, as in log lines; empty if there is none."""
         return str(self._progress.last or "")
 
+    @property
+    def last_event(self) -> str | None:
+        """Id of the last event that the caller has received, or None."""
+        return self._reply.last_event
+
     @property
     def sends(self) -> int:
         """Number of upstreams that the request was sent to."""
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -111,6 +111,10 @@
                 "ending": type(ending).__name__.lower(),
                 "retry": retry,
             }
+            if exchange.placement is not None:
+                extra["version"] = exchange.placement.upstream.version
+            if exchange.last_event is not None:
+                extra["last_event"] = exchange.last_event
             if isinstance(ending, Broken):
                 # The same for attempts of one request at different entries.
                 extra["fingerprint"] = admitted.fingerprint()
@@ -213,10 +217,14 @@
             extra["reread"] = exchange.placement.reread
             extra["rank"] = exchange.placement.rank
             extra["fetched"] = exchange.placement.fetched
+            extra["version"] = exchange.placement.upstream.version
             if exchange.placement.source is not None:
                 extra["source"] = str(exchange.placement.source.incarnation)
         if admitted.waited:
             extra["waited_ms"] = admitted.waited
+        if admitted.req.resume_after is not None:
+            extra["resumes"] = admitted.req.resumes
+            extra["resume_after"] = admitted.req.resume_after
         if exchange.first_byte_at != NOT_SENT:
             extra["first_ms"] = exchange.first_byte_at - admitted.arrived
         if isinstance(outcome, Answered):
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -88,6 +88,7 @@
         ready: Whether it accepts new requests.
         sequence: Grows with each heartbeat of this incarnation.
         cold_remaining: Milliseconds for which it is still slow after its start.
+        version: Version of its software; empty if the sender does not know it.
     """
 
     incarnation: Incarnation
@@ -99,6 +100,7 @@
     ready: bool
     sequence: int
     cold_remaining: int = 0
+    version: str = ""
 
     @property
     def instance(self) -> str:
--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -61,6 +61,7 @@
         ready=True,
         sequence=7,
         cold_remaining=0,
+        version="v1",
     )
     assert not read_heartbeat("i-1", encode_heartbeat(state="draining")).ready
     # Unknown fields are ignored.
