Continue a broken stream only at the version that began it

When an upstream broke off, the retry within the answer chose any upstream of the pool.

A request is bound to the version of the upstream whose first event its caller gets; the version is part of the scope from which every later choice is made (retry, waiting request, refusal). Without an upstream of that version the answer is cut at once.

Why it works: no path chooses upstreams but by scope. Without an event nothing is bound, so another version may still begin anew; with one version the scope has the same rows.

--- a/src/leadseam/emulate/fleet.py
+++ b/src/leadseam/emulate/fleet.py
@@ -77,7 +77,9 @@
         self._rows = rows
         self._by_digest = {row.incarnation.digest(): row for row in rows}
 
-    def pool(self, _: str, _regions: Regions = None) -> Sequence[Registration]:
+    def pool(
+        self, _: str, _regions: Regions = None, _version: str | None = None
+    ) -> Sequence[Registration]:
         return self._rows
 
     def sources(self, _: str, _regions: Regions = None) -> dict[int, Registration]:
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -59,6 +59,9 @@
     Args:
         regions: Region of each failure domain.
         heartbeat_interval: Milliseconds between the heartbeats of an upstream.
+
+    Attributes:
+        evacuated: Failure domains that get no requests.
     """
 
     def __init__(
@@ -77,7 +80,9 @@
         self._departed = Departures()
         self._leaving: dict[Incarnation, Registration] = {}
         self._by_pool: dict[str, list[Registration]] | None = None
-        self._by_regions: dict[tuple[str, frozenset[str]], list[Registration]] = {}
+        self._by_scope: dict[
+            tuple[str, frozenset[str] | None, str | None], list[Registration]
+        ] = {}
         self._sources: dict[
             tuple[str, frozenset[str] | None], dict[int, Registration]
         ] = {}
@@ -213,23 +218,30 @@
             self._drop_if_unheld(known)
 
     def pool(
-        self, name: str, regions: frozenset[str] | None = None
+        self,
+        name: str,
+        regions: frozenset[str] | None = None,
+        version: str | None = None,
     ) -> Sequence[Registration]:
         """Return the upstreams of a pool that accept new requests.
 
         Args:
             name: Name of the pool.
             regions: Allowed regions, or None for any.
+            version: Required version of their software, or None for any.
         """
         rows = self._pools().get(name, ())
-        if regions is None:
+        if regions is None and version is None:
             return rows
-        key = (name, regions)
-        if key not in self._by_regions:
-            self._by_regions[key] = [
-                row for row in rows if self._regions.get(row.failure_domain) in regions
+        key = (name, regions, version)
+        if key not in self._by_scope:
+            self._by_scope[key] = [
+                row
+                for row in rows
+                if (regions is None or self._regions.get(row.failure_domain) in regions)
+                and (version is None or row.version == version)
             ]
-        return self._by_regions[key]
+        return self._by_scope[key]
 
     def sources(
         self, name: str, regions: frozenset[str] | None = None
@@ -269,7 +281,7 @@
         """
         if self._by_pool is None:
             self._by_pool = self._group()
-            self._by_regions.clear()
+            self._by_scope.clear()
             self._sources.clear()
         return self._by_pool
 
--- a/src/leadseam/routing/admitted.py
+++ b/src/leadseam/routing/admitted.py
@@ -30,6 +30,7 @@
         arrived: Time at which it arrived.
         deadline: Time at which it is given up.
         waited: Time for which its caller waited before, if this is a retry; else 0.
+        version: Version that has begun the stream and must continue it, or None.
     """
 
     req: RoutedRequest
@@ -41,11 +42,12 @@
     deadline: Millis
     regions: Regions = None
     waited: Millis = 0
+    version: str | None = None
 
     @property
     def scope(self) -> Scope:
         """The upstreams that it may be sent to."""
-        return Scope(self.pool, self.regions)
+        return Scope(self.pool, self.regions, self.version)
 
     def fingerprint(self) -> Fingerprint:
         """Return the fingerprint, which is equal for repetitions of the request."""
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from typing import TYPE_CHECKING, NoReturn
 
@@ -90,6 +90,7 @@
             prepare=gateway.set_keep_alive,
             now=gateway.now,
             last_event=admitted.req.resume_after,
+            on_first_event=self._note_first_event,
         )
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
         self.placement: Placement | None = None
@@ -235,6 +236,14 @@
 
         return await self._reply.relay(streaming, on_data)
 
+    def _note_first_event(self) -> None:
+        """Bind the stream to the version of the upstream that begins it."""
+        request = self._request
+        if not request.route.resumable or self.placement is None:
+            return
+        upstream = self.placement.upstream
+        self._request = replace(request, version=upstream.version)
+
     def _on_silence(self, flight: Flight) -> bool:
         """Return whether to end a silent attempt because a retry is allowed."""
         self._gateway.note_silence(flight.upstream, self._request)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -528,7 +528,7 @@
         return row.cold_rate if row is not None else 0.0
 
     def _upstreams(self, scope: Scope) -> Sequence[Registration]:
-        return self._feed.view.pool(scope.pool, scope.regions)
+        return self._feed.view.pool(scope.pool, scope.regions, scope.version)
 
     def _candidates(self, scope: Scope) -> Sequence[Registration]:
         """Return the usable upstreams of a scope, cached for `PUMP_INTERVAL`."""
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -34,6 +34,7 @@
         prepare: Called with the response before its head is sent.
         now: Returns the current time.
         last_event: Id of the last event that the caller has received, or None.
+        on_first_event: Called before the first event is sent to the caller.
     """
 
     def __init__(
@@ -43,12 +44,14 @@
         prepare: Callable[[web.StreamResponse], None],
         now: Callable[[], Millis],
         last_event: str | None,
+        on_first_event: Callable[[], None] = lambda: None,
     ) -> None:
         self.last_event = last_event
         self.first_byte_at: Millis = NOT_SENT
         self._http = http
         self._prepare = prepare
         self._now = now
+        self._on_first_event = on_first_event
         self._response: web.StreamResponse | None = None
 
     def __repr__(self) -> str:
@@ -166,6 +169,8 @@
             return
         response = self._response
         if response is None:
+            if streaming.events:
+                self._on_first_event()
             response = await self._start(streaming)
         try:
             await response.write(b"".join(event.data for event in events))
--- a/src/leadseam/routing/scope.py
+++ b/src/leadseam/routing/scope.py
@@ -1,4 +1,4 @@
-"""The pool and regions whose upstreams a request may use, regardless of their load."""
+"""The upstreams that a request may use, regardless of their load."""
 
 from __future__ import annotations
 
@@ -14,15 +14,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Scope:
-    """A pool, and the regions to which a request is restricted.
+    """A pool, and what a request is restricted to within it.
 
     Args:
         pool: Name of the pool.
         regions: Regions in which the request may be served, or None for all.
+        version: Version that must serve it, as it has begun the stream, or None.
     """
 
     pool: str
     regions: Regions = None
+    version: str | None = None
 
 
 def allowed_regions(*bound: Iterable[str]) -> Regions:
