Resume streams of callers only at the version that began them

The request names the attempt that brought the first event (Resumes).

Entries keep where recent streams began. While a pool has several versions, they tell two replicas of each stream; an entry that is asked to resume one asks all replicas it follows, and binds the request to the pool and version found. A version without an upstream is refused at once, as is a stream that nobody knows; while no replica is followed, or one has just started, it is asked for 1.5 s. With one version nothing is sent or asked. Which versions a pool has, and had within the longest time limit, is merged by union among entries and replicas; a replica keeps it in a file over a restart. New messages go only to processes that state they understand them.

--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -16,6 +16,7 @@
 from leadseam.feed.claim_client import ClaimClient
 from leadseam.feed.directory import ReplicaDirectory
 from leadseam.feed.entry_count import EntryCount
+from leadseam.feed.stream_client import StreamClient
 from leadseam.membership.view import UpstreamView
 from leadseam.routing.part_holders import PartHolders
 from leadseam.wire.backoff import Backoff
@@ -38,6 +39,7 @@
     Subscribe,
 )
 from leadseam.wire.link import LINK_ERRORS, dial
+from leadseam.wire.versions import StreamFound, Versions
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterable
@@ -90,6 +92,7 @@
         view: Registered upstreams and evacuated failure domains.
         holders: Prompt parts that engines hold, as replicas tell.
         claims: Client of claims on the same links.
+        streams: Streams begun here, and lookups of those begun elsewhere.
     """
 
     def __init__(
@@ -137,6 +140,7 @@
         self._failure_domain = failure_domain
         self._aggregator = AggregatorSelector(failure_domain)
         self.claims = ClaimClient(clock, self._links)
+        self.streams = StreamClient(clock, self.view.versions, self.entries.recent_max)
 
     def __repr__(self) -> str:
         return f"FeedClient({self._node}, version={self.version})"
@@ -220,6 +224,7 @@
                     self._links.remove(link)
                     del self._names[link]
                     self.holders.drop_replica(str(endpoint))
+                    self.streams.disconnected(str(endpoint))
                     log.info("replica lost", extra={"replica": str(endpoint)})
 
     async def _receive(
@@ -245,6 +250,8 @@
             self._handle(link, replica, message)
             if isinstance(message, Replicas):
                 self._update_members(endpoint, message)
+                if message.holds_streams:
+                    self.streams.connected(replica, link)
             if isinstance(message, Current) and message.version > self.version:
                 # A delta was lost: subscribe again from the version in force.
                 return
@@ -258,6 +265,7 @@
             now,
             self._width,
             self._failure_domain,
+            reads_versions=True,
         )
 
     def _handle(self, link: Link, replica: str, message: AnyMessage) -> None:
@@ -280,6 +288,10 @@
                 self._on_crashes(message)
             case CacheChanges():
                 self.holders.apply(replica, message)
+            case Versions():
+                self.streams.receive(message)
+            case StreamFound():
+                self.streams.receive_reply(message)
             case _:
                 self._handle_membership(replica, message)
 
@@ -306,6 +318,7 @@
 
     def _update_registrations(self, replica: str, rows: Iterable[Registration]) -> None:
         ended = self.view.update(replica, rows, self._clock.now())
+        self.streams.versions_changed()
         if ended:
             extra = {"earlier": list(map(str, ended)), "replica": replica}
             log.info("upstreams have started again", extra=extra)
--- a/src/leadseam/feed/configuration_push.py
+++ b/src/leadseam/feed/configuration_push.py
@@ -44,6 +44,7 @@
         clock: Time of the node's clock in its last report.
         replicas: Names of the control boxes that were last sent to it.
         single_replica: Whether it follows no other replica.
+        reads_versions: Whether it understands `Versions`.
     """
 
     number: int
@@ -54,6 +55,7 @@
     clock: int = -1
     replicas: tuple[str, ...] = ()
     single_replica: bool = False
+    reads_versions: bool = False
 
     @property
     def known_version(self) -> int:
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -19,6 +19,7 @@
 from leadseam.feed.crash_server import CrashServer
 from leadseam.feed.domain_aggregator import DomainAggregator
 from leadseam.feed.evacuation_server import RESEND_LIMIT, EvacuationServer
+from leadseam.feed.stream_holder import StreamHolder
 from leadseam.incarnation import NO_START
 from leadseam.membership.departures import Departures
 from leadseam.membership.registry import DEFAULT_HEARTBEAT, Registry
@@ -39,12 +40,14 @@
     Subscribe,
 )
 from leadseam.wire.messages import Hello
+from leadseam.wire.versions import FindStream, StreamsBegan, Versions
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
     from leadseam.control.replica import Replica
     from leadseam.feed.cache_watch import EventSource
+    from leadseam.membership.version_file import VersionFile
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.feed import Registration
     from leadseam.wire.link import Link
@@ -82,10 +85,12 @@
         box: Name of the replica's box. Defaults to none.
         failure_domain: Failure domain of the box; if empty, this replica does not
             exchange sums of loads with others.
+        version_file: Where versions in service are kept. By default nowhere.
 
     Attributes:
         crashes: Server for reports of requests that crash upstreams.
         evacuations: Server for orders on failure domains.
+        streams: Versions in service, and streams that entries have begun.
     """
 
     def __init__(
@@ -99,6 +104,7 @@
         event_source: EventSource | None = None,
         box: str = "",
         failure_domain: str = "",
+        version_file: VersionFile | None = None,
     ) -> None:
         self._replica = replica
         self._metrics = metrics
@@ -116,6 +122,9 @@
         self.evacuations = EvacuationServer(
             replica, self._clock, metrics, self._broadcast, resend_limit=resend_limit
         )
+        self.streams = StreamHolder(
+            replica, self._clock, metrics, self._broadcast_versions, file=version_file
+        )
         self._pending_registrations: dict[str, Registration] = {}
         self._registered = asyncio.Event()
         self._push = ConfigurationPush(replica, metrics)
@@ -154,6 +163,7 @@
         if not self._registry.heartbeat(registration, self._clock.now()):
             return
         if self._has_configured_pool(registration):
+            self.streams.registered((registration,))
             self._pending_registrations[registration.instance] = registration
             self._registered.set()
 
@@ -257,6 +267,7 @@
             in_force=message.version,
             clock=message.clock,
             single_replica=message.replica_count == 1,
+            reads_versions=message.reads_versions,
         )
         self._subscribers[number] = subscriber
         self._loads.subscribed(
@@ -281,6 +292,8 @@
         left = tuple(self._replica.state.departed)[-MAX_DEPARTURES_SENT:]
         if left:
             subscriber.link.send(Left(left))
+        if subscriber.reads_versions:
+            subscriber.link.send(self.streams.greeting())
         # Sent before the configuration, so that no node serves requests without them.
         if evacuated := self.evacuations.greeting():
             subscriber.link.send(evacuated)
@@ -296,6 +309,11 @@
         for subscriber in self.subscribers:
             subscriber.link.send(prepared)
 
+    def _broadcast_versions(self, message: Versions) -> None:
+        for subscriber in self.subscribers:
+            if subscriber.reads_versions:
+                subscriber.link.send(message)
+
     def _send_to(self, numbers: Collection[int], message: AnyMessage) -> None:
         """Send a message, encoded once, to some subscribers."""
         prepared = encode_message(message)
@@ -321,6 +339,12 @@
             case InForce(version=version, clock=clock):
                 subscriber.in_force = max(subscriber.in_force, version)
                 subscriber.clock = max(subscriber.clock, clock)
+            case Versions():
+                self.streams.receive(message)
+            case StreamsBegan():
+                self.streams.began(message)
+            case FindStream():
+                subscriber.link.send(self.streams.find(message))
             case Claim() | ClaimDone() | ClaimRelease():
                 spawn(self._claims.handle(subscriber.link, message))
             case _:
@@ -374,6 +398,7 @@
         while True:
             await sleep(HEARTBEAT_INTERVAL)
             self._expire()
+            self.streams.sweep(filter(self._has_configured_pool, self._registry.rows()))
             self.crashes.expire()
             self._review_loads()
             for subscriber in self.subscribers:
@@ -442,7 +467,9 @@
         names = tuple(sorted(self._replica.members))
         if subscriber.replicas != names:
             subscriber.replicas = names
-            subscriber.link.send(Replicas(names, self._failure_domain))
+            subscriber.link.send(
+                Replicas(names, self._failure_domain, holds_streams=True)
+            )
         if self._replica.is_current():
             version = self._replica.state.configuration.version
             count = len(self._subscribers)
--- /dev/null
+++ b/src/leadseam/feed/stream_client.py
@@ -0,0 +1,233 @@
+"""Streams that an entry begins, and the lookup of those that other entries began.
+
+While a pool has several versions, an entry tells two replicas of each stream that it
+begins; whoever continues a stream asks all replicas. The cost of a stream that is not
+resumed is then two rows, whatever the number of entries.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import logging
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from leadseam.clock import Millis, seconds, sleep
+from leadseam.routing.stream_origin import (
+    AMBIGUOUS,
+    StreamOrigin,
+    StreamTable,
+    stream_digest,
+)
+from leadseam.runtime.tasks import spawn
+from leadseam.wire.versions import FindStream, StreamFound, StreamsBegan, Versions
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from leadseam.clock import Clock
+    from leadseam.membership.versions import VersionTable
+    from leadseam.wire.link import Link
+
+HOLDERS = 2
+"""Replicas that are told of a stream, so that one of them may be lost."""
+MIN_SEND_INTERVAL: Millis = 10
+"""Time for which streams are collected into one message in a small fleet."""
+ENTRIES_PER_MILLI = 2
+"""Entries of a large fleet for each millisecond of that time, so that all replicas
+together receive at most some 2,000 such messages, twice, a second."""
+ASK_INTERVAL: Millis = 50
+"""Time after which a question is repeated: the row may be on its way."""
+ASK_MARGIN: Millis = 100
+"""Time to ask for, beyond twice the time for which streams are collected: some round
+trips and iterations of a busy event loop."""
+OUTAGE_LIMIT: Millis = 1_500
+"""Time to ask for while no replica is followed, or one has just started."""
+MAX_LOOKUPS = 256
+"""Maximum lookups in progress; further ones fail at once."""
+MAX_STREAMS_PER_MESSAGE = 1_000
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class _Lookup:
+    """A question to all followed replicas.
+
+    Args:
+        fut: Future of the first positive reply.
+        outage: Whether a replica that was told of the stream may not have it yet.
+    """
+
+    fut: asyncio.Future[StreamOrigin] = field(default_factory=asyncio.Future)
+    outage: bool = False
+
+
+class StreamClient:
+    """Streams begun by one entry, and lookups at the replicas that it follows.
+
+    Args:
+        clock: Source of time.
+        versions: Versions in service, as the entry knows them.
+        entries: Returns the number of entries; 0 if unknown.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        versions: VersionTable,
+        entries: Callable[[Millis], int],
+    ) -> None:
+        self._clock = clock
+        self._versions = versions
+        self._entries = entries
+        self._started = clock.now()
+        self._complete = False
+        self._streams = StreamTable()
+        self._links: dict[str, Link] = {}
+        self._sent_revision = 0
+        self._published: set[str] = set()
+        self._unsent: dict[int, StreamOrigin] = {}
+        self._sending = False
+        self._tickets = itertools.count(1)
+        self._lookups: dict[int, _Lookup] = {}
+
+    def __repr__(self) -> str:
+        return f"StreamClient({self._streams!r}, lookups={len(self._lookups)})"
+
+    def is_mixed(self, pool: str) -> bool:
+        """Return whether streams of a pool may have begun at several versions."""
+        return not self._complete or self._versions.is_mixed(pool)
+
+    def began(self, account: str | None, request_id: str, origin: StreamOrigin) -> None:
+        """Record that a caller gets the first event of a stream."""
+        stream = stream_digest(account, request_id)
+        self._streams.add(stream, origin)
+        if self.is_mixed(origin.pool):
+            self._publish([(stream, origin)])
+
+    async def find(self, account: str | None, request_id: str) -> StreamOrigin | None:
+        """Return where a stream began, or None if that cannot be determined."""
+        stream = stream_digest(account, request_id)
+        origin = self._streams.find(stream) or await self._ask(stream)
+        return None if origin is AMBIGUOUS else origin
+
+    def connected(self, replica: str, link: Link) -> None:
+        """Record a replica that holds streams, and send it what this entry knows."""
+        if replica in self._links:
+            return
+        self._links[replica] = link
+        link.send(self._own_versions())
+        pools = [pool for pool in self._versions.pools() if self.is_mixed(pool)]
+        for pool in pools:
+            _send(link, self._streams.of_pool(pool))
+
+    def disconnected(self, replica: str) -> None:
+        """Record that a replica is no longer followed."""
+        self._links.pop(replica, None)
+
+    def receive(self, message: Versions) -> None:
+        """Merge versions that a replica knows."""
+        self._versions.merge(message.rows, self._clock.now())
+        self._complete = self._complete or message.complete
+        self.versions_changed()
+
+    def receive_reply(self, reply: StreamFound) -> None:
+        """Handle a replica's reply; one that no lookup waits for is dropped."""
+        lookup = self._lookups.get(reply.ticket)
+        if lookup is None:
+            return
+        lookup.outage = lookup.outage or reply.recent_start
+        if reply.known and not lookup.fut.done():
+            lookup.fut.set_result(StreamOrigin(reply.pool, reply.version))
+
+    def versions_changed(self) -> None:
+        """Tell replicas of new versions, and of all streams of pools now mixed."""
+        if self._versions.revision != self._sent_revision:
+            self._sent_revision = self._versions.revision
+            message = self._own_versions()
+            for link in self._links.values():
+                link.send(message)
+        mixed = set(filter(self._versions.is_mixed, self._versions.pools()))
+        for pool in mixed - self._published:
+            log.info(
+                "pool has several versions",
+                extra={"pool": pool, "versions": sorted(self._versions.versions(pool))},
+            )
+            self._publish(self._streams.of_pool(pool))
+        for pool in self._published - mixed:
+            log.info("pool has one version", extra={"pool": pool})
+        self._published = mixed
+
+    def sweep(self, lifetime: Millis) -> None:
+        """Drop streams that can no longer be resumed; call it periodically.
+
+        Args:
+            lifetime: Milliseconds for which a stream may be resumed.
+        """
+        now = self._clock.now()
+        self._streams.rotate(now, lifetime)
+        self._versions.expire(now, lifetime)
+        self._complete = self._complete or now - self._started > lifetime
+        self.versions_changed()
+
+    def _own_versions(self) -> Versions:
+        return Versions(self._versions.rows(self._clock.now()), self._complete)
+
+    def _publish(self, streams: Iterable[tuple[int, StreamOrigin]]) -> None:
+        self._unsent.update(streams)
+        if self._unsent and not self._sending:
+            self._sending = True
+            spawn(self._send_soon())
+
+    async def _send_soon(self) -> None:
+        await sleep(self._send_interval())
+        self._sending = False
+        unsent, self._unsent = self._unsent, {}
+        links = [link for _, link in sorted(self._links.items())]
+        rows: dict[Link, list[tuple[int, StreamOrigin]]] = {}
+        for stream, origin in unsent.items():
+            for offset in range(min(HOLDERS, len(links))):
+                link = links[(stream + offset) % len(links)]
+                rows.setdefault(link, []).append((stream, origin))
+        for link, streams in rows.items():
+            _send(link, streams)
+
+    async def _ask(self, stream: int) -> StreamOrigin | None:
+        if len(self._lookups) >= MAX_LOOKUPS:
+            return None
+        ticket = next(self._tickets)
+        lookup = self._lookups[ticket] = _Lookup()
+        started = self._clock.now()
+        limit = 2 * self._send_interval() + ASK_MARGIN
+        try:
+            while self._clock.now() - started < limit:
+                lookup.outage = lookup.outage or not self._links
+                if lookup.outage:
+                    limit = max(limit, OUTAGE_LIMIT)
+                for link in self._links.values():
+                    link.send(FindStream(ticket, stream))
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(seconds(ASK_INTERVAL)):
+                        return await asyncio.shield(lookup.fut)
+        finally:
+            del self._lookups[ticket]
+        return None
+
+    def _send_interval(self) -> Millis:
+        entries = self._entries(self._clock.now())
+        return max(MIN_SEND_INTERVAL, entries // ENTRIES_PER_MILLI)
+
+
+def _send(link: Link, streams: Iterable[tuple[int, StreamOrigin]]) -> None:
+    """Send streams to a replica, grouped by origin."""
+    by_origin: dict[StreamOrigin, list[int]] = {}
+    for stream, origin in streams:
+        if origin is not AMBIGUOUS:
+            by_origin.setdefault(origin, []).append(stream)
+    for origin, digests in by_origin.items():
+        for first in range(0, len(digests), MAX_STREAMS_PER_MESSAGE):
+            part = tuple(digests[first : first + MAX_STREAMS_PER_MESSAGE])
+            link.send(StreamsBegan(origin.pool, origin.version, part))
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -16,6 +16,7 @@
 from leadseam.membership.addresses import AddressTable
 from leadseam.membership.departures import Departures
 from leadseam.membership.registry import DEFAULT_HEARTBEAT
+from leadseam.membership.versions import VersionTable
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping, Sequence
@@ -62,6 +63,7 @@
 
     Attributes:
         evacuated: Failure domains that get no requests.
+        versions: Versions of upstreams that are or were registered.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         heartbeat_interval: Millis = DEFAULT_HEARTBEAT,
     ) -> None:
         self.evacuated: frozenset[str] = frozenset()
+        self.versions = VersionTable()
         self._regions = regions or {}
         self._restored_cold_time = COLD_HEARTBEATS_AFTER_RESTORE * heartbeat_interval
         self._evacuation_revision = 0
@@ -112,6 +115,7 @@
             Incarnations that were replaced by a later start of the same upstream.
         """
         accepted = [row for row in rows if row.incarnation not in self._departed]
+        self.versions.see(accepted, now)
         replaced = [self._merge_row(replica, row, now) for row in accepted]
         return tuple(one for one in replaced if one is not None)
 
@@ -211,6 +215,7 @@
 
     def sweep(self, now: Millis) -> None:
         """Drop upstreams that no replica has listed for `LOST_REPLICA_TTL`."""
+        self.versions.see((one.registration for one in self._upstreams.values()), now)
         for known in list(self._upstreams.values()):
             for replica, held_until in list(known.held_until.items()):
                 if held_until is not None and now >= held_until:
--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -27,6 +27,8 @@
     DEADLINE_PASSED = "deadline_passed"
     ENTRY_BUSY = "entry_busy"
     NO_UPSTREAM = "no_upstream"
+    VERSION_GONE = "version_gone"
+    VERSION_UNKNOWN = "version_unknown"
     NO_CONFIGURATION = "no_configuration"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_BROKEN = "upstream_broken"
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -20,6 +20,7 @@
 from leadseam.feed.server import FeedServer
 from leadseam.feed.verdict_routes import verdict_routes
 from leadseam.membership.registry import Registry
+from leadseam.membership.version_file import VersionFile
 from leadseam.platform.control_api import ControlApi
 from leadseam.platform.engine_cache import EngineCacheCalls
 from leadseam.platform.watch import SettingsWatch
@@ -106,6 +107,7 @@
             event_source=EngineCacheCalls(),
             box=settings.ip,
             failure_domain=settings.failure_domain,
+            version_file=VersionFile(folder, is_first_start=bootstrap),
         )
         self._service = ControlService(
             self.replica,
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -12,6 +12,7 @@
 from leadseam.feed.client import FeedClient
 from leadseam.feed.report_interval import MIN_INTERVAL, interval_for, report_size
 from leadseam.feed.staleness import Staleness
+from leadseam.membership.versions import stream_lifetime
 from leadseam.membership.view import UpstreamView
 from leadseam.platform.front import FrontServer, ReadyServer
 from leadseam.platform.headers import PlatformDialect
@@ -196,6 +197,10 @@
                 self._routing_metrics.entries_with_room.set({}, others)
                 bound = self._gateway.placer.memory_bound_pools()
                 self._routing_metrics.memory_bound_pools.set({}, bound)
+            self._feed.streams.sweep(stream_lifetime(self._feed.configuration))
+            for pool in self._view.versions.pools():
+                count = len(self._view.versions.versions(pool))
+                self._routing_metrics.versions_in_service.set({"pool": pool}, count)
             evacuated = len(self._view.evacuated)
             self._routing_metrics.evacuated_domains.set({}, evacuated)
 
--- a/src/leadseam/routing/admitted.py
+++ b/src/leadseam/routing/admitted.py
@@ -49,6 +49,13 @@
         """The upstreams that it may be sent to."""
         return Scope(self.pool, self.regions, self.version)
 
+    @property
+    def resumes_stream(self) -> bool:
+        """Whether its caller has events of the stream already."""
+        req = self.req
+        names_event = req.resume_after is not None or req.resumes is not None
+        return self.route.resumable and names_event
+
     def fingerprint(self) -> Fingerprint:
         """Return the fingerprint, which is equal for repetitions of the request."""
         return fingerprint(self.req, self.account, self.body)
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -27,6 +27,7 @@
 from leadseam.routing.reply import Reply
 from leadseam.routing.return_time import longest_pause
 from leadseam.routing.silence import SilenceWatch, first_byte_limit, gap_limit
+from leadseam.routing.stream_origin import StreamOrigin
 
 if TYPE_CHECKING:
     from leadseam.clock import Millis
@@ -242,7 +243,9 @@
         if not request.route.resumable or self.placement is None:
             return
         upstream = self.placement.upstream
-        self._request = replace(request, version=upstream.version)
+        origin = StreamOrigin(upstream.pool, upstream.version)
+        self._request = replace(request, version=origin.version)
+        self._gateway.stream_began(request, origin)
 
     def _on_silence(self, flight: Flight) -> bool:
         """Return whether to end a silent attempt because a retry is allowed."""
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -29,6 +29,7 @@
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.first_configuration import FirstConfiguration
 from leadseam.routing.health import UpstreamHealth
+from leadseam.routing.origin_lookup import OriginLookup
 from leadseam.routing.placer import Placer
 from leadseam.routing.reply import CallerGoneError
 from leadseam.routing.request_log import RequestLog
@@ -53,6 +54,7 @@
     from leadseam.routing.dialect import AnswerHead, Dialect, RoutedRequest
     from leadseam.routing.part_holders import PartHolders
     from leadseam.routing.retry_budget import RetryLimits
+    from leadseam.routing.stream_origin import StreamOrigin
     from leadseam.runtime.lag import LoopLag
     from leadseam.runtime.metrics import RoutingMetrics
     from leadseam.wire.feed import Registration
@@ -131,6 +133,7 @@
         self.crash_guard = CrashGuard(
             feed=feed, client=client, clock=clock, running=self._running
         )
+        self._origins = OriginLookup(feed, metrics)
         self._health = UpstreamHealth()
         self._router = Router(feed.configuration)
         self.placer = Placer(
@@ -212,6 +215,10 @@
         }
         log.info("requests under way looked at", extra=extra)
 
+    def stream_began(self, request: AdmittedRequest, origin: StreamOrigin) -> None:
+        """Record that a caller gets the first event of an answer."""
+        self._origins.began(request, origin)
+
     def set_keep_alive(self, response: web.StreamResponse) -> None:
         """Close the caller's connection after this response, if necessary.
 
@@ -245,6 +252,8 @@
         admitted = self._admit(req, body, arrived)
         if isinstance(admitted, AdmittedRequest):
             admitted = self._check_crash_guard(admitted)
+        if isinstance(admitted, AdmittedRequest) and admitted.resumes_stream:
+            admitted = await self._origins.bind(admitted)
         if isinstance(admitted, NotRun):
             return self._refuse(Sender(req.request_id, req.key), admitted, arrived)
         return await self._run(http, admitted)
--- /dev/null
+++ b/src/leadseam/routing/stream_origin.py
@@ -0,0 +1,89 @@
+"""Pools and versions that began recent streams. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from leadseam.clock import Millis
+
+MAX_STREAMS = 200_000
+"""Maximum streams kept of one generation, some 20 MB."""
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Upstreams that may continue a stream.
+
+    Args:
+        pool: Pool of the upstream that began it.
+        version: Version of that upstream's software.
+    """
+
+    pool: str
+    version: str
+
+
+AMBIGUOUS = StreamOrigin("", "")
+"""Stands for a stream that was begun at two versions under one id."""
+
+
+class StreamTable:
+    """Origins of streams, kept for at least a given time after they began.
+
+    Streams are kept in two generations, of which the older one is dropped as a whole.
+    """
+
+    def __init__(self) -> None:
+        self._current: dict[int, StreamOrigin] = {}
+        self._previous: dict[int, StreamOrigin] = {}
+        self._rotated_at: Millis = 0
+
+    def __repr__(self) -> str:
+        return f"StreamTable(streams={len(self)})"
+
+    def __len__(self) -> int:
+        return len(self._current) + len(self._previous)
+
+    def add(self, stream: int, origin: StreamOrigin) -> None:
+        """Record where a stream began.
+
+        An id that is used for two streams of different origins is ambiguous from then.
+        """
+        known = self.find(stream) or origin
+        if len(self._current) < MAX_STREAMS:
+            self._current[stream] = origin if known == origin else AMBIGUOUS
+
+    def find(self, stream: int) -> StreamOrigin | None:
+        """Return where a stream began, or None if it is not known."""
+        return self._current.get(stream) or self._previous.get(stream)
+
+    def of_pool(self, pool: str) -> Iterator[tuple[int, StreamOrigin]]:
+        """Yield the streams that began in a pool."""
+        for generation in (self._previous, self._current):
+            for stream, origin in generation.items():
+                if origin.pool == pool:
+                    yield stream, origin
+
+    def rotate(self, now: Millis, lifetime: Millis) -> None:
+        """Drop streams that began longer ago than `lifetime`; call it periodically."""
+        if now - self._rotated_at < lifetime:
+            return
+        self._rotated_at = now
+        self._previous, self._current = self._current, {}
+
+
+def stream_digest(account: str | None, request_id: str) -> int:
+    """Return a 64-bit hash that identifies a stream among processes.
+
+    Args:
+        account: Client account of the caller, so that a caller cannot name streams of
+            another account.
+        request_id: Id of the caller's attempt that brought the first event.
+    """
+    return xxhash.xxh3_64_intdigest(f"{account or ''}/{request_id}".encode())
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -167,6 +167,12 @@
             "Requests whose caller was refused before, by outcome.",
             "outcome",
         )
+        self.resumed = metrics.buffered_counter(
+            "resumed_streams_total",
+            "Streams that callers resume, by whether the version that began them is"
+            " bound, gone, unknown or the only one.",
+            "result",
+        )
         self._return_time = metrics.histogram(
             "return_time_seconds", "Retry-After pauses, by rule.", LATENCY_BUCKETS
         )
@@ -190,6 +196,9 @@
         self.evacuated_domains = metrics.gauge(
             "evacuated_failure_domains", "Failure domains that get no requests."
         )
+        self.versions_in_service = metrics.gauge(
+            "versions_in_service", "Versions that may have begun streams, by pool."
+        )
         self.paused_upstreams = metrics.gauge(
             "paused_upstreams", "Upstreams that have asked this entry for a pause."
         )
@@ -270,6 +279,9 @@
         self.feed_bytes = metrics.counter(
             "feed_bytes_total", "Bytes of configuration sent to subscribers."
         )
+        self.streams_held = metrics.gauge(
+            "streams_held", "Streams whose version this replica keeps for entries."
+        )
         self.verdicts = metrics.gauge(
             "requests_refused_for_crashes",
             "Requests that are refused because upstreams have crashed under them.",
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -16,6 +16,7 @@
         clock: The subscriber's clock.
         replica_count: Number of replicas that it subscribes to if they are available.
         failure_domain: Failure domain of an entry that reports its load, else empty.
+        reads_versions: Whether it understands `Versions`.
     """
 
     node: str
@@ -24,6 +25,7 @@
     clock: int = -1
     replica_count: int = 1
     failure_domain: str = ""
+    reads_versions: bool = False
 
 
 class Snapshot(Message, frozen=True, array_like=True, tag=31):
@@ -150,10 +152,13 @@
     Args:
         names: The names.
         failure_domain: Failure domain of the sending replica, empty if not stated.
+        holds_streams: Whether the sending replica understands `Versions`,
+            `StreamsBegan` and `FindStream`.
     """
 
     names: tuple[str, ...]
     failure_domain: str = ""
+    holds_streams: bool = False
 
 
 class LoadRow(Record, frozen=True, array_like=True):
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -55,6 +55,7 @@
     Subscribe,
 )
 from leadseam.wire.record import Message
+from leadseam.wire.versions import FindStream, StreamFound, StreamsBegan, Versions
 
 
 class Hello(Message, frozen=True, array_like=True, tag=1):
@@ -107,6 +108,10 @@
     | PartInterest
     | CacheChanges
     | Crashes
+    | Versions
+    | StreamsBegan
+    | FindStream
+    | StreamFound
     | Claim
     | ClaimDone
     | ClaimRelease
