Continue no stream at an upstream that may have started again

An upstream that keeps its id over a start may run another version from the moment it listens, up to a second before a heartbeat states the start; requests that expect the id are accepted meanwhile. A stream bound to the former version would go on there.

After a refused or broken connection, this entry continues no stream at that start of the upstream for 4 s, or until the new start is registered. New requests are not concerned, nor upstreams whose id is new at each start. Entries that saw no connection break do not know; that remains open.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -469,10 +469,12 @@
             case Withheld() | Unreachable(local=True) | Declined():
                 excluded = False
             case Unreachable(refused=refused):
+                self.placer.record_disconnect(upstream)
                 if refused:
                     self.crash_guard.ended(upstream.incarnation)
                 excluded = self._health.unreachable(upstream.incarnation, now)
             case Broken():
+                self.placer.record_disconnect(upstream)
                 excluded = self._health.failed(upstream.incarnation, now)
             case Whole(status=status) if status >= FIRST_SERVER_ERROR:
                 excluded = self._health.failed(upstream.incarnation, now)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -35,6 +35,7 @@
 from leadseam.routing.prefix_fetch import PrefixFetch, can_fetch
 from leadseam.routing.return_time import AccountState, ReturnTime, return_time
 from leadseam.routing.scope import Scope
+from leadseam.routing.unconfirmed import UnconfirmedUpstreams
 from leadseam.routing.usage import DECAY_TIME, UsageTable
 
 if TYPE_CHECKING:
@@ -120,6 +121,7 @@
         self._clock = clock
         self._rng = rng
         self._pauses = PauseTable()
+        self._unconfirmed = UnconfirmedUpstreams()
         self._cold = ColdBudget(
             entry,
             rate_of=self._cold_rate,
@@ -282,6 +284,10 @@
         if self._pauses.answered(row, self._clock.now()):
             self._pump_soon()
 
+    def record_disconnect(self, row: Registration) -> None:
+        """Record that a connection to an upstream was refused or has broken off."""
+        self._unconfirmed.disconnected(row.incarnation, self._clock.now())
+
     def pause_left(self, scope: Scope) -> Millis:
         """Return the time until the first pause in a scope ends, if all are paused.
 
@@ -299,8 +305,10 @@
         return self._pauses.count(self._clock.now())
 
     def sweep(self) -> None:
-        """Remove expired pauses."""
-        self._pauses.sweep(self._clock.now())
+        """Remove expired pauses and doubts."""
+        now = self._clock.now()
+        self._pauses.sweep(now)
+        self._unconfirmed.sweep(now)
 
     def place_waiting(self) -> None:
         """Try to place all waiting requests now, without waiting for a timer."""
@@ -531,6 +539,16 @@
         return self._feed.view.pool(scope.pool, scope.regions, scope.version)
 
     def _candidates(self, scope: Scope) -> Sequence[Registration]:
+        """Return the usable upstreams of a scope.
+
+        Where a version is required, upstreams that may run another one by now are not.
+        """
+        rows = self._usable_in(scope)
+        if scope.version is None:
+            return rows
+        return self._unconfirmed.exclude(rows, self._clock.now())
+
+    def _usable_in(self, scope: Scope) -> Sequence[Registration]:
         """Return the usable upstreams of a scope, cached for `PUMP_INTERVAL`."""
         now = self._clock.now()
         rows = self._upstreams(scope)
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -18,13 +18,14 @@
 from leadseam.incarnation import Incarnation
 from leadseam.membership.view import UpstreamView
 from leadseam.outcome import NotRun, Reason
-from leadseam.routing.attempt import Declined, Whole
+from leadseam.routing.attempt import Broken, Declined, Whole
 from leadseam.routing.busy import SHORTEST_PAUSE
 from leadseam.routing.dialect import Sender
 from leadseam.routing.entry_room import EntryRooms
 from leadseam.routing.gateway import EXCESS_LAG, MAX_LAG, Gateway
 from leadseam.routing.retry_budget import RetryLimits
 from leadseam.routing.router import Router
+from leadseam.routing.scope import Scope
 from leadseam.routing.usage import Standing
 from leadseam.runtime.logs import MAX_LINES_PER_SECOND
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
@@ -347,3 +348,13 @@
     shown = metrics.render()
     assert b'pauses_asked_total{result="read"} 1' in shown
     assert b'pauses_asked_total{result="not_read"} 1' in shown
+
+
+def test_no_stream_goes_on_at_an_upstream_that_may_have_started_again(
+    entry: Entry,
+) -> None:
+    row = msgspec.structs.replace(make_upstream(1, start=1_000), version="v1")
+    entry.feed.view.update("a", [row], 0)
+    entry.gateway.note_ending(row, Broken(Reason.UPSTREAM_BROKEN))
+    assert entry.gateway.placer._candidates(Scope("p", version="v1")) == []
+    assert entry.gateway.placer._candidates(Scope("p")) == [row]
