--- a/tests/feed/test_mixed_versions.py
+++ b/tests/feed/test_mixed_versions.py
@@ -112,6 +112,42 @@
     assert streams.resumed["same"] > 0.98 * streams.resumed.total()
 
 
+def test_streams_are_found_after_all_replicas_have_restarted() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        await sleep(3_000)
+        await release(fleet, "v2")
+        await inject(fleet, "replicas", "")
+        await sleep(2_000)
+        fleet.restart_entry(0)
+
+    streams, _, _ = play(scenario)
+    assert streams.resumed["mixed"] == 0
+    assert streams.resumed["same"] > 0.98 * streams.resumed.total()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_stream_goes_on_at_another_version_after_all_processes_ended(
+    seed: int,
+) -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        await sleep(3_000)
+        await release(fleet, "v2")
+        fleet.restart_all()
+
+    streams, _, _ = play(scenario, seed)
+    assert streams.resumed["mixed"] == 0
+    assert streams.resumed["version_unknown"] > 0
+
+
+def test_streams_go_on_after_all_processes_ended_if_there_is_one_version() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        await sleep(3_000)
+        fleet.restart_all()
+
+    streams, _, _ = play(scenario)
+    assert set(streams.resumed) <= {"same", "unplaced"}
+
+
 def test_nothing_is_asked_or_refused_while_there_is_one_version() -> None:
     async def scenario(fleet: VersionFleet) -> None:
         for fault in ("replica", "entry", "crash", "replicas", "entry"):
--- a/tests/feed/version_fleet.py
+++ b/tests/feed/version_fleet.py
@@ -11,17 +11,18 @@
 from collections import Counter
 from dataclasses import dataclass, field, replace
 from functools import partial
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import msgspec
 
 from leadseam.clock import Millis, sleep
 from leadseam.control.configuration import Configuration, Pool, PoolKind
+from leadseam.feed.stream_holder import StreamHolder
 from leadseam.membership.versions import stream_lifetime
 from leadseam.outcome import NotRun
 from leadseam.routing.origin_lookup import OriginLookup
 from leadseam.routing.stream_origin import StreamOrigin
-from leadseam.runtime.metrics import Metrics, RoutingMetrics
+from leadseam.runtime.metrics import ControlMetrics, Metrics, RoutingMetrics
 from tests.feed.domain_fleet import SimEntry, SimFleet, SimReplica
 from tests.routing.samples import make_admitted, make_route, make_upstream
 
@@ -29,6 +30,7 @@
     from collections.abc import Iterable
 
     from leadseam.wire.feed import Registration
+    from leadseam.wire.versions import VersionRow
 
 POOL = "p"
 TIME_LIMIT: Millis = 8_000
@@ -58,6 +60,21 @@
     serves: bool = True
 
 
+class MemoryFile:
+    """A file of versions that outlives the replicas of a box."""
+
+    def __init__(self) -> None:
+        self._rows: tuple[VersionRow, ...] = ()
+
+    def load(self) -> tuple[VersionRow, ...]:
+        """Return the rows that were stored last."""
+        return self._rows
+
+    def store(self, rows: tuple[VersionRow, ...]) -> None:
+        """Store rows."""
+        self._rows = rows
+
+
 @dataclass
 class Streams:
     """Counts of streams.
@@ -88,10 +105,9 @@
         self.streams = Streams()
         self.upstreams: list[Upstream] = []
         self._numbers = 0
+        self._files = {name: MemoryFile() for name in fleet.replicas}
         for replica in fleet.replicas.values():
-            replica.state.configuration = CONFIGURATION
-            # As at the first start of a system, when no stream has begun before.
-            replica.feed.streams._complete = True
+            self._equip(replica)
         fleet.spawn(self._send_heartbeats())
         fleet.spawn(self._sweep())
 
@@ -126,10 +142,31 @@
         ]
         self.fleet.start(name)
         replica = self.fleet.replicas[name]
-        replica.state.configuration = CONFIGURATION
+        self._equip(replica)
         for one in departed:
             replica.state.departed.add(one)
 
+    def restart_all(self) -> None:
+        """Kill all processes and start them again."""
+        names = sorted(self.fleet.replicas)
+        for name in names:
+            self.fleet.kill(name)
+        for entry in list(self.fleet.entries):
+            self.restart_entry(entry.number)
+        for name in names:
+            self.start_replica(name)
+
+    def _equip(self, replica: SimReplica) -> None:
+        """Give a new replica its configuration and the file of its box."""
+        replica.state.configuration = CONFIGURATION
+        replica.feed.streams = StreamHolder(
+            cast("Any", replica),
+            self.fleet.clock,
+            ControlMetrics(Metrics()),
+            replica.feed._broadcast_versions,
+            file=cast("Any", self._files[replica.name]),
+        )
+
     def restart_entry(self, number: int) -> None:
         """Kill an entry and start it again."""
         fleet, entry = self.fleet, self.fleet.entries[number]
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -39,6 +39,8 @@
 BUSY_ENTRIES = "tests/routing/test_busy_entries.py"
 DOMAIN_SUMS = "tests/feed/test_domain_sums.py"
 DOMAIN_AGGREGATION = "tests/feed/test_domain_aggregation.py"
+MIXED_PLATFORM = "tests/platform/test_mixed_versions.py"
+MIXED_VERSIONS = "tests/feed/test_mixed_versions.py"
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
 VARIANTS = (
@@ -380,10 +382,72 @@
     Variant(
         "region limits are ignored",
         "routing/placer.py",
-        "self._feed.view.pool(scope.pool, scope.regions)",
-        "self._feed.view.pool(scope.pool)",
+        "self._feed.view.pool(scope.pool, scope.regions, scope.version)",
+        "self._feed.view.pool(scope.pool, None, scope.version)",
         f"{EVACUATION}::test_requests_stay_within_the_regions_of_route_and_account",
     ),
+    Variant(
+        "a broken stream goes on at any version",
+        "routing/exchange.py",
+        "replace(request, version=origin.version)",
+        "request",
+        f"{MIXED_PLATFORM}"
+        "::test_a_broken_stream_goes_on_only_at_the_version_that_began_it",
+    ),
+    Variant(
+        "streams that callers resume go on at any version",
+        "routing/gateway.py",
+        "admitted = await self._origins.bind(admitted)",
+        "pass",
+        f"{MIXED_PLATFORM}"
+        "::test_a_stream_of_a_killed_entry_goes_on_only_at_the_version_that_began_it",
+    ),
+    Variant(
+        "a stream of unknown version goes on anywhere",
+        "routing/origin_lookup.py",
+        "        if self._feed.streams.is_mixed(request.pool):",
+        "        if False:",
+        f"{MIXED_VERSIONS}"
+        "::test_no_stream_goes_on_at_another_version_after_all_processes_ended",
+    ),
+    Variant(
+        "streams that began before a second version came are not told",
+        "feed/stream_client.py",
+        "        for pool in mixed - self._published:",
+        "        for pool in ():",
+        f"{MIXED_VERSIONS}"
+        "::test_streams_that_began_before_a_second_version_came_go_on_at_the_first",
+    ),
+    Variant(
+        "a replica that starts again is sent no streams",
+        "feed/stream_client.py",
+        "            _send(link, self._streams.of_pool(pool))",
+        "            pass",
+        f"{MIXED_VERSIONS}::test_streams_are_found_after_all_replicas_have_restarted",
+    ),
+    Variant(
+        "a version is forgotten with its last upstream",
+        "membership/versions.py",
+        "                if now - seen > lifetime:",
+        "                if now - seen > 0:",
+        f"{MIXED_VERSIONS}::test_a_stream_whose_version_is_gone_is_refused",
+    ),
+    Variant(
+        "versions in service are lost when a replica ends",
+        "feed/stream_holder.py",
+        "stored = file.load() if file is not None else None",
+        "stored = None",
+        f"{MIXED_VERSIONS}"
+        "::test_streams_go_on_after_all_processes_ended_if_there_is_one_version",
+    ),
+    Variant(
+        "a stream goes on at an upstream that may have started again",
+        "routing/placer.py",
+        "return self._unconfirmed.exclude(rows, self._clock.now())",
+        "return rows",
+        "tests/routing/test_gateway.py"
+        "::test_no_stream_goes_on_at_an_upstream_that_may_have_started_again",
+    ),
     Variant(
         "a connection is closed before a refused body is read",
         "platform/first_bytes.py",
