Place resumed streams of accounts within their share first

A resumed stream may use the engines of one version only, while new ones compete for these too.

Resumed streams that are bound to a version go before new ones while their account is within its share; accounts beyond it gain nothing. Without a bound stream the order is as it was.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -4,7 +4,8 @@
 memory, and so little to read that the first token is in time. Otherwise it waits here,
 where requests can still be ordered by account, and is refused early if no capacity
 becomes free. Of the waiting requests, those of the account with the least recent
-service go first.
+service go first. Resumed streams of accounts within their share go before them, as only
+the engines of one version can continue them.
 """
 
 from __future__ import annotations
@@ -118,9 +119,10 @@
         """
         waiter.place = waiter.arrived
         waiter.refuse_at = waiter.arrived + self._longest_wait(waiter)
-        is_next = self.recent_service(
-            waiter.account, now
-        ) <= self._lowest_recent_service(now) and not self._retry_waits(waiter)
+        level = self.recent_service(waiter.account, now)
+        is_next = self._goes_first(waiter, now) or (
+            level <= self._lowest_recent_service(now) and not self._retry_waits(waiter)
+        )
         may_start = is_next and not self._is_pointless(waiter, now)
         placement = self._place(waiter, now) if may_start else None
         self._waiting.append(waiter)
@@ -131,6 +133,14 @@
             # before this one would be refused.
             self._finish(waiter, None, now)
 
+    def _goes_first(self, waiter: Waiter, now: Millis) -> bool:
+        """Return whether a request resumes a stream, of an account within its share."""
+        if waiter.scope.version is None:
+            return False
+        if not waiter.account:
+            return True
+        return self.standing(waiter.account, now) is Standing.WITHIN
+
     def _is_pointless(self, waiter: Waiter, now: Millis) -> bool:
         """Return whether a request would only take capacity from others.
 
@@ -195,7 +205,10 @@
         }
         if any(one.retried for one in self._waiting):
             self._move_retries_ahead()
-        self._waiting.sort(key=lambda one: (levels[one.account], one.place))
+        first = {id(one) for one in self._waiting if self._goes_first(one, now)}
+        self._waiting.sort(
+            key=lambda one: (id(one) not in first, levels[one.account], one.place)
+        )
 
     def _move_retries_ahead(self) -> None:
         """Give the first places of each account to its retried requests."""
