Soak servers of several versions whose streams callers resume

Every upstream of the stand-ins stated v1, so no run could have shown a stream of two versions. Promise: all events that a caller has are of one version.

With the version left out of the upstreams that a stream may use, the short soak fails as it must (variant).

--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -62,6 +62,16 @@
     assert summary.checked["recovered"] == 2
 
 
+@pytest.mark.parametrize("seed", [701, 702])
+async def test_promises_are_kept_where_servers_of_two_versions_serve(
+    tmp_path: Path, seed: int
+) -> None:
+    summary = await run_seed(tmp_path, seed, replace(OPTIONS, versions=2))
+    assert not summary.broken, str(summary)
+    assert summary.checked["one version"] > 0
+    assert summary.resumed["finished"] > 0
+
+
 @pytest.mark.parametrize("seed", [202, 203])
 async def test_promises_are_kept_where_boxes_are_suspended(
     tmp_path: Path, seed: int
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -402,6 +402,13 @@
         f"{MIXED_PLATFORM}"
         "::test_a_stream_of_a_killed_entry_goes_on_only_at_the_version_that_began_it",
     ),
+    Variant(
+        "streams go on at any version, beside random faults",
+        "membership/view.py",
+        "and (version is None or row.version == version)",
+        "",
+        f"{SHORT_SOAK}::test_promises_are_kept_where_servers_of_two_versions_serve",
+    ),
     Variant(
         "a stream of unknown version goes on anywhere",
         "routing/origin_lookup.py",
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -87,6 +87,9 @@
         arrivals: Requests that have reached it, whether or not they ran.
         announces_leaving: Whether its responses announce that it is about to stop.
         version: Version of its software.
+        names_version: Whether events of streams name that version.
+        breaks_every: Of so many requests one breaks off in the middle of a stream; 0
+            for none.
     """
 
     ip: str
@@ -114,6 +117,8 @@
     arrivals: list[Arrival] = field(default_factory=list)
     announces_leaving: bool = False
     version: str = "v1"
+    names_version: bool = False
+    breaks_every: int = 0
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -309,6 +314,8 @@
         response.enable_chunked_encoding()
         await response.prepare(http)
         first = int(http.headers.get(names.LAST_EVENT, "0")) + 1
+        if self.breaks_every and len(self.runs) % self.breaks_every == 0:
+            action = "lose"
         for number in range(first, EVENTS + 1):
             if action == "pause" and number == EVENTS // 2:
                 await self.release.wait()
@@ -317,7 +324,8 @@
                 if action == "break":
                     await self.release.wait()
                 return self._abort(http)
-            await response.write(event(number))
+            version = self.version if self.names_version else ""
+            await response.write(event(number, version))
             if self.delay:
                 await asyncio.sleep(self.delay)
         await response.write_eof()
@@ -346,9 +354,10 @@
         return self._base_headers(http) | {names.SIGNATURE: f"signed-{self.instance}"}
 
 
-def event(number: int) -> bytes:
-    """Return the encoded event of a number; the same in all streams."""
-    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+def event(number: int, version: str = "") -> bytes:
+    """Return the encoded event of a number; the same in all streams of a version."""
+    piece = f"piece {number} {version}".rstrip()
+    return f"id: {number}\ndata: {piece}\n\n".encode()
 
 
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -21,6 +21,8 @@
   --evacuations  An operator repeatedly evacuates and restores a failure domain.
   --rests        Servers refuse all requests and ask for a pause, or announce in
                  answers that they leave.
+  --versions V   Software versions of the model servers, whose streams callers resume
+                 [default: 1].
 
 The exit code is 0 if no promise was broken, else 1.
 """
@@ -58,6 +60,7 @@
         suspended=args["--suspended"],
         evacuations=args["--evacuations"],
         pauses=args["--rests"],
+        versions=int(args["--versions"]),
     )
     if args["--replay"]:
         sys.exit(_replay(int(args["--replay"]), options))
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -28,6 +28,11 @@
 CALL_PAUSE = 0.02
 """Seconds between two calls of one caller."""
 BODY = b"x" * 300
+EVENT_END = b"\n\n"
+MAX_RESUMED = 2
+"""Times that a caller resumes a stream at most."""
+RESUME_PAUSE = 1.5
+"""Longest time in seconds until a caller resumes a stream that was cut."""
 
 
 class CallKind(StrEnum):
@@ -63,6 +68,8 @@
         body: Body of the answer.
         headers: Headers of the answer.
         cut: Whether the connection was cut before the end of the answer.
+        resumes: Id of the attempt that brought the first event; empty if this is it.
+        received: Whole events that the caller had before.
     """
 
     request_id: str
@@ -74,6 +81,15 @@
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     cut: bool = False
+    resumes: str = ""
+    received: bytes = b""
+
+    @property
+    def events(self) -> bytes:
+        """All whole events of the stream so far."""
+        end = self.body.rfind(EVENT_END)
+        whole = self.body[: end + len(EVENT_END)] if end >= 0 else b""
+        return self.received + whole
 
     @property
     def path(self) -> str:
@@ -122,8 +138,27 @@
                 call = Call(f"c{next(self._id_numbers)}", kind, entry, time.monotonic())
                 await self.send(http, call)
                 self._on_call(call)
+                if self._platform.versions > 1:
+                    await self._resume(http, call)
                 await asyncio.sleep(CALL_PAUSE)
 
+    async def _resume(self, http: aiohttp.ClientSession, call: Call) -> None:
+        """Resume a stream that was cut, at any entry."""
+        for _ in range(MAX_RESUMED):
+            if call.kind is not CallKind.STREAM or not call.cut or not call.events:
+                return
+            await asyncio.sleep(self._rng.uniform(0, RESUME_PAUSE))
+            call = Call(
+                f"c{next(self._id_numbers)}",
+                call.kind,
+                self._rng.choice(self._platform.entry_ips),
+                time.monotonic(),
+                resumes=call.resumes or call.request_id,
+                received=call.events,
+            )
+            await self.send(http, call)
+            self._on_call(call)
+
     async def send(self, http: aiohttp.ClientSession, call: Call) -> None:
         """Send a call and record its answer in it."""
         url = f"http://{call.entry}:{self._platform.front_port}{call.path}"
@@ -133,6 +168,9 @@
             names.AUTHORIZATION: names.BEARER + KEY,
             names.DEADLINE: str(round(ROUTE_TIME_LIMIT * 1_000)),
         }
+        if call.resumes:
+            headers[names.RESUMES] = call.resumes
+            headers[names.LAST_EVENT] = str(call.received.count(EVENT_END))
         try:
             async with http.post(url, data=BODY, headers=headers) as resp:
                 call.status, call.headers = resp.status, dict(resp.headers)
--- a/tools/soak/promise_checker.py
+++ b/tools/soak/promise_checker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -24,6 +25,8 @@
 silence limit of links."""
 ANSWER_SLACK = 0.5
 """Seconds beyond the time limit of a route until its answer must have ended."""
+VERSION = re.compile(rb" v\d+\n")
+"""The version in an event of a stream."""
 LEAVING_SLACK = 2.0
 """Seconds after which a leaving server must get no new requests; the tests have the
 same bound."""
@@ -64,12 +67,16 @@
     broken: list[BrokenPromise] = field(default_factory=list)
     checked: Counter[str] = field(default_factory=Counter)
     answers: Counter[int] = field(default_factory=Counter)
+    resumed: Counter[str] = field(default_factory=Counter)
     calls: list[Call] = field(default_factory=list)
 
     def on_call(self, call: Call) -> None:
         """Check a finished call."""
         self.calls.append(call)
         self.answers[call.status if not call.cut else 0] += 1
+        if call.resumes:
+            goes_on = call.status == 200 and not call.cut
+            self.resumed["finished" if goes_on else "not finished"] += 1
         self._check_answer(call)
         self._check_not_run(call)
         if self.timed:
@@ -118,6 +125,10 @@
         """Check that an answer is whole, of this request, and signed by its server."""
         if call.status != 200:
             return
+        if call.kind.is_stream:
+            versions = sorted(set(VERSION.findall(call.events)))
+            detail = f"versions {versions}"
+            self._check("one version", len(versions) <= 1, call.request_id, detail)
         mine = call.headers.get(names.REQUEST_ID) == call.request_id
         self._check("own answer", mine, call.request_id, str(call.headers))
         if call.cut:
@@ -125,9 +136,11 @@
         instance = call.headers.get(names.SIGNATURE, "").removeprefix("signed-")
         if call.kind.is_stream:
             expected = WHOLE_STREAM
+            body = VERSION.sub(b"\n", call.received + call.body)
         else:
             expected = f"{instance} {call.path}".encode()
-        whole = bool(instance) and call.body == expected
+            body = call.body
+        whole = bool(instance) and body == expected
         self._check("whole answer", whole, call.request_id, repr(call.body))
 
     def _check_not_run(self, call: Call) -> None:
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -51,6 +51,7 @@
         evacuations: Whether an operator repeatedly evacuates a failure domain.
         pauses: Whether servers refuse everything and ask for pauses, or announce only
             in answers that they leave.
+        versions: Number of software versions of the model servers.
     """
 
     seconds: float = 20.0
@@ -62,6 +63,7 @@
     suspended: bool = False
     evacuations: bool = False
     pauses: bool = False
+    versions: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +75,7 @@
         faults: Number of injected faults by kind.
         answers: Number of calls by status; 0 for those that were cut.
         checked: Number of checks by promise.
+        resumed: Streams that callers resumed, by whether they were finished.
         broken: Promises that were not kept.
         log_lines: Log lines of the requests of broken promises.
     """
@@ -81,6 +84,7 @@
     faults: dict[str, int]
     answers: dict[int, int]
     checked: dict[str, int]
+    resumed: dict[str, int]
     broken: tuple[BrokenPromise, ...]
     log_lines: tuple[str, ...]
 
@@ -89,6 +93,8 @@
         parts = [f"seed {self.seed}: {verdict}", f"faults {self.faults}"]
         parts += [f"answers {dict(sorted(self.answers.items()))}"]
         parts += [f"checked {self.checked}"]
+        if self.resumed:
+            parts += [f"resumed {self.resumed}"]
         return "\n  ".join([*parts, *map(str, self.broken), *self.log_lines])
 
 
@@ -240,6 +246,7 @@
             faults={kind: kinds.count(kind) for kind in sorted(set(kinds))},
             answers=dict(promises.answers),
             checked=dict(promises.checked),
+            resumed=dict(promises.resumed),
             broken=tuple(promises.broken),
             log_lines=self._log_lines(promises.broken),
         )
@@ -262,6 +269,7 @@
         entries=options.entries,
         reports_starts=options.same_ids,
         suspendable=options.suspended,
+        versions=options.versions,
     )
     try:
         return await SoakRun(platform, seed, options).run()
--- a/tools/soak/soak_platform.py
+++ b/tools/soak/soak_platform.py
@@ -24,6 +24,8 @@
 """Spare control boxes of a run; a seed of 20 s replaces one or two boxes."""
 ENTRY_LIMITS = {"limits.cpuShare": 0.4, "limits.memoryMb": 256}
 """Limits that entries are told. From four entries on, a busy one redirects callers."""
+BREAKS_EVERY = 3
+"""Of so many requests at a server of several versions one breaks off its stream."""
 EVENT_PAUSE = 0.05
 """Seconds between the events of a stream, so that faults hit open streams."""
 
@@ -36,6 +38,7 @@
         disturbances: Log of disturbances.
         links: The proxies.
         ended_servers: Servers that have ended and were replaced.
+        versions: Number of software versions of the model servers.
 
     Attributes:
         down: Boxes whose process must not be restarted until a fault is repaired.
@@ -45,6 +48,7 @@
     disturbances: DisturbanceLog = field(default_factory=DisturbanceLog)
     links: FaultyLinks = field(default_factory=FaultyLinks)
     ended_servers: list[Server] = field(default_factory=list)
+    versions: int = 1
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -59,6 +63,7 @@
         self._proxy_port = free_port(self.server_ips)
         self.down: set[str] = set()
         self._restarter: asyncio.Task[None] | None = None
+        self._version_numbers = itertools.count()
 
     @property
     def boxes(self) -> Boxes:
@@ -79,11 +84,14 @@
         controls = [*self.control_ips, *self.spare_ips]
         nodes = [*controls, *self.entry_ips]
         await self.links.add_mesh(nodes, controls, self.internal_port_of)
-        for ip in self.server_ips[:4]:
+        mixed = self.versions > 1
+        for ip in self.server_ips if mixed else self.server_ips[:4]:
             await self.links.add_server(ip, self.server_port, self._proxy_port)
         await self.start_all()
+        for ip in self.server_ips[4:] if mixed else ():
+            await self.add_server(ip, "model", version=self._next_version())
         for server in self.servers:
-            server.delay = EVENT_PAUSE
+            self._prepare(server)
         self._restarter = asyncio.create_task(self._restart_ended())
 
     async def close(self) -> None:
@@ -138,9 +146,24 @@
         self.servers.remove(old)
         await asyncio.sleep(pause)
         server = await self.add_server(
-            old.ip, old.service, earlier=old.instance, zone=old.zone
+            old.ip,
+            old.service,
+            earlier=old.instance,
+            zone=old.zone,
+            version=self._next_version(),
         )
+        self._prepare(server)
+
+    def _prepare(self, server: Server) -> None:
+        """Set how a server streams."""
         server.delay = EVENT_PAUSE
+        if self.versions > 1:
+            server.names_version = True
+            server.breaks_every = BREAKS_EVERY
+
+    def _next_version(self) -> str:
+        """Return the version of the next server that starts."""
+        return f"v{1 + next(self._version_numbers) % self.versions}"
 
     def server_at(self, ip: str) -> Server | None:
         """Return the server that runs at an address, or None."""
