Tell a version that is not known from one that is not stated

During an update of the control boxes an entry saw the same upstream first without a version, from an older replica, and then with one, and took the pool as mixed: for as long as streams last, resumed streams that nobody knew would have been refused although one version served. An unknown version is now None, counts for nothing and binds nothing; an empty one is what an upstream states.

--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -179,7 +179,7 @@
             "count": len(rows),
             "instances": [str(row.incarnation) for row in rows[:MAX_LOGGED_UPSTREAMS]],
             "pools": sorted({row.pool for row in rows}),
-            "versions": sorted({row.version for row in rows}),
+            "versions": sorted({row.version or "" for row in rows}),
         }
         log.info("upstreams registered", extra=extra)
         self._broadcast(Registered(rows))
--- a/src/leadseam/membership/versions.py
+++ b/src/leadseam/membership/versions.py
@@ -39,9 +39,10 @@
         return f"VersionTable({ {p: tuple(v) for p, v in self._last_seen.items()} })"
 
     def see(self, rows: Iterable[Registration], now: Millis) -> None:
-        """Record upstreams that are registered now."""
+        """Record upstreams that are registered now, if their version is known."""
         for row in rows:
-            self._add(row.pool, row.version, now)
+            if row.version is not None:
+                self._add(row.pool, row.version, now)
 
     def merge(self, rows: Iterable[VersionRow], now: Millis) -> None:
         """Merge the rows of another table."""
--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -328,7 +328,7 @@
         elif row.sequence > known.registration.sequence:
             known.registration = _with_version(row, known.registration.version)
             self._update_cold_until(known, now)
-        elif row.version and not known.registration.version:
+        elif known.registration.version is None:
             known.registration = _with_version(known.registration, row.version)
         known.held_until[replica] = None
         self._by_pool = None
@@ -363,9 +363,9 @@
         self._by_pool = None
 
 
-def _with_version(row: Registration, version: str) -> Registration:
+def _with_version(row: Registration, version: str | None) -> Registration:
     """Return a row with the version known before, if its sender knows none."""
-    if row.version or not version:
+    if row.version is not None or version is None:
         return row
     return structs.replace(row, version=version)
 
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -243,6 +243,8 @@
         if not request.route.resumable or self.placement is None:
             return
         upstream = self.placement.upstream
+        if upstream.version is None:
+            return
         origin = StreamOrigin(upstream.pool, upstream.version)
         self._request = replace(request, version=origin.version)
         self._gateway.stream_began(request, origin)
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -90,7 +90,8 @@
         ready: Whether it accepts new requests.
         sequence: Grows with each heartbeat of this incarnation.
         cold_remaining: Milliseconds for which it is still slow after its start.
-        version: Version of its software; empty if the sender does not know it.
+        version: Version of its software, empty if it states none; None if the sending
+            replica is of an earlier version and does not know it.
     """
 
     incarnation: Incarnation
@@ -102,7 +103,7 @@
     ready: bool
     sequence: int
     cold_remaining: int = 0
-    version: str = ""
+    version: str | None = None
 
     @property
     def instance(self) -> str:
--- a/tests/feed/version_fleet.py
+++ b/tests/feed/version_fleet.py
@@ -192,8 +192,9 @@
         self._numbers += 1
         request = replace(make_admitted(f"r-{self._numbers}"), route=ROUTE)
         row = self.rng.choice(rows)
+        version = row.version or ""
         self.streams.begun += 1
-        self._lookup(entry).began(request, StreamOrigin(row.pool, row.version))
+        self._lookup(entry).began(request, StreamOrigin(row.pool, version))
         await sleep(break_after)
         other = self.fleet.entries[other.number]
         if not other.feed.confirmed:
@@ -204,9 +205,9 @@
             resumes=request.req.request_id,
             resume_after="1",
         )
-        result = await self._resume(other, replace(request, req=req), row.version)
+        result = await self._resume(other, replace(request, req=req), version)
         self.streams.resumed[result] += 1
-        self.streams.log.append((self.fleet.clock.now(), result, row.version))
+        self.streams.log.append((self.fleet.clock.now(), result, version))
 
     async def _resume(self, entry: SimEntry, request: Any, version: str) -> str:
         bound = await self._lookup(entry).bind(request, now=request.arrived)
--- a/tests/membership/test_versions.py
+++ b/tests/membership/test_versions.py
@@ -41,6 +41,7 @@
     view.update("a", [unknown], 0)
     view.update("b", [V1], 0)
     assert view.pool("p") == [V1]
+    assert not view.versions.is_mixed("p")
     view.update("a", [msgspec.structs.replace(unknown, sequence=2)], 0)
     assert view.pool("p", None, "v1") == [msgspec.structs.replace(V1, sequence=2)]
 
