--- a/tests/feed/test_mixed_versions.py
+++ b/tests/feed/test_mixed_versions.py
@@ -139,6 +139,33 @@
     assert streams.resumed["version_unknown"] > 0
 
 
+def test_streams_of_several_versions_go_on_after_all_processes_were_killed() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        await sleep(3_000)
+        await release(fleet, "v2")
+        fleet.restart_all()
+
+    for seed in range(3):
+        streams, _, _ = play(scenario, seed)
+        resumed = streams.resumed
+        assert resumed["mixed"] == 0
+        assert resumed["same"] > 0.98 * (resumed["same"] + resumed["version_unknown"])
+
+
+def test_no_stream_changes_its_version_at_an_entry_cut_off_from_all_replicas() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        await sleep(3_000)
+        for name in MEMBERS:
+            fleet.fleet.cut(fleet.fleet.entries[0].box, name)
+        await sleep(2_000)
+        await release(fleet, "v2")
+        await sleep(6_000)
+        fleet.fleet.cuts.clear()
+
+    resumed = [play(scenario, seed)[0].resumed for seed in range(3)]
+    assert [one["mixed"] for one in resumed] == [0, 0, 0]
+
+
 def test_streams_go_on_after_all_processes_ended_if_there_is_one_version() -> None:
     async def scenario(fleet: VersionFleet) -> None:
         await sleep(3_000)
