Refuse streams of unknown version at an entry that hears no control box

Callers saw streams that held events of two versions: an entry that is cut off from all control boxes is not told of a version that comes into service meanwhile, took its pool for one with a single version, and let streams that callers resumed there go on anywhere.

Cause: that a pool has one version was believed for as long as nobody said otherwise. Class: an absence reported from knowledge of any age.

An entry now takes a pool for one with several versions from 600 ms without a message of any replica on, a feed heartbeat and some delay. A stream that it began itself is known to it as before; another one waits for a message, for 1.5 s at most, and goes on as before if the pool proves to have one version. Without a message it is refused as of unknown version: not run, and at once where no replica was heard for 5 s.

A cut of an entry in a fleet with one version now costs the streams that callers resume there; ORDER holds for machines that are not in touch, and such an entry cannot know.

--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -248,6 +248,7 @@
                     link.send(greeting)
             backoff.reset()
             self._handle(link, replica, message)
+            self.streams.heard()
             if isinstance(message, Replicas):
                 self._update_members(endpoint, message)
                 if message.holds_streams:
--- a/src/leadseam/feed/stream_client.py
+++ b/src/leadseam/feed/stream_client.py
@@ -26,7 +26,7 @@
 from leadseam.wire.versions import FindStream, StreamFound, StreamsBegan, Versions
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Collection, Iterable
 
     from leadseam.clock import Clock
     from leadseam.membership.versions import VersionTable
@@ -45,7 +45,13 @@
 """Time to ask for, beyond twice the time for which streams are collected: some round
 trips and iterations of a busy event loop."""
 OUTAGE_LIMIT: Millis = 1_500
-"""Time to ask for while no replica is followed, or one has just started."""
+"""Time to ask for while no replica is heard, or one has just started."""
+CONTACT_LIMIT: Millis = 600
+"""Time without a message of any replica after which a version may be in service that
+this entry does not know: a feed heartbeat and some delay."""
+MAX_RESTART_TIME: Millis = 5_000
+"""Time without a message after which the replicas are cut off rather than restarting,
+so that waiting for one does not help."""
 MAX_LOOKUPS = 256
 """Maximum lookups in progress; further ones fail at once."""
 MAX_STREAMS_PER_MESSAGE = 1_000
@@ -85,6 +91,7 @@
         self._versions = versions
         self._entries = entries
         self._started = clock.now()
+        self._last_heard = clock.now()
         self._complete = False
         self._streams = StreamTable()
         self._links: dict[str, Link] = {}
@@ -99,28 +106,43 @@
         return f"StreamClient({self._streams!r}, lookups={len(self._lookups)})"
 
     def is_mixed(self, pool: str) -> bool:
-        """Return whether streams of a pool may have begun at several versions."""
-        return not self._complete or self._versions.is_mixed(pool)
+        """Return whether streams of a pool may have begun at several versions.
+
+        That is also so while no replica is heard, which would tell of a new version.
+        """
+        return self._silence() > CONTACT_LIMIT or self._is_known_mixed(pool)
+
+    def heard(self) -> None:
+        """Record that a message of any replica has been handled."""
+        self._last_heard = self._clock.now()
 
     def began(self, account: str | None, request_id: str, origin: StreamOrigin) -> None:
         """Record that a caller gets the first event of a stream."""
         stream = stream_digest(account, request_id)
         self._streams.add(stream, origin)
-        if self.is_mixed(origin.pool):
+        if self._is_known_mixed(origin.pool):
             self._publish([(stream, origin)])
 
     async def find(
-        self, account: str | None, request_id: str, *, time_left: Millis
+        self,
+        account: str | None,
+        request_id: str,
+        *,
+        pools: Collection[str],
+        time_left: Millis,
     ) -> StreamOrigin | None:
         """Return where a stream began, or None if that cannot be determined.
 
         Args:
             account: Client account of the caller, or None.
             request_id: Id of the caller's attempt that brought the first event.
+            pools: Pools that may have begun it. Nothing is asked once none is mixed.
             time_left: Milliseconds for which the caller still waits.
         """
         stream = stream_digest(account, request_id)
-        origin = self._streams.find(stream) or await self._ask(stream, time_left)
+        origin = self._streams.find(stream)
+        if origin is None:
+            origin = await self._ask(stream, pools, time_left)
         return None if origin is AMBIGUOUS else origin
 
     def connected(self, replica: str, link: Link) -> None:
@@ -129,8 +151,7 @@
             return
         self._links[replica] = link
         link.send(self._own_versions())
-        pools = [pool for pool in self._versions.pools() if self.is_mixed(pool)]
-        for pool in pools:
+        for pool in filter(self._is_known_mixed, self._versions.pools()):
             _send(link, self._streams.of_pool(pool))
 
     def disconnected(self, replica: str) -> None:
@@ -201,18 +222,23 @@
         for link in random.sample(links, min(HOLDERS, len(links))):
             _send(link, unsent.items())
 
-    async def _ask(self, stream: int, time_left: Millis) -> StreamOrigin | None:
-        if len(self._lookups) >= MAX_LOOKUPS:
+    async def _ask(
+        self, stream: int, pools: Collection[str], time_left: Millis
+    ) -> StreamOrigin | None:
+        if len(self._lookups) >= MAX_LOOKUPS or self._silence() > MAX_RESTART_TIME:
             return None
         ticket = next(self._tickets)
         lookup = self._lookups[ticket] = _Lookup()
         started = self._clock.now()
         limit = min(2 * self._send_interval() + ASK_MARGIN, time_left)
         try:
-            while self._clock.now() - started < limit:
-                lookup.outage = lookup.outage or not self._links
+            while any(map(self.is_mixed, pools)):
+                silent = not self._links or self._silence() > CONTACT_LIMIT
+                lookup.outage = lookup.outage or silent
                 if lookup.outage:
                     limit = min(OUTAGE_LIMIT, time_left)
+                if self._clock.now() - started >= limit:
+                    break
                 for link in self._links.values():
                     link.send(FindStream(ticket, stream))
                 with contextlib.suppress(TimeoutError):
@@ -222,6 +248,13 @@
             del self._lookups[ticket]
         return None
 
+    def _is_known_mixed(self, pool: str) -> bool:
+        return not self._complete or self._versions.is_mixed(pool)
+
+    def _silence(self) -> Millis:
+        """Return the time since a message of any replica was handled."""
+        return self._clock.now() - self._last_heard
+
     def _send_interval(self) -> Millis:
         entries = self._entries(self._clock.now())
         return max(MIN_SEND_INTERVAL, entries // ENTRIES_PER_MILLI)
--- a/src/leadseam/routing/origin_lookup.py
+++ b/src/leadseam/routing/origin_lookup.py
@@ -65,10 +65,15 @@
         self, request: AdmittedRequest, time_left: Millis
     ) -> StreamOrigin | None:
         streams = self._feed.streams
-        if not any(streams.is_mixed(share.pool) for share in request.route.pools):
+        pools = {share.pool for share in request.route.pools}
+        if not any(map(streams.is_mixed, pools)):
             return None
-        attempt = _first_attempt(request)
-        return await streams.find(request.account, attempt, time_left=time_left)
+        return await streams.find(
+            request.account,
+            _first_attempt(request),
+            pools=pools,
+            time_left=time_left,
+        )
 
     def _without_origin(self, request: AdmittedRequest) -> AdmittedRequest | NotRun:
         if self._feed.streams.is_mixed(request.pool):
