Keep an entry running if a deadline expires as its box resumes

What callers saw: the requests under way at an entry were cut and its process ended, when a box resumed after a suspension in the same iteration of the event loop in which the deadline of a request expired.

Cause: after a suspension all deadline timers are set again. A timer that has just expired cannot be; asyncio raises RuntimeError, which ended the task that watches for suspensions, and with it the process.

Outside of tests it takes a deadline that passes within the iteration in which the suspension is noticed.

Such a timer is left alone now, as `Timeouts` of the path through sidecars does already. The new test raised that RuntimeError before.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -122,8 +122,11 @@
         return self._reply.first_byte_at
 
     def reset_deadline_timer(self) -> None:
-        """Set the timer to the time left, as it does not count suspended time."""
-        if self._timeout is not None:
+        """Set the timer to the time left, as it does not count suspended time.
+
+        A timer that has expired already is cancelling the request.
+        """
+        if self._timeout is not None and not self._timeout.expired():
             left = self._request.deadline - self._gateway.now()
             loop = asyncio.get_running_loop()
             self._timeout.reschedule(loop.time() + seconds(max(left, 1)))
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
 
@@ -119,6 +121,23 @@
     assert exchange.outcome == outcome
 
 
+async def test_a_deadline_that_expires_as_the_box_resumes_ends_no_process() -> None:
+    gateway = FakeGateway()
+    vars(gateway)["error"] = lambda outcome: outcome
+    exchange = make_exchange(gateway)
+    exchange._request = replace(exchange.admitted, deadline=gateway.now() + 1)
+
+    async def attempt(_: object) -> Ending:
+        try:
+            return await asyncio.Future()
+        finally:
+            # The timer has expired, and the request is being cancelled.
+            exchange.reset_deadline_timer()
+
+    vars(exchange)["_attempt"] = attempt
+    assert cast("Any", await exchange.run()) == Unknown(Reason.DEADLINE_PASSED)
+
+
 async def test_a_caller_that_leaves_gives_the_outcome_link_lost() -> None:
     exchange = make_exchange(FakeGateway())
 
