Read the suspended time of a test's node again if a suspension came in between

The wrapper of the tests read the time left out and the monotonic clock one after the other. A box that was stopped between the two saw its steady clock leap by the whole suspension, so timers fired early that the real clock would not have fired. It reads again now until both readings fit together.

--- a/tests/platform/test_suspended_box.py
+++ b/tests/platform/test_suspended_box.py
@@ -10,14 +10,17 @@
 from __future__ import annotations
 
 import asyncio
+import struct
 import subprocess
 import sys
+import time
 from typing import TYPE_CHECKING
 
 import pytest
 
 from leadseam.platform import names
 from tools.platform.nodes import Platform
+from tools.platform.suspendable import subtract_suspended_time
 from tools.platform.suspension import SuspendableClock
 from tools.waiting import wait_until
 
@@ -72,6 +75,23 @@
         process.stdin.write(b"\n")
 
 
+def test_a_suspension_within_a_reading_of_the_clock_is_left_out(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    file = tmp_path / "left-out"
+    file.write_bytes(struct.pack("=q", 0))
+    readings = iter((5_001_000_000, 5_002_000_000))
+
+    def read_after_suspension() -> int:
+        file.write_bytes(struct.pack("=q", 5_000_000_000))
+        return next(readings)
+
+    monkeypatch.setattr(time, "monotonic_ns", read_after_suspension)
+    monkeypatch.setattr(time, "monotonic", time.monotonic)
+    subtract_suspended_time(str(file))
+    assert time.monotonic_ns() == 2_000_000
+
+
 async def wait_held(platform: Platform, path: str) -> Server:
     """Wait until a server holds the request of a path, and return that server."""
 
--- a/tools/platform/suspendable.py
+++ b/tools/platform/suspendable.py
@@ -33,8 +33,14 @@
     file = os.open(path, os.O_RDONLY)
 
     def monotonic_ns() -> int:
-        (suspended_ns,) = struct.unpack("=q", os.pread(file, SIZE, 0))
-        return original_ns() - int(suspended_ns)
+        suspended = os.pread(file, SIZE, 0)
+        while True:
+            now, before = original_ns(), suspended
+            suspended = os.pread(file, SIZE, 0)
+            if suspended == before:
+                (suspended_ns,) = struct.unpack("=q", suspended)
+                return now - int(suspended_ns)
+            # The process was suspended between the readings, which do not fit together.
 
     time.monotonic_ns = monotonic_ns
     time.monotonic = lambda: monotonic_ns() / 1e9
