Keep what a control box receives about streams below 20 KB/s

Worked out before at 33 KB/s for 390 entries and 7 control boxes, above the limit.

Digests of streams are sent as 5 bytes each instead of integers of 9, and above 100 entries a stream is told to one replica instead of two: there an entry and the replica that holds its streams would have to end together, which costs a seventh of that entry's streams. A wrong match needs one of five million ids that were never used.

With the encoder of the links, 22 streams a second at each entry and two versions, a replica receives (KB/s, in messages a second): 5 entries 1.2 in 36; 30 6.9 in 199; 68 13.7 in 348; 100 18.2 in 421; 101 9.2 in 212; 200 14.6 in 275, each with 5 replicas; 390 with 7 replicas 15.7 in 233. An entry sends 1.2 KB/s at most. Nothing was run at that size.

--- a/src/leadseam/feed/stream_client.py
+++ b/src/leadseam/feed/stream_client.py
@@ -1,8 +1,8 @@
 """Streams that an entry begins, and the lookup of those that other entries began.
 
 While a pool has several versions, an entry tells two replicas of each stream that it
-begins; whoever continues a stream asks all replicas. The cost of a stream that is not
-resumed is then two rows, whatever the number of entries.
+begins, in a large fleet one; whoever continues a stream asks all replicas. So a stream
+that is not resumed costs as many rows, whatever the number of entries.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
     AMBIGUOUS,
     StreamOrigin,
     StreamTable,
+    pack_digests,
     stream_digest,
 )
 from leadseam.runtime.tasks import spawn
@@ -34,6 +35,9 @@
 
 HOLDERS = 2
 """Replicas that are told of a stream, so that one of them may be lost."""
+MAX_ENTRIES_OF_TWO_HOLDERS = 100
+"""Number of entries above which one replica is told. With 22 streams a second at each
+entry, a replica would receive more than 20 KB/s otherwise."""
 MIN_SEND_INTERVAL: Millis = 10
 """Time for which streams are collected into one message in a small fleet."""
 ENTRIES_PER_MILLI = 2
@@ -217,9 +221,9 @@
         self._sending = False
         unsent, self._unsent = self._unsent, {}
         links = list(self._links.values())
-        # Any two will do, as lookups ask all. One pair for all streams of this time
-        # makes fewer messages than a pair for each stream.
-        for link in random.sample(links, min(HOLDERS, len(links))):
+        # Any will do, as lookups ask all. The same ones for all streams of this time
+        # make fewer messages than others for each stream.
+        for link in random.sample(links, min(self._holders(), len(links))):
             _send(link, unsent.items())
 
     async def _ask(
@@ -255,6 +259,10 @@
         """Return the time since a message of any replica was handled."""
         return self._clock.now() - self._last_heard
 
+    def _holders(self) -> int:
+        entries = self._entries(self._clock.now())
+        return HOLDERS if entries <= MAX_ENTRIES_OF_TWO_HOLDERS else 1
+
     def _send_interval(self) -> Millis:
         entries = self._entries(self._clock.now())
         return max(MIN_SEND_INTERVAL, entries // ENTRIES_PER_MILLI)
@@ -268,5 +276,5 @@
             by_origin.setdefault(origin, []).append(stream)
     for origin, digests in by_origin.items():
         for first in range(0, len(digests), MAX_STREAMS_PER_MESSAGE):
-            part = tuple(digests[first : first + MAX_STREAMS_PER_MESSAGE])
-            link.send(StreamsBegan(origin.pool, origin.version, part))
+            part = digests[first : first + MAX_STREAMS_PER_MESSAGE]
+            link.send(StreamsBegan(origin.pool, origin.version, pack_digests(part)))
--- a/src/leadseam/feed/stream_holder.py
+++ b/src/leadseam/feed/stream_holder.py
@@ -12,7 +12,12 @@
 
 from leadseam.clock import Millis
 from leadseam.membership.versions import VersionTable, stream_lifetime
-from leadseam.routing.stream_origin import AMBIGUOUS, StreamOrigin, StreamTable
+from leadseam.routing.stream_origin import (
+    AMBIGUOUS,
+    StreamOrigin,
+    StreamTable,
+    unpack_digests,
+)
 from leadseam.wire.versions import FindStream, StreamFound, StreamsBegan, Versions
 
 if TYPE_CHECKING:
@@ -91,7 +96,7 @@
     def began(self, message: StreamsBegan) -> None:
         """Record streams that an entry has begun."""
         origin = StreamOrigin(message.pool, message.version)
-        for stream in message.streams:
+        for stream in unpack_digests(message.streams):
             self._streams.add(stream, origin)
 
     def find(self, message: FindStream) -> StreamFound:
--- a/src/leadseam/routing/stream_origin.py
+++ b/src/leadseam/routing/stream_origin.py
@@ -8,12 +8,15 @@
 import xxhash
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
     from leadseam.clock import Millis
 
 MAX_STREAMS = 200_000
 """Maximum streams kept of one generation, some 20 MB."""
+DIGEST_SIZE = 5
+"""Size of a digest in bytes. Among 200,000 streams, one in five million ids that were
+never used has the digest of a stream."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,11 +82,23 @@
 
 
 def stream_digest(account: str | None, request_id: str) -> int:
-    """Return a 64-bit hash that identifies a stream among processes.
+    """Return a hash of `DIGEST_SIZE` bytes that identifies a stream among processes.
 
     Args:
         account: Client account of the caller, so that a caller cannot name streams of
             another account.
         request_id: Id of the caller's attempt that brought the first event.
     """
-    return xxhash.xxh3_64_intdigest(f"{account or ''}/{request_id}".encode())
+    digest = xxhash.xxh3_64_digest(f"{account or ''}/{request_id}".encode())
+    return int.from_bytes(digest[:DIGEST_SIZE])
+
+
+def pack_digests(streams: Iterable[int]) -> bytes:
+    """Return digests as bytes, for messages."""
+    return b"".join(stream.to_bytes(DIGEST_SIZE) for stream in streams)
+
+
+def unpack_digests(data: bytes) -> Iterator[int]:
+    """Yield the digests that `pack_digests` has packed; a rest is ignored."""
+    for end in range(DIGEST_SIZE, len(data) + 1, DIGEST_SIZE):
+        yield int.from_bytes(data[end - DIGEST_SIZE : end])
--- a/src/leadseam/wire/versions.py
+++ b/src/leadseam/wire/versions.py
@@ -38,12 +38,12 @@
     Args:
         pool: Pool of the upstreams.
         version: Their version.
-        streams: Digests of the streams; see `routing.stream_origin.stream_digest`.
+        streams: Digests of the streams; see `routing.stream_origin.pack_digests`.
     """
 
     pool: str
     version: str
-    streams: tuple[int, ...]
+    streams: bytes
 
 
 class FindStream(Message, frozen=True, array_like=True, tag=62):
