Keep streams of several versions in files of the control boxes

Cause: which version began a stream was kept in memory only, at the entry that began it and at the replicas that it told. Class: state that must outlive the processes was not stored.

With one version nothing is told, so nothing is written. A damaged end is left out, a disk that is full or stalls only loses rows.

The test of processes that end without what they knew loses the files as well now, so that it checks the same case. A variant without the files fails its test.

--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -47,6 +47,7 @@
 
     from leadseam.control.replica import Replica
     from leadseam.feed.cache_watch import EventSource
+    from leadseam.feed.stream_file import StreamFile
     from leadseam.membership.version_file import VersionFile
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.feed import Registration
@@ -86,6 +87,7 @@
         failure_domain: Failure domain of the box; if empty, this replica does not
             exchange sums of loads with others.
         version_file: Where versions in service are kept. By default nowhere.
+        stream_file: Where streams that entries begin are kept. By default nowhere.
 
     Attributes:
         crashes: Server for reports of requests that crash upstreams.
@@ -105,6 +107,7 @@
         box: str = "",
         failure_domain: str = "",
         version_file: VersionFile | None = None,
+        stream_file: StreamFile | None = None,
     ) -> None:
         self._replica = replica
         self._metrics = metrics
@@ -123,7 +126,12 @@
             replica, self._clock, metrics, self._broadcast, resend_limit=resend_limit
         )
         self.streams = StreamHolder(
-            replica, self._clock, metrics, self._broadcast_versions, file=version_file
+            replica,
+            self._clock,
+            metrics,
+            self._broadcast_versions,
+            file=version_file,
+            stream_file=stream_file,
         )
         self._pending_registrations: dict[str, Registration] = {}
         self._registered = asyncio.Event()
--- a/src/leadseam/feed/stream_holder.py
+++ b/src/leadseam/feed/stream_holder.py
@@ -1,8 +1,8 @@
 """Streams and versions that a replica holds for entries that look them up.
 
 An entry that continues a stream may be another one than the entry that began it, which
-may be gone. Both tables are soft state: entries send theirs to each replica that they
-begin to follow.
+may be gone. Entries send their tables to each replica that they begin to follow; files
+keep both tables in case that all entries end too.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
     AMBIGUOUS,
     StreamOrigin,
     StreamTable,
+    pack_digests,
     unpack_digests,
 )
 from leadseam.wire.versions import FindStream, StreamFound, StreamsBegan, Versions
@@ -25,6 +26,7 @@
 
     from leadseam.clock import Clock
     from leadseam.control.replica import Replica
+    from leadseam.feed.stream_file import StreamFile
     from leadseam.membership.version_file import VersionFile
     from leadseam.runtime.metrics import ControlMetrics
     from leadseam.wire.feed import Registration
@@ -45,6 +47,7 @@
         metrics: Metrics of the replica.
         broadcast: Sends a message to the subscribers that read `Versions`.
         file: Where the versions are kept over a restart; by default nowhere.
+        stream_file: Where the streams are kept over a restart; by default nowhere.
     """
 
     def __init__(
@@ -55,12 +58,14 @@
         broadcast: Callable[[Versions], None],
         *,
         file: VersionFile | None = None,
+        stream_file: StreamFile | None = None,
     ) -> None:
         self._replica = replica
         self._clock = clock
         self._metrics = metrics
         self._broadcast = broadcast
         self._file = file
+        self._stream_file = stream_file
         self._versions = VersionTable()
         self._streams = StreamTable()
         self._started = clock.now()
@@ -70,6 +75,10 @@
             # They may have begun streams until this process ended.
             self._versions.merge(stored, self._started)
             self._complete = True
+        # The streams that are read now are kept for as long as new ones.
+        self._streams.rotate(self._started, 0)
+        for message in stream_file.load() if stream_file is not None else ():
+            self._add(message)
 
     def __repr__(self) -> str:
         return f"StreamHolder({self._versions!r}, {self._streams!r})"
@@ -95,9 +104,11 @@
 
     def began(self, message: StreamsBegan) -> None:
         """Record streams that an entry has begun."""
-        origin = StreamOrigin(message.pool, message.version)
-        for stream in unpack_digests(message.streams):
-            self._streams.add(stream, origin)
+        added = self._add(message)
+        if added and self._stream_file is not None:
+            self._stream_file.append(
+                StreamsBegan(message.pool, message.version, pack_digests(added))
+            )
 
     def find(self, message: FindStream) -> StreamFound:
         """Return the reply to a question of an entry."""
@@ -116,11 +127,18 @@
         now = self._clock.now()
         self.registered(rows)
         lifetime = stream_lifetime(self._replica.state.configuration)
-        self._streams.rotate(now, lifetime)
+        if self._streams.rotate(now, lifetime) and self._stream_file is not None:
+            self._stream_file.rotate()
         self._metrics.streams_held.set({}, len(self._streams))
         if self._versions.expire(now, lifetime):
             self._store()
 
+    def _add(self, message: StreamsBegan) -> list[int]:
+        """Record streams, and return those that were not recorded yet."""
+        origin = StreamOrigin(message.pool, message.version)
+        streams = unpack_digests(message.streams)
+        return [stream for stream in streams if self._streams.add(stream, origin)]
+
     def _is_complete(self) -> bool:
         """Return whether no other version can have begun a stream of late."""
         if not self._complete:
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -18,6 +18,7 @@
 from leadseam.errors import StorageError
 from leadseam.feed.evacuation_routes import evacuation_routes
 from leadseam.feed.server import FeedServer
+from leadseam.feed.stream_file import StreamFile
 from leadseam.feed.verdict_routes import verdict_routes
 from leadseam.membership.registry import Registry
 from leadseam.membership.version_file import VersionFile
@@ -108,6 +109,7 @@
             box=settings.ip,
             failure_domain=settings.failure_domain,
             version_file=VersionFile(folder, is_first_start=bootstrap),
+            stream_file=StreamFile(folder),
         )
         self._service = ControlService(
             self.replica,
--- a/src/leadseam/routing/stream_origin.py
+++ b/src/leadseam/routing/stream_origin.py
@@ -53,14 +53,21 @@
     def __len__(self) -> int:
         return len(self._current) + len(self._previous)
 
-    def add(self, stream: int, origin: StreamOrigin) -> None:
+    def add(self, stream: int, origin: StreamOrigin) -> bool:
         """Record where a stream began.
 
         An id that is used for two streams of different origins is ambiguous from then.
+
+        Returns:
+            Whether that was not recorded yet in the current generation.
         """
         known = self.find(stream) or origin
-        if len(self._current) < MAX_STREAMS:
-            self._current[stream] = origin if known == origin else AMBIGUOUS
+        if known != origin:
+            origin = AMBIGUOUS
+        if len(self._current) >= MAX_STREAMS or self._current.get(stream) == origin:
+            return False
+        self._current[stream] = origin
+        return True
 
     def find(self, stream: int) -> StreamOrigin | None:
         """Return where a stream began, or None if it is not known."""
@@ -73,12 +80,17 @@
                 if origin.pool == pool:
                     yield stream, origin
 
-    def rotate(self, now: Millis, lifetime: Millis) -> None:
-        """Drop streams that began longer ago than `lifetime`; call it periodically."""
+    def rotate(self, now: Millis, lifetime: Millis) -> bool:
+        """Drop streams that began longer ago than `lifetime`; call it periodically.
+
+        Returns:
+            Whether a new generation has begun.
+        """
         if now - self._rotated_at < lifetime:
-            return
+            return False
         self._rotated_at = now
         self._previous, self._current = self._current, {}
+        return True
 
 
 def stream_digest(account: str | None, request_id: str) -> int:
--- a/tests/feed/test_mixed_versions.py
+++ b/tests/feed/test_mixed_versions.py
@@ -132,7 +132,7 @@
     async def scenario(fleet: VersionFleet) -> None:
         await sleep(3_000)
         await release(fleet, "v2")
-        fleet.restart_all()
+        fleet.restart_all(lose_streams=True)
 
     streams, _, _ = play(scenario, seed)
     assert streams.resumed["mixed"] == 0
--- /dev/null
+++ b/tests/feed/test_stream_file.py
@@ -0,0 +1,97 @@
+"""The files of the streams that a control box holds."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from leadseam.feed import stream_file
+from leadseam.feed.stream_file import FILE_NAMES, StreamFile
+from leadseam.wire.versions import StreamsBegan
+from tools.waiting import wait_until
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    import pytest
+
+FIRST = StreamsBegan("p", "v1", b"aaaaa")
+SECOND = StreamsBegan("p", "v2", b"bbbbbccccc")
+THIRD = StreamsBegan("p", "v1", b"ddddd")
+
+
+async def wait_stored(folder: Path, *messages: StreamsBegan) -> None:
+    """Wait until a process that starts now would read these messages."""
+
+    async def stored() -> bool:
+        return sorted(StreamFile(folder).load(), key=str) == sorted(messages, key=str)
+
+    await wait_until(stored, "the streams are stored")
+
+
+async def test_streams_of_two_generations_are_read_again(tmp_path: Path) -> None:
+    file = StreamFile(tmp_path)
+    assert list(file.load()) == []
+    file.append(FIRST)
+    await wait_stored(tmp_path, FIRST)
+    file.append(SECOND)
+    file.rotate()
+    file.append(THIRD)
+    await wait_stored(tmp_path, FIRST, SECOND, THIRD)
+    file.rotate()
+    await wait_stored(tmp_path, THIRD)
+    file.rotate()
+    file.append(FIRST)
+    await wait_stored(tmp_path, FIRST)
+
+
+async def test_after_a_start_the_older_generation_is_dropped_first(
+    tmp_path: Path,
+) -> None:
+    file = StreamFile(tmp_path)
+    for message in (FIRST, SECOND, THIRD):
+        file.rotate()
+        file.append(message)
+        # The files are told apart by the time at which they were written.
+        await asyncio.sleep(0.05)
+    await wait_stored(tmp_path, SECOND, THIRD)
+    file = StreamFile(tmp_path)
+    file.rotate()
+    await wait_stored(tmp_path, THIRD)
+
+
+async def test_nothing_is_written_while_there_are_no_streams(tmp_path: Path) -> None:
+    file = StreamFile(tmp_path)
+    file.rotate()
+    file.rotate()
+    await asyncio.sleep(0.05)
+    assert list(tmp_path.iterdir()) == []
+
+
+async def test_what_was_stored_before_a_torn_record_is_read(tmp_path: Path) -> None:
+    file = StreamFile(tmp_path)
+    file.append(FIRST)
+    file.append(SECOND)
+    await wait_stored(tmp_path, FIRST, SECOND)
+    path = tmp_path / FILE_NAMES[0]
+    whole = path.read_bytes()
+    for length in range(len(whole)):
+        path.write_bytes(whole[:length])
+        assert list(StreamFile(tmp_path).load()) in ([], [FIRST])
+    path.write_bytes(whole + bytes(100))
+    assert list(StreamFile(tmp_path).load()) == [FIRST, SECOND]
+
+
+async def test_a_disk_that_fails_or_stalls_ends_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(stream_file, "MAX_PENDING", 2)
+    file = StreamFile(tmp_path / "missing")
+    for _ in range(5):
+        file.append(FIRST)
+    assert len(file._pending) == 2
+    await asyncio.sleep(0.05)
+    assert list(file.load()) == []
+    (tmp_path / "missing").mkdir()
+    file.append(SECOND)
+    await wait_stored(tmp_path / "missing", SECOND)
--- a/tests/feed/version_fleet.py
+++ b/tests/feed/version_fleet.py
@@ -30,7 +30,7 @@
     from collections.abc import Iterable
 
     from leadseam.wire.feed import Registration
-    from leadseam.wire.versions import VersionRow
+    from leadseam.wire.versions import StreamsBegan, VersionRow
 
 POOL = "p"
 TIME_LIMIT: Millis = 8_000
@@ -75,6 +75,29 @@
         self._rows = rows
 
 
+class MemoryStreamFile:
+    """A file of streams that outlives the replicas of a box."""
+
+    def __init__(self) -> None:
+        self._generations: list[list[StreamsBegan]] = [[], []]
+
+    def load(self) -> list[StreamsBegan]:
+        """Return the streams of both generations."""
+        return [message for one in self._generations for message in one]
+
+    def append(self, message: StreamsBegan) -> None:
+        """Add streams to the current generation."""
+        self._generations[1].append(message)
+
+    def rotate(self) -> None:
+        """Begin a generation."""
+        self._generations = [self._generations[1], []]
+
+    def clear(self) -> None:
+        """Lose all streams."""
+        self._generations = [[], []]
+
+
 @dataclass
 class Streams:
     """Counts of streams.
@@ -106,6 +129,7 @@
         self.upstreams: list[Upstream] = []
         self._numbers = 0
         self._files = {name: MemoryFile() for name in fleet.replicas}
+        self._stream_files = {name: MemoryStreamFile() for name in fleet.replicas}
         for replica in fleet.replicas.values():
             self._equip(replica)
         fleet.spawn(self._send_heartbeats())
@@ -146,11 +170,17 @@
         for one in departed:
             replica.state.departed.add(one)
 
-    def restart_all(self) -> None:
-        """Kill all processes and start them again."""
+    def restart_all(self, *, lose_streams: bool = False) -> None:
+        """Kill all processes and start them again.
+
+        Args:
+            lose_streams: Whether the files of streams are lost too.
+        """
         names = sorted(self.fleet.replicas)
         for name in names:
             self.fleet.kill(name)
+            if lose_streams:
+                self._stream_files[name].clear()
         for entry in list(self.fleet.entries):
             self.restart_entry(entry.number)
         for name in names:
@@ -165,6 +195,7 @@
             ControlMetrics(Metrics()),
             replica.feed._broadcast_versions,
             file=cast("Any", self._files[replica.name]),
+            stream_file=cast("Any", self._stream_files[replica.name]),
         )
 
     def restart_entry(self, number: int) -> None:
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -455,6 +455,14 @@
         f"{MIXED_VERSIONS}"
         "::test_streams_go_on_after_all_processes_ended_if_there_is_one_version",
     ),
+    Variant(
+        "streams are lost when all processes end",
+        "feed/stream_holder.py",
+        "stream_file.load() if stream_file is not None else ()",
+        "()",
+        f"{MIXED_VERSIONS}"
+        "::test_streams_of_several_versions_go_on_after_all_processes_were_killed",
+    ),
     Variant(
         "a stream goes on at an upstream that may have started again",
         "routing/placer.py",
