Await in the tests of versions what a busy machine delays

- "timed out waiting until all streams have begun": of 24 streams, 21 were refused for lack of capacity or of processor time at first and came back 1.2 s later.
The streams that had begun pause for longer than 1 s then, were taken for silent, and one of the others for a request that may crash upstreams, so it never began.
The routes of these tests allow pauses now.
- "timed out waiting until all servers are used": one server registered later than the others and held no part of the 24 prompts, which were sent again and again.
Each round has new prompts now.

No assertion is changed.

--- a/tests/platform/test_mixed_versions.py
+++ b/tests/platform/test_mixed_versions.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import json
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -24,6 +26,8 @@
 have room for all streams several times."""
 BROKEN_STREAMS = 4 * STREAMS
 """Streams that break: more than can go on at the right version by chance."""
+PATIENCE_MS = 60_000
+"""Time for which callers wait, for a stream and between its events."""
 CAPACITY_PAUSE = 0.2
 """Seconds until a stream that was refused for lack of capacity is sent again. Entries
 admit a burst by how long engines are expected to read its prompts."""
@@ -48,7 +52,12 @@
         {"name": "plain", "maxConnections": 100},
         {"name": "model", "maxConnections": 10 * SLOTS, "engine": engine},
     ]
-    assert await platform.operator.replace(document(2, services=services)) == 200
+    routes = json.loads(document(1))["routes"]
+    for route in routes:
+        # Streams that pause are neither late nor taken for silent.
+        route |= {"timeoutMs": PATIENCE_MS, "gapTargetMs": PATIENCE_MS}
+    changed = document(2, services=services, routes=routes)
+    assert await platform.operator.replace(changed) == 200
     for ip in platform.server_ips[4:6]:
         await platform.add_server(ip, "model", version="v2")
     servers = platform.servers_of("model")
@@ -60,18 +69,19 @@
 
 async def wait_used(platform: Platform, servers: list[Server]) -> None:
     """Wait until each entry has used each of these servers."""
-    warmed = {
-        (entry, number): f"warm-{entry}-{number}"
-        for entry in platform.entry_ips
-        for number in range(STREAMS)
-    }
+    # Servers that register later hold no part of a prompt that was sent before.
+    numbers = itertools.count()
 
     async def used() -> bool:
         calls = (
             platform.call(
-                entry, "/stream/warm", request_id=request_id, headers=prompt(number)
+                entry,
+                "/stream/warm",
+                request_id=f"warm-{entry}-{number}",
+                headers=prompt(number),
             )
-            for (entry, number), request_id in warmed.items()
+            for entry in platform.entry_ips
+            for number in itertools.islice(numbers, STREAMS)
         )
         await asyncio.gather(*calls)
         return all(
@@ -129,7 +139,7 @@
             platform,
             entry,
             request_id=f"first-{number}",
-            headers=prompt(number),
+            headers=prompt(number) | {names.DEADLINE: str(PATIENCE_MS)},
             on_data=lambda data: begun.add(number) if data[:2] == b"id" else None,
         )
 
@@ -167,6 +177,7 @@
 
     async def resume(number: int) -> Answer:
         headers = prompt(number) | {
+            names.DEADLINE: str(PATIENCE_MS),
             names.LAST_EVENT: str(broken[number].body.count(b"\n\n")),
             names.RESUMES: f"first-{number}",
         }
