Take a missing file of versions for a first start only at the first start

What callers would have seen: after all boxes ended and control boxes lost their file of versions, or were updated from a version without one, streams went on at any version, as the file's absence was taken for that of a fleet that has never begun a stream. The setting that names the boxes which form a group stays set at later starts.

The file is written before the data folder gets its identity, when no stream can have begun yet. Without a file the versions are not known, and streams that callers resume are refused until they have ended.

The new test, on real processes, had such a stream go on (200 instead of 503) before. The unit test of the former parameter is replaced by one of the same cases: a missing file, a first start, a torn file.

--- a/src/leadseam/membership/version_file.py
+++ b/src/leadseam/membership/version_file.py
@@ -25,22 +25,30 @@
 
     Args:
         folder: Data folder of the box.
-        is_first_start: Whether no earlier process can have stored any.
     """
 
-    def __init__(self, folder: Path, *, is_first_start: bool = False) -> None:
+    def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._is_first_start = is_first_start
         self._pending: tuple[VersionRow, ...] | None = None
         self._writing = False
 
+    def create(self) -> None:
+        """Store no rows at the first start of a fleet, before any stream began.
+
+        Without a file, streams may have begun at versions that nobody knows.
+        """
+        try:
+            write_synced(self._folder / FILE_NAME, encode(()))
+        except OSError as exc:
+            log.warning("versions not written", extra={"error": str(exc)})
+
     def load(self) -> tuple[VersionRow, ...] | None:
         """Return the stored rows, or None if none can be read."""
         path = self._folder / FILE_NAME
         try:
             return decode(path.read_bytes(), tuple[VersionRow, ...])
         except FileNotFoundError:
-            return () if self._is_first_start else None
+            return None
         except (OSError, WireError) as exc:
             log.warning("versions not read", extra={"error": str(exc)})
             return None
--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -14,7 +14,7 @@
 from leadseam.control.replica import Replica
 from leadseam.control.replica_identity import prepare_folder
 from leadseam.control.service import ControlService
-from leadseam.control.storage import Storage
+from leadseam.control.storage import Storage, read_identity
 from leadseam.errors import StorageError
 from leadseam.feed.evacuation_routes import evacuation_routes
 from leadseam.feed.server import FeedServer
@@ -73,6 +73,9 @@
         folder = Path(settings.data_dir)
         seeds = {endpoint.ip: endpoint for endpoint in settings.seeds}
         bootstrap = settings.bootstrap and settings.ip in seeds
+        version_file = VersionFile(folder)
+        if bootstrap and read_identity(folder) is None:
+            version_file.create()
         identity = prepare_folder(
             folder, settings.ip, bootstrap_boxes=tuple(seeds) if bootstrap else ()
         )
@@ -108,7 +111,7 @@
             event_source=EngineCacheCalls(),
             box=settings.ip,
             failure_domain=settings.failure_domain,
-            version_file=VersionFile(folder, is_first_start=bootstrap),
+            version_file=version_file,
             stream_file=StreamFile(folder),
         )
         self._service = ControlService(
--- a/tests/membership/test_version_file.py
+++ b/tests/membership/test_version_file.py
@@ -27,14 +27,20 @@
     await wait_until(written, "the rows are written")
 
 
-def test_no_file_is_complete_only_at_the_first_start(tmp_path: Path) -> None:
-    assert VersionFile(tmp_path, is_first_start=True).load() == ()
+def test_a_missing_or_torn_file_is_not_taken_for_a_fleet_without_versions(
+    tmp_path: Path,
+) -> None:
+    file = VersionFile(tmp_path)
+    assert file.load() is None
+    file.create()
+    assert file.load() == ()
     (tmp_path / FILE_NAME).write_bytes(b"torn")
-    assert VersionFile(tmp_path, is_first_start=True).load() is None
+    assert file.load() is None
 
 
 async def test_a_file_that_cannot_be_written_ends_nothing(tmp_path: Path) -> None:
     file = VersionFile(tmp_path / "missing")
+    file.create()
     file.store(ROWS)
     await asyncio.sleep(0.05)
     assert file.load() is None
--- a/tests/platform/test_mixed_versions.py
+++ b/tests/platform/test_mixed_versions.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any
 
 from leadseam.feed.stream_file import StreamFile
+from leadseam.membership.version_file import FILE_NAME
 from leadseam.platform import names
 from leadseam.routing.stream_origin import stream_digest, unpack_digests
 from tools.platform.nodes import document
@@ -224,6 +225,33 @@
     await check_resumed(platform, second, broken)
 
 
+async def test_no_stream_is_continued_after_all_boxes_ended_and_lost_their_versions(
+    platform: Platform,
+) -> None:
+    boxes = [*platform.control_ips, *platform.entry_ips]
+    files = [platform.folder / f"data-{ip}" / FILE_NAME for ip in platform.control_ips]
+
+    async def all_started() -> bool:
+        return all(file.exists() for file in files)
+
+    await wait_until(all_started, "all control boxes have started")
+    for ip in boxes:
+        platform.kill(ip)
+    for file in files:
+        file.unlink()
+    for ip in boxes:
+        platform.start(ip)
+    entry = platform.entry_ips[0]
+    await platform.wait_ready(entry)
+    await platform.wait_served(entry)
+    headers = {names.LAST_EVENT: "1", names.RESUMES: "before"}
+    answer = await call_until_admitted(
+        platform, entry, request_id="after", headers=headers
+    )
+    assert answer.status == 503
+    assert b'"version_unknown"' in answer.body
+
+
 async def test_a_stream_whose_version_is_gone_is_refused_at_once(
     platform: Platform,
 ) -> None:
