Remove only leftovers of its own files when a control box compacts its log

Compaction and the start removed every temporary file of the data folder. The file of the versions in service is written there by another thread: a temporary file that was removed before it was renamed loses that write ("versions not written"), and the table on the disk stays old until the next version comes. Found by reading; the new test had the file removed.

--- a/src/leadseam/control/storage.py
+++ b/src/leadseam/control/storage.py
@@ -348,8 +348,10 @@
             for number in _generations(self._folder, prefix):
                 if number != self._generation:
                     (self._folder / f"{prefix}-{number}").unlink()
-        for leftover in self._folder.glob(f"*{TEMPORARY_SUFFIX}"):
-            leftover.unlink()
+        # Other files of the folder may be being written at this moment.
+        for name in ("journal-*", "snapshot-*", IDENTITY_FILE):
+            for leftover in self._folder.glob(name + TEMPORARY_SUFFIX):
+                leftover.unlink()
 
 
 def _replay(
--- a/tests/test_storage.py
+++ b/tests/test_storage.py
@@ -56,6 +56,16 @@
     assert recovered.metadata.membership == VOTERS
 
 
+def test_compaction_leaves_files_that_others_are_writing(tmp_path: Path) -> None:
+    storage = opened(tmp_path)
+    leftovers = [tmp_path / name for name in ("journal-9.tmp", "identity.tmp")]
+    others = [tmp_path / "versions.cbor.tmp"]
+    for path in (*leftovers, *others):
+        path.write_bytes(b"half")
+    storage.compact(SnapshotMetadata(), b"", HardState(), ())
+    assert [path.exists() for path in (*leftovers, *others)] == [False, False, True]
+
+
 def test_compaction_keeps_the_state_and_later_entries(tmp_path: Path) -> None:
     storage = opened(tmp_path)
     storage.append(HardState(1, ""), entries(1, 9))
