Check in the soak that resumed streams go on at least half as often as new ones begin

The soak counted resumed streams as finished or not, whatever kept them from it, so it could not show that too many are refused. It tells the reasons apart now (unreached, cut, the code of a refusal) and compares shares from 12 resumed streams that reached an entry on, without those whose version is gone.

A variant in which replicas are told of no streams fails the short soak.

--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -455,6 +455,13 @@
         f"{MIXED_VERSIONS}"
         "::test_streams_go_on_after_all_processes_ended_if_there_is_one_version",
     ),
+    Variant(
+        "replicas are not told of streams, beside random faults",
+        "feed/stream_client.py",
+        "        if self._is_known_mixed(origin.pool):",
+        "        if False:",
+        f"{SHORT_SOAK}::test_promises_are_kept_where_servers_of_two_versions_serve",
+    ),
     Variant(
         "streams are lost when all processes end",
         "feed/stream_holder.py",
--- a/tools/soak/promise_checker.py
+++ b/tools/soak/promise_checker.py
@@ -11,7 +11,7 @@
 
 from leadseam.platform import names
 from tools.platform.standin import WHOLE_STREAM
-from tools.soak.callers import ROUTE_TIME_LIMIT
+from tools.soak.callers import ROUTE_TIME_LIMIT, CallKind
 
 if TYPE_CHECKING:
     from tools.platform.standin import Run
@@ -27,6 +27,10 @@
 """Seconds beyond the time limit of a route until its answer must have ended."""
 VERSION = re.compile(rb" v\d+\n")
 """The version in an event of a stream."""
+ERROR_CODE = re.compile(rb'"code": ?"(\w+)"')
+"""The code in the body of a refusal."""
+MIN_RESUMED = 12
+"""Resumed streams of a run from which on their share is compared."""
 LEAVING_SLACK = 2.0
 """Seconds after which a leaving server must get no new requests; the tests have the
 same bound."""
@@ -75,8 +79,7 @@
         self.calls.append(call)
         self.answers[call.status if not call.cut else 0] += 1
         if call.resumes:
-            goes_on = call.status == 200 and not call.cut
-            self.resumed["finished" if goes_on else "not finished"] += 1
+            self.resumed[_outcome(call)] += 1
         self._check_answer(call)
         self._check_not_run(call)
         if self.timed:
@@ -88,6 +91,7 @@
             self._check_not_run(call)
             self._check_once(call)
             self._check_planned_stop(call)
+        self._check_resumed()
         if self.timed:
             self._check_leaving()
 
@@ -121,6 +125,21 @@
             at = time.monotonic() - self.started
             self.broken.append(BrokenPromise(promise, at, request_id, detail))
 
+    def _check_resumed(self) -> None:
+        """Check that resumed streams go on half as often as new ones begin, or more."""
+        reached = [one for one in self.calls if one.kind is CallKind.STREAM]
+        reached = [one for one in reached if one.status]
+        resumed = [one for one in reached if one.resumes]
+        resumed = [one for one in resumed if _outcome(one) != "version_gone"]
+        if len(resumed) < MIN_RESUMED:
+            return
+        goes_on = _share_begun(resumed)
+        begins = _share_begun([one for one in reached if not one.resumes])
+        detail = (
+            f"{goes_on:.2f} of {len(resumed)} go on, {begins:.2f} of new ones begin"
+        )
+        self._check("resumed streams go on", 2 * goes_on >= begins, "", detail)
+
     def _check_answer(self, call: Call) -> None:
         """Check that an answer is whole, of this request, and signed by its server."""
         if call.status != 200:
@@ -204,3 +223,18 @@
         return self.platform.disturbances.was_disturbed(
             box, since, call.end, planned=planned
         )
+
+
+def _outcome(call: Call) -> str:
+    """Return how a resumed stream ended, or the code of its refusal."""
+    if not call.status:
+        return "unreached"
+    if call.status == 200:
+        return "cut" if call.cut else "finished"
+    match = ERROR_CODE.search(call.body)
+    return match.group(1).decode() if match else str(call.status)
+
+
+def _share_begun(calls: list[Call]) -> float:
+    """Return the share of streams that have begun."""
+    return sum(one.status == 200 for one in calls) / max(len(calls), 1)
