Queue the message about a stream before its caller gets the first event

The first stream was sent by a task of its own, one or two iterations of the event loop after the caller had its first event. On a busy box each takes tens of milliseconds, in which a killed entry leaves a stream of unknown version behind.

It is queued on the links before the first event is written.

--- a/src/leadseam/feed/stream_client.py
+++ b/src/leadseam/feed/stream_client.py
@@ -109,12 +109,21 @@
     def __repr__(self) -> str:
         return f"StreamClient({self._streams!r}, lookups={len(self._lookups)})"
 
+    @property
+    def replicas(self) -> int:
+        """Number of replicas that are told of streams and asked for them."""
+        return len(self._links)
+
     def is_mixed(self, pool: str) -> bool:
         """Return whether streams of a pool may have begun at several versions.
 
         That is also so while no replica is heard, which would tell of a new version.
         """
-        return self._silence() > CONTACT_LIMIT or self._is_known_mixed(pool)
+        return self.silence() > CONTACT_LIMIT or self._is_known_mixed(pool)
+
+    def silence(self) -> Millis:
+        """Return the milliseconds since a message of any replica was handled."""
+        return self._clock.now() - self._last_heard
 
     def heard(self) -> None:
         """Record that a message of any replica has been handled."""
@@ -214,23 +223,29 @@
         self._unsent.update(streams)
         if self._unsent and not self._sending:
             self._sending = True
-            spawn(self._send_unsent())
+            # Sent before the caller gets its first event, as this entry may be killed.
+            self._send_unsent()
+            spawn(self._keep_sending())
 
-    async def _send_unsent(self) -> None:
+    async def _keep_sending(self) -> None:
+        await sleep(self._send_interval())
         while self._unsent:
-            unsent, self._unsent = self._unsent, {}
-            links = list(self._links.values())
-            # Any will do, as lookups ask all. The same ones for all streams of this
-            # time make fewer messages than others for each stream.
-            for link in random.sample(links, min(self._holders(), len(links))):
-                _send(link, unsent.items())
+            self._send_unsent()
             await sleep(self._send_interval())
         self._sending = False
 
+    def _send_unsent(self) -> None:
+        unsent, self._unsent = self._unsent, {}
+        links = list(self._links.values())
+        # Any will do, as lookups ask all. The same ones for all streams of this time
+        # make fewer messages than others for each stream.
+        for link in random.sample(links, min(self._holders(), len(links))):
+            _send(link, unsent.items())
+
     async def _ask(
         self, stream: int, pools: Collection[str], time_left: Millis
     ) -> StreamOrigin | None:
-        if len(self._lookups) >= MAX_LOOKUPS or self._silence() > MAX_RESTART_TIME:
+        if len(self._lookups) >= MAX_LOOKUPS or self.silence() > MAX_RESTART_TIME:
             return None
         ticket = next(self._tickets)
         lookup = self._lookups[ticket] = _Lookup()
@@ -238,7 +253,7 @@
         limit = min(2 * self._send_interval() + ASK_MARGIN, time_left)
         try:
             while any(map(self.is_mixed, pools)):
-                silent = not self._links or self._silence() > CONTACT_LIMIT
+                silent = not self._links or self.silence() > CONTACT_LIMIT
                 lookup.outage = lookup.outage or silent
                 if lookup.outage:
                     limit = min(OUTAGE_LIMIT, time_left)
@@ -256,10 +271,6 @@
     def _is_known_mixed(self, pool: str) -> bool:
         return not self._complete or self._versions.is_mixed(pool)
 
-    def _silence(self) -> Millis:
-        """Return the time since a message of any replica was handled."""
-        return self._clock.now() - self._last_heard
-
     def _holders(self) -> int:
         entries = self._entries(self._clock.now())
         return HOLDERS if entries <= MAX_ENTRIES_OF_TWO_HOLDERS else 1
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -420,7 +420,7 @@
     Variant(
         "an entry that hears no replica trusts its last versions",
         "feed/stream_client.py",
-        "return self._silence() > CONTACT_LIMIT or self._is_known_mixed(pool)",
+        "return self.silence() > CONTACT_LIMIT or self._is_known_mixed(pool)",
         "return self._is_known_mixed(pool)",
         f"{MIXED_VERSIONS}"
         "::test_no_stream_changes_its_version_at_an_entry_cut_off_from_all_replicas",
