Log why a stream is not continued, and which attempt it resumes

A refusal of a resumed stream had its code only. The new line names the attempt that the caller resumes, the pool and version that began it if they were found, how many replicas are asked and how long ago one was heard, which tells a version that is gone from a stream that nobody knows and from an entry that is cut off.

--- a/src/leadseam/routing/origin_lookup.py
+++ b/src/leadseam/routing/origin_lookup.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,8 @@
     from leadseam.routing.stream_origin import StreamOrigin
     from leadseam.runtime.metrics import RoutingMetrics
 
+log = logging.getLogger(__name__)
+
 
 class OriginLookup:
     """Binds resumed streams to the version that began them.
@@ -52,12 +55,11 @@
         origin = await self._find(request, request.deadline - now)
         pools = {share.pool for share in request.route.pools}
         if origin is None or origin.pool not in pools:
-            return self._without_origin(request)
+            return self._without_origin(request, origin)
         bound = replace(request, pool=origin.pool, version=origin.version)
         scope = bound.scope
         if not self._feed.view.pool(scope.pool, scope.regions, scope.version):
-            self._metrics.resumed.inc("version_gone")
-            return NotRun(Reason.VERSION_GONE)
+            return self._refuse(Reason.VERSION_GONE, request, origin)
         self._metrics.resumed.inc("bound")
         return bound
 
@@ -75,14 +77,31 @@
             time_left=time_left,
         )
 
-    def _without_origin(self, request: AdmittedRequest) -> AdmittedRequest | NotRun:
+    def _without_origin(
+        self, request: AdmittedRequest, origin: StreamOrigin | None
+    ) -> AdmittedRequest | NotRun:
         if self._feed.streams.is_mixed(request.pool):
             # Waiting does not help: replicas are asked for longer than a row takes.
-            self._metrics.resumed.inc("version_unknown")
-            return NotRun(Reason.VERSION_UNKNOWN)
+            return self._refuse(Reason.VERSION_UNKNOWN, request, origin)
         self._metrics.resumed.inc("one_version")
         return request
 
+    def _refuse(
+        self, reason: Reason, request: AdmittedRequest, origin: StreamOrigin | None
+    ) -> NotRun:
+        self._metrics.resumed.inc(reason.value)
+        extra = {
+            "request": request.req.request_id,
+            "resumes": request.req.resumes,
+            "reason": reason.value,
+            "pool": origin.pool if origin is not None else None,
+            "version": origin.version if origin is not None else None,
+            "replicas": self._feed.streams.replicas,
+            "silence_ms": self._feed.streams.silence(),
+        }
+        log.info("stream not continued", extra=extra)
+        return NotRun(reason)
+
 
 def _first_attempt(request: AdmittedRequest) -> str:
     """Return the id of the attempt that brought the first event of a stream."""
--- a/tests/platform/test_mixed_versions.py
+++ b/tests/platform/test_mixed_versions.py
@@ -250,6 +250,9 @@
     )
     assert answer.status == 503
     assert b'"version_unknown"' in answer.body
+    lines = platform.log(entry)
+    (line,) = [one for one in lines if one["message"] == "stream not continued"]
+    assert (line["request"], line["resumes"]) == ("after", "before")
 
 
 async def test_a_stream_whose_version_is_gone_is_refused_at_once(
