Test of the connection limit: wait until the entry has accepted all connections

The test opened 257 connections and sent its request at once, but a connection is made for the caller when the kernel has queued it. An entry that was off its processor accepts 32 of them an iteration of its event loop, and can answer before it has accepted them all.

Now a connection opened after the others is answered first; the queue is first in, first out. The limit, the count and both assertions are as before.

--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -423,7 +423,11 @@
             await asyncio.open_connection(entry, platform.front_port)
             for _ in range(MAX_KEPT_ALIVE + 1)
         ]
+        # Connections are accepted in order: those before an answered one are open.
+        last = await asyncio.open_connection(entry, platform.front_port)
+        last[1].write(b"GET / HTTP/1.0\r\n\r\n")
+        assert await last[0].read()
         assert not await connection_is_kept("/once/many")
         assert not await connection_is_kept("/stream/many")
-        for _, writer in idle:
+        for _, writer in [*idle, last]:
             writer.close()
