Serve accounts that request little of a busy entry

Cause: an entry whose event loop lags refuses by the lag alone, whoever caused it.

Change: what an entry serves is divided by max-min among the accounts that request service of it, with the function that divides the engines. Above the lag of 30 ms, accounts within that share are still served, up to 120 ms. While nothing that an entry was asked for is refused there are no such shares, and it refuses by its lag as before; so it does for requests without an account, and where it redirects callers.

Why it works: those accounts' work is bounded by the share, so serving it adds little to the lag; the flooding account is refused as before.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -65,6 +65,9 @@
 MAX_LAG: Millis = 30
 """Lag of the event loop above which new requests are refused: half of the time within
 which a refusal is early for the shortest latency objective in use (250 ms)."""
+MAX_LAG_WITHIN_SHARE: Millis = 120
+"""Such a lag for accounts that request less than their share of a busy entry: their few
+requests begin late then, instead of being refused for what others request."""
 EXCESS_LAG: Millis = 10
 """Lag of the event loop above which accounts that exceed their share are refused,
 before their request is even read: the excess causes most of an entry's lag."""
@@ -193,7 +196,8 @@
         now = self.now()
         exceeds_share = self._exceeds_share(account, now)
         redirects = self._redirects(account, now)
-        if not exceeds_share and not redirects and lag <= MAX_LAG:
+        busy = redirects or self._is_too_busy_for(account, now)
+        if not exceeds_share and not busy:
             return None
         if not exceeds_share and not redirects:
             service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
@@ -299,9 +303,8 @@
         name = account.name if account is not None else None
         # Reading the body may have taken long, so rooms are judged now.
         now = self.now()
-        lag = self._lag.millis
-        redirects = lag > EXCESS_LAG and self._redirects(name, now)
-        busy = lag > MAX_LAG or redirects
+        redirects = self._lag.millis > EXCESS_LAG and self._redirects(name, now)
+        busy = redirects or self._is_too_busy_for(name, now)
         if name is not None and not redirects:
             self.placer.record_request(name, req, arrived)
         if busy:
@@ -378,6 +381,15 @@
                 pause = max(pause, found.pause)
         return NotRun(Reason.ENTRY_BUSY, pause)
 
+    def _is_too_busy_for(self, account: str | None, now: Millis) -> bool:
+        """Return whether the event loop lags too much to serve a request."""
+        lag = self._lag.millis
+        if lag <= MAX_LAG or account is None:
+            return lag > MAX_LAG
+        if lag > MAX_LAG_WITHIN_SHARE:
+            return True
+        return not self.placer.is_within_entry_share(account, now)
+
     def _exceeds_share(self, account: str | None, now: Millis) -> bool:
         if account is None:
             return False
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -379,6 +379,10 @@
         """Return whether callers of a client account also use other entries."""
         return self._usage.uses_other_entries(account, now)
 
+    def is_within_entry_share(self, account: str, now: Millis) -> bool:
+        """Return whether others use up this entry, and not this client account."""
+        return self._usage.is_within_entry_share(account, now)
+
     def memory_bound_pools(self) -> int:
         """Return the number of memory-bound pools."""
         return self._memory.bound_pools()
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -53,6 +53,8 @@
 """Part of an account's requested service above which its callers use other entries. On
 the heaviest day all 2,957 logged requests of one account came to one entry of 32, the
 retries too."""
+ENTRY_LEVEL_INTERVAL: Millis = 100
+"""Time for which an entry's own level is kept, as a busy entry needs it often."""
 GENERATED_TOKEN_WEIGHT = 2
 """Service of a generated token relative to a read one, as the platform measures it."""
 
@@ -139,6 +141,8 @@
         self._own: dict[str, _Account] = {}
         self._others: dict[str, UsageRow] = {}
         self._totals_at: Millis | None = None
+        self._entry_level = float("inf")
+        self._entry_level_at: Millis | None = None
         self.shares = Shares()
         self.used_part = 1.0
 
@@ -173,6 +177,17 @@
         own = self._account(account).requested.value_at(now)
         return others.requested >= MIN_ELSEWHERE_PART * (own + others.requested)
 
+    def is_within_entry_share(self, account: str, now: Millis) -> bool:
+        """Return whether others use up this entry, and not this account.
+
+        What the entry serves is divided by max-min among the accounts that request
+        service of it. While it serves all that they request, there are no such shares.
+        """
+        level = self._current_entry_level(now)
+        if level == float("inf"):
+            return False
+        return self._account(account).requested.value_at(now) <= level
+
     def recently_requested(self, account: str, now: Millis) -> int:
         """Return the service that an account recently requested, as far as is known."""
         others = self._others.get(account) if self._has_current_totals(now) else None
@@ -239,6 +254,15 @@
     def _has_current_totals(self, now: Millis) -> bool:
         return self._totals_at is not None and now - self._totals_at <= MAX_TOTALS_AGE
 
+    def _current_entry_level(self, now: Millis) -> float:
+        at = self._entry_level_at
+        if at is None or now - at >= ENTRY_LEVEL_INTERVAL:
+            self._entry_level_at = now
+            rows = self.rows(now)
+            served = sum(row.served for row in rows)
+            self._entry_level = fair_level((row.requested for row in rows), served)
+        return self._entry_level
+
     def _account(self, name: str) -> _Account:
         return self._own.setdefault(name, _Account())
 
--- a/tests/routing/busy_entries.py
+++ b/tests/routing/busy_entries.py
@@ -27,6 +27,7 @@
 from leadseam.routing.gateway import Gateway
 from leadseam.routing.retry_budget import RetryLimits
 from leadseam.routing.return_time import LONGEST_PART
+from leadseam.routing.usage import Standing
 from leadseam.runtime.entry_room import RoomSensor
 from leadseam.runtime.lag import DECAY, INTERVAL
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
@@ -34,7 +35,7 @@
 from leadseam.wire.feed import DomainRoom, EntryRoom, LoadSums
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
     from leadseam.outcome import NotRun
 
@@ -255,6 +256,41 @@
         await sleep(SERVICE_TIME + HOP)
         return None
 
+    async def run_at_first_entry(self, rates: Mapping[str, float]) -> dict[str, float]:
+        """Simulate `SPAN` ms of accounts that use the first entry only.
+
+        All are within their share of the upstreams.
+
+        Args:
+            rates: Requests per second by account. They are not retried.
+
+        Returns:
+            Served fraction of each account's requests.
+        """
+        sent: Counter[str] = Counter()
+        served: Counter[str] = Counter()
+        placer = cast("Any", self.entries[0].gateway.placer)
+        placer.standing = lambda account, now: Standing.WITHIN
+
+        async def call(account: str) -> None:
+            sent[account] += 1
+            served[account] += await self._attempt(0, account) is None
+
+        async def send(account: str, rate: float) -> None:
+            async with asyncio.TaskGroup() as group:
+                while self.clock.now() < SPAN:
+                    await asyncio.sleep(self._rng.expovariate(rate))
+                    group.create_task(call(account))
+
+        tasks = [asyncio.create_task(self._measure())]
+        tasks.append(asyncio.create_task(self._exchange_sums()))
+        async with asyncio.TaskGroup() as group:
+            for account, rate in rates.items():
+                group.create_task(send(account, rate))
+        for task in tasks:
+            task.cancel()
+        return {account: served[account] / sent[account] for account in sent}
+
     async def _measure(self) -> None:
         while True:
             await sleep(INTERVAL)
@@ -306,3 +342,24 @@
         return loop.run_until_complete(run())
     finally:
         loop.close()
+
+
+def simulate_first_entry(rates: Mapping[str, float], *, seed: int) -> dict[str, float]:
+    """Simulate accounts that use one entry with little processor time.
+
+    Args:
+        rates: Requests per second by account.
+        seed: Seed of all random generators.
+
+    Returns:
+        Served fraction of each account's requests.
+    """
+    loop = VirtualLoop()
+
+    async def run() -> dict[str, float]:
+        return await BusyFleet(VirtualClock(loop), seed).run_at_first_entry(rates)
+
+    try:
+        return loop.run_until_complete(run())
+    finally:
+        loop.close()
--- a/tests/routing/test_busy_entries.py
+++ b/tests/routing/test_busy_entries.py
@@ -10,7 +10,13 @@
 import pytest
 
 from leadseam.wire.feed import DomainRoom
-from tests.routing.busy_entries import ENTRIES, SPAN, BusyFleet, simulate_busy_fleet
+from tests.routing.busy_entries import (
+    ENTRIES,
+    SPAN,
+    BusyFleet,
+    simulate_busy_fleet,
+    simulate_first_entry,
+)
 
 SETTLED = 500
 """Milliseconds after which the entries know of each other's room."""
@@ -79,3 +85,12 @@
     # In time: 0.87 in both. Refused twice: 0.02 and 0.06 of all callers.
     assert fleet.fraction_in_time > honest.fraction_in_time - 0.03
     assert fleet.ends["refused"] < 0.1 * fleet.ends.total()
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_an_account_is_not_refused_for_the_flood_of_another_at_its_entry(
+    seed: int,
+) -> None:
+    rates = {"account-0": 400.0, "account-1": 5.0, "account-2": 2.0}
+    served = simulate_first_entry(rates, seed=seed)
+    assert min(served["account-1"], served["account-2"]) >= 0.5
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -22,7 +22,12 @@
 from leadseam.routing.busy import SHORTEST_PAUSE
 from leadseam.routing.dialect import Sender
 from leadseam.routing.entry_room import EntryRooms
-from leadseam.routing.gateway import EXCESS_LAG, MAX_LAG, Gateway
+from leadseam.routing.gateway import (
+    EXCESS_LAG,
+    MAX_LAG,
+    MAX_LAG_WITHIN_SHARE,
+    Gateway,
+)
 from leadseam.routing.retry_budget import RetryLimits
 from leadseam.routing.router import Router
 from leadseam.routing.scope import Scope
@@ -188,6 +193,17 @@
     assert 75 <= pause <= 150
 
 
+def test_accounts_within_their_share_of_an_entry_are_refused_at_a_larger_lag(
+    entry: Entry, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    placer = entry.gateway.placer
+    monkeypatch.setattr(placer, "is_within_entry_share", lambda account, _: True)
+    entry.lag.millis = MAX_LAG_WITHIN_SHARE
+    assert entry.early_pause("small") is None
+    entry.lag.millis = MAX_LAG_WITHIN_SHARE + 1
+    assert entry.early_pause("small") is not None
+
+
 def test_stopped_accounts_get_the_pause_of_a_busy_entry(
     entry: Entry, monkeypatch: pytest.MonkeyPatch
 ) -> None:
