--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -573,6 +573,14 @@
         "        return True",
         f"{BUSY_ENTRIES}::test_callers_are_not_sent_around_among_busy_entries",
     ),
+    Variant(
+        "a busy entry refuses accounts that request little of it",
+        "routing/gateway.py",
+        "        return not self.placer.is_within_entry_share(account, now)",
+        "        return True",
+        f"{BUSY_ENTRIES}"
+        "::test_an_account_is_not_refused_for_the_flood_of_another_at_its_entry",
+    ),
     Variant(
         "rooms of other entries are used however old they are",
         "routing/entry_room.py",
