Reserve the ports of test fleets until their processes have ended

No process of the fleet had started yet.

Cause: a fleet chose its ports one after the other with sockets that it closed at once, so the system could choose one twice. Each port of a box is also the port of proxies on other boxes' addresses, so a pair of equal ones fails the fleet.

Change: ports stay bound on the first address of the fleet until it closes, by sockets that do not listen, so that nodes and proxies can use them; the port after a box's inner one, for its metrics, is reserved as well. Two fleets that run beside each other get different ones, too.

--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -8,7 +8,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -24,32 +23,20 @@
 from tools.platform.operator import Operator
 from tools.platform.standin import Server
 from tools.platform.suspension import SuspendableClock
+from tools.ports import ReservedPorts
 from tools.waiting import wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable
     from pathlib import Path
 
 HOST = "shop.example"
 KEY = "key-of-bank"
+INTERNAL_PORTS = METRICS_OFFSET + 1
+"""Consecutive ports of a box for links between nodes and for its metrics."""
 _requests = itertools.count(1)
 
 
-def free_port(ips: Sequence[str]) -> int:
-    """Return a port that is free on all of these addresses."""
-    while True:
-        with contextlib.ExitStack() as stack:
-            first = stack.enter_context(socket.socket())
-            first.bind((ips[0], 0))
-            port: int = first.getsockname()[1]
-            try:
-                for ip in ips[1:]:
-                    stack.enter_context(socket.socket()).bind((ip, port))
-            except OSError:
-                continue
-            return port
-
-
 @dataclass
 class Answer:
     """Response that a caller received; `status` is 0 if the connection was cut."""
@@ -96,11 +83,12 @@
         ]
         self._log_offsets: dict[str, int] = {}
         self._clocks: dict[str, SuspendableClock] = {}
-        self.control_port = free_port(all_ips)
-        self.internal_port = free_port(all_ips)
-        self.front_port = free_port(all_ips)
-        self.ready_port = free_port(all_ips)
-        self.server_port = free_port(all_ips)
+        self._ports = ReservedPorts()
+        self.control_port = self._ports.reserve(all_ips)
+        self.internal_port = self._ports.reserve(all_ips, count=INTERNAL_PORTS)
+        self.front_port = self._ports.reserve(all_ips)
+        self.ready_port = self._ports.reserve(all_ips)
+        self.server_port = self._ports.reserve(all_ips)
         self.controls = [f"{ip}:{self.control_port}" for ip in self.control_ips]
         self.seeds = self.controls
         self.operator = Operator(self.controls)
@@ -120,6 +108,7 @@
         for server in self.servers:
             await server.stop()
         await self.http.close()
+        self._ports.close()
 
     async def start_all(self) -> None:
         """Start all boxes, a model service and a plain one, and configure them."""
--- a/tools/soak/soak_platform.py
+++ b/tools/soak/soak_platform.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from tools.platform.nodes import Platform, free_port
+from tools.platform.nodes import INTERNAL_PORTS, Platform
 from tools.soak.disturbances import DisturbanceLog
 from tools.soak.links import FaultyLinks
 from tools.soak.plan import Boxes
@@ -59,8 +59,10 @@
         self._successors: dict[str, str] = {}
         nodes = [*self.control_ips, *self.spare_ips, *self.entry_ips]
         every = [*nodes, *self.server_ips]
-        self._inner_ports = {ip: free_port(every) for ip in nodes}
-        self._proxy_port = free_port(self.server_ips)
+        self._inner_ports = {
+            ip: self._ports.reserve(every, count=INTERNAL_PORTS) for ip in nodes
+        }
+        self._proxy_port = self._ports.reserve(every)
         self.down: set[str] = set()
         self._restarter: asyncio.Task[None] | None = None
         self._version_numbers = itertools.count()
