Log and count how the answers of upstreams end

An attempt that was taken for whole left no line that tells it from a good one, so the hypotheses of the incident could not be told apart. Each attempt now knows the framing of its answer, how the connection ended and the bytes after the last complete event; both lines of a request carry them, and a counter adds them up. Nothing is decided by them. The connection class moves to runtime, so that the path through sidecars can use it too.

Fakes of answers in tests state their framing.

--- a/src/leadseam/platform/engine_cache.py
+++ b/src/leadseam/platform/engine_cache.py
@@ -14,7 +14,7 @@
 from leadseam.feed.prefix_index import CacheEvent, EventPage
 from leadseam.platform import names
 from leadseam.platform.heartbeat import MAX_INTEGER
-from leadseam.routing.client import UpstreamConnector, open_session
+from leadseam.routing.client import RoutingConnector, open_session
 
 if TYPE_CHECKING:
     from leadseam.feed.cache_watch import EventAnswer
@@ -58,7 +58,7 @@
     ) -> EventAnswer:
         """Read the events of an engine since a cursor."""
         if self._session is None:
-            connector = UpstreamConnector(keepalive=seconds(IDLE_LIMIT))
+            connector = RoutingConnector(keepalive=seconds(IDLE_LIMIT))
             self._session = open_session(connector, connect_timeout=CONNECT_TIMEOUT)
         url = URL.build(
             scheme="http",
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -10,10 +10,12 @@
 
 from leadseam.outcome import Reason
 from leadseam.routing.client import WithheldError
+from leadseam.runtime.upstream_connection import read_end
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from leadseam.answer_end import AnswerEnd
     from leadseam.routing.client import UpstreamClient
     from leadseam.routing.dialect import (
         AnswerHead,
@@ -87,9 +89,11 @@
 
     Args:
         reason: Reason reported to the caller if this attempt was the last.
+        end: How the body ended, or None if it was not read.
     """
 
     reason: Reason
+    end: AnswerEnd | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,28 +104,32 @@
         status: Its HTTP status.
         headers: Its end-to-end headers.
         body: Its body, at most `MAX_BUFFERED` bytes.
+        end: How the body ended, or None if not known.
     """
 
     status: int
     headers: Headers
     body: bytes
+    end: AnswerEnd | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Streaming:
-    """A successful event stream, or an answer too large to buffer, that is still open.
+    """A successful event stream, or an answer too large to buffer.
 
     Args:
         resp: The open response.
         headers: Its end-to-end headers.
         buffered: Bytes of the body that have already been read.
         events: Whether the body is an event stream.
+        end: How the body ended, or None while it is open.
     """
 
     resp: aiohttp.ClientResponse
     headers: Headers
     buffered: bytes = b""
     events: bool = True
+    end: AnswerEnd | None = None
 
 
 Ending: TypeAlias = Withheld | Unreachable | Declined | Broken | Whole | Streaming
@@ -207,14 +215,14 @@
             buffered += data
             if len(buffered) > MAX_BUFFERED:
                 return Streaming(resp, headers, buffered, events=False)
-    except (aiohttp.ClientError, OSError):
+    except (aiohttp.ClientError, OSError) as exc:
         resp.close()
-        return Broken(Reason.UPSTREAM_BROKEN)
+        return Broken(Reason.UPSTREAM_BROKEN, read_end(resp, exc))
     except BaseException:
         resp.close()
         raise
     resp.release()
-    return Whole(resp.status, headers, buffered)
+    return Whole(resp.status, headers, buffered, read_end(resp))
 
 
 async def _drain(resp: aiohttp.ClientResponse) -> None:
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -1,27 +1,21 @@
-"""HTTP client for upstreams, hardened against faulty upstreams.
-
-If a connection is reset during an answer without a length, `aiohttp` reports a regular
-end. It takes bytes that arrive on an idle connection for the next answer. The
-connection class here corrects both.
-"""
+"""HTTP client for upstreams, hardened against faulty upstreams."""
 
 from __future__ import annotations
 
 import asyncio
-import functools
 import socket
 from collections.abc import Callable
 from contextvars import ContextVar
 from typing import TYPE_CHECKING, Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from leadseam.clock import Millis, seconds
-from leadseam.runtime.connector import LoopConnector
+from leadseam.runtime.upstream_connection import UpstreamConnector
 
 if TYPE_CHECKING:
+    from aiohttp.client_proto import ResponseHandler
     from aiohttp.connector import Connection
     from aiohttp.tracing import Trace
 
@@ -51,69 +45,8 @@
     """A request was not written, as it must no longer be sent."""
 
 
-class UpstreamConnection(ResponseHandler):
-    """A client connection that detects resets and closes on surplus bytes.
-
-    Attributes:
-        listener: Called after bytes of an answer, its end or its failure have arrived;
-            None if there is none. It must not raise.
-    """
-
-    listener: Callable[[], None] | None = None
-
-    def resume_reading(self, resume_parser: bool = True) -> None:
-        """Resume reading if it is paused; the library calls this on each read."""
-        if self._reading_paused:
-            super().resume_reading(resume_parser)
-
-    def set_response_params(self, **kwargs: Any) -> None:
-        """Prepare for an answer, and drop the state of the previous one."""
-        self._payload = None
-        super().set_response_params(**kwargs)
-
-    def eof_received(self) -> None:
-        """Fail an unfinished body if the end hides a reset.
-
-        libuv reports the end of the stream if it finds the last bytes and a reset in
-        one poll; `SO_ERROR` of the socket still holds the error.
-        """
-        sock = self.transport.get_extra_info("socket") if self.transport else None
-        if sock is not None:
-            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if code:
-                self._fail_body(OSError(code, "connection reset"))
-        super().eof_received()
-        self._notify_listener()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an unfinished body if the connection was reset."""
-        if exc is not None:
-            self._fail_body(exc)
-        super().connection_lost(exc)
-        self._notify_listener()
-
-    def _fail_body(self, exc: BaseException) -> None:
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
-
-    def data_received(self, data: bytes) -> None:
-        """Process bytes; close the connection on bytes after a complete answer."""
-        if self._payload is not None and self._payload.is_eof() and data:
-            self.force_close()
-            if self.transport is not None:
-                self.transport.close()
-            return
-        super().data_received(data)
-        self._notify_listener()
-
-    def _notify_listener(self) -> None:
-        if self.listener is not None:
-            self.listener()
-
-
-class UpstreamConnector(LoopConnector):
-    """A pool of `UpstreamConnection`s with TCP keepalive.
+class RoutingConnector(UpstreamConnector):
+    """A pool of connections with TCP keepalive.
 
     `connect` is called just before a request is written. If the request must no longer
     be sent, it raises, and the connection returns to the pool.
@@ -123,11 +56,6 @@
             after one request.
     """
 
-    def __init__(self, *, keepalive: float | None = None) -> None:
-        super().__init__(keepalive=keepalive)
-        make: Callable[..., ResponseHandler] = UpstreamConnection
-        self._factory = functools.partial(make, loop=self._loop)
-
     async def connect(
         self,
         req: aiohttp.ClientRequest,
@@ -162,7 +90,7 @@
 
 
 def open_session(
-    connector: UpstreamConnector, *, connect_timeout: Millis
+    connector: RoutingConnector, *, connect_timeout: Millis
 ) -> aiohttp.ClientSession:
     """Open a session that passes on headers and bodies unchanged.
 
@@ -190,11 +118,11 @@
     """Sends requests to upstreams by address."""
 
     def __init__(self) -> None:
-        self._connector = UpstreamConnector(keepalive=seconds(IDLE_LIMIT))
+        self._connector = RoutingConnector(keepalive=seconds(IDLE_LIMIT))
         self._pooled = open_session(self._connector, connect_timeout=CONNECT_TIMEOUT)
         # Reused connections may prove to be closed after the request was written.
         self._single_use = open_session(
-            UpstreamConnector(), connect_timeout=CONNECT_TIMEOUT
+            RoutingConnector(), connect_timeout=CONNECT_TIMEOUT
         )
 
     def drop_idle(self) -> int:
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -31,6 +31,7 @@
 from leadseam.routing.stream_origin import StreamOrigin
 
 if TYPE_CHECKING:
+    from leadseam.answer_end import AnswerEnd
     from leadseam.clock import Millis
     from leadseam.incarnation import Incarnation
     from leadseam.routing.admitted import AdmittedRequest
@@ -97,6 +98,7 @@
             on_first_event=self._note_first_event,
         )
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
+        self.answer_end: AnswerEnd | None = None
         self.placement: Placement | None = None
 
     @property
@@ -307,6 +309,11 @@
         self, flight: Flight, ending: Ending
     ) -> web.StreamResponse | None:
         """Return the response, or None to try another upstream."""
+        match ending:
+            case Whole(end=end) | Streaming(end=end) | Broken(end=end):
+                self.answer_end = end
+            case _:
+                self.answer_end = None
         ended_by_guard = self._ended_by_guard and isinstance(ending, Broken)
         if not ended_by_guard:
             # An attempt that the guard ended is no evidence about the upstream or the
--- a/src/leadseam/routing/pump.py
+++ b/src/leadseam/routing/pump.py
@@ -11,7 +11,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from leadseam.routing.client import UpstreamConnection
+from leadseam.runtime.upstream_connection import UpstreamConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, NoReturn
 
 import aiohttp
@@ -11,6 +12,7 @@
 from leadseam.routing.attempt import Broken, Ending, Streaming
 from leadseam.routing.events import Event, EventSplitter, PassThrough
 from leadseam.routing.pump import Pump, connection_of
+from leadseam.runtime.upstream_connection import read_end
 
 if TYPE_CHECKING:
     import asyncio
@@ -75,8 +77,8 @@
         Raises:
             CallerGoneError: If the caller's connection is closed.
         """
+        splitter = EventSplitter() if streaming.events else PassThrough()
         try:
-            splitter = EventSplitter() if streaming.events else PassThrough()
             await self._write(streaming, splitter.feed(streaming.buffered))
             while data := await streaming.resp.content.readany():
                 on_data()
@@ -87,13 +89,16 @@
         except (aiohttp.ClientError, OSError) as exc:
             if isinstance(exc, ConnectionError) and self._caller_gone():
                 raise CallerGoneError(str(exc)) from exc
-            return Broken(Reason.UPSTREAM_BROKEN)
+            unfinished = len(splitter.pending)
+            end = read_end(streaming.resp, exc, unfinished=unfinished)
+            return Broken(Reason.UPSTREAM_BROKEN, end)
         finally:
             # Makes the upstream stop its work if the answer is not read to the end.
             streaming.resp.close()
         if self._response is None:
             await self._start(streaming)
-        return streaming
+        end = read_end(streaming.resp, unfinished=len(splitter.pending))
+        return replace(streaming, end=end)
 
     async def end(self) -> web.StreamResponse:
         """Finish a response that has started, and return it.
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -101,7 +101,10 @@
         *,
         retry: bool,
     ) -> None:
-        """Log an attempt that failed."""
+        """Count how an answer ended, and log an attempt that failed."""
+        end = exchange.answer_end
+        if end is not None:
+            self._metrics.answer_ends.inc(end.label())
         failed = isinstance(ending, Whole) and ending.status >= FIRST_SERVER_ERROR
         if not failed and isinstance(ending, Whole | Streaming):
             return
@@ -117,6 +120,8 @@
                 extra["version"] = exchange.placement.upstream.version
             if exchange.last_event is not None:
                 extra["last_event"] = exchange.last_event
+            if end is not None:
+                extra |= end.log_fields()
             if isinstance(ending, Broken):
                 # The same for attempts of one request at different entries.
                 extra["fingerprint"] = admitted.fingerprint()
@@ -239,6 +244,8 @@
             extra["resume_after"] = admitted.req.resume_after
         if exchange.first_byte_at != NOT_SENT:
             extra["first_ms"] = exchange.first_byte_at - admitted.arrived
+        if exchange.answer_end is not None:
+            extra |= exchange.answer_end.log_fields()
         if isinstance(outcome, Answered):
             extra["status"] = outcome.status
         else:
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -137,6 +137,11 @@
         self.attempts = metrics.buffered_counter(
             "routed_attempts_total", "Attempts at upstreams by ending.", "ending"
         )
+        self.answer_ends = metrics.buffered_counter(
+            "routed_answer_ends_total",
+            "Answers of upstreams by framing, close and unfinished event.",
+            "end",
+        )
         self.retries = metrics.buffered_counter(
             "routed_retries_total", "Retries that the budget allowed, by pool.", "pool"
         )
--- /dev/null
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -0,0 +1,124 @@
+"""Client connections that tell how an answer ended.
+
+If a connection is reset during an answer without a length, `aiohttp` reports a regular
+end. It takes bytes that arrive on an idle connection for the next answer. The
+connection class here corrects both.
+"""
+
+from __future__ import annotations
+
+import functools
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import aiohttp
+from aiohttp.client_proto import ResponseHandler
+
+from leadseam.answer_end import AnswerEnd, Close, read_framing
+from leadseam.runtime.connector import LoopConnector
+
+
+class AnswerResetError(aiohttp.ClientPayloadError):
+    """The connection was reset before the end of an answer."""
+
+
+class UpstreamConnection(ResponseHandler):
+    """A client connection that detects resets and closes on surplus bytes.
+
+    Attributes:
+        listener: Called after bytes of an answer, its end or its failure have arrived;
+            None if there is none. It must not raise.
+    """
+
+    listener: Callable[[], None] | None = None
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Resume reading if it is paused; the library calls this on each read."""
+        if self._reading_paused:
+            super().resume_reading(resume_parser)
+
+    def set_response_params(self, **kwargs: Any) -> None:
+        """Prepare for an answer, and drop the state of the previous one."""
+        self._payload = None
+        super().set_response_params(**kwargs)
+
+    def eof_received(self) -> None:
+        """Fail an unfinished body if the end hides a reset.
+
+        libuv reports the end of the stream if it finds the last bytes and a reset in
+        one poll; `SO_ERROR` of the socket still holds the error.
+        """
+        sock = self.transport.get_extra_info("socket") if self.transport else None
+        if sock is not None:
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._fail_body(AnswerResetError(f"reset: error {code}"))
+        super().eof_received()
+        self._notify_listener()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Fail an unfinished body if the connection was reset."""
+        if exc is not None:
+            self._fail_body(AnswerResetError(f"reset: {exc}"))
+        super().connection_lost(exc)
+        self._notify_listener()
+
+    def _fail_body(self, exc: aiohttp.ClientPayloadError) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Process bytes; close the connection on bytes after a complete answer."""
+        if self._payload is not None and self._payload.is_eof() and data:
+            self.force_close()
+            if self.transport is not None:
+                self.transport.close()
+            return
+        super().data_received(data)
+        self._notify_listener()
+
+    def _notify_listener(self) -> None:
+        if self.listener is not None:
+            self.listener()
+
+
+class UpstreamConnector(LoopConnector):
+    """A pool of `UpstreamConnection`s.
+
+    Args:
+        keepalive: Seconds that an idle connection is kept; None closes each connection
+            after one request.
+    """
+
+    def __init__(self, *, keepalive: float | None = None) -> None:
+        super().__init__(keepalive=keepalive)
+        make: Callable[..., ResponseHandler] = UpstreamConnection
+        self._factory = functools.partial(make, loop=self._loop)
+
+
+def read_end(
+    resp: aiohttp.ClientResponse,
+    exc: Exception | None = None,
+    *,
+    unfinished: int = 0,
+) -> AnswerEnd:
+    """Return how the body of an answer ended.
+
+    Args:
+        resp: The answer, read to its end or to an error.
+        exc: Error that ended reading, or None.
+        unfinished: Bytes after the last complete event; 0 if it is no event stream.
+    """
+    framing = read_framing(resp.method, resp.status, resp.headers)
+    match exc:
+        case None:
+            delimited = framing is not framing.CONNECTION
+            close = Close.COMPLETE if delimited else Close.CLOSED
+        case aiohttp.ClientPayloadError() if not isinstance(exc, AnswerResetError):
+            # The connection ended before the length or the last chunk was reached.
+            close = Close.CLOSED
+        case _:
+            close = Close.RESET
+    return AnswerEnd(framing, close, unfinished)
--- a/tests/routing/gateways.py
+++ b/tests/routing/gateways.py
@@ -132,7 +132,8 @@
 
     def __init__(self, status: int, headers: dict[str, str]) -> None:
         self.status = status
-        self.headers = CIMultiDict(headers)
+        self.method = "POST"
+        self.headers = CIMultiDict({**headers, "Content-Length": "0"})
         self.content = SimpleNamespace(readany=self.read)
 
     async def read(self) -> bytes:
--- a/tests/routing/test_pump.py
+++ b/tests/routing/test_pump.py
@@ -11,8 +11,8 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.streams import StreamReader
 
-from leadseam.routing.client import UpstreamConnection
 from leadseam.routing.pump import Pump
+from leadseam.runtime.upstream_connection import UpstreamConnection
 
 
 class PumpHarness:
