--- /dev/null
+++ b/tests/platform/test_answer_ends.py
@@ -0,0 +1,126 @@
+"""Answers of any framing, end and place reach callers whole or visibly broken."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from leadseam.answer_end import Framing
+from tools.platform.answer_plans import AnswerPlan, Finish
+from tools.platform.standin import LARGE_BODY, PLAIN_BODY, WHOLE_STREAM, event
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from tools.platform.nodes import Answer, Platform
+
+CONCURRENT_CALLS = 6
+FIRST_EVENTS = len(event(1) + event(2))
+"""Bytes of the first two events."""
+STREAM_PLACES = [0, *range(len(event(1)), FIRST_EVENTS + 1)]
+"""Before the first byte, between two events, and after each byte of the second one."""
+CRLF_STREAM_PLACES = range(len(event(1)) + 3, FIRST_EVENTS + 7)
+PLAIN_PLACES = [0, 1, len(PLAIN_BODY) - 1]
+LARGE_PLACES = [1_200_000, len(LARGE_BODY) - 1]
+ENDS = [Finish.CLOSE, Finish.RESET]
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One cell of the matrix.
+
+    Args:
+        route: Path of the route, and of the kind of body.
+        plan: How the server answers.
+        body: The server's whole body.
+    """
+
+    route: str
+    plan: AnswerPlan
+    body: bytes
+
+    @property
+    def undecidable(self) -> bool:
+        """Whether an answer that is cut like this looks like a whole one."""
+        plan = self.plan
+        delimited = plan.framing is not Framing.CONNECTION
+        if plan.whole or delimited or plan.finish is not Finish.CLOSE:
+            return False
+        return "stream" not in self.route or self.is_between_events
+
+    @property
+    def is_between_events(self) -> bool:
+        """Whether the server stops between two events of a stream."""
+        sent = self.body[: self.plan.sent]
+        return not sent or sent.endswith((b"\n\n", b"\r\n\r\n"))
+
+    def verdict(self, answer: Answer) -> str:
+        """Return what is wrong with the answer that a caller got, or nothing."""
+        if answer.status in (200, 500) and not answer.cut:
+            if answer.body == self.body or self.undecidable:
+                return ""
+            return f"a part of {len(answer.body)} bytes passes for whole"
+        if self.plan.whole:
+            return f"a whole answer is taken for broken: {answer}"
+        if "stream" in self.route and answer.cut:
+            received = self.body.startswith(answer.body)
+            if not received or (answer.body and not answer.body.endswith(b"\n")):
+                return f"bytes of an unfinished event: {answer.body!r}"
+        return ""
+
+
+def cases() -> Iterator[Case]:
+    """Return all cells of the matrix, and each whole answer a few times."""
+    numbers = itertools.count()
+
+    def case(route: str, framing: Framing, body: bytes, **how: object) -> Case:
+        plan = AnswerPlan(framing, number=next(numbers), **how)  # type: ignore[arg-type]
+        return Case(route, plan, body)
+
+    crlf_stream = WHOLE_STREAM.replace(b"\n", b"\r\n")
+    for framing, finish in itertools.product(Framing, ENDS):
+        for route in ("stream", "stream-fixed"):
+            for sent in STREAM_PLACES:
+                yield case(route, framing, WHOLE_STREAM, finish=finish, sent=sent)
+            for sent in CRLF_STREAM_PLACES:
+                yield case(
+                    route, framing, crlf_stream, finish=finish, sent=sent, crlf=True
+                )
+            # More new requests than retries, for the retry budget.
+            for crlf in (False, True) * 8:
+                body = crlf_stream if crlf else WHOLE_STREAM
+                yield case(route, framing, body, crlf=crlf)
+        for route in ("safe", "once", "safe/failure"):
+            for sent in (*PLAIN_PLACES, -1, -1):
+                yield case(route, framing, PLAIN_BODY, finish=finish, sent=sent)
+        for sent in (*LARGE_PLACES, -1):
+            yield case("safe/large", framing, LARGE_BODY, finish=finish, sent=sent)
+
+
+async def test_no_broken_answer_passes_for_whole_at_any_framing_end_and_place(
+    platform: Platform,
+) -> None:
+    faults: Counter[str] = Counter()
+    all_cases = [one for one in cases() if is_certain(one)]
+    waiting = iter(all_cases)
+
+    async def call_each() -> None:
+        for case in waiting:
+            answer = await platform.call(
+                platform.entry_ips[0], f"/{case.route}/{case.plan.path()}"
+            )
+            if fault := case.verdict(answer):
+                plan = case.plan
+                faults[f"{case.route} {plan.framing} {plan.finish}: {fault}"] += 1
+
+    await asyncio.gather(*(call_each() for _ in range(CONCURRENT_CALLS)))
+    detail = "\n".join(f"{count} x {fault}" for fault, count in faults.items())
+    assert not faults, f"{faults.total()} of {len(all_cases)} calls\n{detail}"
+
+
+def is_certain(case: Case) -> bool:
+    """Return whether the verdict is certain: not so for a reset after all bytes."""
+    return not (case.plan.whole and case.plan.finish is Finish.RESET)
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -15,6 +15,7 @@
 from multidict import CIMultiDict
 
 from leadseam.platform import names
+from tools.platform.answer_plans import AnswerPlan, Finish
 from tools.platform.operator import open_session, post_bytes
 from tools.platform.pauses import Arrival, Pause
 from tools.waiting import wait_until
@@ -28,9 +29,13 @@
 """Number of events in each stream."""
 LARGE_BODY = b"\nid: 7\n" * 300_000
 """Body of a plain response that is passed on before it is complete: 2.1 MB."""
+PLAIN_BODY = b'{"slip": "printed", "copies": 1}'
+"""Body of a plain answer that is sent as planned."""
 LARGE_BODY_START = 1_400_000
 """Bytes of it that are sent at once."""
 _instances = itertools.count(1)
+_planned: set[str] = set()
+"""Requests that were answered by their plan; a further attempt is answered whole."""
 
 
 @dataclass
@@ -269,6 +274,9 @@
     async def _run_action(
         self, http: web.BaseRequest, action: str
     ) -> web.StreamResponse:
+        plan = AnswerPlan.parse(http.path.rsplit("/", 1)[-1])
+        if plan is not None:
+            return await self._follow_plan(http, plan)
         match action:
             case "reset":
                 return self._abort(http)
@@ -297,6 +305,40 @@
                 await asyncio.sleep(self.delay)
                 return self._answer(http)
 
+    async def _follow_plan(
+        self, http: web.BaseRequest, plan: AnswerPlan
+    ) -> web.StreamResponse:
+        """Send an answer as its path plans it, and a further attempt whole."""
+        request_id = http.headers[names.REQUEST_ID]
+        if request_id in _planned:
+            plan = AnswerPlan(plan.framing, crlf=plan.crlf)
+        _planned.add(request_id)
+        transport = http.transport
+        assert transport is not None
+        status, headers, body = self._planned_answer(http, plan)
+        transport.write(plan.encode(status, headers, body))
+        match plan.finish:
+            case Finish.HOLD:
+                await self.release.wait()
+            case Finish.CRASH:
+                self.crash()
+                raise asyncio.CancelledError
+        plan.finish_connection(http)
+        return web.Response()
+
+    def _planned_answer(
+        self, http: web.BaseRequest, plan: AnswerPlan
+    ) -> tuple[int, dict[str, str], bytes]:
+        headers = self._signed_headers(http)
+        if "stream" in http.path:
+            first = int(http.headers.get(names.LAST_EVENT, "0")) + 1
+            body = b"".join(event(number) for number in range(first, EVENTS + 1))
+            headers["Content-Type"] = "text/event-stream"
+            return 200, headers, body.replace(b"\n", b"\r\n") if plan.crlf else body
+        if "/large/" in http.path:
+            return 200, headers, LARGE_BODY
+        return 500 if "/failure/" in http.path else 200, headers, PLAIN_BODY
+
     def _answer(self, http: web.BaseRequest) -> web.Response:
         body = f"{self.instance} {http.raw_path}".encode()
         return web.Response(body=body, headers=self._signed_headers(http))
