Take a stream that ends inside an event for broken off

Callers got a 200 with the upstream's signature and a short body that ended as a complete answer does, the last event cut in two; a stream that may resume was not continued.

Cause: where neither a length nor chunks delimit a body, the entry took the ordinary end of the connection for the end of the answer, wrote the bytes of the event that never ended, and finished its response.

The bytes of an unfinished event are kept from the caller, so the stream goes on after its last complete event where the route allows it. An event ends by any of the line ends of the standard; empty lines and comments after it belong to none.

--- a/src/leadseam/routing/events.py
+++ b/src/leadseam/routing/events.py
@@ -1,10 +1,18 @@
-"""Splits an event stream into complete server-sent events."""
+"""Splits an event stream into complete server-sent events.
+
+Lines end with LF, CR LF or CR, and an empty line ends an event, as in section 9.2 of
+the HTML standard.
+"""
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 _END = b"\n\n"
+_ANY_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+_NO_FIELD = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*")
+"""Complete lines that are empty or comments, and so belong to no event."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,9 +39,14 @@
 
     @property
     def pending(self) -> bytes:
-        """Bytes of the event that is not complete yet."""
+        """Bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def unfinished(self) -> int:
+        """Number of pending bytes if an event or a line has begun, else 0."""
+        return 0 if _NO_FIELD.fullmatch(self._buffer) else len(self._buffer)
+
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete."""
         if not self._buffer and _is_one_event(data):
@@ -47,18 +60,22 @@
         return events
 
     def _end_of_event(self) -> int:
-        ends = [
-            position + len(terminator)
-            for terminator in (_END, b"\r\n\r\n")
-            if (position := self._buffer.find(terminator)) >= 0
-        ]
-        return min(ends, default=0)
+        if b"\r" not in self._buffer:
+            position = self._buffer.find(_END)
+            return position + len(_END) if position >= 0 else 0
+        match = _ANY_END.search(self._buffer)
+        if match is None:
+            return 0
+        # The CR may be the first half of a CR LF.
+        is_cut = match.end() == len(self._buffer) and self._buffer.endswith(b"\r")
+        return 0 if is_cut and b"\n" in match[0] else match.end()
 
 
 class PassThrough:
     """Returns bytes as they arrive, for a body that is not an event stream."""
 
     pending = b""
+    unfinished = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Return the bytes as one event without an id to resume from."""
@@ -74,6 +91,8 @@
 
 
 def _event_id(block: bytes) -> str | None:
+    if b"\r" in block:
+        block = block.replace(b"\r\n", b"\n").replace(b"\r", b"\n")
     start = 0 if block.startswith(b"id:") else block.find(b"\nid:") + 1
     if start == 0 and not block.startswith(b"id:"):
         return None
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -8,6 +8,7 @@
 import aiohttp
 from aiohttp import web
 
+from leadseam.answer_end import Completeness
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import Broken, Ending, Streaming
 from leadseam.routing.events import Event, EventSplitter, PassThrough
@@ -84,20 +85,21 @@
                 on_data()
                 await self._write(streaming, splitter.feed(data))
                 await self._pump(streaming, splitter, on_data)
-            if splitter.pending:
-                await self._write(streaming, [Event(splitter.pending, None)])
         except (aiohttp.ClientError, OSError) as exc:
             if isinstance(exc, ConnectionError) and self._caller_gone():
                 raise CallerGoneError(str(exc)) from exc
-            unfinished = len(splitter.pending)
-            end = read_end(streaming.resp, exc, unfinished=unfinished)
+            end = read_end(streaming.resp, exc, unfinished=splitter.unfinished)
             return Broken(Reason.UPSTREAM_BROKEN, end)
         finally:
             # Makes the upstream stop its work if the answer is not read to the end.
             streaming.resp.close()
+        end = read_end(streaming.resp, unfinished=splitter.unfinished)
+        if end.completeness is Completeness.BROKEN:
+            return Broken(Reason.UPSTREAM_BROKEN, end)
+        if splitter.pending:
+            await self._write(streaming, [Event(splitter.pending, None)])
         if self._response is None:
             await self._start(streaming)
-        end = read_end(streaming.resp, unfinished=len(splitter.pending))
         return replace(streaming, end=end)
 
     async def end(self) -> web.StreamResponse:
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -124,3 +124,24 @@
 def is_certain(case: Case) -> bool:
     """Return whether the verdict is certain: not so for a reset after all bytes."""
     return not (case.plan.whole and case.plan.finish is Finish.RESET)
+
+
+async def test_a_stream_that_closes_inside_an_event_goes_on_at_another_upstream(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    await platform.earn_retries(entry, "stream")
+    plan = AnswerPlan(Framing.CONNECTION, sent=FIRST_EVENTS + 5)
+    answer = await platform.call(entry, f"/stream/{plan.path()}", request_id="goes-on")
+    assert (answer.status, answer.body, answer.cut) == (200, WHOLE_STREAM, False)
+    runs = [server.count("goes-on") for server in platform.servers_of("model")]
+    assert runs == [1, 1]
+    lines = [one for one in platform.log(entry) if one.get("request") == "goes-on"]
+    failed, ended = lines
+    assert failed["message"] == "attempt failed"
+    assert [failed[key] for key in ("framing", "close", "unfinished")] == [
+        "connection",
+        "closed",
+        5,
+    ]
+    assert (ended["outcome"], ended["unfinished"]) == ("answered", 0)
--- a/tests/routing/test_events.py
+++ b/tests/routing/test_events.py
@@ -4,6 +4,7 @@
 
 import itertools
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -38,3 +39,44 @@
         events += splitter.feed(STREAM[start:end])
     assert events == EventSplitter().feed(STREAM)
     assert splitter.pending == b""
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_a_stream_is_unfinished_after_each_byte_of_an_event_but_the_last(
+    line_end: bytes,
+) -> None:
+    event = b"id: 2\ndata: \xc3\xa9\n\n".replace(b"\n", line_end)
+    for size in range(1, len(event)):
+        splitter = EventSplitter()
+        assert splitter.feed(event + event[:size]) == [Event(event, "2")]
+        assert splitter.unfinished == size
+    assert EventSplitter().feed(event + event) == [Event(event, "2")] * 2
+
+
+@pytest.mark.parametrize(
+    ("tail", "unfinished"),
+    [
+        (b"", 0),
+        (b"\n", 0),
+        (b"\r\n", 0),
+        (b": waiting\n", 0),
+        (b": wait", 6),
+        (b"retry: 10\n", 10),
+        (b"\xef\xbb\xbf", 3),
+    ],
+)
+def test_what_follows_the_last_event_is_unfinished_if_an_event_or_line_has_begun(
+    tail: bytes, unfinished: int
+) -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"data: a\n\n")
+    splitter.feed(tail)
+    assert splitter.unfinished == unfinished
+    assert splitter.pending == tail
+
+
+def test_a_mixture_of_line_ends_ends_an_event() -> None:
+    assert EventSplitter().feed(b"id: 1\ndata: a\n\r\nid: 2\n\n") == [
+        Event(b"id: 1\ndata: a\n\r\n", "1"),
+        Event(b"id: 2\n\n", "2"),
+    ]
