Take an answer that this box drops for broken off

The HTTP library ends an answer without a length in the ordinary way if this box closes the connection itself, as the client does when it is closed. The test failed before, in the loop of Python and in uvloop.

No path was found on which a caller got such an answer: an entry that stops closes its callers' connections first.

--- a/src/leadseam/answer_end.py
+++ b/src/leadseam/answer_end.py
@@ -31,11 +31,13 @@
 
     `COMPLETE`: the length or the last chunk was reached. `CLOSED`: the upstream closed
     the connection. `RESET`: the connection was reset, or its peer was unreachable.
+    `DROPPED`: this box closed the connection, for example because of malformed bytes.
     """
 
     COMPLETE = "complete"
     CLOSED = "closed"
     RESET = "reset"
+    DROPPED = "dropped"
 
 
 class Completeness(StrEnum):
--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -1,8 +1,8 @@
 """Client connections that tell how an answer ended.
 
 If a connection is reset during an answer without a length, `aiohttp` reports a regular
-end. It takes bytes that arrive on an idle connection for the next answer. The
-connection class here corrects both.
+end; so it does if this box closes the connection itself. It takes bytes that arrive on
+an idle connection for the next answer. The connection class here corrects all three.
 """
 
 from __future__ import annotations
@@ -23,6 +23,10 @@
     """The connection was reset before the end of an answer."""
 
 
+class AnswerDroppedError(aiohttp.ClientPayloadError):
+    """This box closed the connection before the end of an answer."""
+
+
 class UpstreamConnection(ResponseHandler):
     """A client connection that detects resets and closes on surplus bytes.
 
@@ -32,6 +36,7 @@
     """
 
     listener: Callable[[], None] | None = None
+    _peer_closed = False
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it is paused; the library calls this on each read."""
@@ -43,12 +48,23 @@
         self._payload = None
         super().set_response_params(**kwargs)
 
+    def close(self) -> None:
+        """Close the connection; an unfinished body fails."""
+        self._fail_body(AnswerDroppedError("connection closed by this box"))
+        super().close()
+
+    def abort(self) -> None:
+        """Abort the connection; an unfinished body fails."""
+        self._fail_body(AnswerDroppedError("connection aborted by this box"))
+        super().abort()
+
     def eof_received(self) -> None:
         """Fail an unfinished body if the end hides a reset.
 
         libuv reports the end of the stream if it finds the last bytes and a reset in
         one poll; `SO_ERROR` of the socket still holds the error.
         """
+        self._peer_closed = True
         sock = self.transport.get_extra_info("socket") if self.transport else None
         if sock is not None:
             code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
@@ -58,15 +74,17 @@
         self._notify_listener()
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Fail an unfinished body if the connection was reset."""
+        """Fail an unfinished body unless the peer closed the connection."""
         if exc is not None:
             self._fail_body(AnswerResetError(f"reset: {exc}"))
+        elif not self._peer_closed:
+            self._fail_body(AnswerDroppedError("connection closed by this box"))
         super().connection_lost(exc)
         self._notify_listener()
 
     def _fail_body(self, exc: aiohttp.ClientPayloadError) -> None:
         payload = self._payload
-        if payload is not None and not payload.is_eof():
+        if payload is not None and not payload.is_eof() and payload.exception() is None:
             payload.set_exception(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -116,6 +134,8 @@
         case None:
             delimited = framing is not framing.CONNECTION
             close = Close.COMPLETE if delimited else Close.CLOSED
+        case AnswerDroppedError():
+            close = Close.DROPPED
         case aiohttp.ClientPayloadError() if not isinstance(exc, AnswerResetError):
             # The connection ended before the length or the last chunk was reached.
             close = Close.CLOSED
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -12,6 +12,7 @@
 
 import aiohttp
 import pytest
+import uvloop
 
 from leadseam.routing.client import UpstreamClient
 from tests.descriptors import assert_no_double_close
@@ -142,6 +143,29 @@
         assert await resp.read() == b"whole"
 
 
+@pytest.mark.parametrize("use_uvloop", [False, True])
+def test_an_answer_that_this_box_drops_is_an_error(use_uvloop: bool) -> None:
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % b"1" + b"\r\nhalf")
+        await reader.read()
+        writer.close()
+
+    async def drop() -> None:
+        async with upstream(script) as port, client() as opened:
+            resp = await send(opened, port)
+            assert await resp.content.readany() == b"half"
+            await opened.close()
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await resp.content.readany()
+
+    factory = uvloop.new_event_loop if use_uvloop else asyncio.new_event_loop
+    with asyncio.Runner(loop_factory=factory) as runner:
+        runner.run(drop())
+
+
 async def test_a_surplus_answer_is_not_taken_for_the_next_one() -> None:
     answers = iter([b"1", b"2", b"3"])
     connections: list[asyncio.StreamWriter] = []
