Let a caller that speaks HTTP/1.0 tell a broken answer from a whole one

To a caller without chunks an answer ends with its connection. Routed streams got a 500 there, as the response asked for chunks; on the path through sidecars a broken answer was ended by aborting the connection, which closes it in the ordinary way, so what had been sent passed for the whole answer.

A response to HTTP/1.0 is now sent without chunks and, where it cannot be finished, its connection is reset. Found while the same cause was looked for elsewhere; the incident's callers speak HTTP/1.1.

The stand-in announces that it closes a connection.

--- a/src/leadseam/entry/relay.py
+++ b/src/leadseam/entry/relay.py
@@ -7,7 +7,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from leadseam.clock import Clock, Millis
 from leadseam.entry.error_responses import error_event
@@ -28,6 +28,7 @@
     outcome_without_retry,
 )
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
+from leadseam.runtime.sockets import abort_response
 from leadseam.wire.dispatch import Accepted, Chunk, Final, Head, Refused
 
 if TYPE_CHECKING:
@@ -299,7 +300,8 @@
             with contextlib.suppress(ConnectionError, RuntimeError):
                 await response.write(error_event(outcome))
         if self._http.transport is not None:
-            self._http.transport.abort()
+            chunked = self._http.version >= HttpVersion11
+            abort_response(self._http.transport, chunked=chunked)
         return outcome
 
     def _store_body(self, data: bytes) -> None:
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -6,13 +6,14 @@
 from typing import TYPE_CHECKING, NoReturn
 
 import aiohttp
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from leadseam.answer_end import Completeness
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import Broken, Ending, Streaming
 from leadseam.routing.events import Event, EventSplitter, PassThrough
 from leadseam.routing.pump import Pump, connection_of
+from leadseam.runtime.sockets import abort_response
 from leadseam.runtime.upstream_connection import read_end
 
 if TYPE_CHECKING:
@@ -122,7 +123,8 @@
             CallerGoneError: Always, as nothing more can be sent.
         """
         if self._http.transport is not None:
-            self._http.transport.abort()
+            chunked = self._response is not None and bool(self._response.chunked)
+            abort_response(self._http.transport, chunked=chunked)
         raise CallerGoneError(reason.value)
 
     def note_first_byte(self) -> None:
@@ -163,7 +165,9 @@
         if transport is None:
             raise CallerGoneError("connection closed")
         data = b"".join(event.data for event in events)
-        transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if self._response is not None and self._response.chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        transport.write(data)
         self._note_sent(events)
 
     def _note_sent(self, events: list[Event]) -> None:
@@ -191,7 +195,8 @@
         status = streaming.resp.status
         response = web.StreamResponse(status=status, headers=list(streaming.headers))
         self._response = response
-        response.enable_chunked_encoding()
+        if self._http.version >= HttpVersion11:
+            response.enable_chunked_encoding()
         self._prepare(response)
         self.note_first_byte()
         await response.prepare(self._http)
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -9,7 +9,9 @@
 from typing import TYPE_CHECKING
 
 from leadseam.answer_end import Framing
+from leadseam.platform import names
 from tools.platform.answer_plans import AnswerPlan, Finish
+from tools.platform.nodes import HOST, KEY
 from tools.platform.standin import LARGE_BODY, PLAIN_BODY, WHOLE_STREAM, event
 
 if TYPE_CHECKING:
@@ -145,3 +147,41 @@
         5,
     ]
     assert (ended["outcome"], ended["unfinished"]) == ("answered", 0)
+
+
+async def call_http_1_0(platform: Platform, path: str) -> tuple[bytes, bool]:
+    """Send a request as HTTP/1.0; return the response and whether it was reset."""
+    reader, writer = await asyncio.open_connection(
+        platform.entry_ips[0], platform.front_port
+    )
+    head = (
+        f"POST {path} HTTP/1.0\r\nHost: {HOST}\r\n{names.REQUEST_ID}: old-{path}\r\n"
+        f"{names.AUTHORIZATION}: {names.BEARER}{KEY}\r\n{names.DEADLINE}: 5000\r\n"
+        "Content-Length: 2\r\n\r\n{}"
+    )
+    writer.write(head.encode())
+    received = b""
+    try:
+        while data := await reader.read(65_536):
+            received += data
+    except ConnectionResetError:
+        return received, True
+    finally:
+        writer.close()
+    return received, False
+
+
+async def test_a_caller_without_chunks_gets_a_broken_stream_as_a_reset(
+    platform: Platform,
+) -> None:
+    plans = itertools.product(Framing, (-1, FIRST_EVENTS + 5))
+    for number, (framing, sent) in enumerate(plans):
+        plan = AnswerPlan(framing, sent=sent, number=number)
+        response, is_reset = await call_http_1_0(
+            platform, f"/stream-fixed/{plan.path()}"
+        )
+        head, _, body = response.partition(b"\r\n\r\n")
+        assert is_reset != plan.whole, (plan, response)
+        if plan.whole:
+            assert head.startswith(b"HTTP/1.0 200"), response
+            assert body == WHOLE_STREAM
--- a/tools/platform/answer_plans.py
+++ b/tools/platform/answer_plans.py
@@ -83,7 +83,10 @@
                 chunk = b"%x\r\n%b\r\n" % (len(sent), sent) if sent else b""
                 sent = chunk + last
             case Framing.CONNECTION:
-                framing["Connection"] = "close"
+                pass
+        if self.finish is Finish.CLOSE:
+            # Without it, the next request may be sent on the connection as it closes.
+            framing["Connection"] = "close"
         lines = [f"{name}: {value}" for name, value in (headers | framing).items()]
         head = CRLF.join(
             [f"HTTP/1.1 {status} Stated".encode(), *(line.encode() for line in lines)]
