Tell broken answers from whole ones on the path through sidecars

Of 166 answers that a service broke off, sent with a length, in chunks or with neither, 54 passed for whole at the caller, among them documents whose connection was reset: the sidecar used the plain connection of the HTTP library, and the meters of services call every body complete.

The sidecar uses the connection that tells resets and drops from ends, judges the end as the routed path does, and forwards complete events only. The test failed before with these numbers and fails for none now; whole answers of each framing stay whole.

The splitter of events moves out of routing, as both paths use it.

--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -9,9 +9,9 @@
 from aiohttp import HttpVersion11, web
 
 from leadseam.answer_end import Completeness
+from leadseam.event_stream import Event, EventSplitter, PassThrough
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import Broken, Ending, Streaming
-from leadseam.routing.events import Event, EventSplitter, PassThrough
 from leadseam.routing.pump import Pump, connection_of
 from leadseam.runtime.sockets import abort_response
 from leadseam.runtime.upstream_connection import read_end
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -9,10 +9,13 @@
 import aiohttp
 from yarl import URL
 
+from leadseam.answer_end import Completeness
 from leadseam.clock import Clock, Millis, seconds
+from leadseam.event_stream import EventSplitter, PassThrough
 from leadseam.outcome import Reason
-from leadseam.runtime.connector import DEFAULT_KEEPALIVE_S, LoopConnector
-from leadseam.sidecar.meter import meter_for
+from leadseam.runtime.connector import DEFAULT_KEEPALIVE_S
+from leadseam.runtime.upstream_connection import UpstreamConnector, read_end
+from leadseam.sidecar.meter import EVENT_STREAM, meter_for
 from leadseam.wire.dispatch import Chunk, Final, Head
 
 if TYPE_CHECKING:
@@ -113,11 +116,11 @@
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=seconds(CONNECT_TIMEOUT)
         )
-        self._connector = LoopConnector(keepalive=DEFAULT_KEEPALIVE_S)
+        self._connector = UpstreamConnector(keepalive=DEFAULT_KEEPALIVE_S)
         self._pooled = self._session(self._connector)
         # On a reused connection the client library may send a request twice, so
         # requests that must not be repeated get a new connection.
-        self._single_use = self._session(LoopConnector())
+        self._single_use = self._session(UpstreamConnector())
 
     async def close(self) -> None:
         """Close all connections."""
@@ -204,7 +207,7 @@
             return None
         return self._clock.now() + req.deadline
 
-    def _session(self, connector: LoopConnector) -> aiohttp.ClientSession:
+    def _session(self, connector: UpstreamConnector) -> aiohttp.ClientSession:
         return aiohttp.ClientSession(
             connector=connector,
             timeout=self._timeout,
@@ -240,10 +243,13 @@
         self._chunks = 0
         self._size = 0
         self._status = 0
+        self._completeness = Completeness.BROKEN
 
     @property
     def complete(self) -> bool:
-        """Whether the body is complete according to its format."""
+        """Whether the body is complete, also according to its format."""
+        if self._completeness is Completeness.BROKEN:
+            return False
         return self._status >= FIRST_SERVER_ERROR or self._meter.complete
 
     async def run(self) -> None:
@@ -252,8 +258,16 @@
                 self._status = resp.status
                 self._meter = self._upstream.new_meter(resp.content_type)
                 self._send(Head(self._req.attempt, resp.status, _end_to_end(resp)))
+                is_stream = resp.content_type == EVENT_STREAM
+                splitter = EventSplitter() if is_stream else PassThrough()
                 while data := await resp.content.readany():
-                    await self._forward(data)
+                    self._charge(self._meter.feed(data, self._upstream.now()))
+                    events = splitter.feed(data)
+                    await self._forward(b"".join(event.data for event in events))
+                end = read_end(resp, unfinished=splitter.unfinished)
+                self._completeness = end.completeness
+                if not splitter.unfinished:
+                    await self._forward(splitter.pending)
         finally:
             self._charge(self._meter.finish(self._upstream.now()))
 
@@ -261,7 +275,6 @@
         return Final(self._req.attempt, self._chunks, self._size, error, started)
 
     async def _forward(self, data: bytes) -> None:
-        self._charge(self._meter.feed(data, self._upstream.now()))
         for start in range(0, len(data), READ_SIZE):
             part = data[start : start + READ_SIZE]
             await self._window.consume(len(part))
--- a/tools/platform/answer_plans.py
+++ b/src/leadseam/standin/answer_plans.py
@@ -1,14 +1,13 @@
-"""Answers that a stand-in server sends with a chosen framing, end and length."""
+"""Answers that a stand-in sends with a chosen framing, end and length."""
 
 from __future__ import annotations
 
-import socket
-import struct
 from dataclasses import dataclass
 from enum import StrEnum
 from typing import TYPE_CHECKING, Self
 
 from leadseam.answer_end import Framing
+from leadseam.runtime.sockets import reset_connection
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -100,14 +99,8 @@
             return
         match self.finish:
             case Finish.RESET:
-                reset(transport.get_extra_info("socket"))
-                transport.abort()
+                reset_connection(transport)
             case Finish.CLOSE:
                 transport.close()
             case Finish.HOLD | Finish.CRASH:
                 return
-
-
-def reset(sock: socket.socket) -> None:
-    """Make the next close of a socket reset its connection."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/src/leadseam/standin/service.py
+++ b/src/leadseam/standin/service.py
@@ -7,12 +7,19 @@
 from aiohttp import web
 
 from leadseam.clock import Millis, sleep
+from leadseam.standin.answer_plans import AnswerPlan
+
+EVENTS = b"".join(b"id: %d\ndata: line %d\n\n" % (n, n) for n in range(1, 5))
+"""Body of a stream whose end is planned."""
+DOCUMENT = b'{"slip": "printed", "copies": 1}'
+"""Body of a plain answer whose end is planned."""
 
 
 class ServiceStandin:
     """Executes `POST /run/{name}` and counts executions by name.
 
-    The query `?padding=N` lengthens the answer by N characters.
+    The query `?padding=N` lengthens the answer by N characters. A request
+    whose path ends with an `AnswerPlan` is answered as planned.
 
     Args:
         service_time: Milliseconds that an execution takes.
@@ -26,6 +33,7 @@
         """Return the HTTP routes of the service."""
         return [
             web.post("/run/{name}", self._run),
+            web.route("*", "/{kind:events|document}/{plan}", self._follow_plan),
             web.get("/runs", self._show),
             web.get("/health", self._health),
         ]
@@ -41,6 +49,19 @@
             answer["padding"] = "x" * int(http.query["padding"])
         return web.json_response(answer)
 
+    async def _follow_plan(self, http: web.Request) -> web.Response:
+        plan = AnswerPlan.parse(http.match_info["plan"])
+        if plan is None:
+            raise web.HTTPNotFound
+        is_stream = http.match_info["kind"] == "events"
+        content_type = "text/event-stream" if is_stream else "application/json"
+        body = EVENTS if is_stream else DOCUMENT
+        assert http.transport is not None
+        await http.read()
+        http.transport.write(plan.encode(200, {"Content-Type": content_type}, body))
+        plan.finish_connection(http)
+        return web.Response()
+
     async def _show(self, _: web.Request) -> web.Response:
         return web.json_response(dict(self._runs))
 
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -10,7 +10,7 @@
 
 from leadseam.answer_end import Framing
 from leadseam.platform import names
-from tools.platform.answer_plans import AnswerPlan, Finish
+from leadseam.standin.answer_plans import AnswerPlan, Finish
 from tools.platform.nodes import HOST, KEY
 from tools.platform.standin import LARGE_BODY, PLAIN_BODY, WHOLE_STREAM, event
 
--- a/tests/routing/test_events.py
+++ b/tests/test_event_stream.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leadseam.routing.events import Event, EventSplitter
+from leadseam.event_stream import Event, EventSplitter
 
 STREAM = b"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\n"
 
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -15,7 +15,7 @@
 from multidict import CIMultiDict
 
 from leadseam.platform import names
-from tools.platform.answer_plans import AnswerPlan, Finish
+from leadseam.standin.answer_plans import AnswerPlan, Finish
 from tools.platform.operator import open_session, post_bytes
 from tools.platform.pauses import Arrival, Pause
 from tools.waiting import wait_until
