Check an upstream that closes the connection of an answer without a length

A process that is killed closes its connections as one that has finished does. An answer without a length or chunks, cut between two events or anywhere in a plain body, then reached its caller as whole: the bytes do not tell the two apart.

The entry, and the sidecar, now try a connection right after such an end. If it is refused, no process listens there any more and the answer is broken off: the stream goes on elsewhere where its route allows it, else the caller's connection breaks, and a plain answer becomes 502. An upstream that leaves is not checked, as it may end right after its last answer. All events are with the caller by then; the end waits for 100 ms at most.

Without the check the stream and the plain answer of the two new tests passed for whole. An answer that a living upstream closes early is still not told from a whole one.

--- a/src/leadseam/answer_end.py
+++ b/src/leadseam/answer_end.py
@@ -56,18 +56,22 @@
         framing: What delimits the body.
         close: How reading it ended.
         unfinished: Bytes after the last complete event; 0 if it is no event stream.
+        upstream_gone: Whether the upstream refused a connection right after the end;
+            None if it was not tried.
     """
 
     framing: Framing
     close: Close
     unfinished: int = 0
+    upstream_gone: bool | None = None
 
     @property
     def completeness(self) -> Completeness:
         """Whether the answer is whole.
 
         `UNKNOWN` means that the upstream closed the connection of a body that has no
-        other end, which is the same whether or not it had more to send.
+        other end, which is the same whether or not it had more to send. An upstream
+        that is gone had been killed, as one that leaves announces it before.
         """
         if self.unfinished:
             return Completeness.BROKEN
@@ -75,22 +79,27 @@
             case Close.COMPLETE:
                 return Completeness.WHOLE
             case Close.CLOSED if self.framing is Framing.CONNECTION:
-                return Completeness.UNKNOWN
+                gone = self.upstream_gone
+                return Completeness.BROKEN if gone else Completeness.UNKNOWN
             case _:
                 return Completeness.BROKEN
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields that describe the end in a log line."""
-        return {
+        fields: dict[str, object] = {
             "framing": self.framing.value,
             "close": self.close.value,
             "unfinished": self.unfinished,
         }
+        if self.upstream_gone is not None:
+            fields["upstream_gone"] = self.upstream_gone
+        return fields
 
     def label(self) -> str:
         """Return the value that counts the end in a metric, such as `chunks/reset`."""
         place = "/unfinished_event" if self.unfinished else ""
-        return f"{self.framing.value}/{self.close.value}{place}"
+        gone = "/upstream_gone" if self.upstream_gone else ""
+        return f"{self.framing.value}/{self.close.value}{place}{gone}"
 
 
 def read_framing(method: str, status: int, headers: MultiMapping[str]) -> Framing:
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from leadseam.clock import Millis, seconds
+from leadseam.runtime.reachability import is_refused
 from leadseam.runtime.upstream_connection import UpstreamConnector
 
 if TYPE_CHECKING:
@@ -134,22 +135,11 @@
         await self._pooled.close()
         await self._single_use.close()
 
-    async def is_refused(self, ip: str, port: int) -> bool:
-        """Check whether an upstream's address refuses connections.
-
-        A refusal means that no process listens there any more; a timeout or a reset
-        does not.
-        """
-        try:
-            async with asyncio.timeout(seconds(CONNECT_TIMEOUT)):
-                _, writer = await asyncio.open_connection(ip, port)
-        except ConnectionRefusedError:
-            return True
-        except OSError:
-            # Includes timeouts. The result is unknown; the attempt has its log line.
-            return False
-        writer.close()
-        return False
+    async def is_refused(
+        self, ip: str, port: int, *, timeout: Millis = CONNECT_TIMEOUT
+    ) -> bool:
+        """Check whether an upstream's address refuses connections."""
+        return await is_refused(ip, port, timeout=timeout)
 
     async def send(
         self,
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -9,6 +9,7 @@
 
 from aiohttp import web
 
+from leadseam.answer_end import Completeness
 from leadseam.clock import seconds
 from leadseam.control.routes import Repeat
 from leadseam.entry.error_responses import STATUS_CODES, UNAVAILABLE
@@ -237,7 +238,22 @@
         ending = await self._attempt(flight.placement)
         if isinstance(ending, Streaming):
             ending = await self._relay(ending, flight, watch)
-        return ending
+        return await self._check_end(ending, flight)
+
+    async def _check_end(self, ending: Ending, flight: Flight) -> Ending:
+        """Judge an answer whose own bytes do not tell whether it is whole."""
+        match ending:
+            case Whole(end=end) | Streaming(end=end) if end is not None:
+                pass
+            case _:
+                return ending
+        if end.completeness is not Completeness.UNKNOWN:
+            return ending
+        left = self._request.deadline - self._gateway.now()
+        end = await self._gateway.check_end(flight.upstream, end, max_wait=left // 2)
+        if end.completeness is Completeness.BROKEN:
+            return Broken(Reason.UPSTREAM_BROKEN, end)
+        return replace(ending, end=end)
 
     async def _relay(
         self, streaming: Streaming, flight: Flight, watch: SilenceWatch
@@ -330,7 +346,7 @@
             case Whole():
                 return self._deliver_whole(ending)
             case Streaming():
-                response = await self._reply.end()
+                response = await self._reply.end(ending)
                 self.outcome = Answered(response.status)
                 return response
             case Withheld():
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -44,6 +45,7 @@
     import random
     from collections.abc import Callable
 
+    from leadseam.answer_end import AnswerEnd
     from leadseam.clock import Clock, Millis
     from leadseam.control.configuration import Account, Configuration
     from leadseam.control.routes import Route
@@ -74,6 +76,9 @@
 MAX_KEPT_ALIVE = 256
 """Callers' open connections above which each response closes its own. An idle one takes
 some 16 KB, and callers that open one for each request leave thousands."""
+END_CHECK_TIMEOUT: Millis = 100
+"""Longest time for which the end of an answer is held back while it is checked; all
+events have been passed on by then."""
 UNDECIDED_PAUSE: Millis = 1_000
 """Retry-After pause while it is undecided whether a request has crashed an upstream:
 twice the interval at which registrations are checked."""
@@ -476,6 +481,25 @@
             # Heartbeats may not announce it, or may not reach this entry.
             self.request_log.announces_leaving(upstream, admitted, status)
 
+    async def check_end(
+        self, upstream: Registration, end: AnswerEnd, *, max_wait: Millis
+    ) -> AnswerEnd:
+        """Check if an upstream is gone that has closed the connection of an answer.
+
+        The check costs a connection. One that leaves may end right after its last
+        answer, so it is not checked.
+
+        Args:
+            upstream: Upstream of the answer.
+            end: How the answer ended.
+            max_wait: Longest time that the check may take; not positive for none.
+        """
+        timeout = min(END_CHECK_TIMEOUT, max_wait)
+        if timeout <= 0 or self._feed.view.has_left(upstream.incarnation):
+            return end
+        gone = await self.client.is_refused(upstream.ip, upstream.port, timeout=timeout)
+        return replace(end, upstream_gone=gone)
+
     def note_ending(self, upstream: Registration, ending: Ending) -> None:
         """Update what is known of an upstream from how an attempt at it ended."""
         now = self.now()
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -57,6 +57,8 @@
         self._now = now
         self._on_first_event = on_first_event
         self._response: web.StreamResponse | None = None
+        # Empty lines and comments behind the last event.
+        self._tail = b""
 
     def __repr__(self) -> str:
         return f"Reply(started={self.started}, last_event={self.last_event!r})"
@@ -97,18 +99,19 @@
         end = read_end(streaming.resp, unfinished=splitter.unfinished)
         if end.completeness is Completeness.BROKEN:
             return Broken(Reason.UPSTREAM_BROKEN, end)
-        if splitter.pending:
-            await self._write(streaming, [Event(splitter.pending, None)])
-        if self._response is None:
-            await self._start(streaming)
+        self._tail = splitter.pending
         return replace(streaming, end=end)
 
-    async def end(self) -> web.StreamResponse:
-        """Finish a response that has started, and return it.
+    async def end(self, streaming: Streaming) -> web.StreamResponse:
+        """Finish the response with an answer that was passed on, and return it.
 
         Raises:
             CallerGoneError: If the caller left before the end of the response.
         """
+        if self._tail:
+            await self._write(streaming, [Event(self._tail, None)])
+        if self._response is None:
+            await self._start(streaming)
         assert self._response is not None
         try:
             await self._response.write_eof()
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import aiohttp
@@ -14,6 +14,7 @@
 from leadseam.event_stream import EventSplitter, PassThrough
 from leadseam.outcome import Reason
 from leadseam.runtime.connector import DEFAULT_KEEPALIVE_S
+from leadseam.runtime.reachability import is_refused
 from leadseam.runtime.upstream_connection import UpstreamConnector, read_end
 from leadseam.sidecar.meter import EVENT_STREAM, meter_for
 from leadseam.wire.dispatch import Chunk, Final, Head
@@ -26,6 +27,8 @@
     from leadseam.wire.dispatch import Dispatch
 
 CONNECT_TIMEOUT: Millis = 1_000
+END_CHECK_TIMEOUT: Millis = 100
+"""Longest time for which the end of an answer is held back while it is checked."""
 PROBE_TIMEOUT: Millis = 1_500
 PROBE_PATH = "/health"
 PRIORITY_HEADER = "X-Priority"
@@ -175,6 +178,11 @@
             return stream.final(Reason.UPSTREAM_BROKEN)
         return stream.final("")
 
+    async def is_gone(self) -> bool:
+        """Check whether the upstream refuses connections."""
+        address = self.address
+        return await is_refused(address.ip, address.port, timeout=END_CHECK_TIMEOUT)
+
     def open(self, req: Dispatch) -> aiohttp.client._RequestContextManager:
         """Start the HTTP request for a dispatched request."""
         session = self._pooled if req.repeatable else self._single_use
@@ -265,6 +273,8 @@
                     events = splitter.feed(data)
                     await self._forward(b"".join(event.data for event in events))
                 end = read_end(resp, unfinished=splitter.unfinished)
+                if end.completeness is Completeness.UNKNOWN:
+                    end = replace(end, upstream_gone=await self._upstream.is_gone())
                 self._completeness = end.completeness
                 if not splitter.unfinished:
                     await self._forward(splitter.pending)
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -13,6 +13,7 @@
 from leadseam.standin.answer_plans import AnswerPlan, Finish
 from tools.platform.nodes import HOST, KEY
 from tools.platform.standin import LARGE_BODY, PLAIN_BODY, WHOLE_STREAM, event
+from tools.waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -185,3 +186,45 @@
         if plan.whole:
             assert head.startswith(b"HTTP/1.0 200"), response
             assert body == WHOLE_STREAM
+
+
+async def test_a_stream_of_a_killed_upstream_that_closes_between_events_is_broken(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    await platform.earn_retries(entry, "stream")
+    plan = AnswerPlan(Framing.CONNECTION, Finish.CRASH, FIRST_EVENTS)
+    resumed = await platform.call(entry, f"/stream/{plan.path()}")
+    assert (resumed.status, resumed.body) == (200, WHOLE_STREAM)
+    await wait_until(lambda: all_up(platform), "the server is back")
+    await platform.wait_served(entry)
+    fixed = await platform.call(entry, f"/stream-fixed/{plan.path()}")
+    assert fixed.cut
+    assert fixed.body == event(1) + event(2)
+
+
+async def test_a_plain_answer_of_a_killed_upstream_is_broken(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    plan = AnswerPlan(Framing.CONNECTION, Finish.CRASH, len(PLAIN_BODY) - 1)
+    answer = await platform.call(entry, f"/once/{plan.path()}", request_id="lost")
+    assert answer.status == 502
+    lines = [one for one in platform.log(entry) if one.get("request") == "lost"]
+    assert [one["upstream_gone"] for one in lines] == [True, True]
+
+
+async def test_a_whole_answer_of_an_upstream_that_leaves_is_not_taken_for_broken(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    for server in platform.servers_of("plain"):
+        server.announces_leaving = True
+    plan = AnswerPlan(Framing.CONNECTION, Finish.CRASH)
+    answer = await platform.call(entry, f"/once/{plan.path()}")
+    assert (answer.status, answer.body, answer.cut) == (200, PLAIN_BODY, False)
+
+
+async def all_up(platform: Platform) -> bool:
+    """Return whether all servers serve."""
+    return all(server.is_up for server in platform.servers)
--- a/tests/routing/test_reply.py
+++ b/tests/routing/test_reply.py
@@ -22,4 +22,4 @@
     )
     reply._response = cast("Any", SimpleNamespace(write_eof=write_eof))
     with pytest.raises(CallerGoneError):
-        await reply.end()
+        await reply.end(cast("Any", SimpleNamespace()))
