Soak: answers that end with their connection

Entries reach servers without a proxy then, as a proxy goes on listening for a server that has ended. Checked: no caller takes for whole what is not its server's whole body, and an undisturbed answer that its server finished is delivered.

--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -72,6 +72,16 @@
     assert summary.resumed["finished"] > 0
 
 
+@pytest.mark.parametrize("seed", [801, 802])
+async def test_promises_are_kept_where_answers_end_with_their_connection(
+    tmp_path: Path, seed: int
+) -> None:
+    summary = await run_seed(tmp_path, seed, replace(OPTIONS, unframed=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["whole answer"] > 0
+    assert summary.checked["whole stays whole"] > 0
+
+
 @pytest.mark.parametrize("seed", [202, 203])
 async def test_promises_are_kept_where_boxes_are_suspended(
     tmp_path: Path, seed: int
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -15,6 +15,7 @@
 from multidict import CIMultiDict
 
 from leadseam.platform import names
+from leadseam.runtime.sockets import reset_connection
 from leadseam.standin.answer_plans import AnswerPlan, Finish
 from tools.platform.operator import open_session, post_bytes
 from tools.platform.pauses import Arrival, Pause
@@ -97,6 +98,8 @@
             for none.
         broken_off: Requests whose streams it broke off for that.
         silent_for: Seconds from a start to the first heartbeat.
+        unframed_every: Of so many answers one ends with its connection, without a
+            length or chunks; 0 for none.
     """
 
     ip: str
@@ -128,6 +131,7 @@
     breaks_every: int = 0
     broken_off: set[str] = field(default_factory=set)
     silent_for: float = 0.0
+    unframed_every: int = 0
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -286,7 +290,7 @@
                 raise asyncio.CancelledError
             case "hold":
                 await self.release.wait()
-                return self._answer(http)
+                return await self._answer(http)
             case "unsigned":
                 return web.Response(body=b"x", headers=self._base_headers(http))
             case "foreign":
@@ -303,7 +307,7 @@
                 return self._abort(http)
             case _:
                 await asyncio.sleep(self.delay)
-                return self._answer(http)
+                return await self._answer(http)
 
     async def _follow_plan(
         self, http: web.BaseRequest, plan: AnswerPlan
@@ -339,9 +343,21 @@
             return 200, headers, LARGE_BODY
         return 500 if "/failure/" in http.path else 200, headers, PLAIN_BODY
 
-    def _answer(self, http: web.BaseRequest) -> web.Response:
+    async def _answer(self, http: web.BaseRequest) -> web.StreamResponse:
         body = f"{self.instance} {http.raw_path}".encode()
-        return web.Response(body=body, headers=self._signed_headers(http))
+        headers = self._signed_headers(http)
+        if not self._is_unframed:
+            return web.Response(body=body, headers=headers)
+        response = UnframedResponse(headers=headers)
+        await response.prepare(http)
+        await response.write(body)
+        return response
+
+    @property
+    def _is_unframed(self) -> bool:
+        """Whether the answer of the latest run has no length and no chunks."""
+        every = self.unframed_every
+        return bool(every) and len(self.runs) % every == 0
 
     async def _large(self, http: web.BaseRequest) -> web.StreamResponse:
         """Send the start of a large body, and the remainder once it is released."""
@@ -357,8 +373,12 @@
 
     async def _stream(self, http: web.BaseRequest, action: str) -> web.StreamResponse:
         headers = {**self._signed_headers(http), "Content-Type": "text/event-stream"}
-        response = web.StreamResponse(headers=headers)
-        response.enable_chunked_encoding()
+        response: web.StreamResponse
+        if self._is_unframed:
+            response = UnframedResponse(headers=headers)
+        else:
+            response = web.StreamResponse(headers=headers)
+            response.enable_chunked_encoding()
         await response.prepare(http)
         first = int(http.headers.get(names.LAST_EVENT, "0")) + 1
         if self.breaks_every and len(self.runs) % self.breaks_every == 0:
@@ -371,6 +391,9 @@
                 await response.write(b"id: %d\ndata: ha" % number)
                 if action == "break":
                     await self.release.wait()
+                if self._is_unframed and len(self.runs) % 4:
+                    assert http.transport is not None
+                    reset_connection(http.transport)
                 return self._abort(http)
             version = self.version if self.names_version else ""
             await response.write(event(number, version))
@@ -402,6 +425,16 @@
         return self._base_headers(http) | {names.SIGNATURE: f"signed-{self.instance}"}
 
 
+class UnframedResponse(web.StreamResponse):
+    """A response that ends with its connection, without a length or chunks."""
+
+    _length_check = False
+
+    def __init__(self, *, headers: dict[str, str]) -> None:
+        super().__init__(headers=headers)
+        self.force_close()
+
+
 def event(number: int, version: str = "") -> bytes:
     """Return the encoded event of a number; the same in all streams of a version."""
     piece = f"piece {number} {version}".rstrip()
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -22,6 +22,8 @@
   --rests        Servers refuse all requests and ask for a pause, or announce in
                  answers that they leave.
   --refusals     Servers refuse or fail requests while entries are killed in series.
+  --unframed     Half of the answers end with their connection, without a length or
+                 chunks; servers break some off inside an event.
   --versions V   Software versions of the model servers, whose streams callers resume
                  [default: 1].
 
@@ -62,6 +64,7 @@
         evacuations=args["--evacuations"],
         pauses=args["--rests"],
         refusals=args["--refusals"],
+        unframed=args["--unframed"],
         versions=int(args["--versions"]),
     )
     if args["--replay"]:
--- a/tools/soak/promise_checker.py
+++ b/tools/soak/promise_checker.py
@@ -92,6 +92,8 @@
             self._check_not_run(call)
             self._check_once(call)
             self._check_planned_stop(call)
+            if self.platform.unframed:
+                self._check_whole_stays_whole(call)
         self._check_resumed()
         self._check_retries()
         if self.timed:
@@ -215,6 +217,26 @@
         detail = f"status {call.status}, cut: {call.cut}"
         self._check("stop cuts nothing", not call.cut, call.request_id, detail)
 
+    def _check_whole_stays_whole(self, call: Call) -> None:
+        """Check that an undisturbed answer that its server finished was delivered."""
+        finished = [
+            server
+            for server in self.platform.all_servers
+            for run in server.runs
+            if run.request_id == call.request_id and run.ended == "done"
+        ]
+        broken_off = any(
+            call.request_id in one.broken_off for one in self.platform.all_servers
+        )
+        boxes = (call.entry, *self.platform.server_ips)
+        if not finished or broken_off:
+            return
+        if any(self._was_disturbed(box, call) for box in boxes):
+            return
+        detail = f"status {call.status}, cut: {call.cut}"
+        kept = call.status == 200 and not call.cut
+        self._check("whole stays whole", kept, call.request_id, detail)
+
     def _check_leaving(self) -> None:
         """Check that undisturbed entries sent nothing new to a server that has left."""
         entries = {call.request_id: call.entry for call in self.calls}
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -55,6 +55,7 @@
         versions: Number of software versions of the model servers.
         refusals: Whether servers refuse or fail requests while entries are killed in
             series.
+        unframed: Whether answers without a length or chunks are sent and broken off.
     """
 
     seconds: float = 20.0
@@ -68,6 +69,7 @@
     pauses: bool = False
     versions: int = 1
     refusals: bool = False
+    unframed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,6 +279,7 @@
         reports_starts=options.same_ids,
         suspendable=options.suspended,
         versions=options.versions,
+        unframed=options.unframed,
     )
     if options.refusals:
         platform.retry_slack = RETRY_SLACK
--- a/tools/soak/soak_platform.py
+++ b/tools/soak/soak_platform.py
@@ -39,6 +39,9 @@
         links: The proxies.
         ended_servers: Servers that have ended and were replaced.
         versions: Number of software versions of the model servers.
+        unframed: Whether half of the answers end with their connection. Entries reach
+            servers without a proxy then, as only a server's own address shows that it
+            has ended.
 
     Attributes:
         down: Boxes whose process must not be restarted until a fault is repaired.
@@ -49,6 +52,7 @@
     links: FaultyLinks = field(default_factory=FaultyLinks)
     ended_servers: list[Server] = field(default_factory=list)
     versions: int = 1
+    unframed: bool = False
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -79,7 +83,7 @@
 
     def advertised(self, ip: str) -> str:
         """Return the address of a server's proxy."""
-        return f"{ip}:{self._proxy_port}"
+        return f"{ip}:{self.server_port if self.unframed else self._proxy_port}"
 
     async def open(self) -> None:
         """Start all proxies, nodes and servers."""
@@ -161,7 +165,10 @@
         server.delay = EVENT_PAUSE
         if self.versions > 1:
             server.names_version = True
+        if self.versions > 1 or self.unframed:
             server.breaks_every = BREAKS_EVERY
+        if self.unframed:
+            server.unframed_every = 2
 
     def _next_version(self) -> str:
         """Return the version of the next server that starts."""
