Answers that break off: silent upstreams, crashing requests, variants

Tests of what the change of the ends means elsewhere: no answer of a silent upstream passes for whole, and a request that ends each upstream behind the head of an answer without length is refused after three of them.

--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -124,6 +124,34 @@
     assert not faults, f"{faults.total()} of {len(all_cases)} calls\n{detail}"
 
 
+async def test_no_answer_of_a_silent_upstream_passes_for_whole(
+    platform: Platform,
+) -> None:
+    held = [
+        (route, framing, sent)
+        for route, sent in (
+            ("stream", FIRST_EVENTS),
+            ("stream-fixed", FIRST_EVENTS + 5),
+            ("safe", 1),
+            ("safe/large", LARGE_PLACES[0]),
+        )
+        for framing in Framing
+    ]
+    answers = await asyncio.gather(
+        *(
+            platform.call(
+                platform.entry_ips[0],
+                f"/{route}/{AnswerPlan(framing, Finish.HOLD, sent).path()}",
+                request_id=f"held-{number}",
+            )
+            for number, (route, framing, sent) in enumerate(held)
+        )
+    )
+    for (route, _, _), answer in zip(held, answers, strict=True):
+        if answer.status == 200 and not answer.cut:
+            assert answer.body in (WHOLE_STREAM, PLAIN_BODY, LARGE_BODY), route
+
+
 def is_certain(case: Case) -> bool:
     """Return whether the verdict is certain: not so for a reset after all bytes."""
     return not (case.plan.whole and case.plan.finish is Finish.RESET)
@@ -203,6 +231,26 @@
     assert fixed.body == event(1) + event(2)
 
 
+async def test_a_request_is_refused_after_three_victims_that_closed_without_an_event(
+    platform: Platform,
+) -> None:
+    plan = AnswerPlan(Framing.CONNECTION, Finish.CRASH, 0)
+    numbers = itertools.count()
+
+    async def is_refused() -> bool:
+        number = next(numbers)
+        answer = await platform.call(
+            platform.entry_ips[number % 2],
+            f"/stream/{plan.path()}",
+            request_id=f"deadly-{number}",
+        )
+        assert answer.status != 200
+        return b"crashes_upstreams" in answer.body
+
+    await wait_until(is_refused, "the request is refused as one that crashes upstreams")
+    assert sum(len(server.crashes) for server in platform.servers) <= 3
+
+
 async def test_a_plain_answer_of_a_killed_upstream_is_broken(
     platform: Platform,
 ) -> None:
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -43,6 +43,7 @@
 MIXED_VERSIONS = "tests/feed/test_mixed_versions.py"
 RETRY_BUDGET = "tests/routing/test_retry_budget.py"
 FLEET_BOUND = "test_the_fleet_keeps_its_bound_whoever_ends_restarts_joins_or_is_cut_off"
+ANSWER_ENDS = "tests/platform/test_answer_ends.py"
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
 VARIANTS = (
@@ -692,4 +693,48 @@
         "        if False:",
         "tests/feed/test_entry_count.py",
     ),
+    Variant(
+        "a stream that ends inside an event counts as whole",
+        "answer_end.py",
+        "        if self.unfinished:\n            return Completeness.BROKEN",
+        "        if False:\n            return Completeness.BROKEN",
+        f"{ANSWER_ENDS}::test_no_broken_answer_passes_for_whole_at_any_framing_end_and"
+        "_place",
+    ),
+    Variant(
+        "an upstream that is gone after an answer without length counts as finished",
+        "answer_end.py",
+        "                return Completeness.BROKEN if gone else Completeness.UNKNOWN",
+        "                return Completeness.WHOLE if gone else Completeness.UNKNOWN",
+        f"{ANSWER_ENDS}::test_a_plain_answer_of_a_killed_upstream_is_broken",
+    ),
+    Variant(
+        "an upstream that leaves is checked after its last answer",
+        "routing/gateway.py",
+        "        if timeout <= 0 or self._feed.view.has_left(upstream.incarnation):",
+        "        if timeout <= 0:",
+        f"{ANSWER_ENDS}::test_a_whole_answer_of_an_upstream_that_leaves_is_not_taken_for"
+        "_broken",
+    ),
+    Variant(
+        "a lost connection fails no answer without length",
+        "runtime/upstream_connection.py",
+        "            payload.set_exception(exc)",
+        "            return",
+        "tests/routing/test_client.py",
+    ),
+    Variant(
+        "a response without chunks is aborted by an ordinary close",
+        "runtime/sockets.py",
+        "    if chunked:\n        transport.abort()",
+        "    if True:\n        transport.abort()",
+        f"{ANSWER_ENDS}::test_a_caller_without_chunks_gets_a_broken_stream_as_a_reset",
+    ),
+    Variant(
+        "a sidecar takes each end of an answer for its completion",
+        "sidecar/upstream.py",
+        "        if self._completeness is Completeness.BROKEN:",
+        "        if False:",
+        "tests/failures/test_answer_ends.py",
+    ),
 )
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -325,6 +325,7 @@
             case Finish.HOLD:
                 await self.release.wait()
             case Finish.CRASH:
+                self.crashes.append(self.runs[-1])
                 self.crash()
                 raise asyncio.CancelledError
         plan.finish_connection(http)
