Resume streams at upstreams that prove not to have started again

Cause: each lost connection kept its upstream out of reach of resumed streams for 4 s, as it may have started again under its id at another version, whatever else showed that it had not. A few resets spread over all upstreams left none.

A process takes its connections with it. So an answer to a request that was written after the loss was noticed, on a connection that was open when the lost one was last heard, shows that the process is the same, and ends the doubt at once. A refused connection is never explained in this way, and a loss that is noticed late (a box without power) counts from the last sign of life.

Upstreams that state no start are never in doubt, as before.

--- a/src/leadseam/platform/engine_cache.py
+++ b/src/leadseam/platform/engine_cache.py
@@ -9,7 +9,7 @@
 from msgspec import Meta
 from yarl import URL
 
-from leadseam.clock import Millis, seconds
+from leadseam.clock import Millis, SystemClock, seconds
 from leadseam.feed.cache_watch import CallFailed, CallRefused
 from leadseam.feed.prefix_index import CacheEvent, EventPage
 from leadseam.platform import names
@@ -58,7 +58,9 @@
     ) -> EventAnswer:
         """Read the events of an engine since a cursor."""
         if self._session is None:
-            connector = RoutingConnector(keepalive=seconds(IDLE_LIMIT))
+            connector = RoutingConnector(
+                keepalive=seconds(IDLE_LIMIT), clock=SystemClock()
+            )
             self._session = open_session(connector, connect_timeout=CONNECT_TIMEOUT)
         url = URL.build(
             scheme="http",
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -113,7 +113,7 @@
         settings = self._settings
         assert settings.front is not None
         assert settings.ready is not None
-        self._client = UpstreamClient()
+        self._client = UpstreamClient(self._clock)
         self._gateway = Gateway(
             feed=self._feed,
             dialect=PlatformDialect(),
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from leadseam.answer_end import AnswerEnd
-    from leadseam.routing.client import UpstreamClient
+    from leadseam.routing.client import MaySend, UpstreamClient
     from leadseam.routing.dialect import (
         AnswerHead,
         AttemptHead,
@@ -144,7 +144,7 @@
     upstream: Registration,
     head: AttemptHead,
     repeatable: bool,
-    may_send: Callable[[], bool],
+    may_send: MaySend,
     on_head: Callable[[int, AnswerHead], None],
 ) -> Ending:
     """Send a request to an upstream and classify its answer.
@@ -157,7 +157,8 @@
         upstream: Upstream to send it to.
         head: Values of the headers that the system itself adds.
         repeatable: Whether to reuse an idle connection, which may prove to be closed.
-        may_send: Called before the first byte is written; if false, nothing is sent.
+        may_send: Called with the connection before the first byte is written; if false,
+            nothing is sent.
         on_head: Called with the status and head of any answer, good or not.
 
     Returns:
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -11,9 +11,9 @@
 import aiohttp
 from yarl import URL
 
-from leadseam.clock import Millis, seconds
+from leadseam.clock import Clock, Millis, seconds
 from leadseam.runtime.reachability import is_refused
-from leadseam.runtime.upstream_connection import UpstreamConnector
+from leadseam.runtime.upstream_connection import UpstreamConnection, UpstreamConnector
 
 if TYPE_CHECKING:
     from aiohttp.client_proto import ResponseHandler
@@ -34,11 +34,15 @@
 probes. Only they distinguish an unreachable upstream from one that takes long."""
 
 
-def _always() -> bool:
+MaySend = Callable[[UpstreamConnection], bool]
+"""Decides whether a request may be written to a connection."""
+
+
+def _always(_: UpstreamConnection) -> bool:
     return True
 
 
-_may_send: ContextVar[Callable[[], bool]] = ContextVar("_may_send", default=_always)
+_may_send: ContextVar[MaySend] = ContextVar("_may_send", default=_always)
 """Callback of the current task's request that decides whether it may be written."""
 
 
@@ -55,8 +59,13 @@
     Args:
         keepalive: Seconds that an idle connection is kept; None closes each connection
             after one request.
+        clock: Source of the times at which connections are opened.
     """
 
+    def __init__(self, *, keepalive: float | None = None, clock: Clock) -> None:
+        super().__init__(keepalive=keepalive)
+        self._clock = clock
+
     async def connect(
         self,
         req: aiohttp.ClientRequest,
@@ -69,7 +78,9 @@
             WithheldError: If the request must no longer be sent.
         """
         conn = await super().connect(req, traces, timeout)
-        if not _may_send.get()():
+        protocol = conn.protocol
+        assert isinstance(protocol, UpstreamConnection)
+        if not _may_send.get()(protocol):
             conn.release()
             raise WithheldError
         return conn
@@ -79,6 +90,9 @@
     ) -> tuple[asyncio.Transport, ResponseHandler]:
         transport, conn = await super()._wrap_create_connection(*args, **kwargs)
         _enable_keepalive(transport.get_extra_info("socket"))
+        assert isinstance(conn, UpstreamConnection)
+        conn.clock = self._clock
+        conn.opened_at = conn.alive_at = self._clock.now()
         return transport, conn
 
 
@@ -116,14 +130,18 @@
 
 
 class UpstreamClient:
-    """Sends requests to upstreams by address."""
+    """Sends requests to upstreams by address.
+
+    Args:
+        clock: Source of the times at which connections are opened.
+    """
 
-    def __init__(self) -> None:
-        self._connector = RoutingConnector(keepalive=seconds(IDLE_LIMIT))
+    def __init__(self, clock: Clock) -> None:
+        self._connector = RoutingConnector(keepalive=seconds(IDLE_LIMIT), clock=clock)
         self._pooled = open_session(self._connector, connect_timeout=CONNECT_TIMEOUT)
         # Reused connections may prove to be closed after the request was written.
         self._single_use = open_session(
-            RoutingConnector(), connect_timeout=CONNECT_TIMEOUT
+            RoutingConnector(clock=clock), connect_timeout=CONNECT_TIMEOUT
         )
 
     def drop_idle(self) -> int:
@@ -151,7 +169,7 @@
         headers: list[tuple[str, str]],
         body: bytes,
         repeatable: bool,
-        may_send: Callable[[], bool] = _always,
+        may_send: MaySend = _always,
     ) -> aiohttp.ClientResponse:
         """Send a request and wait for the head of its answer.
 
@@ -164,8 +182,8 @@
             body: Body of the request.
             repeatable: Whether to reuse an idle connection, which may prove to be
                 closed.
-            may_send: Called before the first byte is written; if false, nothing is
-                sent. Defaults to true.
+            may_send: Called with the connection before the first byte is written; if
+                false, nothing is sent. Defaults to true.
 
         Raises:
             WithheldError: If `may_send` returned false; nothing was written.
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -16,6 +16,7 @@
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.routing.attempt import (
     FIRST_SERVER_ERROR,
+    MISDIRECTED,
     Broken,
     Declined,
     Ending,
@@ -30,15 +31,18 @@
 from leadseam.routing.return_time import longest_pause
 from leadseam.routing.silence import SilenceWatch, first_byte_limit, gap_limit
 from leadseam.routing.stream_origin import StreamOrigin
+from leadseam.routing.unconfirmed import NEVER
 
 if TYPE_CHECKING:
     from leadseam.answer_end import AnswerEnd
     from leadseam.clock import Millis
     from leadseam.incarnation import Incarnation
     from leadseam.routing.admitted import AdmittedRequest
+    from leadseam.routing.dialect import AnswerHead
     from leadseam.routing.flight import Flight
     from leadseam.routing.gateway import Gateway
     from leadseam.routing.placement import Placement
+    from leadseam.runtime.upstream_connection import UpstreamConnection
     from leadseam.wire.feed import Registration
 
 MAX_SENDS = 4
@@ -46,6 +50,8 @@
 MIN_TIME_LEFT: Millis = 20
 """Time to the deadline below which no further attempt is made: a few round trips
 between boxes."""
+UNKNOWN_VERSION = ""
+"""Version that no upstream states, for streams that must not go on anywhere."""
 RETURN_JITTER: Millis = 500
 """Time over which retries of callers are spread once an upstream's pause is over."""
 
@@ -59,6 +65,8 @@
         runs: Number of those that may have run it.
         tried: Incarnations of the upstreams that were tried.
         last: Incarnation that was tried last, or None.
+        conn: Connection of the last send, or None.
+        written: Time of the last send.
         permit: Time at which a retry was taken from the budget that has not been sent
             yet, or None.
         fetching: Whether an engine may be told to fetch prompt parts. It is not after
@@ -69,6 +77,8 @@
     runs: int = 0
     tried: set[Incarnation] = field(default_factory=set)
     last: Incarnation | None = None
+    conn: UpstreamConnection | None = None
+    written: Millis = 0
     permit: Millis | None = None
     fetching: bool = True
 
@@ -190,6 +200,7 @@
     async def _send(self, flight: Flight) -> Ending:
         progress = self._progress
         progress.sends += 1
+        progress.conn = None
         progress.tried.add(flight.upstream.incarnation)
         progress.last = flight.upstream.incarnation
         self.placement = flight.placement
@@ -267,16 +278,29 @@
         return await self._reply.relay(streaming, on_data)
 
     def _note_first_event(self) -> None:
-        """Bind the stream to the version of the upstream that begins it."""
+        """Bind the stream to the version of the upstream that begins it.
+
+        If the upstream may have started again, its version is not known until it proves
+        to be the same process.
+        """
         request = self._request
         if not request.route.resumable or self.placement is None:
             return
         upstream = self.placement.upstream
         if upstream.version is None:
             return
+        placer = self._gateway.placer
+        if placer.may_have_restarted(upstream):
+            self._request = replace(request, version=UNKNOWN_VERSION)
+            placer.when_same_process(upstream, partial(self._bind, upstream))
+        else:
+            self._bind(upstream)
+
+    def _bind(self, upstream: Registration) -> None:
+        assert upstream.version is not None
         origin = StreamOrigin(upstream.pool, upstream.version)
-        self._request = replace(request, version=origin.version)
-        self._gateway.stream_began(request, origin)
+        self._request = replace(self._request, version=origin.version)
+        self._gateway.stream_began(self._request, origin)
 
     def _on_silence(self, flight: Flight) -> bool:
         """Return whether to end a silent attempt because a retry is allowed."""
@@ -309,16 +333,29 @@
             head=head,
             repeatable=request.route.repeatable,
             may_send=partial(self._may_send, upstream),
-            on_head=partial(self._gateway.note_head, upstream, request),
+            on_head=partial(self._note_head, upstream),
         )
 
-    def _may_send(self, upstream: Registration) -> bool:
+    def _may_send(self, upstream: Registration, conn: UpstreamConnection) -> bool:
         """Return whether the request may still be written; use its permit if so."""
         if not self._gateway.placer.may_send(upstream):
             return False
         self._progress.permit = None
+        self._progress.conn = conn
+        conn.on_idle_lost = partial(self._gateway.note_idle_lost, upstream, conn)
+        self._progress.written = self._gateway.now()
         return True
 
+    def _note_head(self, upstream: Registration, status: int, head: AnswerHead) -> None:
+        self._gateway.note_head(upstream, self._request, status, head)
+        conn = self._progress.conn
+        is_own = head.request_id == self._request.req.request_id
+        if conn is None or not is_own or status == MISDIRECTED:
+            return
+        self._gateway.placer.record_same_process(
+            upstream, connected=conn.opened_at, written=self._progress.written
+        )
+
     # After an attempt
 
     async def _finish(
@@ -334,7 +371,9 @@
         if not ended_by_guard:
             # An attempt that the guard ended is no evidence about the upstream or the
             # request, unless the answer was complete by then.
-            self._gateway.note_ending(flight.upstream, ending)
+            conn = self._progress.conn
+            alive_at = conn.alive_at if conn is not None else NEVER
+            self._gateway.note_ending(flight.upstream, ending, alive_at=alive_at)
             self._gateway.crash_guard.note_ending(
                 flight.upstream, self._request, ending, early=flight.ended_early()
             )
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -39,6 +39,7 @@
 from leadseam.routing.return_time import Rule, is_beyond_share, time_waited
 from leadseam.routing.router import Router, choose_pool
 from leadseam.routing.scope import allowed_regions
+from leadseam.routing.unconfirmed import NEVER
 from leadseam.routing.usage import Standing
 
 if TYPE_CHECKING:
@@ -59,6 +60,7 @@
     from leadseam.routing.stream_origin import StreamOrigin
     from leadseam.runtime.lag import LoopLag
     from leadseam.runtime.metrics import RoutingMetrics
+    from leadseam.runtime.upstream_connection import UpstreamConnection
     from leadseam.wire.feed import Registration
 
 NOT_CONFIRMED_PAUSE: Millis = 500
@@ -500,8 +502,16 @@
         gone = await self.client.is_refused(upstream.ip, upstream.port, timeout=timeout)
         return replace(end, upstream_gone=gone)
 
-    def note_ending(self, upstream: Registration, ending: Ending) -> None:
-        """Update what is known of an upstream from how an attempt at it ended."""
+    def note_ending(
+        self, upstream: Registration, ending: Ending, *, alive_at: Millis = NEVER
+    ) -> None:
+        """Update what is known of an upstream from how an attempt at it ended.
+
+        Args:
+            upstream: Upstream of the attempt.
+            ending: How it ended.
+            alive_at: When the upstream was last heard on the attempt's connection.
+        """
         now = self.now()
         self._metrics.attempts.inc(type(ending).__name__.lower())
         match ending:
@@ -513,12 +523,12 @@
             case Withheld() | Unreachable(local=True) | Declined():
                 excluded = False
             case Unreachable(refused=refused):
-                self.placer.record_disconnect(upstream)
+                self.placer.record_disconnect(upstream, alive_at=NEVER)
                 if refused:
                     self.crash_guard.ended(upstream.incarnation)
                 excluded = self._health.unreachable(upstream.incarnation, now)
             case Broken():
-                self.placer.record_disconnect(upstream)
+                self.placer.record_disconnect(upstream, alive_at=alive_at)
                 excluded = self._health.failed(upstream.incarnation, now)
             case Whole(status=status) if status >= FIRST_SERVER_ERROR:
                 excluded = self._health.failed(upstream.incarnation, now)
@@ -529,6 +539,10 @@
         if excluded:
             self.request_log.excluded(upstream, ending)
 
+    def note_idle_lost(self, upstream: Registration, conn: UpstreamConnection) -> None:
+        """Record that an upstream closed a connection that was kept for reuse."""
+        self.placer.record_disconnect(upstream, alive_at=conn.alive_at)
+
     def note_silence(self, upstream: Registration, admitted: AdmittedRequest) -> None:
         """Count a failure of an upstream that has been silent for too long."""
         excluded = self._health.failed(upstream.incarnation, self.now())
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -284,9 +284,36 @@
         if self._pauses.answered(row, self._clock.now()):
             self._pump_soon()
 
-    def record_disconnect(self, row: Registration) -> None:
-        """Record that a connection to an upstream was refused or has broken off."""
-        self._unconfirmed.disconnected(row.incarnation, self._clock.now())
+    def record_disconnect(self, row: Registration, *, alive_at: Millis) -> None:
+        """Record that a connection to an upstream was refused or has broken off.
+
+        Args:
+            row: The upstream.
+            alive_at: When it was last heard on that connection; `NEVER` if refused.
+        """
+        now = self._clock.now()
+        self._unconfirmed.disconnected(row.incarnation, now, alive_at=alive_at)
+
+    def may_have_restarted(self, row: Registration) -> bool:
+        """Return whether an upstream may have started again under its id."""
+        return not self._unconfirmed.exclude([row], self._clock.now())
+
+    def when_same_process(self, row: Registration, call: Callable[[], None]) -> None:
+        """Call once an upstream proves not to have started again, if it does."""
+        self._unconfirmed.when_confirmed(row.incarnation, call, self._clock.now())
+
+    def record_same_process(
+        self, row: Registration, *, connected: Millis, written: Millis
+    ) -> None:
+        """Record an answer on a connection that may be older than a lost one.
+
+        Args:
+            row: Upstream that answered.
+            connected: When the connection was opened.
+            written: When the request was written.
+        """
+        if self._unconfirmed.answered(row.incarnation, connected, written):
+            self._pump_soon()
 
     def pause_left(self, scope: Scope) -> Millis:
         """Return the time until the first pause in a scope ends, if all are paused.
--- a/src/leadseam/routing/unconfirmed.py
+++ b/src/leadseam/routing/unconfirmed.py
@@ -3,17 +3,22 @@
 An upstream that keeps its id over a start accepts requests that expect this id before
 its first heartbeat states the new start. It may run another version by then, so no
 stream is continued there until the start is known.
+
+Connections end with the process that accepted them, and their loss may be noticed late.
+The process is the same if it answers a request that was written after the loss was
+noticed, on a connection that was open when the lost one was last heard.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Millis
 from leadseam.incarnation import NO_START
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
 
     from leadseam.incarnation import Incarnation
     from leadseam.wire.feed import Registration
@@ -21,34 +26,116 @@
 CONFIRM_TIME: Millis = 4_000
 """Time after a lost connection within which a start would have become known: three
 heartbeats of 1.2 s."""
+NEVER: Millis = -1
+"""Time before all others."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Doubt:
+    """Lost connections since the process was last known to be the same.
+
+    Args:
+        alive_at: When the upstream was last heard on the first connection that was
+            lost, or on a later one if that was before.
+        last: When the last loss was noticed.
+    """
+
+    alive_at: Millis
+    last: Millis
+
+    @property
+    def until(self) -> Millis:
+        """Time from which a new start would be known."""
+        return self.last + CONFIRM_TIME
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiting:
+    since: Millis
+    call: Callable[[], None]
 
 
 class UnconfirmedUpstreams:
     """Incarnations whose connections have broken off recently."""
 
     def __init__(self) -> None:
-        self._until: dict[Incarnation, Millis] = {}
+        self._doubts: dict[Incarnation, _Doubt] = {}
+        self._waiting: dict[Incarnation, list[_Waiting]] = {}
 
     def __repr__(self) -> str:
-        return f"UnconfirmedUpstreams({list(self._until)})"
+        return f"UnconfirmedUpstreams({list(self._doubts)})"
 
-    def disconnected(self, incarnation: Incarnation, now: Millis) -> None:
+    def disconnected(
+        self, incarnation: Incarnation, now: Millis, *, alive_at: Millis = NEVER
+    ) -> None:
         """Record that a connection was refused, or broke off during an answer.
 
         An upstream without a start time gets a new id at each start and refuses
         requests that are meant for the former one.
+
+        Args:
+            incarnation: The upstream.
+            now: Current time.
+            alive_at: When it was last heard on that connection; `NEVER` if refused.
         """
-        if incarnation.start != NO_START:
-            self._until[incarnation] = now + CONFIRM_TIME
+        if incarnation.start == NO_START:
+            return
+        doubt = self._doubts.get(incarnation)
+        if doubt is not None and doubt.until > now:
+            alive_at = min(alive_at, doubt.alive_at)
+        self._doubts[incarnation] = _Doubt(alive_at, now)
+
+    def answered(
+        self, incarnation: Incarnation, connected: Millis, written: Millis
+    ) -> bool:
+        """Record an answer to a request, which may show that the process is the same.
+
+        Args:
+            incarnation: Upstream that answered.
+            connected: When the connection was opened.
+            written: When the request was written.
+
+        Returns:
+            Whether the upstream was in doubt and no longer is.
+        """
+        doubt = self._doubts.get(incarnation)
+        if doubt is None or connected >= doubt.alive_at or written <= doubt.last:
+            return False
+        del self._doubts[incarnation]
+        for waiting in self._waiting.pop(incarnation, ()):
+            if waiting.since <= written:
+                waiting.call()
+        return True
+
+    def when_confirmed(
+        self, incarnation: Incarnation, call: Callable[[], None], now: Millis
+    ) -> None:
+        """Call once an upstream in doubt proves to be the same process, if it does.
+
+        Args:
+            incarnation: The upstream.
+            call: Called once, or never.
+            now: Current time; the proof has to be of a later time.
+        """
+        self._waiting.setdefault(incarnation, []).append(_Waiting(now, call))
 
     def exclude(
         self, rows: Sequence[Registration], now: Millis
     ) -> Sequence[Registration]:
         """Return the upstreams that have certainly not started again."""
-        if not self._until:
+        if not self._doubts:
             return rows
-        return [row for row in rows if self._until.get(row.incarnation, 0) <= now]
+        return [row for row in rows if not self._is_in_doubt(row, now)]
 
     def sweep(self, now: Millis) -> None:
         """Drop what no longer excludes anything."""
-        self._until = {key: until for key, until in self._until.items() if until > now}
+        self._doubts = {
+            key: doubt for key, doubt in self._doubts.items() if doubt.until > now
+        }
+        self._waiting = {
+            key: rows for key, rows in self._waiting.items() if key in self._doubts
+        }
+
+    def _is_in_doubt(self, row: Registration, now: Millis) -> bool:
+        doubt = self._doubts.get(row.incarnation)
+        return doubt is not None and doubt.until > now
--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -16,6 +16,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from leadseam.answer_end import AnswerEnd, Close, read_framing
+from leadseam.clock import Clock, Millis
 from leadseam.runtime.connector import LoopConnector
 
 
@@ -33,9 +34,18 @@
     Attributes:
         listener: Called after bytes of an answer, its end or its failure have arrived;
             None if there is none. It must not raise.
+        clock: Source of `opened_at` and `alive_at`; None to leave them at 0.
+        opened_at: Time at which it was opened.
+        alive_at: Time at which its peer was last heard.
+        on_idle_lost: Called if the peer closes or resets the connection although it was
+            kept open for another request; None if nobody is to be told.
     """
 
+    clock: Clock | None = None
+    opened_at: Millis = 0
+    alive_at: Millis = 0
     listener: Callable[[], None] | None = None
+    on_idle_lost: Callable[[], None] | None = None
     _peer_closed = False
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -79,8 +89,13 @@
             self._fail_body(AnswerResetError(f"reset: {exc}"))
         elif not self._peer_closed:
             self._fail_body(AnswerDroppedError("connection closed by this box"))
+        is_kept = self._payload is None or self._payload.is_eof()
+        is_kept = is_kept and not self.should_close
+        lost = exc is not None or self._peer_closed
         super().connection_lost(exc)
         self._notify_listener()
+        if is_kept and lost and self.on_idle_lost is not None:
+            self.on_idle_lost()
 
     def _fail_body(self, exc: aiohttp.ClientPayloadError) -> None:
         payload = self._payload
@@ -89,6 +104,8 @@
 
     def data_received(self, data: bytes) -> None:
         """Process bytes; close the connection on bytes after a complete answer."""
+        if self.clock is not None:
+            self.alive_at = self.clock.now()
         if self._payload is not None and self._payload.is_eof() and data:
             self.force_close()
             if self.transport is not None:
--- a/tests/routing/gateways.py
+++ b/tests/routing/gateways.py
@@ -33,9 +33,10 @@
 from tests.routing.samples import make_request, make_route, make_upstream
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Iterable
 
     from leadseam.outcome import Outcome
+    from leadseam.routing.client import MaySend
     from leadseam.wire.feed import Registration
 
 NETWORK_DELAY = 0.002
@@ -157,13 +158,13 @@
         _port: int,
         *,
         headers: list[tuple[str, str]],
-        may_send: Callable[[], bool],
+        may_send: MaySend,
         **_: object,
     ) -> _Answer:
         """Open a connection, check `may_send`, and simulate the upstream's answer."""
         fleet = self._fleet
         await asyncio.sleep(fleet.rng.uniform(0, fleet.connect_s))
-        if not may_send():
+        if not may_send(cast("Any", SimpleNamespace(opened_at=0, alive_at=0))):
             raise WithheldError
         loop = asyncio.get_running_loop()
         upstream = fleet.upstreams[ip]
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -14,13 +14,17 @@
 import pytest
 import uvloop
 
+from leadseam.clock import SystemClock
 from leadseam.routing.client import UpstreamClient
 from tests.descriptors import assert_no_double_close
 from tools.ports import LOOPBACK
+from tools.waiting import CONDITION_TIMEOUT
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
 
+    from leadseam.runtime.upstream_connection import UpstreamConnection
+
     Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 HEAD = b"HTTP/1.1 200 OK\r\nX-Id: %s\r\n"
@@ -39,7 +43,7 @@
 @asynccontextmanager
 async def client() -> AsyncIterator[UpstreamClient]:
     """Open a client, and close it in the end."""
-    client = UpstreamClient()
+    client = UpstreamClient(SystemClock())
     try:
         yield client
     finally:
@@ -245,3 +249,37 @@
         ]
         assert times == [1, 1, 3_000]
         resp.close()
+
+
+async def test_a_kept_connection_that_its_peer_closes_is_reported() -> None:
+    may_close = asyncio.Event()
+    lost = asyncio.Event()
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD % b"1" + b"Content-Length: 2\r\n\r\nok")
+        await may_close.wait()
+        writer.close()
+
+    def may_send(conn: UpstreamConnection) -> bool:
+        conn.on_idle_lost = lost.set
+        return True
+
+    async with upstream(script) as port, client() as opened:
+        resp = await opened.send(
+            LOOPBACK,
+            port,
+            method="GET",
+            target="/x",
+            headers=[],
+            body=b"",
+            repeatable=True,
+            may_send=may_send,
+        )
+        assert await resp.read() == b"ok"
+        assert not lost.is_set()
+        may_close.set()
+        async with asyncio.timeout(CONDITION_TIMEOUT):
+            await lost.wait()
--- a/tests/routing/test_unconfirmed.py
+++ b/tests/routing/test_unconfirmed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from leadseam.routing.unconfirmed import CONFIRM_TIME, UnconfirmedUpstreams
 from tests.routing.samples import make_upstream
 
@@ -29,3 +31,50 @@
     row = make_upstream(3)
     unconfirmed.disconnected(row.incarnation, 0)
     assert unconfirmed.exclude([row], 1) == [row]
+
+
+@pytest.mark.parametrize(
+    ("connected", "written", "same"),
+    [
+        (899, 1_001, True),
+        # The process may have ended before the loss was noticed.
+        (900, 1_001, False),
+        (899, 1_000, False),
+    ],
+)
+def test_an_answer_on_an_older_connection_shows_that_the_process_is_the_same(
+    connected: int, written: int, same: bool
+) -> None:
+    unconfirmed = UnconfirmedUpstreams()
+    unconfirmed.disconnected(OLD.incarnation, 1_000, alive_at=900)
+    assert unconfirmed.answered(OLD.incarnation, connected, written) is same
+    assert unconfirmed.exclude([OLD], 1_002) == ([OLD] if same else [])
+
+
+def test_a_connection_opened_between_two_losses_proves_nothing() -> None:
+    unconfirmed = UnconfirmedUpstreams()
+    unconfirmed.disconnected(OLD.incarnation, 1_000, alive_at=900)
+    unconfirmed.disconnected(OLD.incarnation, 2_000, alive_at=1_990)
+    assert not unconfirmed.answered(OLD.incarnation, 1_500, 2_001)
+    assert unconfirmed.answered(OLD.incarnation, 800, 2_001)
+
+
+def test_no_answer_lifts_the_doubt_about_an_upstream_that_refused_a_connection() -> (
+    None
+):
+    unconfirmed = UnconfirmedUpstreams()
+    unconfirmed.disconnected(OLD.incarnation, 1_000)
+    assert not unconfirmed.answered(OLD.incarnation, 0, 1_001)
+    assert unconfirmed.exclude([OLD], 1_002) == []
+
+
+def test_streams_begun_in_doubt_are_bound_once_the_process_proves_to_be_the_same() -> (
+    None
+):
+    unconfirmed = UnconfirmedUpstreams()
+    unconfirmed.disconnected(OLD.incarnation, 1_000, alive_at=900)
+    bound: list[str] = []
+    unconfirmed.when_confirmed(OLD.incarnation, lambda: bound.append("early"), 1_010)
+    unconfirmed.when_confirmed(OLD.incarnation, lambda: bound.append("late"), 1_030)
+    assert unconfirmed.answered(OLD.incarnation, 800, 1_020)
+    assert bound == ["early"]
--- a/tests/routing/test_withheld.py
+++ b/tests/routing/test_withheld.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from leadseam.clock import SystemClock
 from leadseam.routing.client import UpstreamClient, WithheldError
+from leadseam.runtime.upstream_connection import UpstreamConnection
 from tools.ports import LOOPBACK
 
 
@@ -27,10 +29,10 @@
 
     server = await asyncio.start_server(script, LOOPBACK, 0)
     port = server.sockets[0].getsockname()[1]
-    client = UpstreamClient()
+    client = UpstreamClient(SystemClock())
 
     async def send(*, allowed: bool) -> int:
-        def may_send() -> bool:
+        def may_send(_: UpstreamConnection) -> bool:
             checks.append(allowed)
             return allowed
 
--- a/tools/measure_ends.py
+++ b/tools/measure_ends.py
@@ -26,6 +26,7 @@
 import uvloop
 from docopt import docopt
 
+from leadseam.clock import SystemClock
 from leadseam.routing.client import UpstreamClient
 from tools.ports import LOOPBACK
 
@@ -159,7 +160,7 @@
 
 async def measure(trials: int) -> None:
     """Print the table."""
-    client = UpstreamClient()
+    client = UpstreamClient(SystemClock())
     print("upstream, streams: share judged broken by each way; ms of the check")
     for ending, streams in itertools.product(Ending, STREAMS):
         broken: defaultdict[str, list[bool]] = defaultdict(list)
