--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -178,7 +178,11 @@
             self._log_offsets[ip] = log.tell()
             self.processes[ip] = subprocess.Popen(
                 [sys.executable, "-m", *self._program(ip), role],
-                env={**os.environ, names.SETTINGS_VARIABLE: str(path)},
+                env={
+                    **os.environ,
+                    **self.environment(ip),
+                    names.SETTINGS_VARIABLE: str(path),
+                },
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
@@ -237,6 +241,10 @@
         """Return the first of the ports that a box uses for links between nodes."""
         return self.internal_port
 
+    def environment(self, ip: str) -> dict[str, str]:
+        """Return the additional variables of the next process of a box."""
+        return {}
+
     def signal(self, ip: str, number: signal.Signals) -> None:
         """Send a signal to the process of a box."""
         self.processes[ip].send_signal(number)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -56,6 +56,8 @@
         refusals: Whether servers refuse or fail requests while entries are killed in
             series.
         unframed: Whether answers without a length or chunks are sent and broken off.
+        other_sources: Folder with the sources of another build that runs beside this
+            one; empty for none.
     """
 
     seconds: float = 20.0
@@ -70,6 +72,7 @@
     versions: int = 1
     refusals: bool = False
     unframed: bool = False
+    other_sources: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +83,7 @@
         seed: The seed.
         faults: Number of injected faults by kind.
         answers: Number of calls by status; 0 for those that were cut.
+        starts: Starts of processes by build, if there are two.
         checked: Number of checks by promise.
         resumed: Streams that callers resumed, by whether they were finished.
         broken: Promises that were not kept.
@@ -89,6 +93,7 @@
     seed: int
     faults: dict[str, int]
     answers: dict[int, int]
+    starts: dict[str, int]
     checked: dict[str, int]
     resumed: dict[str, int]
     broken: tuple[BrokenPromise, ...]
@@ -99,6 +104,8 @@
         parts = [f"seed {self.seed}: {verdict}", f"faults {self.faults}"]
         parts += [f"answers {dict(sorted(self.answers.items()))}"]
         parts += [f"checked {self.checked}"]
+        if self.starts:
+            parts += [f"starts {self.starts}"]
         if self.resumed:
             parts += [f"resumed {self.resumed}"]
         return "\n  ".join([*parts, *map(str, self.broken), *self.log_lines])
@@ -254,6 +261,7 @@
             seed=self._seed,
             faults={kind: kinds.count(kind) for kind in sorted(set(kinds))},
             answers=dict(promises.answers),
+            starts=dict(self._platform.starts),
             checked=dict(promises.checked),
             resumed=dict(promises.resumed),
             broken=tuple(promises.broken),
@@ -280,6 +288,7 @@
         suspendable=options.suspended,
         versions=options.versions,
         unframed=options.unframed,
+        other_sources=options.other_sources,
     )
     if options.refusals:
         platform.retry_slack = RETRY_SLACK
--- a/tools/soak/soak_platform.py
+++ b/tools/soak/soak_platform.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import signal
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -42,6 +43,8 @@
         unframed: Whether half of the answers end with their connection. Entries reach
             servers without a proxy then, as only a server's own address shows that it
             has ended.
+        other_sources: Folder with the sources of another build, of which each second
+            process that starts is; empty for none.
 
     Attributes:
         down: Boxes whose process must not be restarted until a fault is repaired.
@@ -53,6 +56,7 @@
     ended_servers: list[Server] = field(default_factory=list)
     versions: int = 1
     unframed: bool = False
+    other_sources: str = ""
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -70,6 +74,7 @@
         self.down: set[str] = set()
         self._restarter: asyncio.Task[None] | None = None
         self._version_numbers = itertools.count()
+        self.starts: Counter[str] = Counter()
 
     @property
     def boxes(self) -> Boxes:
@@ -81,6 +86,16 @@
         """Return the inner port of a box; each box has its own."""
         return self._inner_ports[ip]
 
+    def environment(self, ip: str) -> dict[str, str]:
+        """Return the variables that choose the build of the next process."""
+        if not self.other_sources:
+            return {}
+        if self.starts.total() % 2:
+            self.starts["other"] += 1
+            return {"PYTHONPATH": self.other_sources}
+        self.starts["this"] += 1
+        return {}
+
     def advertised(self, ip: str) -> str:
         """Return the address of a server's proxy."""
         return f"{ip}:{self.server_port if self.unframed else self._proxy_port}"
