Variants: what proves that an upstream is the same process

Two mechanisms of the doubt about restarts, and the texts of two variants whose sources have changed.

--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -43,6 +43,7 @@
 MIXED_VERSIONS = "tests/feed/test_mixed_versions.py"
 RETRY_BUDGET = "tests/routing/test_retry_budget.py"
 FLEET_BOUND = "test_the_fleet_keeps_its_bound_whoever_ends_restarts_joins_or_is_cut_off"
+RESUMED_STREAMS = "tests/platform/test_resumed_streams.py"
 ANSWER_ENDS = "tests/platform/test_answer_ends.py"
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
@@ -392,8 +393,8 @@
     Variant(
         "a broken stream goes on at any version",
         "routing/exchange.py",
-        "replace(request, version=origin.version)",
-        "request",
+        "replace(self._request, version=origin.version)",
+        "self._request",
         f"{MIXED_PLATFORM}"
         "::test_a_broken_stream_goes_on_only_at_the_version_that_began_it",
     ),
@@ -507,7 +508,7 @@
     Variant(
         "a connection is used without checking for a pause",
         "routing/client.py",
-        "        if not _may_send.get()():",
+        "        if not _may_send.get()(protocol):",
         "        if False:",
         "tests/routing/test_withheld.py",
     ),
@@ -716,6 +717,21 @@
         f"{ANSWER_ENDS}::test_a_whole_answer_of_an_upstream_that_leaves_is_not_taken_for"
         "_broken",
     ),
+    Variant(
+        "an answer proves the same process although its connection may be newer",
+        "routing/unconfirmed.py",
+        "connected >= doubt.alive_at or written",
+        "written",
+        "tests/routing/test_unconfirmed.py",
+    ),
+    Variant(
+        "no answer proves that an upstream has not started again",
+        "routing/unconfirmed.py",
+        "        if doubt is None or connected",
+        "        if True or connected",
+        f"{RESUMED_STREAMS}::test_resumed_streams_go_on_while_connections_break_without"
+        "_a_restart",
+    ),
     Variant(
         "a lost connection fails no answer without length",
         "runtime/upstream_connection.py",
