Answers: no end of an earlier attempt in a later line, no cycle of connections

Read as a newcomer: the line of a request whose caller left during a second attempt carried the end of the first; a kept connection referred to itself through its callback; and the version that stands for an unknown one could have been stated by an upstream.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -50,8 +50,8 @@
 MIN_TIME_LEFT: Millis = 20
 """Time to the deadline below which no further attempt is made: a few round trips
 between boxes."""
-UNKNOWN_VERSION = ""
-"""Version that no upstream states, for streams that must not go on anywhere."""
+UNKNOWN_VERSION = "\0"
+"""Version that no upstream can state, for streams that must not go on anywhere yet."""
 RETURN_JITTER: Millis = 500
 """Time over which retries of callers are spread once an upstream's pause is over."""
 
@@ -201,6 +201,7 @@
         progress = self._progress
         progress.sends += 1
         progress.conn = None
+        self.answer_end = None
         progress.tried.add(flight.upstream.incarnation)
         progress.last = flight.upstream.incarnation
         self.placement = flight.placement
@@ -342,7 +343,7 @@
             return False
         self._progress.permit = None
         self._progress.conn = conn
-        conn.on_idle_lost = partial(self._gateway.note_idle_lost, upstream, conn)
+        conn.on_idle_lost = partial(self._gateway.note_idle_lost, upstream)
         self._progress.written = self._gateway.now()
         return True
 
--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -37,15 +37,15 @@
         clock: Source of `opened_at` and `alive_at`; None to leave them at 0.
         opened_at: Time at which it was opened.
         alive_at: Time at which its peer was last heard.
-        on_idle_lost: Called if the peer closes or resets the connection although it was
-            kept open for another request; None if nobody is to be told.
+        on_idle_lost: Called with the connection if the peer closes or resets it while
+            it is kept for another request; None if nobody is to be told.
     """
 
     clock: Clock | None = None
     opened_at: Millis = 0
     alive_at: Millis = 0
     listener: Callable[[], None] | None = None
-    on_idle_lost: Callable[[], None] | None = None
+    on_idle_lost: Callable[[UpstreamConnection], None] | None = None
     _peer_closed = False
 
     def resume_reading(self, resume_parser: bool = True) -> None:
@@ -95,7 +95,7 @@
         super().connection_lost(exc)
         self._notify_listener()
         if is_kept and lost and self.on_idle_lost is not None:
-            self.on_idle_lost()
+            self.on_idle_lost(self)
 
     def _fail_body(self, exc: aiohttp.ClientPayloadError) -> None:
         payload = self._payload
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -264,7 +264,7 @@
         writer.close()
 
     def may_send(conn: UpstreamConnection) -> bool:
-        conn.on_idle_lost = lost.set
+        conn.on_idle_lost = lambda _: lost.set()
         return True
 
     async with upstream(script) as port, client() as opened:
