--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -67,7 +67,7 @@
     def now(self) -> int:
         return 1_000
 
-    def note_ending(self, *_: object) -> None:
+    def note_ending(self, *_: object, **__: object) -> None:
         return
 
     def _note_ending(self, _: object, __: object, ending: Ending, **_how: bool) -> None:
