Deliver an upstream's error if its retry has no answer

Callers got a 502 of ours, without a signature, in place of a whole 500 of their upstream, where a retry was allowed and then found no upstream, was declined or broke.

The error is kept while it is retried. The test failed before for each of the three ends of the retry. In the matrix no event of a part of a stream may be cut in two any more: its check took any line end for the end of an event.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -111,6 +111,8 @@
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
         self.answer_end: AnswerEnd | None = None
         self.placement: Placement | None = None
+        # An upstream's error, delivered if its retry has no answer.
+        self._failure: Whole | None = None
 
     @property
     def admitted(self) -> AdmittedRequest:
@@ -381,6 +383,8 @@
         retry = self._may_retry(ending)
         self._gateway.request_log.attempt(self, self._request, ending, retry=retry)
         if retry:
+            if isinstance(ending, Whole):
+                self._failure = ending
             return None
         match ending:
             case Whole():
@@ -464,6 +468,8 @@
         """End a request after its last attempt, without an upstream's answer."""
         if self._reply.started:
             self._abort(reason)
+        if self._failure is not None:
+            return self._deliver_whole(self._failure)
         if self._progress.runs == 0:
             return self._refuse(reason)
         if STATUS_CODES[reason] == UNAVAILABLE:
@@ -501,6 +507,8 @@
     def _deadline_passed(self) -> web.StreamResponse:
         if self._reply.started:
             self._abort(Reason.DEADLINE_PASSED)
+        if self._failure is not None:
+            return self._deliver_whole(self._failure)
         if self._progress.sends == 0:
             return self._refuse(Reason.NO_UPSTREAM)
         self.outcome = Unknown(Reason.DEADLINE_PASSED)
--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -58,8 +58,7 @@
     @property
     def is_between_events(self) -> bool:
         """Whether the server stops between two events of a stream."""
-        sent = self.body[: self.plan.sent]
-        return not sent or sent.endswith((b"\n\n", b"\r\n\r\n"))
+        return ends_with_event(self.body[: self.plan.sent])
 
     def verdict(self, answer: Answer) -> str:
         """Return what is wrong with the answer that a caller got, or nothing."""
@@ -70,12 +69,17 @@
         if self.plan.whole:
             return f"a whole answer is taken for broken: {answer}"
         if "stream" in self.route and answer.cut:
-            received = self.body.startswith(answer.body)
-            if not received or (answer.body and not answer.body.endswith(b"\n")):
+            is_part = self.body.startswith(answer.body)
+            if not is_part or not ends_with_event(answer.body):
                 return f"bytes of an unfinished event: {answer.body!r}"
         return ""
 
 
+def ends_with_event(data: bytes) -> bool:
+    """Return whether no event is unfinished at the end of a part of a stream."""
+    return not data or data.endswith((b"\n\n", b"\r\n\r\n"))
+
+
 def cases() -> Iterator[Case]:
     """Return all cells of the matrix, and each whole answer a few times."""
     numbers = itertools.count()
@@ -113,12 +117,15 @@
 
     async def call_each() -> None:
         for case in waiting:
+            plan = case.plan
             answer = await platform.call(
-                platform.entry_ips[0], f"/{case.route}/{case.plan.path()}"
+                platform.entry_ips[0],
+                f"/{case.route}/{plan.path()}",
+                request_id=f"case-{plan.number}",
             )
             if fault := case.verdict(answer):
-                plan = case.plan
-                faults[f"{case.route} {plan.framing} {plan.finish}: {fault}"] += 1
+                name = f"{case.route} {plan.framing} {plan.finish} {plan.number}"
+                faults[f"{name}: {fault}"] += 1
 
     await asyncio.gather(*(call_each() for _ in range(CONCURRENT_CALLS)))
     detail = "\n".join(f"{count} x {fault}" for fault, count in faults.items())
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -243,6 +243,28 @@
     assert exchange.outcome == Failed(Reason.UPSTREAM_BROKEN)
 
 
+@pytest.mark.parametrize("last", [None, Declined(), Broken(Reason.UPSTREAM_BROKEN)])
+async def test_an_error_of_an_upstream_is_delivered_if_its_retry_has_no_answer(
+    last: Ending | None,
+) -> None:
+    gateway = FakeGateway()
+    exchange = make_exchange(gateway)
+    endings: list[Ending] = [Whole(500, (), b"error")]
+    endings += [last] if last is not None else []
+    retries = [True, False]
+
+    async def attempt(_: object) -> Ending:
+        if last is None:
+            gateway.placed = Reason.NO_UPSTREAM
+        return endings.pop(0)
+
+    vars(exchange)["_attempt"] = attempt
+    vars(exchange)["_may_retry"] = lambda _: retries.pop(0)
+    response = await exchange.run()
+    assert response.status == 500
+    assert exchange.outcome == Answered(500)
+
+
 async def test_a_whole_answer_is_noted_even_if_its_request_was_convicted() -> None:
     """A whole answer was not noted if the request was convicted while it ran."""
     gateway = FakeGateway()
