--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its operator, clients and servers."""
