Review: a stream that breaks off stops an edge machine

A server breaks off in the middle of an event, after comment lines with CR LF. A regular expression then takes exponential time on the event loop, and no request at that machine is answered.

--- a/review/support/fleet.py
+++ b/review/support/fleet.py
@@ -132,6 +132,15 @@
         self.processes[ip].send_signal(number)
         self.record.write("signal sent", machine=ip, signal=number.name)
 
+    def lose_disks(self, ips: list[str]) -> None:
+        """Kill the processes of some machines at once and remove their data."""
+        for ip in ips:
+            self.signal(ip, signal.SIGKILL)
+        for ip in ips:
+            self.processes[ip].wait()
+            shutil.rmtree(self.folder / f"data-{ip}")
+            self.record.write("disk lost", machine=ip)
+
     def is_ready(self, ip: str) -> bool:
         """Return whether an edge machine says that it is ready."""
         target = (ip, self._ports[READY])
--- a/review/support/operator.py
+++ b/review/support/operator.py
@@ -14,6 +14,10 @@
 
 FINAL = (400, 409, 412, 413, 422)
 """Answers that end a call at once."""
+ANSWER_TIMEOUT = 1.0
+"""Seconds without an answer after which the next machine is called."""
+BYTES_PER_S = 200_000
+"""Rate by which that time is longer for a large body."""
 
 
 class Operator:
@@ -25,6 +29,7 @@
     """
 
     def __init__(self, controls: Sequence[Address], record: Record) -> None:
+        self._count = len(controls)
         self._controls = itertools.cycle(controls)
         self._record = record
 
@@ -34,6 +39,15 @@
         Raises:
             CannotRunError: If it is refused, or not acknowledged in time.
         """
+        acked = self.try_replace(manifest, timeout=timeout)
+        if acked is None:
+            raise CannotRunError(f"manifest {manifest['version']} was not acknowledged")
+        return acked
+
+    def try_replace(
+        self, manifest: Mapping[str, Any], *, timeout: float
+    ) -> float | None:
+        """Send a manifest; return the time of its acknowledgement, or None."""
         body = json.dumps(manifest).encode()
         end = time.monotonic() + timeout
         pause = 0.05
@@ -45,7 +59,7 @@
                 "/leadseam/config/replace",
                 headers={"Content-Type": "application/json"},
                 body=body,
-                timeout=1,
+                timeout=ANSWER_TIMEOUT + len(body) / BYTES_PER_S,
             )
             self._record.write(
                 "manifest sent",
@@ -56,7 +70,34 @@
             if reply.status == 200:
                 return time.monotonic()
             if reply.status in FINAL:
-                break
+                return None
             time.sleep(pause)
             pause = min(pause * 2, 0.5)
-        raise CannotRunError(f"manifest {manifest['version']} was not acknowledged")
+        return None
+
+    def read(self, *, timeout: float) -> int | None:
+        """Read the manifest back from any machine, again and again.
+
+        Returns:
+            Its version, or None if no machine answers with a manifest in time.
+        """
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            for address in itertools.islice(self._controls, self._count):
+                version = self._read_once(address)
+                if version is not None:
+                    return version
+            time.sleep(0.5)
+        return None
+
+    def _read_once(self, address: Address) -> int | None:
+        reply = request(
+            address, "GET", "/leadseam/config/get", timeout=ANSWER_TIMEOUT + 1
+        )
+        version = None
+        if reply.status == 200:
+            version = int(json.loads(reply.body)["version"])
+        self._record.write(
+            "manifest read", of=address[0], answer=reply.status, version=version
+        )
+        return version
--- a/review/support/server.py
+++ b/review/support/server.py
@@ -5,9 +5,11 @@
 import contextlib
 import itertools
 import json
+import socket
+import struct
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
@@ -16,6 +18,11 @@
 from support.record import Record
 
 HEARTBEAT_S = 1.2
+STREAM_HEADERS = {
+    "Content-Type": "text/event-stream",
+    "Transfer-Encoding": "chunked",
+    "Leadseam-Weight-Versions": "1",
+}
 _ids = itertools.count(1)
 
 
@@ -45,6 +52,8 @@
         zone: Zone that it reports.
         controls: Addresses of the core machines.
         record: Record of the run.
+        slots: Requests that it works on at once.
+        stream: Answers a request with a stream of events; None for plain answers.
     """
 
     def __init__(
@@ -55,7 +64,11 @@
         zone: str,
         controls: Sequence[Address],
         record: Record,
+        slots: int = 6,
+        stream: Callable[[BaseHTTPRequestHandler, Run], None] | None = None,
     ) -> None:
+        self.stream = stream
+        self._slots = slots
         self.instance = f"i-{next(_ids):08x}"
         self.runs: list[Run] = []
         self.record = record
@@ -99,7 +112,7 @@
             "address": f"{self._address[0]}:{self._address[1]}",
             "zone": self._zone,
             "version": "v1",
-            "slots": 6,
+            "slots": self._slots,
             "state": "ready",
             "coldRemainingMs": 0,
             "sequence": sequence,
@@ -128,6 +141,9 @@
 
     def _serve(self) -> None:
         owner = self.server.owner
+        if self.path.startswith("/leadseam/kv-events"):
+            self._answer_events()
+            return
         self.rfile.read(int(self.headers.get("Content-Length", "0")))
         request_id = self.headers.get("Leadseam-Request-Id")
         if request_id is None:
@@ -152,13 +168,42 @@
             authorization=repr(run.authorization),
         )
         signature = {"Leadseam-Response-Signature": f"{owner.instance}.{request_id}"}
-        self._answer(200, own | signature, b"done")
+        if owner.stream is None:
+            self._answer(200, own | signature, b"done")
+            return
+        with contextlib.suppress(OSError):
+            self._begin(200, own | signature | STREAM_HEADERS)
+            owner.stream(self, run)
+
+    def _answer_events(self) -> None:
+        """Answer a call for cache events: there are none."""
+        time.sleep(int(self.headers.get("Wait-Ms", "0")) / 1_000)
+        page = {"epoch": 1, "nextPageToken": 1, "lost": False, "events": []}
+        self._answer(
+            200, {"Content-Type": "application/json"}, json.dumps(page).encode()
+        )
 
     def _answer(self, status: int, headers: dict[str, str], body: bytes = b"") -> None:
         with contextlib.suppress(OSError):
-            self.send_response(status)
-            for name, value in headers.items():
-                self.send_header(name, value)
-            self.send_header("Content-Length", str(len(body)))
-            self.end_headers()
+            self._begin(status, headers | {"Content-Length": str(len(body))})
             self.wfile.write(body)
+
+    def _begin(self, status: int, headers: dict[str, str]) -> None:
+        self.send_response(status)
+        for name, value in headers.items():
+            self.send_header(name, value)
+        self.end_headers()
+
+
+def write_chunk(handler: BaseHTTPRequestHandler, data: bytes) -> None:
+    """Write a chunk of a stream; an empty one ends it."""
+    handler.wfile.write(b"%x\r\n%b\r\n" % (len(data), data))
+    handler.wfile.flush()
+
+
+def reset(handler: BaseHTTPRequestHandler) -> None:
+    """Break a channel off with a reset."""
+    linger = struct.pack("ii", 1, 0)
+    handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    handler.close_connection = True
+    handler.connection.close()
