--- a/review/support/server.py
+++ b/review/support/server.py
@@ -20,7 +20,6 @@
 HEARTBEAT_S = 1.2
 STREAM_HEADERS = {
     "Content-Type": "text/event-stream",
-    "Transfer-Encoding": "chunked",
     "Leadseam-Weight-Versions": "1",
 }
 _ids = itertools.count(1)
@@ -54,6 +53,7 @@
         record: Record of the run.
         slots: Requests that it works on at once.
         stream: Answers a request with a stream of events; None for plain answers.
+        framed: Whether streams are sent in chunks; otherwise they end with the channel.
     """
 
     def __init__(
@@ -66,7 +66,12 @@
         record: Record,
         slots: int = 6,
         stream: Callable[[BaseHTTPRequestHandler, Run], None] | None = None,
+        framed: bool = True,
     ) -> None:
+        self.framed = framed
+        self.state = "ready"
+        self.acked_state = ""
+        self._state_changed = threading.Event()
         self.stream = stream
         self._slots = slots
         self.instance = f"i-{next(_ids):08x}"
@@ -85,11 +90,18 @@
     def close(self) -> None:
         """Stop serving and reporting."""
         self._ended.set()
+        self._state_changed.set()
         self._http.shutdown()
         self._http.server_close()
 
+    def drain(self) -> None:
+        """Announce a planned end with the next report, which is sent at once."""
+        self.state = "draining"
+        self._state_changed.set()
+
     def _report(self) -> None:
         for sequence in itertools.count(1):
+            state = self.state
             body = json.dumps(self._heartbeat(sequence)).encode()
             path = f"/leadseam/instances/{self.instance}/heartbeat"
             for address in itertools.islice(self._controls, 5):
@@ -101,9 +113,13 @@
                     body=body,
                     timeout=1,
                 )
+                if reply.status == 200:
+                    self.acked_state = state
                 if reply.status == 200 or self._ended.is_set():
                     break
-            if self._ended.wait(HEARTBEAT_S):
+            self._state_changed.wait(HEARTBEAT_S)
+            self._state_changed.clear()
+            if self._ended.is_set():
                 return
 
     def _heartbeat(self, sequence: int) -> dict[str, Any]:
@@ -113,7 +129,7 @@
             "zone": self._zone,
             "version": "v1",
             "slots": self._slots,
-            "state": "ready",
+            "state": self.state,
             "coldRemainingMs": 0,
             "sequence": sequence,
         }
@@ -172,7 +188,13 @@
             self._answer(200, own | signature, b"done")
             return
         with contextlib.suppress(OSError):
-            self._begin(200, own | signature | STREAM_HEADERS)
+            headers = own | signature | STREAM_HEADERS
+            if owner.framed:
+                headers["Transfer-Encoding"] = "chunked"
+            else:
+                headers["Connection"] = "close"
+                self.close_connection = True
+            self._begin(200, headers)
             owner.stream(self, run)
 
     def _answer_events(self) -> None:
