Log the shared prompt parts of attempts that broke, and how far they had come

An 'attempt failed' line of a broken attempt now has parts and answer (none, head, begun, lasting). No decision uses them yet.

--- a/src/leadseam/crashes/evidence.py
+++ b/src/leadseam/crashes/evidence.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Millis
@@ -29,6 +30,20 @@
 all requests of the upstream, some 4 to 60, and a retry may meet a second end."""
 
 
+class AnswerProgress(StrEnum):
+    """How far the answer of an attempt had come when the attempt ended.
+
+    `NONE`: nothing had arrived. `HEAD`: only the head. `BEGUN`: the first bytes of the
+    body, at most `EARLY_LIMIT` ago. `LASTING`: the body had been arriving for longer,
+    so what the upstream began had not crashed it.
+    """
+
+    NONE = "none"
+    HEAD = "head"
+    BEGUN = "begun"
+    LASTING = "lasting"
+
+
 def weight(*, early: bool) -> int:
     """Return the weight of one end."""
     return EARLY_WEIGHT if early else LATE_WEIGHT
--- a/src/leadseam/routing/admitted.py
+++ b/src/leadseam/routing/admitted.py
@@ -12,7 +12,7 @@
     from leadseam.clock import Millis
     from leadseam.control.routes import Route
     from leadseam.crashes.fingerprint import Fingerprint
-    from leadseam.routing.dialect import RoutedRequest
+    from leadseam.routing.dialect import PromptPart, RoutedRequest
     from leadseam.routing.scope import Regions
 
 
@@ -56,6 +56,11 @@
         names_event = req.resume_after is not None or req.resumes is not None
         return self.route.resumable and names_event
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Prompt parts that other requests may share: all but the last."""
+        return self.req.parts[:-1]
+
     def fingerprint(self) -> Fingerprint:
         """Return the fingerprint, which is equal for repetitions of the request."""
         return fingerprint(self.req, self.account, self.body)
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -12,6 +12,7 @@
 from leadseam.answer_end import Completeness
 from leadseam.clock import seconds
 from leadseam.control.routes import Repeat
+from leadseam.crashes.evidence import AnswerProgress
 from leadseam.entry.error_responses import STATUS_CODES, UNAVAILABLE
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.routing.attempt import (
@@ -111,6 +112,7 @@
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
         self.answer_end: AnswerEnd | None = None
         self.placement: Placement | None = None
+        self._flight: Flight | None = None
         # An upstream's error, delivered if its retry has no answer.
         self._failure: Whole | None = None
 
@@ -129,6 +131,11 @@
         """Id of the last event that the caller has received, or None."""
         return self._reply.last_event
 
+    @property
+    def answer_progress(self) -> AnswerProgress:
+        """How far the answer of the last attempt has come."""
+        return self._flight.progress if self._flight else AnswerProgress.NONE
+
     @property
     def sends(self) -> int:
         """Number of upstreams that the request was sent to."""
@@ -207,6 +214,7 @@
         progress.tried.add(flight.upstream.incarnation)
         progress.last = flight.upstream.incarnation
         self.placement = flight.placement
+        self._flight = flight
         self._gateway.request_log.count_fetch(flight.placement)
         try:
             ending = await self._attempt_watched(flight)
@@ -355,6 +363,8 @@
         is_own = head.request_id == self._request.req.request_id
         if conn is None or not is_own or status == MISDIRECTED:
             return
+        if self._flight is not None:
+            self._flight.head()
         self._gateway.placer.record_same_process(
             upstream, connected=conn.opened_at, written=self._progress.written
         )
--- a/src/leadseam/routing/flight.py
+++ b/src/leadseam/routing/flight.py
@@ -4,7 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from leadseam.crashes.evidence import EARLY_LIMIT, ENGINE_EARLY_LIMIT
+from leadseam.crashes.evidence import (
+    EARLY_LIMIT,
+    ENGINE_EARLY_LIMIT,
+    AnswerProgress,
+)
 from leadseam.routing.load import Load
 
 if TYPE_CHECKING:
@@ -43,6 +47,8 @@
         self._on_capacity = on_capacity
         self._sent: Millis = clock.now()
         self._answered = False
+        self._has_head = False
+        self._answered_at: Millis = 0
 
     def __repr__(self) -> str:
         return f"Flight({self._req.request_id} at {self.upstream.incarnation})"
@@ -65,12 +71,24 @@
         estimate = self._balancer.estimates.engine(self.upstream)
         return estimate.millis(self._placement.unread) + self._placement.fetch_ms
 
+    @property
+    def progress(self) -> AnswerProgress:
+        """How far the answer has come by now."""
+        if not self._answered:
+            return AnswerProgress.HEAD if self._has_head else AnswerProgress.NONE
+        age = self._clock.now() - self._answered_at
+        return AnswerProgress.BEGUN if age <= EARLY_LIMIT else AnswerProgress.LASTING
+
+    def head(self) -> None:
+        """Record that the head of the answer has arrived."""
+        self._has_head = True
+
     def first_byte(self) -> None:
         """Record the start of the answer; only the first call has an effect."""
         if self._answered:
             return
         self._answered = True
-        now = self._clock.now()
+        now = self._answered_at = self._clock.now()
         incarnation = self.upstream.incarnation
         self._balancer.loads.mark_read(incarnation, self._placement.load.unread)
         self._balancer.record_read(self._placement, self._req.parts, now)
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -31,6 +31,8 @@
 
 log = logging.getLogger("leadseam.routing.gateway")
 """Logger of the gateway; tools that read the log select lines by its name."""
+MAX_LOGGED_PARTS = 8
+"""Shared prompt parts named in a log line; most prompts have fewer."""
 
 
 class RequestLog:
@@ -125,6 +127,10 @@
             if isinstance(ending, Broken):
                 # The same for attempts of one request at different entries.
                 extra["fingerprint"] = admitted.fingerprint()
+                extra["answer"] = exchange.answer_progress.value
+                extra["parts"] = [
+                    part.identity for part in admitted.shared_parts[:MAX_LOGGED_PARTS]
+                ]
             log.info("attempt failed", extra=extra)
 
     def retries(self, rows: Iterable[RetryActivity]) -> None:
