Rows of crashes agree whatever the order of merges, also when they are full

A row kept the last eight ended upstreams in the order in which they came. Where more ended, two tables cut different ones, took the other's for news, and reported it again: without an end in the emulator at 15% of the upstreams crashing each second, since entries acquit what others report. Seen by nobody yet; found before it landed.

Ends now have the wall time at which they were found, as the last field of a row, and the latest eight are kept whatever the order; a test draws orders.

Two requests do not explain each other, so a repeated request still ends three.

The emulator plays prompts by parts, and both ways to choose.

--- a/src/leadseam/crashes/answers.py
+++ b/src/leadseam/crashes/answers.py
@@ -19,9 +19,14 @@
 
 
 class RecentAnswers:
-    """When an entry last saw an answer to each request and prompt part."""
+    """When an entry last saw an answer to each request and prompt part.
 
-    def __init__(self) -> None:
+    Args:
+        weighs: Time for which an answer weighs.
+    """
+
+    def __init__(self, weighs: Millis = ANSWER_WEIGHS) -> None:
+        self._weighs = weighs
         self._answered: OrderedDict[Fingerprint, Millis] = OrderedDict()
 
     def __repr__(self) -> str:
@@ -33,11 +38,11 @@
         self._answered.move_to_end(fingerprint)
         while self._answered:
             oldest, at = next(iter(self._answered.items()))
-            if now - at <= ANSWER_WEIGHS and len(self._answered) <= MAX_ANSWERS:
+            if now - at <= self._weighs and len(self._answered) <= MAX_ANSWERS:
                 break
             del self._answered[oldest]
 
     def excuse(self, fingerprint: Fingerprint, ended_at: Millis) -> bool:
         """Return whether an end at some time does not count against a fingerprint."""
         answered = self._answered.get(fingerprint)
-        return answered is not None and ended_at - answered <= ANSWER_WEIGHS
+        return answered is not None and ended_at - answered <= self._weighs
--- a/src/leadseam/crashes/evidence.py
+++ b/src/leadseam/crashes/evidence.py
@@ -30,8 +30,6 @@
 ones, or four late ones. The fleet must tolerate three ends under a request, or five
 under a part, and three sends after them. One end interrupts all requests of the
 upstream, some 4 to 60, and a retry may meet a second end."""
-CERTAIN_WEIGHT = 5 * EARLY_WEIGHT
-"""Weight at which a fingerprint is refused even if others could explain its ends."""
 
 
 class AnswerProgress(StrEnum):
@@ -62,8 +60,3 @@
 def convicts(row: CrashRow) -> bool:
     """Return whether the weight of a row is enough to convict its fingerprint."""
     return weight_of(row) >= CONVICTION_WEIGHT
-
-
-def is_certain(row: CrashRow) -> bool:
-    """Return whether a row convicts whatever else could explain its ends."""
-    return weight_of(row) >= CERTAIN_WEIGHT
--- a/src/leadseam/crashes/suspects.py
+++ b/src/leadseam/crashes/suspects.py
@@ -16,7 +16,7 @@
 
 from leadseam.clock import Millis
 from leadseam.crashes import evidence
-from leadseam.crashes.answers import RecentAnswers
+from leadseam.crashes.answers import ANSWER_WEIGHS, RecentAnswers
 from leadseam.crashes.table import CrashTable
 from leadseam.wire.crashes import CrashRow
 
@@ -92,13 +92,24 @@
 
     A break is undecided until it is known whether its upstream has ended.
 
+    Args:
+        wall: Returns the wall time of this box in Unix milliseconds. Defaults to 0.
+        answer_weighs: Time after an answer during which ends do not count against what
+            was answered.
+
     Attributes:
         table: Ends of upstreams that this entry and the others have recorded.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        wall: Callable[[], Millis] = lambda: 0,
+        *,
+        answer_weighs: Millis = ANSWER_WEIGHS,
+    ) -> None:
+        self._wall = wall
         self.table = CrashTable()
-        self._answers = RecentAnswers()
+        self._answers = RecentAnswers(answer_weighs)
         self._breaks: dict[Incarnation, _Break] = {}
         self._undecided_suspects = 0
 
@@ -146,7 +157,7 @@
         if broken is None:
             return Findings()
         rows = [
-            _row(suspect, incarnation, early=early)
+            _row(suspect, incarnation, early=early, stamp=self._wall())
             for suspect, early in broken.suspects.items()
             if not self._answers.excuse(suspect.fingerprint, broken.at)
         ]
@@ -245,11 +256,14 @@
         return broken
 
 
-def _row(suspect: Suspect, incarnation: Incarnation, *, early: bool) -> CrashRow:
+def _row(
+    suspect: Suspect, incarnation: Incarnation, *, early: bool, stamp: Millis
+) -> CrashRow:
     return CrashRow(
         suspect.fingerprint,
         suspect.account,
         suspect.size,
         ended=(incarnation,),
         early=(incarnation,) if early else (),
+        stamps=(stamp,),
     )
--- a/src/leadseam/crashes/table.py
+++ b/src/leadseam/crashes/table.py
@@ -19,6 +19,7 @@
     from collections.abc import Collection, Iterable
 
     from leadseam.crashes.fingerprint import Fingerprint
+    from leadseam.incarnation import Incarnation
     from leadseam.wire.crashes import CrashRow
 
 MAX_ENDED = 8
@@ -102,18 +103,22 @@
             row = self._convicted.get(fingerprint)
             if row is None:
                 continue
-            if evidence.is_certain(row) or all(
-                one in fingerprints for one in self._alternatives(row)
-            ):
+            if all(one in fingerprints for one in self._alternatives(row)):
                 return fingerprint
         return None
 
     def _alternatives(self, row: CrashRow) -> list[Fingerprint]:
-        """Return the convicted fingerprints that could explain all ends of a row."""
+        """Return the convicted fingerprints that could explain all ends of a row.
+
+        Of two requests none explains the ends of the other: a request that has ended
+        three upstreams is refused though another one ran there each time.
+        """
         return [
             other
             for other, known in self._convicted.items()
-            if other != row.fingerprint and row.counted <= known.counted
+            if other != row.fingerprint
+            and (is_part(other) or is_part(row.fingerprint))
+            and row.counted <= known.counted
         ]
 
     def weight(self, fingerprint: Fingerprint) -> int:
@@ -136,7 +141,7 @@
             now: Current time, from which the lifetime of a suspect counts.
         """
         known = self.get(row.fingerprint)
-        merged = row if known is None else _union(known, row)
+        merged = _union(row, row) if known is None else _union(known, row)
         if merged == known:
             return None
         # The account of the first row is kept. A request has only one; a prompt part is
@@ -200,13 +205,26 @@
 
 
 def _union(known: CrashRow, row: CrashRow) -> CrashRow:
-    """Return the union of two rows, cut to the newest `MAX_ENDED` incarnations."""
-    ended = tuple(dict.fromkeys([*known.ended, *row.ended]))
-    void = tuple(dict.fromkeys([*known.void, *row.void]))
-    early = tuple(dict.fromkeys([*known.early, *row.early]))
+    """Return the union of two rows, cut to the latest `MAX_ENDED` incarnations.
+
+    Which are kept depends only on the incarnations and their stamps, so rows that are
+    cut agree whatever the order of merges. Otherwise a cut incarnation that returns
+    with another row would be news each time, and be reported without an end.
+    """
+    # A void end may arrive before the end itself.
+    stamps: dict[Incarnation, int] = dict.fromkeys([*known.void, *row.void], 0)
+    for one in (known, row):
+        for position, incarnation in enumerate(one.ended):
+            stamp = one.stamps[position] if position < len(one.stamps) else 0
+            stamps[incarnation] = max(stamp, stamps.get(incarnation, 0))
+    latest = sorted(stamps, key=lambda ended: (stamps[ended], ended))[-MAX_ENDED:]
+    void = {*known.void, *row.void}
+    early = {*known.early, *row.early}
+    kept_stamps = tuple(stamps[ended] for ended in latest)
     return msgspec.structs.replace(
         known,
-        ended=ended[-MAX_ENDED:],
-        void=void[-MAX_ENDED:],
-        early=early[-MAX_ENDED:],
+        ended=tuple(latest),
+        void=tuple(ended for ended in latest if ended in void),
+        early=tuple(ended for ended in latest if ended in early),
+        stamps=kept_stamps if any(kept_stamps) else (),
     )
--- a/src/leadseam/emulate/crash_settings.py
+++ b/src/leadseam/emulate/crash_settings.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec import Meta
 
+from leadseam.crashes.answers import ANSWER_WEIGHS
 from leadseam.emulate.settings import NonNegativeInt, PositiveFloat, PositiveInt
 
 Fraction = Annotated[float, Meta(ge=0, le=1)]
@@ -33,6 +34,16 @@
         down: Minimum and maximum milliseconds until a crashed upstream is up again.
         certain: Milliseconds from a crash until the entry that saw it has confirmed it.
         heard: Milliseconds from a report until the other entries receive it.
+        deadly_part: Whether the deadly requests are all different, and share a prompt
+            part that crashes the upstreams.
+        documents: Number of prompt parts that good and deadly requests share, beside a
+            part that all of them have; 0 for requests without a prompt. The popularity
+            of a part falls with its number, as 1 / number.
+        sessions: Number of parts that only good requests share; 0 for none.
+        answer_weighs: Milliseconds after an answer during which crashes do not count
+            against what was answered; negative for none.
+        alternatives: Whether a request is sent that has only some of the parts that
+            could explain the same crashes.
         alike: Whether every crash has the weight of an early one, regardless of when
             in the request it happened.
         span: Simulated time in milliseconds.
@@ -55,6 +66,11 @@
     down: tuple[PositiveInt, PositiveInt] = (1_000, 10_000)
     certain: PositiveInt = 25
     heard: PositiveInt = 30
+    deadly_part: bool = False
+    documents: NonNegativeInt = 0
+    sessions: NonNegativeInt = 0
+    answer_weighs: int = ANSWER_WEIGHS
+    alternatives: bool = True
     alike: bool = False
     span: PositiveInt = 60_000
 
--- a/src/leadseam/emulate/crashes.py
+++ b/src/leadseam/emulate/crashes.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from leadseam.crashes.fingerprint import Fingerprint
     from leadseam.emulate.crash_settings import CrashFleet
     from leadseam.wire.crashes import CrashRow
 
@@ -35,6 +36,8 @@
 BACKGROUND_CRASH_INTERVAL: Millis = 100
 """Interval at which upstreams that crash by themselves are drawn."""
 DEADLY_REQUEST = Suspect("deadly", "account", 7)
+DEADLY_PART = Suspect("part:deadly", "account", 0)
+COMMON_PART = Suspect("part:common", "account", 0)
 HOT_REQUEST = Suspect("hot", "account", 7)
 
 
@@ -70,18 +73,29 @@
 
 @dataclass(slots=True)
 class _Call:
-    """A request of a caller, over all its attempts."""
+    """A request of a caller, over all its attempts.
+
+    Args:
+        suspect: The request as a whole.
+        deadline: Time at which its caller gives up.
+        run: Run time in milliseconds.
+        deadly: Whether it crashes each upstream.
+        parts: Parts of its prompt that other requests may share.
+    """
 
     suspect: Suspect
     deadline: Millis
     run: Millis
+    deadly: bool = False
+    parts: tuple[Suspect, ...] = ()
     sends: int = 0
     hit: bool = False
     finished: bool = False
 
     @property
-    def deadly(self) -> bool:
-        return self.suspect is DEADLY_REQUEST
+    def fingerprints(self) -> set[Fingerprint]:
+        """Fingerprints of the request and of its parts."""
+        return {self.suspect.fingerprint, *(part.fingerprint for part in self.parts)}
 
 
 @dataclass(slots=True, eq=False)
@@ -93,6 +107,7 @@
     number: int
     sent: Millis
     finished: bool = False
+    lasting: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -126,7 +141,10 @@
         self._upstreams = [
             _Upstream(self._new_incarnation()) for _ in range(cfg.upstreams)
         ]
-        self._entries = [Suspects() for _ in range(cfg.entries)]
+        self._entries = [
+            Suspects(lambda: self._now, answer_weighs=cfg.answer_weighs)
+            for _ in range(cfg.entries)
+        ]
         self._replica_table = CrashTable()
         self._first_deadly_crash: Millis = -1
 
@@ -139,8 +157,7 @@
         if self._cfg.mass:
             self._schedule(BACKGROUND_CRASH_INTERVAL, self._draw_background_crashes)
         for _ in range(self._cfg.deadly):
-            call = _Call(DEADLY_REQUEST, self._cfg.span, self._cfg.deadly_after)
-            self._schedule(self._rng.randrange(1_000), self._send_action(call))
+            self._schedule(self._rng.randrange(1_000), self._send_deadly)
         while self._event_queue:
             self._now, _, action = heapq.heappop(self._event_queue)
             action()
@@ -167,7 +184,30 @@
         if self._rng.random() >= self._cfg.hot:
             suspect = Suspect(f"good-{self.tally.good}", "account", 7)
         run = self._cfg.run * self._rng.lognormvariate(0, RUN_TIME_SIGMA)
-        self._send(_Call(suspect, self._now + self._cfg.patience, round(run) + 1))
+        call = _Call(suspect, self._now + self._cfg.patience, round(run) + 1)
+        call.parts = self._draw_parts(good=True)
+        self._send(call)
+
+    def _send_deadly(self) -> None:
+        """Send a deadly request: a new one each time if a part is what is deadly."""
+        call = _Call(
+            DEADLY_REQUEST, self._cfg.span, self._cfg.deadly_after, deadly=True
+        )
+        if self._cfg.deadly_part:
+            call.suspect = Suspect(f"deadly-{next(self._sequence)}", "account", 7)
+            call.parts = (*self._draw_parts(), DEADLY_PART)
+        self._send(call)
+
+    def _draw_parts(self, *, good: bool = False) -> tuple[Suspect, ...]:
+        """Return the shared parts of a prompt."""
+        if not self._cfg.documents:
+            return ()
+        number = round(self._cfg.documents ** self._rng.random())
+        parts = [COMMON_PART, Suspect(f"part:document-{number}", "account", 0)]
+        if good and self._cfg.sessions:
+            session = self._rng.randrange(self._cfg.sessions)
+            parts.append(Suspect(f"part:session-{session}", "account", 0))
+        return tuple(parts)
 
     def _send_action(self, call: _Call) -> Action:
         return lambda: self._send(call)
@@ -180,18 +220,24 @@
         self._start_attempt(call, self._rng.randrange(self._cfg.entries), 1)
 
     def _schedule_retry(self, call: _Call) -> None:
-        pause = self._cfg.deadly_pause if call.deadly else self._cfg.pause
-        self._schedule(pause, self._send_action(call))
+        if call.deadly:
+            self._schedule(self._cfg.deadly_pause, self._send_next_deadly(call))
+        else:
+            self._schedule(self._cfg.pause, self._send_action(call))
+
+    def _send_next_deadly(self, call: _Call) -> Action:
+        return self._send_deadly if self._cfg.deadly_part else self._send_action(call)
 
     # Entries
 
     def _start_attempt(self, call: _Call, entry: int, number: int) -> None:
         """Refuse or postpone a request, or send it to a least loaded upstream."""
         suspects = self._entries[entry]
-        if suspects.table.convicts(call.suspect.fingerprint):
+        if self._refuses(suspects, call):
             self._refuse(call)
             return
-        if suspects.would_be_convicted(call.suspect):
+        undecided = (call.suspect, *(call.parts if number > 1 else ()))
+        if any(suspects.would_be_convicted(one) for one in undecided):
             self.tally.put_off += not call.deadly
             self._schedule_retry(call)
             return
@@ -210,6 +256,24 @@
         attempt = _Attempt(call, entry, number, self._now)
         upstream.running.append(attempt)
         self._schedule(call.run, lambda: self._complete_attempt(upstream, attempt))
+        begun = round(call.run * self._cfg.first_byte)
+        if call.parts and not call.deadly and begun + EARLY_LIMIT < call.run:
+            self._schedule(begun + EARLY_LIMIT, lambda: self._lasts(attempt))
+
+    def _refuses(self, suspects: Suspects, call: _Call) -> bool:
+        if self._cfg.alternatives:
+            return suspects.table.refuses(call.fingerprints) is not None
+        return any(suspects.table.convicts(one) for one in call.fingerprints)
+
+    def _lasts(self, attempt: _Attempt) -> None:
+        if not attempt.finished:
+            attempt.lasting = True
+            self._acquit(attempt, attempt.call.parts)
+
+    def _acquit(self, attempt: _Attempt, acquitted: tuple[Suspect, ...]) -> None:
+        entry = self._entries[attempt.entry]
+        rows = (entry.acquit(one, self._now) for one in acquitted)
+        self._report_rows(tuple(row for row in rows if row is not None))
 
     def _refuse(self, call: _Call) -> None:
         if call.deadly:
@@ -232,10 +296,9 @@
         upstream.running.remove(attempt)
         self.tally.answered += 1
         self.tally.hit_answered += attempt.call.hit
-        entry = self._entries[attempt.entry]
-        row = entry.acquit(attempt.call.suspect, self._now)
-        if row is not None:
-            self._report_rows((row,))
+        self._acquit(attempt, (attempt.call.suspect,))
+        if not attempt.lasting:
+            self._acquit(attempt, attempt.call.parts)
 
     # Upstreams
 
@@ -276,9 +339,11 @@
         if not call.deadly and not call.hit:
             call.hit = True
             self.tally.hit += 1
-        self._entries[attempt.entry].record_break(
-            call.suspect, incarnation, self._now, early=self._is_early(attempt)
-        )
+        entry = self._entries[attempt.entry]
+        early = self._is_early(attempt)
+        suspects = (call.suspect, *(() if attempt.lasting else call.parts))
+        for suspect in suspects:
+            entry.record_break(suspect, incarnation, self._now, early=early)
         if attempt.number < self._cfg.attempts:
             number = attempt.number + 1
             self._schedule(1, lambda: self._start_attempt(call, attempt.entry, number))
@@ -310,14 +375,17 @@
 
     def _deliver_rows(self, rows: list[CrashRow]) -> None:
         self.tally.rows += len(rows) * len(self._entries)
+        void: list[CrashRow] = []
         for suspects in self._entries:
-            suspects.merge_reports(rows, self._now)
+            void += suspects.merge_reports(rows, self._now).rows
+        self._report_rows(tuple(void))
         self._check_known_everywhere()
 
     def _check_known_everywhere(self) -> None:
         if self.tally.known_after >= 0 or self._first_deadly_crash < 0:
             return
-        if all(one.table.convicts(DEADLY_REQUEST.fingerprint) for one in self._entries):
+        deadly = DEADLY_PART if self._cfg.deadly_part else DEADLY_REQUEST
+        if all(one.table.convicts(deadly.fingerprint) for one in self._entries):
             self.tally.known_after = self._now - self._first_deadly_crash
 
 
--- a/src/leadseam/routing/crash_guard.py
+++ b/src/leadseam/routing/crash_guard.py
@@ -69,7 +69,7 @@
         self._feed = feed
         self._client = client
         self._clock = clock
-        self._suspects = Suspects()
+        self._suspects = Suspects(clock.wall)
         self._running = running
 
     def __repr__(self) -> str:
--- a/src/leadseam/wire/crashes.py
+++ b/src/leadseam/wire/crashes.py
@@ -7,19 +7,22 @@
 
 
 class CrashRow(Record, frozen=True, array_like=True):
-    """Upstreams that have ended while they ran one request.
+    """Upstreams that have ended while they ran one request, or one prompt part.
 
-    Rows of one request are merged by the union of their sets, so they may arrive late,
-    twice, in any order and from any process.
+    Rows of one fingerprint are merged by the union of their sets, so they may arrive
+    late, twice, in any order and from any process.
 
     Args:
-        fingerprint: Digest of the request; see `leadseam.crashes.fingerprint`.
+        fingerprint: Of the request or part; see `leadseam.crashes.fingerprint`.
         account: Client account that sent it, or an empty string.
         size: Bytes of its body.
         ended: Incarnations that have ended while they ran it.
         void: Those of them that do not count, because the request was answered
             completely since, or an operator has lifted the verdict.
         early: Those of them that have ended as soon as the request began there.
+        stamps: When each of `ended` was found to have ended, in Unix milliseconds of
+            some box. It only decides which are kept in a full row. Zeros are left out
+            if there is nothing else, as in rows of older processes.
     """
 
     fingerprint: str
@@ -28,6 +31,7 @@
     ended: tuple[Incarnation, ...]
     void: tuple[Incarnation, ...] = ()
     early: tuple[Incarnation, ...] = ()
+    stamps: tuple[int, ...] = ()
 
     @property
     def counted(self) -> frozenset[Incarnation]:
--- a/tests/crashes/test_table.py
+++ b/tests/crashes/test_table.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from leadseam.crashes.suspects import Suspect
 from leadseam.crashes.table import (
@@ -88,6 +89,21 @@
     assert table.count("o") == 1
 
 
+@given(stamps=st.lists(st.integers(0, 20), min_size=12, max_size=12), data=st.data())
+def test_full_rows_agree_whatever_the_order_and_news_ends(
+    stamps: list[int], data: st.DataObject
+) -> None:
+    rows = [
+        replace(make_row(number), stamps=(stamp,))
+        for number, stamp in enumerate(stamps, 10)
+    ]
+    first, second = CrashTable(rows), CrashTable(data.draw(st.permutations(rows)))
+    assert first.rows() == second.rows()
+    assert first.merge(second.rows()[0]) is None
+    (row,) = first.rows()
+    assert sorted(stamps)[-MAX_ENDED:] == sorted(row.stamps or [0] * MAX_ENDED)
+
+
 def test_a_row_is_bounded() -> None:
     table = CrashTable(make_row(number) for number in range(50))
     row = table.get(DEADLY.fingerprint)
