Read event streams in linear time

The pattern is possessive, and each line end can be read in one way only. Besides, bytes of an event were searched again with each read, and the buffer was copied with each event: both quadratic in the size of the buffer. It is a bytearray now that is searched from where the last search ended.

Measured: 10,000 comment lines with CR LF are read at once (40 took hours by the old pattern); 2,000 reads of one event search its bytes at most twice, counted by the test.

--- a/src/leadseam/event_stream.py
+++ b/src/leadseam/event_stream.py
@@ -10,9 +10,11 @@
 from dataclasses import dataclass
 
 _END = b"\n\n"
+_MAX_END_SIZE = 4
 _ANY_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
-_NO_FIELD = re.compile(rb"(?:(?::[^\r\n]*)?(?:\r\n|\n|\r))*")
-"""Complete lines that are empty or comments, and so belong to no event."""
+_NO_FIELD = re.compile(rb"(?:(?::[^\r\n]*+)?+(?:\r\n|\n|\r(?!\n)))*+")
+"""Complete lines that are empty or comments, and so belong to no event. Possessive, as
+a CR LF that is tried in two ways takes exponential time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,10 +31,16 @@
 
 
 class EventSplitter:
-    """Buffers bytes and returns complete events with their bytes unchanged."""
+    """Buffers bytes and returns complete events with their bytes unchanged.
+
+    Each byte is searched once, however many reads or events it is part of.
+    """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Where an end of an event may begin that was not complete yet.
+        self._searched = 0
+        self._has_cr = False
 
     def __repr__(self) -> str:
         return f"EventSplitter(pending={len(self._buffer)})"
@@ -40,7 +48,7 @@
     @property
     def pending(self) -> bytes:
         """Bytes after the last complete event."""
-        return self._buffer
+        return bytes(self._buffer)
 
     @property
     def unfinished(self) -> int:
@@ -53,17 +61,22 @@
             # Fast path: upstreams nearly always send one complete event at a time.
             return [Event(data, _event_id(data))]
         self._buffer += data
+        self._has_cr = self._has_cr or b"\r" in data
         events = []
-        while (end := self._end_of_event()) > 0:
-            block, self._buffer = self._buffer[:end], self._buffer[end:]
+        begin = 0
+        while end := self._end_of_event(max(begin, self._searched)):
+            block = bytes(self._buffer[begin:end])
             events.append(Event(block, _event_id(block)))
+            begin = end
+        del self._buffer[:begin]
+        self._searched = max(len(self._buffer) - _MAX_END_SIZE, 0)
         return events
 
-    def _end_of_event(self) -> int:
-        if b"\r" not in self._buffer:
-            position = self._buffer.find(_END)
+    def _end_of_event(self, begin: int) -> int:
+        if not self._has_cr:
+            position = self._buffer.find(_END, begin)
             return position + len(_END) if position >= 0 else 0
-        match = _ANY_END.search(self._buffer)
+        match = _ANY_END.search(self._buffer, begin)
         if match is None:
             return 0
         # The CR may be the first half of a CR LF.
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -80,3 +80,41 @@
         Event(b"id: 1\ndata: a\n\r\n", "1"),
         Event(b"id: 2\n\n", "2"),
     ]
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+def test_many_comment_lines_behind_the_last_event_are_read_in_linear_time(
+    line_end: bytes,
+) -> None:
+    """With 40 lines that end in CR LF this took hours."""
+    splitter = EventSplitter()
+    comments = b": keep-alive" + line_end
+    splitter.feed(comments * 10_000 + b"data: cut")
+    assert splitter.unfinished == len(comments) * 10_000 + len(b"data: cut")
+    quiet = EventSplitter()
+    quiet.feed(comments * 10_000)
+    assert quiet.unfinished == 0
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+def test_an_event_in_many_reads_is_searched_once(line_end: bytes) -> None:
+    searched = 0
+
+    class Counting(EventSplitter):
+        def _end_of_event(self, begin: int) -> int:
+            nonlocal searched
+            searched += len(self._buffer) - begin
+            return super()._end_of_event(begin)
+
+    reads = 2_000
+    splitter = Counting()
+    for _ in range(reads):
+        assert splitter.feed(b"data: x" + line_end) == []
+    assert len(splitter.feed(line_end)) == 1
+    read = (len(b"data: x") + len(line_end)) * reads
+    assert searched <= 2 * read
+
+
+def test_many_events_in_one_read_are_searched_once() -> None:
+    events = EventSplitter().feed(b"id: 1\n\n" * 100_000 + b"id")
+    assert len(events) == 100_000
