Bound what is read of answers without end

An upstream in trouble may send bytes that are no answer, without end. Their caller waited until the deadline, the entry read at the speed of the link meanwhile, so its other callers waited too, and one event or one refusal without end took memory until the process was killed.

Cause: only the body that is passed on had bounds (1 MB buffered, then back pressure). Blank lines, informational heads, sizes and extensions of chunks, and trailers are bytes that never reach a body; an event was buffered until its end; the body of a refusal was read to its end.

Now: 256 KB without a byte of the body end the connection (MAX_OVERHEAD); an event has at most 1 MB (MAX_EVENT_SIZE); 64 KB of a refusal's body are read to keep its connection (MAX_DRAINED). The attempt has broken off then, or was declined, and may be retried; its log line has close=dropped.

--- a/src/leadseam/event_stream.py
+++ b/src/leadseam/event_stream.py
@@ -9,6 +9,9 @@
 import re
 from dataclasses import dataclass
 
+MAX_EVENT_SIZE = 1024 * 1024
+"""Bytes of an event that are buffered; events hold some tokens each."""
+
 _END = b"\n\n"
 _MAX_END_SIZE = 4
 _ANY_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
@@ -17,6 +20,10 @@
 a CR LF that is tried in two ways takes exponential time."""
 
 
+class EventTooLongError(ValueError):
+    """An event is longer than `MAX_EVENT_SIZE`."""
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """One complete event.
@@ -56,7 +63,11 @@
         return 0 if _NO_FIELD.fullmatch(self._buffer) else len(self._buffer)
 
     def feed(self, data: bytes) -> list[Event]:
-        """Add bytes and return the events that they complete."""
+        """Add bytes and return the events that they complete.
+
+        Raises:
+            EventTooLongError: If the event that has begun is too long.
+        """
         if not self._buffer and _is_one_event(data):
             # Fast path: upstreams nearly always send one complete event at a time.
             return [Event(data, _event_id(data))]
@@ -70,6 +81,8 @@
             begin = end
         del self._buffer[:begin]
         self._searched = max(len(self._buffer) - _MAX_END_SIZE, 0)
+        if len(self._buffer) > MAX_EVENT_SIZE:
+            raise EventTooLongError(f"event of over {MAX_EVENT_SIZE} bytes")
         return events
 
     def _end_of_event(self, begin: int) -> int:
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -28,6 +28,8 @@
 
 MAX_BUFFERED = 1024 * 1024
 """Bytes of an answer that are buffered until its end; longer answers are streamed."""
+MAX_DRAINED = 64 * 1024
+"""Bytes of an answer that is not passed on that are read to reuse its connection."""
 FIRST_REDIRECTION = 300
 """Lowest status that is not a success."""
 FIRST_SERVER_ERROR = 500
@@ -228,10 +230,17 @@
 
 async def _drain(resp: aiohttp.ClientResponse) -> None:
     """Read a short body to its end so that the connection can be reused."""
+    drained = 0
     try:
-        await resp.read()
+        while data := await resp.content.readany():
+            drained += len(data)
+            if drained > MAX_DRAINED:
+                resp.close()
+                return
     except (aiohttp.ClientError, OSError):
         resp.close()
+    else:
+        resp.release()
 
 
 def end_to_end_headers(resp: aiohttp.ClientResponse) -> Headers:
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -8,8 +8,8 @@
 import aiohttp
 from aiohttp import HttpVersion11, web
 
-from leadseam.answer_end import Completeness
-from leadseam.event_stream import Event, EventSplitter, PassThrough
+from leadseam.answer_end import AnswerEnd, Close, Completeness, read_framing
+from leadseam.event_stream import Event, EventSplitter, EventTooLongError, PassThrough
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import Broken, Ending, Streaming
 from leadseam.routing.pump import Pump, connection_of
@@ -88,6 +88,11 @@
                 on_data()
                 await self._write(streaming, splitter.feed(data))
                 await self._pump(streaming, splitter, on_data)
+        except EventTooLongError:
+            resp = streaming.resp
+            framing = read_framing(resp.method, resp.status, resp.headers)
+            end = AnswerEnd(framing, Close.DROPPED, splitter.unfinished)
+            return Broken(Reason.UPSTREAM_BROKEN, end)
         except (aiohttp.ClientError, OSError) as exc:
             if isinstance(exc, ConnectionError) and self._caller_gone():
                 raise CallerGoneError(str(exc)) from exc
--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -28,6 +28,11 @@
     """This box closed the connection before the end of an answer."""
 
 
+MAX_OVERHEAD = 256 * 1024
+"""Bytes of an answer without any byte of its body: heads, sizes of chunks, trailers. A
+head with lines of the largest size permitted takes some of them."""
+
+
 class UpstreamConnection(ResponseHandler):
     """A client connection that detects resets and closes on surplus bytes.
 
@@ -47,6 +52,7 @@
     listener: Callable[[], None] | None = None
     on_idle_lost: Callable[[UpstreamConnection], None] | None = None
     _peer_closed = False
+    _overhead = 0
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it is paused; the library calls this on each read."""
@@ -56,6 +62,7 @@
     def set_response_params(self, **kwargs: Any) -> None:
         """Prepare for an answer, and drop the state of the previous one."""
         self._payload = None
+        self._overhead = 0
         super().set_response_params(**kwargs)
 
     def close(self) -> None:
@@ -111,9 +118,27 @@
             if self.transport is not None:
                 self.transport.close()
             return
+        before = self._body_bytes
         super().data_received(data)
+        self._overhead = 0 if self._body_bytes > before else self._overhead + len(data)
+        if self._overhead > MAX_OVERHEAD:
+            self._drop_endless()
         self._notify_listener()
 
+    @property
+    def _body_bytes(self) -> int:
+        """Bytes of the body received so far."""
+        return self._payload.total_bytes if self._payload is not None else 0
+
+    def _drop_endless(self) -> None:
+        """Abort an answer whose head, chunk size or trailers do not end."""
+        exc = AnswerDroppedError(f"over {MAX_OVERHEAD} bytes without a body")
+        self._fail_body(exc)
+        if self.exception() is None:
+            self.set_exception(exc)
+        if self.transport is not None:
+            self.transport.abort()
+
     def _notify_listener(self) -> None:
         if self.listener is not None:
             self.listener()
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -8,7 +8,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from leadseam.event_stream import Event, EventSplitter
+from leadseam.event_stream import (
+    MAX_EVENT_SIZE,
+    Event,
+    EventSplitter,
+    EventTooLongError,
+)
 
 STREAM = b"id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\n"
 
@@ -118,3 +123,10 @@
 def test_many_events_in_one_read_are_searched_once() -> None:
     events = EventSplitter().feed(b"id: 1\n\n" * 100_000 + b"id")
     assert len(events) == 100_000
+
+
+def test_an_event_without_an_end_is_not_buffered_without_a_limit() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"a" * MAX_EVENT_SIZE)
+    with pytest.raises(EventTooLongError):
+        splitter.feed(b"a")
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
 from leadseam.platform.headers import read_parts
 from leadseam.runtime.sockets import reset_connection
 from leadseam.standin.answer_plans import AnswerPlan, Finish
+from leadseam.standin.endless_answers import Endless, endless_answer
 from tools.platform.operator import open_session, post_bytes
 from tools.platform.pauses import Arrival, Pause
 from tools.waiting import wait_until
@@ -31,6 +33,8 @@
 """Number of events in each stream."""
 LARGE_BODY = b"\nid: 7\n" * 300_000
 """Body of a plain response that is passed on before it is complete: 2.1 MB."""
+MAX_ENDLESS_BYTES = 256 * 1024 * 1024
+"""Bytes after which a server stops to send an answer without end."""
 PLAIN_BODY = b'{"slip": "printed", "copies": 1}'
 """Body of a plain answer that is sent as planned."""
 LARGE_BODY_START = 1_400_000
@@ -103,6 +107,7 @@
             length or chunks; 0 for none.
         deadly_parts: Identities of prompt parts that crash it once it begins an answer.
         events_before_crash: Events that it sends before such a crash, behind the head.
+        endless_bytes: Bytes sent of answers without end, by kind.
         part_arrivals: When requests with such parts arrived, on the monotonic clock.
     """
 
@@ -138,6 +143,7 @@
     unframed_every: int = 0
     deadly_parts: set[str] = field(default_factory=set)
     events_before_crash: int = 0
+    endless_bytes: Counter[str] = field(default_factory=Counter)
     part_arrivals: list[float] = field(default_factory=list)
 
     async def start(self) -> None:
@@ -297,6 +303,8 @@
         plan = AnswerPlan.parse(http.path.rsplit("/", 1)[-1])
         if plan is not None:
             return await self._follow_plan(http, plan)
+        if action in list(Endless):
+            return await self._send_endless(http, Endless(action))
         match action:
             case "reset":
                 return self._abort(http)
@@ -360,6 +368,28 @@
             return 200, headers, LARGE_BODY
         return 500 if "/failure/" in http.path else 200, headers, PLAIN_BODY
 
+    async def _send_endless(
+        self, http: web.BaseRequest, kind: Endless
+    ) -> web.StreamResponse:
+        """Send bytes without end until the connection is closed, or very many."""
+        headers = self._signed_headers(http)
+        if kind in (Endless.EVENT, Endless.COMMENTS):
+            headers["Content-Type"] = "text/event-stream"
+        if kind is Endless.DECLINED:
+            headers[names.NOT_RUN] = "1"
+        answer = endless_answer(kind, headers)
+        transport = http.transport
+        assert transport is not None
+        transport.write(answer.start)
+        while not transport.is_closing():
+            if self.endless_bytes[kind] >= MAX_ENDLESS_BYTES:
+                break
+            transport.write(answer.block)
+            self.endless_bytes[kind] += len(answer.block)
+            await http.protocol._drain_helper()
+            await asyncio.sleep(0)
+        return self._abort(http)
+
     async def _answer(self, http: web.BaseRequest) -> web.StreamResponse:
         body = f"{self.instance} {http.raw_path}".encode()
         headers = self._signed_headers(http)
