Soak: prompts with a part that crashes each server that begins an answer

--deadly-part sends prompts that share one part, at a random position and behind the head or the first event; no two are alike. Promises: the part is refused everywhere once the faults are repaired, and still after a power loss of all boxes; at most three sends reach servers later than 3 s after the fifth crash; prompts without the part, which share all other parts and the key, are served.

--- a/tests/platform/test_deadly_part.py
+++ b/tests/platform/test_deadly_part.py
@@ -103,7 +103,8 @@
     if len(crashes) < ENDS_TOLERATED:
         return []
     limit = crashes[ENDS_TOLERATED - 1] + CONTACT_TIME
-    return [at for engine in engines for at in engine.part_arrivals if at > limit]
+    arrivals = (one for engine in engines for one in engine.part_arrivals)
+    return [arrival.at for arrival in arrivals if arrival.at > limit]
 
 
 @pytest.mark.parametrize(("position", "events_before_crash"), [(FIRST, 1), (MIDDLE, 0)])
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -36,6 +36,15 @@
     assert summary.checked["recovered"] == 2
 
 
+async def test_promises_are_kept_beside_a_prompt_part_that_crashes_servers(
+    tmp_path: Path,
+) -> None:
+    summary = await run_seed(tmp_path, 6801, replace(OPTIONS, deadly_part=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["deadly stays known"] == 2
+    assert summary.checked["sound parts are served"] == 2
+
+
 async def test_promises_are_kept_where_a_box_that_wrote_verdicts_is_replaced(
     tmp_path: Path,
 ) -> None:
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -108,7 +108,7 @@
         deadly_parts: Identities of prompt parts that crash it once it begins an answer.
         events_before_crash: Events that it sends before such a crash, behind the head.
         endless_bytes: Bytes sent of answers without end, by kind.
-        part_arrivals: When requests with such parts arrived, on the monotonic clock.
+        part_arrivals: Requests with such parts that reached it.
     """
 
     ip: str
@@ -144,7 +144,7 @@
     deadly_parts: set[str] = field(default_factory=set)
     events_before_crash: int = 0
     endless_bytes: Counter[str] = field(default_factory=Counter)
-    part_arrivals: list[float] = field(default_factory=list)
+    part_arrivals: list[Arrival] = field(default_factory=list)
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -268,7 +268,7 @@
         self.arrivals.append(Arrival(request_id, self.incarnation))
         action = self.actions.get(http.path.rsplit("/", 1)[-1], self.default_action)
         if self._has_deadly_part(http):
-            self.part_arrivals.append(time.monotonic())
+            self.part_arrivals.append(self.arrivals[-1])
             action = "crash_in_answer"
         if action == "misdirected":
             return web.Response(status=421, headers=self._base_headers(http))
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -17,6 +17,7 @@
   --same-ids     Servers restart under the same id, and invalid registrations are sent
                  to the control boxes.
   --deadly       Some requests crash each server that begins them.
+  --deadly-part  A part of some prompts does.
   --suspended    Boxes are suspended more often, and their steady clocks with them.
   --evacuations  An operator repeatedly evacuates and restores a failure domain.
   --rests        Servers refuse all requests and ask for a pause, or announce in
@@ -61,6 +62,7 @@
         timed=not args["--untimed"],
         same_ids=args["--same-ids"],
         deadly=args["--deadly"],
+        deadly_part=args["--deadly-part"],
         suspended=args["--suspended"],
         evacuations=args["--evacuations"],
         pauses=args["--rests"],
--- a/tools/soak/deadly.py
+++ b/tools/soak/deadly.py
@@ -51,7 +51,7 @@
 
 
 class DeadlyCallers:
-    """Sends deadly requests throughout a run.
+    """Sends deadly requests throughout a run, each path with one body.
 
     Args:
         platform: The nodes, servers and links.
@@ -59,6 +59,8 @@
         promises: Records the checks.
     """
 
+    paths: tuple[str, ...] = PATHS
+
     def __init__(
         self, platform: SoakPlatform, seed: int, promises: PromiseChecker
     ) -> None:
@@ -71,17 +73,17 @@
     async def run(self) -> None:
         """Send requests until cancelled."""
         async with asyncio.TaskGroup() as group:
-            for path in PATHS:
+            for path in self.paths:
                 group.create_task(self._send_repeatedly(path))
 
     async def wait_refused(self) -> None:
-        """Wait until all entries refuse both paths and both verdicts are on disk."""
+        """Wait until all entries refuse all paths and the verdicts are on disk."""
         await wait_until(self._all_refused, "deadly requests are refused")
         await wait_until(self._verdicts_written, "verdicts are written")
 
     async def check_refused(self) -> None:
-        """Check that all entries refuse both paths at the first send."""
-        for path in PATHS:
+        """Check that all entries refuse all paths at the first send."""
+        for path in self.paths:
             for entry in self._platform.entry_ips:
                 refused = await self._is_refused(entry, path)
                 self._promises.check(
@@ -91,11 +93,14 @@
     def check_at_end(self, *, timed: bool) -> None:
         """Check how many servers were crashed by late sends after the third crash."""
         self._log_crashes()
-        for path in PATHS:
+        for path in self.paths:
             runs = sorted(self._crashes_at(path), key=lambda run: run.at)
             if len(runs) < MAX_ENDS:
                 continue
-            late = [run for run in runs if self._is_late(run, runs[MAX_ENDS - 1].at)]
+            third_end = runs[MAX_ENDS - 1].at
+            late = [
+                run for run in runs if self._is_late(run.request_id, run.at, third_end)
+            ]
             detail = f"{path}: {len(runs)} servers ended, {len(late)} by late sends"
             if timed:
                 kept = len(late) <= MAX_ENDS
@@ -127,40 +132,49 @@
         )
 
     async def _all_refused(self) -> bool:
-        pairs = itertools.product(self._platform.entry_ips, PATHS)
+        pairs = itertools.product(self._platform.entry_ips, self.paths)
         return all([await self._is_refused(entry, path) for entry, path in pairs])
 
     async def _is_refused(self, entry: str, path: str) -> bool:
         return b'"crashes_upstreams"' in (await self._send(entry, path)).body
 
     async def _verdicts_written(self) -> bool:
-        """Return whether both verdicts are written, no matter by which box.
+        """Return whether all verdicts are written."""
+        return len(self._written_verdicts()) >= len(self.paths)
+
+    def _written_verdicts(self) -> set[str]:
+        """Return the fingerprints of verdicts written, no matter by which box.
 
         The logs of boxes that were replaced since count too: what such a box wrote was
         committed by the group.
         """
         boxes = [path.stem for path in self._platform.folder.glob("*.log")]
         lines = [line for box in boxes for line in self._platform.log(box)]
-        written = {
+        return {
             fingerprint
             for line in lines
             if line["message"] == VERDICT_WRITTEN
             for fingerprint in line["fingerprints"]
         }
-        return len(written) >= len(PATHS)
 
     def _crashes_at(self, path: str) -> list[Run]:
         servers: list[Server] = list(self._platform.all_servers)
         crashes = (run for server in servers for run in server.crashes)
         return [run for run in crashes if run.target == path]
 
-    def _is_late(self, run: Run, third_end: float) -> bool:
-        """Return whether a crash came after the limit though no node was disturbed."""
-        sent = self._sent[run.request_id]
-        if run.at <= third_end + VERDICT_TIME_LIMIT:
+    def _is_late(self, request_id: str, at: float, last_end: float) -> bool:
+        """Return whether a request came after the limit though no node was disturbed.
+
+        Args:
+            request_id: Identifier of the request.
+            at: When it reached a server or crashed it.
+            last_end: When the last crash was that is tolerated.
+        """
+        sent = self._sent[request_id]
+        if at <= last_end + VERDICT_TIME_LIMIT:
             return False
         disturbances = self._platform.disturbances
         return not any(
-            disturbances.was_disturbed(box, sent.at - VERDICT_TIME_LIMIT, run.at)
+            disturbances.was_disturbed(box, sent.at - VERDICT_TIME_LIMIT, at)
             for box in (sent.entry, *self._platform.control_ips)
         )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -10,6 +10,7 @@
 from tools.platform.nodes import document
 from tools.soak.callers import Callers
 from tools.soak.deadly import DeadlyCallers
+from tools.soak.deadly_parts import DeadlyPartCallers
 from tools.soak.evacuations import Evacuations
 from tools.soak.injector import Injector
 from tools.soak.invalid_registrations import InvalidRegistrations
@@ -47,6 +48,7 @@
         same_ids: Whether servers restart under the same id, while invalid registrations
             are sent to the control boxes.
         deadly: Whether some requests crash the servers that begin them.
+        deadly_part: Whether a part of some prompts does.
         suspended: Whether frozen boxes are suspended, so that their steady clocks leave
             out that time.
         evacuations: Whether an operator repeatedly evacuates a failure domain.
@@ -66,6 +68,7 @@
     timed: bool = True
     same_ids: bool = False
     deadly: bool = False
+    deadly_part: bool = False
     suspended: bool = False
     evacuations: bool = False
     pauses: bool = False
@@ -148,9 +151,9 @@
         if self._options.same_ids:
             invalid_registrations = InvalidRegistrations(platform, self._seed, promises)
             background_tasks.append(asyncio.create_task(invalid_registrations.run()))
-        deadly = DeadlyCallers(platform, self._seed, promises)
-        if self._options.deadly:
-            background_tasks.append(asyncio.create_task(deadly.run()))
+        deadly = self._deadly_callers(promises)
+        for deadly_callers in deadly:
+            background_tasks.append(asyncio.create_task(deadly_callers.run()))
         evacuations = Evacuations(platform, self._seed, promises)
         if self._options.evacuations:
             await evacuations.assign_domain()
@@ -166,8 +169,8 @@
             task.cancel()
         await asyncio.gather(*background_tasks, return_exceptions=True)
         await self._check_recovery_in_time(promises)
-        if self._options.deadly:
-            await self._wait_refused(deadly, promises)
+        for deadly_callers in deadly:
+            await self._wait_refused(deadly_callers, promises)
         if self._options.evacuations:
             await evacuations.evacuate()
         await self._injector.lose_one_disk_and_all_power()
@@ -176,9 +179,9 @@
             await evacuations.check_still_evacuated()
         callers.stop()
         await calling
-        if self._options.deadly:
-            await deadly.check_refused()
-            deadly.check_at_end(timed=self._options.timed)
+        for deadly_callers in deadly:
+            await deadly_callers.check_refused()
+            deadly_callers.check_at_end(timed=self._options.timed)
         if self._options.evacuations:
             evacuations.check_at_end(timed=self._options.timed)
         if self._options.pauses:
@@ -186,6 +189,14 @@
         promises.check_at_end()
         return self._summary(faults, promises)
 
+    def _deadly_callers(self, promises: PromiseChecker) -> list[DeadlyCallers]:
+        deadly = []
+        if self._options.deadly:
+            deadly.append(DeadlyCallers(self._platform, self._seed, promises))
+        if self._options.deadly_part:
+            deadly.append(DeadlyPartCallers(self._platform, self._seed, promises))
+        return deadly
+
     async def _inject_all(self, faults: tuple[PlannedFault, ...]) -> None:
         async with asyncio.TaskGroup() as group:
             for planned in faults:
