--- a/tools/measure_crashes.py
+++ b/tools/measure_crashes.py
@@ -17,6 +17,8 @@
   --mass PART     Fraction of the upstreams that crash spontaneously each second
                   [default: 0].
   --hot           All good callers send the same request repeatedly.
+  --part          The deadly requests are prompts that share a deadly part, and no two
+                  of them are alike; good ones share all other parts.
 """
 
 from __future__ import annotations
@@ -36,8 +38,10 @@
 from docopt import docopt
 
 from leadseam.clock import ManualClock
+from leadseam.platform import names
 from leadseam.routing.crash_guard import CrashGuard
 from tools.platform.nodes import Platform
+from tools.platform.standin import EVENTS
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Answer
@@ -48,6 +52,13 @@
 DEADLY_INTERVAL = 0.3
 MASS_INTERVAL = 0.1
 """Seconds between two random choices of upstreams that crash spontaneously."""
+DEADLY_PART = "dead01"
+SOUND_PART = "500d01"
+SHARED_PARTS = ("5a5a01", "5a5a02")
+TOLERATED_CRASHES = 5
+"""Crashes by a part that are tolerated before sends count as late."""
+LATE_AFTER = 3.0
+"""Seconds after these crashes from which sends count."""
 CONVICTION_WEIGHT = 3
 """Crashed upstreams after which a request is refused."""
 CHECKS = 100_000
@@ -64,6 +75,7 @@
         run_time: Seconds that a good request runs.
         mass: Fraction of the upstreams that crash spontaneously each second.
         hot: Whether all good requests are the same.
+        part: Whether a part of prompts is deadly, and not one request.
     """
 
     seconds: float
@@ -71,6 +83,12 @@
     run_time: float
     mass: float
     hot: bool
+    part: bool
+
+    @property
+    def service(self) -> str:
+        """Service that the requests go to."""
+        return "model" if self.part else "plain"
 
 
 @dataclass
@@ -84,6 +102,8 @@
         crashes: Runs that crashed an upstream, in order of time.
         verdicts: Requests that are refused at the end.
         spontaneous: Upstreams that crashed without a request that caused it.
+        late: Deadly requests that reached upstreams later than `LATE_AFTER` after the
+            last crash that is tolerated.
         wrongly_refused: Paths of good requests that were refused as deadly.
     """
 
@@ -93,6 +113,7 @@
     crashes: list[Run] = field(default_factory=list)
     verdicts: int = 0
     spontaneous: int = 0
+    late: int = 0
     wrongly_refused: set[str] = field(default_factory=set)
 
     def __str__(self) -> str:
@@ -101,7 +122,8 @@
         return (
             f"| {self.callers} | {sum(self.deadly.values())} | {len(self.crashes)}"
             f" | {after:.2f} | {self.good[200]} / {self.good[502]} / {self.good[503]}"
-            f" | {self.verdicts} | {self.spontaneous} | {len(self.wrongly_refused)} |"
+            f" | {self.verdicts} | {self.spontaneous} | {len(self.wrongly_refused)}"
+            f" | {self.late} |"
         )
 
 
@@ -119,6 +141,7 @@
         self._load = load
         self._rng = random.Random(callers)
         self._end = time.monotonic() + load.seconds
+        self._own_parts = itertools.count(1)
         self.row = Row(callers)
 
     async def run(self) -> None:
@@ -129,16 +152,20 @@
             for number in range(self._load.good):
                 group.create_task(self._call_good(number))
             group.create_task(self._crash_spontaneously())
-        servers = self._platform.servers_of("plain")
+        servers = self._platform.servers_of(self._load.service)
         runs = [run for server in servers for run in server.crashes]
         self.row.crashes = sorted(runs, key=lambda run: run.at)
+        if len(runs) >= TOLERATED_CRASHES:
+            limit = self.row.crashes[TOLERATED_CRASHES - 1].at + LATE_AFTER
+            arrivals = (one for server in servers for one in server.part_arrivals)
+            self.row.late = sum(arrival.at > limit for arrival in arrivals)
         self.row.verdicts = await self._count_verdicts()
 
     async def _call_deadly(self, number: int) -> None:
         for turn in itertools.count(number):
             if time.monotonic() > self._end:
                 return
-            answer = await self._call(turn, "/safe/deadly")
+            answer = await self._call(turn, "/safe/deadly", DEADLY_PART)
             self.row.deadly[answer.status] += 1
             await asyncio.sleep(DEADLY_INTERVAL)
 
@@ -149,7 +176,7 @@
             for again in itertools.count():
                 if time.monotonic() > self._end:
                     return
-                answer = await self._call(turn + again, path)
+                answer = await self._call(turn + again, path, SOUND_PART)
                 status = answer.status
                 self.row.good[status] += 1
                 if b'"crashes_upstreams"' in answer.body:
@@ -161,13 +188,23 @@
     async def _crash_spontaneously(self) -> None:
         while time.monotonic() < self._end and self._load.mass:
             await asyncio.sleep(MASS_INTERVAL)
-            for server in self._platform.servers_of("plain"):
+            for server in self._platform.servers_of(self._load.service):
                 if self._rng.random() < self._load.mass * MASS_INTERVAL:
                     self.row.spontaneous += server.crash()
 
-    async def _call(self, turn: int, path: str) -> Answer:
+    async def _call(self, turn: int, path: str, part: str) -> Answer:
         entries = self._platform.entry_ips
-        return await self._platform.call(entries[turn % len(entries)], path)
+        entry = entries[turn % len(entries)]
+        if not self._load.part:
+            return await self._platform.call(entry, path)
+        own = f"{next(self._own_parts):x}"
+        parts = ",".join(f"{one}:100" for one in (*SHARED_PARTS, part, own))
+        return await self._platform.call(
+            entry,
+            "/stream/chat",
+            headers={names.PROMPT_PARTS: parts},
+            body=own.encode(),
+        )
 
     async def _count_verdicts(self) -> int:
         platform = self._platform
@@ -183,10 +220,11 @@
         try:
             await platform.start_all()
             for ip in platform.server_ips[4:6]:
-                await platform.add_server(ip, "plain")
-            for server in platform.servers_of("plain"):
+                await platform.add_server(ip, load.service)
+            for server in platform.servers_of(load.service):
                 server.actions["deadly"] = "crash"
-                server.delay = load.run_time
+                server.deadly_parts.add(DEADLY_PART)
+                server.delay = load.run_time / EVENTS if load.part else load.run_time
             experiment = Experiment(platform, callers, load)
             await experiment.run()
             return experiment.row
@@ -216,12 +254,13 @@
         run_time=float(args["--run-time"]),
         mass=float(args["--mass"]),
         hot=args["--hot"],
+        part=args["--part"],
     )
     print(
         "| callers | sent | crashed | last late s | good 200/502/503 | refused"
-        " | crashed by themselves | innocent |"
+        " | crashed by themselves | innocent | late |"
     )
-    print("|---|---|---|---|---|---|---|---|")
+    print("|---|---|---|---|---|---|---|---|---|")
     for callers in args["--callers"].split(","):
         print(asyncio.run(measure(int(callers), load)))
     print(f"a look while nothing is suspected: {check_cost():.2f} us")
