Demand keys as long as a configuration has client accounts at all

Cause: whether keys are demanded was concluded from the number of keys in the entry's index, and a manifest whose tenants are empty was read like one without. The class: absent and empty are read alike.

It is a fact of the configuration now, decided where it is read: tenants that are present demand keys, whatever is left in them. A configuration of older processes has no such field; there the presence of accounts decides, not that of keys. A table of tests states what an empty list or zero means in each other field of a manifest; none opens anything but allowedRegions, whose empty list is a question to the users.

--- a/src/leadseam/control/configuration.py
+++ b/src/leadseam/control/configuration.py
@@ -191,6 +191,8 @@
         routes: Routes; set only by replacing the whole configuration.
         limits: Limits on callers' requests.
         document: The operator's document that this was parsed from, or empty.
+        keys_demanded: Whether callers need a key of a client account; None if older
+            processes or single operations made the configuration.
     """
 
     version: int = 0
@@ -201,6 +203,7 @@
     routes: dict[str, Route] = {}
     limits: CallerLimits = CallerLimits()
     document: bytes = b""
+    keys_demanded: bool | None = None
 
     def __repr__(self) -> str:
         return (
@@ -208,6 +211,13 @@
             f" upstreams={len(self.upstreams)})"
         )
 
+    @property
+    def demands_keys(self) -> bool:
+        """Whether callers need a key, even if no account has one left."""
+        if self.keys_demanded is None:
+            return bool(self.accounts)
+        return self.keys_demanded
+
     def must_not_repeat(self, account: str, pool: str, path: str) -> bool:
         """Return whether a rule forbids running a request more than once."""
         return any(
--- a/src/leadseam/platform/manifest.py
+++ b/src/leadseam/platform/manifest.py
@@ -86,7 +86,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
-    tenants: tuple[_Tenant, ...] | None = None
+    tenants: tuple[_Tenant, ...] | msgspec.UnsetType | None = msgspec.UNSET
 
 
 def read_manifest(document: bytes) -> Configuration:
@@ -104,6 +104,8 @@
     return Configuration(
         version=manifest.version,
         accounts={entry.name: _account(entry) for entry in manifest.tenants or ()},
+        # The key is present as long as callers need one: an empty list lets nobody in.
+        keys_demanded=manifest.tenants is not msgspec.UNSET,
         pools={entry.name: _pool(entry) for entry in manifest.services},
         routes=_key_by_name(tuple(_route(entry) for entry in manifest.routes)),
         limits=_limits(manifest.limits),
--- /dev/null
+++ b/tests/platform/test_keys.py
@@ -0,0 +1,34 @@
+"""Keys that are taken away while their callers are connected."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from leadseam.platform import names
+from tools.platform.nodes import document
+from tools.waiting import wait_until
+
+if TYPE_CHECKING:
+    from tools.platform.nodes import Platform
+
+
+@pytest.mark.parametrize("tenants", [[], [{"name": "bank", "apiKeys": []}]])
+async def test_taking_the_last_key_away_lets_nobody_in(
+    platform: Platform, tenants: list[dict[str, Any]]
+) -> None:
+    entry = platform.entry_ips[0]
+    assert (await platform.call(entry, "/once/a")).status == 200
+    assert await platform.operator.replace(document(2, tenants=tenants)) == 200
+
+    async def refused() -> bool:
+        return (await platform.call(entry, "/once/a")).status == 401
+
+    await wait_until(refused, "the key is refused")
+    assert (await platform.call(entry, "/once/a", key=None)).status == 401
+    # Callers without a key may use routes that allow it; a key that is gone may not.
+    assert (await platform.call(entry, "/open/a", key=None)).status == 200
+    assert (await platform.call(entry, "/open/a")).status == 401
+    runs = [run for server in platform.servers for run in server.runs]
+    assert not any(names.AUTHORIZATION in run.headers for run in runs)
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -6,9 +6,12 @@
 import json
 from typing import Any
 
+import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from leadseam.control.configuration import Account, Pool, PoolKind
+from leadseam.control.configuration import Account, Configuration, Pool, PoolKind
 from leadseam.control.routes import EngineProfile, PoolShare, Repeat, ReplyForm, Route
 from leadseam.errors import DocumentError
 from leadseam.platform.manifest import read_manifest
@@ -143,3 +146,74 @@
 )
 def test_faults_are_described(changes: dict[str, Any], fault: str) -> None:
     assert read_manifest(encode(**changes)).faults() == (fault,)
+
+
+@given(
+    tenants=st.sampled_from(
+        [None, [], [{"name": "a"}], [{"name": "a", "apiKeys": []}, {"name": "b"}]]
+    )
+)
+def test_tenants_that_are_present_demand_keys_whatever_is_left_in_them(
+    tenants: list[dict[str, Any]] | None,
+) -> None:
+    configuration = read_manifest(encode(tenants=tenants))
+    assert configuration.demands_keys
+    restored = msgspec.json.decode(
+        msgspec.json.encode(configuration), type=Configuration
+    )
+    assert restored.demands_keys
+
+
+def test_without_tenants_no_keys_are_demanded() -> None:
+    document = {name: DOCUMENT[name] for name in ("version", "routes", "services")}
+    assert not read_manifest(json.dumps(document).encode()).demands_keys
+
+
+EMPTY: dict[str, Any] = {"list": [], "zero": 0}
+
+
+@pytest.mark.parametrize(
+    ("section", "field", "empty", "same_as_absent"),
+    [
+        ("routes", "trafficSplit", "list", True),
+        ("routes", "allowedRegions", "list", True),
+        ("routes", "maxAttempts", "zero", True),
+        ("routes", "gapTargetMs", "zero", True),
+        ("routes", "priority", "zero", True),
+        ("routes", "targetLatencyMs", "zero", False),
+        ("services", "maxConnections", "zero", False),
+        ("services", "coldPerS", "zero", True),
+        ("tenants", "apiKeys", "list", True),
+        ("tenants", "allowedRegions", "list", True),
+        ("tenants", "priority", "zero", False),
+        ("limits", "maxBodyBytes", "zero", False),
+        ("limits", "idleTimeoutMs", "zero", False),
+        ("limits", "tokensPerS", "zero", True),
+    ],
+)
+def test_what_an_empty_or_zero_field_means(
+    section: str, field: str, empty: str, same_as_absent: bool
+) -> None:
+    source: dict[str, Any] = {
+        "version": 1,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "pathPrefix": "/x/",
+                "timeoutMs": 1,
+                "service": "s",
+            }
+        ],
+        "services": [{"name": "s"}],
+        "tenants": [{"name": "a"}],
+        "limits": {},
+    }
+    absent = read_manifest(json.dumps(source).encode())
+    row = source[section] if section == "limits" else source[section][0]
+    row[field] = EMPTY[empty]
+    present = read_manifest(json.dumps(source).encode())
+    without_source = [
+        msgspec.structs.replace(one, document=b"") for one in (absent, present)
+    ]
+    assert (without_source[0] == without_source[1]) is same_as_absent
--- a/tests/routing/test_router.py
+++ b/tests/routing/test_router.py
@@ -5,6 +5,8 @@
 import hashlib
 import random
 
+import pytest
+
 from leadseam.control.configuration import Account, Configuration
 from leadseam.control.routes import PoolShare, Route
 from leadseam.routing.router import Router, choose_pool
@@ -39,6 +41,18 @@
     assert not Router(Configuration()).uses_account_keys
 
 
+@pytest.mark.parametrize(
+    ("demanded", "accounts", "used"),
+    [(True, (), True), (None, ("bank",), True), (None, (), False), (False, (), False)],
+)
+def test_keys_are_demanded_though_no_account_has_one_left(
+    demanded: bool | None, accounts: tuple[str, ...], used: bool
+) -> None:
+    rows = {name: Account(name) for name in accounts}
+    router = Router(Configuration(accounts=rows, keys_demanded=demanded))
+    assert router.uses_account_keys is used
+
+
 def test_a_pool_without_weight_gets_nothing() -> None:
     shares = (PoolShare("a", 3), PoolShare("b", 0), PoolShare("c", 1))
     route = Route(name="r", host="h", prefix="/", pools=shares)
