Check answers of upstreams that leave like those of all others

Cause: where only the end of a connection ends an answer, the entry tries whether the upstream is still there, but not if it had announced its end, so that a whole last answer would not be called broken. The class: an announcement exempts from a check.

The exemption is gone. An upstream that leaves and does not accept a connection in time is gone too: its box may be.

--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -12,7 +12,7 @@
 from yarl import URL
 
 from leadseam.clock import Clock, Millis, seconds
-from leadseam.runtime.reachability import is_refused
+from leadseam.runtime.reachability import Reach, probe
 from leadseam.runtime.upstream_connection import UpstreamConnection, UpstreamConnector
 
 if TYPE_CHECKING:
@@ -153,11 +153,15 @@
         await self._pooled.close()
         await self._single_use.close()
 
-    async def is_refused(
+    async def probe(
         self, ip: str, port: int, *, timeout: Millis = CONNECT_TIMEOUT
-    ) -> bool:
+    ) -> Reach:
+        """Check whether an upstream's address accepts connections."""
+        return await probe(ip, port, timeout=timeout)
+
+    async def is_refused(self, ip: str, port: int) -> bool:
         """Check whether an upstream's address refuses connections."""
-        return await is_refused(ip, port, timeout=timeout)
+        return await self.probe(ip, port) is Reach.REFUSES
 
     async def send(
         self,
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -41,6 +41,7 @@
 from leadseam.routing.scope import allowed_regions
 from leadseam.routing.unconfirmed import NEVER
 from leadseam.routing.usage import Standing
+from leadseam.runtime.reachability import Reach
 
 if TYPE_CHECKING:
     import random
@@ -501,8 +502,9 @@
     ) -> AnswerEnd:
         """Check if an upstream is gone that has closed the connection of an answer.
 
-        The check costs a connection. One that leaves may end right after its last
-        answer, so it is not checked.
+        The check costs a connection. An upstream that leaves may be gone ahead of its
+        last answer, as a box that is reclaimed, so that it is gone too if it does not
+        accept the connection in time.
 
         Args:
             upstream: Upstream of the answer.
@@ -510,9 +512,11 @@
             max_wait: Longest time that the check may take; not positive for none.
         """
         timeout = min(END_CHECK_TIMEOUT, max_wait)
-        if timeout <= 0 or self._feed.view.has_left(upstream.incarnation):
+        if timeout <= 0:
             return end
-        gone = await self.client.is_refused(upstream.ip, upstream.port, timeout=timeout)
+        reach = await self.client.probe(upstream.ip, upstream.port, timeout=timeout)
+        leaves = self._feed.view.has_left(upstream.incarnation)
+        gone = reach is Reach.REFUSES or (leaves and reach is Reach.UNKNOWN)
         return replace(end, upstream_gone=gone)
 
     def note_ending(
--- a/src/leadseam/routing/router.py
+++ b/src/leadseam/routing/router.py
@@ -32,6 +32,7 @@
             for account in configuration.accounts.values()
             for digest in account.key_hashes
         }
+        self._demands_keys = configuration.demands_keys
         self._digests: dict[str, str] = {}
 
     def __repr__(self) -> str:
@@ -39,8 +40,8 @@
 
     @property
     def uses_account_keys(self) -> bool:
-        """Whether any client account has a key."""
-        return bool(self._accounts)
+        """Whether callers' bearer keys belong to client accounts, and are demanded."""
+        return self._demands_keys
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest matching path prefix, or None.
--- a/src/leadseam/runtime/reachability.py
+++ b/src/leadseam/runtime/reachability.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from enum import Enum, auto
 from typing import TYPE_CHECKING
 
 from leadseam.clock import seconds
@@ -11,11 +12,20 @@
     from leadseam.clock import Millis
 
 
-async def is_refused(ip: str, port: int, *, timeout: Millis) -> bool:
-    """Check whether an address refuses connections.
+class Reach(Enum):
+    """Result of opening a connection to an address.
+
+    `ACCEPTS`: a process listens there. `REFUSES`: none does. `UNKNOWN`: there was a
+    reset, an unreachable network, or no answer in time.
+    """
+
+    ACCEPTS = auto()
+    REFUSES = auto()
+    UNKNOWN = auto()
 
-    A refusal means that no process listens there any more; a timeout or a reset does
-    not.
+
+async def probe(ip: str, port: int, *, timeout: Millis) -> Reach:
+    """Open a connection to an address, and close it again.
 
     Args:
         ip: IP address.
@@ -26,9 +36,14 @@
         async with asyncio.timeout(seconds(timeout)):
             _, writer = await asyncio.open_connection(ip, port)
     except ConnectionRefusedError:
-        return True
+        return Reach.REFUSES
     except OSError:
-        # Includes timeouts. The result is unknown; the attempt has its log line.
-        return False
+        # Includes timeouts. The attempt has its log line.
+        return Reach.UNKNOWN
     writer.close()
-    return False
+    return Reach.ACCEPTS
+
+
+async def is_refused(ip: str, port: int, *, timeout: Millis) -> bool:
+    """Check whether an address refuses connections; see `probe`."""
+    return await probe(ip, port, timeout=timeout) is Reach.REFUSES
