Bound messages and the log of the control group in bytes

After some 650 changes all control processes went over their memory. Acknowledged changes could not be read back then.

Cause: counts bound what costs bytes.

--- a/src/leadseam/control/raft.py
+++ b/src/leadseam/control/raft.py
@@ -55,6 +55,9 @@
 """Maximum age of a follower's newest reply that a leader with a lease has confirmed,
 for the follower to count as current: seven heartbeats."""
 MAX_APPEND_ENTRIES = 256
+MAX_APPEND_BYTES = 1024 * 1024
+"""Bytes of entries in one message. An entry with a large configuration has some 0.5 MB,
+and a frame must hold several messages."""
 CATCH_UP_DISTANCE = 32
 """Entries by which a learner may lag behind the leader's log and still be promoted."""
 JOIN_INTERVAL: Millis = 300
@@ -473,7 +476,9 @@
             self._send_install(now, name)
         else:
             first = progress.next_index
-            entries = self.log.between(first, first + MAX_APPEND_ENTRIES - 1)
+            entries = self.log.window(
+                first, max_entries=MAX_APPEND_ENTRIES, max_bytes=MAX_APPEND_BYTES
+            )
             self._send_append(now, name, progress, entries=tuple(entries))
             if not entries:
                 return
--- a/src/leadseam/control/raft_log.py
+++ b/src/leadseam/control/raft_log.py
@@ -91,6 +91,22 @@
         )
         return self.entries[start:stop]
 
+    def window(self, first: int, *, max_entries: int, max_bytes: int) -> list[LogEntry]:
+        """Return entries from `first` on that fit into one message.
+
+        Args:
+            first: Index of the first entry.
+            max_entries: Most entries.
+            max_bytes: Most bytes of their data; one entry is returned at least.
+        """
+        entries = self.between(first, first + max_entries - 1)
+        total = 0
+        for position, entry in enumerate(entries):
+            total += len(entry.data)
+            if total > max_bytes and position:
+                return entries[:position]
+        return entries
+
     def membership_at(self, index: int) -> Membership:
         """Return the membership that is in effect at an index."""
         for entry in reversed(self.between(self.snapshot_metadata.index + 1, index)):
--- a/src/leadseam/control/replica.py
+++ b/src/leadseam/control/replica.py
@@ -61,6 +61,12 @@
 
 TICK: Millis = 30
 COMPACT_EVERY = 1_000
+"""Applied entries after which the log is compacted, however small they are."""
+MIN_COMPACT_BYTES = 4 * 1024 * 1024
+COMPACT_RATIO = 4
+"""Size of the applied log, as a multiple of the last snapshot, at which the log is
+compacted, if it has `MIN_COMPACT_BYTES`. It bounds the memory of the log and what a
+replica with an empty disk has to read."""
 MAX_BATCH = 512
 PROPOSE_TIMEOUT: Millis = 5_000
 RETRY_DELAY: Millis = 100
@@ -152,6 +158,8 @@
             tolerated_losses=tolerated_losses,
         )
         self._raft.set_snapshot_data(recovered.data)
+        self._applied_bytes = 0
+        self._snapshot_bytes = len(recovered.data)
         self._peers = Peers(
             name,
             endpoints,
@@ -423,6 +431,7 @@
 
     def _apply(self, entries: tuple[LogEntry, ...]) -> None:
         for entry in entries:
+            self._applied_bytes += len(entry.data)
             self.applied_index = entry.index
             result = None
             if entry.kind == EntryKind.COMMAND:
@@ -452,9 +461,13 @@
             self._submissions.drop_proposed()
 
     async def _compact_if_due(self) -> None:
-        if self.applied_index - self._raft.log.snapshot_metadata.index < COMPACT_EVERY:
+        count = self.applied_index - self._raft.log.snapshot_metadata.index
+        limit = max(MIN_COMPACT_BYTES, COMPACT_RATIO * self._snapshot_bytes)
+        if count < COMPACT_EVERY and (self._applied_bytes < limit or not count):
             return
         data = self.state.save()
+        self._applied_bytes = 0
+        self._snapshot_bytes = len(data)
         metadata = self._raft.compact(self.applied_index, data)
         state = HardState(self._raft.term, self._raft.vote)
         entries = tuple(self._raft.log.entries)
--- a/src/leadseam/wire/link.py
+++ b/src/leadseam/wire/link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,7 @@
     from leadseam.wire.traffic import Traffic
 
 MAX_FRAME = 64 * 1024 * 1024
+"""Bytes of a frame; a peer closes the link on a larger one."""
 MAX_QUEUED = 20_000
 MAX_PER_FRAME = 256
 OPEN_TIMEOUT: Millis = 1_000
@@ -38,6 +40,8 @@
 WRITE_TIMEOUT: Millis = 2_000
 """Time that a frame may wait for the peer to read; keepalive pings queue behind it."""
 
+log = logging.getLogger(__name__)
+
 
 class Link:
     """One open connection to a peer.
@@ -122,6 +126,28 @@
         count = min(len(self._queue), MAX_PER_FRAME)
         messages = [self._queue.popleft() for _ in range(count)]
         frame = encode_frame(messages)
+        if len(frame) > MAX_FRAME:
+            await self._write_singly(messages)
+        else:
+            await self._write_frame(frame, messages)
+
+    async def _write_singly(self, messages: list[AnyMessage | EncodedMessage]) -> None:
+        """Write messages in frames of their own; drop those that fit into none."""
+        for message in messages:
+            frame = encode_frame([message])
+            if len(frame) <= MAX_FRAME:
+                await self._write_frame(frame, [message])
+                continue
+            extra = {
+                "message_type": type(message).__name__,
+                "bytes": len(frame),
+                "most": MAX_FRAME,
+            }
+            log.error("message is too large for its peer and was dropped", extra=extra)
+
+    async def _write_frame(
+        self, frame: bytes, messages: list[AnyMessage | EncodedMessage]
+    ) -> None:
         self._traffic.sent(len(frame), messages)
         async with asyncio.timeout(seconds(WRITE_TIMEOUT)):
             await self._conn.send(frame)
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -6,6 +6,7 @@
 
 import cbor2
 
+from leadseam.control import raft as raft_module
 from leadseam.control.raft import Raft
 from leadseam.control.raft_log import (
     EntryKind,
@@ -16,7 +17,7 @@
 )
 from leadseam.control.raft_types import RaftMessage, Role
 from leadseam.wire.codec import encode
-from leadseam.wire.consensus import LogEntry
+from leadseam.wire.consensus import Append, LogEntry
 
 BOXES = ("a", "b", "c")
 TICK = 50
@@ -139,6 +140,9 @@
                 self._enqueue(target, message)
 
     def _enqueue(self, target: str, message: RaftMessage) -> None:
+        if isinstance(message, Append) and len(message.entries) > 1:
+            size = sum(len(entry.data) for entry in message.entries)
+            assert size <= raft_module.MAX_APPEND_BYTES
         if len(self.network) < MAX_MESSAGES:
             self.network.append((target, message))
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from statistics import mean
+from unittest.mock import patch
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -17,6 +18,7 @@
     rule,
 )
 
+from leadseam.control import raft
 from leadseam.control.election import ELECTION_TIMEOUT, PRE_VOTE_RETRY_DELAY
 from leadseam.control.raft import LEASE_DURATION, Raft
 from leadseam.control.raft_log import box_name
@@ -30,12 +32,17 @@
     encode_applied,
 )
 
+APPEND_BYTES = 60
+"""Bytes of entries in one message of the simulated replicas."""
+
 
 class RaftMachine(RuleBasedStateMachine):
     """Injects random faults and checks the safety properties after every step."""
 
     @initialize()
     def set_up(self) -> None:
+        self.smaller_messages = patch.object(raft, "MAX_APPEND_BYTES", APPEND_BYTES)
+        self.smaller_messages.start()
         self.cluster = Cluster()
         self.proposed = 0
         self.cluster.settle(60)
@@ -48,10 +55,10 @@
     def wait(self, millis: int) -> None:
         self.cluster.tick(millis)
 
-    @rule()
-    def propose(self) -> None:
+    @rule(size=st.sampled_from([0, 0, 0, APPEND_BYTES // 3, 2 * APPEND_BYTES]))
+    def propose(self, size: int) -> None:
         self.proposed += 1
-        self.cluster.propose(b"c%d" % self.proposed)
+        self.cluster.propose(b"c%d" % self.proposed + bytes(size))
 
     @precondition(lambda self: self.cluster.network)
     @rule(position=st.integers(0, MAX_MESSAGES), keep=st.booleans())
@@ -137,6 +144,7 @@
     def teardown(self) -> None:
         if not hasattr(self, "cluster"):
             return
+        self.smaller_messages.stop()
         self._repair()
         assert self.cluster.propose(b"last")
         self.cluster.settle(20)
