A silent stream goes on where no other upstream can take it over

The entry looks first; with none the stream goes on, and is looked at again after each further silence.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -318,7 +318,7 @@
         self._gateway.stream_began(self._request, origin)
 
     def _on_silence(self, flight: Flight) -> bool:
-        """Return whether to end a silent attempt because a retry is allowed."""
+        """Return whether to end a silent attempt, as another upstream may take over."""
         self._gateway.note_silence(flight.upstream, self._request)
         # The silent attempt may have run too; it is not counted before its end.
         runs = self._progress.runs + 1
@@ -326,6 +326,9 @@
             return False
         if self._progress.sends >= MAX_SENDS:
             return False
+        tried = self._progress.tried
+        if not self._gateway.placer.has_other(self._request.scope, tried):
+            return False
         return self._take_permit()
 
     async def _attempt(self, placement: Placement) -> Ending:
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -337,6 +337,10 @@
         self._pauses.sweep(now)
         self._unconfirmed.sweep(now)
 
+    def has_other(self, scope: Scope, tried: set[Incarnation]) -> bool:
+        """Return whether a scope has an upstream to use that was not tried."""
+        return bool(_exclude_tried(self._candidates(scope), tried))
+
     def place_waiting(self) -> None:
         """Try to place all waiting requests now, without waiting for a timer."""
         now = self._clock.now()
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -50,7 +50,10 @@
         self.endings: list[Ending] = []
         self.budget = SimpleNamespace(note_request=lambda *_: None)
         self.placer = SimpleNamespace(
-            place=self._place, pause_left=lambda _: self.paused, may_send=lambda _: True
+            place=self._place,
+            pause_left=lambda _: self.paused,
+            may_send=lambda _: True,
+            has_other=lambda *_: True,
         )
         self.crash_guard = SimpleNamespace(
             refusal=lambda _, again=False: None,
