--- a/tests/soak/test_deadly.py
+++ b/tests/soak/test_deadly.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
@@ -16,6 +17,7 @@
 from tools.platform.standin import Run, Server
 from tools.soak.deadly import VERDICT_WRITTEN, DeadlyCallers
 from tools.soak.disturbances import DisturbanceLog
+from tools.waiting import wait_until
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -50,6 +52,25 @@
     assert server.is_up
 
 
+async def test_a_server_that_crashes_while_it_leaves_announces_it_again() -> None:
+    # Otherwise its restart, which leaves nowhere, counts as one that has left.
+    server = Server("127.0.0.41", 0, "plain", ["127.0.0.1:1"], restart_delay=0.01)
+    await server.start()
+    leaving = asyncio.create_task(server.drain())
+    await wait_until(lambda: is_draining(server), "it announces that it leaves")
+    server.crash()
+    while not leaving.done():
+        server.acks += 1
+        await asyncio.sleep(0.02)
+    assert server.state == "draining"
+    await server.stop()
+
+
+async def is_draining(server: Server) -> bool:
+    """Return whether a server announces that it leaves."""
+    return server.state == "draining"
+
+
 def test_crashes_are_disturbances_of_their_servers() -> None:
     # In CI a stream was cut because its only two servers crashed, but it was blamed on
     # the planned stop of its entry; the log lines show the attempt that broke.
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -213,12 +213,21 @@
         await self.start()
 
     async def drain(self) -> None:
-        """Announce a planned end, and wait for the acknowledgement."""
-        self.state = "draining"
+        """Announce a planned end, and wait for the acknowledgement.
+
+        A server that crashes meanwhile has to announce it again after its restart.
+        """
+        announced = ""
         acks = self.acks
-        await wait_until(
-            lambda: _as_awaitable(self.acks > acks + 1), "leaving is acknowledged"
-        )
+
+        async def acknowledged() -> bool:
+            nonlocal announced, acks
+            if self.incarnation != announced or not self.is_up:
+                announced, acks = self.incarnation, self.acks
+                self.state = "draining"
+            return self.acks > acks + 1
+
+        await wait_until(acknowledged, "leaving is acknowledged")
 
     def count(self, request_id: str) -> int:
         """Return how often a request ran here."""
@@ -497,7 +506,3 @@
 
 WHOLE_STREAM = b"".join(event(number) for number in range(1, EVENTS + 1))
 """Body of a complete stream."""
-
-
-async def _as_awaitable(value: bool) -> bool:
-    return value
