Count undecided suspects, so that a look at admission does not grow with them

While an upstream was silent, each request was compared with every suspect of every undecided break, up to 4,000 of them with the parts of prompts; a look is a lookup by fingerprint now.

--- a/src/leadseam/crashes/suspects.py
+++ b/src/leadseam/crashes/suspects.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum, auto
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from leadseam.clock import Millis
 from leadseam.crashes import evidence
@@ -26,6 +27,8 @@
     from leadseam.crashes.fingerprint import Fingerprint
     from leadseam.incarnation import Incarnation
 
+T = TypeVar("T")
+
 MIN_ANSWER_DELAY: Millis = 100
 """Time after a break from which an answer shows that the upstream still runs. Earlier
 answers may have been in flight: they take a few ms, and up to 30 ms more if the event
@@ -111,10 +114,11 @@
         self.table = CrashTable()
         self._answers = RecentAnswers(answer_weighs)
         self._breaks: dict[Incarnation, _Break] = {}
-        self._undecided_suspects = 0
+        self._undecided: Counter[Suspect] = Counter()
+        self._undecided_fingerprints: Counter[Fingerprint] = Counter()
 
     def __repr__(self) -> str:
-        return f"Suspects(undecided={self._undecided_suspects}, {self.table!r})"
+        return f"Suspects(undecided={len(self._undecided)}, {self.table!r})"
 
     @property
     def undecided(self) -> bool:
@@ -140,9 +144,10 @@
         broken.at = now
         if suspect in broken.suspects:
             broken.suspects[suspect] |= early
-        elif self._undecided_suspects < MAX_UNDECIDED:
+        elif len(self._undecided) < MAX_UNDECIDED:
             broken.suspects[suspect] = early
-            self._undecided_suspects += 1
+            self._undecided[suspect] += 1
+            self._undecided_fingerprints[suspect.fingerprint] += 1
         return first
 
     def answered(self, incarnation: Incarnation, now: Millis) -> None:
@@ -219,7 +224,7 @@
         for broken in self._breaks.values():
             if suspect in broken.suspects:
                 del broken.suspects[suspect]
-                self._undecided_suspects -= 1
+                self._decide(suspect)
         return self.table.void(suspect.fingerprint, now)
 
     def would_be_convicted(self, suspect: Suspect) -> bool:
@@ -236,25 +241,32 @@
     def may_match(self, account: str, size: int) -> bool:
         """Return whether a request may be a suspect, before its body is hashed."""
         return self.table.may_match(account, size) or any(
-            (one.account, one.size) == (account, size)
-            for broken in self._breaks.values()
-            for one in broken.suspects
+            (one.account, one.size) == (account, size) for one in self._undecided
         )
 
     def is_suspected(self, fingerprint: Fingerprint) -> bool:
         """Return whether there is any evidence against a fingerprint."""
-        return fingerprint in self.table or any(
-            one.fingerprint == fingerprint
-            for broken in self._breaks.values()
-            for one in broken.suspects
-        )
+        return fingerprint in self.table or fingerprint in self._undecided_fingerprints
 
     def _drop(self, incarnation: Incarnation) -> _Break | None:
         broken = self._breaks.pop(incarnation, None)
         if broken is not None:
-            self._undecided_suspects -= len(broken.suspects)
+            for suspect in broken.suspects:
+                self._decide(suspect)
         return broken
 
+    def _decide(self, suspect: Suspect) -> None:
+        """Count one undecided break less of a suspect."""
+        _decrement(self._undecided, suspect)
+        _decrement(self._undecided_fingerprints, suspect.fingerprint)
+
+
+def _decrement(counts: Counter[T], key: T) -> None:
+    """Count one less, and forget a key that is not counted any more."""
+    counts[key] -= 1
+    if not counts[key]:
+        del counts[key]
+
 
 def _row(
     suspect: Suspect, incarnation: Incarnation, *, early: bool, stamp: Millis
