--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -710,13 +710,36 @@
         f"{ANSWER_ENDS}::test_a_plain_answer_of_a_killed_upstream_is_broken",
     ),
     Variant(
-        "an upstream that leaves is checked after its last answer",
+        "an upstream that leaves is not checked after its last answer",
         "routing/gateway.py",
-        "        if timeout <= 0 or self._feed.view.has_left(upstream.incarnation):",
         "        if timeout <= 0:",
-        f"{ANSWER_ENDS}::test_a_whole_answer_of_an_upstream_that_leaves_is_not_taken_for"
+        "        if timeout <= 0 or self._feed.view.has_left(upstream.incarnation):",
+        f"{ANSWER_ENDS}::test_an_answer_cut_by_the_end_of_an_upstream_that_leaves_is"
         "_broken",
     ),
+    Variant(
+        "a prompt part is no evidence",
+        "crashes/fingerprint.py",
+        "(_of_part(part.identity) for part in req.parts[:-1][:MAX_PARTS])",
+        "()",
+        "tests/crashes/test_parts.py::test_all_parts_but_the_last_identify_what_requests"
+        "_share",
+    ),
+    Variant(
+        "each convicted part is refused alone",
+        "crashes/table.py",
+        "            if all(one in fingerprints for one in self._alternatives(row)):",
+        "            if row:",
+        "tests/crashes/test_parts.py::test_a_request_is_refused_if_it_certainly_has_the"
+        "_cause",
+    ),
+    Variant(
+        "a message of the group has any number of bytes",
+        "control/raft_log.py",
+        "            if total > max_bytes and position:",
+        "            if position > max_entries:",
+        "tests/control/test_log_size.py",
+    ),
     Variant(
         "an answer proves the same process although its connection may be newer",
         "routing/unconfirmed.py",
