End each doubt about an upstream's start by itself

Callers saw 503 version_unknown.

Cause: a lost connection puts its upstream in doubt until an older one answers, or for 4 s. The doubt kept the oldest of its losses and renewed its time with each further one, so that a loss which no connection was old enough to explain lasted as long as connections broke. Streams begun there were bound to no version.

Change: losses are kept one by one; each ends by an answer that explains it, or 4 s after it was noticed, when a start before it would be known.

--- a/src/leadseam/routing/unconfirmed.py
+++ b/src/leadseam/routing/unconfirmed.py
@@ -31,22 +31,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Doubt:
-    """Lost connections since the process was last known to be the same.
+class _Loss:
+    """A lost connection.
 
     Args:
-        alive_at: When the upstream was last heard on the first connection that was
-            lost, or on a later one if that was before.
-        last: When the last loss was noticed.
+        alive_at: When the upstream was last heard on it; `NEVER` if it was refused.
+        noticed: When the loss was noticed.
     """
 
     alive_at: Millis
-    last: Millis
+    noticed: Millis
 
     @property
     def until(self) -> Millis:
-        """Time from which a new start would be known."""
-        return self.last + CONFIRM_TIME
+        """Time from which a start before the loss would be known."""
+        return self.noticed + CONFIRM_TIME
+
+    def is_explained(self, connected: Millis, written: Millis) -> bool:
+        """Return whether an answer shows that the process outlived the loss."""
+        return connected < self.alive_at and written > self.noticed
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,11 +62,11 @@
     """Incarnations whose connections have broken off recently."""
 
     def __init__(self) -> None:
-        self._doubts: dict[Incarnation, _Doubt] = {}
+        self._losses: dict[Incarnation, list[_Loss]] = {}
         self._waiting: dict[Incarnation, list[_Waiting]] = {}
 
     def __repr__(self) -> str:
-        return f"UnconfirmedUpstreams({list(self._doubts)})"
+        return f"UnconfirmedUpstreams({list(self._losses)})"
 
     def disconnected(
         self, incarnation: Incarnation, now: Millis, *, alive_at: Millis = NEVER
@@ -80,10 +83,11 @@
         """
         if incarnation.start == NO_START:
             return
-        doubt = self._doubts.get(incarnation)
-        if doubt is not None and doubt.until > now:
-            alive_at = min(alive_at, doubt.alive_at)
-        self._doubts[incarnation] = _Doubt(alive_at, now)
+        losses = self._losses.setdefault(incarnation, [])
+        # What explains a later loss of a connection that was heard before explains
+        # the earlier one too, and its doubt ends later.
+        losses[:] = [one for one in losses if one.alive_at < alive_at]
+        losses.append(_Loss(alive_at, now))
 
     def answered(
         self, incarnation: Incarnation, connected: Millis, written: Millis
@@ -98,10 +102,17 @@
         Returns:
             Whether the upstream was in doubt and no longer is.
         """
-        doubt = self._doubts.get(incarnation)
-        if doubt is None or connected >= doubt.alive_at or written <= doubt.last:
+        losses = self._losses.get(incarnation)
+        if losses is None:
+            return False
+        losses[:] = [
+            one
+            for one in losses
+            if one.until > written and not one.is_explained(connected, written)
+        ]
+        if losses:
             return False
-        del self._doubts[incarnation]
+        del self._losses[incarnation]
         for waiting in self._waiting.pop(incarnation, ()):
             if waiting.since <= written:
                 waiting.call()
@@ -123,19 +134,20 @@
         self, rows: Sequence[Registration], now: Millis
     ) -> Sequence[Registration]:
         """Return the upstreams that have certainly not started again."""
-        if not self._doubts:
+        if not self._losses:
             return rows
         return [row for row in rows if not self._is_in_doubt(row, now)]
 
     def sweep(self, now: Millis) -> None:
         """Drop what no longer excludes anything."""
-        self._doubts = {
-            key: doubt for key, doubt in self._doubts.items() if doubt.until > now
-        }
+        for incarnation, losses in list(self._losses.items()):
+            losses[:] = [one for one in losses if one.until > now]
+            if not losses:
+                del self._losses[incarnation]
         self._waiting = {
-            key: rows for key, rows in self._waiting.items() if key in self._doubts
+            key: rows for key, rows in self._waiting.items() if key in self._losses
         }
 
     def _is_in_doubt(self, row: Registration, now: Millis) -> bool:
-        doubt = self._doubts.get(row.incarnation)
-        return doubt is not None and doubt.until > now
+        losses = self._losses.get(row.incarnation, ())
+        return any(one.until > now for one in losses)
--- a/tests/routing/test_unconfirmed.py
+++ b/tests/routing/test_unconfirmed.py
@@ -59,6 +59,32 @@
     assert unconfirmed.answered(OLD.incarnation, 800, 2_001)
 
 
+def test_a_doubt_that_no_answer_lifts_ends_in_time_while_other_connections_break() -> (
+    None
+):
+    unconfirmed = UnconfirmedUpstreams()
+    unconfirmed.disconnected(OLD.incarnation, 0)
+    for noticed in range(500, CONFIRM_TIME, 500):
+        unconfirmed.disconnected(OLD.incarnation, noticed, alive_at=noticed - 10)
+        unconfirmed.answered(OLD.incarnation, noticed - 100, noticed + 10)
+        assert unconfirmed.exclude([OLD], noticed + 10) == []
+    unconfirmed.answered(OLD.incarnation, CONFIRM_TIME - 100, CONFIRM_TIME + 1)
+    assert unconfirmed.exclude([OLD], CONFIRM_TIME + 1) == [OLD]
+
+
+def test_streams_begun_in_doubt_are_bound_once_the_start_would_have_been_known() -> (
+    None
+):
+    unconfirmed = UnconfirmedUpstreams()
+    unconfirmed.disconnected(OLD.incarnation, 0)
+    unconfirmed.disconnected(OLD.incarnation, CONFIRM_TIME - 10, alive_at=900)
+    bound: list[str] = []
+    since = CONFIRM_TIME + 10
+    unconfirmed.when_confirmed(OLD.incarnation, lambda: bound.append("bound"), since)
+    unconfirmed.answered(OLD.incarnation, 800, since + 1)
+    assert bound == ["bound"]
+
+
 def test_no_answer_lifts_the_doubt_about_an_upstream_that_refused_a_connection() -> (
     None
 ):
