Manifests: tenants listed twice, deep nesting, and empty queries

Causes and what callers and operators saw: - Accounts are keyed by name, so the last of two tenants of one name won and callers with a key of the first got 401.

Evidence: nine of the new tests fail on the code before, at the decoder, at the client's socket, and at the operators' port; all pass since.

--- a/src/leadseam/platform/engine_cache.py
+++ b/src/leadseam/platform/engine_cache.py
@@ -104,7 +104,7 @@
         return CallFailed("answer too large")
     try:
         page = msgspec.json.decode(body, type=_Page)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
         return CallFailed(f"cannot read the answer: {exc}")
     events = tuple(
         CacheEvent(one.number, one.part, round(one.tokens)) for one in page.events
--- a/src/leadseam/platform/manifest.py
+++ b/src/leadseam/platform/manifest.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import math
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -19,6 +20,9 @@
 from leadseam.errors import DocumentError
 from leadseam.platform.names import SAFE, STREAMING
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 DEFAULT_MODEL = "default"
 
 
@@ -95,15 +99,16 @@
     The caller still has to validate the result with `Configuration.faults`.
 
     Raises:
-        DocumentError: If the document is not valid JSON or does not match the schema.
+        DocumentError: If the document is not valid JSON, does not match the schema, or
+            lists a tenant twice with different settings.
     """
     try:
         manifest = msgspec.json.decode(document, type=_Manifest)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
         raise DocumentError(f"cannot read the document: {exc}") from exc
     return Configuration(
         version=manifest.version,
-        accounts={entry.name: _account(entry) for entry in manifest.tenants or ()},
+        accounts=_accounts(manifest.tenants or ()),
         # The key is present as long as callers need one: an empty list lets nobody in.
         keys_demanded=manifest.tenants is not msgspec.UNSET,
         pools={entry.name: _pool(entry) for entry in manifest.services},
@@ -186,6 +191,26 @@
     )
 
 
+def _accounts(tenants: Iterable[_Tenant]) -> dict[str, Account]:
+    """Key accounts by name; a tenant that is listed again has all keys listed."""
+    accounts: dict[str, Account] = {}
+    for tenant in tenants:
+        account = _account(tenant)
+        known = accounts.get(account.name)
+        if known is not None:
+            keys = tuple(dict.fromkeys(known.key_hashes + account.key_hashes))
+            known, account = (
+                msgspec.structs.replace(one, key_hashes=keys)
+                for one in (known, account)
+            )
+            if known != account:
+                raise DocumentError(
+                    f"tenant {account.name!r} is listed twice with different settings"
+                )
+        accounts[account.name] = account
+    return accounts
+
+
 def _account(source: _Tenant) -> Account:
     hashes = (hashlib.sha256(key.encode()).hexdigest() for key in source.api_keys)
     return Account(
--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -227,7 +227,8 @@
         session = self._pooled if repeatable else self._single_use
         return await session.request(
             method,
-            URL(f"http://{ip}:{port}{target}", encoded=True),
+            # As a path, so that it arrives as it is: parsing drops an empty query.
+            URL.build(scheme="http", host=ip, port=port, path=target, encoded=True),
             data=body or None,
             headers=headers,
             allow_redirects=False,
--- a/src/leadseam/sidecar/platform.py
+++ b/src/leadseam/sidecar/platform.py
@@ -48,6 +48,6 @@
     try:
         async with session.get(url) as resp:
             listed = msgspec.json.decode(await resp.read(), type=BoxList)
-    except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError):
+    except (TimeoutError, aiohttp.ClientError, msgspec.DecodeError, RecursionError):
         return False
     return listed.boxes.get(box) == LEAVING
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -32,3 +32,27 @@
     assert (await platform.call(entry, "/open/a")).status == 401
     runs = [run for server in platform.servers for run in server.runs]
     assert not any(names.AUTHORIZATION in run.headers for run in runs)
+
+
+async def test_a_deeply_nested_document_is_refused_and_changes_nothing(
+    platform: Platform,
+) -> None:
+    nested = document(2)[:-1] + b', "x": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+    assert await platform.operator.replace(nested) == 400
+    assert await platform.operator.replace(document(2)) == 200
+
+
+async def test_all_keys_of_a_tenant_that_is_listed_twice_are_in_force(
+    platform: Platform,
+) -> None:
+    tenants = [{"name": "bank", "apiKeys": [key]} for key in ("key-1", "key-2")]
+    assert await platform.operator.replace(document(2, tenants=tenants)) == 200
+
+    async def served() -> bool:
+        calls = [
+            await platform.call(platform.entry_ips[0], "/once/a", key=key)
+            for key in ("key-1", "key-2")
+        ]
+        return all(answer.status == 200 for answer in calls)
+
+    await wait_until(served, "both keys are in force")
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -217,3 +217,31 @@
         msgspec.structs.replace(one, document=b"") for one in (absent, present)
     ]
     assert (without_source[0] == without_source[1]) is same_as_absent
+
+
+def test_a_tenant_that_is_listed_twice_has_all_keys_listed() -> None:
+    tenants = [{"name": "bank", "apiKeys": keys} for keys in (["k", "m"], ["n", "k"])]
+    configuration = read_manifest(encode(tenants=tenants))
+    assert configuration.faults() == ()
+    digests = tuple(hashlib.sha256(key).hexdigest() for key in (b"k", b"m", b"n"))
+    assert configuration.accounts["bank"].key_hashes == digests
+
+
+@pytest.mark.parametrize("change", [{"priority": 2}, {"allowedRegions": ["north"]}])
+def test_a_tenant_that_is_listed_twice_with_different_settings_is_rejected(
+    change: dict[str, Any],
+) -> None:
+    tenant = {"name": "bank", "apiKeys": ["k"], "priority": 1}
+    with pytest.raises(DocumentError, match="bank"):
+        read_manifest(encode(tenants=[tenant, tenant | change]))
+
+
+@pytest.mark.parametrize("depth", [2_000, 200_000])
+@pytest.mark.parametrize(("opening", "closing"), [(b"[", b"]"), (b'{"x":', b"}")])
+def test_a_deeply_nested_document_is_rejected(
+    depth: int, opening: bytes, closing: bytes
+) -> None:
+    nested = opening * depth + b"1" + closing * depth
+    for document in (nested, encode()[:-1] + b', "x": ' + nested + b"}"):
+        with pytest.raises(DocumentError):
+            read_manifest(document)
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -50,13 +50,15 @@
         await client.close()
 
 
-async def send(client: UpstreamClient, port: int) -> aiohttp.ClientResponse:
+async def send(
+    client: UpstreamClient, port: int, target: str = "/x"
+) -> aiohttp.ClientResponse:
     """Send a repeatable request."""
     return await client.send(
         LOOPBACK,
         port,
         method="GET",
-        target="/x",
+        target=target,
         headers=[],
         body=b"",
         repeatable=True,
@@ -323,3 +325,20 @@
         unused.bind((LOOPBACK, 0))
         async with client() as sender:
             await sender.keep_spare(LOOPBACK, unused.getsockname()[1])
+
+
+@pytest.mark.parametrize(
+    "target", ["/a/?", "/a/?x=", "/a?x=1#y", "/a//b/../c?x=%zz", "/%2F/%C3%A9?%3F"]
+)
+async def test_a_target_arrives_as_it_was_sent(target: str) -> None:
+    lines: list[bytes] = []
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        lines.append(await reader.readuntil(b"\r\n"))
+        writer.write(HEAD % b"1" + b"Content-Length: 0\r\n\r\n")
+
+    async with upstream(script) as port, client() as sender:
+        await (await send(sender, port, target)).read()
+    assert lines == [f"GET {target} HTTP/1.1\r\n".encode()]
