--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import copy
 import hashlib
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 import pytest
@@ -14,8 +15,12 @@
 from leadseam.control.configuration import Account, Configuration, Pool, PoolKind
 from leadseam.control.routes import EngineProfile, PoolShare, Repeat, ReplyForm, Route
 from leadseam.errors import DocumentError
+from leadseam.platform import manifest
 from leadseam.platform.manifest import read_manifest
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 DOCUMENT: dict[str, Any] = {
     "version": 7,
     "routes": [
@@ -169,54 +174,116 @@
     assert not read_manifest(json.dumps(document).encode()).demands_keys
 
 
-EMPTY: dict[str, Any] = {"list": [], "zero": 0}
+ABSENT = object()
+MINIMAL: dict[str, Any] = {
+    "version": 1,
+    "routes": [
+        {"name": "r", "host": "h", "pathPrefix": "/x/", "timeoutMs": 1, "service": "s"}
+    ],
+    "services": [{"name": "s", "engine": {"slots": 1, "kvCapacity": 1}}],
+    "tenants": [{"name": "a"}],
+    "limits": {},
+}
+SECTIONS: dict[str, tuple[type[msgspec.Struct], Callable[[Any], Any]]] = {
+    "manifest": (manifest._Manifest, lambda document: document),
+    "routes": (manifest._Route, lambda document: document["routes"][0]),
+    "services": (manifest._Service, lambda document: document["services"][0]),
+    "engine": (manifest._Engine, lambda document: document["services"][0]["engine"]),
+    "models": (
+        manifest._Model,
+        lambda document: document["services"][0]["engine"].setdefault("models", [{}])[
+            0
+        ],
+    ),
+    "trafficSplit": (
+        manifest._Split,
+        lambda document: document["routes"][0].setdefault(
+            "trafficSplit", [{"service": "s"}]
+        )[0],
+    ),
+    "limits": (manifest._Limits, lambda document: document["limits"]),
+    "tenants": (manifest._Tenant, lambda document: document["tenants"][0]),
+}
+"""Schema of each section, and where it is in `MINIMAL`."""
+SAME_AS_ABSENT: dict[tuple[str, str], tuple[Any, ...]] = {
+    ("manifest", "limits"): ({},),
+    ("routes", "kind"): ("", "unsafe"),
+    ("routes", "trafficSplit"): ([],),
+    ("routes", "maxAttempts"): (0, 1),
+    ("routes", "priority"): (0,),
+    ("routes", "allowAnonymous"): (False,),
+    ("routes", "resumable"): (False,),
+    ("routes", "gapTargetMs"): (0,),
+    ("routes", "allowedRegions"): ([],),
+    ("services", "coldPerS"): (0,),
+    ("engine", "stride"): (0, 1),
+    ("engine", "models"): ([],),
+    ("engine", "moves"): (False,),
+    ("engine", "kvTokenBytes"): (0,),
+    ("engine", "linkMbps"): (0,),
+    ("engine", "most"): (0,),
+    ("limits", "tokensPerS"): (0,),
+    ("tenants", "apiKeys"): ([],),
+    ("tenants", "allowedRegions"): ([],),
+    ("tenants", "priority"): (None,),
+    ("routes", "service"): ("",),
+    ("services", "engine"): (None,),
+}
+"""Empty and zero values that mean the same as a field that is absent."""
+UNLIKE_ABSENT: dict[tuple[str, str], Any] = {
+    ("manifest", "tenants"): [],
+    ("routes", "targetLatencyMs"): 0,
+    ("services", "maxConnections"): 0,
+    ("models", "name"): "",
+    ("trafficSplit", "weight"): 0,
+    ("limits", "maxHeaderBytes"): 0,
+    ("limits", "maxBodyBytes"): 0,
+    ("limits", "headerTimeoutMs"): 0,
+    ("limits", "idleTimeoutMs"): 0,
+    ("tenants", "priority"): 0,
+}
+"""Empty and zero values that are kept as they are."""
+
 
+def read_with(fields: dict[tuple[str, str], Any]) -> Configuration:
+    """Return the configuration of the minimal document with further fields."""
+    source = copy.deepcopy(MINIMAL)
+    rows = {section: SECTIONS[section][1](source) for section, _ in fields}
+    for (section, name), value in fields.items():
+        rows[section][name] = value
+        if value is ABSENT:
+            del rows[section][name]
+    configuration = read_manifest(json.dumps(source).encode())
+    return msgspec.structs.replace(configuration, document=b"")
 
-@pytest.mark.parametrize(
-    ("section", "field", "empty", "same_as_absent"),
-    [
-        ("routes", "trafficSplit", "list", True),
-        ("routes", "allowedRegions", "list", True),
-        ("routes", "maxAttempts", "zero", True),
-        ("routes", "gapTargetMs", "zero", True),
-        ("routes", "priority", "zero", True),
-        ("routes", "targetLatencyMs", "zero", False),
-        ("services", "maxConnections", "zero", False),
-        ("services", "coldPerS", "zero", True),
-        ("tenants", "apiKeys", "list", True),
-        ("tenants", "allowedRegions", "list", True),
-        ("tenants", "priority", "zero", False),
-        ("limits", "maxBodyBytes", "zero", False),
-        ("limits", "idleTimeoutMs", "zero", False),
-        ("limits", "tokensPerS", "zero", True),
-    ],
+
+def test_it_is_stated_of_each_optional_field_what_an_empty_value_means() -> None:
+    optional = {
+        (section, field.encode_name)
+        for section, (schema, _) in SECTIONS.items()
+        for field in msgspec.structs.fields(schema)
+        if not field.required
+    }
+    assert set(SAME_AS_ABSENT) | set(UNLIKE_ABSENT) == optional
+
+
+@given(
+    st.fixed_dictionaries(
+        {},
+        optional={
+            field: st.sampled_from(values) for field, values in SAME_AS_ABSENT.items()
+        },
+    )
 )
-def test_what_an_empty_or_zero_field_means(
-    section: str, field: str, empty: str, same_as_absent: bool
+def test_empty_fields_mean_the_same_as_absent_ones(
+    fields: dict[tuple[str, str], Any],
 ) -> None:
-    source: dict[str, Any] = {
-        "version": 1,
-        "routes": [
-            {
-                "name": "r",
-                "host": "h",
-                "pathPrefix": "/x/",
-                "timeoutMs": 1,
-                "service": "s",
-            }
-        ],
-        "services": [{"name": "s"}],
-        "tenants": [{"name": "a"}],
-        "limits": {},
-    }
-    absent = read_manifest(json.dumps(source).encode())
-    row = source[section] if section == "limits" else source[section][0]
-    row[field] = EMPTY[empty]
-    present = read_manifest(json.dumps(source).encode())
-    without_source = [
-        msgspec.structs.replace(one, document=b"") for one in (absent, present)
-    ]
-    assert (without_source[0] == without_source[1]) is same_as_absent
+    assert read_with(fields) == read_with(dict.fromkeys(fields, ABSENT))
+
+
+@pytest.mark.parametrize("field", UNLIKE_ABSENT)
+def test_an_empty_or_zero_field_is_kept(field: tuple[str, str]) -> None:
+    assert read_with({field: UNLIKE_ABSENT[field]}) != read_with({field: ABSENT})
 
 
 def test_a_tenant_that_is_listed_twice_has_all_keys_listed() -> None:
