Try verdicts, so that a wrong one ends

Change: the leader lets one entry send one request in spite of a verdict, five minutes after it and then after pauses that double. Its answer lifts the verdict everywhere, as any answer acquits; the end of its upstream postpones all verdicts on what the request held. `Crashes` has a new last field, `trials`, which older entries ignore.

Three variants failed as they must.

--- a/src/leadseam/emulate/crash_settings.py
+++ b/src/leadseam/emulate/crash_settings.py
@@ -31,6 +31,8 @@
         deadly_pause: Milliseconds between a failure and their next attempt.
         deadly_after: Milliseconds from the start of a deadly request to the crash.
         mass: Fraction of the upstreams that crash each second without such a cause.
+        mass_span: Milliseconds during which upstreams crash without such a cause; 0 for
+            the whole span.
         down: Minimum and maximum milliseconds until a crashed upstream is up again.
         certain: Milliseconds from a crash until the entry that saw it has confirmed it.
         heard: Milliseconds from a report until the other entries receive it.
@@ -44,6 +46,7 @@
             against what was answered; negative for none.
         alternatives: Whether a request is sent that has only some of the parts that
             could explain the same crashes.
+        trial_pause: Milliseconds from a verdict until it is first tried; 0 for never.
         alike: Whether every crash has the weight of an early one, regardless of when
             in the request it happened.
         span: Simulated time in milliseconds.
@@ -63,6 +66,7 @@
     deadly_pause: PositiveInt = 300
     deadly_after: PositiveInt = 40
     mass: Fraction = 0.0
+    mass_span: NonNegativeInt = 0
     down: tuple[PositiveInt, PositiveInt] = (1_000, 10_000)
     certain: PositiveInt = 25
     heard: PositiveInt = 30
@@ -71,6 +75,7 @@
     sessions: NonNegativeInt = 0
     answer_weighs: int = ANSWER_WEIGHS
     alternatives: bool = True
+    trial_pause: NonNegativeInt = 0
     alike: bool = False
     span: PositiveInt = 60_000
 
--- a/src/leadseam/emulate/crashes.py
+++ b/src/leadseam/emulate/crashes.py
@@ -17,9 +17,11 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import MILLIS_PER_SECOND, Millis
+from leadseam.crashes import evidence
 from leadseam.crashes.evidence import EARLY_LIMIT
 from leadseam.crashes.suspects import Suspect, Suspects
 from leadseam.crashes.table import CrashTable
+from leadseam.crashes.trials import TrialSchedule
 from leadseam.feed.crash_server import REPORT_THRESHOLD
 from leadseam.incarnation import Incarnation
 
@@ -36,6 +38,8 @@
 """Standard deviation of the logarithm of a good request's run time."""
 BACKGROUND_CRASH_INTERVAL: Millis = 100
 """Interval at which upstreams that crash by themselves are drawn."""
+TRIAL_INTERVAL: Millis = 1_000
+"""Interval at which verdicts that are due for a trial are looked for."""
 CRASHES_BORNE = 5
 """Crashes by one request or prompt part that are borne before it must be refused."""
 CONTACT_LIMIT: Millis = 3_000
@@ -63,6 +67,7 @@
         rows: Crash rows sent between the entries and the replica.
         late: Deadly requests sent later than `CONTACT_LIMIT` after the fifth crash by
             the request or prompt part; the largest number of any of them.
+        trials: Requests that were sent in spite of a verdict.
     """
 
     crashes: int = 0
@@ -76,6 +81,7 @@
     put_off: int = 0
     rows: int = 0
     late: int = 0
+    trials: int = 0
 
 
 @dataclass(slots=True)
@@ -158,6 +164,10 @@
             for _ in range(cfg.entries)
         ]
         self._replica_table = CrashTable()
+        self._schedule_of_trials = TrialSchedule(cfg.trial_pause)
+        self._trials: dict[int, set[Fingerprint]] = {
+            entry: set() for entry in range(cfg.entries)
+        }
         self._first_deadly_crash: Millis = -1
         self._crash_times: defaultdict[Suspect, list[Millis]] = defaultdict(list)
         self._late_sends: Counter[Suspect] = Counter()
@@ -170,6 +180,8 @@
         self._schedule(0, self._generate_request)
         if self._cfg.mass:
             self._schedule(BACKGROUND_CRASH_INTERVAL, self._draw_background_crashes)
+        if self._cfg.trial_pause:
+            self._schedule(TRIAL_INTERVAL, self._grant_trial)
         for _ in range(self._cfg.deadly):
             self._schedule(self._rng.randrange(1_000), self._send_deadly)
         while self._event_queue:
@@ -248,11 +260,12 @@
     def _start_attempt(self, call: _Call, entry: int, number: int) -> None:
         """Refuse or postpone a request, or send it to a least loaded upstream."""
         suspects = self._entries[entry]
-        if self._refuses(suspects, call):
+        on_trial = self._tries(call, entry, number)
+        if self._refuses(suspects, call) and not on_trial:
             self._refuse(call)
             return
         undecided = (call.suspect, *(call.parts if number > 1 else ()))
-        if any(suspects.would_be_convicted(one) for one in undecided):
+        if not on_trial and any(map(suspects.would_be_convicted, undecided)):
             self.tally.put_off += not call.deadly
             self._schedule_retry(call)
             return
@@ -289,6 +302,24 @@
             return suspects.table.refuses(call.fingerprints) is not None
         return any(suspects.table.convicts(one) for one in call.fingerprints)
 
+    def _grant_trial(self) -> None:
+        """Let one entry send one request in spite of a verdict, if one is due."""
+        if self._now >= self._cfg.span:
+            return
+        self._schedule(TRIAL_INTERVAL, self._grant_trial)
+        verdicts = filter(evidence.convicts, self._replica_table.rows())
+        fingerprint = self._schedule_of_trials.due(verdicts, self._now)
+        if fingerprint is not None:
+            self._trials[self._rng.choice(list(self._trials))].add(fingerprint)
+
+    def _tries(self, call: _Call, entry: int, number: int) -> bool:
+        tried = self._trials[entry] & call.fingerprints if number == 1 else None
+        if not tried:
+            return False
+        self._trials[entry] -= tried
+        self.tally.trials += 1
+        return True
+
     def _lasts(self, attempt: _Attempt) -> None:
         if not attempt.finished:
             attempt.lasting = True
@@ -328,7 +359,7 @@
     # Upstreams
 
     def _draw_background_crashes(self) -> None:
-        if self._now >= self._cfg.span:
+        if self._now >= (self._cfg.mass_span or self._cfg.span):
             return
         self._schedule(BACKGROUND_CRASH_INTERVAL, self._draw_background_crashes)
         chance = self._cfg.mass * BACKGROUND_CRASH_INTERVAL / MILLIS_PER_SECOND
@@ -439,13 +470,13 @@
         f"| {name} | {total('by_themselves')} | {max(one.crashes for one in tallies)}"
         f" | {known} | {total('good')} | {total('answered')} | {hit} | {share:.4f}"
         f" | {total('convicted')} | {total('put_off')} | {total('rows')}"
-        f" | {max(one.late for one in tallies)} |"
+        f" | {max(one.late for one in tallies)} | {total('trials')} |"
     )
 
 
 TABLE_HEADER = (
     "| variant | crashed by themselves | crashed by the deadly one, most of a seed"
     " | known everywhere after ms | good | answered | hit | of these answered"
-    " | convicted | put off | rows | late sends, most of a seed |\n"
-    "|---|---|---|---|---|---|---|---|---|---|---|---|"
+    " | convicted | put off | rows | late sends, most of a seed | trials |\n"
+    "|---|---|---|---|---|---|---|---|---|---|---|---|---|"
 )
--- a/src/leadseam/feed/crash_server.py
+++ b/src/leadseam/feed/crash_server.py
@@ -18,6 +18,7 @@
 from leadseam.control.state import RecordCrashes
 from leadseam.crashes import evidence
 from leadseam.crashes.table import CrashTable
+from leadseam.crashes.trials import TRIAL_PAUSE, TrialSchedule
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.crashes import Crashes
 
@@ -54,6 +55,7 @@
         clock: Source of time.
         metrics: Metrics, for the number of verdicts.
         broadcast: Sends a message to all subscribers.
+        send_to_one: Sends a message to one subscriber, another one each time.
     """
 
     def __init__(
@@ -62,14 +64,17 @@
         clock: Clock,
         metrics: ControlMetrics,
         broadcast: Callable[[Crashes], None],
+        send_to_one: Callable[[Crashes], None],
     ) -> None:
         self._replica = replica
         self._clock = clock
         self._metrics = metrics
         self._broadcast = broadcast
+        self._send_to_one = send_to_one
         self._table = CrashTable()
         self._applied_changes = -1
         self._convicted_at: dict[Fingerprint, Millis] = {}
+        self._trials = TrialSchedule(TRIAL_PAUSE)
         self._wake = asyncio.Event()
 
     def __repr__(self) -> str:
@@ -122,6 +127,17 @@
         for fingerprint, since in self._convicted_at.items():
             if now - since > VERDICT_LIFETIME:
                 spawn(self.lift(fingerprint))
+        self._try_next(now)
+
+    def _try_next(self, now: Millis) -> None:
+        """Let one entry send one request in spite of a verdict, if one is due."""
+        verdicts = self.verdicts()
+        fingerprint = self._trials.due(verdicts, now)
+        if fingerprint is None:
+            return
+        log.info("verdict is tried", extra={"fingerprint": fingerprint})
+        rows = tuple(row for row in verdicts if row.fingerprint == fingerprint)
+        self._send_to_one(Crashes(rows, trials=(fingerprint,)))
 
     async def run(self) -> None:
         """Write verdicts until cancelled."""
--- a/src/leadseam/feed/server.py
+++ b/src/leadseam/feed/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import math
+import random
 import secrets
 from typing import TYPE_CHECKING
 
@@ -127,7 +128,9 @@
         self._peer_links: dict[str, Link] = {}
         self._next_id = 0
         self._claims = ClaimServer(replica, metrics)
-        self.crashes = CrashServer(replica, self._clock, metrics, self._broadcast)
+        self.crashes = CrashServer(
+            replica, self._clock, metrics, self._broadcast, self._send_to_one
+        )
         self.evacuations = EvacuationServer(
             replica, self._clock, metrics, self._broadcast, resend_limit=resend_limit
         )
@@ -324,6 +327,10 @@
         for subscriber in self.subscribers:
             subscriber.link.send(prepared)
 
+    def _send_to_one(self, message: AnyMessage) -> None:
+        if self._subscribers:
+            random.choice(self.subscribers).link.send(message)
+
     def _broadcast_versions(self, message: Versions) -> None:
         for subscriber in self.subscribers:
             if subscriber.reads_versions:
--- a/src/leadseam/routing/crash_guard.py
+++ b/src/leadseam/routing/crash_guard.py
@@ -34,6 +34,7 @@
     from leadseam.routing.admitted import AdmittedRequest
     from leadseam.routing.attempt import Ending
     from leadseam.routing.client import UpstreamClient
+    from leadseam.routing.dialect import RoutedRequest
     from leadseam.routing.exchange import Exchange
     from leadseam.wire.feed import Registration
 
@@ -71,6 +72,8 @@
         self._clock = clock
         self._suspects = Suspects(clock.wall)
         self._running = running
+        self._trials: set[Fingerprint] = set()
+        self._on_trial: dict[Fingerprint, RoutedRequest] = {}
 
     def __repr__(self) -> str:
         return f"CrashGuard({self._suspects!r})"
@@ -94,7 +97,8 @@
         if not suspected:
             return None
         if self._cause(suspected) is not None:
-            return Reason.CRASHES_UPSTREAMS
+            on_trial = not again and self._is_on_trial(admitted, suspected)
+            return None if on_trial else Reason.CRASHES_UPSTREAMS
         for suspect in suspected:
             counts = again or not is_part(suspect.fingerprint)
             if counts and self._suspects.would_be_convicted(suspect):
@@ -134,6 +138,9 @@
                 self._answered_whole(upstream, admitted, progress)
             case Whole() | Streaming():
                 self._suspects.answered(upstream.incarnation, self._clock.now())
+        self._on_trial = {
+            one: req for one, req in self._on_trial.items() if req is not admitted.req
+        }
 
     def note_lasting(self, admitted: AdmittedRequest) -> None:
         """Note that an answer lasts: no part of its prompt crashes upstreams."""
@@ -148,6 +155,7 @@
         """Check if upstreams of broken attempts are gone, and drop old evidence."""
         now = self._clock.now()
         self._suspects.table.expire_suspects(now)
+        self._trials = set(filter(self._suspects.table.convicts, self._trials))
         if self._suspects.undecided:
             self._report(self._suspects.review(self._presence, now))
 
@@ -157,6 +165,7 @@
         if found.rows:
             self._feed.broadcast(Crashes(found.rows))
         self._convict(found.convicted)
+        self._trials.update(filter(self._suspects.table.convicts, message.trials))
 
     def initial_report(self) -> Crashes | None:
         """Return the report for a replica that is newly followed, or None."""
@@ -227,6 +236,27 @@
             suspected.append(_whole(admitted))
         return suspected
 
+    def _is_on_trial(
+        self, admitted: AdmittedRequest, suspected: Iterable[Suspect]
+    ) -> bool:
+        """Return whether a request is the one that is sent in spite of a verdict."""
+        for suspect in suspected:
+            fingerprint = suspect.fingerprint
+            if fingerprint in self._trials:
+                self._trials.remove(fingerprint)
+                self._on_trial[fingerprint] = admitted.req
+                extra = {
+                    "request": admitted.req.request_id,
+                    "fingerprint": fingerprint,
+                }
+                log.info("request is sent to try its verdict", extra=extra)
+            if self._on_trial.get(fingerprint) is admitted.req:
+                return True
+        return False
+
+    def _tries_verdict(self, admitted: AdmittedRequest) -> bool:
+        return any(req is admitted.req for req in self._on_trial.values())
+
     def _cause(self, suspected: Iterable[Suspect]) -> Fingerprint | None:
         return self._suspects.table.refuses({one.fingerprint for one in suspected})
 
@@ -268,7 +298,7 @@
     def _end_if_refused(self, exchange: Exchange) -> Fingerprint | None:
         """End the attempt of a request that is refused; return for what, or None."""
         refused_for = self.refused_for(exchange.admitted)
-        if refused_for is None:
+        if refused_for is None or self._tries_verdict(exchange.admitted):
             return None
         if is_part(refused_for) and exchange.answer_progress is AnswerProgress.LASTING:
             # It will not crash its upstream any more.
--- a/src/leadseam/wire/crashes.py
+++ b/src/leadseam/wire/crashes.py
@@ -40,6 +40,13 @@
 
 
 class Crashes(Message, frozen=True, array_like=True, tag=45):
-    """Rows of the sender, which the receiver merges into its own."""
+    """Rows of the sender, which the receiver merges into its own.
+
+    Args:
+        rows: The rows.
+        trials: Fingerprints of which the receiver may send one request each, in spite
+            of the verdict.
+    """
 
     rows: tuple[CrashRow, ...]
+    trials: tuple[str, ...] = ()
--- a/tests/crashes/test_fleet.py
+++ b/tests/crashes/test_fleet.py
@@ -54,7 +54,11 @@
                 self.link("down", entry, number).append(message)
 
         return CrashServer(
-            cast("Any", replica), clock, ControlMetrics(Metrics()), broadcast
+            cast("Any", replica),
+            clock,
+            ControlMetrics(Metrics()),
+            broadcast,
+            send_to_one=lambda message: None,
         )
 
     def link(self, way: str, entry: int, replica: int) -> deque[Crashes]:
--- a/tests/emulate/test_crashes.py
+++ b/tests/emulate/test_crashes.py
@@ -72,7 +72,7 @@
     one = CrashTally(3, 0, 400, 100, 99, 10, 9, 0, 1, 50)
     other = CrashTally(4, 2, 300, 100, 100, 10, 10, 1, 0, 60)
     assert render("x", [one, other]) == (
-        "| x | 2 | 4 | 400 | 200 | 199 | 20 | 0.9500 | 1 | 1 | 110 | 0 |"
+        "| x | 2 | 4 | 400 | 200 | 199 | 20 | 0.9500 | 1 | 1 | 110 | 0 | 0 |"
     )
 
 
--- a/tests/feed/test_crash_server.py
+++ b/tests/feed/test_crash_server.py
@@ -10,6 +10,7 @@
 from leadseam.control.raft_types import Role
 from leadseam.control.state import ControlState, CrashesRecorded, RecordCrashes
 from leadseam.crashes.table import SUSPECT_TTL
+from leadseam.crashes.trials import TRIAL_PAUSE
 from leadseam.feed.crash_server import VERDICT_LIFETIME, CrashServer
 from leadseam.runtime.metrics import ControlMetrics, Metrics
 from leadseam.wire.codec import decode_frame, encode_frame
@@ -44,11 +45,13 @@
         self.box = Box()
         self.clock = ManualClock(0)
         self.sent: list[Crashes] = []
+        self.tried: list[Crashes] = []
         self.server = CrashServer(
             cast("Any", self.box),
             self.clock,
             ControlMetrics(Metrics()),
             self.sent.append,
+            self.tried.append,
         )
 
     async def settle(self) -> None:
@@ -153,3 +156,59 @@
     await asyncio.sleep(0)
     assert one.server.verdicts() == ()
     assert not one.box.state.crashes.convicts(DEADLY.fingerprint)
+
+
+def test_the_leader_lets_one_entry_try_a_verdict_with_pauses_that_double() -> None:
+    one = Fixture()
+    one.server.receive(Crashes((make_row(1, 2, 3),)))
+    tried_at = []
+    for minute in range(60):
+        one.server.expire()
+        if one.tried:
+            assert one.tried == [
+                Crashes((make_row(1, 2, 3),), trials=(DEADLY.fingerprint,))
+            ]
+            one.tried.clear()
+            tried_at.append(minute * 60_000)
+        one.clock.advance(60_000)
+    assert tried_at == [TRIAL_PAUSE, 3 * TRIAL_PAUSE, 7 * TRIAL_PAUSE]
+
+
+def test_a_follower_lets_nobody_try_a_verdict() -> None:
+    one = Fixture()
+    one.box.raft.role = Role.FOLLOWER
+    one.server.receive(Crashes((make_row(1, 2, 3),)))
+    one.server.expire()
+    one.clock.advance(2 * TRIAL_PAUSE)
+    one.server.expire()
+    assert one.tried == []
+
+
+def test_a_trial_survives_encoding() -> None:
+    message = Crashes((make_row(1, 2),), trials=("part:a",))
+    assert decode_frame(encode_frame([message])) == (message,)
+
+
+def test_verdicts_on_what_one_request_holds_are_tried_in_turn_and_wait_together() -> (
+    None
+):
+    one = Fixture()
+    rows = (make_row(1, 2, 3), make_row(1, 2, 3, suspect=GOOD))
+    one.server.receive(Crashes(rows))
+    one.server.expire()
+    one.clock.advance(TRIAL_PAUSE)
+    one.server.expire()
+    one.server.expire()
+    assert len(one.tried) == 1
+    # The upstream of the trial ends.
+    one.server.receive(
+        Crashes((make_row(1, 2, 3, 4), make_row(1, 2, 3, 4, suspect=GOOD)))
+    )
+    one.server.expire()
+    for _ in range(7):
+        one.clock.advance(TRIAL_PAUSE // 4)
+        one.server.expire()
+    assert len(one.tried) == 1
+    one.clock.advance(TRIAL_PAUSE // 4)
+    one.server.expire()
+    assert len(one.tried) == 2
--- a/tests/routing/test_crash_guard.py
+++ b/tests/routing/test_crash_guard.py
@@ -144,3 +144,43 @@
         self.admitted = exchange.admitted
         self.answer_progress = exchange.answer_progress
         self.end_attempt = exchange.end_attempt
+
+
+def convicted_entry(request: AdmittedRequest, *, trial: bool) -> Entry:
+    """Return an entry that knows of a verdict on a request."""
+    entry = Entry()
+    ended = tuple(upstream.incarnation for upstream in entry.upstreams)
+    row = CrashRow(request.fingerprint(), "bank", len(request.body), ended, early=ended)
+    trials = (row.fingerprint,) if trial else ()
+    entry.guard.receive(Crashes((row,), trials))
+    return entry
+
+
+async def test_one_request_is_sent_once_in_spite_of_its_verdict() -> None:
+    first, second = admitted(), admitted()
+    entry = convicted_entry(first, trial=True)
+    assert entry.guard.refusal(first) is None
+    # Looked at again once an upstream has room.
+    assert entry.guard.refusal(first) is None
+    assert entry.guard.refusal(second) is Reason.CRASHES_UPSTREAMS
+    entry.guard.note_ending(entry.upstreams[0], first, BROKEN, early=True)
+    assert entry.guard.refusal(first, again=True) is Reason.CRASHES_UPSTREAMS
+    assert entry.guard.refusal(first) is Reason.CRASHES_UPSTREAMS
+
+
+async def test_an_answer_to_a_trial_lifts_the_verdict_everywhere() -> None:
+    request = admitted()
+    entry = convicted_entry(request, trial=True)
+    assert entry.guard.refusal(request) is None
+    entry.guard.note_ending(
+        entry.upstreams[0], request, Whole(200, (), b""), early=False
+    )
+    assert entry.guard.refusal(admitted()) is None
+    assert [row.counted for one in entry.reported for row in one.rows] == [frozenset()]
+
+
+async def test_no_request_is_tried_without_a_verdict_on_it() -> None:
+    request = admitted()
+    entry = convicted_entry(request, trial=False)
+    entry.guard.receive(Crashes((), trials=("f" * 32,)))
+    assert entry.guard.refusal(request) is Reason.CRASHES_UPSTREAMS
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -733,6 +733,27 @@
         "tests/crashes/test_parts.py::test_a_request_is_refused_if_it_certainly_has_the"
         "_cause",
     ),
+    Variant(
+        "no verdict is ever tried",
+        "feed/crash_server.py",
+        "        self._try_next(now)\n",
+        "",
+        "tests/feed/test_crash_server.py",
+    ),
+    Variant(
+        "a trial of a verdict permits any number of requests",
+        "routing/crash_guard.py",
+        "                self._trials.remove(fingerprint)\n",
+        "",
+        "tests/routing/test_crash_guard.py",
+    ),
+    Variant(
+        "verdicts on what one request holds are tried at once",
+        "crashes/trials.py",
+        "        if not due or now < self._next:",
+        "        if not due:",
+        "tests/feed/test_crash_server.py",
+    ),
     Variant(
         "a message of the group has any number of bytes",
         "control/raft_log.py",
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -63,6 +63,7 @@
         suspendable: Whether boxes can be suspended.
         entries: Number of entry boxes.
         limits: Limits that the settings of entries state, by key.
+        module: Module that runs a node.
         retry_slack: Retries beyond the ratio that the whole fleet may make.
     """
 
@@ -74,6 +75,7 @@
     entries: int = 2
     limits: dict[str, float] = field(default_factory=dict)
     retry_slack: int = 100
+    module: str = "leadseam.cli.node"
 
     @property
     def retry_limits(self) -> RetryLimits:
@@ -255,7 +257,7 @@
 
     def _program(self, ip: str) -> list[str]:
         if not self.suspendable:
-            return ["leadseam.cli.node"]
+            return [self.module]
         if ip not in self._clocks:
             # All processes of a box share the clock of that box.
             self._clocks[ip] = SuspendableClock(self.folder / f"{ip}.left-out")
