Add failing tests: a cut answer whose upstream's port still accepts

A killed process closes its sockets one after another, so its port may accept connections after its answers have ended, or belong to a successor by then.

The stand-ins answer health checks now, as the protocol states.

--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -313,6 +313,34 @@
     assert [answer.cut for answer in answers] == [True] * CONCURRENT_CALLS
 
 
+@pytest.mark.parametrize("successor", [False, True], ids=["port last", "port first"])
+async def test_an_answer_cut_by_a_kill_is_broken_though_its_port_accepts_connections(
+    platform: Platform, successor: bool
+) -> None:
+    """The kernel closes the sockets of a killed process one after another."""
+    entry = platform.entry_ips[0]
+    servers = platform.servers_of("model")
+    plan = AnswerPlan(Framing.CONNECTION, Finish.HOLD, len(event(1)))
+    paths = [
+        f"/stream-fixed/{replace(plan, number=number).path()}"
+        for number in range(CONCURRENT_CALLS)
+    ]
+    calls = [asyncio.create_task(platform.call(entry, path)) for path in paths]
+
+    async def all_begun() -> bool:
+        return sum(len(server.runs) for server in servers) >= CONCURRENT_CALLS
+
+    await wait_until(all_begun, "all streams have begun")
+    for server in servers:
+        if successor:
+            await server.succeed()
+        else:
+            server.port_open_for = 0.06
+            server.crash()
+    answers = await asyncio.gather(*calls)
+    assert [answer.cut for answer in answers] == [True] * CONCURRENT_CALLS
+
+
 async def heard_leaving(platform: Platform, entry: str) -> bool:
     """Return whether an entry has heard that all model servers leave."""
     lines = [one for one in platform.log(entry) if one["message"] == "upstreams leave"]
--- a/tools/platform/nodes.py
+++ b/tools/platform/nodes.py
@@ -22,7 +22,7 @@
 from leadseam.runtime.connector import LoopConnector
 from tools.platform import suspension
 from tools.platform.operator import Operator
-from tools.platform.standin import Server
+from tools.platform.standin import HEALTH_PATH, Server
 from tools.platform.suspension import SuspendableClock
 from tools.ports import ReservedPorts
 from tools.waiting import wait_until
@@ -421,9 +421,10 @@
         "version": version,
         "routes": [common | route for route in routes],
         "services": [
-            {"name": "plain", "maxConnections": 100},
+            {"name": "plain", "maxConnections": 100, "healthPath": HEALTH_PATH},
             {
                 "name": "model",
+                "healthPath": HEALTH_PATH,
                 "maxConnections": 100,
                 "engine": {
                     "slots": 4,
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -6,6 +6,8 @@
 import contextlib
 import itertools
 import json
+import os
+import socket
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -39,6 +41,9 @@
 """Body of a plain answer that is sent as planned."""
 LARGE_BODY_START = 1_400_000
 """Bytes of it that are sent at once."""
+HEALTH_PATH = "/healthz"
+INSTANCE = "Leadseam-Instance-Id"
+"""Header of an answer to a health check that names the server."""
 _instances = itertools.count(1)
 _planned: set[str] = set()
 """Requests that were answered by their plan; a further attempt is answered whole."""
@@ -109,6 +114,8 @@
         events_before_crash: Events that it sends before such a crash, behind the head.
         endless_bytes: Bytes sent of answers without end, by kind.
         part_arrivals: Requests with such parts that reached it.
+        port_open_for: Seconds for which its port still accepts connections after a
+            crash has closed the others.
     """
 
     ip: str
@@ -145,6 +152,7 @@
     events_before_crash: int = 0
     endless_bytes: Counter[str] = field(default_factory=Counter)
     part_arrivals: list[Arrival] = field(default_factory=list)
+    port_open_for: float = 0.0
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -194,16 +202,50 @@
         """
         if self._stopped or not self.is_up:
             return False
-        for site in list(self._runner.sites):
-            # Closes the listening socket at once; `_end` awaits the remaining cleanup.
-            if site._server is not None:
-                site._server.close()
-        for conn in list(self._server.connections):
-            if conn.transport is not None:
-                conn.transport.abort()
+        self._close_port()
+        _abort_all(self._server)
         self._restarting = asyncio.create_task(self._restart())
         return True
 
+    async def succeed(self) -> None:
+        """Start again under a new id before the connections of this start are closed.
+
+        A killed process may close its port first, and its successor may listen there
+        before the kernel has closed the other sockets.
+        """
+        runner, server = self._runner, self._server
+        self._heartbeats.cancel()
+        await self._session.close()
+        self._close_port()
+        await wait_until(self._is_port_free, "the port is free")
+        self.instance = f"i-{next(_instances)}"
+        await self.start()
+        _abort_all(server)
+        await runner.cleanup()
+
+    def _close_port(self) -> None:
+        """Close the listening socket at once; `_end` awaits the remaining cleanup."""
+        for site in list(self._runner.sites):
+            server = site._server
+            if server is None:
+                continue
+            if self.port_open_for:
+                # A copy of the descriptor keeps the port open.
+                loop = asyncio.get_running_loop()
+                for sock in server.sockets:  # type: ignore[attr-defined]
+                    loop.call_later(self.port_open_for, os.close, os.dup(sock.fileno()))
+            server.close()
+
+    async def _is_port_free(self) -> bool:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind((self.ip, self.port))
+                sock.listen()
+            except OSError:
+                return False
+        return True
+
     async def _restart(self) -> None:
         await self._end()
         await asyncio.sleep(self.restart_delay)
@@ -278,6 +320,9 @@
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         if http.headers.get(names.EXPECT_INSTANCE) != self.instance:
             return web.Response(status=421, headers=self._base_headers(http))
+        if http.path == HEALTH_PATH:
+            status = 200 if self.state == names.READY else 503
+            return web.Response(status=status, headers={INSTANCE: self.instance})
         request_id = http.headers[names.REQUEST_ID]
         self.arrivals.append(Arrival(request_id, self.incarnation))
         action = self.actions.get(http.path.rsplit("/", 1)[-1], self.default_action)
@@ -484,7 +529,8 @@
         return web.Response(status=503, headers=headers)
 
     def _base_headers(self, http: web.BaseRequest) -> dict[str, str]:
-        headers = {names.REQUEST_ID: http.headers[names.REQUEST_ID]}
+        request_id = http.headers.get(names.REQUEST_ID)
+        headers = {} if request_id is None else {names.REQUEST_ID: request_id}
         if self.announces_leaving:
             headers[names.LEAVING] = names.LEAVING_VALUE
         return headers
@@ -493,6 +539,13 @@
         return self._base_headers(http) | {names.SIGNATURE: f"signed-{self.instance}"}
 
 
+def _abort_all(server: web.Server) -> None:
+    """Close all connections of a server at once."""
+    for conn in list(server.connections):
+        if conn.transport is not None:
+            conn.transport.abort()
+
+
 class UnframedResponse(web.StreamResponse):
     """A response that ends with its connection, without a length or chunks."""
 
