See a crash whose port is closed after its answers

What callers saw: a request that crashes upstreams was sent on for longer, as an upstream that crashed under it was not counted while its port still accepted connections 20 ms after the break; its registration tells it only some heartbeats later.

Cause: one look at one moment, as in the check of an answer's end. Evidence: the new test, which failed before: the port is closed 60 ms after the break, and the upstream was taken for running.

Change: the connection is kept for up to 300 ms; the kernel resets it when it closes the port, and the next one is refused. It costs no request, and nobody waits for it.

--- a/src/leadseam/routing/client.py
+++ b/src/leadseam/routing/client.py
@@ -13,7 +13,7 @@
 from yarl import URL
 
 from leadseam.clock import Clock, Millis, seconds
-from leadseam.runtime.reachability import Reach, probe
+from leadseam.liveness import HealthCheck, Liveness
 from leadseam.runtime.upstream_connection import UpstreamConnection, UpstreamConnector
 from leadseam.runtime.witness import LivenessChecker
 
@@ -31,6 +31,8 @@
 SILENT_PEER_LIMIT: Millis = 3_000
 """Age of unacknowledged bytes or probes at which a connection is closed: its peer is
 unreachable. Callers give up a stream after some 3 s without an event."""
+PORT_CHECK_TIMEOUT: Millis = 300
+"""Longest time for which a connection is kept to see whether its port is closed."""
 PROBE_INTERVAL_S = 1
 """Seconds without a byte after which TCP keepalive probes a connection, and between
 probes. Only they distinguish an unreachable upstream from one that takes long."""
@@ -151,6 +153,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self.liveness = LivenessChecker(clock)
+        self._ports = LivenessChecker(clock)
         self._connector = RoutingConnector(keepalive=seconds(IDLE_LIMIT), clock=clock)
         self._pooled = open_session(self._connector, connect_timeout=CONNECT_TIMEOUT)
         # Reused connections may prove to be closed after the request was written.
@@ -187,15 +190,16 @@
                 may_send=_never,
             )
 
-    async def probe(
-        self, ip: str, port: int, *, timeout: Millis = CONNECT_TIMEOUT
-    ) -> Reach:
-        """Check whether an upstream's address accepts connections."""
-        return await probe(ip, port, timeout=timeout)
-
     async def is_refused(self, ip: str, port: int) -> bool:
-        """Check whether an upstream's address refuses connections."""
-        return await self.probe(ip, port) is Reach.REFUSES
+        """Check whether an upstream's address refuses connections.
+
+        A connection that it accepts is kept for a while, as a process that ends may
+        close its port last.
+        """
+        found = await self._ports.check(
+            ip, port, HealthCheck(""), timeout=PORT_CHECK_TIMEOUT
+        )
+        return found is Liveness.GONE
 
     async def send(
         self,
--- a/tests/routing/test_client.py
+++ b/tests/routing/test_client.py
@@ -342,3 +342,13 @@
     async with upstream(script) as port, client() as sender:
         await (await send(sender, port, target)).read()
     assert lines == [f"GET {target} HTTP/1.1\r\n".encode()]
+
+
+async def test_an_upstream_that_closes_its_port_last_is_not_taken_for_running() -> None:
+    """A crash that is not seen is no evidence against the request that caused it."""
+    with socket.create_server((LOOPBACK, 0)) as listener:
+        port = listener.getsockname()[1]
+        # The answers have ended; the kernel has yet to close the port.
+        asyncio.get_running_loop().call_later(0.06, listener.close)
+        async with client() as upstreams:
+            assert await upstreams.is_refused(LOOPBACK, port)
--- a/tools/measure_ends.py
+++ b/tools/measure_ends.py
@@ -28,7 +28,7 @@
 
 from leadseam.clock import SystemClock
 from leadseam.routing.client import UpstreamClient
-from tools.ports import LOOPBACK
+from tools.ports import LOOPBACK, is_refused
 
 USAGE = """Usage: measure_ends [--trials N] [--serve ENDING]
 
@@ -115,7 +115,7 @@
         except aiohttp.ClientError:
             return
         ended = time.perf_counter()
-        refused = await client.is_refused(LOOPBACK, port)
+        refused = await is_refused(LOOPBACK, port)
         ends.took.append(time.perf_counter() - ended)
         ends.at.append(ended)
         ends.refused.append(refused)
--- a/tools/measure_kills.py
+++ b/tools/measure_kills.py
@@ -40,11 +40,10 @@
 from leadseam.platform import names
 from leadseam.platform.headers import PlatformDialect
 from leadseam.routing.client import UpstreamClient
-from leadseam.runtime.reachability import Reach
 from leadseam.runtime.timeouts import Timeouts
 from leadseam.sidecar import upstream as sidecar
 from leadseam.wire.dispatch import Chunk, Dispatch, Head
-from tools.ports import LOOPBACK
+from tools.ports import LOOPBACK, is_refused
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -235,7 +234,7 @@
         return end.completeness is Completeness.WHOLE
 
     async def _accepts(self, port: int) -> bool:
-        return await self._client.probe(LOOPBACK, port) is not Reach.REFUSES
+        return not await is_refused(LOOPBACK, port)
 
     async def _is_whole_at_sidecar(self, port: int) -> bool:
         client = self._sidecars.get(port)
--- a/tools/ports.py
+++ b/tools/ports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from typing import TYPE_CHECKING
@@ -13,6 +14,16 @@
 """Address that all processes of a fleet listen on."""
 
 
+async def is_refused(ip: str, port: int) -> bool:
+    """Try one connection to an address, and return whether it is refused."""
+    try:
+        _, writer = await asyncio.open_connection(ip, port)
+    except ConnectionRefusedError:
+        return True
+    writer.close()
+    return False
+
+
 class PortPool:
     """Reserves ports that the system chose, by sockets bound to them."""
 
