Enforce the configuration's limits on callers, also on open connections

What callers saw: heads and bodies far above the operator's limits were sent on, or failed in other ways (one header of 20 KB: 502), and connections stayed open for 60 s of idling, or for ever with half a head.

Cause: the manifest's limits were decoded and read nowhere; entries had constants in their place.

Change: a head is counted before it is parsed (431), a body is refused at its head if it announces too much and otherwise once it passes the limit (413), both before a byte is run; a head that does not end in time gets 408, and idle connections are closed. Without a configuration the earlier constants hold; 0 stands for no limit.

--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -18,6 +18,8 @@
     MALFORMED_BODY = "malformed_body"
     MALFORMED_HEADER = "malformed_header"
     BODY_TOO_LARGE = "body_too_large"
+    HEADER_TOO_LARGE = "header_too_large"
+    HEADER_TIMEOUT = "header_timeout"
     UNKNOWN_MODEL = "unknown_model"
     MODEL_NOT_ALLOWED = "model_not_allowed"
     UNKNOWN_SERVICE = "unknown_service"
--- /dev/null
+++ b/src/leadseam/platform/caller_connection.py
@@ -0,0 +1,118 @@
+"""A caller's connection that enforces the limits of the configuration.
+
+The HTTP library bounds single lines of a head, but neither a whole head nor the time
+that it takes, and its time limits can't change while a connection is open.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from aiohttp.web_protocol import RequestHandler
+
+from leadseam.clock import seconds
+from leadseam.outcome import NotRun, Reason
+from leadseam.platform.refusal import encode_refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from leadseam.control.routes import CallerLimits
+
+HEAD_END = b"\r\n\r\n"
+LINGERING_S = 0.5
+"""Seconds for which bytes are dropped behind a refusal: a caller that still sends could
+lose it if the connection was closed at once."""
+
+
+class CallerConnection(RequestHandler):
+    """A connection whose heads are limited in size and time, and its idle time.
+
+    Args:
+        limits: Returns the limits in force; 0 stands for no limit.
+        on_refusal: Called with the reason of each refusal.
+    """
+
+    def __init__(
+        self,
+        *args: Any,
+        limits: Callable[[], CallerLimits],
+        on_refusal: Callable[[Reason], None],
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(*args, **kwargs)
+        self._limits = limits
+        self._on_refusal = on_refusal
+        self._refused = False
+        # Bytes of a head that is not complete, its last ones, and when it began.
+        self._head_size = 0
+        self._head_tail = b""
+        self._head_since: float | None = None
+        self._idle_since: float | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Process bytes; refuse a head that is too large."""
+        if self._refused:
+            return
+        self._idle_since = None
+        if data and self._awaits_head and not self._accept_head(data):
+            self._refuse(Reason.HEADER_TOO_LARGE)
+            return
+        super().data_received(data)
+
+    def enforce_times(self, now: float) -> None:
+        """Refuse a head that takes too long, or close an idle connection.
+
+        Args:
+            now: Time of the event loop, in seconds.
+        """
+        limits = self._limits()
+        if self._refused:
+            return
+        if self._head_since is not None:
+            if limits.header_timeout and now - self._head_since > seconds(
+                limits.header_timeout
+            ):
+                self._refuse(Reason.HEADER_TIMEOUT)
+        elif not self._awaits_head:
+            self._idle_since = None
+        elif self._idle_since is None:
+            self._idle_since = now
+        elif limits.idle_timeout and now - self._idle_since > seconds(
+            limits.idle_timeout
+        ):
+            self.force_close()
+
+    @property
+    def _awaits_head(self) -> bool:
+        """Whether the next byte belongs to the head of a request."""
+        if self._messages or self._request_in_progress:
+            return False
+        # Before its first request, the task of the library may not wait yet.
+        waits = self._waiter is not None and not self._waiter.done()
+        return waits or self._request_count == 0
+
+    def _accept_head(self, data: bytes) -> bool:
+        """Count the bytes of a head; return whether it is within the limit."""
+        limit = self._limits().header_bytes
+        joined = self._head_tail + data
+        end = joined.find(HEAD_END)
+        if end < 0:
+            self._head_size += len(data)
+            self._head_tail = joined[1 - len(HEAD_END) :]
+            if self._head_since is None:
+                self._head_since = self._loop.time()
+            return not limit or self._head_size <= limit
+        size = self._head_size - len(self._head_tail) + end + len(HEAD_END)
+        self._head_size = 0
+        self._head_tail = b""
+        self._head_since = None
+        return not limit or size <= limit
+
+    def _refuse(self, reason: Reason) -> None:
+        self._refused = True
+        self._head_since = None
+        self._on_refusal(reason)
+        if self.transport is not None:
+            self.transport.write(encode_refusal(NotRun(reason)))
+        self._loop.call_later(LINGERING_S, self.force_close)
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -14,7 +14,7 @@
 from leadseam.feed.staleness import Staleness
 from leadseam.membership.versions import stream_lifetime
 from leadseam.membership.view import UpstreamView
-from leadseam.platform.front import FrontServer, ReadyServer
+from leadseam.platform.front import UNCONFIGURED, FrontServer, ReadyServer
 from leadseam.platform.headers import PlatformDialect
 from leadseam.platform.watch import SettingsWatch
 from leadseam.routing.client import UpstreamClient
@@ -35,6 +35,7 @@
     from aiohttp.web import AppRunner
 
     from leadseam.control.configuration import Configuration
+    from leadseam.control.routes import CallerLimits
     from leadseam.incarnation import Incarnation
     from leadseam.platform.settings import NodeSettings
     from leadseam.routing.retry_budget import SlackUse
@@ -133,7 +134,10 @@
             ),
         )
         self._front = FrontServer(
-            self._gateway.handle, refuse=self._gateway.refuse_early
+            self._gateway.handle,
+            refuse=self._gateway.refuse_early,
+            limits=self._caller_limits,
+            on_refusal=self._gateway.count_refusal,
         )
         await self._front.start(settings.front)
         await self._ready.start(settings.ready)
@@ -242,6 +246,10 @@
         has_room = self._room.has_room() and not self._readiness()
         return EntryRoom(self._settings.failure_domain, has_room)
 
+    def _caller_limits(self) -> CallerLimits:
+        configuration = self._feed.configuration
+        return configuration.limits if configuration.version else UNCONFIGURED
+
     def _open_connections(self) -> int:
         return len(self._front.connections) if self._front is not None else 0
 
--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -10,14 +10,13 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
 
-from leadseam.entry.error_responses import error_body, http_status
 from leadseam.platform import names
 from leadseam.platform.headers import read_key, read_number, read_parts, read_tokens
+from leadseam.platform.refusal import encode_refusal
 from leadseam.routing.dialect import Sender
 
 if TYPE_CHECKING:
@@ -45,7 +44,6 @@
     re.IGNORECASE,
 )
 """The header fields that are read before the library parses a request."""
-REASONS = {429: "Too Many Requests", 503: "Service Unavailable"}
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,22 +98,6 @@
     )
 
 
-def encode_refusal(refusal: NotRun) -> bytes:
-    """Encode a refusal as an HTTP response that closes the connection."""
-    body = json.dumps(error_body(refusal)).encode()
-    status = http_status(refusal)
-    lines = [
-        f"HTTP/1.1 {status} {REASONS.get(status, '')}",
-        "Content-Type: application/json; charset=utf-8",
-        "X-Leadseam-Outcome: not_run",
-        f"Content-Length: {len(body)}",
-        "Connection: close",
-    ]
-    if refusal.retry_after is not None:
-        lines.append(f"{names.RETRY_AFTER}: {refusal.retry_after / 1_000:.3f}")
-    return "\r\n".join(lines).encode() + HEAD_TERMINATOR + body
-
-
 class FirstBytes(asyncio.Protocol):
     """Refuses the first request of a connection, or hands it over to the HTTP library.
 
@@ -124,8 +106,9 @@
         refuse: Returns the refusal of a request, or None if it is to be served.
         waiting: Set that holds this connection until its first request is refused or
             handed over.
-        idle_timeout_s: Seconds after which a connection in that set is closed.
 
+    Attributes:
+        since: When the connection was opened, by the event loop's time in seconds.
     """
 
     def __init__(
@@ -133,23 +116,19 @@
         make_handler: Callable[[], RequestHandler],
         refuse: Refuse,
         waiting: set[FirstBytes],
-        idle_timeout_s: float,
     ) -> None:
         self._make_handler = make_handler
         self._refuse = refuse
         self._waiting = waiting
-        self._idle_timeout_s = idle_timeout_s
         self._transport: asyncio.Transport | None = None
-        self._timer: asyncio.TimerHandle | None = None
+        self.since = asyncio.get_running_loop().time()
         self._response = b""
         self._body_left = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the idle timeout and wait for the first bytes."""
+        """Wait for the first bytes."""
         self._transport = cast("asyncio.Transport", transport)
         self._waiting.add(self)
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(self._idle_timeout_s, self.close)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the waiting ones."""
@@ -193,6 +172,3 @@
 
     def _stop_waiting(self) -> None:
         self._waiting.discard(self)
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
--- a/src/leadseam/platform/front.py
+++ b/src/leadseam/platform/front.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 
+from leadseam.clock import seconds
+from leadseam.control.routes import CallerLimits
 from leadseam.platform import names
+from leadseam.platform.caller_connection import CallerConnection
 from leadseam.platform.first_bytes import FirstBytes
+from leadseam.runtime.tasks import spawn
 
 if TYPE_CHECKING:
-    import asyncio
     from collections.abc import Awaitable, Callable
 
     from aiohttp.abc import AbstractStreamWriter
@@ -19,21 +23,28 @@
     from aiohttp.streams import StreamReader
     from aiohttp.web_protocol import RequestHandler
 
-    from leadseam.outcome import NotRun
+    from leadseam.outcome import NotRun, Reason
     from leadseam.platform.first_bytes import Refuse
     from leadseam.routing.dialect import Sender
     from leadseam.settings.models import Endpoint
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+    Limits = Callable[[], CallerLimits]
 
-MAX_BODY = 16 * 1024 * 1024
-"""Maximum size of a body in bytes; operators configure a lower limit."""
 MAX_HEADER_LINE = 65_536
 """Maximum size of a header line in bytes; operators configure a lower limit for the
 whole head."""
-IDLE_TIMEOUT_S = 60.0
-"""Seconds for which an idle connection is kept: above what operators configure today
-(15)."""
+MAX_HEADER_LINES = 4_096
+SECONDS_PER_DAY = 86_400
+SWEEP_INTERVAL_S = 0.25
+"""Seconds between two checks of the time limits of all connections."""
+UNCONFIGURED = CallerLimits(
+    header_bytes=MAX_HEADER_LINE,
+    body_bytes=16 * 1024 * 1024,
+    header_timeout=10_000,
+    idle_timeout=60_000,
+)
+"""Limits until a configuration states them."""
 BACKLOG = 2_048
 """Length of the accept queue; callers lose seconds if it is full."""
 ACCEPTORS = 32
@@ -50,24 +61,61 @@
     """HTTP server that can refuse the first request of a connection early."""
 
     def __init__(
-        self, handler: Handler, *, refuse: Refuse, waiting: set[FirstBytes]
+        self,
+        handler: Handler,
+        *,
+        refuse: Refuse,
+        waiting: set[FirstBytes],
+        limits: Limits,
+        on_refusal: Callable[[Reason], None],
     ) -> None:
         super().__init__(
             handler,
-            request_factory=_make_request,
+            request_factory=self._make_request,
             handler_cancellation=True,
-            keepalive_timeout=IDLE_TIMEOUT_S,
+            # `CallerConnection` closes idle connections.
+            keepalive_timeout=SECONDS_PER_DAY,
             max_line_size=MAX_HEADER_LINE,
             max_field_size=MAX_HEADER_LINE,
+            max_headers=MAX_HEADER_LINES,
             auto_decompress=False,
             access_log=None,
             lingering_time=0.5,
         )
         self._refuse = refuse
         self._waiting = waiting
+        self._limits = limits
+        self._on_refusal = on_refusal
 
     def __call__(self) -> FirstBytes:  # type: ignore[override]
-        return FirstBytes(super().__call__, self._refuse, self._waiting, IDLE_TIMEOUT_S)
+        return FirstBytes(self._make_connection, self._refuse, self._waiting)
+
+    def _make_connection(self) -> CallerConnection:
+        return CallerConnection(
+            self,
+            loop=self._loop,
+            limits=self._limits,
+            on_refusal=self._on_refusal,
+            **self._kwargs,
+        )
+
+    def _make_request(
+        self,
+        message: RawRequestMessage,
+        payload: StreamReader,
+        protocol: RequestHandler,
+        writer: AbstractStreamWriter,
+        task: asyncio.Task[None],
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            task.get_loop(),
+            client_max_size=self._limits().body_bytes,
+        )
 
 
 class FrontServer:
@@ -77,15 +125,30 @@
         handler: Serves a request.
         refuse: Returns the refusal of the first request of a connection, or None if it
             is to be served. By default nothing is refused.
+        limits: Returns the limits in force, of which each may be 0 for none.
+        on_refusal: Called with the reason of each refusal by these limits.
     """
 
-    def __init__(self, handler: Handler, *, refuse: Refuse = _never_refuse) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        refuse: Refuse = _never_refuse,
+        limits: Limits = lambda: UNCONFIGURED,
+        on_refusal: Callable[[Reason], None] = lambda _: None,
+    ) -> None:
         self._handler = handler
         self._waiting: set[FirstBytes] = set()
         self._busy: set[object] = set()
         self._closed: set[object] = set()
+        self._limits = limits
+        self._sweeper: asyncio.Task[None] | None = None
         self._server = _EarlyRefusalServer(
-            self._handle, refuse=refuse, waiting=self._waiting
+            self._handle,
+            refuse=refuse,
+            waiting=self._waiting,
+            limits=limits,
+            on_refusal=on_refusal,
         )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.2)
         self._sites: list[web.SockSite] = []
@@ -100,6 +163,21 @@
             ]
         for site in self._sites:
             await site.start()
+        self._sweeper = spawn(self._sweep())
+
+    async def _sweep(self) -> None:
+        """Enforce the time limits of all connections, by the limits in force."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            now = loop.time()
+            idle_timeout = self._limits().idle_timeout
+            for first in list(self._waiting):
+                if idle_timeout and now - first.since > seconds(idle_timeout):
+                    first.close()
+            for conn in list(self._server.connections):
+                assert isinstance(conn, CallerConnection)
+                conn.enforce_times(now)
 
     @property
     def connections(self) -> list[RequestHandler | FirstBytes]:
@@ -123,6 +201,8 @@
 
     async def stop(self) -> None:
         """Close everything."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
         for conn in list(self._waiting):
             conn.close()
         await self._runner.cleanup()
@@ -165,21 +245,3 @@
     async def _ready(self, _: web.Request) -> web.Response:
         reason = self._readiness()
         return web.json_response({"reason": reason}, status=503 if reason else 200)
-
-
-def _make_request(
-    message: RawRequestMessage,
-    payload: StreamReader,
-    protocol: RequestHandler,
-    writer: AbstractStreamWriter,
-    task: asyncio.Task[None],
-) -> web.BaseRequest:
-    return web.BaseRequest(
-        message,
-        payload,
-        protocol,
-        writer,
-        task,
-        task.get_loop(),
-        client_max_size=MAX_BODY,
-    )
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -269,6 +269,10 @@
         req = self.dialect.read_request(http)
         if req is None:
             return self.error(NotRun(Reason.MALFORMED_HEADER))
+        announced = http.content_length or 0
+        limit = http.client_max_size
+        if limit and announced > limit:
+            return self.error(NotRun(Reason.BODY_TOO_LARGE))
         try:
             body = await http.read()
         except web.HTTPRequestEntityTooLarge:
@@ -590,6 +594,10 @@
         excluded = self._health.failed(upstream.incarnation, self.now())
         self.request_log.silence(upstream, admitted, excluded=excluded)
 
+    def count_refusal(self, reason: Reason) -> None:
+        """Count a request that was refused before it was read."""
+        self._metrics.refusals.inc(reason.value)
+
     def error(self, outcome: NotRun | Failed | Unknown) -> web.Response:
         """Return the error response for an outcome without an upstream's answer."""
         self._metrics.refusals.inc(outcome.reason.value)
