Test that a replica without its disk catches up by what a link transfers

The new one fails for the fault itself: with links that drop messages above some bytes, on the code before a replica whose disk is lost gets none of 40 entries (0 >= 40 fails); now it gets all.

--- a/tests/control/test_log_size.py
+++ b/tests/control/test_log_size.py
@@ -12,9 +12,13 @@
     SnapshotMetadata,
     box_name,
 )
-from leadseam.wire.consensus import LogEntry
+from leadseam.control.raft_types import RaftMessage
+from leadseam.wire.consensus import Append, LogEntry
 from tests.control.cluster import elected
 
+MAX_FRAME = 2_000
+"""Bytes of entries above which a link drops a message."""
+
 
 def make_log(*sizes: int) -> RaftLog:
     """Return a log with entries of some sizes."""
@@ -51,3 +55,32 @@
     cluster.lose_disk(name)
     cluster.settle(200)
     assert len(cluster.boxes[name].applied) >= 40
+
+
+def test_a_replica_that_lost_its_disk_catches_up_though_large_frames_are_dropped(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one message with more bytes than a link transfers."""
+    monkeypatch.setattr(raft, "MAX_APPEND_BYTES", 1_000, raising=False)
+    cluster = elected()
+    for number in range(40):
+        assert cluster.propose(b"%d" % number + bytes(100))
+        cluster.settle(6)
+    leader = cluster.leader()
+    assert leader is not None
+    name = next(one for one in cluster.boxes if one != box_name(leader.identity))
+    enqueue = cluster._enqueue
+
+    def transfer(to: str, message: RaftMessage) -> None:
+        if not isinstance(message, Append) or size_of(message) <= MAX_FRAME:
+            enqueue(to, message)
+
+    monkeypatch.setattr(cluster, "_enqueue", transfer)
+    cluster.lose_disk(name)
+    cluster.settle(200)
+    assert len(cluster.boxes[name].applied) >= 40
+
+
+def size_of(message: Append) -> int:
+    """Return the bytes of a message's entries."""
+    return sum(len(entry.data) for entry in message.entries)
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -18,6 +18,7 @@
 async def test_taking_the_last_key_away_lets_nobody_in(
     platform: Platform, tenants: list[dict[str, Any]]
 ) -> None:
+    """Guards against an empty list of keys that is read as if none was demanded."""
     entry = platform.entry_ips[0]
     assert (await platform.call(entry, "/once/a")).status == 200
     assert await platform.operator.replace(document(2, tenants=tenants)) == 200
