--- a/tests/platform/test_answer_ends.py
+++ b/tests/platform/test_answer_ends.py
@@ -287,25 +287,14 @@
     platform: Platform, notice: str
 ) -> None:
     """An upstream on a box that is reclaimed is gone some seconds after its notice."""
-    entry = platform.entry_ips[0]
+    calls = await begin_held_streams(platform)
     servers = platform.servers_of("model")
-    plan = AnswerPlan(Framing.CONNECTION, Finish.HOLD, len(event(1)))
-    calls = [
-        asyncio.create_task(
-            platform.call(entry, f"/stream-fixed/{replace(plan, number=number).path()}")
-        )
-        for number in range(CONCURRENT_CALLS)
-    ]
-
-    async def all_begun() -> bool:
-        return sum(len(server.runs) for server in servers) >= CONCURRENT_CALLS
-
-    await wait_until(all_begun, "all streams have begun")
     for server in servers:
         if notice == "draining":
             await server.drain()
         else:
             assert await server.deregister() == 200
+    entry = platform.entry_ips[0]
     await wait_until(lambda: heard_leaving(platform, entry), "the leaving is heard")
     for server in servers:
         server.crash()
@@ -318,27 +307,33 @@
     platform: Platform, successor: bool
 ) -> None:
     """The kernel closes the sockets of a killed process one after another."""
-    entry = platform.entry_ips[0]
-    servers = platform.servers_of("model")
+    calls = await begin_held_streams(platform)
+    for server in platform.servers_of("model"):
+        if successor:
+            await server.succeed()
+        else:
+            server.port_open_for = 0.06
+            server.crash()
+    answers = await asyncio.gather(*calls)
+    assert [answer.cut for answer in answers] == [True] * CONCURRENT_CALLS
+
+
+async def begin_held_streams(platform: Platform) -> list[asyncio.Task[Answer]]:
+    """Call for streams that stop behind their first event, until all have begun."""
     plan = AnswerPlan(Framing.CONNECTION, Finish.HOLD, len(event(1)))
     paths = [
         f"/stream-fixed/{replace(plan, number=number).path()}"
         for number in range(CONCURRENT_CALLS)
     ]
+    entry = platform.entry_ips[0]
     calls = [asyncio.create_task(platform.call(entry, path)) for path in paths]
 
     async def all_begun() -> bool:
+        servers = platform.servers_of("model")
         return sum(len(server.runs) for server in servers) >= CONCURRENT_CALLS
 
     await wait_until(all_begun, "all streams have begun")
-    for server in servers:
-        if successor:
-            await server.succeed()
-        else:
-            server.port_open_for = 0.06
-            server.crash()
-    answers = await asyncio.gather(*calls)
-    assert [answer.cut for answer in answers] == [True] * CONCURRENT_CALLS
+    return calls
 
 
 async def heard_leaving(platform: Platform, entry: str) -> bool:
