--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -332,7 +332,9 @@
     entry.feed.fresh = False
     entry.feed.first_configuration = asyncio.Event().wait
     cast("Any", entry.dialect).read_request = lambda _: make_request("own")
-    http = cast("Any", SimpleNamespace(read=no_body))
+    http = cast(
+        "Any", SimpleNamespace(read=no_body, content_length=0, client_max_size=1_000)
+    )
     entry.gateway.stopping = True
     assert (await entry.gateway._serve(http)).status == 503
     entry.gateway.stopping = False
--- a/tests/runtime/test_witness.py
+++ b/tests/runtime/test_witness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from contextlib import closing
 from typing import TYPE_CHECKING
@@ -115,6 +116,30 @@
                 sock.close()
 
 
+async def test_a_lost_first_packet_does_not_make_a_process_unreachable() -> None:
+    """Guards against whole answers called broken on links that lose packets."""
+    with socket.create_server((LOOPBACK, 0), backlog=0) as listener:
+        address = listener.getsockname()
+        waiting = [socket.socket() for _ in range(4)]
+        for sock in waiting:
+            sock.setblocking(False)
+            sock.connect_ex(address)
+
+        def accept_all() -> None:
+            listener.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    waiting.append(listener.accept()[0])
+
+        # The kernel drops the first packet of the check, which is sent again later.
+        asyncio.get_running_loop().call_later(TIMEOUT / 2_000, accept_all)
+        try:
+            assert await check(address[1], HealthCheck("")) is Liveness.RUNS
+        finally:
+            for sock in waiting:
+                sock.close()
+
+
 async def test_a_witness_is_used_for_the_check_and_closed_with_the_last_answer() -> (
     None
 ):
