Show how far refused accounts fall short of the best served one

Entries logged service by account only if they refused somebody, of eight accounts, over a second of their own: an account that uses all entries seemed to get 82,000 tokens a second where its recent service shows 130,000. Entries now write the line whenever the fleet is short of capacity, at whole seconds of the wall clock, with the service of 64 accounts.

--- a/src/leadseam/cli/explain.py
+++ b/src/leadseam/cli/explain.py
@@ -3,6 +3,7 @@
 Usage:
   leadseam-explain [--by KEYS] [--rows N] [--request ID] [LOG ...]
   leadseam-explain --accounts [--rows N] [LOG ...]
+  leadseam-explain --shares [--rows N] [LOG ...]
   leadseam-explain --plot FILE [LOG ...]
   leadseam-explain (-h | --help)
 
@@ -15,6 +16,8 @@
                  reason, standing, size, second. [default: route,reason,account]
   --accounts     Show service requested and received by client accounts, by second, at
                  the entries that refused requests.
+  --shares       Show how far refused client accounts fell short of the best served one
+                 in spans of six seconds. Needs the lines of all entries.
   --plot FILE    Plot how requests ended, by second and by client account, as PNG or SVG
                  depending on the file's suffix. Needs the extra `plots`.
   --rows N       Maximum rows of each table; with --accounts, of each second.
@@ -33,6 +36,7 @@
 from leadseam.explain.accounts import read_accounts, render_accounts
 from leadseam.explain.plot import PlotError, draw
 from leadseam.explain.records import read_records
+from leadseam.explain.shares import find_shortfalls, render_shortfalls
 from leadseam.explain.tables import GroupKey, group_requests, render
 from leadseam.runtime.process import EXIT_FAILED, EXIT_USAGE
 
@@ -51,10 +55,12 @@
     except ValueError as exc:
         print(f"leadseam-explain: {exc}", file=sys.stderr)
         sys.exit(EXIT_USAGE)
-    if args["--accounts"]:
-        print(
-            render_accounts(read_accounts(_read_lines(args["LOG"])), max_rows=max_rows)
-        )
+    if args["--accounts"] or args["--shares"]:
+        rows = read_accounts(_read_lines(args["LOG"]))
+        if args["--shares"]:
+            print(render_shortfalls(find_shortfalls(rows), max_rows=max_rows))
+        else:
+            print(render_accounts(rows, max_rows=max_rows))
         return
     requests = list(read_records(_read_lines(args["LOG"])))
     if args["--plot"]:
--- a/src/leadseam/explain/accounts.py
+++ b/src/leadseam/explain/accounts.py
@@ -31,13 +31,14 @@
 
 @dataclass(slots=True)
 class AccountSecond:
-    """One account in one second, over all entries that refused requests in it.
+    """One account in one second, over all entries that wrote a line about it.
 
     Args:
         second: Second of the wall clock.
         account: Name of the account.
         requested: Requested service in tokens; repeated requests count each time.
         placed: Service of the requests that were sent to an upstream.
+        largest: Service of the largest request that arrived.
         refused: Number of requests that did not run, by reason.
         served: Highest recent service of the account that an entry had recorded.
         standings: Number of entries by the standing that they assigned to the account.
@@ -48,6 +49,7 @@
     account: str
     requested: int = 0
     placed: int = 0
+    largest: int = 0
     refused: Counter[str] = field(default_factory=Counter)
     served: int = 0
     standings: Counter[str] = field(default_factory=Counter)
@@ -57,11 +59,18 @@
         """Add the row that one entry logged for this account."""
         self.requested += row.get("asked", 0)
         self.placed += row.get("placed", 0)
+        self.largest = max(self.largest, row.get("largest", 0))
         self.refused.update(row.get("refused", {}))
         self.served = max(self.served, row.get("served_of_late", 0))
         self.standings[row.get("standing", "")] += 1
         self.sums_age = max(self.sums_age, sums_age)
 
+    def add_service(self, requested: int, placed: int, largest: int) -> None:
+        """Add what one entry logged of an account that it hardly refused."""
+        self.requested += requested
+        self.placed += placed
+        self.largest = max(self.largest, largest)
+
 
 def read_accounts(lines: Iterable[str]) -> list[AccountSecond]:
     """Return the accounts by second, those refused most often first.
@@ -71,12 +80,18 @@
     """
     seconds: dict[tuple[int, str], AccountSecond] = {}
     for fields in _read_messages(lines):
-        second = fields.get("time", 0) // MILLIS_PER_SECOND
+        # A line is written at the end of the second that it counts.
+        second = round(fields.get("time", 0) / MILLIS_PER_SECOND) - 1
+
+        def find(account: str, second: int = second) -> AccountSecond:
+            key = (second, account)
+            return seconds.setdefault(key, AccountSecond(second, account))
+
         for row in fields.get("accounts", ()):
             account = row.get("account", "")
-            key = (second, account)
-            summary = seconds.setdefault(key, AccountSecond(second, account))
-            summary.add(row, fields.get("sums_age_ms", 0))
+            find(account).add(row, fields.get("sums_age_ms", 0))
+        for account, counts in fields.get("served", {}).items():
+            find(account).add_service(*counts)
     return sorted(
         seconds.values(),
         key=lambda summary: (summary.second, -summary.refused.total(), summary.account),
--- a/src/leadseam/routing/account_log.py
+++ b/src/leadseam/routing/account_log.py
@@ -1,8 +1,9 @@
-"""Logs once a second which client accounts an entry refuses. The log is its only I/O.
+"""Logs once a second what client accounts request and receive. The log is its only I/O.
 
 Log lines about single requests are limited in number. Those of a busy entry are a
 sample and do not show what an account requested and received. These lines do, together
-with the limits that applied to the account.
+with the limits that applied to the account. While capacity is short, all entries write
+them, so that their sums show what each account received of the fleet.
 """
 
 from __future__ import annotations
@@ -19,10 +20,13 @@
     from leadseam.routing.usage import UsageTable
 
 INTERVAL: Millis = 1_000
-"""Pause between two lines. Fairness is evaluated for each second."""
+"""Time between two lines, which end at whole seconds of the wall clock, so that those
+of several entries can be added up. Fairness is evaluated for each second."""
 MAX_ACCOUNTS = 8
-"""Maximum accounts on a line, which keeps it below about 1.5 KB. The accounts refused
-most often come first, then those that requested most."""
+"""Maximum accounts of which a line tells the limits, which keeps that part below about
+1.5 KB. The accounts refused most often come first, then those that requested most."""
+MAX_OTHER_ACCOUNTS = 56
+"""Maximum further accounts of which a line tells only service, in about 2 KB."""
 
 log = logging.getLogger(__name__)
 
@@ -34,11 +38,13 @@
     Args:
         requested: Service of the requests that arrived, in tokens.
         placed: Service of the requests that were sent to an upstream, in tokens.
+        largest: Service of the largest request that arrived, in tokens.
         refused: Number of refused requests by reason.
     """
 
     requested: int = 0
     placed: int = 0
+    largest: int = 0
     refused: Counter[str] = field(default_factory=Counter)
 
 
@@ -60,7 +66,9 @@
 
     def record_requested(self, account: str, service: int) -> None:
         """Count the service of a request that arrived."""
-        self._counts(account).requested += service
+        counts = self._counts(account)
+        counts.requested += service
+        counts.largest = max(counts.largest, service)
 
     def record_placed(self, account: str, service: int) -> None:
         """Count the service of a request that was sent to an upstream."""
@@ -71,18 +79,21 @@
         self._counts(account).refused[reason.value] += 1
 
     async def run(self) -> None:
-        """Write a line each interval until cancelled."""
+        """Write a line at each whole second of the wall clock until cancelled."""
         while True:
-            await sleep(INTERVAL)
+            await sleep(INTERVAL - self._clock.wall() % INTERVAL)
             self.write()
 
     def write(self) -> None:
-        """Write a line if any account was refused since the last call.
+        """Write a line if any account was refused, here or probably at other entries.
 
         The counts are reset in any case.
         """
         accounts, self._accounts = self._accounts, {}
-        if not any(one.refused for one in accounts.values()):
+        is_short = self._usage.shares.even != float("inf")
+        if not accounts or not (
+            is_short or any(one.refused for one in accounts.values())
+        ):
             return
         names = sorted(
             accounts,
@@ -92,6 +103,7 @@
                 name,
             ),
         )
+        listed = MAX_ACCOUNTS + MAX_OTHER_ACCOUNTS
         now = self._clock.now()
         shares = self._usage.shares
         extra = {
@@ -103,7 +115,15 @@
             "accounts": [
                 self._row(name, accounts[name], now) for name in names[:MAX_ACCOUNTS]
             ],
-            "others": max(len(names) - MAX_ACCOUNTS, 0),
+            "served": {
+                name: [
+                    accounts[name].requested,
+                    accounts[name].placed,
+                    accounts[name].largest,
+                ]
+                for name in names[MAX_ACCOUNTS:listed]
+            },
+            "others": max(len(names) - listed, 0),
         }
         log.info("accounts refused", extra=extra)
 
@@ -112,6 +132,7 @@
             "account": name,
             "asked": counts.requested,
             "placed": counts.placed,
+            "largest": counts.largest,
             "refused": dict(counts.refused),
             "served_of_late": self._usage.recent_service(name, now),
             "asked_of_late": self._usage.recently_requested(name, now),
--- /dev/null
+++ b/tests/explain/test_shares.py
@@ -0,0 +1,55 @@
+"""Shortfalls of refused accounts against the best served one."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from leadseam.explain.accounts import AccountSecond
+from leadseam.explain.shares import find_shortfalls, render_shortfalls
+
+
+def make_seconds(
+    account: str, requested: int, placed: int, *, refused: int = 1, count: int = 6
+) -> list[AccountSecond]:
+    """Return an account's rows of consecutive seconds that are all alike."""
+    return [
+        AccountSecond(
+            second, account, requested, placed, 10, Counter(upstream_full=refused)
+        )
+        for second in range(count)
+    ]
+
+
+def test_an_account_is_due_what_it_requested_or_what_the_best_served_one_got() -> None:
+    best = make_seconds("best", 900, 200)
+    modest = make_seconds("modest", 100, 80)
+    flooding = make_seconds("flooding", 500, 60)
+    found = find_shortfalls(best + modest + flooding)
+    assert [(one.account, one.got, one.due) for one in found] == [
+        ("flooding", 360, 1_200),
+        ("modest", 480, 600),
+    ]
+    assert (found[0].part, found[0].tolerant_part) == (0.3, 0.325)
+    assert (found[0].best, found[0].best_got) == ("best", 1_200)
+
+
+def test_a_span_counts_only_if_the_account_was_refused_in_each_second() -> None:
+    rows = make_seconds("best", 900, 200) + make_seconds("short", 900, 60)
+    rows[8].refused.clear()
+    assert find_shortfalls(rows) == []
+    assert render_shortfalls([], max_rows=5) == (
+        "no account was refused in each second of a span"
+    )
+
+
+def test_the_table_has_the_least_part_of_each_account() -> None:
+    rows = make_seconds("best", 900, 200, count=7) + make_seconds("a", 900, 60, count=7)
+    head, titles, row = render_shortfalls(
+        find_shortfalls(rows), max_rows=5
+    ).splitlines()
+    assert head == (
+        "2 spans, 2 below 0.5; tolerant part: "
+        "least 0.33, 1% 0.33, 10% 0.33, median 0.33"
+    )
+    assert titles.split()[:3] == ["part", "tolerant", "second"]
+    assert row.split()[:6] == ["0.30", "0.33", "0", "a", "360", "1200"]
--- a/tests/routing/test_account_log.py
+++ b/tests/routing/test_account_log.py
@@ -7,7 +7,11 @@
 
 from leadseam.clock import ManualClock
 from leadseam.outcome import Reason
-from leadseam.routing.account_log import MAX_ACCOUNTS, AccountLog
+from leadseam.routing.account_log import (
+    MAX_ACCOUNTS,
+    MAX_OTHER_ACCOUNTS,
+    AccountLog,
+)
 from leadseam.routing.usage import UsageTable
 from leadseam.wire.feed import LoadSums, UsageRow
 
@@ -43,6 +47,7 @@
             "account": "menus",
             "asked": 300,
             "placed": 200,
+            "largest": 300,
             "refused": {"upstream_full": 1, "entry_busy": 1},
             "served_of_late": 900,
             "asked_of_late": 2_000,
@@ -61,16 +66,37 @@
     assert log_records(caplog) == []
 
 
+def test_an_entry_that_refuses_nobody_tells_service_while_capacity_is_short(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO)
+    usage = UsageTable()
+    rows = (UsageRow("menus", 900, 2_000), UsageRow("pay", 100, 1_000))
+    usage.apply_sums(LoadSums((), rows), None, capacity=1_000, now=100)
+    account_log = AccountLog(usage, ManualClock(140))
+    account_log.write()
+    account_log.record_requested("menus", 300)
+    account_log.record_placed("menus", 300)
+    account_log.write()
+    (line,) = log_records(caplog)
+    assert (line["accounts"][0]["placed"], line["accounts"][0]["refused"]) == (300, {})
+
+
 def test_a_line_names_a_bounded_number_of_accounts(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
     caplog.set_level(logging.INFO)
     account_log = AccountLog(UsageTable(), ManualClock())
-    for number in range(MAX_ACCOUNTS + 3):
+    listed = MAX_ACCOUNTS + MAX_OTHER_ACCOUNTS
+    for number in range(listed + 3):
         for _ in range(number + 1):
             account_log.record_refusal(f"a{number}", Reason.UPSTREAM_FULL)
+        account_log.record_requested(f"a{number}", number)
     account_log.write()
     (line,) = log_records(caplog)
-    assert [row["account"] for row in line["accounts"]][:2] == ["a10", "a9"]
-    assert (len(line["accounts"]), line["others"]) == (MAX_ACCOUNTS, 3)
+    assert [row["account"] for row in line["accounts"]][:2] == ["a66", "a65"]
+    assert len(line["accounts"]) == MAX_ACCOUNTS
+    assert len(line["served"]) == MAX_OTHER_ACCOUNTS
+    assert line["served"]["a58"] == [58, 0, 58]
+    assert line["others"] == 3
     assert (line["sums_age_ms"], line["stop_level"]) == (-1, None)
