Take shares of what engines can provide where that is above the stated capacity

Callers of accounts that flood were refused while engines had room. Shares were taken of the service that engines provide at the moment: accounts beyond their share get less, engines then provide less, and the shares stay as low. Shares are now taken of what engines would provide if fully used (the estimate that was in use where they provide less than is stated). An account that is level with the others also gets an engine that is reading up to 100 ms ahead, as one within its share does: only those ahead have to leave such engines.

--- a/src/leadseam/routing/admission.py
+++ b/src/leadseam/routing/admission.py
@@ -38,9 +38,9 @@
 MAX_READING_AHEAD: Millis = 100
 """Maximum reading ahead of a request at an engine. Further requests wait here, where
 short accounts go first and no request is queued behind a long prompt by chance."""
-MAX_READING_AHEAD_BEYOND_SHARE: Millis = 0
-"""The same bound for an account beyond its share of the stated capacity. Unless there
-is spare capacity, it only gets an engine that has nothing else to read."""
+MAX_READING_AHEAD_OF_LEADERS: Millis = 0
+"""The same bound for an account ahead of others. Unless there is spare capacity, it
+only gets an engine that has nothing else to read."""
 
 
 @dataclass(slots=True)
@@ -294,13 +294,13 @@
         if not waiter.account:
             return MAX_READING_AHEAD
         match self.standing(waiter.account, now):
-            case Standing.WITHIN:
+            case Standing.WITHIN | Standing.EVEN:
                 return MAX_READING_AHEAD
-            case Standing.EVEN | Standing.AHEAD:
+            case Standing.AHEAD:
                 return (
                     MAX_READING_AHEAD
                     if self._has_spare(waiter, now)
-                    else MAX_READING_AHEAD_BEYOND_SHARE
+                    else MAX_READING_AHEAD_OF_LEADERS
                 )
             case Standing.STOPPED:
                 return None
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -297,14 +297,16 @@
 def actual_capacity(
     rows: Sequence[UsageRow], capacity: int, used_part: float = 1.0
 ) -> int:
-    """Return the service that upstreams provide in `DECAY_TIME`, as far as is known.
+    """Return the service that upstreams can provide in `DECAY_TIME`, if known.
 
     They may provide more than is stated, or far less: engines are gone, their slots are
     taken by long answers, or shared parts of prompts are read again. If shares were
     then based on the stated capacity, every account would be within its share, and
     accounts that come through different entries would not be ordered. Less than the
     stated capacity is assumed only while much of the requested service is not received
-    and the engines are loaded.
+    and the engines are loaded. More is assumed by what they would provide if fully
+    used: by what they do provide, shares would hold back accounts that engines could
+    serve, and would never grow again.
 
     Args:
         rows: What accounts requested and received.
@@ -312,12 +314,13 @@
         used_part: Average used part of the engines, or 1 if it is unknown.
     """
     served = sum(row.served for row in rows)
+    reachable = reachable_service(served, used_part)
     if served >= capacity * MIN_ACTUAL_PART or used_part < LOADED_PART:
-        return max(served, capacity)
+        return max(reachable, capacity)
     requested = sum(max(row.requested, row.served) for row in rows)
     if requested <= SCARCITY_RATIO * served:
         return capacity
-    return min(reachable_service(served, used_part), capacity)
+    return min(reachable, capacity)
 
 
 def fair_level(demands: Iterable[int], capacity: int) -> float:
--- a/tests/routing/test_usage.py
+++ b/tests/routing/test_usage.py
@@ -200,3 +200,10 @@
     if short:
         least = min(row.served for row in short)
         assert shares.standing(least) in (Standing.WITHIN, Standing.EVEN)
+
+
+@pytest.mark.parametrize(("used_part", "reachable"), [(0.9, 550), (0.6, 688)])
+def test_engines_that_provide_more_than_is_stated_may_be_used_fully(
+    used_part: float, reachable: int
+) -> None:
+    assert actual_capacity(FLOOD, 400, used_part) == reachable
