Count the service of whole prompts, as the stated capacity does

An account got far less than its share while others were served. Fair shares were taken of the prompt tokens that no other request shares, while the platform counts all tokens of a prompt, shared ones too, and states the capacity in them. Two errors follow: accounts with equal service by our count differed by up to three times (6,300 of 9,190 prompt tokens of one kind of request are shared, 172 of 715 of another), and engines seemed to give half of what is stated, so that the bound on accounts ahead was loosened to 1.3 of the stated share at all times.

--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -15,7 +15,7 @@
 from typing import TYPE_CHECKING, cast
 
 from leadseam.platform import names
-from leadseam.platform.headers import read_key, read_number, read_parts, read_tokens
+from leadseam.platform.headers import read_key, read_number, read_tokens
 from leadseam.platform.refusal import encode_refusal
 from leadseam.routing.dialect import Sender
 
@@ -88,11 +88,10 @@
         return fields.get(name.lower().encode(), "")
 
     tokens_in, tokens_out = read_tokens(field(names.TOKENS))
-    parts = read_parts(field(names.PROMPT_PARTS))
     return Sender(
         field(names.REQUEST_ID),
         read_key(field(names.AUTHORIZATION) or None),
-        own_tokens=parts[-1].tokens if parts else tokens_in,
+        tokens_in=tokens_in,
         tokens_out=tokens_out,
         max_wait=read_number(field(names.DEADLINE) or None),
     )
--- a/src/leadseam/routing/balance.py
+++ b/src/leadseam/routing/balance.py
@@ -550,17 +550,17 @@
 
 def expected_service(req: RoutedRequest) -> int:
     """Return the service, in tokens, that a request is expected to take."""
-    return expected_service_of_tokens(own_tokens(req), req.tokens_out)
+    return expected_service_of_tokens(req.tokens_in, req.tokens_out)
 
 
-def expected_service_of_tokens(own: int, max_generated: int) -> int:
-    """Return the service expected for own prompt tokens and for generated tokens.
+def expected_service_of_tokens(tokens_in: int, max_generated: int) -> int:
+    """Return the service expected for the tokens of a prompt and generated tokens.
 
     Args:
-        own: Prompt tokens that have to be read.
+        tokens_in: Tokens of the whole prompt, whether or not an engine has them cached.
         max_generated: Upper bound of the tokens to generate.
     """
-    return own + GENERATED_TOKEN_WEIGHT * min(max_generated, EXPECTED_GENERATED)
+    return tokens_in + GENERATED_TOKEN_WEIGHT * min(max_generated, EXPECTED_GENERATED)
 
 
 def own_tokens(req: RoutedRequest) -> int:
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -37,7 +37,7 @@
     Args:
         request_id: The caller's identifier of the request, or an empty string.
         key: The caller's bearer key, or None.
-        own_tokens: Prompt tokens that no other request shares; 0 if not read.
+        tokens_in: Number of prompt tokens; 0 if not read.
         tokens_out: Maximum number of tokens to generate; 0 if not read.
         max_wait: Milliseconds that the caller waits for an answer, or None if not
             stated.
@@ -45,7 +45,7 @@
 
     request_id: str
     key: str | None
-    own_tokens: int = 0
+    tokens_in: int = 0
     tokens_out: int = 0
     max_wait: Millis | None = None
 
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -213,7 +213,7 @@
         if not exceeds_share and not busy:
             return None
         if not exceeds_share and not redirects:
-            service = expected_service_of_tokens(sender.own_tokens, sender.tokens_out)
+            service = expected_service_of_tokens(sender.tokens_in, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
         refusal = self._busy_refusal(account, sender.max_wait, redirects=redirects)
         self._note_refusal(sender, refusal, now)
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -1,11 +1,12 @@
 """Service that client accounts recently requested and received, fleet-wide. No I/O.
 
-Service is counted in tokens: a prompt token that has to be read counts one, a generated
-token two. Fair shares are max-min: an account that requests less than an equal part
-gets all that it requests, and the remainder is divided among the others. There are two
-such shares. One is of the capacity that the operators state; an account can rely on it
-as long as the engines provide it. The other is of what the engines actually provide,
-which may be twice the stated capacity or a third of it.
+Service is counted in tokens as the stated capacity is: a prompt token counts one,
+whether or not an engine has it cached, and a generated token two. Fair shares are
+max-min: an account that requests less than an equal part gets all that it requests, and
+the remainder is divided among the others. There are two such shares. One is of the
+capacity that the operators state; an account can rely on it as long as the engines
+provide it. The other is of what the engines actually provide, which may be twice the
+stated capacity or a third of it.
 """
 
 from __future__ import annotations
@@ -56,7 +57,8 @@
 ENTRY_LEVEL_INTERVAL: Millis = 100
 """Time for which an entry's own level is kept, as a busy entry needs it often."""
 GENERATED_TOKEN_WEIGHT = 2
-"""Service of a generated token relative to a read one, as the platform measures it."""
+"""Service of a generated token relative to a prompt token, as the platform measures
+it."""
 
 
 class Standing(Enum):
