Take an account for short only while it still requests service

The service that an account requested fades with 2 s, so that one that had requested ten times its share seems to request more than its share for 4.6 s after its flood; what it received fades meanwhile, and all others were stopped for its sake.

Entries now derive from successive sums what accounts requested in the last half second, and the demand is the lower of both. The flood's end counts after 1.2 s; no message has changed.

test_an_account_that_requests_nothing_any_more_stops_no_other failed before.

--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -50,6 +50,9 @@
 MIN_SHARE_PART = 0.5
 """Fraction of the fair share that an account gets regardless of others. A short account
 that has just started has received nothing yet, and must not stop the others."""
+CURRENT_DEMAND_TIME: Millis = 500
+"""Time constant by which current demand follows what accounts request. It is short
+against `DECAY_TIME`, and spans several requests of an account with a large share."""
 MIN_ELSEWHERE_PART = 0.1
 """Part of an account's requested service above which its callers use other entries. On
 the heaviest day all 2,957 logged requests of one account came to one entry of 32, the
@@ -131,6 +134,60 @@
     requested: _DecayingSum = field(default_factory=_DecayingSum)
 
 
+@dataclass(slots=True)
+class _Demand:
+    """What an account requested of late in the sums of all entries.
+
+    Args:
+        requested: Its requested service in the newest sums.
+        recent: Service that it requested since, decaying with `CURRENT_DEMAND_TIME`.
+    """
+
+    requested: int = 0
+    recent: float = 0.0
+
+
+class CurrentDemands:
+    """Limits the demand in the sums to what accounts still request.
+
+    Requested service of ten times an account's share stays above the share for 4.6 s
+    after the flood has ended. What the account received decays meanwhile, so that it
+    seemed to be short, and all accounts that still requested service were stopped.
+    """
+
+    def __init__(self) -> None:
+        self._demands: dict[str, _Demand] = {}
+        self._at: Millis | None = None
+
+    def __repr__(self) -> str:
+        return f"CurrentDemands(accounts={len(self._demands)})"
+
+    def apply(self, rows: Iterable[UsageRow], now: Millis) -> list[UsageRow]:
+        """Return the rows of new sums with the demand that remains.
+
+        Args:
+            rows: The sums of all entries.
+            now: Current time.
+        """
+        age = now - self._at if self._at is not None else None
+        self._at = now
+        earlier, self._demands = self._demands, {}
+        limited = []
+        for row in rows:
+            demand = earlier.get(row.account) or _Demand()
+            recent = row.requested * CURRENT_DEMAND_TIME / DECAY_TIME
+            if age is not None:
+                kept = demand.requested * exp(-age / DECAY_TIME)
+                added = max(row.requested - kept, 0)
+                recent = demand.recent * exp(-age / CURRENT_DEMAND_TIME) + added
+            self._demands[row.account] = _Demand(row.requested, recent)
+            current = round(recent * DECAY_TIME / CURRENT_DEMAND_TIME)
+            if current < row.requested:
+                row = UsageRow(row.account, row.served, current)
+            limited.append(row)
+        return limited
+
+
 class UsageTable:
     """Recent service by account, decaying with `DECAY_TIME`.
 
@@ -143,6 +200,7 @@
         self._own: dict[str, _Account] = {}
         self._others: dict[str, UsageRow] = {}
         self._totals_at: Millis | None = None
+        self._demands = CurrentDemands()
         self._entry_level = float("inf")
         self._entry_level_at: Millis | None = None
         self.shares = Shares()
@@ -251,7 +309,8 @@
         self._others = {
             row.account: _subtract(row, own_rows.get(row.account)) for row in sums.usage
         }
-        self.shares = compute_shares(sums.usage, capacity, used_part)
+        demands = self._demands.apply(sums.usage, now)
+        self.shares = compute_shares(demands, capacity, used_part)
 
     def _has_current_totals(self, now: Millis) -> bool:
         return self._totals_at is not None and now - self._totals_at <= MAX_TOTALS_AGE
--- a/tests/routing/test_usage.py
+++ b/tests/routing/test_usage.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import exp
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -202,6 +204,23 @@
         assert shares.standing(least) in (Standing.WITHIN, Standing.EVEN)
 
 
+def test_an_account_that_requests_nothing_any_more_stops_no_other() -> None:
+    table = UsageTable()
+    interval = 100
+    fading = exp(-interval / DECAY_TIME)
+    ended = UsageRow("ended", 400, 4_000)
+    going = UsageRow("going", 450, 2_000)
+    for step in range(40):
+        now = step * interval
+        table.apply_sums(LoadSums((), (ended, going)), None, capacity=850, now=now)
+        if step >= 13:
+            # Recent requests of a flood that has ended still exceed its share 5 times.
+            assert table.standing("going", now) is not Standing.STOPPED
+        ended = UsageRow(
+            "ended", round(ended.served * fading), round(ended.requested * fading)
+        )
+
+
 @pytest.mark.parametrize(("used_part", "reachable"), [(0.9, 550), (0.6, 688)])
 def test_engines_that_provide_more_than_is_stated_may_be_used_fully(
     used_part: float, reachable: int
