Trust the versions in service only once a majority of replicas told theirs

A caller that resumed a stream could get its rest from another version. A restarted entry took its table of versions for complete as soon as one replica said that its own is. A replica that was down or cut off while a version came says so too, by its file; until the entry heard another replica, the pool had one version there, nothing was looked up, and the stream went on at whatever upstream was known.

Entries tell all replicas of a version before they begin a stream at it, so that a majority contains one that knows it. Until then streams are looked up, as for a pool with several versions. No message has changed.

The stream client's own tests state the size of the group.

--- a/src/leadseam/feed/client.py
+++ b/src/leadseam/feed/client.py
@@ -260,6 +260,7 @@
             self.streams.heard()
             if isinstance(message, Replicas):
                 self._update_members(endpoint, message)
+                self.streams.set_group_size(len(message.names))
                 if message.holds_streams:
                     self.streams.connected(replica, link)
             if isinstance(message, Current) and message.version > self.version:
@@ -299,7 +300,7 @@
             case CacheChanges():
                 self.holders.apply(replica, message)
             case Versions():
-                self.streams.receive(message)
+                self.streams.receive(replica, message)
             case StreamFound():
                 self.streams.receive_reply(message)
             case _:
--- a/src/leadseam/feed/stream_client.py
+++ b/src/leadseam/feed/stream_client.py
@@ -97,6 +97,8 @@
         self._started = clock.now()
         self._last_heard = clock.now()
         self._complete = False
+        self._complete_replicas: set[str] = set()
+        self._group_size = 0
         self._streams = StreamTable()
         self._links: dict[str, Link] = {}
         self._sent_revision = 0
@@ -167,14 +169,21 @@
         for pool in filter(self._is_known_mixed, self._versions.pools()):
             _send(link, self._streams.of_pool(pool))
 
+    def set_group_size(self, replicas: int) -> None:
+        """Set the number of replicas in the control group, as a replica states it."""
+        self._group_size = max(self._group_size, replicas)
+        self._update_complete()
+
     def disconnected(self, replica: str) -> None:
         """Record that a replica is no longer followed."""
         self._links.pop(replica, None)
 
-    def receive(self, message: Versions) -> None:
+    def receive(self, replica: str, message: Versions) -> None:
         """Merge versions that a replica knows."""
         self._versions.merge(message.rows, self._clock.now())
-        self._complete = self._complete or message.complete
+        if message.complete:
+            self._complete_replicas.add(replica)
+            self._update_complete()
         self.versions_changed()
 
     def receive_reply(self, reply: StreamFound) -> None:
@@ -268,6 +277,15 @@
             del self._lookups[ticket]
         return None
 
+    def _update_complete(self) -> None:
+        """Trust the table once a majority of the replicas have sent theirs.
+
+        A single replica may have been down or cut off when a version came. Entries
+        tell all replicas of one, so that a majority of them contains one that knows it.
+        """
+        if self._group_size and 2 * len(self._complete_replicas) > self._group_size:
+            self._complete = True
+
     def _is_known_mixed(self, pool: str) -> bool:
         return not self._complete or self._versions.is_mixed(pool)
 
--- a/tests/feed/test_mixed_versions.py
+++ b/tests/feed/test_mixed_versions.py
@@ -195,3 +195,31 @@
     assert streams.resumed["mixed"] == 0
     assert streams.resumed["version_gone"] > 0
     assert streams.resumed["version_unknown"] == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_no_stream_changes_its_version_where_entries_first_hear_an_outdated_replica(
+    seed: int,
+) -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        sim, outdated = fleet.fleet, "c-1"
+        await sleep(2_000)
+        sim.kill(outdated)
+        await release(fleet, "v2")
+        await sleep(2_000)
+        # All entries are killed, and reach only a replica that was down before.
+        fleet.start_replica(outdated)
+        for entry in list(sim.entries):
+            fleet.restart_entry(entry.number)
+            for name in MEMBERS - {outdated}:
+                sim.cut(entry.box, name)
+        for upstream in fleet.upstreams:
+            if upstream.row.version == "v1":
+                upstream.replica = outdated
+        await sleep(1_500)
+        sim.cuts.clear()
+
+    streams, _, _ = play(scenario, seed)
+    resumed = streams.resumed
+    assert resumed["mixed"] == 0
+    assert resumed["same"] > 0.6 * resumed.total()
--- a/tests/feed/test_stream_client.py
+++ b/tests/feed/test_stream_client.py
@@ -46,7 +46,8 @@
 ) -> tuple[StreamClient, list[LinkStub]]:
     """Return a client that knows two versions, and its links to replicas."""
     client = StreamClient(ManualClock(), VersionTable(), lambda _: entries)
-    client.receive(MIXED)
+    client.set_group_size(1)
+    client.receive("replica", MIXED)
     stubs = [LinkStub() for _ in range(links)]
     for number, stub in enumerate(stubs):
         client.connected(f"r-{number}", cast("Any", stub))
