--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test demo measure measure-crashes slopes broken-variants soak
+.PHONY: setup test demo measure measure-crashes slopes broken-variants soak evidence
 
 setup: $(VENV)/.ready
 
@@ -36,3 +36,6 @@
 
 soak: setup
 	$(BIN)/python -m tools.soak
+
+evidence: setup
+	$(BIN)/python -m tools.evidence --bench $(BENCH) $(SITES)
