Keep prompt parts under keys of bounded length

The table of parts that an entry has sent was bounded to 20,000 rows, but its keys were the identities that callers wrote, as long as a header allows: 334 MB with 16 KB each, above the memory of a box. Identities above 64 characters are now hashed, as for suspects (docs/design/bounds.md, second open row).

--- a/src/leadseam/routing/prompts.py
+++ b/src/leadseam/routing/prompts.py
@@ -5,6 +5,8 @@
 from collections import OrderedDict
 from typing import TYPE_CHECKING
 
+import xxhash
+
 if TYPE_CHECKING:
     from leadseam.clock import Millis
     from leadseam.incarnation import Incarnation
@@ -15,6 +17,9 @@
 the least recently used parts, so parts in steady use stay."""
 MAX_KEPT_PARTS = 20_000
 """Maximum parts kept over all engines: 5 to 8 MB, as most are held by one or two."""
+MAX_IDENTITY = 64
+"""Longest identity of a part that is kept as it is. Callers write identities, and a
+header may hold one of its whole size."""
 
 
 class PromptTable:
@@ -38,14 +43,15 @@
     ) -> None:
         """Record the parts of a prompt that an engine has read."""
         for part in parts:
-            self._sent.setdefault(part.identity, {})[incarnation] = now
-            self._sent.move_to_end(part.identity)
+            key = _key(part.identity)
+            self._sent.setdefault(key, {})[incarnation] = now
+            self._sent.move_to_end(key)
         while len(self._sent) > MAX_KEPT_PARTS:
             self._sent.popitem(last=False)
 
     def holders(self, identity: str, now: Millis) -> frozenset[Incarnation]:
         """Return the engines that are assumed to hold a part."""
-        sent = self._sent.get(identity)
+        sent = self._sent.get(_key(identity))
         if sent is None:
             return frozenset()
         old = [one for one, at in sent.items() if now - at >= self._retention]
@@ -86,6 +92,13 @@
 
     def holds(self, incarnation: Incarnation, part: PromptPart, now: Millis) -> bool:
         """Return whether an engine is assumed to hold a part."""
-        sent = self._sent.get(part.identity)
+        sent = self._sent.get(_key(part.identity))
         at = sent.get(incarnation) if sent is not None else None
         return at is not None and now - at < self._retention
+
+
+def _key(identity: str) -> str:
+    """Return the key of a part, which is bounded in length."""
+    if len(identity) <= MAX_IDENTITY:
+        return identity
+    return xxhash.xxh3_128_hexdigest(identity.encode())
