--- a/tests/emulate/test_shares.py
+++ b/tests/emulate/test_shares.py
@@ -214,3 +214,28 @@
     )
     letters, chat = shares_by_kind(simulate_fleet(cfg, seed=seed).tally)
     assert max(letters, chat) < 1.5 * min(letters, chat)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("times", [5, 20])
+def test_an_account_gains_little_by_asking_more_often(times: int, seed: int) -> None:
+    floods = tuple(
+        Flood(
+            account=rank,
+            at=0,
+            span=DURATION_SECONDS * 1_000,
+            times=(rank + 1.0) * (1 if rank else times),
+        )
+        for rank in range(8)
+    )
+    cfg = make_fleet(accounts=8, rate=60.0, stated=260_000, floods=floods, crowded=0)
+    tally = simulate_fleet(cfg, seed=seed).tally
+    begun = [
+        sum(
+            tally.begun_by_second[f"account-{rank}", at]
+            for at in range(STEADY_FROM, DURATION_SECONDS)
+        )
+        for rank in range(8)
+    ]
+    # An account is stopped at 1.3 of what the shortest one got, as far as is known.
+    assert begun[0] < 1.4 * sum(begun[1:]) / len(begun[1:])
