--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -66,8 +66,8 @@
         (
             Replacement(
                 "routing/admission.py",
-                "MAX_READING_AHEAD_BEYOND_SHARE: Millis = 0",
-                "MAX_READING_AHEAD_BEYOND_SHARE: Millis = 50",
+                "MAX_READING_AHEAD_OF_LEADERS: Millis = 0",
+                "MAX_READING_AHEAD_OF_LEADERS: Millis = 50",
             ),
         ),
     ),
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -247,7 +247,7 @@
     Variant(
         "the stated capacity is used even if engines deliver less",
         "routing/usage.py",
-        "    return min(reachable_service(served, used_part), capacity)\n",
+        "    return min(reachable, capacity)\n",
         "    return capacity\n",
         f"{SHARES}::test_flooding_accounts_get_equal_service_when_capacity_is_overstated",
     ),
@@ -821,4 +821,40 @@
         "        if False:",
         "tests/failures/test_answer_ends.py",
     ),
+    Variant(
+        "only the tokens that a request shares with no other count as service",
+        "routing/balance.py",
+        "    return expected_service_of_tokens(req.tokens_in, req.tokens_out)",
+        "    return expected_service_of_tokens(own_tokens(req), req.tokens_out)",
+        SHARES,
+    ),
+    Variant(
+        "shares are of what engines provide, not of what they can provide",
+        "routing/usage.py",
+        "        return max(reachable, capacity)",
+        "        return max(served, capacity)",
+        "tests/routing/test_usage.py",
+    ),
+    Variant(
+        "an account that no longer requests service counts as short",
+        "routing/usage.py",
+        "            if current < row.requested:",
+        "            if False:",
+        "tests/routing/test_usage.py",
+    ),
+    Variant(
+        "an entry trusts the versions that a single replica knows",
+        "feed/stream_client.py",
+        "        if self._group_size and 2 * len(self._complete_replicas) > "
+        "self._group_size:",
+        "        if self._complete_replicas:",
+        "tests/feed/test_mixed_versions.py",
+    ),
+    Variant(
+        "a process is unreachable once the first packet of its check is lost",
+        "runtime/witness.py",
+        "CONNECT_ATTEMPTS = 3",
+        "CONNECT_ATTEMPTS = 1",
+        "tests/runtime/test_witness.py",
+    ),
 )
