Log and count events of upstreams that are not the ones due

Change: EventSequence compares each event of a stream with the number that is due, by the format that the dialect states. What it finds is in AnswerEnd.spoilt, on the lines of the attempt and the request, in leadseam_routed_answer_ends_total and leadseam_routed_spoilt_answers_total{pool}, and in a warning for each upstream, at most one a second, with the bytes received. Nothing is decided by it.

--- a/src/leadseam/answer_end.py
+++ b/src/leadseam/answer_end.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from multidict import MultiMapping
 
+    from leadseam.event_sequence import SpoiltEvent
+
 EMPTY_BODY_STATUSES = frozenset({204, 304})
 """Statuses of answers that never have a body."""
 
@@ -60,12 +62,14 @@
         unfinished: Bytes after the last complete event; 0 if it is no event stream.
         liveness: Whether the upstream still ran after the end; None if it was not
             checked.
+        spoilt: The event that was not the one due, or None.
     """
 
     framing: Framing
     close: Close
     unfinished: int = 0
     liveness: Liveness | None = None
+    spoilt: SpoiltEvent | None = None
 
     @property
     def completeness(self) -> Completeness:
@@ -103,11 +107,15 @@
         if self.liveness is not None:
             fields["upstream_gone"] = self.liveness is Liveness.GONE
             fields["liveness"] = self.liveness.value
+        if self.spoilt is not None:
+            fields |= self.spoilt.log_fields()
         return fields
 
     def label(self) -> str:
         """Return the value that counts the end in a metric, such as `chunks/reset`."""
         place = "/unfinished_event" if self.unfinished else ""
+        if self.spoilt is not None:
+            place = f"/spoilt_{self.spoilt.fault}"
         liveness = self.liveness
         checked = liveness is not None and liveness is not Liveness.RUNS
         state = f"/upstream_{liveness}" if checked else ""
--- /dev/null
+++ b/src/leadseam/event_sequence.py
@@ -0,0 +1,196 @@
+"""Checks that the events of a stream are those of its run, each once and in order.
+
+A sound frame says nothing of what it holds: an upstream may write other bytes where an
+event was due, leave out or repeat events, and still end the stream as complete. Where
+events are numbered, the number shows which event is due. No I/O.
+
+Fields are those of section 9.2 of the HTML standard, and any that the wire format adds.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from enum import StrEnum
+
+STANDARD_FIELDS = frozenset({"data", "event", "id", "retry"})
+MAX_DIGITS = 18
+"""Digits of an event's number; one with more would not fit into 64 bits."""
+MAX_LOGGED_BYTES = 64
+"""Bytes of a spoilt event in a log line."""
+
+_PLAIN_EVENT = re.compile(rb"id: (0|[1-9][0-9]{0,17})\ndata: [ -~]*\n\n")
+"""The form that nearly all events have: a number and one line of ASCII data."""
+_NUMBER = re.compile(rf"0|[1-9][0-9]{{0,{MAX_DIGITS - 1}}}")
+_LINE_END = re.compile(r"\r\n|\n|\r")
+_BYTE_ORDER_MARK = "\ufeff"
+
+
+class EventFault(StrEnum):
+    """Why a block of a stream is not the event that is due.
+
+    `MALFORMED`: it is not UTF-8, or has a line that is no known field. `NO_ID`,
+    `INVALID_ID`, `SEVERAL_IDS`: no `id` field, one that is no plain number, more than
+    one. `NO_DATA`: no `data` field. `REPEATED`: the number of an earlier event.
+    `SKIPPED`: a number beyond the one that is due. `NO_EVENT`: the stream ended before
+    its first event.
+    """
+
+    MALFORMED = "malformed"
+    NO_ID = "no_id"
+    INVALID_ID = "invalid_id"
+    SEVERAL_IDS = "several_ids"
+    NO_DATA = "no_data"
+    REPEATED = "repeated"
+    SKIPPED = "skipped"
+    NO_EVENT = "no_event"
+
+
+@dataclass(frozen=True, slots=True)
+class EventFormat:
+    """How upstreams write the events of a stream.
+
+    Args:
+        first: Number of the first event of a stream. If it is None, streams may have
+            events without numbers; one whose first event has a number has them all.
+        counters: Names of further fields that an event may have, whose values are
+            whole numbers.
+    """
+
+    first: int | None = None
+    counters: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class SpoiltEvent:
+    """A block of a stream that its run has not made.
+
+    Args:
+        fault: What is wrong with it.
+        due: Number that was due, or None if any was.
+        received: Its first bytes, at most `MAX_LOGGED_BYTES`.
+    """
+
+    fault: EventFault
+    due: int | None
+    received: bytes
+
+    def log_fields(self) -> dict[str, object]:
+        """Return the fields that describe the event in a log line."""
+        return {
+            "spoilt": self.fault.value,
+            "due": self.due,
+            "received": repr(self.received)[2:-1],
+        }
+
+
+class EventSequence:
+    """Position in a stream, from event to event, whichever upstreams send it.
+
+    Args:
+        fmt: How upstreams write events.
+        resume_after: Id of the last event that the caller has, or None.
+    """
+
+    def __init__(self, fmt: EventFormat, *, resume_after: str | None = None) -> None:
+        self.last_id = resume_after
+        self._fmt = fmt
+        self._due = fmt.first
+        self._is_numbered = fmt.first is not None
+        self._is_first = True
+        if resume_after is not None:
+            number = _parse_number(resume_after)
+            self._due = None if number is None else number + 1
+            self._is_numbered = self._is_numbered or number is not None
+
+    def __repr__(self) -> str:
+        return f"EventSequence(last_id={self.last_id!r}, due={self._due})"
+
+    def advance(self, block: bytes) -> SpoiltEvent | None:
+        """Advance by a complete event. A block of comments is no event.
+
+        Args:
+            block: Bytes of the event, including the empty line that ends it.
+
+        Returns:
+            What is wrong with it, or None if it is the event that is due.
+        """
+        plain = _PLAIN_EVENT.fullmatch(block)
+        if plain is not None and (number := int(plain[1])) == self._due:
+            self._is_first = False
+            self.last_id = plain[1].decode()
+            self._due = number + 1
+            return None
+        due = self._due
+        fault = self._read(block)
+        if fault is None:
+            return None
+        return SpoiltEvent(fault, due, block[:MAX_LOGGED_BYTES])
+
+    def finish(self) -> SpoiltEvent | None:
+        """Return what is wrong with a stream that ends here, or None."""
+        if self._is_first and self.last_id is None and self._fmt.first is not None:
+            return SpoiltEvent(EventFault.NO_EVENT, self._due, b"")
+        return None
+
+    def _read(self, block: bytes) -> EventFault | None:
+        """Advance by an event of any form, or return what is wrong with it."""
+        try:
+            text = block.decode()
+        except UnicodeDecodeError:
+            return EventFault.MALFORMED
+        if self._is_first and self.last_id is None:
+            text = text.removeprefix(_BYTE_ORDER_MARK)
+        ids = []
+        names = set()
+        for line in filter(None, _LINE_END.split(text)):
+            name, _, value = line.partition(":")
+            if not name:
+                continue
+            value = value.removeprefix(" ")
+            names.add(name)
+            if name == "id":
+                ids.append(value)
+            elif not self._may_have(name, value):
+                return EventFault.MALFORMED
+        if names <= {"retry"}:
+            return None
+        return self._accept(ids, has_data="data" in names)
+
+    def _may_have(self, name: str, value: str) -> bool:
+        if name in STANDARD_FIELDS:
+            return True
+        return name in self._fmt.counters and _parse_number(value) is not None
+
+    def _accept(self, ids: list[str], *, has_data: bool) -> EventFault | None:
+        number = _parse_number(ids[0]) if ids else None
+        if self._is_first and self._fmt.first is None and self._due is None:
+            self._is_numbered = number is not None
+        if self._is_numbered:
+            if fault := self._number_fault(ids, number, has_data=has_data):
+                return fault
+            assert number is not None
+            self._due = number + 1
+        self._is_first = False
+        if ids:
+            self.last_id = ids[-1]
+        return None
+
+    def _number_fault(
+        self, ids: list[str], number: int | None, *, has_data: bool
+    ) -> EventFault | None:
+        if not ids:
+            return EventFault.NO_ID
+        if len(ids) > 1:
+            return EventFault.SEVERAL_IDS
+        if number is None:
+            return EventFault.INVALID_ID
+        if not has_data:
+            return EventFault.NO_DATA
+        if self._due is None or number == self._due:
+            return None
+        return EventFault.REPEATED if number < self._due else EventFault.SKIPPED
+
+
+def _parse_number(value: str) -> int | None:
+    return int(value) if _NUMBER.fullmatch(value) else None
--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from leadseam.clock import MILLIS_PER_SECOND
+from leadseam.event_sequence import EventFormat
 from leadseam.incarnation import NO_START
 from leadseam.liveness import HealthCheck
 from leadseam.platform import names
@@ -54,6 +55,10 @@
 class PlatformDialect:
     """The platform's headers; see `leadseam.routing.dialect.Dialect`."""
 
+    event_format = EventFormat(
+        first=names.FIRST_EVENT, counters=frozenset({names.WEIGHT_VERSIONS.lower()})
+    )
+
     def read_request(self, http: web.BaseRequest) -> RoutedRequest | None:
         """Decode a caller's request, or return None if it has no request identifier."""
         headers = http.headers
--- a/src/leadseam/platform/names.py
+++ b/src/leadseam/platform/names.py
@@ -22,6 +22,11 @@
 """Number of prompt tokens and the most tokens to be generated: a bound, in spite of its
 name, as nothing has been used yet."""
 LAST_EVENT = "Last-Event-Id"
+FIRST_EVENT = 1
+"""Id of the first event of a stream."""
+WEIGHT_VERSIONS = "Leadseam-Weight-Versions"
+"""Version of the weights that an answer is made with; in lower case, the first field of
+an event at which it changes."""
 RESUMES = "Resumes"
 """Id of the caller's attempt that brought the first event of a resumed stream."""
 HOLD = "Leadseam-Hold"
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -10,6 +10,7 @@
     from multidict import MultiMapping
 
     from leadseam.clock import Millis
+    from leadseam.event_sequence import EventFormat
     from leadseam.incarnation import Incarnation
     from leadseam.liveness import HealthCheck
 
@@ -139,7 +140,13 @@
 
 
 class Dialect(Protocol):
-    """Reads and writes the headers of callers and upstreams; makes no decisions."""
+    """Reads and writes the headers of callers and upstreams; makes no decisions.
+
+    Attributes:
+        event_format: How upstreams write the events of routes that answer with them.
+    """
+
+    event_format: EventFormat
 
     def read_request(self, http: web.BaseRequest) -> RoutedRequest | None:
         """Read a caller's request; None if its headers are malformed."""
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -11,9 +11,10 @@
 
 from leadseam.answer_end import Completeness
 from leadseam.clock import seconds
-from leadseam.control.routes import Repeat
+from leadseam.control.routes import Repeat, ReplyForm
 from leadseam.crashes.evidence import AnswerProgress
 from leadseam.entry.error_responses import STATUS_CODES, UNAVAILABLE
+from leadseam.event_sequence import EventFormat
 from leadseam.outcome import Answered, Failed, NotRun, Outcome, Reason, Unknown
 from leadseam.routing.attempt import (
     FIRST_SERVER_ERROR,
@@ -107,6 +108,7 @@
             prepare=gateway.set_keep_alive,
             now=gateway.now,
             last_event=admitted.req.resume_after,
+            event_format=_event_format(gateway, admitted),
             on_first_event=self._note_first_event,
         )
         self.outcome: Outcome = Unknown(Reason.LINK_LOST)
@@ -540,3 +542,9 @@
     def _abort(self, reason: Reason) -> NoReturn:
         self.outcome = self._outcome_without_answer(reason)
         self._reply.abort(reason)
+
+
+def _event_format(gateway: Gateway, admitted: AdmittedRequest) -> EventFormat:
+    if admitted.route.reply is ReplyForm.EVENTS:
+        return gateway.dialect.event_format
+    return EventFormat()
--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -9,6 +9,7 @@
 from aiohttp import HttpVersion11, web
 
 from leadseam.answer_end import AnswerEnd, Close, Completeness, read_framing
+from leadseam.event_sequence import EventFormat, EventSequence, SpoiltEvent
 from leadseam.event_stream import Event, EventSplitter, EventTooLongError, PassThrough
 from leadseam.outcome import Reason
 from leadseam.routing.attempt import Broken, Ending, Streaming
@@ -38,6 +39,7 @@
         prepare: Called with the response before its head is sent.
         now: Returns the current time.
         last_event: Id of the last event that the caller has received, or None.
+        event_format: How the upstreams of its route write events.
         on_first_event: Called before the first event is sent to the caller.
     """
 
@@ -48,6 +50,7 @@
         prepare: Callable[[web.StreamResponse], None],
         now: Callable[[], Millis],
         last_event: str | None,
+        event_format: EventFormat | None = None,
         on_first_event: Callable[[], None] = lambda: None,
     ) -> None:
         self.last_event = last_event
@@ -55,6 +58,9 @@
         self._http = http
         self._prepare = prepare
         self._now = now
+        self._event_format = event_format or EventFormat()
+        self._sequence: EventSequence | None = None
+        self._spoilt: SpoiltEvent | None = None
         self._on_first_event = on_first_event
         self._response: web.StreamResponse | None = None
         # Empty lines and comments behind the last event.
@@ -82,6 +88,11 @@
             CallerGoneError: If the caller's connection is closed.
         """
         splitter = EventSplitter() if streaming.events else PassThrough()
+        self._spoilt = self._sequence = None
+        if streaming.events:
+            self._sequence = EventSequence(
+                self._event_format, resume_after=self.last_event
+            )
         try:
             await self._write(streaming, splitter.feed(streaming.buffered))
             while data := await streaming.resp.content.readany():
@@ -102,6 +113,9 @@
             # Makes the upstream stop its work if the answer is not read to the end.
             streaming.resp.close()
         end = read_end(streaming.resp, unfinished=splitter.unfinished)
+        if self._sequence is not None:
+            spoilt = self._spoilt or self._sequence.finish()
+            end = replace(end, spoilt=spoilt)
         if end.completeness is Completeness.BROKEN:
             return Broken(Reason.UPSTREAM_BROKEN, end)
         self._tail = splitter.pending
@@ -182,6 +196,8 @@
         for event in events:
             if event.event_id is not None:
                 self.last_event = event.event_id
+            if self._sequence is not None and self._spoilt is None:
+                self._spoilt = self._sequence.advance(event.data)
 
     async def _write(self, streaming: Streaming, events: list[Event]) -> None:
         if not events:
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -11,11 +11,13 @@
 from leadseam.routing.attempt import FIRST_SERVER_ERROR, Broken, Streaming, Whole
 from leadseam.routing.balance import own_tokens
 from leadseam.routing.reply import NOT_SENT
+from leadseam.routing.spoilt_answers import SpoiltAnswers
 from leadseam.runtime.logs import LogLineLimiter, count_dropped_lines
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from leadseam.answer_end import AnswerEnd
     from leadseam.clock import Clock, Millis
     from leadseam.feed.client import FeedClient
     from leadseam.routing.account_log import AccountLog
@@ -63,6 +65,7 @@
         self._clock = clock
         self._metrics = metrics
         self._lines = LogLineLimiter(clock)
+        self._spoilt_answers = SpoiltAnswers()
 
     def update_dropped_lines(self) -> None:
         """Update the metric of lines that were suppressed or could not be written."""
@@ -109,6 +112,7 @@
         end = exchange.answer_end
         if end is not None:
             self._metrics.answer_ends.inc(end.label())
+            self._spoilt(exchange, admitted, end)
         failed = isinstance(ending, Whole) and ending.status >= FIRST_SERVER_ERROR
         if not failed and isinstance(ending, Whole | Streaming):
             return
@@ -135,6 +139,28 @@
                 ]
             log.info("attempt failed", extra=extra)
 
+    def _spoilt(
+        self, exchange: Exchange, admitted: AdmittedRequest, end: AnswerEnd
+    ) -> None:
+        """Count a spoilt answer; log it outside the budget, once a second by upstream.
+
+        The other answers that the upstream has spoilt since then are in `answers`.
+        """
+        if end.spoilt is None:
+            return
+        self._metrics.spoilt_answers.inc(admitted.pool)
+        answers = self._spoilt_answers.record(exchange.instance, self._clock.now())
+        if answers:
+            extra = {
+                **self._context(admitted),
+                "instance": exchange.instance,
+                "send": exchange.sends,
+                "last_event": exchange.last_event,
+                "answers": answers,
+                **end.log_fields(),
+            }
+            log.warning("upstream sent an event that is not the one due", extra=extra)
+
     def retries(self, rows: Iterable[RetryActivity]) -> None:
         """Count and log decisions on retries, outside the budget of lines.
 
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -142,6 +142,11 @@
             "Answers of upstreams by framing, close and unfinished event.",
             "end",
         )
+        self.spoilt_answers = metrics.buffered_counter(
+            "routed_spoilt_answers_total",
+            "Event streams with an event that was not the one due, by pool.",
+            "pool",
+        )
         self.retries = metrics.buffered_counter(
             "routed_retries_total", "Retries that the budget allowed, by pool.", "pool"
         )
--- /dev/null
+++ b/tests/test_event_sequence.py
@@ -0,0 +1,135 @@
+"""Only the events of a run, each once and in order, pass the check of a stream."""
+
+from __future__ import annotations
+
+import pytest
+
+from leadseam.event_sequence import (
+    EventFault,
+    EventFormat,
+    EventSequence,
+    SpoiltEvent,
+)
+
+NUMBERED = EventFormat(first=1, counters=frozenset({"weights"}))
+ANY = EventFormat()
+
+
+def event(number: int) -> bytes:
+    """Return an event of a run."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+def sequence_after(number: int) -> EventSequence:
+    """Return the position behind an event."""
+    return EventSequence(NUMBERED, resume_after=str(number))
+
+
+@pytest.mark.parametrize(
+    "block",
+    [
+        b"id: 2\ndata: a\n\n",
+        b"id:2\ndata:a\n\n",
+        b"id: 2\r\ndata: a\r\n\r\n",
+        b"id: 2\rdata: a\r\r",
+        b"data: a\nid: 2\ndata: b\nevent: token\n\n",
+        b": comment\nid: 2\ndata\n\n",
+        b"weights: 7\nid: 2\ndata: a\n\n",
+        "id: 2\ndata: \u00e9\n\n".encode(),
+        b"id: 2\ndata: a\nretry: 100\n\n",
+    ],
+)
+def test_the_event_that_is_due_passes_in_any_form_of_the_standard(block: bytes) -> None:
+    sequence = sequence_after(1)
+    assert sequence.advance(block) is None
+    assert sequence.last_id == "2"
+    assert sequence.advance(event(3)) is None
+
+
+@pytest.mark.parametrize(
+    ("block", "fault"),
+    [
+        (b"data: a\n\n", EventFault.NO_ID),
+        (b"id\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id:\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id: two\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id: -2\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id: +2\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id: 02\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id: 2\x00\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id:  2\ndata: a\n\n", EventFault.INVALID_ID),
+        ("id: \u0662\ndata: a\n\n".encode(), EventFault.INVALID_ID),
+        (b"id: " + b"9" * 5_000 + b"\ndata: a\n\n", EventFault.INVALID_ID),
+        (b"id: 2\nid: 1\ndata: a\n\n", EventFault.SEVERAL_IDS),
+        (b"id: 2\nid: 2\ndata: a\n\n", EventFault.SEVERAL_IDS),
+        (b"id: 1\ndata: a\n\n", EventFault.REPEATED),
+        (b"id: 0\ndata: a\n\n", EventFault.REPEATED),
+        (b"id: 3\ndata: a\n\n", EventFault.SKIPPED),
+        (b"id: 999999999999999999\ndata: a\n\n", EventFault.SKIPPED),
+        (b"id: 2\n\n", EventFault.NO_DATA),
+        (b"rubbish\nid: 2\ndata: a\n\n", EventFault.MALFORMED),
+        (b"id: 2\ndata: a\nrubbish: b\n\n", EventFault.MALFORMED),
+        (b"id: 2\ndata: \xff\n\n", EventFault.MALFORMED),
+        (b"\x8a\x00rubbish\n\n", EventFault.MALFORMED),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", EventFault.MALFORMED),
+        (b"weights: old\nid: 2\ndata: a\n\n", EventFault.MALFORMED),
+        (b"\xef\xbb\xbfid: 2\ndata: a\n\n", EventFault.MALFORMED),
+    ],
+)
+def test_a_block_that_is_not_the_event_due_is_spoilt(
+    block: bytes, fault: EventFault
+) -> None:
+    sequence = EventSequence(NUMBERED)
+    assert sequence.advance(event(1)) is None
+    assert sequence.advance(block) == SpoiltEvent(fault, 2, block[:64])
+    assert sequence.last_id == "1"
+
+
+@pytest.mark.parametrize("block", [b"\n", b": waiting\n\n", b"retry: 100\n\n"])
+def test_blocks_without_an_event_do_not_count(block: bytes) -> None:
+    sequence = EventSequence(NUMBERED)
+    for number in (1, 2):
+        assert sequence.advance(block) is None
+        assert sequence.advance(event(number)) is None
+
+
+def test_a_stream_begins_with_its_first_event() -> None:
+    for number in (0, 2):
+        assert EventSequence(NUMBERED).advance(event(number)) is not None
+    with_mark = EventSequence(NUMBERED)
+    assert with_mark.advance(b"\xef\xbb\xbf" + event(1)) is None
+
+
+def test_a_resumed_stream_begins_behind_the_callers_last_event() -> None:
+    assert sequence_after(7).advance(event(8)) is None
+    for number in (1, 7, 9):
+        assert sequence_after(7).advance(event(number)) is not None
+
+
+def test_behind_an_id_that_is_no_number_any_number_may_follow() -> None:
+    sequence = EventSequence(NUMBERED, resume_after="seven")
+    assert sequence.advance(event(8)) is None
+    assert sequence.advance(event(10)) is not None
+
+
+def test_a_stream_that_begins_has_an_event() -> None:
+    empty = EventSequence(NUMBERED)
+    assert empty.advance(b": waiting\n\n") is None
+    assert empty.finish() == SpoiltEvent(EventFault.NO_EVENT, 1, b"")
+    assert sequence_after(7).finish() is None
+    assert EventSequence(ANY).finish() is None
+
+
+def test_streams_without_numbers_pass_where_the_format_has_none() -> None:
+    sequence = EventSequence(ANY)
+    for block in (b'data: {"a": 1}\n\n', b"event: done\ndata\n\n", b"data: [DONE]\n\n"):
+        assert sequence.advance(block) is None
+    assert sequence.advance(b"rubbish\n\n") is not None
+
+
+def test_a_stream_that_numbers_its_first_event_numbers_all() -> None:
+    for spoilt in (b"data: a\n\n", event(5), event(3)):
+        sequence = EventSequence(ANY)
+        assert sequence.advance(event(4)) is None
+        fault = sequence.advance(spoilt)
+        assert (fault is None) == (spoilt == event(5))
