--- a/src/leadseam/standin/answer_plans.py
+++ b/src/leadseam/standin/answer_plans.py
@@ -8,6 +8,7 @@
 
 from leadseam.answer_end import Framing
 from leadseam.runtime.sockets import reset_connection
+from leadseam.standin.spoilt_streams import Spoil
 
 if TYPE_CHECKING:
     from aiohttp import web
@@ -35,6 +36,7 @@
         sent: Bytes of the body that it sends; -1 for all of it and what ends it.
         crlf: Whether the lines of an event stream end with CR LF.
         number: Makes the path of each request unique.
+        spoil: How an event stream is spoilt.
     """
 
     framing: Framing
@@ -42,6 +44,7 @@
     sent: int = -1
     crlf: bool = False
     number: int = 0
+    spoil: Spoil = Spoil.NONE
 
     @property
     def whole(self) -> bool:
@@ -50,7 +53,14 @@
 
     def path(self) -> str:
         """Return the last component of the path that asks for this plan."""
-        fields = (self.framing, self.finish, self.sent, int(self.crlf), self.number)
+        fields = (
+            self.framing,
+            self.finish,
+            self.sent,
+            int(self.crlf),
+            self.number,
+            self.spoil,
+        )
         return PLAN_PREFIX + ",".join(map(str, fields))
 
     @classmethod
@@ -58,9 +68,16 @@
         """Return the plan that a component of a path asks for, or None."""
         if not component.startswith(PLAN_PREFIX):
             return None
-        framing, finish, sent, crlf, number = component[len(PLAN_PREFIX) :].split(",")
+        framing, finish, sent, crlf, number, spoil = component[
+            len(PLAN_PREFIX) :
+        ].split(",")
         return cls(
-            Framing(framing), Finish(finish), int(sent), crlf == "1", int(number)
+            Framing(framing),
+            Finish(finish),
+            int(sent),
+            crlf == "1",
+            int(number),
+            Spoil(spoil),
         )
 
     def encode(self, status: int, headers: dict[str, str], body: bytes) -> bytes:
--- a/src/leadseam/standin/service.py
+++ b/src/leadseam/standin/service.py
@@ -8,6 +8,7 @@
 
 from leadseam.clock import Millis, sleep
 from leadseam.standin.answer_plans import AnswerPlan
+from leadseam.standin.spoilt_streams import spoil_stream
 
 EVENTS = b"".join(b"id: %d\ndata: line %d\n\n" % (n, n) for n in range(1, 5))
 """Body of a stream whose end is planned."""
@@ -55,7 +56,7 @@
             raise web.HTTPNotFound
         is_stream = http.match_info["kind"] == "events"
         content_type = "text/event-stream" if is_stream else "application/json"
-        body = EVENTS if is_stream else DOCUMENT
+        body = spoil_stream(EVENTS, plan.spoil) if is_stream else DOCUMENT
         assert http.transport is not None
         await http.read()
         http.transport.write(plan.encode(200, {"Content-Type": content_type}, body))
--- /dev/null
+++ b/tests/platform/test_spoilt_events.py
@@ -0,0 +1,41 @@
+"""Events that no run made reach no caller, and end no answer as complete."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from leadseam.answer_end import Framing
+from leadseam.standin.answer_plans import AnswerPlan
+from leadseam.standin.spoilt_streams import Spoil
+from tests.platform.test_answer_ends import ends_with_event
+from tools.platform.standin import WHOLE_STREAM
+
+if TYPE_CHECKING:
+    from tools.platform.nodes import Answer, Platform
+
+SPOILT = [way for way in Spoil if way is not Spoil.NONE]
+
+
+def verdict(answer: Answer) -> str:
+    """Return what is wrong with the stream that a caller got, or nothing."""
+    if answer.status == 200 and not answer.cut and answer.body != WHOLE_STREAM:
+        return f"passes for whole: {answer.body!r}"
+    is_part = WHOLE_STREAM.startswith(answer.body) and ends_with_event(answer.body)
+    if answer.cut and not is_part:
+        return f"events that no run made: {answer.body!r}"
+    return ""
+
+
+async def test_no_event_that_no_run_made_reaches_a_caller(platform: Platform) -> None:
+    entry = platform.entry_ips[0]
+    await platform.earn_retries(entry, "stream")
+    faults = []
+    cases = itertools.product(SPOILT, Framing, ("stream", "stream-fixed"))
+    for number, (way, framing, route) in enumerate(cases):
+        plan = AnswerPlan(framing, number=number, spoil=way)
+        answer = await platform.call(entry, f"/{route}/{plan.path()}")
+        if fault := verdict(answer):
+            faults.append(f"{route} {framing} {way}: {fault}")
+    calls = len(SPOILT) * len(Framing) * 2
+    assert not faults, "\n".join([f"{len(faults)} of {calls} calls", *faults])
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -22,6 +22,7 @@
 from leadseam.runtime.sockets import reset_connection
 from leadseam.standin.answer_plans import AnswerPlan, Finish
 from leadseam.standin.endless_answers import Endless, endless_answer
+from leadseam.standin.spoilt_streams import spoil_stream
 from tools.platform.operator import open_session, post_bytes
 from tools.platform.pauses import Arrival, Pause
 from tools.waiting import wait_until
@@ -419,6 +420,7 @@
         if "stream" in http.path:
             first = int(http.headers.get(names.LAST_EVENT, "0")) + 1
             body = b"".join(event(number) for number in range(first, EVENTS + 1))
+            body = spoil_stream(body, plan.spoil)
             headers["Content-Type"] = "text/event-stream"
             return 200, headers, body.replace(b"\n", b"\r\n") if plan.crlf else body
         if "/large/" in http.path:
