Take an answer that this box breaks off for no sign of a restart

Cause: each broken attempt raised the doubt that its upstream has started again, also one that this box ended itself, as an upstream that spoils a stream runs on. With upstreams of several versions no stream could go on there until the doubt had ended.

Change: attempts whose answer this box dropped raise none. They still count as failures of the upstream, which is left alone by its share of failures as before; and they are evidence against their request only if the upstream ends, as before: rubbish ahead of a crash is evidence.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from leadseam.answer_end import Framing, read_framing
+from leadseam.answer_end import Close, Framing, read_framing
 from leadseam.entry.error_responses import error_response
 from leadseam.outcome import NotRun, Reason
 from leadseam.routing.admitted import AdmittedRequest
@@ -573,8 +573,9 @@
                 if refused:
                     self.crash_guard.ended(upstream.incarnation)
                 excluded = self._health.unreachable(upstream.incarnation, now)
-            case Broken():
-                self.placer.record_disconnect(upstream, alive_at=alive_at)
+            case Broken(end=end):
+                if end is None or end.close is not Close.DROPPED:
+                    self.placer.record_disconnect(upstream, alive_at=alive_at)
                 excluded = self._health.failed(upstream.incarnation, now)
             case Whole(status=status) if status >= FIRST_SERVER_ERROR:
                 excluded = self._health.failed(upstream.incarnation, now)
--- a/tests/platform/test_spoilt_events.py
+++ b/tests/platform/test_spoilt_events.py
@@ -39,3 +39,14 @@
             faults.append(f"{route} {framing} {way}: {fault}")
     calls = len(SPOILT) * len(Framing) * 2
     assert not faults, "\n".join([f"{len(faults)} of {calls} calls", *faults])
+
+
+async def test_a_request_that_was_answered_badly_is_not_refused_as_a_deadly_one(
+    platform: Platform,
+) -> None:
+    plan = AnswerPlan(Framing.CHUNKS, spoil=Spoil.RUBBISH_FIRST)
+    answers = [
+        await platform.call(platform.entry_ips[0], f"/stream-fixed/{plan.path()}")
+        for _ in range(8)
+    ]
+    assert [answer.status for answer in answers] == [502] * 8
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -12,8 +12,10 @@
 import msgspec
 import pytest
 
+from leadseam.answer_end import AnswerEnd, Close, Framing
 from leadseam.clock import ManualClock
 from leadseam.control.configuration import Account, Configuration
+from leadseam.event_sequence import EventFault, SpoiltEvent
 from leadseam.feed.entry_count import EntryCount
 from leadseam.incarnation import Incarnation
 from leadseam.membership.view import UpstreamView
@@ -376,3 +378,14 @@
     entry.gateway.note_ending(row, Broken(Reason.UPSTREAM_BROKEN))
     assert entry.gateway.placer._candidates(Scope("p", version="v1")) == []
     assert entry.gateway.placer._candidates(Scope("p")) == [row]
+
+
+def test_an_answer_that_this_box_breaks_off_is_no_sign_of_a_restart(
+    entry: Entry,
+) -> None:
+    row = msgspec.structs.replace(make_upstream(1, start=1_000), version="v1")
+    entry.feed.view.update("a", [row], 0)
+    spoilt = SpoiltEvent(EventFault.NO_ID, 3, b"data: x\n\n")
+    end = AnswerEnd(Framing.CHUNKS, Close.DROPPED, spoilt=spoilt)
+    entry.gateway.note_ending(row, Broken(Reason.UPSTREAM_BROKEN, end))
+    assert entry.gateway.placer._candidates(Scope("p", version="v1")) == [row]
