Pass on no body of another encoding or type than the one due

What callers saw: a 200 with the upstream's signature whose body has a Content-Encoding that nobody asked for, and, on a route that answers with events, a body of another type, which no check of events reads.

Cause: of a head only the request's id and the signature were compared; the rest was trusted.

Change: such an answer is broken, as one without a signature is: 502, or another attempt where the route allows it.

Result: three cases at real sockets, each 200 before and 502 now.

--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -124,6 +124,7 @@
             pause=pause,
             invalid_pause=invalid_pause,
             leaving=names.LEAVING_VALUE in headers.getall(names.LEAVING, []),
+            encoded="Content-Encoding" in headers,
         )
 
     def health_check(self, incarnation: Incarnation, path: str) -> HealthCheck:
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from leadseam.control.routes import ReplyForm
 from leadseam.outcome import Reason
 from leadseam.routing.client import WithheldError
 from leadseam.runtime.upstream_connection import read_end
@@ -146,6 +147,7 @@
     upstream: Registration,
     head: AttemptHead,
     repeatable: bool,
+    reply: ReplyForm,
     may_send: MaySend,
     on_head: Callable[[int, AnswerHead], None],
 ) -> Ending:
@@ -159,6 +161,7 @@
         upstream: Upstream to send it to.
         head: Values of the headers that the system itself adds.
         repeatable: Whether to reuse an idle connection, which may prove to be closed.
+        reply: Form of a successful answer.
         may_send: Called with the connection before the first byte is written; if false,
             nothing is sent.
         on_head: Called with the status and head of any answer, good or not.
@@ -189,11 +192,14 @@
         return Broken(Reason.UPSTREAM_BROKEN)
     answer = dialect.read_answer(resp.status, resp.headers)
     on_head(resp.status, answer)
-    return await _classify(answer, req, resp)
+    return await _classify(answer, req, resp, reply)
 
 
 async def _classify(
-    answer: AnswerHead, req: RoutedRequest, resp: aiohttp.ClientResponse
+    answer: AnswerHead,
+    req: RoutedRequest,
+    resp: aiohttp.ClientResponse,
+    reply: ReplyForm,
 ) -> Ending:
     if answer.request_id != req.request_id:
         resp.close()
@@ -202,7 +208,8 @@
         await _drain(resp)
         return Declined(misdirected=resp.status == MISDIRECTED)
     success = resp.status < FIRST_REDIRECTION
-    if success and not answer.signed:
+    lacks_events = reply is ReplyForm.EVENTS and not answer.event_stream
+    if answer.encoded or (success and (lacks_events or not answer.signed)):
         resp.close()
         return Broken(Reason.UPSTREAM_BROKEN)
     headers = end_to_end_headers(resp)
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -128,6 +128,7 @@
             entry; 0 if not stated.
         invalid_pause: Requested pause that could not be parsed, or an empty string.
         leaving: Whether the upstream announces that it is leaving.
+        encoded: Whether the body has a content encoding, which no request asks for.
     """
 
     request_id: str | None
@@ -137,6 +138,7 @@
     pause: Millis = 0
     invalid_pause: str = ""
     leaving: bool = False
+    encoded: bool = False
 
 
 class Dialect(Protocol):
--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -354,6 +354,7 @@
             upstream=upstream,
             head=head,
             repeatable=request.route.repeatable,
+            reply=request.route.reply,
             may_send=partial(self._may_send, upstream),
             on_head=partial(self._note_head, upstream),
         )
--- a/tests/platform/test_spoilt_events.py
+++ b/tests/platform/test_spoilt_events.py
@@ -5,6 +5,8 @@
 import itertools
 from typing import TYPE_CHECKING
 
+import pytest
+
 from leadseam.answer_end import Framing
 from leadseam.standin.answer_plans import AnswerPlan
 from leadseam.standin.spoilt_streams import Spoil
@@ -50,3 +52,16 @@
         for _ in range(8)
     ]
     assert [answer.status for answer in answers] == [502] * 8
+
+
+@pytest.mark.parametrize(
+    ("route", "action"),
+    [("stream-fixed", "encoded"), ("once", "encoded"), ("stream-fixed", "mistyped")],
+)
+async def test_a_body_of_another_encoding_or_type_than_due_is_not_passed_on(
+    platform: Platform, route: str, action: str
+) -> None:
+    for server in platform.servers:
+        server.actions["x"] = action
+    answer = await platform.call(platform.entry_ips[0], f"/{route}/x")
+    assert (answer.status, WHOLE_STREAM in answer.body) == (502, False)
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -378,6 +378,13 @@
             case "foreign":
                 signed = self._signed_headers(http) | {names.REQUEST_ID: "another"}
                 return web.Response(body=b"x", headers=signed)
+            case "encoded":
+                encoded = self._signed_headers(http) | {"Content-Encoding": "gzip"}
+                return web.Response(body=b"x", headers=encoded)
+            case "mistyped":
+                return web.Response(
+                    body=WHOLE_STREAM, headers=self._signed_headers(http)
+                )
             case "error":
                 return web.Response(status=500, headers=self._signed_headers(http))
             case "large":
