Sidecars pass on only events that are due

What callers saw: on the path through sidecars, 114 of 114 spoilt streams of a service and 6 of 6 of an engine ended as complete, or were passed on with the rubbish in them.

Cause: the same as at entries: whatever ended in an empty line was an event.

Change: sidecars read streams with EventReader too. A service does not state that its events are numbered; a stream whose first event has a number has to number all. Events of engines hold JSON objects, and nothing may follow the closing one, which is held back until the answer has ended, as a caller takes it for the end.

Three stand-ins sent every event with the id 1; they count now.

What nobody can tell: a repeated, left out or moved event of a stream without numbers, and a byte changed inside an event's data.

--- a/src/leadseam/event_sequence.py
+++ b/src/leadseam/event_sequence.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+import msgspec
+
 from leadseam.event_stream import EventSplitter
 
 STANDARD_FIELDS = frozenset({"data", "event", "id", "retry"})
@@ -35,7 +37,8 @@
     `INVALID_ID`, `SEVERAL_IDS`: no `id` field, one that is no plain number, more than
     one. `NO_DATA`: no `data` field. `REPEATED`: the number of an earlier event.
     `SKIPPED`: a number beyond the one that is due. `NO_EVENT`: the stream ended before
-    its first event.
+    its first event. `INVALID_DATA`: data that is no JSON object, where it has to be
+    one. `AFTER_END`: it follows the event that ends the stream.
     """
 
     MALFORMED = "malformed"
@@ -46,6 +49,8 @@
     REPEATED = "repeated"
     SKIPPED = "skipped"
     NO_EVENT = "no_event"
+    INVALID_DATA = "invalid_data"
+    AFTER_END = "after_end"
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,10 +62,13 @@
             events without numbers; one whose first event has a number has them all.
         counters: Names of further fields that an event may have, whose values are
             whole numbers.
+        closing: Data of the event that ends a stream, whose other events hold JSON
+            objects; empty if there is none, and events hold any text.
     """
 
     first: int | None = None
     counters: frozenset[str] = frozenset()
+    closing: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,6 +100,10 @@
     Args:
         fmt: How upstreams write events.
         resume_after: Id of the last event that the caller has, or None.
+
+    Attributes:
+        last_id: Id of the last event, or None.
+        is_closed: Whether the event that ends the stream has come.
     """
 
     def __init__(self, fmt: EventFormat, *, resume_after: str | None = None) -> None:
@@ -100,6 +112,7 @@
         self._due = fmt.first
         self._is_numbered = fmt.first is not None
         self._is_first = True
+        self.is_closed = False
         if resume_after is not None:
             number = _parse_number(resume_after)
             self._due = None if number is None else number + 1
@@ -117,7 +130,7 @@
         Returns:
             What is wrong with it, or None if it is the event that is due.
         """
-        plain = _PLAIN_EVENT.fullmatch(block)
+        plain = _PLAIN_EVENT.fullmatch(block) if not self._fmt.closing else None
         if plain is not None and (number := int(plain[1])) == self._due:
             self._is_first = False
             self.last_id = plain[1].decode()
@@ -144,6 +157,7 @@
         if self._is_first and self.last_id is None:
             text = text.removeprefix(_BYTE_ORDER_MARK)
         ids = []
+        data = []
         names = set()
         for line in filter(None, _LINE_END.split(text)):
             name, _, value = line.partition(":")
@@ -153,11 +167,30 @@
             names.add(name)
             if name == "id":
                 ids.append(value)
+            elif name == "data":
+                data.append(value)
             elif not self._may_have(name, value):
                 return EventFault.MALFORMED
         if names <= {"retry"}:
             return None
-        return self._accept(ids, has_data="data" in names)
+        if self._fmt.closing and (fault := self._read_data(data)):
+            return fault
+        return self._accept(ids, has_data=bool(data))
+
+    def _read_data(self, lines: list[str]) -> EventFault | None:
+        if self.is_closed:
+            return EventFault.AFTER_END
+        if not lines:
+            return EventFault.NO_DATA
+        data = "\n".join(lines)
+        self.is_closed = data == self._fmt.closing
+        if self.is_closed:
+            return None
+        try:
+            msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+        except msgspec.DecodeError:
+            return EventFault.INVALID_DATA
+        return None
 
     def _may_have(self, name: str, value: str) -> bool:
         if name in STANDARD_FIELDS:
@@ -203,10 +236,13 @@
     Attributes:
         spoilt: The event that was not the one due, or None. Nothing is returned from
             then on.
+        closing: The event that ends the stream, which is held back until the answer has
+            ended, as nothing may follow it.
     """
 
     def __init__(self, sequence: EventSequence) -> None:
         self.spoilt: SpoiltEvent | None = None
+        self.closing = b""
         self._sequence = sequence
         self._splitter = EventSplitter()
 
@@ -241,6 +277,9 @@
             self.spoilt = self._sequence.advance(block)
             if self.spoilt is not None:
                 return blocks[:position]
+            if self._sequence.is_closed:
+                self.closing += block
+                blocks[position] = b""
         return blocks
 
     def finish(self) -> None:
--- a/src/leadseam/sidecar/meter.py
+++ b/src/leadseam/sidecar/meter.py
@@ -9,10 +9,12 @@
 from leadseam.fairness.service import OUTPUT_TOKEN, engine_service
 
 EVENT_STREAM = "text/event-stream"
+STREAM_END = "[DONE]"
+"""Data of the event that ends a stream of an engine."""
 MAX_LINE = 1024 * 1024
 
 _DATA = b"data:"
-_DONE = b"data: [DONE]"
+_DONE = f"data: {STREAM_END}".encode()
 _USAGE = b'"usage"'
 
 
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from contextlib import nullcontext
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
@@ -12,24 +13,28 @@
 
 from leadseam.answer_end import Completeness, Framing, read_framing
 from leadseam.clock import Clock, Millis, seconds
-from leadseam.event_stream import EventSplitter, PassThrough
+from leadseam.event_sequence import EventFormat, EventReader, EventSequence
+from leadseam.event_stream import PassThrough
 from leadseam.liveness import HealthCheck
 from leadseam.outcome import Reason
 from leadseam.runtime.connector import DEFAULT_KEEPALIVE_S
 from leadseam.runtime.upstream_connection import UpstreamConnector, read_end
 from leadseam.runtime.witness import LivenessChecker
-from leadseam.sidecar.meter import EVENT_STREAM, meter_for
+from leadseam.sidecar.meter import EVENT_STREAM, STREAM_END, meter_for
 from leadseam.wire.dispatch import Chunk, Final, Head
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from contextlib import AbstractContextManager
 
+    from leadseam.event_sequence import SpoiltEvent
     from leadseam.liveness import Liveness
     from leadseam.runtime.timeouts import Timeouts
     from leadseam.sidecar.meter import Meter
     from leadseam.wire.dispatch import Dispatch
 
+log = logging.getLogger(__name__)
+
 CONNECT_TIMEOUT: Millis = 1_000
 END_CHECK_TIMEOUT: Millis = 300
 """Longest time for which the end of an answer is held back while it is checked."""
@@ -283,22 +288,42 @@
                 self._status = resp.status
                 self._meter = self._upstream.new_meter(resp.content_type)
                 self._send(Head(self._req.attempt, resp.status, _end_to_end(resp)))
-                is_stream = resp.content_type == EVENT_STREAM
-                splitter = EventSplitter() if is_stream else PassThrough()
+                reader = self._reader(resp)
                 with self._upstream.watch_end(resp):
                     while data := await resp.content.readany():
                         self._charge(self._meter.feed(data, self._upstream.now()))
-                        await self._forward(b"".join(splitter.feed(data)))
-                    end = read_end(resp, unfinished=splitter.unfinished)
+                        await self._forward(b"".join(reader.feed(data)))
+                        if isinstance(reader, EventReader) and reader.spoilt:
+                            self._log_spoilt(reader.spoilt)
+                            resp.close()
+                            return
+                    end = read_end(resp, unfinished=reader.unfinished)
                     if end.completeness is Completeness.UNKNOWN:
                         liveness = await self._upstream.check_liveness()
                         end = replace(end, liveness=liveness)
                 self._completeness = end.completeness
-                if not splitter.unfinished:
-                    await self._forward(splitter.pending)
+                whole = end.completeness is not Completeness.BROKEN
+                if whole and isinstance(reader, EventReader):
+                    await self._forward(reader.closing)
+                if not reader.unfinished:
+                    await self._forward(reader.pending)
         finally:
             self._charge(self._meter.finish(self._upstream.now()))
 
+    def _reader(self, resp: aiohttp.ClientResponse) -> EventReader | PassThrough:
+        if resp.content_type != EVENT_STREAM:
+            return PassThrough()
+        closing = STREAM_END if self._upstream.address.engine else ""
+        return EventReader(EventSequence(EventFormat(closing=closing)))
+
+    def _log_spoilt(self, spoilt: SpoiltEvent) -> None:
+        extra = {
+            "path": self._req.path,
+            "account": self._req.account,
+            **spoilt.log_fields(),
+        }
+        log.warning("upstream sent an event that is not the one due", extra=extra)
+
     def final(self, error: str, *, started: bool = True) -> Final:
         return Final(self._req.attempt, self._chunks, self._size, error, started)
 
--- a/src/leadseam/standin/engine.py
+++ b/src/leadseam/standin/engine.py
@@ -15,6 +15,17 @@
 
 DEFAULT_TOKENS = 16
 PROMPT_TOKEN_CHARS = 4
+SPOILT_BLOCKS = {
+    "rubbish": bytes(range(128, 218)) + b"\n\n",
+    "no_json": b"data: none\n\n",
+    "cut_json": b'data: {"choices": [\n\n',
+    "no_object": b'data: "t0"\n\n',
+    "no_data": b"event: token\n\n",
+    "early_done": b"data: [DONE]\n\n",
+}
+"""Blocks that an engine sends in the middle of a stream, by mode."""
+SPOILT_WORD = "t1 "
+"""Word behind which it sends them."""
 
 
 class EngineStandin:
@@ -117,6 +128,8 @@
         async for word in self._tokens(count):
             choice = {"index": 0, "delta": {"content": word}}
             await response.write(_event({"choices": [choice]}))
+            if word == SPOILT_WORD and self.mode in SPOILT_BLOCKS:
+                await response.write(SPOILT_BLOCKS[self.mode])
             if self.mode == "cut":
                 assert http.transport is not None
                 http.transport.abort()
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -143,6 +143,30 @@
         assert (fault is None) == (spoilt == event(5))
 
 
+def test_the_closing_event_is_held_back_and_nothing_follows_it() -> None:
+    reader = EventReader(EventSequence(EventFormat(closing="[DONE]")))
+    assert reader.feed(b'data: {"a": 1}\n\ndata: [DONE]\n\n') == [
+        b'data: {"a": 1}\n\n',
+        b"",
+    ]
+    assert reader.closing == b"data: [DONE]\n\n"
+    assert reader.feed(b": waiting\n\n") == [b""]
+    assert reader.closing == b"data: [DONE]\n\n: waiting\n\n"
+    assert reader.feed(b'data: {"a": 2}\n\n') == []
+    assert reader.spoilt is not None
+    assert reader.spoilt.fault is EventFault.AFTER_END
+
+
+@pytest.mark.parametrize("data", [b"none", b'{"a": 1', b'"a"', b"[1]", b"", b"{}{}"])
+def test_data_that_is_no_json_object_is_spoilt_where_events_hold_such(
+    data: bytes,
+) -> None:
+    sequence = EventSequence(EventFormat(closing="[DONE]"))
+    spoilt = sequence.advance(b"data: %b\n\n" % data)
+    assert spoilt is not None
+    assert spoilt.fault is EventFault.INVALID_DATA
+
+
 def test_sound_events_ahead_of_a_spoilt_one_are_returned_and_none_behind_it() -> None:
     reader = EventReader(EventSequence(NUMBERED))
     assert reader.feed(event(1) + event(2) + b"data: x\n\n" + event(3)) == [
--- a/tools/dying_upstream.py
+++ b/tools/dying_upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 
 from tools.ports import LOOPBACK
@@ -11,7 +12,7 @@
 
 HEALTH_PATHS = (b"/health", b"/healthz")
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
-EVENT = b"id: 1\ndata: piece\n\n"
+EVENT = b"id: %d\ndata: piece\n\n"
 EVENT_PAUSE_S = 0.005
 """Time between two events of an answer, in seconds."""
 HEALTHY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
@@ -116,7 +117,8 @@
     async def _answer(self, writer: asyncio.StreamWriter) -> None:
         self._answers.append(writer)
         writer.write(HEAD)
+        numbers = itertools.count(1)
         while not writer.is_closing():
-            writer.write(EVENT)
+            writer.write(EVENT % next(numbers))
             self._events += 1
             await asyncio.sleep(EVENT_PAUSE_S)
--- a/tools/measure_ends.py
+++ b/tools/measure_ends.py
@@ -39,7 +39,7 @@
 EVENTS = 40
 MORE_EVENTS = 60
 EVENT_PAUSE = 0.005
-EVENT = b"id: 1\ndata: piece\n\n"
+EVENT = b"id: %d\ndata: piece\n\n"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 WINDOWS = (0.005, 0.05)
 """Seconds within which another connection must end as well."""
@@ -71,8 +71,8 @@
             return
         running += 1
         writer.write(HEAD)
-        for _ in range(EVENTS + random.randrange(MORE_EVENTS)):
-            writer.write(EVENT)
+        for number in range(EVENTS + random.randrange(MORE_EVENTS)):
+            writer.write(EVENT % (number + 1))
             await asyncio.sleep(EVENT_PAUSE)
         writer.close()
         await writer.wait_closed()
--- a/tools/measure_kills.py
+++ b/tools/measure_kills.py
@@ -65,7 +65,7 @@
 EVENTS = 100
 MORE_EVENTS = 30
 EVENT_PAUSE = 0.005
-EVENT = b"id: 1\ndata: piece\n\n"
+EVENT = b"id: %d\ndata: piece\n\n"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 HIGH_DESCRIPTOR = 900
 """Number of the descriptor of a port that is closed behind or ahead of the answers."""
@@ -117,8 +117,8 @@
             )
             return
         conn.sendall(HEAD)
-        for _ in range(length):
-            conn.sendall(EVENT)
+        for number in range(length):
+            conn.sendall(EVENT % (number + 1))
             time.sleep(EVENT_PAUSE)
 
 
