Tell why the head of an answer is not the one due

Cause: an attempt that was broken for its head (another request's id, no signature, an encoding, no event stream) had a line without a word of why, and no warning named its upstream.

Change: Broken.head, on the attempt's line, in leadseam_routed_spoilt_answers_total{fault} and in the warning that spoilt events have.

Result: tests with real processes for each fault, and for the line of a spoilt event.

--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -4,6 +4,7 @@
 
 import errno
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING, TypeAlias
 
 import aiohttp
@@ -86,6 +87,21 @@
     misdirected: bool = False
 
 
+class HeadFault(StrEnum):
+    """Why an answer is not the one due, by its head.
+
+    `OTHER_REQUEST`: it states another request's id, or none. `UNSIGNED`: it is a
+    success without the upstream's signature. `ENCODED`: its body has a content
+    encoding, which no request asks for. `NO_EVENTS`: its body is no event stream, where
+    one is due.
+    """
+
+    OTHER_REQUEST = "other_request"
+    UNSIGNED = "unsigned"
+    ENCODED = "encoded"
+    NO_EVENTS = "no_events"
+
+
 @dataclass(frozen=True, slots=True)
 class Broken:
     """There is no usable answer; the request may have run.
@@ -93,10 +109,12 @@
     Args:
         reason: Reason reported to the caller if this attempt was the last.
         end: How the body ended, or None if it was not read.
+        head: Why its head is not the one due, or None if it is, or did not come.
     """
 
     reason: Reason
     end: AnswerEnd | None = None
+    head: HeadFault | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -203,21 +221,33 @@
 ) -> Ending:
     if answer.request_id != req.request_id:
         resp.close()
-        return Broken(Reason.UPSTREAM_BROKEN)
+        return Broken(Reason.UPSTREAM_BROKEN, head=HeadFault.OTHER_REQUEST)
     if answer.not_run or resp.status == MISDIRECTED:
         await _drain(resp)
         return Declined(misdirected=resp.status == MISDIRECTED)
     success = resp.status < FIRST_REDIRECTION
-    lacks_events = reply is ReplyForm.EVENTS and not answer.event_stream
-    if answer.encoded or (success and (lacks_events or not answer.signed)):
+    fault = _head_fault(answer, reply, success=success)
+    if fault is not None:
         resp.close()
-        return Broken(Reason.UPSTREAM_BROKEN)
+        return Broken(Reason.UPSTREAM_BROKEN, head=fault)
     headers = end_to_end_headers(resp)
     if success and answer.event_stream:
         return Streaming(resp, headers)
     return await _buffer(resp, headers)
 
 
+def _head_fault(
+    answer: AnswerHead, reply: ReplyForm, *, success: bool
+) -> HeadFault | None:
+    if answer.encoded:
+        return HeadFault.ENCODED
+    if success and not answer.signed:
+        return HeadFault.UNSIGNED
+    if success and reply is ReplyForm.EVENTS and not answer.event_stream:
+        return HeadFault.NO_EVENTS
+    return None
+
+
 async def _buffer(resp: aiohttp.ClientResponse, headers: Headers) -> Ending:
     buffered = b""
     try:
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -17,7 +17,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from leadseam.answer_end import AnswerEnd
     from leadseam.clock import Clock, Millis
     from leadseam.feed.client import FeedClient
     from leadseam.routing.account_log import AccountLog
@@ -112,7 +111,7 @@
         end = exchange.answer_end
         if end is not None:
             self._metrics.answer_ends.inc(end.label())
-            self._spoilt(exchange, admitted, end)
+        self._note_spoilt(exchange, admitted, ending)
         failed = isinstance(ending, Whole) and ending.status >= FIRST_SERVER_ERROR
         if not failed and isinstance(ending, Whole | Streaming):
             return
@@ -130,6 +129,8 @@
                 extra["last_event"] = exchange.last_event
             if end is not None:
                 extra |= end.log_fields()
+            if isinstance(ending, Broken) and ending.head is not None:
+                extra["head"] = ending.head.value
             if isinstance(ending, Broken):
                 # The same for attempts of one request at different entries.
                 extra["fingerprint"] = admitted.fingerprint()
@@ -139,16 +140,24 @@
                 ]
             log.info("attempt failed", extra=extra)
 
-    def _spoilt(
-        self, exchange: Exchange, admitted: AdmittedRequest, end: AnswerEnd
+    def _note_spoilt(
+        self, exchange: Exchange, admitted: AdmittedRequest, ending: Ending
     ) -> None:
         """Count a spoilt answer; log it outside the budget, once a second by upstream.
 
-        The other answers that the upstream has spoilt since then are in `answers`.
+        The answers that the upstream has spoilt since its last line are in `answers`.
         """
-        if end.spoilt is None:
+        end = exchange.answer_end
+        fields: dict[str, object] = {}
+        if end is not None and end.spoilt is not None:
+            fault = end.spoilt.fault.value
+            fields = end.log_fields()
+        elif isinstance(ending, Broken) and ending.head is not None:
+            fault = f"head_{ending.head}"
+            fields = {"head": ending.head.value}
+        else:
             return
-        self._metrics.spoilt_answers.inc(admitted.pool)
+        self._metrics.spoilt_answers.inc(fault)
         answers = self._spoilt_answers.record(exchange.instance, self._clock.now())
         if answers:
             extra = {
@@ -157,9 +166,9 @@
                 "send": exchange.sends,
                 "last_event": exchange.last_event,
                 "answers": answers,
-                **end.log_fields(),
+                **fields,
             }
-            log.warning("upstream sent an event that is not the one due", extra=extra)
+            log.warning("upstream sent an answer that is not the one due", extra=extra)
 
     def retries(self, rows: Iterable[RetryActivity]) -> None:
         """Count and log decisions on retries, outside the budget of lines.
--- a/src/leadseam/runtime/metrics.py
+++ b/src/leadseam/runtime/metrics.py
@@ -144,8 +144,8 @@
         )
         self.spoilt_answers = metrics.buffered_counter(
             "routed_spoilt_answers_total",
-            "Event streams with an event that was not the one due, by pool.",
-            "pool",
+            "Answers whose head or event was not the one due, by fault.",
+            "fault",
         )
         self.retries = metrics.buffered_counter(
             "routed_retries_total", "Retries that the budget allowed, by pool.", "pool"
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -322,7 +322,7 @@
             "account": self._req.account,
             **spoilt.log_fields(),
         }
-        log.warning("upstream sent an event that is not the one due", extra=extra)
+        log.warning("upstream sent an answer that is not the one due", extra=extra)
 
     def final(self, error: str, *, started: bool = True) -> Final:
         return Final(self._req.attempt, self._chunks, self._size, error, started)
--- a/tests/platform/test_spoilt_events.py
+++ b/tests/platform/test_spoilt_events.py
@@ -55,13 +55,38 @@
 
 
 @pytest.mark.parametrize(
-    ("route", "action"),
-    [("stream-fixed", "encoded"), ("once", "encoded"), ("stream-fixed", "mistyped")],
+    ("route", "action", "fault"),
+    [
+        ("stream-fixed", "encoded", "encoded"),
+        ("once", "encoded", "encoded"),
+        ("stream-fixed", "mistyped", "no_events"),
+        ("once", "unsigned", "unsigned"),
+        ("once", "foreign", "other_request"),
+    ],
 )
-async def test_a_body_of_another_encoding_or_type_than_due_is_not_passed_on(
-    platform: Platform, route: str, action: str
+async def test_an_answer_with_another_head_than_due_is_not_passed_on(
+    platform: Platform, route: str, action: str, fault: str
 ) -> None:
     for server in platform.servers:
         server.actions["x"] = action
-    answer = await platform.call(platform.entry_ips[0], f"/{route}/x")
+    entry = platform.entry_ips[0]
+    answer = await platform.call(entry, f"/{route}/x", request_id="bad")
     assert (answer.status, WHOLE_STREAM in answer.body) == (502, False)
+    lines = [one for one in platform.log(entry) if one.get("request") == "bad"]
+    assert [one["head"] for one in lines if "head" in one] == [fault] * 2
+
+
+async def test_the_line_of_a_spoilt_event_names_its_upstream_and_what_it_sent(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    plan = AnswerPlan(Framing.CHUNKS, spoil=Spoil.NO_ID)
+    await platform.call(entry, f"/stream-fixed/{plan.path()}", request_id="bad")
+    [server] = [one for one in platform.servers if one.count("bad")]
+    [line] = [
+        one for one in platform.log(entry) if one["message"].startswith("upstream sent")
+    ]
+    assert line["instance"].startswith(server.instance)
+    assert line["received"] == r"data: none\n\n"
+    told = [line[key] for key in ("request", "spoilt", "due", "last_event", "answers")]
+    assert told == ["bad", "no_id", 4, "3", 1]
