Check an engine's events with a decoder that is built once

Each event of an engine was split into lines, and the decoder's type was built anew.

Change: one expression reads the form that nearly all events have; the decoder is built once.

--- a/src/leadseam/event_sequence.py
+++ b/src/leadseam/event_sequence.py
@@ -25,6 +25,9 @@
 
 _PLAIN_EVENT = re.compile(rb"id: (0|[1-9][0-9]{0,17})\ndata: [ -~]*\n\n")
 """The form that nearly all events have: a number and one line of ASCII data."""
+_PLAIN_OBJECT = re.compile(rb"data: (\{[ -~]*\})\n\n")
+"""The form that nearly all events have whose data are JSON objects."""
+_JSON_OBJECT = msgspec.json.Decoder(dict[str, msgspec.Raw])
 _NUMBER = re.compile(rf"0|[1-9][0-9]{{0,{MAX_DIGITS - 1}}}")
 _LINE_END = re.compile(r"\r\n|\n|\r")
 _BYTE_ORDER_MARK = "\ufeff"
@@ -130,6 +133,8 @@
         Returns:
             What is wrong with it, or None if it is the event that is due.
         """
+        if self._is_plain_object(block):
+            return None
         plain = _PLAIN_EVENT.fullmatch(block) if not self._fmt.closing else None
         if plain is not None and (number := int(plain[1])) == self._due:
             self._is_first = False
@@ -148,6 +153,20 @@
             return SpoiltEvent(EventFault.NO_EVENT, self._due, b"")
         return None
 
+    def _is_plain_object(self, block: bytes) -> bool:
+        """Advance by an event without a number whose data are a JSON object.
+
+        Returns:
+            Whether it is one in the form that nearly all have.
+        """
+        if not self._fmt.closing or self._is_numbered or self.is_closed:
+            return False
+        plain = _PLAIN_OBJECT.fullmatch(block)
+        if plain is None or not _is_object(plain[1]):
+            return False
+        self._is_first = False
+        return True
+
     def _read(self, block: bytes) -> EventFault | None:
         """Advance by an event of any form, or return what is wrong with it."""
         try:
@@ -186,11 +205,7 @@
         self.is_closed = data == self._fmt.closing
         if self.is_closed:
             return None
-        try:
-            msgspec.json.decode(data, type=dict[str, msgspec.Raw])
-        except msgspec.DecodeError:
-            return EventFault.INVALID_DATA
-        return None
+        return None if _is_object(data) else EventFault.INVALID_DATA
 
     def _may_have(self, name: str, value: str) -> bool:
         if name in STANDARD_FIELDS:
@@ -288,5 +303,13 @@
             self.spoilt = self._sequence.finish()
 
 
+def _is_object(data: str | bytes) -> bool:
+    try:
+        _JSON_OBJECT.decode(data)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 def _parse_number(value: str) -> int | None:
     return int(value) if _NUMBER.fullmatch(value) else None
