--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -45,6 +45,7 @@
 FLEET_BOUND = "test_the_fleet_keeps_its_bound_whoever_ends_restarts_joins_or_is_cut_off"
 RESUMED_STREAMS = "tests/platform/test_resumed_streams.py"
 ANSWER_ENDS = "tests/platform/test_answer_ends.py"
+SPOILT_EVENTS = "tests/platform/test_spoilt_events.py"
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
 VARIANTS = (
@@ -697,11 +698,48 @@
     Variant(
         "a stream that ends inside an event counts as whole",
         "answer_end.py",
-        "        if self.unfinished:\n            return Completeness.BROKEN",
-        "        if False:\n            return Completeness.BROKEN",
+        "        if self.unfinished or self.spoilt is not None:",
+        "        if self.spoilt is not None:",
         f"{ANSWER_ENDS}::test_no_broken_answer_passes_for_whole_at_any_framing_end_and"
         "_place",
     ),
+    Variant(
+        "any number is that of the event due",
+        "event_sequence.py",
+        "        if self._due is None or number == self._due:",
+        "        if True:",
+        f"{SPOILT_EVENTS}::test_no_event_that_no_run_made_reaches_a_caller",
+    ),
+    Variant(
+        "what follows a spoilt event is passed on",
+        "event_sequence.py",
+        "                return blocks[:position]",
+        "                return blocks",
+        f"{SPOILT_EVENTS}::test_no_event_that_no_run_made_reaches_a_caller",
+    ),
+    Variant(
+        "a sidecar goes on behind a spoilt event",
+        "sidecar/upstream.py",
+        "                        if isinstance(reader, EventReader) and reader.spoilt:",
+        "                        if False:",
+        "tests/failures/test_spoilt_events.py",
+    ),
+    Variant(
+        "the event that ends a stream is passed on ahead of the end",
+        "event_sequence.py",
+        "            if self._sequence.is_closed:\n"
+        "                self.closing += block\n"
+        '                blocks[position] = b""\n',
+        "",
+        "tests/failures/test_spoilt_events.py",
+    ),
+    Variant(
+        "a body's encoding and type are not looked at",
+        "routing/attempt.py",
+        "    fault = _head_fault(answer, reply, success=success)",
+        "    fault = None if answer.signed else HeadFault.UNSIGNED",
+        f"{SPOILT_EVENTS}::test_an_answer_with_another_head_than_due_is_not_passed_on",
+    ),
     Variant(
         "an upstream that is gone after an answer without length counts as finished",
         "answer_end.py",
