Take the answer to a HEAD request for whole without events

What callers saw: HEAD on a route that answers with events ended as 502, and counted as a failure of its upstream; before the check of events it was 200.

Cause: a stream that ends before its first event is broken off, and the answer to HEAD has no body.

Change: Reply does not ask for a first event where the method is HEAD.

Result: the new test failed (502) and passes.

--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -108,7 +108,8 @@
             streaming.resp.close()
         end = read_end(streaming.resp, unfinished=reader.unfinished)
         if isinstance(reader, EventReader):
-            reader.finish()
+            if streaming.resp.method != "HEAD":
+                reader.finish()
             end = replace(end, spoilt=reader.spoilt)
         if end.completeness is Completeness.BROKEN:
             return Broken(Reason.UPSTREAM_BROKEN, end)
--- a/tests/platform/test_spoilt_events.py
+++ b/tests/platform/test_spoilt_events.py
@@ -90,3 +90,12 @@
     assert line["received"] == r"data: none\n\n"
     told = [line[key] for key in ("request", "spoilt", "due", "last_event", "answers")]
     assert told == ["bad", "no_id", 4, "3", 1]
+
+
+async def test_the_answer_to_a_head_request_needs_no_events(platform: Platform) -> None:
+    entry = platform.entry_ips[0]
+    plan = AnswerPlan(Framing.LENGTH, sent=0)
+    answer = await platform.call(
+        entry, f"/stream-fixed/{plan.path()}", method="HEAD", body=b""
+    )
+    assert (answer.status, answer.body) == (200, b"")
