Judge deeply nested and unusual JSON of engines as their libraries do

What callers saw: a sidecar's attempt ended by a RecursionError that nothing caught at an event nested too deeply; a stream with an unpaired surrogate written as an escape, or with NaN, was broken off as spoilt, though common JSON libraries write and read both.

Cause: msgspec raises RecursionError, which is no DecodeError, and is stricter than the json module, by which the meter reads the same events.

Change: an event nested too deeply is INVALID_DATA; what msgspec rejects is read again by the json module, so that the price is paid only there.

Result: three new cases failed and pass.

--- a/src/leadseam/event_sequence.py
+++ b/src/leadseam/event_sequence.py
@@ -9,7 +9,9 @@
 
 from __future__ import annotations
 
+import json
 import re
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -186,11 +188,7 @@
         self.is_closed = data == self._fmt.closing
         if self.is_closed:
             return None
-        try:
-            msgspec.json.decode(data, type=dict[str, msgspec.Raw])
-        except msgspec.DecodeError:
-            return EventFault.INVALID_DATA
-        return None
+        return None if _is_json_object(data) else EventFault.INVALID_DATA
 
     def _may_have(self, name: str, value: str) -> bool:
         if name in STANDARD_FIELDS:
@@ -288,5 +286,18 @@
             self.spoilt = self._sequence.finish()
 
 
+def _is_json_object(data: str) -> bool:
+    try:
+        msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+    except RecursionError:
+        return False
+    except msgspec.DecodeError:
+        # Engines may also write unpaired surrogates as escapes, and NaN.
+        with suppress(ValueError, RecursionError):
+            return isinstance(json.loads(data), dict)
+        return False
+    return True
+
+
 def _parse_number(value: str) -> int | None:
     return int(value) if _NUMBER.fullmatch(value) else None
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -167,6 +167,19 @@
     assert spoilt.fault is EventFault.INVALID_DATA
 
 
+@pytest.mark.parametrize("data", [rb'{"text": "\ud83d"}', b'{"logprob": NaN}'])
+def test_objects_that_json_libraries_write_and_read_are_sound(data: bytes) -> None:
+    sequence = EventSequence(EventFormat(closing="[DONE]"))
+    assert sequence.advance(b"data: %b\n\n" % data) is None
+
+
+def test_data_that_is_nested_too_deeply_is_spoilt_and_raises_no_error() -> None:
+    sequence = EventSequence(EventFormat(closing="[DONE]"))
+    spoilt = sequence.advance(b'data: {"a": %b\n\n' % (b"[" * 100_000))
+    assert spoilt is not None
+    assert spoilt.fault is EventFault.INVALID_DATA
+
+
 def test_sound_events_ahead_of_a_spoilt_one_are_returned_and_none_behind_it() -> None:
     reader = EventReader(EventSequence(NUMBERED))
     assert reader.feed(event(1) + event(2) + b"data: x\n\n" + event(3)) == [
