--- a/src/leadseam/event_sequence.py
+++ b/src/leadseam/event_sequence.py
@@ -9,7 +9,9 @@
 
 from __future__ import annotations
 
+import json
 import re
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -293,7 +295,8 @@
             if self.spoilt is not None:
                 return blocks[:position]
             if self._sequence.is_closed:
-                self.closing += block
+                # Comments behind it belong to nothing.
+                self.closing = self.closing or block
                 blocks[position] = b""
         return blocks
 
@@ -306,7 +309,12 @@
 def _is_object(data: str | bytes) -> bool:
     try:
         _JSON_OBJECT.decode(data)
+    except RecursionError:
+        return False
     except msgspec.DecodeError:
+        # Engines may also write unpaired surrogates as escapes, and NaN.
+        with suppress(ValueError, RecursionError):
+            return isinstance(json.loads(data), dict)
         return False
     return True
 
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -727,10 +727,8 @@
     Variant(
         "the event that ends a stream is passed on ahead of the end",
         "event_sequence.py",
-        "            if self._sequence.is_closed:\n"
-        "                self.closing += block\n"
         '                blocks[position] = b""\n',
-        "",
+        "                pass\n",
         "tests/failures/test_spoilt_events.py",
     ),
     Variant(
