Charge no usage that an engine cannot have counted

Cause: the meter converted whatever number stood in an answer's usage. Infinity and 1e400 raised OverflowError out of the meter and so out of the attempt, whose events were sound. A negative number lowered the account's service, 2**64 or 10**400 tokens raised it beyond anything that later service could even out, and true, 1.5, "1_000" and other digits passed for counts.

Change: the record is decoded into whole numbers from 0 to a bound; anything else is no usage, as before with a missing record: a stream is charged by its events, a body as one token.

--- a/src/leadseam/sidecar/meter.py
+++ b/src/leadseam/sidecar/meter.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-import json
-from typing import Protocol
+from typing import Annotated, Protocol
+
+import msgspec
+from msgspec import Meta
 
 from leadseam.clock import Millis
 from leadseam.fairness.service import OUTPUT_TOKEN, engine_service
@@ -12,12 +14,31 @@
 STREAM_END = "[DONE]"
 """Data of the event that ends a stream of an engine."""
 MAX_LINE = 1024 * 1024
+MAX_TOKENS = 1_000_000_000
+"""Largest number of tokens that is believed; no engine has memory for a tenth of it."""
 
 _DATA = b"data:"
 _DONE = f"data: {STREAM_END}".encode()
 _USAGE = b'"usage"'
 
 
+Tokens = Annotated[int, Meta(ge=0, le=MAX_TOKENS)]
+
+
+class _PromptDetails(msgspec.Struct, frozen=True):
+    cached_tokens: Tokens | None = None
+
+
+class _Usage(msgspec.Struct, frozen=True):
+    completion_tokens: Tokens
+    prompt_tokens: Tokens
+    prompt_tokens_details: _PromptDetails | None = None
+
+
+class _Completion(msgspec.Struct, frozen=True):
+    usage: _Usage
+
+
 class Meter(Protocol):
     """Computes the service to charge for a response."""
 
@@ -127,18 +148,19 @@
         data: JSON of a completion or of one event.
 
     Returns:
-        The service, or None if the record is missing or malformed.
+        The service, or None if the record is missing or a number of tokens is none that
+        an engine can have counted.
     """
     try:
-        usage = json.loads(data)["usage"]
-        details = usage.get("prompt_tokens_details") or {}
-        return engine_service(
-            output_tokens=int(usage["completion_tokens"]),
-            input_tokens=int(usage["prompt_tokens"]),
-            cached_tokens=int(details.get("cached_tokens") or 0),
-        )
-    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+        usage = msgspec.json.decode(data, type=_Completion).usage
+    except (msgspec.DecodeError, ValueError, RecursionError):
         return None
+    details = usage.prompt_tokens_details
+    return engine_service(
+        output_tokens=usage.completion_tokens,
+        input_tokens=usage.prompt_tokens,
+        cached_tokens=(details.cached_tokens or 0) if details is not None else 0,
+    )
 
 
 def meter_for(*, engine: bool, content_type: str, start: Millis) -> Meter:
