Bound the numbers that a request states

Cause: token counts and the time a caller waits were read with float(), so 1.7e308 tokens became a whole number of 309 digits, of which the sum over two prompt parts can no longer be computed with in floating point (OverflowError), and "1_000" and non-ASCII digits were numbers in requests and in Retry-After.

Change: numbers are in ASCII, without underscores, and count as 10**9 at most.

--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from math import ceil, nan
+from math import ceil, isnan, nan
 from typing import TYPE_CHECKING
 
 from leadseam.clock import MILLIS_PER_SECOND
@@ -35,6 +35,10 @@
 MAX_PAUSE: Millis = 3_600_000
 """Longest pause that an upstream is granted: an hour. A longer one is a mistake of the
 upstream, and would still be in force after the mistake has been corrected."""
+MAX_NUMBER = 1_000_000_000
+"""Largest number that a request may state; a larger one counts as this. It is 11 days
+in milliseconds, and more tokens than any engine has memory for, and sums of it still
+fit into the messages to other boxes and into floating-point numbers."""
 MAX_LOGGED_CHARS = 40
 """Maximum number of characters of a header value in a log line."""
 
@@ -165,10 +169,7 @@
     """
     pause, invalid = 0, ""
     for value in values:
-        try:
-            seconds = float(value)
-        except ValueError:
-            seconds = nan
+        seconds = _read_float(value)
         if not seconds >= 0:
             invalid = value[:MAX_LOGGED_CHARS] or "empty"
             continue
@@ -197,12 +198,22 @@
 
 
 def read_number(value: str | None) -> int | None:
-    if value is None:
-        return None
+    """Return a positive number in decimal ASCII digits, rounded down, or None.
+
+    One below 1 counts as 1, one above `MAX_NUMBER` as that.
+    """
+    number = nan if value is None else _read_float(value)
+    return None if isnan(number) else int(min(max(number, 1), MAX_NUMBER))
+
+
+def _read_float(value: str) -> float:
+    """Return a number, or NaN if it has a form that only Python reads."""
+    if not value.isascii() or "_" in value:
+        return nan
     try:
-        return max(int(float(value)), 1)
-    except (ValueError, OverflowError):
-        return None
+        return float(value)
+    except ValueError:
+        return nan
 
 
 def read_tokens(value: str) -> tuple[int, int]:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -11,7 +11,15 @@
 from aiohttp.test_utils import make_mocked_request
 from multidict import CIMultiDict
 
-from leadseam.platform.headers import PlatformDialect
+from leadseam.platform.headers import (
+    MAX_NUMBER,
+    MAX_PAUSE,
+    PlatformDialect,
+    read_number,
+    read_parts,
+    read_pause,
+    read_tokens,
+)
 from leadseam.routing.dialect import AnswerHead, AttemptHead
 
 SYSTEM_HEADERS = (
@@ -130,3 +138,64 @@
     assert answer_with(status, ("server-leaving", "1")).leaving
     assert not answer_with(status, ("Server-Leaving", "0")).leaving
     assert not answer_with(status).leaving
+
+
+@pytest.mark.parametrize(
+    ("value", "number"),
+    [
+        ("7", 7),
+        (" 7 ", 7),
+        ("7.9", 7),
+        ("1e3", 1_000),
+        ("0", 1),
+        ("-5", 1),
+        ("-inf", 1),
+        (str(MAX_NUMBER), MAX_NUMBER),
+        (str(MAX_NUMBER + 1), MAX_NUMBER),
+        (str(2**63 - 1), MAX_NUMBER),
+        (str(2**64), MAX_NUMBER),
+        ("1e300", MAX_NUMBER),
+        ("1e400", MAX_NUMBER),
+        ("1" + "0" * 400, MAX_NUMBER),
+        ("1" + "0" * 5_000, MAX_NUMBER),
+        ("Infinity", MAX_NUMBER),
+        ("NaN", None),
+        ("", None),
+        (None, None),
+        ("1_000", None),
+        ("٣", None),
+        ("true", None),
+        ("0x10", None),
+        ("7,8", None),
+    ],
+)
+def test_a_number_of_a_request_is_decimal_and_bounded(
+    value: str | None, number: int | None
+) -> None:
+    assert read_number(value) == number
+
+
+def test_sums_of_the_largest_numbers_of_tokens_can_be_computed_with() -> None:
+    parts = read_parts(",".join(["5c1e07a2:1.7e308"] * 400))
+    assert float(sum(part.tokens for part in parts)) < 2**53
+    assert read_tokens("1.7e308,1.7e308") == (MAX_NUMBER, MAX_NUMBER)
+    assert read_tokens("") == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ("value", "pause"),
+    [
+        ("0", 0),
+        ("1.5", 1_500),
+        (str(2**64), MAX_PAUSE),
+        ("1e400", MAX_PAUSE),
+        ("1" + "0" * 400, MAX_PAUSE),
+    ],
+)
+def test_a_pause_is_at_most_an_hour(value: str, pause: int) -> None:
+    assert read_pause([value]) == (pause, "")
+
+
+@pytest.mark.parametrize("value", ["-1", "NaN", "1_000", "٣", "true", "", "7,8"])
+def test_a_pause_in_no_decimal_seconds_is_invalid(value: str) -> None:
+    assert read_pause([value]) == (0, value or "empty")
