Leave a request with an over-long Content-Length to the HTTP library

Cause: the early refusal converted any number of digits; int() raises ValueError for more than 4,300, out of data_received of the connection.

Change: a length has at most 18 digits, else the library parses the request.

Result: the two new cases of test_first_bytes.py fail without it (ValueError for 5,000 digits) and pass with it.

--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -44,6 +44,8 @@
     re.IGNORECASE,
 )
 """The header fields that are read before the library parses a request."""
+_LENGTH = re.compile(r"[0-9]{1,18}")
+"""A length that fits into 64 bits; converting one of thousands of digits would fail."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +80,7 @@
     if b"transfer-encoding" in fields or b"expect" in fields:
         return None
     length = fields.get(b"content-length", "0")
-    if not (length.isascii() and length.isdigit()) or len(body) > int(length):
+    if not _LENGTH.fullmatch(length) or len(body) > int(length):
         return None
     return FirstHead(_sender(fields), int(length) - len(body))
 
--- a/tests/platform/test_first_bytes.py
+++ b/tests/platform/test_first_bytes.py
@@ -56,6 +56,8 @@
         (b"Content-Length: -1",),
         (b"Content-Length: +1",),
         (b"Content-Length: \xc2\xb2",),
+        (b"Content-Length: " + b"9" * 19,),
+        (b"Content-Length: " + b"9" * 5_000,),
         (b"Authorization: Bearer other",),
         (b"Expect: 100-continue",),
     ],
