Keep what each replica lists of an upstream, not only the latest

Cause: an entry ignored a replica's registration with an earlier start or a lower sequence than the latest one, and replicas tell of a registration only when it changes. One heartbeat with a start far in the future, or from a clock that was set back at the next start, so removed the upstream from the entry for good once the replica that lists it dropped it, though another listed the sound one. One with a sequence far ahead left its address, slots and cold time in force for as long as any other replica listed the upstream.

Change: the view keeps the last registration of each replica and uses the latest of those listed now; when a replica drops its own, the next one counts. A start that has left stays out.

--- a/src/leadseam/membership/view.py
+++ b/src/leadseam/membership/view.py
@@ -34,19 +34,42 @@
 evacuation ends: they may have turned cold just before, and a heartbeat may be late."""
 
 
+@dataclass(slots=True)
+class _Listing:
+    """An upstream as one replica lists it.
+
+    Args:
+        registration: The last registration that the replica has sent.
+        cold_until: When it stops being cold; 0 if it is not cold.
+        held_until: Until when the replica counts as listing it; None for no limit.
+    """
+
+    registration: Registration
+    cold_until: Millis
+    held_until: Millis | None = None
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Orders the registrations of one upstream by start and sequence."""
+        return self.registration.incarnation.start, self.registration.sequence
+
+
 @dataclass(slots=True)
 class _KnownUpstream:
     """An upstream and the replicas that list it.
 
+    A replica that lists an earlier start may be the only one left that lists any, so
+    what each replica has sent is kept.
+
     Args:
         registration: Its latest registration.
         cold_until: When it stops being cold; 0 if it is not cold.
-        held_until: Until when each replica counts as listing it; None for no limit.
+        listings: What each replica lists.
     """
 
     registration: Registration
     cold_until: Millis = 0
-    held_until: dict[str, Millis | None] = field(default_factory=dict)
+    listings: dict[str, _Listing] = field(default_factory=dict)
 
     @property
     def incarnation(self) -> Incarnation:
@@ -125,10 +148,13 @@
         An upstream is dropped unless another replica lists it.
         """
         for incarnation in incarnations:
-            known = self._get(incarnation)
-            if known is not None:
-                known.held_until.pop(replica, None)
-                self._drop_if_unheld(known)
+            known = self._upstreams.get(incarnation.instance)
+            listing = known.listings.get(replica) if known is not None else None
+            if known is None or listing is None:
+                continue
+            if listing.registration.incarnation == incarnation:
+                del known.listings[replica]
+                self._select_latest(known)
 
     def left(self, incarnations: Iterable[Incarnation]) -> tuple[Incarnation, ...]:
         """Remove upstreams that leave for good; return those not recorded before."""
@@ -217,10 +243,15 @@
         """Drop upstreams that no replica has listed for `LOST_REPLICA_TTL`."""
         self.versions.see((one.registration for one in self._upstreams.values()), now)
         for known in list(self._upstreams.values()):
-            for replica, held_until in list(known.held_until.items()):
-                if held_until is not None and now >= held_until:
-                    del known.held_until[replica]
-            self._drop_if_unheld(known)
+            ended = [
+                replica
+                for replica, listing in known.listings.items()
+                if listing.held_until is not None and now >= listing.held_until
+            ]
+            for replica in ended:
+                del known.listings[replica]
+            if ended:
+                self._select_latest(known)
 
     def pool(
         self,
@@ -311,33 +342,59 @@
         self, replica: str, row: Registration, now: Millis
     ) -> Incarnation | None:
         """Merge a row; return the incarnation that it replaces, if any."""
-        replaced = None
+        listing = _Listing(row, now + row.cold_remaining if row.cold_remaining else 0)
         known = self._upstreams.get(row.instance)
         if known is None:
             known = self._upstreams[row.instance] = _KnownUpstream(row)
-            self._update_cold_until(known, now)
+            self._set_cold_until(known, listing.cold_until)
             self._addresses.claim(row, now)
-        elif row.incarnation.replaces(known.incarnation):
-            replaced = known.incarnation
-            self._addresses.succeed(known.registration, row)
-            known = self._upstreams[row.instance] = _KnownUpstream(row)
-            self._update_cold_until(known, now)
-        elif row.incarnation != known.incarnation:
-            # The replica has not received the later start yet.
+        elif (known.incarnation, known.registration.sequence) == (
+            row.incarnation,
+            row.sequence,
+        ):
+            # The same heartbeat, sent again later.
+            listing.cold_until = known.cold_until
+        known.listings[replica] = listing
+        return self._select_latest(known)
+
+    def _select_latest(self, known: _KnownUpstream) -> Incarnation | None:
+        """Use the latest registration that is listed, or drop the upstream.
+
+        Returns:
+            The incarnation that a later start replaces, if any.
+        """
+        before = known.registration
+        listings = [
+            one
+            for one in known.listings.values()
+            if one.registration.incarnation not in self._departed
+        ]
+        if not listings:
+            del self._upstreams[before.instance]
+            self._release_address(known)
             return None
-        elif row.sequence > known.registration.sequence:
-            known.registration = _with_version(row, known.registration.version)
-            self._update_cold_until(known, now)
-        elif known.registration.version is None:
-            known.registration = _with_version(known.registration, row.version)
-        known.held_until[replica] = None
+        latest = max(listings, key=lambda one: one.order)
+        row = latest.registration
+        versions = [
+            one.registration.version
+            for one in listings
+            if one.registration.incarnation == row.incarnation
+        ]
+        if row.incarnation == before.incarnation:
+            versions.append(before.version)
+        version = next((one for one in versions if one is not None), None)
+        known.registration = _with_version(row, version)
+        self._set_cold_until(known, latest.cold_until)
         self._by_pool = None
-        return replaced
+        if _place(row) != _place(before):
+            self._addresses.succeed(before, row)
+        if row.incarnation.replaces(before.incarnation):
+            return before.incarnation
+        return None
 
-    def _update_cold_until(self, known: _KnownUpstream, now: Millis) -> None:
-        remaining = known.registration.cold_remaining
-        known.cold_until = now + remaining if remaining else 0
-        self._all_warm_at = max(self._all_warm_at, known.cold_until)
+    def _set_cold_until(self, known: _KnownUpstream, cold_until: Millis) -> None:
+        known.cold_until = cold_until
+        self._all_warm_at = max(self._all_warm_at, cold_until)
 
     def _get(self, incarnation: Incarnation) -> _KnownUpstream | None:
         """Return the record of an incarnation, or None if it is not the latest."""
@@ -348,15 +405,10 @@
 
     def _schedule_drop(self, replica: str, now: Millis) -> None:
         """Let all upstreams of a replica expire, except those that it lists again."""
-        held_until = now + LOST_REPLICA_TTL
         for known in self._upstreams.values():
-            if known.held_until.get(replica, held_until) is None:
-                known.held_until[replica] = held_until
-
-    def _drop_if_unheld(self, known: _KnownUpstream) -> None:
-        if not known.held_until and self._get(known.incarnation) is known:
-            del self._upstreams[known.incarnation.instance]
-            self._release_address(known)
+            listing = known.listings.get(replica)
+            if listing is not None and listing.held_until is None:
+                listing.held_until = now + LOST_REPLICA_TTL
 
     def _release_address(self, known: _KnownUpstream) -> None:
         self._addresses.drop(known.registration)
@@ -370,6 +422,10 @@
     return structs.replace(row, version=version)
 
 
+def _place(row: Registration) -> tuple[Incarnation, str, int]:
+    return row.incarnation, row.ip, row.port
+
+
 def _slots_of(rows: Iterable[Registration]) -> int:
     return sum(row.slots for row in rows)
 
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import pytest
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from msgspec import structs
 
 from leadseam.incarnation import Incarnation
 from leadseam.membership.view import LOST_REPLICA_TTL, UpstreamView
+from leadseam.platform.heartbeat import MAX_COLD_TIME, MAX_INTEGER, MAX_START
 from tests.routing.samples import make_upstream
 
 
@@ -68,6 +71,70 @@
     assert [row.instance for row in view.pool("q")] == ["i-new"]
 
 
+@pytest.mark.parametrize("lost", [False, True])
+def test_a_start_far_in_the_future_does_not_outlast_the_replica_that_lists_it(
+    lost: bool,
+) -> None:
+    """A spoilt heartbeat, or a clock that was wrong at one start.
+
+    The other replica has told of the upstream once and does not tell again.
+    """
+    view = UpstreamView()
+    spoilt, sound = make_upstream(1, start=MAX_START), make_upstream(1, start=5)
+    view.update("b", [sound], 0)
+    view.update("a", [spoilt], 0)
+    view.update("b", [structs.replace(sound, sequence=2, slots=9)], 0)
+    assert view.pool("p") == [spoilt]
+    if lost:
+        view.disconnected("a", 0)
+        view.sweep(LOST_REPLICA_TTL)
+    else:
+        view.expired("a", [spoilt.incarnation])
+    assert view.pool("p") == [structs.replace(sound, sequence=2, slots=9)]
+    assert view.serves(sound.incarnation)
+    assert not view.serves(spoilt.incarnation)
+    view.expired("b", [sound.incarnation])
+    assert view.pool("p") == ()
+
+
+def test_a_sequence_far_ahead_does_not_outlast_the_replica_that_lists_it() -> None:
+    """With it came an address of its own and a cold time of a day."""
+    view = UpstreamView()
+    sound = make_upstream(1, start=5, sequence=7)
+    spoilt = structs.replace(
+        sound, sequence=MAX_INTEGER, port=9, cold_remaining=MAX_COLD_TIME
+    )
+    view.update("a", [spoilt], 0)
+    view.update("b", [sound], 0)
+    assert view.pool("p") == [spoilt]
+    view.expired("a", [spoilt.incarnation])
+    assert view.pool("p") == [sound]
+    assert view.serves(sound.incarnation)
+    assert view.cold_until(sound) == 0
+    later = structs.replace(sound, sequence=8, slots=9)
+    view.update("b", [later], 0)
+    assert view.pool("p") == [later]
+
+
+def test_a_start_that_has_left_does_not_return_when_a_later_one_expires() -> None:
+    view = UpstreamView()
+    earlier, later = make_upstream(1, start=5), make_upstream(1, start=6)
+    view.update("b", [earlier], 0)
+    view.update("a", [later], 0)
+    view.left([earlier.incarnation])
+    view.expired("a", [later.incarnation])
+    assert view.pool("p") == ()
+
+
+def test_a_heartbeat_that_is_sent_again_does_not_prolong_the_cold_time() -> None:
+    view = UpstreamView()
+    row = structs.replace(make_upstream(1), cold_remaining=500)
+    view.update("a", [row], 0)
+    view.update("a", [row], 400)
+    view.update("b", [row], 400)
+    assert view.cold_until(row) == 500
+
+
 class ViewMachine(RuleBasedStateMachine):
     """Applies random reports and checks two properties.
 
