Read an engine's cache events from the start behind a spoilt page token

Cause: a page token was sent back as the engine had written it, and nothing ended its use. With one that the engine refuses, every later call failed, for as long as the engine was watched; with one far ahead, all events up to it were left out in silence, and the parts told of it stayed wrong. A token may have had the whole 8 MB of an answer, as it is sent back in a URL.

Change: after an answer that is no page the engine is read from the start. A token lower than the one before, where both are numbers, counts as a gap, and the engine is read from the start. Epochs and tokens have at most 64 characters. The failures of calls tell whether the engine answered, so two expectations in test_engine_cache.py name that too.

--- a/src/leadseam/feed/cache_watch.py
+++ b/src/leadseam/feed/cache_watch.py
@@ -57,9 +57,11 @@
 
     Args:
         reason: Why, for the log.
+        answered: Whether the engine answered, so that it may not accept the cursor.
     """
 
     reason: str
+    answered: bool = False
 
 
 EventAnswer: TypeAlias = EventPage | CallRefused | CallFailed
@@ -219,7 +221,9 @@
             case CallRefused():
                 self._metrics.cache_polls.inc("refused")
                 self._log_failure(engine, row, "too many calls")
-            case CallFailed(reason=reason):
+            case CallFailed(reason=reason, answered=answered):
+                if answered:
+                    self._index.restart(engine)
                 self._metrics.cache_polls.inc("failed")
                 self._log_failure(engine, row, reason)
         return backoff.next_pause()
--- a/src/leadseam/feed/prefix_index.py
+++ b/src/leadseam/feed/prefix_index.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -35,6 +36,7 @@
 """Maximum parts of interest; as many as an entry keeps rows."""
 FIRST_CURSOR = "0"
 """Cursor of the first call to an engine, and of the first after its restart."""
+_NUMBER = re.compile(r"-?[0-9]{1,64}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,10 +177,18 @@
         """Return the cursor for the next call to a watched engine."""
         return self._engines[engine].cursor
 
+    def restart(self, engine: int) -> None:
+        """Read a watched engine from the start, as its cursor may be unusable.
+
+        What it holds is kept: events that are read twice change nothing.
+        """
+        self._engines[engine].cursor = FIRST_CURSOR
+
     def apply(self, engine: int, page: EventPage, now: Millis) -> Continuity:
         """Apply a page of events of a watched engine."""
         known = self._engines[engine]
         continuity = _continuity(known, page)
+        goes_back = _goes_back(known.cursor, page.cursor)
         known.epoch = page.epoch
         known.answered_at = now
         known.cursor = page.cursor
@@ -191,6 +201,11 @@
                 self._clear(known)
                 known.cursor = FIRST_CURSOR
                 return continuity
+            case Continuity.GAP if goes_back:
+                # The cursor was beyond the events, so some may be left out.
+                self._clear(known)
+                known.cursor = FIRST_CURSOR
+                return continuity
             case Continuity.GAP:
                 self._clear(known)
             case _:
@@ -305,4 +320,13 @@
         return Continuity.FIRST
     if page.epoch != engine.epoch:
         return Continuity.NEW_EPOCH
-    return Continuity.GAP if page.lost else Continuity.CONTINUED
+    if page.lost or _goes_back(engine.cursor, page.cursor):
+        return Continuity.GAP
+    return Continuity.CONTINUED
+
+
+def _goes_back(before: str, after: str) -> bool:
+    """Return whether a cursor is lower than the one before; only numbers have order."""
+    if not (_NUMBER.fullmatch(before) and _NUMBER.fullmatch(after)):
+        return False
+    return int(after) < int(before)
--- a/src/leadseam/platform/engine_cache.py
+++ b/src/leadseam/platform/engine_cache.py
@@ -25,6 +25,8 @@
 """Idle time up to which a connection is reused; six times the usual pause."""
 MAX_PAGE_BYTES = 8 * 1024 * 1024
 """Maximum size of an answer; one of 10,000 events has some 600 KB."""
+MAX_TOKEN_CHARS = 64
+"""Maximum length of an epoch or a page token, which is sent back in a URL."""
 TOO_MANY_CALLS = 429
 OK = 200
 
@@ -77,7 +79,7 @@
                 if answer.status == TOO_MANY_CALLS:
                     return CallRefused()
                 if answer.status != OK:
-                    return CallFailed(f"status {answer.status}")
+                    return CallFailed(f"status {answer.status}", answered=True)
                 body = await _read_body(answer)
         except (aiohttp.ClientError, OSError) as exc:
             return CallFailed(type(exc).__name__)
@@ -101,14 +103,15 @@
 
 def _decode(body: bytes) -> EventAnswer:
     if len(body) > MAX_PAGE_BYTES:
-        return CallFailed("answer too large")
+        return CallFailed("answer too large", answered=True)
     try:
         page = msgspec.json.decode(body, type=_Page)
     except (msgspec.DecodeError, ValueError, RecursionError) as exc:
-        return CallFailed(f"cannot read the answer: {exc}")
+        return CallFailed(f"cannot read the answer: {exc}", answered=True)
+    epoch, cursor = str(page.epoch), str(page.next_page_token)
+    if max(len(epoch), len(cursor)) > MAX_TOKEN_CHARS:
+        return CallFailed("epoch or page token too long", answered=True)
     events = tuple(
         CacheEvent(one.number, one.part, round(one.tokens)) for one in page.events
     )
-    return EventPage(
-        str(page.epoch), str(page.next_page_token), bool(page.lost), events
-    )
+    return EventPage(epoch, cursor, bool(page.lost), events)
--- a/tests/feed/test_cache_watch.py
+++ b/tests/feed/test_cache_watch.py
@@ -74,6 +74,7 @@
     failure: CallRefused | CallFailed | None = None
     delay: Millis = 0
     lost: bool = False
+    spoilt_cursor: str = ""
     calls: list[tuple[Millis, str]] = field(default_factory=list)
 
     async def read(self, engine: Registration, cursor: str, _: Millis) -> EventAnswer:
@@ -81,10 +82,13 @@
         await sleep(self.delay)
         if self.failure is not None:
             return self.failure
+        if not cursor.isdecimal():
+            return CallFailed("status 400", answered=True)
         lost, self.lost = self.lost, False
         events = tuple(one for one in self.events if one.number > int(cursor))
         end = max((one.number for one in self.events), default=0)
-        return EventPage(str(self.epoch), str(end), lost, events)
+        spoilt, self.spoilt_cursor = self.spoilt_cursor, ""
+        return EventPage(str(self.epoch), spoilt or str(end), lost, events)
 
     async def close(self) -> None:
         return
@@ -178,6 +182,34 @@
     assert replica.held() == 650
 
 
+@pytest.mark.parametrize(
+    "cursor", ["1", "0", "-1", str(2**63 - 1), str(2**64), "1" + "0" * 63, "x", "NaN"]
+)
+def test_a_spoilt_cursor_hides_no_later_events(cursor: str) -> None:
+    """An engine that is asked for events after a spoilt cursor has none or refuses."""
+
+    @in_virtual_time
+    async def run(replica: Replica) -> None:
+        replica.engines.spoilt_cursor = cursor
+        await sleep(POLL_INTERVAL)
+        replica.engines.events += (CacheEvent(2, "a", 650),)
+        await sleep(2_000)
+        assert replica.held() == 650
+        replica.engines.events += (CacheEvent(3, "a", 0),)
+        await sleep(2_000)
+        assert replica.held() == 0
+
+    run()
+
+
+@in_virtual_time
+async def test_a_spoilt_epoch_hides_no_later_events(replica: Replica) -> None:
+    for epoch in (2**64, -1, 1):
+        replica.engines.epoch = epoch
+        await sleep(1_000)
+        assert replica.held() == 600
+
+
 @pytest.mark.parametrize(
     ("failure", "delay"),
     [(CallRefused(), 0), (CallFailed("reset"), 0), (None, 60_000)],
--- a/tests/platform/test_engine_cache.py
+++ b/tests/platform/test_engine_cache.py
@@ -63,7 +63,7 @@
     async with engine(429, PAGE) as (port, _):
         assert await read(port) == CallRefused()
     async with engine(500, PAGE) as (port, _):
-        assert await read(port) == CallFailed("status 500")
+        assert await read(port) == CallFailed("status 500", answered=True)
     assert await read(port) == CallFailed("ClientConnectorError")
 
 
@@ -81,4 +81,59 @@
 ) -> None:
     monkeypatch.setattr(engine_cache, "MAX_PAGE_BYTES", len(PAGE) - 1)
     async with engine(200, PAGE) as (port, _):
-        assert await read(port) == CallFailed("answer too large")
+        assert await read(port) == CallFailed("answer too large", answered=True)
+
+
+@pytest.mark.parametrize("name", ["epoch", "nextPageToken"])
+@pytest.mark.parametrize(
+    ("value", "is_read"),
+    [
+        ("-1", True),
+        (str(2**63 - 1), True),
+        (str(2**64), True),
+        ('""', True),
+        ('"x"', True),
+        ('"' + "x" * 64 + '"', True),
+        ('"' + "x" * 65 + '"', False),
+        ("1" + "0" * 400, False),
+        ("1" + "0" * 5_000, False),
+        ("1.0", False),
+        ("1e400", False),
+        ("NaN", False),
+        ("true", False),
+        ("null", False),
+    ],
+)
+async def test_epochs_and_page_tokens_are_numbers_or_texts_that_fit_into_a_url(
+    name: str, value: str, is_read: bool
+) -> None:
+    fields = {"epoch": "17", "nextPageToken": "42"} | {name: value}
+    body = ",".join(f'"{key}":{one}' for key, one in fields.items())
+    async with engine(200, f"{{{body}}}") as (port, _):
+        assert isinstance(await read(port), EventPage) is is_read
+
+
+@pytest.mark.parametrize(
+    ("number", "tokens", "is_read"),
+    [
+        ("-1", "5", True),
+        (str(2**64), "5", True),
+        ("1" + "0" * 400, "5", True),
+        ("1" + "0" * 5_000, "5", False),
+        ("true", "5", False),
+        ('"1"', "5", False),
+        ("1", str(2**53), True),
+        ("1", str(2**63), False),
+        ("1", "-1", False),
+        ("1", "1e400", False),
+        ("1", "NaN", False),
+        ("1", "true", False),
+    ],
+)
+async def test_numbers_of_events_have_no_bound_and_their_tokens_have(
+    number: str, tokens: str, is_read: bool
+) -> None:
+    events = f'[[{number},"+","","a",{tokens},"m"]]'
+    body = f'{{"epoch":1,"nextPageToken":2,"events":{events}}}'
+    async with engine(200, body) as (port, _):
+        assert isinstance(await read(port), EventPage) is is_read
