Test numbers out of proportion with real processes

The stand-in server ignores an id of an event that is no number, as its int() would end the request with a 500.

--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import os
+import re
 import socket
 import time
 from collections import Counter
@@ -71,6 +72,12 @@
     at: float = field(default_factory=time.monotonic)
 
 
+def next_event(http: web.BaseRequest) -> int:
+    """Return the number of the first event to send; an unreadable id is ignored."""
+    value = http.headers.get(names.LAST_EVENT, "")
+    return int(value) + 1 if re.fullmatch(r"[0-9]{1,18}", value) else 1
+
+
 @dataclass
 class Server:
     """One server, whose behavior can be set by path.
@@ -425,7 +432,7 @@
     ) -> tuple[int, dict[str, str], bytes]:
         headers = self._signed_headers(http)
         if "stream" in http.path:
-            first = int(http.headers.get(names.LAST_EVENT, "0")) + 1
+            first = next_event(http)
             body = b"".join(event(number) for number in range(first, EVENTS + 1))
             body = spoil_stream(body, plan.spoil)
             headers["Content-Type"] = "text/event-stream"
@@ -493,7 +500,7 @@
             response = web.StreamResponse(headers=headers)
             response.enable_chunked_encoding()
         await response.prepare(http)
-        first = int(http.headers.get(names.LAST_EVENT, "0")) + 1
+        first = next_event(http)
         if self.breaks_every and len(self.runs) % self.breaks_every == 0:
             action = "lose"
             self.broken_off.add(http.headers[names.REQUEST_ID])
