Let a version whose age is below 0 expire like the others

Cause: an age below 0 in a message or in the stored file put the time at which a version was last in service into the future, so it stayed in service, and its pool mixed, until that time had come.

Change: such an age counts as 0.

Result: the new case of tests/membership/test_versions.py fails without it (the version of age -2**63 never expires), and passes with it.

--- a/src/leadseam/membership/versions.py
+++ b/src/leadseam/membership/versions.py
@@ -47,7 +47,8 @@
     def merge(self, rows: Iterable[VersionRow], now: Millis) -> None:
         """Merge the rows of another table."""
         for row in rows:
-            self._add(row.pool, row.version, now - row.age)
+            # An age below 0 would keep the version until that time has come.
+            self._add(row.pool, row.version, now - max(row.age, 0))
 
     def expire(self, now: Millis, lifetime: Millis) -> bool:
         """Drop versions that were last in service longer ago than streams last.
--- a/tests/membership/test_versions.py
+++ b/tests/membership/test_versions.py
@@ -53,3 +53,13 @@
     assert second.rows(5_000) == (VersionRow("p", "v1", 900),)
     assert second.expire(5_101, LIFETIME)
     assert second.versions("p") == frozenset()
+
+
+def test_a_version_that_is_younger_than_now_expires_like_the_others() -> None:
+    table = VersionTable()
+    rows = [VersionRow("p", f"v{age}", age) for age in (-1, -(2**63), 0, 2**64)]
+    table.merge(rows, 0)
+    assert table.expire(LIFETIME, LIFETIME)
+    assert table.versions("p") == {"v-1", f"v{-(2**63)}", "v0"}
+    assert table.expire(LIFETIME + 1, LIFETIME)
+    assert table.versions("p") == frozenset()
