--- a/tests/platform/test_heartbeat.py
+++ b/tests/platform/test_heartbeat.py
@@ -11,7 +11,10 @@
 
 from leadseam.incarnation import Incarnation
 from leadseam.platform.heartbeat import (
+    MAX_COLD_TIME,
     MAX_HEARTBEAT_BYTES,
+    MAX_INTEGER,
+    MAX_SLOTS,
     MAX_START,
     Fault,
     UnknownWriterError,
@@ -127,6 +130,57 @@
     assert fault_of(document) is fault
 
 
+WRONG_NUMBERS = [
+    "-1",
+    str(2**53 + 1),
+    str(2**63 - 1),
+    str(2**64),
+    "1" + "0" * 400,
+    "1e400",
+    "1.5",
+    "true",
+    '"7"',
+    '"1_000"',
+    '"٣"',
+    '""',
+    "null",
+    "[]",
+]
+
+
+@pytest.mark.parametrize("field", ["sequence", "slots", "coldRemainingMs", "born"])
+@pytest.mark.parametrize("value", WRONG_NUMBERS)
+def test_a_number_that_is_none_or_out_of_bounds_is_rejected(
+    field: str, value: str
+) -> None:
+    document = encode_heartbeat(**{field: "@"}).replace(b'"@"', value.encode())
+    is_fraction = field == "coldRemainingMs" and value == "1.5"
+    assert fault_of(document) is (None if is_fraction else Fault.WRONG_FIELD)
+
+
+@pytest.mark.parametrize("field", ["sequence", "slots", "coldRemainingMs", "born"])
+@pytest.mark.parametrize("value", ["NaN", "Infinity", "1" + "0" * 5_000, "1_000", "٣"])
+def test_a_number_that_json_does_not_have_makes_a_document_unreadable(
+    field: str, value: str
+) -> None:
+    document = encode_heartbeat(**{field: "@"}).replace(b'"@"', value.encode())
+    assert fault_of(document) is Fault.UNREADABLE
+
+
+@pytest.mark.parametrize(
+    ("field", "largest"),
+    [
+        ("sequence", MAX_INTEGER),
+        ("slots", MAX_SLOTS),
+        ("coldRemainingMs", MAX_COLD_TIME),
+        ("born", MAX_START),
+    ],
+)
+def test_the_largest_number_of_a_field_is_read(field: str, largest: int) -> None:
+    assert fault_of(encode_heartbeat(**{field: largest})) is None
+    assert fault_of(encode_heartbeat(**{field: largest + 1})) is Fault.WRONG_FIELD
+
+
 @pytest.mark.parametrize("instance", ["", " ", "a b", "a\r\nb", "ü", "-a", "a" * 129])
 def test_an_id_is_safe_in_headers_and_log_lines(instance: str) -> None:
     with pytest.raises(UnknownWriterError):
