Pass on no answer whose head is ambiguous or cannot be passed on unchanged

What callers saw: a 101, or a status such as 000, 099, 600 or 999, as the status of their answer; bodies with a transfer coding that nobody had removed, as whole ones; the framing of an answer in its body ("chunked, gzip"); a `Transfer-Encoding ` header (with a space) beside the length; with a control character in any header, a closed connection without a response at an entry; headers that are not UTF-8 emptied. A head with the own id first and another request's id behind it, with an empty signature or with two different ones counted as the run's own, and with a refusal as the promise that nothing ran.

Cause: the HTTP library accepts all of these, and we compared only the first header of a name.

Change: `answer_head.py` holds what neither path passes on: a status that is none of a final answer, headers that cannot be passed on unchanged, transfer codings beside one `chunked`. The dialect reads ids and signatures as one value, which all headers of the name have, and media types without regard to case and parameters. The fault is on the attempt's line, in the metric and in the warning as those of heads before; sidecars log theirs too.

--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -112,15 +112,15 @@
 
     def read_answer(self, status: int, headers: MultiMapping[str]) -> AnswerHead:
         """Decode the head of an upstream's response."""
-        content_type = headers.get("Content-Type", "")
+        types = headers.getall("Content-Type", [])
         pause, invalid_pause = 0, ""
         if status == SERVICE_UNAVAILABLE:
             pause, invalid_pause = read_pause(headers.getall(names.RETRY_AFTER, []))
         return AnswerHead(
-            request_id=headers.get(names.REQUEST_ID),
+            request_id=read_single(headers.getall(names.REQUEST_ID, [])),
             not_run=names.NOT_RUN in headers,
-            signed=names.SIGNATURE in headers,
-            event_stream=content_type.startswith(EVENT_STREAM),
+            signed=bool(read_single(headers.getall(names.SIGNATURE, []))),
+            event_stream={media_type(one) for one in types} == {EVENT_STREAM},
             pause=pause,
             invalid_pause=invalid_pause,
             leaving=names.LEAVING_VALUE in headers.getall(names.LEAVING, []),
@@ -185,8 +185,25 @@
     Returns:
         None if there is none, or if they differ.
     """
-    ids = {value.strip() for value in values}
-    return ids.pop() or None if len(ids) == 1 else None
+    return read_single([value.strip() for value in values])
+
+
+def read_single(values: Sequence[str]) -> str | None:
+    """Return the value that all headers of one name have.
+
+    Args:
+        values: Values of all headers of the name, as `getall` returns them.
+
+    Returns:
+        None if there is none, if it is empty, or if they differ.
+    """
+    distinct = set(values)
+    return distinct.pop() or None if len(distinct) == 1 else None
+
+
+def media_type(value: str) -> str:
+    """Return the media type in a `Content-Type` header, without its parameters."""
+    return value.partition(";")[0].strip().lower()
 
 
 def read_key(value: str | None) -> str | None:
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -4,11 +4,11 @@
 
 import errno
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import TYPE_CHECKING, TypeAlias
 
 import aiohttp
 
+from leadseam.answer_head import HeadFault, read_head_fault
 from leadseam.control.routes import ReplyForm
 from leadseam.outcome import Reason
 from leadseam.routing.client import WithheldError
@@ -87,21 +87,6 @@
     misdirected: bool = False
 
 
-class HeadFault(StrEnum):
-    """Why an answer is not the one due, by its head.
-
-    `OTHER_REQUEST`: it states another request's id, or none. `UNSIGNED`: it is a
-    success without the upstream's signature. `ENCODED`: its body has a content
-    encoding, which no request asks for. `NO_EVENTS`: its body is no event stream, where
-    one is due.
-    """
-
-    OTHER_REQUEST = "other_request"
-    UNSIGNED = "unsigned"
-    ENCODED = "encoded"
-    NO_EVENTS = "no_events"
-
-
 @dataclass(frozen=True, slots=True)
 class Broken:
     """There is no usable answer; the request may have run.
@@ -225,20 +210,23 @@
     if answer.not_run or resp.status == MISDIRECTED:
         await _drain(resp)
         return Declined(misdirected=resp.status == MISDIRECTED)
-    success = resp.status < FIRST_REDIRECTION
-    fault = _head_fault(answer, reply, success=success)
+    fault = _head_fault(answer, resp, reply)
     if fault is not None:
         resp.close()
         return Broken(Reason.UPSTREAM_BROKEN, head=fault)
     headers = end_to_end_headers(resp)
-    if success and answer.event_stream:
+    if resp.status < FIRST_REDIRECTION and answer.event_stream:
         return Streaming(resp, headers)
     return await _buffer(resp, headers)
 
 
 def _head_fault(
-    answer: AnswerHead, reply: ReplyForm, *, success: bool
+    answer: AnswerHead, resp: aiohttp.ClientResponse, reply: ReplyForm
 ) -> HeadFault | None:
+    fault = read_head_fault(resp.status, resp.headers)
+    if fault is not None:
+        return fault
+    success = resp.status < FIRST_REDIRECTION
     if answer.encoded:
         return HeadFault.ENCODED
     if success and not answer.signed:
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -12,6 +12,7 @@
 from yarl import URL
 
 from leadseam.answer_end import Completeness, Framing, read_framing
+from leadseam.answer_head import read_head_fault
 from leadseam.clock import Clock, Millis, seconds
 from leadseam.event_sequence import EventFormat, EventReader, EventSequence
 from leadseam.event_stream import PassThrough
@@ -27,7 +28,6 @@
     from collections.abc import Callable
     from contextlib import AbstractContextManager
 
-    from leadseam.event_sequence import SpoiltEvent
     from leadseam.liveness import Liveness
     from leadseam.runtime.timeouts import Timeouts
     from leadseam.sidecar.meter import Meter
@@ -285,6 +285,11 @@
     async def run(self) -> None:
         try:
             async with self._upstream.open(self._req) as resp:
+                fault = read_head_fault(resp.status, resp.headers)
+                if fault is not None:
+                    self._log_spoilt({"head": fault.value})
+                    resp.close()
+                    return
                 self._status = resp.status
                 self._meter = self._upstream.new_meter(resp.content_type)
                 self._send(Head(self._req.attempt, resp.status, _end_to_end(resp)))
@@ -294,7 +299,7 @@
                         self._charge(self._meter.feed(data, self._upstream.now()))
                         await self._forward(b"".join(reader.feed(data)))
                         if isinstance(reader, EventReader) and reader.spoilt:
-                            self._log_spoilt(reader.spoilt)
+                            self._log_spoilt(reader.spoilt.log_fields())
                             resp.close()
                             return
                     end = read_end(resp, unfinished=reader.unfinished)
@@ -316,12 +321,8 @@
         closing = STREAM_END if self._upstream.address.engine else ""
         return EventReader(EventSequence(EventFormat(closing=closing)))
 
-    def _log_spoilt(self, spoilt: SpoiltEvent) -> None:
-        extra = {
-            "path": self._req.path,
-            "account": self._req.account,
-            **spoilt.log_fields(),
-        }
+    def _log_spoilt(self, fields: dict[str, object]) -> None:
+        extra = {"path": self._req.path, "account": self._req.account, **fields}
         log.warning("upstream sent an answer that is not the one due", extra=extra)
 
     def final(self, error: str, *, started: bool = True) -> Final:
@@ -339,10 +340,6 @@
 def _end_to_end(resp: aiohttp.ClientResponse) -> tuple[tuple[str, str], ...]:
     kept = HOP_BY_HOP - {"content-encoding"}
     items = resp.headers.items()
-    pairs = [
+    return tuple(
         (str(name), str(value)) for name, value in items if name.lower() not in kept
-    ]
-    for pair in pairs:
-        # Raises UnicodeEncodeError, a ValueError, for bytes that aren't UTF-8.
-        "".join(pair).encode()
-    return tuple(pairs)
+    )
