Test that spoilt events are noticed when they arrive one by one

Cause: in the tests of spoilt streams a server writes the whole answer at once, so that all of its events are read before the pump runs. Taking out the check, or the note of the last event, where the pump sends events failed no test.

Change: the stand-in sends an event without an id behind sound ones that came one by one, and holds the stream open.

Result: on the current code both cases pass; without the pump's check both fail, without its note of the last event the resumed one does.

--- a/tests/platform/test_spoilt_events.py
+++ b/tests/platform/test_spoilt_events.py
@@ -11,11 +11,13 @@
 from leadseam.standin.answer_plans import AnswerPlan
 from leadseam.standin.spoilt_streams import Spoil
 from tests.platform.test_answer_ends import ends_with_event
-from tools.platform.standin import WHOLE_STREAM
+from tools.platform.standin import WHOLE_STREAM, event
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Answer, Platform
 
+EVENT_PAUSE = 0.02
+"""Seconds between two events that arrive one by one."""
 SPOILT = [way for way in Spoil if way is not Spoil.NONE]
 
 
@@ -99,3 +101,27 @@
         entry, f"/stream-fixed/{plan.path()}", method="HEAD", body=b""
     )
     assert (answer.status, answer.body) == (200, b"")
+
+
+@pytest.mark.parametrize(
+    ("route", "cut", "received"),
+    [
+        ("stream", False, WHOLE_STREAM),
+        ("stream-fixed", True, b"".join(map(event, (1, 2, 3)))),
+    ],
+)
+async def test_a_spoilt_event_that_arrives_by_itself_is_noticed_at_once(
+    platform: Platform, route: str, cut: bool, received: bytes
+) -> None:
+    """Events that arrive one by one do not wake the task that relays the answer."""
+    entry = platform.entry_ips[0]
+    await platform.earn_retries(entry, "stream")
+    for server in platform.servers:
+        server.actions["x"] = "spoil"
+        server.delay = EVENT_PAUSE
+    answer = await platform.call(entry, f"/{route}/x", request_id="bad")
+    assert (answer.cut, answer.body) == (cut, received)
+    lines = [one for one in platform.log(entry) if one.get("request") == "bad"]
+    faults = [one["spoilt"] for one in lines if "spoilt" in one]
+    assert faults
+    assert set(faults) == {"no_id"}
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -40,6 +40,8 @@
 """Bytes after which a server stops to send an answer without end."""
 PLAIN_BODY = b'{"slip": "printed", "copies": 1}'
 """Body of a plain answer that is sent as planned."""
+SPOILT_EVENT = b"data: none\n\n"
+"""Event without an id, which a stream may have in its middle."""
 LARGE_BODY_START = 1_400_000
 """Bytes of it that are sent at once."""
 HEALTH_PATH = "/healthz"
@@ -507,6 +509,9 @@
                 raise asyncio.CancelledError
             if action == "pause" and number == EVENTS // 2:
                 await self.release.wait()
+            if action == "spoil" and first <= EVENTS // 2 < number:
+                await response.write(SPOILT_EVENT)
+                await self.release.wait()
             if action in ("break", "lose") and number == EVENTS // 2:
                 await response.write(b"id: %d\ndata: ha" % number)
                 if action == "break":
