Test that an event counts as sent while its write waits for the caller

No test failed with the event noted only behind the write; an attempt that ends in that wait would go on elsewhere behind an older event, and the caller would get events twice. Fails with that order, passes on the current code.

--- a/tests/routing/test_reply.py
+++ b/tests/routing/test_reply.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from types import SimpleNamespace
 from typing import Any, cast
 
 import pytest
 
+from leadseam.routing.attempt import Streaming
 from leadseam.routing.reply import CallerGoneError, Reply
 
 
@@ -23,3 +25,29 @@
     reply._response = cast("Any", SimpleNamespace(write_eof=write_eof))
     with pytest.raises(CallerGoneError):
         await reply.end(cast("Any", SimpleNamespace()))
+
+
+async def test_an_event_counts_as_sent_while_its_write_waits_for_the_caller() -> None:
+    """An attempt that ends in that wait goes on elsewhere behind this event."""
+    waiting = asyncio.Event()
+
+    async def write(_: bytes) -> None:
+        waiting.set()
+        await asyncio.Event().wait()
+
+    reply = Reply(
+        cast("Any", SimpleNamespace()),
+        prepare=lambda _: None,
+        now=lambda: 0,
+        last_event=None,
+    )
+    reply._response = cast("Any", SimpleNamespace(write=write))
+    answer = SimpleNamespace(close=lambda: None)
+    buffered = b"id: 1\ndata: one\n\n"
+    streaming = Streaming(cast("Any", answer), (), buffered)
+    relaying = asyncio.create_task(reply.relay(streaming, lambda: None))
+    await waiting.wait()
+    relaying.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await relaying
+    assert reply.last_event == "1"
