Take a bad head of an answer to the request for no sign of a restart

Cause: answers that this box breaks off raise no doubt that their upstream has started again, but those broken for their head (unsigned, encoded, no event stream) have no AnswerEnd and still did, right after their head had proved the process to be the same. No stream could go on at such an upstream until the doubt had ended.

Change: of the faults of a head only another request's id raises the doubt.

Result: three new cases failed and pass; that of another request's id passes before and after.

--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -19,6 +19,7 @@
     MISDIRECTED,
     Broken,
     Declined,
+    HeadFault,
     Streaming,
     Unreachable,
     Whole,
@@ -573,8 +574,10 @@
                 if refused:
                     self.crash_guard.ended(upstream.incarnation)
                 excluded = self._health.unreachable(upstream.incarnation, now)
-            case Broken(end=end):
-                if end is None or end.close is not Close.DROPPED:
+            case Broken(end=end, head=head):
+                is_own = head not in (None, HeadFault.OTHER_REQUEST)
+                dropped = end is not None and end.close is Close.DROPPED
+                if not (is_own or dropped):
                     self.placer.record_disconnect(upstream, alive_at=alive_at)
                 excluded = self._health.failed(upstream.incarnation, now)
             case Whole(status=status) if status >= FIRST_SERVER_ERROR:
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -20,7 +20,7 @@
 from leadseam.incarnation import Incarnation
 from leadseam.membership.view import UpstreamView
 from leadseam.outcome import NotRun, Reason
-from leadseam.routing.attempt import Broken, Declined, Whole
+from leadseam.routing.attempt import Broken, Declined, HeadFault, Whole
 from leadseam.routing.busy import SHORTEST_PAUSE
 from leadseam.routing.dialect import Sender
 from leadseam.routing.entry_room import EntryRooms
@@ -389,3 +389,23 @@
     end = AnswerEnd(Framing.CHUNKS, Close.DROPPED, spoilt=spoilt)
     entry.gateway.note_ending(row, Broken(Reason.UPSTREAM_BROKEN, end))
     assert entry.gateway.placer._candidates(Scope("p", version="v1")) == [row]
+
+
+@pytest.mark.parametrize(
+    "head", [HeadFault.UNSIGNED, HeadFault.ENCODED, HeadFault.NO_EVENTS]
+)
+def test_a_bad_head_of_an_answer_to_the_request_is_no_sign_of_a_restart(
+    entry: Entry, head: HeadFault
+) -> None:
+    row = msgspec.structs.replace(make_upstream(1, start=1_000), version="v1")
+    entry.feed.view.update("a", [row], 0)
+    entry.gateway.note_ending(row, Broken(Reason.UPSTREAM_BROKEN, head=head))
+    assert entry.gateway.placer._candidates(Scope("p", version="v1")) == [row]
+
+
+def test_the_answer_to_another_request_may_be_a_sign_of_a_restart(entry: Entry) -> None:
+    row = msgspec.structs.replace(make_upstream(1, start=1_000), version="v1")
+    entry.feed.view.update("a", [row], 0)
+    broken = Broken(Reason.UPSTREAM_BROKEN, head=HeadFault.OTHER_REQUEST)
+    entry.gateway.note_ending(row, broken)
+    assert entry.gateway.placer._candidates(Scope("p", version="v1")) == []
