Charge only the events of engines that are passed on

Cause: the sidecar's meter read the bytes as they arrived, ahead of the check of events. An account was charged for what an engine wrote in place of an event or behind the closing one, up to any usage stated there: 4,000 tokens instead of 1 in the test.

Change: the meter reads what the check lets pass, and the closing event when it is passed on.

--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -291,8 +291,7 @@
                 reader = self._reader(resp)
                 with self._upstream.watch_end(resp):
                     while data := await resp.content.readany():
-                        self._charge(self._meter.feed(data, self._upstream.now()))
-                        await self._forward(b"".join(reader.feed(data)))
+                        await self._forward(self._metered(b"".join(reader.feed(data))))
                         if isinstance(reader, EventReader) and reader.spoilt:
                             self._log_spoilt(reader.spoilt)
                             resp.close()
@@ -304,7 +303,7 @@
                 self._completeness = end.completeness
                 whole = end.completeness is not Completeness.BROKEN
                 if whole and isinstance(reader, EventReader):
-                    await self._forward(reader.closing)
+                    await self._forward(self._metered(reader.closing))
                 if not reader.unfinished:
                     await self._forward(reader.pending)
         finally:
@@ -316,6 +315,11 @@
         closing = STREAM_END if self._upstream.address.engine else ""
         return EventReader(EventSequence(EventFormat(closing=closing)))
 
+    def _metered(self, data: bytes) -> bytes:
+        """Charge sound bytes of the answer, and return them."""
+        self._charge(self._meter.feed(data, self._upstream.now()))
+        return data
+
     def _log_spoilt(self, spoilt: SpoiltEvent) -> None:
         extra = {
             "path": self._req.path,
--- a/tests/sidecar/test_upstream.py
+++ b/tests/sidecar/test_upstream.py
@@ -4,10 +4,13 @@
 
 import asyncio
 from contextlib import closing
+from typing import TYPE_CHECKING
 
 import pytest
+from aiohttp import web
 
 from leadseam.clock import SystemClock
+from leadseam.fairness.service import OUTPUT_TOKEN
 from leadseam.outcome import Reason
 from leadseam.runtime.timeouts import Timeouts
 from leadseam.sidecar.upstream import UpstreamAddress, UpstreamClient, Window
@@ -15,22 +18,27 @@
 from tools.dying_upstream import DyingUpstream
 from tools.ports import LOOPBACK
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 EVENTS = 10
 """Events of an answer before its end."""
 REQUEST = Dispatch(1, 1, "bank", "GET", "/x", (), b"", False, 0, 0, 1_000_000)
 
 
-async def run(port: int) -> Final:
+async def run(
+    port: int, *, engine: bool = False, charge: Callable[[int], None] = lambda _: None
+) -> Final:
     """Send a request to an upstream and read its answer."""
     clock = SystemClock()
-    address = UpstreamAddress(LOOPBACK, port, engine=False)
+    address = UpstreamAddress(LOOPBACK, port, engine=engine)
     client = UpstreamClient(address, clock, Timeouts(clock))
     try:
         return await client.run(
             REQUEST,
             window=Window(REQUEST.window),
             send=lambda _: None,
-            charge=lambda _: None,
+            charge=charge,
         )
     finally:
         await client.close()
@@ -54,3 +62,38 @@
         await upstream.wait_events(EVENTS)
         upstream.finish_answers()
         assert (await answer).error == ""
+
+
+@pytest.mark.parametrize(
+    ("answer", "error", "tokens"),
+    [
+        (b"%(token)b%(done)b", "", 1),
+        (b"%(token)b%(usage)b%(done)b", "", 4_000),
+        (b"%(token)brubbish\n%(usage)b%(done)b", Reason.UPSTREAM_BROKEN, 1),
+        (b"%(token)b%(done)b%(usage)b", Reason.UPSTREAM_BROKEN, 1),
+    ],
+)
+async def test_only_events_that_are_passed_on_are_charged(
+    answer: bytes, error: str, tokens: int
+) -> None:
+    blocks = {
+        b"token": b'data: {"choices": []}\n\n',
+        b"usage": b'data: {"usage": {"completion_tokens": 4000,'
+        b' "prompt_tokens": 0}}\n\n',
+        b"done": b"data: [DONE]\n\n",
+    }
+
+    async def send(_: web.BaseRequest) -> web.Response:
+        return web.Response(body=answer % blocks, content_type="text/event-stream")
+
+    runner = web.ServerRunner(web.Server(send))
+    await runner.setup()
+    site = web.TCPSite(runner, LOOPBACK, 0)
+    await site.start()
+    charged: list[int] = []
+    try:
+        port = runner.addresses[0][1]
+        final = await run(port, engine=True, charge=charged.append)
+    finally:
+        await runner.cleanup()
+    assert (final.error, sum(charged)) == (error, tokens * OUTPUT_TOKEN)
