Bound the comments that are held behind the closing event

Cause: blocks behind an engine's closing event are held until its answer has ended, without a bound and without flow control; comments without end would fill the sidecar's memory.

Change: the closing event and what follows it may be as long as any event, 1 MiB.

--- a/src/leadseam/event_sequence.py
+++ b/src/leadseam/event_sequence.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-from leadseam.event_stream import EventSplitter
+from leadseam.event_stream import MAX_EVENT_SIZE, EventSplitter, EventTooLongError
 
 STANDARD_FIELDS = frozenset({"data", "event", "id", "retry"})
 MAX_DIGITS = 18
@@ -266,7 +266,8 @@
         """Add bytes and return the sound events that they complete.
 
         Raises:
-            EventTooLongError: If the event that has begun is too long.
+            EventTooLongError: If the event that has begun is too long, or the closing
+                event with the comments behind it.
         """
         if self.spoilt is not None:
             return []
@@ -276,10 +277,15 @@
             if self.spoilt is not None:
                 return blocks[:position]
             if self._sequence.is_closed:
-                self.closing += block
+                self._hold(block)
                 blocks[position] = b""
         return blocks
 
+    def _hold(self, block: bytes) -> None:
+        self.closing += block
+        if len(self.closing) > MAX_EVENT_SIZE:
+            raise EventTooLongError(f"{len(self.closing)} bytes behind the last event")
+
     def finish(self) -> None:
         """Note the end of the answer; a stream that begins has at least one event."""
         if self.spoilt is None:
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -13,6 +13,7 @@
     EventSequence,
     SpoiltEvent,
 )
+from leadseam.event_stream import MAX_EVENT_SIZE, EventTooLongError
 
 NUMBERED = EventFormat(first=1, counters=frozenset({"weights"}))
 ANY = EventFormat()
@@ -157,6 +158,14 @@
     assert reader.spoilt.fault is EventFault.AFTER_END
 
 
+def test_comments_behind_the_closing_event_are_not_held_without_bound() -> None:
+    reader = EventReader(EventSequence(EventFormat(closing="[DONE]")))
+    reader.feed(b"data: [DONE]\n\n")
+    with pytest.raises(EventTooLongError):
+        for _ in range(MAX_EVENT_SIZE // 100):
+            reader.feed(b": %b\n\n" % (b"x" * 100))
+
+
 @pytest.mark.parametrize("data", [b"none", b'{"a": 1', b'"a"', b"[1]", b"", b"{}{}"])
 def test_data_that_is_no_json_object_is_spoilt_where_events_hold_such(
     data: bytes,
