--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -13,6 +13,7 @@
 import pytest
 
 from leadseam.answer_end import AnswerEnd, Close, Framing
+from leadseam.answer_head import HeadFault
 from leadseam.clock import ManualClock
 from leadseam.control.configuration import Account, Configuration
 from leadseam.event_sequence import EventFault, SpoiltEvent
@@ -389,3 +390,21 @@
     end = AnswerEnd(Framing.CHUNKS, Close.DROPPED, spoilt=spoilt)
     entry.gateway.note_ending(row, Broken(Reason.UPSTREAM_BROKEN, end))
     assert entry.gateway.placer._candidates(Scope("p", version="v1")) == [row]
+
+
+@pytest.mark.parametrize("head", [HeadFault.UNSIGNED.ENCODED.NO_EVENTS])
+def test_a_bad_head_of_an_answer_to_the_request_is_no_sign_of_a_restart(
+    entry: Entry, head: HeadFault
+) -> None:
+    row = msgspec.structs.replace(make_upstream(1, start=1_000), version="v1")
+    entry.feed.view.update("a", [row], 0)
+    entry.gateway.note_ending(row, Broken(Reason.UPSTREAM_BROKEN, head=head))
+    assert entry.gateway.placer._candidates(Scope("p", version="v1")) == [row]
+
+
+def test_the_answer_to_another_request_may_be_a_sign_of_a_restart(entry: Entry) -> None:
+    row = msgspec.structs.replace(make_upstream(1, start=1_000), version="v1")
+    entry.feed.view.update("a", [row], 0)
+    broken = Broken(Reason.UPSTREAM_BROKEN, head=HeadFault.OTHER_REQUEST)
+    entry.gateway.note_ending(row, broken)
+    assert entry.gateway.placer._candidates(Scope("p", version="v1")) == []
