Fuzz of answers: servers that mutate what they send, and a judge

Cause: tests cut sound answers at every place and spoil streams in fixed ways; none changes bytes at random or knows what each run made.

Change: tools/spoil mutates sound answers by a seed (bytes, lines, events, rubbish, a second answer, chunk sizes, lengths, heads, cuts), sends calls through real nodes, and judges each answer by what its runs made.

--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -25,11 +25,14 @@
 from leadseam.standin.spoilt_streams import spoil_stream
 from tools.platform.operator import open_session, post_bytes
 from tools.platform.pauses import Arrival, Pause
+from tools.spoil.mutations import Mutation
 from tools.waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from tools.spoil.spoiler import Spoiler
+
 HEARTBEAT = 0.1
 """Seconds between two heartbeats of a server, as in the settings of the nodes."""
 EVENTS = 6
@@ -105,7 +108,8 @@
         names_version: Whether events of streams name that version.
         breaks_every: Of so many requests one breaks off in the middle of a stream; 0
             for none.
-        broken_off: Requests whose streams it broke off for that.
+        broken_off: Requests whose streams it broke off for that, or whose answers it
+            mutated.
         silent_for: Seconds from a start to the first heartbeat.
         unframed_every: Of so many answers one ends with its connection, without a
             length or chunks; 0 for none.
@@ -113,6 +117,7 @@
         events_before_crash: Events that it sends before such a crash, behind the head.
         endless_bytes: Bytes sent of answers without end, by kind.
         part_arrivals: Requests with such parts that reached it.
+        spoiler: Answers some requests, with mutations; None if all answers are sound.
         port_open_for: Seconds for which its port still accepts connections after a
             crash has closed the others.
     """
@@ -152,6 +157,7 @@
     endless_bytes: Counter[str] = field(default_factory=Counter)
     part_arrivals: list[Arrival] = field(default_factory=list)
     port_open_for: float = 0.0
+    spoiler: Spoiler | None = None
 
     async def start(self) -> None:
         """Serve, and send heartbeats."""
@@ -358,6 +364,13 @@
     async def _run_action(
         self, http: web.BaseRequest, action: str
     ) -> web.StreamResponse:
+        request_id = http.headers[names.REQUEST_ID]
+        if self.spoiler is not None and self.spoiler.answers(request_id):
+            headers = self._signed_headers(http)
+            response, mutation = self.spoiler.answer(http, headers)
+            if mutation is not Mutation.NONE:
+                self.broken_off.add(request_id)
+            return response
         plan = AnswerPlan.parse(http.path.rsplit("/", 1)[-1])
         if plan is not None:
             return await self._follow_plan(http, plan)
--- /dev/null
+++ b/tools/spoil/__init__.py
@@ -0,0 +1,1 @@
+"""Random mutations of sound answers, and a judge of what callers get of them."""
