An answer with an unknown transfer coding is not passed on

Cause: without `chunked` as the last transfer coding, the HTTP library reads a body until its connection ends and leaves its coding as it is. An answer whose head says `chuked` was passed on with the sizes of its chunks in it, as a whole answer of 200, on routes of plain answers.

Change: an answer with any transfer coding but `chunked` counts as encoded, as one with a content encoding does. No request asks for either.

What callers saw: the sizes of chunks as part of a plain body.

Four cases of the new test failed before.

--- a/src/leadseam/platform/headers.py
+++ b/src/leadseam/platform/headers.py
@@ -124,7 +124,7 @@
             pause=pause,
             invalid_pause=invalid_pause,
             leaving=names.LEAVING_VALUE in headers.getall(names.LEAVING, []),
-            encoded="Content-Encoding" in headers,
+            encoded="Content-Encoding" in headers or _has_unknown_coding(headers),
         )
 
     def health_check(self, incarnation: Incarnation, path: str) -> HealthCheck:
@@ -220,3 +220,9 @@
         if separator:
             parts.append(PromptPart(identity, read_number(tokens) or 0))
     return tuple(parts)
+
+
+def _has_unknown_coding(headers: MultiMapping[str]) -> bool:
+    """Return whether a body has a transfer coding other than `chunked`."""
+    codings = headers.getall("Transfer-Encoding", [])
+    return any(coding.strip().lower() != "chunked" for coding in codings)
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -92,8 +92,8 @@
 
     `OTHER_REQUEST`: it states another request's id, or none. `UNSIGNED`: it is a
     success without the upstream's signature. `ENCODED`: its body has a content
-    encoding, which no request asks for. `NO_EVENTS`: its body is no event stream, where
-    one is due.
+    encoding, which no request asks for, or an unknown transfer coding. `NO_EVENTS`: its
+    body is no event stream, where one is due.
     """
 
     OTHER_REQUEST = "other_request"
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -128,7 +128,8 @@
             entry; 0 if not stated.
         invalid_pause: Requested pause that could not be parsed, or an empty string.
         leaving: Whether the upstream announces that it is leaving.
-        encoded: Whether the body has a content encoding, which no request asks for.
+        encoded: Whether the body has a content encoding, which no request asks for, or
+            an unknown transfer coding.
     """
 
     request_id: str | None
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -130,3 +130,22 @@
     assert answer_with(status, ("server-leaving", "1")).leaving
     assert not answer_with(status, ("Server-Leaving", "0")).leaving
     assert not answer_with(status).leaving
+
+
+@pytest.mark.parametrize(
+    ("codings", "encoded"),
+    [
+        ([], False),
+        (["chunked"], False),
+        (["Chunked"], False),
+        (["chuked"], True),
+        (["gzip, chunked"], True),
+        (["gzip", "chunked"], True),
+        ([""], True),
+    ],
+)
+def test_an_answer_with_an_unknown_transfer_coding_counts_as_encoded(
+    codings: list[str], encoded: bool
+) -> None:
+    headers = CIMultiDict([("Transfer-Encoding", coding) for coding in codings])
+    assert PlatformDialect().read_answer(200, headers).encoded is encoded
