A witness that is cancelled while it connects closes no descriptor twice

Cause: a witness (a connection beside an answer without a length or chunks) connects a socket and then hands it to the event loop. If the answer ends in between, the loop closes the descriptor, and so does the socket. By the second close the number may belong to another connection: what is written to one caller's connection goes to another caller, or the loop aborts.

Change: the hand-over is not cancelled; its connection is closed once it is done.

Why it works: the guard for connects of the library, applied to the witness, fails before (a descriptor is closed though its socket is open) and passes now. Three runs of the guard before the library's function was reachable for it passed, so it has to cancel at the hand-over.

--- a/src/leadseam/runtime/witness.py
+++ b/src/leadseam/runtime/witness.py
@@ -19,7 +19,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, cast
 
-from aiohappyeyeballs import start_connection
+import aiohappyeyeballs
 
 from leadseam.clock import Clock, Millis, seconds, sleep
 from leadseam.liveness import Identity, Liveness
@@ -307,10 +307,23 @@
         family = socket.AF_INET6 if ":" in ip else socket.AF_INET
         target = (family, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", (ip, port))
         async with asyncio.timeout(seconds(timeout)):
-            sock = await start_connection(
-                [target] * CONNECT_ATTEMPTS,
+            sock = await aiohappyeyeballs.start_connection(
+                addr_infos=[target] * CONNECT_ATTEMPTS,
                 happy_eyeballs_delay=seconds(CONNECT_DELAY),
                 interleave=1,
             )
-            _, conn = await loop.create_connection(_Connection, sock=sock)
-        return conn
+            # Cancelled in between, the loop and the socket would both close the
+            # descriptor, which may belong to another connection by then.
+            opening = spawn(loop.create_connection(_Connection, sock=sock))
+            try:
+                _, conn = await asyncio.shield(opening)
+            except asyncio.CancelledError:
+                opening.add_done_callback(_close_opened)
+                raise
+        return cast("_Connection", conn)
+
+
+def _close_opened(opening: asyncio.Task[tuple[asyncio.Transport, _Connection]]) -> None:
+    """Close a connection that nobody waits for any more."""
+    if not opening.cancelled() and opening.exception() is None:
+        opening.result()[0].abort()
--- a/tests/runtime/test_witness.py
+++ b/tests/runtime/test_witness.py
@@ -13,6 +13,7 @@
 from leadseam.clock import SystemClock
 from leadseam.liveness import HealthCheck, Identity, Liveness
 from leadseam.runtime.witness import LivenessChecker
+from tests.descriptors import assert_no_double_close
 from tools.dying_upstream import DyingUpstream
 from tools.ports import LOOPBACK
 from tools.waiting import CONDITION_TIMEOUT, wait_until
@@ -194,3 +195,13 @@
     kept = HealthCheck("/healthz", instance_header="x-instance", instance="i-1")
     assert kept.identify(200, {"x-instance": "i-1"}) is Identity.UNSTATED
     assert CHECK.identify(200, {"x-instance": "i-1"}) is Identity.SAME
+
+
+async def test_an_answer_that_ends_while_its_witness_connects_closes_nothing_twice(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def watch(port: int) -> None:
+        with LivenessChecker(SystemClock()).watching(LOOPBACK, port):
+            await asyncio.Event().wait()
+
+    await assert_no_double_close(watch, monkeypatch)
