--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -11,6 +11,7 @@
 from aiohttp.test_utils import make_mocked_request
 from multidict import CIMultiDict
 
+from leadseam.answer_head import HeadFault, read_head_fault
 from leadseam.platform.headers import (
     MAX_NUMBER,
     MAX_PAUSE,
@@ -199,3 +200,23 @@
 @pytest.mark.parametrize("value", ["-1", "NaN", "1_000", "٣", "true", "", "7,8"])
 def test_a_pause_in_no_decimal_seconds_is_invalid(value: str) -> None:
     assert read_pause([value]) == (0, value or "empty")
+
+
+@pytest.mark.parametrize(
+    ("codings", "encoded"),
+    [
+        ([], False),
+        (["chunked"], False),
+        (["Chunked"], False),
+        (["chuked"], True),
+        (["gzip, chunked"], True),
+        (["gzip", "chunked"], True),
+        ([""], True),
+    ],
+)
+def test_an_answer_with_an_unknown_transfer_coding_counts_as_encoded(
+    codings: list[str], encoded: bool
+) -> None:
+    headers = CIMultiDict([("Transfer-Encoding", coding) for coding in codings])
+    fault = read_head_fault(200, headers)
+    assert fault == (HeadFault.ENCODED if encoded else None)
