Hold streams to the caller's last event only where events are numbered

What callers saw: on a route that need not answer with events, a caller that names its last event got 502 if the upstream ignores that name, as the standard lets it: its first event had no id, or began at 1, and counted as spoilt.

Cause: the number behind the caller's last event was due on any route.

Change: it is due where the dialect says that events are numbered, and behind events that this entry has passed on itself. A stream without ids leaves the last id as it was.

--- a/src/leadseam/routing/reply.py
+++ b/src/leadseam/routing/reply.py
@@ -159,8 +159,10 @@
     def _reader(self, streaming: Streaming) -> EventReader | PassThrough:
         if not streaming.events:
             return PassThrough()
-        sequence = EventSequence(self._event_format, resume_after=self.last_event)
-        return EventReader(sequence)
+        # Where events need no numbers, an upstream may ignore the caller's last one.
+        is_bound = self.started or self._event_format.first is not None
+        resume_after = self.last_event if is_bound else None
+        return EventReader(EventSequence(self._event_format, resume_after=resume_after))
 
     def _drop(self, streaming: Streaming, reader: EventReader | PassThrough) -> Broken:
         """Return the ending of an answer that is not read any further."""
@@ -221,7 +223,7 @@
         _stop_if_spoilt(reader)
 
     def _note_sent(self, reader: EventReader | PassThrough) -> None:
-        if isinstance(reader, EventReader):
+        if isinstance(reader, EventReader) and reader.last_id is not None:
             self.last_event = reader.last_id
 
     async def _start(self, streaming: Streaming) -> web.StreamResponse:
--- a/tests/routing/test_reply.py
+++ b/tests/routing/test_reply.py
@@ -51,3 +51,37 @@
     with pytest.raises(asyncio.CancelledError):
         await relaying
     assert reply.last_event == "1"
+
+
+@pytest.mark.parametrize("body", [b"data: one\n\n", b"id: 1\ndata: one\n\n"])
+async def test_a_stream_without_due_numbers_may_ignore_the_callers_last_event(
+    monkeypatch: pytest.MonkeyPatch, body: bytes
+) -> None:
+    written = []
+
+    async def done(_: object = None) -> None: ...
+
+    async def write(data: bytes) -> None:
+        written.append(data)
+
+    async def start(_: object) -> SimpleNamespace:
+        return SimpleNamespace(write=write)
+
+    async def readany() -> bytes:
+        return b""
+
+    http = SimpleNamespace(protocol=SimpleNamespace(_drain_helper=done))
+    reply = Reply(
+        cast("Any", http), prepare=lambda _: None, now=lambda: 0, last_event="7"
+    )
+    monkeypatch.setattr(reply, "_start", start)
+    answer = SimpleNamespace(
+        close=lambda: None,
+        content=SimpleNamespace(readany=readany),
+        method="GET",
+        status=200,
+        headers={"Content-Length": "1"},
+    )
+    streaming = Streaming(cast("Any", answer), (), body)
+    assert isinstance(await reply.relay(streaming, lambda: None), Streaming)
+    assert written == [body]
