Read only a status of three digits in the answer to a health check

Cause: the check converted whatever decimal digits stood where a status is due. More than 4,300 raised ValueError out of the check, and 00421 passed for 421, which says that another process has the address.

Change: three digits behind the protocol, else there is no status.

Result: the two new cases of test_witness.py fail without it (ValueError; GONE in place of RUNS), and tests/runtime/test_witness.py passes with it.

--- a/src/leadseam/runtime/witness.py
+++ b/src/leadseam/runtime/witness.py
@@ -12,6 +12,7 @@
 import contextlib
 import fcntl
 import logging
+import re
 import socket
 import struct
 import termios
@@ -59,6 +60,7 @@
     UNACKNOWLEDGED = auto()
 
 
+_STATUS = re.compile(r"\S+ +([0-9]{3})(?![^ ])")
 _REPLIES = {
     Identity.SAME: _Reply.SAME,
     Identity.OTHER: _Reply.OTHER,
@@ -118,8 +120,8 @@
         first, *lines = head.split("\r\n")
         pairs = (line.partition(":") for line in lines)
         headers = {name.strip().lower(): value.strip() for name, _, value in pairs}
-        status = first.split()[1:2]
-        code = int(status[0]) if status and status[0].isdecimal() else 0
+        status = _STATUS.match(first)
+        code = int(status[1]) if status is not None else 0
         return _REPLIES[check.identify(code, headers)]
 
     def _is_acknowledged(self) -> bool:
--- a/tests/runtime/test_witness.py
+++ b/tests/runtime/test_witness.py
@@ -65,6 +65,12 @@
         (b"HTTP/1.1 503 Full\r\n\r\n", Liveness.RUNS),
         (b"HTTP/1.1 200 OK\r\nX-Instance: i-2\r\n\r\n", Liveness.GONE),
         (b"HTTP/1.1 421 Other\r\n\r\n", Liveness.GONE),
+        # No status at all is an answer, too.
+        (b"HTTP/1.1 " + b"9" * 5_000 + b"\r\n\r\n", Liveness.RUNS),
+        (b"HTTP/1.1 -421\r\n\r\n", Liveness.RUNS),
+        (b"HTTP/1.1 00421\r\n\r\n", Liveness.RUNS),
+        (b"HTTP/1.1 \xb2\r\n\r\n", Liveness.RUNS),
+        (b"HTTP/1.1\r\n\r\n", Liveness.RUNS),
     ],
 )
 async def test_a_process_is_told_from_another_one_at_its_address(
