--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -734,7 +734,7 @@
     Variant(
         "a body's encoding and type are not looked at",
         "routing/attempt.py",
-        "    fault = _head_fault(answer, reply, success=success)",
+        "    fault = _head_fault(answer, resp, reply)",
         "    fault = None if answer.signed else HeadFault.UNSIGNED",
         f"{SPOILT_EVENTS}::test_an_answer_with_another_head_than_due_is_not_passed_on",
     ),
