--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -120,6 +120,44 @@
     assert sequence.advance(event(10)) is not None
 
 
+@pytest.mark.parametrize("versions", [(7, 6), (7, 7), (7, 10**17), (7, 0)])
+def test_a_version_within_a_stream_may_be_any_number(versions: tuple[int, int]) -> None:
+    """No page says that it grows, and it is passed on as the upstream sent it."""
+    sequence = EventSequence(NUMBERED)
+    for number, version in enumerate(versions, start=1):
+        block = b"weights: %d\n%b" % (version, event(number))
+        assert sequence.advance(block) is None
+
+
+@pytest.mark.parametrize(
+    "version",
+    ["-1", "", "1.5", "1_000", "\u0663", "NaN", "1e400", "07", str(10**18), "9" * 400],
+)
+def test_a_version_within_a_stream_has_at_most_18_plain_digits(version: str) -> None:
+    block = f"weights: {version}\nid: 1\ndata: a\n\n".encode()
+    spoilt = EventSequence(NUMBERED).advance(block)
+    assert spoilt is not None
+    assert spoilt.fault is EventFault.MALFORMED
+
+
+@pytest.mark.parametrize(
+    "last", ["", "x", "-1", "1.0", "07", "\u0663", str(2**63), "9" * 400]
+)
+def test_behind_an_id_that_is_no_number_any_event_may_be_first(last: str) -> None:
+    for first in (1, 7, 10**17):
+        sequence = EventSequence(NUMBERED, resume_after=last)
+        assert sequence.advance(event(first)) is None
+        assert sequence.advance(event(first)) is not None
+        assert sequence.advance(event(first + 1)) is None
+
+
+def test_no_event_follows_the_largest_number() -> None:
+    sequence = sequence_after(10**18 - 1)
+    for number in (0, 1, 10**18 - 1, 10**18, 2**63, 2**64):
+        assert sequence.advance(event(number)) is not None
+    assert sequence.finish() is None
+
+
 def test_a_stream_that_begins_has_an_event() -> None:
     empty = EventSequence(NUMBERED)
     assert empty.advance(b": waiting\n\n") is None
