Test the range of numbers between our own processes, departures and evacuations

Whole numbers of any size are decoded, anything else is an error. A departure with a start far in the future shuts out all starts of its id; a revision that is not higher has no effect.

--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -135,6 +135,25 @@
     assert view.cold_until(row) == 500
 
 
+def test_a_departure_far_in_the_future_shuts_out_all_starts_of_its_id_only() -> None:
+    view = UpstreamView()
+    view.left([Incarnation("i-1", MAX_START)])
+    view.update("a", [make_upstream(1, start=5), make_upstream(2, start=5)], 0)
+    assert instances(view) == {"i-2"}
+
+
+def test_evacuations_of_a_revision_that_is_not_higher_have_no_effect() -> None:
+    view = UpstreamView()
+    assert not view.evacuate(-1, ["d"], 0)
+    assert not view.evacuate(0, ["d"], 0)
+    assert view.evacuate(2**63, ["d"], 0)
+    assert not view.evacuate(2**63, [], 0)
+    assert not view.evacuate(7, [], 0)
+    assert view.evacuated == {"d"}
+    assert view.evacuate(2**64, [], 0)
+    assert view.evacuated == frozenset()
+
+
 class ViewMachine(RuleBasedStateMachine):
     """Applies random reports and checks two properties.
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -10,10 +10,11 @@
 from hypothesis import strategies as st
 
 from leadseam.errors import WireError
-from leadseam.wire.codec import decode_frame, encode_frame
+from leadseam.wire.codec import decode, decode_frame, encode_frame
 from leadseam.wire.consensus import Append, LogEntry
 from leadseam.wire.dispatch import Backlog, BacklogRow, Chunk, Dispatch
 from leadseam.wire.messages import AnyMessage
+from leadseam.wire.versions import VersionRow
 
 
 def test_decoding_inverts_encoding() -> None:
@@ -49,3 +50,16 @@
     except WireError:
         return
     assert value in ([], {}, "", b"")
+
+
+@pytest.mark.parametrize("age", [0, -1, 2**53, 2**63 - 1, 2**64, 10**400])
+def test_whole_numbers_of_any_size_are_decoded(age: int) -> None:
+    assert decode(cbor2.dumps(["p", "v", age]), VersionRow) == VersionRow("p", "v", age)
+
+
+@pytest.mark.parametrize(
+    "age", [1.0, 1.5, float("nan"), float("inf"), True, None, "7", "", b"7", []]
+)
+def test_what_is_no_whole_number_is_an_error(age: object) -> None:
+    with pytest.raises(WireError):
+        decode(cbor2.dumps(["p", "v", age]), VersionRow)
