--- a/tests/feed/test_domain_sums.py
+++ b/tests/feed/test_domain_sums.py
@@ -88,6 +88,15 @@
     assert requests(table) == 1
 
 
+def test_sums_far_ahead_hold_until_the_replica_starts_again() -> None:
+    table = DomainSumsTable()
+    assert table.receive(make_sums("a", 2**64, ONE), (), 0) is None
+    assert table.receive(make_sums("a", 3, ONE), (), 0) == "late"
+    assert requests(table, MAX_SUMS_AGE + 1) is None
+    assert table.receive(make_sums("a", 4, ONE), (), MAX_SUMS_AGE + 2) == "late"
+    assert table.receive(make_sums("a", 1, ONE, run=2), (), MAX_SUMS_AGE + 2) is None
+
+
 def test_sums_expire_and_do_not_come_back_late() -> None:
     table = DomainSumsTable()
     table.receive(make_sums("a", 2, ONE), (), 0)
--- a/tests/sidecar/test_meter.py
+++ b/tests/sidecar/test_meter.py
@@ -72,6 +72,14 @@
     assert body.finish(0) == OUTPUT_TOKEN
 
 
+def test_of_several_usages_the_last_possible_one_counts() -> None:
+    meter = EventStreamMeter()
+    charged = 0
+    for tokens in ("9", "7", "-1"):
+        charged += meter.feed(b"data: " + usage(tokens) + b"\n\n", 0)
+    assert charged + meter.finish(0) == 35
+
+
 @pytest.mark.parametrize(
     "data", [b"", b"[]", b"{}", b'{"usage":null}', b"\xff", b"[" * 100_000]
 )
