Test resumed streams without stated numbers and data of several lines

Two lines of the check could be taken out or changed without a failing test: that a stream is numbered behind a number where its format needs none, and that the lines of an event's data are joined by line ends.

--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -144,6 +144,19 @@
         assert (fault is None) == (spoilt == event(5))
 
 
+def test_a_resumed_stream_is_numbered_though_its_format_needs_no_numbers() -> None:
+    for spoilt in (b"data: a\n\n", event(4), event(6)):
+        assert EventSequence(ANY, resume_after="4").advance(spoilt) is not None
+    assert EventSequence(ANY, resume_after="4").advance(event(5)) is None
+
+
+def test_data_of_several_lines_is_joined_by_line_ends() -> None:
+    sequence = EventSequence(EventFormat(closing="[DONE]"))
+    assert sequence.advance(b'data: {"a":\ndata: 1}\n\n') is None
+    assert sequence.advance(b"data: [DO\ndata: NE]\n\n") is not None
+    assert not sequence.is_closed
+
+
 def test_the_closing_event_is_held_back_and_nothing_follows_it() -> None:
     reader = EventReader(EventSequence(EventFormat(closing="[DONE]")))
     assert reader.feed(b'data: {"a": 1}\n\ndata: [DONE]\n\n') == [
