Failing tests: media types in other cases, a second byte order mark, an empty last id

Four cases fail on the current code: - Text/Event-Stream is taken for no event stream, and broken off where one is due (media types are compared in any case); text/event-streams is taken for one. - A byte order mark is taken off each block until the first event, so that a caller may get an event whose id line its parser does not know. - Behind an empty id, which names no event, any number may come first, and a stream without any event ends as complete.

--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -130,3 +130,19 @@
     assert answer_with(status, ("server-leaving", "1")).leaving
     assert not answer_with(status, ("Server-Leaving", "0")).leaving
     assert not answer_with(status).leaving
+
+
+@pytest.mark.parametrize(
+    ("content_type", "is_stream"),
+    [
+        ("text/event-stream", True),
+        ("text/event-stream; charset=utf-8", True),
+        ("Text/Event-Stream", True),
+        ("text/event-streams", False),
+    ],
+)
+def test_a_content_type_is_compared_whole_and_in_any_case(
+    content_type: str, is_stream: bool
+) -> None:
+    head = answer_with(200, ("Content-Type", content_type))
+    assert head.event_stream is is_stream
--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -109,6 +109,18 @@
     assert with_mark.advance(b"\xef\xbb\xbf" + event(1)) is None
 
 
+def test_only_the_first_block_may_begin_with_a_byte_order_mark() -> None:
+    sequence = EventSequence(NUMBERED)
+    assert sequence.advance(b"\xef\xbb\xbf: waiting\n\n") is None
+    assert sequence.advance(b"\xef\xbb\xbf" + event(1)) is not None
+
+
+def test_behind_an_empty_id_a_stream_begins_with_its_first_event() -> None:
+    assert EventSequence(NUMBERED, resume_after="").advance(event(1)) is None
+    assert EventSequence(NUMBERED, resume_after="").advance(event(4)) is not None
+    assert EventSequence(NUMBERED, resume_after="").finish() is not None
+
+
 def test_a_resumed_stream_begins_behind_the_callers_last_event() -> None:
     assert sequence_after(7).advance(event(8)) is None
     for number in (1, 7, 9):
