--- a/src/leadseam/event_sequence.py
+++ b/src/leadseam/event_sequence.py
@@ -112,13 +112,15 @@
     """
 
     def __init__(self, fmt: EventFormat, *, resume_after: str | None = None) -> None:
-        self.last_id = resume_after
+        # An empty id names no event.
+        self.last_id = resume_after or None
         self._fmt = fmt
         self._due = fmt.first
         self._is_numbered = fmt.first is not None
         self._is_first = True
         self.is_closed = False
-        if resume_after is not None:
+        self._may_have_mark = self.last_id is None
+        if resume_after:
             number = _parse_number(resume_after)
             self._due = None if number is None else number + 1
             self._is_numbered = self._is_numbered or number is not None
@@ -175,7 +177,8 @@
             text = block.decode()
         except UnicodeDecodeError:
             return EventFault.MALFORMED
-        if self._is_first and self.last_id is None:
+        if self._may_have_mark and self._is_first:
+            self._may_have_mark = False
             text = text.removeprefix(_BYTE_ORDER_MARK)
         ids = []
         data = []
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -220,3 +220,19 @@
     headers = CIMultiDict([("Transfer-Encoding", coding) for coding in codings])
     fault = read_head_fault(200, headers)
     assert fault == (HeadFault.ENCODED if encoded else None)
+
+
+@pytest.mark.parametrize(
+    ("content_type", "is_stream"),
+    [
+        ("text/event-stream", True),
+        ("text/event-stream; charset=utf-8", True),
+        ("Text/Event-Stream", True),
+        ("text/event-streams", False),
+    ],
+)
+def test_a_content_type_is_compared_whole_and_in_any_case(
+    content_type: str, is_stream: bool
+) -> None:
+    head = answer_with(200, ("Content-Type", content_type))
+    assert head.event_stream is is_stream
