Soak: servers that mutate their answers, beside all other faults

Cause: the soak's servers only ever cut their answers.

Chunk sizes and bytes of heads stay as they are: the fuzz has a test of those, which fails.

--- a/tests/platform/test_spoil_fuzz.py
+++ b/tests/platform/test_spoil_fuzz.py
@@ -8,14 +8,12 @@
 
 from tools.spoil.fuzz import run_seed
 from tools.spoil.judge import Judge, Kind, Made
-from tools.spoil.mutations import Mutation
+from tools.spoil.mutations import LINE_ENDS, Mutation
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 ANSWERS = 800
-LINE_ENDS = frozenset({Mutation.CHUNK_SIZE, Mutation.HEAD_BYTES})
-"""Mutations behind which a frame may have a line that ends with LF alone."""
 OTHERS = frozenset(Mutation) - LINE_ENDS
 
 
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -91,6 +91,15 @@
     assert summary.checked["whole stays whole"] > 0
 
 
+async def test_promises_are_kept_where_servers_mutate_their_answers(
+    tmp_path: Path,
+) -> None:
+    summary = await run_seed(tmp_path, 9101, replace(OPTIONS, spoil=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["made by its runs"] > 0
+    assert summary.checked["recovered"] == 2
+
+
 @pytest.mark.parametrize("seed", [202, 203])
 async def test_promises_are_kept_where_boxes_are_suspended(
     tmp_path: Path, seed: int
--- a/tools/platform/standin.py
+++ b/tools/platform/standin.py
@@ -366,8 +366,9 @@
     ) -> web.StreamResponse:
         request_id = http.headers[names.REQUEST_ID]
         if self.spoiler is not None and self.spoiler.answers(request_id):
-            headers = self._signed_headers(http)
-            response, mutation = self.spoiler.answer(http, headers)
+            response, mutation = self.spoiler.answer(
+                http, self._signed_headers(http), lost=action == "lose"
+            )
             if mutation is not Mutation.NONE:
                 self.broken_off.add(request_id)
             return response
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -25,6 +25,7 @@
   --refusals     Servers refuse or fail requests while entries are killed in series.
   --unframed     Half of the answers end with their connection, without a length or
                  chunks; servers break some off inside an event.
+  --spoil        Servers mutate one answer in five.
   --beside DIR   Each second process runs the sources of another build in this folder.
   --versions V   Software versions of the model servers, whose streams callers resume
                  [default: 1].
@@ -68,6 +69,7 @@
         pauses=args["--rests"],
         refusals=args["--refusals"],
         unframed=args["--unframed"],
+        spoil=args["--spoil"],
         other_sources=args["--beside"] or "",
         versions=int(args["--versions"]),
     )
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -28,6 +28,8 @@
 CALL_PAUSE = 0.02
 """Seconds between two calls of one caller."""
 BODY = b"x" * 300
+CALL_PREFIX = "c"
+"""Start of the ids of the calls."""
 EVENT_END = b"\n\n"
 MAX_RESUMED = 2
 """Times that a caller resumes a stream at most."""
@@ -140,7 +142,12 @@
             http._retry_connection = False
             while not self._stopping:
                 kind = self._rng.choice(list(CallKind))
-                call = Call(f"c{next(self._id_numbers)}", kind, entry, time.monotonic())
+                call = Call(
+                    f"{CALL_PREFIX}{next(self._id_numbers)}",
+                    kind,
+                    entry,
+                    time.monotonic(),
+                )
                 await self.send(http, call)
                 self._on_call(call)
                 if self._platform.versions > 1:
@@ -154,7 +161,7 @@
                 return
             await asyncio.sleep(self._rng.uniform(0, RESUME_PAUSE))
             call = Call(
-                f"c{next(self._id_numbers)}",
+                f"{CALL_PREFIX}{next(self._id_numbers)}",
                 call.kind,
                 self._rng.choice(self._platform.entry_ips),
                 time.monotonic(),
--- a/tools/soak/promise_checker.py
+++ b/tools/soak/promise_checker.py
@@ -13,11 +13,13 @@
 from tools.platform.retry_windows import retry_times, worst_window
 from tools.platform.standin import WHOLE_STREAM
 from tools.soak.callers import ROUTE_TIME_LIMIT, CallKind
+from tools.spoil.judge import Kind
 
 if TYPE_CHECKING:
     from tools.platform.standin import Run
     from tools.soak.callers import Call
     from tools.soak.soak_platform import SoakPlatform
+    from tools.spoil.judge import Judge
 
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses which guarantee that a request has not run and never will."""
@@ -73,6 +75,7 @@
     checked: Counter[str] = field(default_factory=Counter)
     answers: Counter[int] = field(default_factory=Counter)
     resumed: Counter[str] = field(default_factory=Counter)
+    verdicts: Counter[str] = field(default_factory=Counter)
     calls: list[Call] = field(default_factory=list)
 
     def on_call(self, call: Call) -> None:
@@ -163,6 +166,9 @@
 
     def _check_answer(self, call: Call) -> None:
         """Check that an answer is whole, of this request, and signed by its server."""
+        if self.platform.spoiler is not None:
+            self._check_made(call, self.platform.spoiler.judge)
+            return
         if call.status != 200:
             return
         if call.kind.is_stream:
@@ -183,6 +189,21 @@
         whole = bool(instance) and body == expected
         self._check("whole answer", whole, call.request_id, repr(call.body))
 
+    def _check_made(self, call: Call, judge: Judge) -> None:
+        """Check that an answer is what the runs of its request made."""
+        verdict = judge.judge(
+            call.request_id,
+            0 if call.cut else call.status,
+            call.body,
+            cut=call.cut,
+            is_stream=call.kind.is_stream,
+        )
+        self.verdicts[f"{call.kind}: {verdict.kind}"] += 1
+        mutations = [one.mutation.value for one in judge.made[call.request_id]]
+        detail = f"{mutations} {verdict.detail}"
+        kept = verdict.kind is not Kind.WRONG
+        self._check("made by its runs", kept, call.request_id, detail)
+
     def _check_not_run(self, call: Call) -> None:
         if call.status in NOT_RUN_STATUSES and not call.cut:
             runs = self.platform.runs_of(call.request_id)
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from tools.platform.nodes import document
-from tools.soak.callers import Callers
+from tools.soak.callers import CALL_PREFIX, Callers
 from tools.soak.deadly import DeadlyCallers
 from tools.soak.deadly_parts import DeadlyPartCallers
 from tools.soak.evacuations import Evacuations
@@ -18,7 +18,10 @@
 from tools.soak.plan import draw_faults
 from tools.soak.promise_checker import PromiseChecker
 from tools.soak.refusals import RETRY_SLACK, Refusals
-from tools.soak.soak_platform import SoakPlatform
+from tools.soak.soak_platform import EVENT_PAUSE, SoakPlatform
+from tools.spoil.judge import Judge
+from tools.spoil.mutations import LINE_ENDS, Mutation
+from tools.spoil.spoiler import EVENTS, Spoiler
 from tools.waiting import wait_until
 
 if TYPE_CHECKING:
@@ -32,6 +35,8 @@
 RECOVERY_LIMIT = 90
 """Seconds in which everything must work again once all faults are repaired; far above
 the users' 15, since a box that runs other work is slow to start processes."""
+SPOILT_FRACTION = 0.2
+"""Fraction of the answers that are mutated, if any are."""
 MAX_LOG_LINES = 12
 """Most log lines that are printed for the requests of broken promises."""
 
@@ -58,6 +63,7 @@
         refusals: Whether servers refuse or fail requests while entries are killed in
             series.
         unframed: Whether answers without a length or chunks are sent and broken off.
+        spoil: Whether servers mutate some of their answers.
         other_sources: Folder with the sources of another build that runs beside this
             one; empty for none.
     """
@@ -75,6 +81,7 @@
     versions: int = 1
     refusals: bool = False
     unframed: bool = False
+    spoil: bool = False
     other_sources: str = ""
 
 
@@ -89,6 +96,7 @@
         starts: Starts of processes by build, if there are two.
         checked: Number of checks by promise.
         resumed: Streams that callers resumed, by whether they were finished.
+        verdicts: What callers got of answers that servers may have mutated.
         broken: Promises that were not kept.
         log_lines: Log lines of the requests of broken promises.
     """
@@ -99,6 +107,7 @@
     starts: dict[str, int]
     checked: dict[str, int]
     resumed: dict[str, int]
+    verdicts: dict[str, int]
     broken: tuple[BrokenPromise, ...]
     log_lines: tuple[str, ...]
 
@@ -111,6 +120,8 @@
             parts += [f"starts {self.starts}"]
         if self.resumed:
             parts += [f"resumed {self.resumed}"]
+        if self.verdicts:
+            parts += [f"verdicts {dict(sorted(self.verdicts.items()))}"]
         return "\n  ".join([*parts, *map(str, self.broken), *self.log_lines])
 
 
@@ -275,6 +286,7 @@
             starts=dict(self._platform.starts),
             checked=dict(promises.checked),
             resumed=dict(promises.resumed),
+            verdicts=dict(promises.verdicts),
             broken=tuple(promises.broken),
             log_lines=self._log_lines(promises.broken),
         )
@@ -290,6 +302,18 @@
         return tuple(log_lines[:MAX_LOG_LINES])
 
 
+def _spoiler(seed: int) -> Spoiler:
+    return Spoiler(
+        Judge(EVENTS),
+        seed,
+        CALL_PREFIX,
+        frozenset(Mutation) - LINE_ENDS,
+        first_fraction=SPOILT_FRACTION,
+        later_fraction=SPOILT_FRACTION,
+        delay=EVENT_PAUSE,
+    )
+
+
 async def run_seed(folder: Path, seed: int, options: SoakOptions) -> Summary:
     """Run one seed in an empty folder and return its result."""
     platform = SoakPlatform(
@@ -300,6 +324,7 @@
         versions=options.versions,
         unframed=options.unframed,
         other_sources=options.other_sources,
+        spoiler=_spoiler(seed) if options.spoil else None,
     )
     if options.refusals:
         platform.retry_slack = RETRY_SLACK
--- a/tools/soak/soak_platform.py
+++ b/tools/soak/soak_platform.py
@@ -18,6 +18,7 @@
     from collections.abc import Iterator
 
     from tools.platform.standin import Server
+    from tools.spoil.spoiler import Spoiler
 
 RESTART_DELAY = 0.2
 """Interval of the checks that restart processes which ended by themselves."""
@@ -43,6 +44,8 @@
         unframed: Whether half of the answers end with their connection. Entries reach
             servers without a proxy then, as only a server's own address shows that it
             has ended.
+        spoiler: Answers the calls of the run, with mutations; None for sound answers.
+            Entries reach servers without a proxy then, too.
         other_sources: Folder with the sources of another build, of which each second
             process that starts is; empty for none.
 
@@ -57,6 +60,7 @@
     versions: int = 1
     unframed: bool = False
     other_sources: str = ""
+    spoiler: Spoiler | None = None
 
     def __post_init__(self) -> None:
         super().__post_init__()
@@ -98,7 +102,8 @@
 
     def advertised(self, ip: str) -> str:
         """Return the address of a server's proxy."""
-        return f"{ip}:{self.server_port if self.unframed else self._proxy_port}"
+        is_direct = self.unframed or self.spoiler is not None
+        return f"{ip}:{self.server_port if is_direct else self._proxy_port}"
 
     async def open(self) -> None:
         """Start all proxies, nodes and servers."""
@@ -178,6 +183,7 @@
     def _prepare(self, server: Server) -> None:
         """Set how a server streams."""
         server.delay = EVENT_PAUSE
+        server.spoiler = self.spoiler
         if self.versions > 1:
             server.names_version = True
         if self.versions > 1 or self.unframed:
--- a/tools/spoil/mutations.py
+++ b/tools/spoil/mutations.py
@@ -61,6 +61,8 @@
 
 _ALL = list(Mutation)
 OF_FRAMES = tuple(_ALL[_ALL.index(Mutation.CHUNK_SIZE) :])
+LINE_ENDS = frozenset({Mutation.CHUNK_SIZE, Mutation.HEAD_BYTES})
+"""Mutations behind which a frame may have a line that ends with LF alone."""
 OF_EVENTS = tuple(
     _ALL[_ALL.index(Mutation.LINES_SWAPPED) : _ALL.index(Mutation.CHUNK_SIZE)]
 )
--- a/tools/spoil/spoiler.py
+++ b/tools/spoil/spoiler.py
@@ -55,21 +55,22 @@
         return request_id.startswith(self.prefix)
 
     def answer(
-        self, http: web.BaseRequest, headers: dict[str, str]
+        self, http: web.BaseRequest, headers: dict[str, str], *, lost: bool = False
     ) -> tuple[web.StreamResponse, Mutation]:
         """Return the answer to a request, and how it is mutated.
 
         Args:
             http: The request.
             headers: Headers of a sound answer, without those that delimit the body.
+            lost: Whether the answer is cut at some place.
         """
         request_id = http.headers[names.REQUEST_ID]
         attempt = len(self.judge.made[request_id])
         rng = random.Random(f"{self.seed} {request_id} {attempt}")
         sound, first = _sound_answer(rng, http, headers, f"{request_id}/{attempt}")
         fraction = self.later_fraction if attempt else self.first_fraction
-        how = Mutation.NONE
-        if sound.blocks and rng.random() < fraction:
+        how = Mutation.CUT if lost else Mutation.NONE
+        if not lost and sound.blocks and rng.random() < fraction:
             how = rng.choice([m for m in sound.mutations() if m in self.mutations])
         sent = mutate(rng, sound, how)
         self.judge.made[request_id].append(Made(first, sound.blocks, sent, how))
