--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -154,7 +154,7 @@
 
 
 @pytest.mark.parametrize(
-    "last", ["", "x", "-1", "1.0", "07", "\u0663", str(2**63), "9" * 400]
+    "last", ["x", "-1", "1.0", "07", "\u0663", str(2**63), "9" * 400]
 )
 def test_behind_an_id_that_is_no_number_any_event_may_be_first(last: str) -> None:
     for first in (1, 7, 10**17):
