Read an engine's cache events from the start only where it rejects the call

Cause: any answer that was no page sent the next call back to the start, an engine's passing 500 too. Of an engine that has run for long the start is lost, so that what was learned of it would be cleared.

Change: only a 4xx may be about the cursor.

--- a/src/leadseam/feed/cache_watch.py
+++ b/src/leadseam/feed/cache_watch.py
@@ -57,11 +57,11 @@
 
     Args:
         reason: Why, for the log.
-        answered: Whether the engine answered, so that it may not accept the cursor.
+        rejected: Whether the engine rejected the call, and so may reject its cursor.
     """
 
     reason: str
-    answered: bool = False
+    rejected: bool = False
 
 
 EventAnswer: TypeAlias = EventPage | CallRefused | CallFailed
@@ -221,8 +221,8 @@
             case CallRefused():
                 self._metrics.cache_polls.inc("refused")
                 self._log_failure(engine, row, "too many calls")
-            case CallFailed(reason=reason, answered=answered):
-                if answered:
+            case CallFailed(reason=reason, rejected=rejected):
+                if rejected:
                     self._index.restart(engine)
                 self._metrics.cache_polls.inc("failed")
                 self._log_failure(engine, row, reason)
--- a/src/leadseam/platform/engine_cache.py
+++ b/src/leadseam/platform/engine_cache.py
@@ -29,6 +29,7 @@
 """Maximum length of an epoch or a page token, which is sent back in a URL."""
 TOO_MANY_CALLS = 429
 OK = 200
+CLIENT_ERRORS = range(400, 500)
 
 
 Tokens = Annotated[float, Meta(ge=0, le=MAX_INTEGER)]
@@ -79,7 +80,10 @@
                 if answer.status == TOO_MANY_CALLS:
                     return CallRefused()
                 if answer.status != OK:
-                    return CallFailed(f"status {answer.status}", answered=True)
+                    return CallFailed(
+                        f"status {answer.status}",
+                        rejected=answer.status in CLIENT_ERRORS,
+                    )
                 body = await _read_body(answer)
         except (aiohttp.ClientError, OSError) as exc:
             return CallFailed(type(exc).__name__)
@@ -103,14 +107,14 @@
 
 def _decode(body: bytes) -> EventAnswer:
     if len(body) > MAX_PAGE_BYTES:
-        return CallFailed("answer too large", answered=True)
+        return CallFailed("answer too large")
     try:
         page = msgspec.json.decode(body, type=_Page)
     except (msgspec.DecodeError, ValueError, RecursionError) as exc:
-        return CallFailed(f"cannot read the answer: {exc}", answered=True)
+        return CallFailed(f"cannot read the answer: {exc}")
     epoch, cursor = str(page.epoch), str(page.next_page_token)
     if max(len(epoch), len(cursor)) > MAX_TOKEN_CHARS:
-        return CallFailed("epoch or page token too long", answered=True)
+        return CallFailed("epoch or page token too long")
     events = tuple(
         CacheEvent(one.number, one.part, round(one.tokens)) for one in page.events
     )
