Take no LF alone for the end of a line in heads, chunks and trailers of answers

What callers saw: with chunk sizes or heads changed, streams that ended as complete because the next event passed for trailers, a CR behind a plain body, header lines as a body.

Cause: the HTTP library reads answers leniently unless it debugs: a LF alone ends a line.

Change: its parsers read answers as strictly as requests. The standard lets a recipient take a LF alone; a sender must not send it.

--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import functools
+import importlib
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -20,6 +21,21 @@
 from leadseam.runtime.connector import LoopConnector
 
 
+def _read_strictly() -> None:
+    """Have the HTTP library take no LF alone for the end of a line outside of bodies.
+
+    It does so for answers unless it debugs. An upstream that mixes up its framing could
+    then end a body with a byte of an event, or begin it with a header.
+    """
+    for name in ("_http_parser", "http_parser"):
+        parser = importlib.import_module(f"aiohttp.{name}")
+        parser.DEBUG = True  # type: ignore[attr-defined]
+    aiohttp.http_parser.HttpResponseParserPy.lax = False
+
+
+_read_strictly()
+
+
 class AnswerResetError(aiohttp.ClientPayloadError):
     """The connection was reset before the end of an answer."""
 
