Hold streams of services to their numbers only if they count from 0 or 1

What callers would have seen: streams of services behind sidecars with times or offsets as ids, or the same id throughout, broken off as spoilt (the review; ids 1733 and 1790 skipped, the same id twice repeated).

Cause: any number as the first id was taken for the beginning of a count. The standard calls ids opaque.

Change: only a first id of 0 or 1 shows that a stream counts its events; a route whose dialect states numbers is held to them as before.

--- a/src/leadseam/event_sequence.py
+++ b/src/leadseam/event_sequence.py
@@ -20,6 +20,9 @@
 from leadseam.event_stream import MAX_EVENT_SIZE, EventSplitter, EventTooLongError
 
 STANDARD_FIELDS = frozenset({"data", "event", "id", "retry"})
+COUNTED_FROM = (0, 1)
+"""Ids of a first event that show that a stream counts its events, if nothing states it.
+Other ids may be times or offsets."""
 MAX_DIGITS = 18
 """Digits of an event's number; one with more would not fit into 64 bits."""
 MAX_LOGGED_BYTES = 64
@@ -63,8 +66,8 @@
     """How upstreams write the events of a stream.
 
     Args:
-        first: Number of the first event of a stream. If it is None, streams may have
-            events without numbers; one whose first event has a number has them all.
+        first: Number of the first event of a stream. If it is None, ids may be any
+            text; a stream whose first event has one of `COUNTED_FROM` counts them.
         counters: Names of further fields that an event may have, whose values are
             whole numbers.
         closing: Data of the event that ends a stream, whose other events hold JSON
@@ -220,7 +223,7 @@
     def _accept(self, ids: list[str], *, has_data: bool) -> EventFault | None:
         number = _parse_number(ids[0]) if ids else None
         if self._is_first and self._fmt.first is None and self._due is None:
-            self._is_numbered = number is not None
+            self._is_numbered = number in COUNTED_FROM
         if self._is_numbered:
             if fault := self._number_fault(ids, number, has_data=has_data):
                 return fault
