--- a/src/leadseam/answer_head.py
+++ b/src/leadseam/answer_head.py
@@ -31,6 +31,7 @@
     encoding or transfer coding, which no request asks for. `NO_EVENTS`: its body is no
     event stream, where one is due. `INVALID_STATUS`: its status is none of a final
     answer. `MALFORMED`: it has a header that cannot be passed on unchanged.
+    `UNREADABLE`: it is no HTTP.
     """
 
     OTHER_REQUEST = "other_request"
@@ -39,6 +40,7 @@
     NO_EVENTS = "no_events"
     INVALID_STATUS = "invalid_status"
     MALFORMED = "malformed"
+    UNREADABLE = "unreadable"
 
 
 def read_head_fault(status: int, headers: MultiMapping[str]) -> HeadFault | None:
--- a/src/leadseam/routing/attempt.py
+++ b/src/leadseam/routing/attempt.py
@@ -191,6 +191,8 @@
         )
     except aiohttp.ConnectionTimeoutError:
         return Unreachable()
+    except aiohttp.ClientResponseError:
+        return Broken(Reason.UPSTREAM_BROKEN, head=HeadFault.UNREADABLE)
     except (aiohttp.ClientError, OSError, ValueError):
         return Broken(Reason.UPSTREAM_BROKEN)
     answer = dialect.read_answer(resp.status, resp.headers)
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -94,6 +94,9 @@
 
 log = logging.getLogger(__name__)
 
+UNPROVEN_HEADS = (None, HeadFault.OTHER_REQUEST, HeadFault.UNREADABLE)
+"""Faults of heads that do not show which process has answered."""
+
 
 class Gateway:
     """Admits routed requests and forwards them to upstreams.
@@ -575,7 +578,7 @@
                     self.crash_guard.ended(upstream.incarnation)
                 excluded = self._health.unreachable(upstream.incarnation, now)
             case Broken(end=end, head=head):
-                is_own = head not in (None, HeadFault.OTHER_REQUEST)
+                is_own = head not in UNPROVEN_HEADS
                 dropped = end is not None and end.close is Close.DROPPED
                 if not (is_own or dropped):
                     self.placer.record_disconnect(upstream, alive_at=alive_at)
