Test the id of each event whatever ends its lines, as the splitter's test did

When the splitter came to return bytes, its checks of ids went: LF, CR LF and no id at all. The ones in their place had no event without an id. The reader's test now checks the same three, and CR alone.

--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -102,6 +102,23 @@
         assert sequence.advance(event(number)) is None
 
 
+def test_the_id_of_each_event_is_read_whatever_ends_its_lines() -> None:
+    reader = EventReader(EventSequence(ANY))
+    ids = []
+    for block in (
+        b"id: 1\ndata: a\n\n",
+        b"id:2\r\ndata: b\r\n\r\n",
+        b"id: 3\rdata\r\r",
+    ):
+        assert reader.feed(block + block[:1]) + reader.feed(b"") == [block]
+        ids.append(reader.last_id)
+        reader = EventReader(EventSequence(ANY, resume_after=reader.last_id))
+    assert ids == ["1", "2", "3"]
+    unnumbered = EventReader(EventSequence(ANY))
+    assert unnumbered.feed(b"data: c\n\n") == [b"data: c\n\n"]
+    assert unnumbered.last_id is None
+
+
 def test_a_stream_begins_with_its_first_event() -> None:
     for number in (0, 2):
         assert EventSequence(NUMBERED).advance(event(number)) is not None
