Say on the line of a failed attempt why no other followed

Cause: `attempt failed` told `retry` false for six different reasons.

Change: `_retry_denial` returns the reason instead of a boolean; the line has it as `no_retry` (runs, attempts, budget, time, crashes). No decision changes.

The test of all reasons fails on the code before, which has no reason.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -30,6 +30,7 @@
 )
 from leadseam.routing.dialect import AttemptHead
 from leadseam.routing.reply import Reply
+from leadseam.routing.retry_denial import RetryDenial
 from leadseam.routing.return_time import longest_pause
 from leadseam.routing.silence import SilenceWatch, first_byte_limit, gap_limit
 from leadseam.routing.stream_origin import StreamOrigin
@@ -406,9 +407,9 @@
                 early=flight.ended_early(),
                 progress=flight.progress,
             )
-        retry = self._may_retry(ending)
-        self._gateway.request_log.attempt(self, self._request, ending, retry=retry)
-        if retry:
+        denial = self._retry_denial(ending)
+        self._gateway.request_log.attempt(self, self._request, ending, denial)
+        if denial is None:
             if isinstance(ending, Whole):
                 self._failure = ending
             return None
@@ -428,25 +429,32 @@
             case Broken(reason=reason):
                 return self._give_up(reason)
 
-    def _may_retry(self, ending: Ending) -> bool:
-        if self._progress.sends >= MAX_SENDS or self._too_late():
-            return False
+    def _retry_denial(self, ending: Ending) -> RetryDenial | None:
+        """Return why no attempt follows this one, or None if one may."""
+        if self._progress.sends >= MAX_SENDS:
+            return RetryDenial.ATTEMPTS
+        if self._too_late():
+            return RetryDenial.TIME
         if self._gateway.crash_guard.refusal(self._request, again=True) is not None:
-            return False
-        runs = self._progress.runs
+            return RetryDenial.CRASHES
         match ending:
             case Withheld() | Unreachable():
                 # The first arrival needs no permit.
-                return self._progress.permit is None or self._take_permit()
-            case Declined():
-                return self._take_permit()
+                if self._progress.permit is None:
+                    return None
             case Broken():
-                return self._may_run_again(runs) and self._take_permit()
+                if not self._may_run_again(self._progress.runs):
+                    return RetryDenial.RUNS
             case Whole(status=status):
-                failed = status >= FIRST_SERVER_ERROR
-                return failed and self._may_run_again(runs) and self._take_permit()
+                if status < FIRST_SERVER_ERROR:
+                    return RetryDenial.ANSWERED
+                if not self._may_run_again(self._progress.runs):
+                    return RetryDenial.RUNS
             case Streaming():
-                return False
+                return RetryDenial.ANSWERED
+            case Declined():
+                pass
+        return None if self._take_permit() else RetryDenial.BUDGET
 
     def _may_run_again(self, runs: int) -> bool:
         """Check whether a request that may have run so many times may run again."""
--- a/src/leadseam/routing/request_log.py
+++ b/src/leadseam/routing/request_log.py
@@ -26,6 +26,7 @@
     from leadseam.routing.exchange import Exchange
     from leadseam.routing.placement import Placement
     from leadseam.routing.retry_budget import RetryActivity
+    from leadseam.routing.retry_denial import RetryDenial
     from leadseam.routing.usage import Standing
     from leadseam.runtime.metrics import RoutingMetrics
     from leadseam.wire.feed import Registration
@@ -104,10 +105,16 @@
         exchange: Exchange,
         admitted: AdmittedRequest,
         ending: Ending,
-        *,
-        retry: bool,
+        denial: RetryDenial | None,
     ) -> None:
-        """Count how an answer ended, and log an attempt that failed."""
+        """Count how an answer ended, and log an attempt that failed.
+
+        Args:
+            exchange: The attempts at the request.
+            admitted: The request.
+            ending: How the attempt ended.
+            denial: Why no other attempt follows, or None if one does.
+        """
         end = exchange.answer_end
         if end is not None:
             self._metrics.answer_ends.inc(end.label())
@@ -121,8 +128,10 @@
                 "instance": exchange.instance,
                 "send": exchange.sends,
                 "ending": type(ending).__name__.lower(),
-                "retry": retry,
+                "retry": denial is None,
             }
+            if denial is not None:
+                extra["no_retry"] = denial.value
             if exchange.placement is not None:
                 extra["version"] = exchange.placement.upstream.version
             if exchange.last_event is not None:
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -27,6 +27,7 @@
 from leadseam.routing.placement import Placement
 from leadseam.routing.reply import CallerGoneError
 from leadseam.routing.restarts import Restarts
+from leadseam.routing.retry_denial import RetryDenial
 from tests.routing.samples import make_request, make_route, make_upstream
 
 if TYPE_CHECKING:
@@ -234,7 +235,7 @@
     vars(gateway)["error"] = error_response
     exchange = make_exchange(gateway)
     endings: list[Ending] = [Broken(Reason.UPSTREAM_BROKEN), last]
-    retries = [True, placed is not None]
+    denials = [None, None if placed is not None else RetryDenial.BUDGET]
 
     async def attempt(_: object) -> Ending:
         if len(endings) == 1:
@@ -242,7 +243,7 @@
         return endings.pop(0)
 
     vars(exchange)["_attempt"] = attempt
-    vars(exchange)["_may_retry"] = lambda _: retries.pop(0)
+    vars(exchange)["_retry_denial"] = lambda _: denials.pop(0)
     response = await exchange.run()
     assert response.status == 502
     assert exchange.outcome == Failed(Reason.UPSTREAM_BROKEN)
@@ -256,7 +257,7 @@
     exchange = make_exchange(gateway)
     endings: list[Ending] = [Whole(500, (), b"error")]
     endings += [last] if last is not None else []
-    retries = [True, False]
+    denials = [None, RetryDenial.BUDGET]
 
     async def attempt(_: object) -> Ending:
         if last is None:
@@ -264,7 +265,7 @@
         return endings.pop(0)
 
     vars(exchange)["_attempt"] = attempt
-    vars(exchange)["_may_retry"] = lambda _: retries.pop(0)
+    vars(exchange)["_retry_denial"] = lambda _: denials.pop(0)
     response = await exchange.run()
     assert response.status == 500
     assert exchange.outcome == Answered(500)
@@ -284,3 +285,32 @@
     await exchange.run()
     assert gateway.endings == [whole]
     assert exchange.outcome == Answered(200)
+
+
+@pytest.mark.parametrize(
+    ("ending", "change", "denial"),
+    [
+        (Broken(Reason.UPSTREAM_BROKEN), {}, None),
+        (Whole(500, (), b"error"), {}, None),
+        (Whole(200, (), b"x"), {}, RetryDenial.ANSWERED),
+        (Broken(Reason.UPSTREAM_BROKEN), {"runs": 9}, RetryDenial.RUNS),
+        (Declined(), {"runs": 9}, None),
+        (Declined(), {"sends": 9}, RetryDenial.ATTEMPTS),
+        (Declined(), {"now": DEADLINE}, RetryDenial.TIME),
+        (Declined(), {"crashes": True}, RetryDenial.CRASHES),
+        (Declined(), {"budget": False}, RetryDenial.BUDGET),
+        (Withheld(), {"budget": False}, None),
+    ],
+)
+async def test_an_attempt_that_is_the_last_has_a_reason(
+    ending: Ending, change: dict[str, int], denial: RetryDenial | None
+) -> None:
+    gateway = FakeGateway()
+    exchange = make_exchange(gateway)
+    exchange._progress.runs = change.get("runs", 1)
+    exchange._progress.sends = change.get("sends", 1)
+    vars(gateway)["now"] = lambda: change.get("now", 1_000)
+    vars(gateway)["take_retry"] = lambda _: change.get("budget", True)
+    if "crashes" in change:
+        gateway.crash_guard.refusal = lambda _, again=False: Reason.CRASHES_UPSTREAMS
+    assert exchange._retry_denial(ending) is denial
