Wait for the answer behind an interim one that arrives by itself

What callers saw: 502 for an answer that its upstream gave in full, if a 100 or 103 came ahead of it in a read of its own.

Cause: the HTTP library hands on an interim head with an empty body, which is at its end at once. The connection took that for a complete answer, so the final one behind it counted as surplus bytes, and was dropped with the connection.

Change: a connection remembers whether the last head was an interim one, and is not complete then. 101 ends an exchange and is no interim head here.

--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -11,7 +11,7 @@
 import importlib
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -20,6 +20,10 @@
 from leadseam.clock import Clock, Millis
 from leadseam.runtime.connector import LoopConnector
 
+if TYPE_CHECKING:
+    from aiohttp import StreamReader
+    from aiohttp.http import RawResponseMessage
+
 
 def _read_strictly() -> None:
     """Have the HTTP library take no LF alone for the end of a line outside of bodies.
@@ -44,6 +48,8 @@
     """This box closed the connection before the end of an answer."""
 
 
+INTERIM_STATUSES = frozenset(range(100, 200)) - {101}
+"""Statuses of heads that come ahead of that of the answer. 101 ends an exchange."""
 MAX_OVERHEAD = 256 * 1024
 """Bytes of an answer without any byte of its body: heads, sizes of chunks, trailers. A
 head with lines of the largest size permitted takes some of them."""
@@ -69,6 +75,7 @@
     on_idle_lost: Callable[[UpstreamConnection], None] | None = None
     _peer_closed = False
     _overhead = 0
+    _got_interim = False
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it is paused; the library calls this on each read."""
@@ -79,8 +86,17 @@
         """Prepare for an answer, and drop the state of the previous one."""
         self._payload = None
         self._overhead = 0
+        self._got_interim = False
         super().set_response_params(**kwargs)
 
+    def feed_data(
+        self, data: tuple[RawResponseMessage, StreamReader], *args: Any
+    ) -> None:
+        """Take a head; the answer to an interim one is still to come."""
+        message, _ = data
+        self._got_interim = message.code in INTERIM_STATUSES
+        super().feed_data(data, *args)
+
     def close(self) -> None:
         """Close the connection; an unfinished body fails."""
         self._fail_body(AnswerDroppedError("connection closed by this box"))
@@ -129,7 +145,7 @@
         """Process bytes; close the connection on bytes after a complete answer."""
         if self.clock is not None:
             self.alive_at = self.clock.now()
-        if self._payload is not None and self._payload.is_eof() and data:
+        if self._is_complete and data:
             self.force_close()
             if self.transport is not None:
                 self.transport.close()
@@ -141,6 +157,12 @@
             self._drop_endless()
         self._notify_listener()
 
+    @property
+    def _is_complete(self) -> bool:
+        """Whether an answer has arrived whole; the head of an interim one is none."""
+        is_over = self._payload is not None and self._payload.is_eof()
+        return is_over and not self._got_interim
+
     @property
     def _body_bytes(self) -> int:
         """Bytes of the body received so far."""
