Start where the HTTP library has no compiled parser

Cause: strict framing imports the compiled parser to set its flag; a build of the library without it, as on a machine without a wheel, would end every process at start.

Change: the import may fail; the parser in Python is set in any case.

Result: not run on such a build; the tests of strict framing pass with the compiled one.

--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import functools
 import importlib
 import socket
@@ -32,8 +33,10 @@
     then end a body with a byte of an event, or begin it with a header.
     """
     for name in ("_http_parser", "http_parser"):
-        parser = importlib.import_module(f"aiohttp.{name}")
-        parser.DEBUG = True  # type: ignore[attr-defined]
+        # A build of the library may have no compiled parser.
+        with contextlib.suppress(ImportError):
+            parser = importlib.import_module(f"aiohttp.{name}")
+            parser.DEBUG = True  # type: ignore[attr-defined]
     aiohttp.http_parser.HttpResponseParserPy.lax = False
 
 
