Believe what a head states of its upstream only if it answers the request

What callers could see: with an answer to another request, as spoilt heads are, an upstream took itself out of use by the pause or the leaving that stood in it, or was noted as serving again; the answer itself was thrown away for its id.

Cause: the gateway read the head before its id was compared.

Change: the exchange compares first. Refusals and 421 carry the id of the request, and one without it already counted as a broken attempt.

Evidence: the new test fails without the comparison (a pause of 5 s in the answer to "r-2" is noted by the exchange of "r-1") and passes with it.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -371,10 +371,12 @@
         return True
 
     def _note_head(self, upstream: Registration, status: int, head: AnswerHead) -> None:
+        if head.request_id != self._request.req.request_id:
+            # What another request's answer states may be another upstream's.
+            return
         self._gateway.note_head(upstream, self._request, status, head)
         conn = self._progress.conn
-        is_own = head.request_id == self._request.req.request_id
-        if conn is None or not is_own or status == MISDIRECTED:
+        if conn is None or status == MISDIRECTED:
             return
         if self._flight is not None:
             self._flight.head()
--- a/tests/routing/test_exchange.py
+++ b/tests/routing/test_exchange.py
@@ -22,6 +22,7 @@
     Whole,
     Withheld,
 )
+from leadseam.routing.dialect import AnswerHead
 from leadseam.routing.exchange import Exchange
 from leadseam.routing.load import Load
 from leadseam.routing.placement import Placement
@@ -314,3 +315,17 @@
     if "crashes" in change:
         gateway.crash_guard.refusal = lambda _, again=False: Reason.CRASHES_UPSTREAMS
     assert exchange._retry_denial(ending) is denial
+
+
+@pytest.mark.parametrize(("request_id", "believed"), [("r-1", True), ("r-2", False)])
+async def test_a_pause_in_the_answer_to_another_request_is_not_believed(
+    request_id: str, believed: bool
+) -> None:
+    gateway = FakeGateway()
+    noted: list[object] = []
+    vars(gateway)["note_head"] = lambda *args: noted.append(args)
+    exchange = make_exchange(gateway)
+    exchange._request = replace(exchange._request, req=make_request(request_id="r-1"))
+    head = AnswerHead(request_id, not_run=True, signed=True, event_stream=False)
+    exchange._note_head(make_upstream(1), 429, replace(head, pause=5_000))
+    assert bool(noted) is believed
