Let a stream that has begun go on at a failing upstream if no other is left

What callers saw: a stream broken off though it had a retry and an upstream was there that it had not tried.

Cause: upstreams that an entry leaves alone are used if there are no others, since a failure is this entry's guess. "No others" was asked before those that the request had tried were left out, so one usable upstream was enough to hide the failing ones.

Change: if the caller has a part of the answer and no usable upstream is left, those left alone that were not tried are used too; paused ones never. A request without a part is refused as before, which tells the caller more at less cost. Silence ends an attempt only if a usable upstream can take over, as before.

--- a/src/leadseam/routing/exchange.py
+++ b/src/leadseam/routing/exchange.py
@@ -192,6 +192,7 @@
                 progress.tried,
                 again=progress.sends > 0,
                 fetching=progress.fetching,
+                begun=self._reply.started,
             )
             if isinstance(flight, Reason):
                 return self._not_placed(flight)
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -221,6 +221,7 @@
         *,
         again: bool,
         fetching: bool = True,
+        begun: bool = False,
     ) -> Flight | Reason:
         """Find the upstream for an attempt.
 
@@ -231,13 +232,18 @@
             tried: Incarnations that must not be used.
             again: Whether the request was already sent to an upstream.
             fetching: Whether the engine of a retry may be told to fetch prompt parts.
+            begun: Whether the caller has a part of the answer, which is cut unless a
+                retry goes on with it: failing upstreams are then used if there are no
+                others left.
 
         Returns:
             The request in flight, or the reason why it is refused.
         """
         if not again:
             self._note_request(admitted)
-        placement = self._place_at_once(admitted, tried, again=again, fetching=fetching)
+        placement = self._place_at_once(
+            admitted, tried, again=again, fetching=fetching, begun=begun
+        )
         if isinstance(placement, EngineProfile):
             placement = await self._wait_for_engine(admitted, placement, tried)
             reason = Reason.UPSTREAM_FULL
@@ -456,6 +462,7 @@
         *,
         again: bool,
         fetching: bool,
+        begun: bool,
     ) -> Placement | EngineProfile | _PlainWait | None:
         """Place a request that does not have to wait.
 
@@ -465,6 +472,8 @@
             upstream may be used.
         """
         rows = self._candidates(admitted.scope)
+        if begun and not _exclude_tried(rows, tried):
+            rows = self._confirmed(admitted.scope, self._awake(admitted.scope))
         pool = self._feed.configuration.pools.get(admitted.pool)
         profile = pool.engine if pool is not None else None
         now = self._clock.now()
@@ -578,11 +587,25 @@
 
         Where a version is required, upstreams that may run another one by now are not.
         """
-        rows = self._usable_in(scope)
+        return self._confirmed(scope, self._usable_in(scope))
+
+    def _confirmed(
+        self, scope: Scope, rows: Sequence[Registration]
+    ) -> Sequence[Registration]:
+        """Return those of some upstreams that surely run the version of a scope."""
         if scope.version is None:
             return rows
         return self._unconfirmed.exclude(rows, self._clock.now())
 
+    def _awake(self, scope: Scope) -> Sequence[Registration]:
+        """Return the upstreams of a scope that are not paused, also failing ones."""
+        now = self._clock.now()
+        return [
+            row
+            for row in self._upstreams(scope)
+            if not self._pauses.is_paused(row.incarnation, now)
+        ]
+
     def _usable_in(self, scope: Scope) -> Sequence[Registration]:
         """Return the usable upstreams of a scope, cached for `PUMP_INTERVAL`."""
         now = self._clock.now()
--- a/tests/platform/test_spoilt_events.py
+++ b/tests/platform/test_spoilt_events.py
@@ -12,6 +12,7 @@
 from leadseam.standin.spoilt_streams import Spoil
 from tests.platform.test_answer_ends import ends_with_event
 from tools.platform.standin import WHOLE_STREAM, event
+from tools.waiting import wait_until
 
 if TYPE_CHECKING:
     from tools.platform.nodes import Answer, Platform
@@ -125,3 +126,23 @@
     faults = [one["spoilt"] for one in lines if "spoilt" in one]
     assert faults
     assert set(faults) == {"no_id"}
+
+
+async def test_a_stream_goes_on_at_a_failing_upstream_if_there_is_no_other(
+    platform: Platform,
+) -> None:
+    entry = platform.entry_ips[0]
+    failing, other = [one for one in platform.servers if one.service == "model"]
+    failing.actions["bad"] = "foreign"
+    await platform.earn_retries(entry, "stream")
+
+    async def is_left_alone() -> bool:
+        await platform.call(entry, "/stream-fixed/bad")
+        lines = platform.log(entry)
+        return any(one["message"].startswith("upstream left alone") for one in lines)
+
+    await wait_until(is_left_alone, "the failing upstream is left alone")
+    other.actions["x"] = "lose"
+    answer = await platform.call(entry, "/stream/x", request_id="goes-on")
+    assert [other.count("goes-on"), failing.count("goes-on")] == [1, 1]
+    assert (answer.cut, answer.body) == (False, WHOLE_STREAM)
