Close a connection on which an answer comes that no request awaits

What callers saw, through sidecars: the answer to another caller's request, whole and with status 200. An upstream that writes a second answer behind one, in one read with the end of the first, was enough; every later request on that connection got the answer before its own. Through entries the id of the request was compared, so that the attempt was broken off and repeated elsewhere instead.

Cause: the HTTP library returns a connection to its pool inside the read that holds the end of an answer. What follows in the same read was queued only then, on an idle connection, where the next request found it. The check for surplus bytes looked at later reads only, and the test of a second answer put both into the first read, behind whose head nobody waits yet.

Change: a connection knows whether a head is due: from a request to its final head. Any other head closes it and is not queued. Bytes that came ahead of the request are no answer to it either.

--- a/src/leadseam/runtime/upstream_connection.py
+++ b/src/leadseam/runtime/upstream_connection.py
@@ -78,7 +78,7 @@
     on_idle_lost: Callable[[UpstreamConnection], None] | None = None
     _peer_closed = False
     _overhead = 0
-    _got_interim = False
+    _awaits_head = False
 
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Resume reading if it is paused; the library calls this on each read."""
@@ -89,15 +89,19 @@
         """Prepare for an answer, and drop the state of the previous one."""
         self._payload = None
         self._overhead = 0
-        self._got_interim = False
+        # Bytes that came before the request was written are no answer to it.
+        self._awaits_head = not self._tail
         super().set_response_params(**kwargs)
 
     def feed_data(
         self, data: tuple[RawResponseMessage, StreamReader], *args: Any
     ) -> None:
-        """Take a head; the answer to an interim one is still to come."""
+        """Take a head. One that no request awaits closes the connection."""
         message, _ = data
-        self._got_interim = message.code in INTERIM_STATUSES
+        if not self._awaits_head:
+            self._drop_surplus()
+            return
+        self._awaits_head = message.code in INTERIM_STATUSES
         super().feed_data(data, *args)
 
     def close(self) -> None:
@@ -149,9 +153,7 @@
         if self.clock is not None:
             self.alive_at = self.clock.now()
         if self._is_complete and data:
-            self.force_close()
-            if self.transport is not None:
-                self.transport.close()
+            self._drop_surplus()
             return
         before = self._body_bytes
         super().data_received(data)
@@ -164,13 +166,19 @@
     def _is_complete(self) -> bool:
         """Whether an answer has arrived whole; the head of an interim one is none."""
         is_over = self._payload is not None and self._payload.is_eof()
-        return is_over and not self._got_interim
+        return is_over and not self._awaits_head
 
     @property
     def _body_bytes(self) -> int:
         """Bytes of the body received so far."""
         return self._payload.total_bytes if self._payload is not None else 0
 
+    def _drop_surplus(self) -> None:
+        """Close the connection, on which bytes came that are no answer to a request."""
+        self.force_close()
+        if self.transport is not None:
+            self.transport.close()
+
     def _drop_endless(self) -> None:
         """Abort an answer whose head, chunk size or trailers do not end."""
         exc = AnswerDroppedError(f"over {MAX_OVERHEAD} bytes without a body")
