Give each request of a sidecar a connection of its own

What a caller could get: the late second answer to the request before its own, if it came when the connection had been used again. Answers of services and engines name no request; nothing but the connection ties them together.

Cause: connections to the upstream were pooled for requests that may be repeated.

Change: one connection for each request, as those that may run only once had before. The pool of idle connections goes, and closing them when a box was suspended.

Evidence: the new test, an upstream that answers the second request of a connection with an old answer, fails on the code before ([own, old]) and passes now. The upstream is the sidecar's neighbour, so a connection costs a fraction of a millisecond; not measured.

--- a/src/leadseam/sidecar/agent.py
+++ b/src/leadseam/sidecar/agent.py
@@ -132,10 +132,8 @@
         self._update_slots()
 
     def resumed(self) -> None:
-        """Check timeouts and drop idle connections after the box was suspended."""
+        """Check timeouts after the box was suspended."""
         self._timeouts.rearm()
-        if self._upstream is not None:
-            self._upstream.drop_idle()
 
     def leave(self, reason: str) -> None:
         """Stop taking new work for the rest of this incarnation, and notify entries."""
--- a/src/leadseam/sidecar/upstream.py
+++ b/src/leadseam/sidecar/upstream.py
@@ -18,7 +18,6 @@
 from leadseam.event_stream import PassThrough
 from leadseam.liveness import HealthCheck
 from leadseam.outcome import Reason
-from leadseam.runtime.connector import DEFAULT_KEEPALIVE_S
 from leadseam.runtime.upstream_connection import UpstreamConnector, read_end
 from leadseam.runtime.witness import LivenessChecker
 from leadseam.sidecar.meter import EVENT_STREAM, STREAM_END, meter_for
@@ -130,28 +129,26 @@
         self._timeout = aiohttp.ClientTimeout(
             total=None, sock_connect=seconds(CONNECT_TIMEOUT)
         )
-        self._connector = UpstreamConnector(keepalive=DEFAULT_KEEPALIVE_S)
-        self._pooled = self._session(self._connector)
-        # On a reused connection the client library may send a request twice, so
-        # requests that must not be repeated get a new connection.
-        self._single_use = self._session(UpstreamConnector())
+        # Each request gets a connection of its own. A late second answer on a reused
+        # one would be taken for the next request's, as answers name no request; and
+        # the client library may send a request twice on it.
+        self._http = aiohttp.ClientSession(
+            connector=UpstreamConnector(),
+            timeout=self._timeout,
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept-Encoding", "Content-Type"),
+        )
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._pooled.close()
-        await self._single_use.close()
-
-    def drop_idle(self) -> int:
-        """Close idle connections, which may be broken, and return their number."""
-        return self._connector.drop_idle()
+        await self._http.close()
 
     async def probe(self) -> bool:
         """Return whether the health check succeeds without a server error."""
         timeout = aiohttp.ClientTimeout(total=seconds(PROBE_TIMEOUT))
         try:
-            async with self._single_use.get(
-                self._url(PROBE_PATH), timeout=timeout
-            ) as resp:
+            async with self._http.get(self._url(PROBE_PATH), timeout=timeout) as resp:
                 return resp.status < FIRST_SERVER_ERROR
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return False
@@ -207,8 +204,7 @@
 
     def open(self, req: Dispatch) -> aiohttp.client._RequestContextManager:
         """Start the HTTP request for a dispatched request."""
-        session = self._pooled if req.repeatable else self._single_use
-        return session.request(
+        return self._http.request(
             req.method,
             self._url(req.path),
             data=req.body or None,
@@ -237,15 +233,6 @@
             return None
         return self._clock.now() + req.deadline
 
-    def _session(self, connector: UpstreamConnector) -> aiohttp.ClientSession:
-        return aiohttp.ClientSession(
-            connector=connector,
-            timeout=self._timeout,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-            skip_auto_headers=("User-Agent", "Accept-Encoding", "Content-Type"),
-        )
-
     def _url(self, path: str) -> URL:
         host = f"[{self.address.ip}]" if ":" in self.address.ip else self.address.ip
         return URL(f"http://{host}:{self.address.port}{path}", encoded=True)
--- a/tests/sidecar/test_upstream.py
+++ b/tests/sidecar/test_upstream.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 from contextlib import closing
 from typing import TYPE_CHECKING
 
+import msgspec
 import pytest
 from aiohttp import web
 
@@ -14,7 +17,7 @@
 from leadseam.outcome import Reason
 from leadseam.runtime.timeouts import Timeouts
 from leadseam.sidecar.upstream import UpstreamAddress, UpstreamClient, Window
-from leadseam.wire.dispatch import Dispatch, Final
+from leadseam.wire.dispatch import Chunk, Dispatch, Final, Head
 from tools.dying_upstream import DyingUpstream
 from tools.ports import LOOPBACK
 
@@ -24,6 +27,7 @@
 EVENTS = 10
 """Events of an answer before its end."""
 REQUEST = Dispatch(1, 1, "bank", "GET", "/x", (), b"", False, 0, 0, 1_000_000)
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n%b"
 
 
 async def run(
@@ -97,3 +101,41 @@
     finally:
         await runner.cleanup()
     assert (final.error, sum(charged)) == (error, tokens * OUTPUT_TOKEN)
+
+
+async def test_a_late_second_answer_does_not_answer_the_next_request() -> None:
+    """Nothing else ties an answer of a service to its request."""
+
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        answers = itertools.cycle([ANSWER % b"own", ANSWER % b"old"])
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                writer.write(next(answers))
+        writer.close()
+
+    server = await asyncio.start_server(answer, LOOPBACK, 0)
+    clock = SystemClock()
+    address = UpstreamAddress(
+        LOOPBACK, server.sockets[0].getsockname()[1], engine=False
+    )
+    client = UpstreamClient(address, clock, Timeouts(clock))
+    received: list[bytes] = []
+
+    def send(part: Head | Chunk) -> None:
+        if isinstance(part, Chunk):
+            received.append(part.data)
+
+    try:
+        for _ in range(2):
+            await client.run(
+                msgspec.structs.replace(REQUEST, repeatable=True),
+                window=Window(REQUEST.window),
+                send=send,
+                charge=lambda _: None,
+            )
+    finally:
+        await client.close()
+        server.close()
+    assert received == [b"own", b"own"]
