Test fleet: keep ports reserved until the fleet is closed

Change: the sockets that reserve them don't listen and allow reuse, as the ports of the other test platform, so processes can listen while they are held.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -40,10 +40,12 @@
 
     Args:
         folder: Folder for settings, logs and data.
+        sources: Folder with the sources of the processes; empty for those of this one.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, *, sources: str = "") -> None:
         self.folder = folder
+        self._environment = {"PYTHONPATH": sources} if sources else {}
         self.ports = PortPool()
         self.nodes: dict[str, Node] = {}
         self.config: dict[str, list[dict[str, Any]]] = {
@@ -79,6 +81,7 @@
                 with contextlib.suppress(ProcessLookupError):
                     node.signal(signal.SIGCONT)
                 node.kill()
+        self.ports.close()
 
     def add_cleanup(self, cleanup: Callable[[], Awaitable[None]]) -> None:
         """Register a function that is called when the fleet is closed."""
@@ -199,12 +202,14 @@
         node = self.nodes[name]
         path = self.folder / f"{name}.yaml"
         path.write_text(yaml.safe_dump(node.settings))
-        for port in node.ports:
-            self.ports.release(port)
         command = [sys.executable, "-m", *self._program(node), *extra, str(path)]
         with open(node.log, "ab") as log:
             node.process = subprocess.Popen(
-                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+                command,
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, **self._environment},
             )
 
     def make_suspendable(self, name: str) -> None:
--- a/tools/ports.py
+++ b/tools/ports.py
@@ -25,7 +25,11 @@
 
 
 class PortPool:
-    """Reserves ports that the system chose, by sockets bound to them."""
+    """Reserves ports that the system chose, by sockets bound to them.
+
+    The sockets do not listen, so that a process that sets `SO_REUSEADDR` can use a port
+    while it is reserved.
+    """
 
     def __init__(self) -> None:
         self._sockets: dict[int, socket.socket] = {}
@@ -40,11 +44,16 @@
         return port
 
     def release(self, port: int) -> None:
-        """Close the socket of a reserved port, so that a process can bind it."""
+        """Close the socket of a reserved port, so that any process can bind it."""
         sock = self._sockets.pop(port, None)
         if sock is not None:
             sock.close()
 
+    def close(self) -> None:
+        """Release all ports."""
+        for port in list(self._sockets):
+            self.release(port)
+
 
 class ReservedPorts:
     """Ports of several addresses that are reserved until `close`.
