--- a/tools/spoil/__main__.py
+++ b/tools/spoil/__main__.py
@@ -8,6 +8,7 @@
   --seeds N      Seeds to run [default: 1].
   --first SEED   First seed [default: 1].
   --answers N    Calls of a seed [default: 2000].
+  --sidecars     Send them through sidecars, a sound one behind each.
   --nodes DIR    Run the nodes from the sources in this folder.
   --shown N      Wrong answers of a seed that are printed [default: 5].
 
@@ -25,7 +26,7 @@
 
 from docopt import docopt
 
-from tools.spoil.fuzz import run_seed
+from tools.spoil import fuzz, sidecar_fuzz
 
 
 def main() -> None:
@@ -38,14 +39,10 @@
     for seed in range(first, first + int(args["--seeds"])):
         start = time.monotonic()
         with tempfile.TemporaryDirectory(prefix="spoil-") as folder:
-            result = asyncio.run(
-                run_seed(
-                    Path(folder),
-                    seed,
-                    int(args["--answers"]),
-                    sources=args["--nodes"] or "",
-                )
-            )
+            answers = int(args["--answers"])
+            sources = args["--nodes"] or ""
+            play = sidecar_fuzz.run_seed if args["--sidecars"] else fuzz.run_seed
+            result = asyncio.run(play(Path(folder), seed, answers, sources=sources))
         took = time.monotonic() - start
         print(result, f"took {took:.0f} s", *result.wrong[:shown], sep="\n  ")
         wrong += len(result.wrong)
--- a/tools/spoil/fuzz.py
+++ b/tools/spoil/fuzz.py
@@ -19,6 +19,7 @@
     from pathlib import Path
 
     from tools.platform.nodes import Answer
+    from tools.spoil.judge import Made, Verdict
 
 CALLERS = 8
 """Calls at a time."""
@@ -80,6 +81,36 @@
     resumable: Counter[str] = field(default_factory=Counter)
     refused: Counter[str] = field(default_factory=Counter)
 
+    def add(
+        self,
+        route: str,
+        request_id: str,
+        answer: Answer,
+        verdict: Verdict,
+        made: list[Made],
+    ) -> None:
+        """Count an answer, and describe it if it is wrong.
+
+        Args:
+            route: Name of its route.
+            request_id: Identifier of the request.
+            answer: What the caller got.
+            verdict: What the judge says of it.
+            made: What the runs of the request made.
+        """
+        self.kinds[f"{route}: {verdict.kind}"] += 1
+        if verdict.kind is Kind.REFUSED:
+            self.refused[f"{route}: {verdict.detail}"] += 1
+        if verdict.kind is not Kind.WRONG:
+            return
+        mutations = "+".join(one.mutation for one in made)
+        self.wrong_by_mutation[f"{route}: {mutations}"] += 1
+        sent = [one.sent for one in made]
+        self.wrong.append(
+            f"{request_id} {route} {mutations} {answer.status} cut={answer.cut}:"
+            f" {verdict.detail}\n    got {answer.body!r}\n    sent {sent!r}"
+        )
+
     def __str__(self) -> str:
         total = self.kinds.total()
         lines = [
@@ -143,17 +174,7 @@
         )
         result = self.result
         made = self._judge.made.pop(request_id, [])
-        mutations = "+".join(one.mutation for one in made)
-        result.kinds[f"{route}: {verdict.kind}"] += 1
-        if verdict.kind is Kind.REFUSED:
-            result.refused[f"{route}: {verdict.detail}"] += 1
-        if verdict.kind is Kind.WRONG:
-            result.wrong_by_mutation[f"{route}: {mutations}"] += 1
-            sent = [one.sent for one in made]
-            result.wrong.append(
-                f"{request_id} {route} {mutations} {answer.status} cut={answer.cut}:"
-                f" {verdict.detail}\n    got {answer.body!r}\n    sent {sent!r}"
-            )
+        result.add(route, request_id, answer, verdict, made)
         if route == RESUMABLE and made and made[0].mutation is not Mutation.NONE:
             tries = "at once" if len(made) == 1 else "by another server"
             result.resumable[f"{verdict.kind} {tries}"] += 1
--- a/tools/spoil/judge.py
+++ b/tools/spoil/judge.py
@@ -147,6 +147,26 @@
         return Verdict(doubt or Kind.WHOLE)
 
 
+def states_numbers(sent: bytes) -> bool:
+    """Return whether a sound answer says that it has events, and numbers the first one.
+
+    Who knows neither the route nor the request of an answer has nothing else to tell
+    what is due in it.
+    """
+    head = sent.partition(HEAD_END)[0]
+    types = [
+        value.partition(b";")[0].strip(b" \t").lower()
+        for name, _, value in (line.partition(b":") for line in head.split(CRLF))
+        if name.lower() == b"content-type"
+    ]
+    decoded = decode_answer(sent)
+    if decoded is None or types != [b"text/event-stream"]:
+        return False
+    events = map(_read_event, split_blocks(decoded[1])[0])
+    first = next((event for event in events if event != {}), None)
+    return first is not None and first.get("id") in ("0", "1")
+
+
 def split_blocks(body: bytes) -> tuple[list[bytes], bytes]:
     """Return the blocks of a stream, each without its end, and what follows them."""
     blocks = []
--- a/tools/spoil/spoiler.py
+++ b/tools/spoil/spoiler.py
@@ -40,6 +40,7 @@
         first_fraction: Fraction of first attempts whose answers it mutates.
         later_fraction: Fraction of later attempts.
         delay: Seconds between two writes.
+        counts: Whether some events have a field besides those of the standard.
     """
 
     judge: Judge
@@ -49,6 +50,7 @@
     first_fraction: float = 0.8
     later_fraction: float = 0.2
     delay: float = 0.0
+    counts: bool = True
 
     def answers(self, request_id: str) -> bool:
         """Return whether it answers a request."""
@@ -67,7 +69,8 @@
         request_id = http.headers[names.REQUEST_ID]
         attempt = len(self.judge.made[request_id])
         rng = random.Random(f"{self.seed} {request_id} {attempt}")
-        sound, first = _sound_answer(rng, http, headers, f"{request_id}/{attempt}")
+        run = f"{request_id}/{attempt}"
+        sound, first = _sound_answer(rng, http, headers, run, counts=self.counts)
         fraction = self.later_fraction if attempt else self.first_fraction
         how = Mutation.CUT if lost else Mutation.NONE
         if not lost and sound.blocks and rng.random() < fraction:
@@ -111,7 +114,12 @@
 
 
 def _sound_answer(
-    rng: random.Random, http: web.BaseRequest, headers: dict[str, str], run: str
+    rng: random.Random,
+    http: web.BaseRequest,
+    headers: dict[str, str],
+    run: str,
+    *,
+    counts: bool,
 ) -> tuple[SoundAnswer, int]:
     """Return an answer, and the number of its first event."""
     is_stream = "stream" in http.path
@@ -120,7 +128,7 @@
         numbers = range(first, EVENTS + 1)
         version = b"%s: %d\n" % (COUNTER.encode(), rng.randrange(1, 9))
         blocks = [_event(run, number) for number in numbers]
-        if blocks and rng.random() < 0.3:
+        if blocks and rng.random() < 0.3 and counts:
             blocks[0] = version + blocks[0]
         framing = rng.choice([Framing.CHUNKS, Framing.CHUNKS, *Framing])
         headers = headers | {"Content-Type": "text/event-stream"}
