Test: let the server fail that the entry prefers

Change: the server that got most requests fails, and the stream counts only if that one was left alone when it began. The assertions are as before.

--- a/tests/platform/test_spoilt_events.py
+++ b/tests/platform/test_spoilt_events.py
@@ -132,17 +132,28 @@
     platform: Platform,
 ) -> None:
     entry = platform.entry_ips[0]
-    failing, other = [one for one in platform.servers if one.service == "model"]
-    failing.actions["bad"] = "foreign"
     await platform.earn_retries(entry, "stream")
+    servers = [one for one in platform.servers if one.service == "model"]
+    # Most requests go to the server that the entry prefers for their prompt.
+    failing, other = sorted(servers, key=lambda one: len(one.runs), reverse=True)
+    failing.actions["bad"] = "foreign"
+    other.actions["x"] = "lose"
+    numbers = itertools.count()
 
-    async def is_left_alone() -> bool:
-        await platform.call(entry, "/stream-fixed/bad")
+    async def goes_on() -> bool:
+        """Return whether the failing one was left alone when the stream began."""
+        number = next(numbers)
+        bad, goes_on = f"bad-{number}", f"goes-on-{number}"
+        await platform.call(entry, "/stream-fixed/bad", request_id=bad)
         lines = platform.log(entry)
-        return any(one["message"].startswith("upstream left alone") for one in lines)
-
-    await wait_until(is_left_alone, "the failing upstream is left alone")
-    other.actions["x"] = "lose"
-    answer = await platform.call(entry, "/stream/x", request_id="goes-on")
-    assert [other.count("goes-on"), failing.count("goes-on")] == [1, 1]
-    assert (answer.cut, answer.body) == (False, WHOLE_STREAM)
+        left = any(one["message"].startswith("upstream left alone") for one in lines)
+        if not left or failing.count(bad):
+            return False
+        answer = await platform.call(entry, "/stream/x", request_id=goes_on)
+        if not other.count(goes_on):
+            return False
+        assert [one.count(goes_on) for one in servers] == [1, 1]
+        assert (answer.cut, answer.body) == (False, WHOLE_STREAM)
+        return True
+
+    await wait_until(goes_on, "the failing upstream is left alone")
