Test: a byte order mark at the beginning of a stream is sound

The format permits a byte order mark there, and the reader passes it since it was taught so; the test took it for an event of its own. Hypothesis draws constants of the modules that are imported, so that such an example came up when modules were added, and not before.

Change: the test takes a mark off the first block, and no other; the example, one with a comment behind the mark, and one with a mark behind an event, which is spoilt, are drawn in every run. All else is as strict as before.

Result: without the change the first two examples fail, with it all pass.

--- a/tests/test_event_sequence.py
+++ b/tests/test_event_sequence.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from leadseam.event_sequence import (
@@ -24,6 +24,10 @@
     return b"id: %d\ndata: piece %d\n\n" % (number, number)
 
 
+MARK = b"\xef\xbb\xbf"
+"""Byte order mark."""
+
+
 def fields_of(block: bytes) -> list[bytes]:
     """Return the lines of an event that are not empty or comments."""
     return [one for one in block.splitlines() if one and not one.startswith(b":")]
@@ -289,6 +293,9 @@
 
 
 @settings(derandomize=True, max_examples=500, deadline=None)
+@example(MARK, 0, [])
+@example(MARK + b": waiting", 0, [2])
+@example(MARK, 1, [])
 @given(
     st.binary(max_size=40),
     st.integers(0, 3),
@@ -305,5 +312,7 @@
     for cut in [*cuts, len(stream)]:
         passed += reader.feed(stream[start : start + cut])
         start += cut
+    # At the beginning of a stream a byte order mark is sound, and belongs to no event.
+    passed[:1] = [block.removeprefix(MARK) for block in passed[:1]]
     events = [fields for block in passed if (fields := fields_of(block))]
     assert events == [fields_of(one) for one in sound[: len(events)]]
