Charge what callers send to one account of the entry, before it is parsed

Callers saw their entry end: out of memory. What a caller had sent was held without any sum over callers: bodies until the deadline of their request, also with keys that nobody holds; a head of 16 KB of short lines took 1 MB; requests behind the one that runs were parsed and kept; one read with tens of thousands of chunks was parsed at once, so that a body of 2 MB in chunks of 16 bytes made the loop late and was refused as busy each time. Descriptors were not counted.

A connection, the lines of its head, its body and what waits to be parsed are charged to an account of the process, at a price that covers the objects made of them, before they are given to the HTTP library, and returned when they are gone. The library gets pieces of 4 KB, one request at a time, and its body is moved into one buffer at once; connections take turns. Who is shed when the account is full is decided without I/O in peers/account.py: idle connections, then the unfinished request whose bytes times age are highest, which may be the one that asks. A quarter is kept for small requests. Requests that run go on. Route and key are checked before the body is read. A body that makes no progress for the idle time, or is not complete by the request's deadline, is answered 408. The sums follow from the memory and the descriptors that the settings of the box state.

Why it works: no byte is parsed or kept that the account has not granted, so the sum is bounded whatever the number of connections.

--- a/src/leadseam/outcome.py
+++ b/src/leadseam/outcome.py
@@ -20,6 +20,7 @@
     BODY_TOO_LARGE = "body_too_large"
     HEADER_TOO_LARGE = "header_too_large"
     HEADER_TIMEOUT = "header_timeout"
+    BODY_TIMEOUT = "body_timeout"
     UNKNOWN_MODEL = "unknown_model"
     MODEL_NOT_ALLOWED = "model_not_allowed"
     UNKNOWN_SERVICE = "unknown_service"
--- a/src/leadseam/platform/caller_connection.py
+++ b/src/leadseam/platform/caller_connection.py
@@ -8,24 +8,30 @@
 
 from typing import TYPE_CHECKING, Any
 
-from aiohttp.web_protocol import RequestHandler
-
-from leadseam.clock import seconds
+from leadseam.clock import Millis, seconds
 from leadseam.outcome import NotRun, Reason
 from leadseam.platform.refusal import encode_refusal
+from leadseam.runtime.held_connection import (
+    HEAD_END,
+    BodyTimeoutError,
+    HeldConnection,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from leadseam.control.routes import CallerLimits
 
-HEAD_END = b"\r\n\r\n"
 LINGERING_S = 0.5
 """Seconds for which bytes are dropped behind a refusal: a caller that still sends could
 lose it if the connection was closed at once."""
 
 
-class CallerConnection(RequestHandler):
+SHED_PAUSE: Millis = 1_000
+"""Retry-After pause while the entry holds too much for its callers."""
+
+
+class CallerConnection(HeldConnection):
     """A connection whose heads are limited in size and time, and its idle time.
 
     Args:
@@ -43,22 +49,30 @@
         super().__init__(*args, **kwargs)
         self._limits = limits
         self._on_refusal = on_refusal
-        self._refused = False
         # Bytes of a head that is not complete, its last ones, and when it began.
         self._head_size = 0
         self._head_tail = b""
         self._head_since: float | None = None
         self._idle_since: float | None = None
+        self._read_at = 0.0
 
     def data_received(self, data: bytes) -> None:
-        """Process bytes; refuse a head that is too large."""
-        if self._refused:
-            return
-        self._idle_since = None
-        if data and self._awaits_head and not self._accept_head(data):
+        """Process bytes."""
+        if data:
+            self._idle_since = None
+            self._read_at = self._loop.time()
+        super().data_received(data)
+
+    def feed(self, piece: bytes) -> None:
+        """Parse bytes; refuse a head that is too large."""
+        if self.awaits_head and not self._accept_head(piece):
             self._refuse(Reason.HEADER_TOO_LARGE)
             return
-        super().data_received(data)
+        super().feed(piece)
+
+    def refuse_shed(self) -> None:
+        """Refuse a request whose head has not arrived completely."""
+        self._refuse(Reason.MEMORY_FULL, SHED_PAUSE)
 
     def enforce_times(self, now: float) -> None:
         """Refuse a head that takes too long, or close an idle connection.
@@ -67,14 +81,20 @@
             now: Time of the event loop, in seconds.
         """
         limits = self._limits()
-        if self._refused:
+        self.max_body = limits.body_bytes
+        if self.is_dropping:
             return
-        if self._head_since is not None:
+        if self.awaits_body:
+            if limits.idle_timeout and now - self._read_at > seconds(
+                limits.idle_timeout
+            ):
+                self.fail_body(BodyTimeoutError())
+        elif self._head_since is not None:
             if limits.header_timeout and now - self._head_since > seconds(
                 limits.header_timeout
             ):
                 self._refuse(Reason.HEADER_TIMEOUT)
-        elif not self._awaits_head:
+        elif not self.is_idle:
             self._idle_since = None
         elif self._idle_since is None:
             self._idle_since = now
@@ -83,15 +103,6 @@
         ):
             self.force_close()
 
-    @property
-    def _awaits_head(self) -> bool:
-        """Whether the next byte belongs to the head of a request."""
-        if self._messages or self._request_in_progress:
-            return False
-        # Before its first request, the task of the library may not wait yet.
-        waits = self._waiter is not None and not self._waiter.done()
-        return waits or self._request_count == 0
-
     def _accept_head(self, data: bytes) -> bool:
         """Count the bytes of a head; return whether it is within the limit."""
         limit = self._limits().header_bytes
@@ -109,10 +120,11 @@
         self._head_since = None
         return not limit or size <= limit
 
-    def _refuse(self, reason: Reason) -> None:
-        self._refused = True
+    def _refuse(self, reason: Reason, retry_after: Millis | None = None) -> None:
+        self.drop()
         self._head_since = None
         self._on_refusal(reason)
         if self.transport is not None:
-            self.transport.write(encode_refusal(NotRun(reason)))
+            refusal = encode_refusal(NotRun(reason, retry_after))
+            self.transport.write(refusal)
         self._loop.call_later(LINGERING_S, self.force_close)
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -14,7 +14,8 @@
 from leadseam.feed.staleness import Staleness
 from leadseam.membership.versions import stream_lifetime
 from leadseam.membership.view import UpstreamView
-from leadseam.platform.front import UNCONFIGURED, FrontServer, ReadyServer
+from leadseam.peers.limits import PeerLimits
+from leadseam.platform.front import ACCEPTORS, UNCONFIGURED, FrontServer, ReadyServer
 from leadseam.platform.headers import PlatformDialect
 from leadseam.platform.watch import SettingsWatch
 from leadseam.routing.client import UpstreamClient
@@ -22,9 +23,10 @@
 from leadseam.routing.gateway import Gateway
 from leadseam.routing.part_interest import SEND_INTERVAL
 from leadseam.runtime.admin import serve_admin
-from leadseam.runtime.entry_room import RoomSensor
+from leadseam.runtime.entry_room import RoomSensor, resident_bytes
 from leadseam.runtime.lag import LoopLag
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
+from leadseam.runtime.peer_guard import PeerGuard
 from leadseam.runtime.suspension import SuspensionWatch
 from leadseam.wire.feed import EntryRoom, PartInterest
 
@@ -96,6 +98,15 @@
         )
         self._routing_metrics = RoutingMetrics(self._metrics)
         self._room = RoomSensor(self._clock, memory_mb=settings.memory_mb)
+        self._guard = PeerGuard(
+            PeerLimits.of_box(
+                memory_mb=settings.memory_mb,
+                resident=resident_bytes(),
+                sockets=max(settings.max_sockets - ACCEPTORS, 0),
+            ),
+            self._clock,
+            self._metrics,
+        )
         self._lag = LoopLag(self._clock, self._record_lag)
         self._suspension = SuspensionWatch(
             self._clock, self._metrics, on_resume=self._on_resume
@@ -135,6 +146,7 @@
         )
         self._front = FrontServer(
             self._gateway.handle,
+            guard=self._guard,
             refuse=self._gateway.refuse_early,
             limits=self._caller_limits,
             on_refusal=self._gateway.count_refusal,
@@ -156,6 +168,7 @@
             group.create_task(self._report_load())
             group.create_task(self._send_part_interest())
             group.create_task(self._lag.run())
+            group.create_task(self._guard.run())
             group.create_task(self._suspension.run())
 
     async def drain(self) -> None:
--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -18,6 +18,7 @@
 from leadseam.platform.headers import read_key, read_number, read_tokens
 from leadseam.platform.refusal import encode_refusal
 from leadseam.routing.dialect import Sender
+from leadseam.runtime.held_connection import open_holding
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -25,6 +26,8 @@
     from aiohttp.web_protocol import RequestHandler
 
     from leadseam.outcome import NotRun
+    from leadseam.peers.account import Holding, Shortage
+    from leadseam.runtime.peer_guard import PeerGuard
 
     Refuse = Callable[[Sender], NotRun | None]
 
@@ -103,7 +106,8 @@
     """Refuses the first request of a connection, or hands it over to the HTTP library.
 
     Args:
-        make_handler: Creates the library's protocol for a connection.
+        make_handler: Creates the library's protocol for the holding of a connection.
+        guard: Account of the process.
         refuse: Returns the refusal of a request, or None if it is to be served.
         waiting: Set that holds this connection until its first request is refused or
             handed over.
@@ -114,11 +118,14 @@
 
     def __init__(
         self,
-        make_handler: Callable[[], RequestHandler],
+        make_handler: Callable[[Holding], RequestHandler],
+        guard: PeerGuard,
         refuse: Refuse,
         waiting: set[FirstBytes],
     ) -> None:
         self._make_handler = make_handler
+        self._guard = guard
+        self._holding: Holding | None = None
         self._refuse = refuse
         self._waiting = waiting
         self._transport: asyncio.Transport | None = None
@@ -127,16 +134,28 @@
         self._body_left = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Wait for the first bytes."""
+        """Wait for the first bytes, or close if there is no room for a connection."""
         self._transport = cast("asyncio.Transport", transport)
+        self._holding = open_holding(self._guard, self, transport)
+        if self._holding is None:
+            self._transport.close()
+            return
         self._waiting.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from the waiting ones."""
         self._stop_waiting()
+        if self._holding is not None:
+            self._guard.close(self._holding)
+
+    def shed(self, _: Shortage) -> None:
+        """Close the connection, as others need what it holds."""
+        self.close()
 
     def data_received(self, data: bytes) -> None:
         """Refuse the request, drain its body, or hand the connection over."""
+        if self._holding is None:
+            return
         if self._response:
             # A caller may not read a response that is sent before its body is drained.
 
@@ -165,8 +184,9 @@
 
     def _hand_over(self, data: bytes) -> None:
         assert self._transport is not None
+        assert self._holding is not None
         self._stop_waiting()
-        handler = self._make_handler()
+        handler = self._make_handler(self._holding)
         self._transport.set_protocol(handler)
         handler.connection_made(self._transport)
         handler.data_received(data)
--- a/src/leadseam/platform/front.py
+++ b/src/leadseam/platform/front.py
@@ -8,11 +8,20 @@
 
 from aiohttp import web
 
-from leadseam.clock import seconds
+from leadseam.clock import SystemClock, seconds
 from leadseam.control.routes import CallerLimits
+from leadseam.peers.limits import PeerLimits
 from leadseam.platform import names
 from leadseam.platform.caller_connection import CallerConnection
 from leadseam.platform.first_bytes import FirstBytes
+from leadseam.runtime.admin import ADMIN_LIMITS, MAX_ADMIN_BODY
+from leadseam.runtime.held_connection import (
+    RECEIVE_BUFFER,
+    HeldAppRunner,
+    HeldBaseRequest,
+)
+from leadseam.runtime.metrics import Metrics
+from leadseam.runtime.peer_guard import PeerGuard
 from leadseam.runtime.tasks import spawn
 
 if TYPE_CHECKING:
@@ -24,6 +33,7 @@
     from aiohttp.web_protocol import RequestHandler
 
     from leadseam.outcome import NotRun, Reason
+    from leadseam.peers.account import Holding
     from leadseam.platform.first_bytes import Refuse
     from leadseam.routing.dialect import Sender
     from leadseam.settings.models import Endpoint
@@ -34,7 +44,8 @@
 MAX_HEADER_LINE = 65_536
 """Maximum size of a header line in bytes; operators configure a lower limit for the
 whole head."""
-MAX_HEADER_LINES = 4_096
+MAX_HEADER_LINES = MAX_HEADER_LINE // 4
+"""As many lines as fit into the largest head; their sum is limited by its size."""
 SECONDS_PER_DAY = 86_400
 SWEEP_INTERVAL_S = 0.25
 """Seconds between two checks of the time limits of all connections."""
@@ -68,6 +79,7 @@
         waiting: set[FirstBytes],
         limits: Limits,
         on_refusal: Callable[[Reason], None],
+        guard: PeerGuard,
     ) -> None:
         super().__init__(
             handler,
@@ -86,14 +98,20 @@
         self._waiting = waiting
         self._limits = limits
         self._on_refusal = on_refusal
+        self._guard = guard
 
     def __call__(self) -> FirstBytes:  # type: ignore[override]
-        return FirstBytes(self._make_connection, self._refuse, self._waiting)
+        return FirstBytes(
+            self._make_connection, self._guard, self._refuse, self._waiting
+        )
 
-    def _make_connection(self) -> CallerConnection:
+    def _make_connection(self, holding: Holding) -> CallerConnection:
         return CallerConnection(
             self,
             loop=self._loop,
+            guard=self._guard,
+            holding=holding,
+            max_body=self._limits().body_bytes,
             limits=self._limits,
             on_refusal=self._on_refusal,
             **self._kwargs,
@@ -107,7 +125,7 @@
         writer: AbstractStreamWriter,
         task: asyncio.Task[None],
     ) -> web.BaseRequest:
-        return web.BaseRequest(
+        return HeldBaseRequest(
             message,
             payload,
             protocol,
@@ -127,12 +145,15 @@
             is to be served. By default nothing is refused.
         limits: Returns the limits in force, of which each may be 0 for none.
         on_refusal: Called with the reason of each refusal by these limits.
+        guard: Account of the process that connections are charged to. Defaults to one
+            with the default limits.
     """
 
     def __init__(
         self,
         handler: Handler,
         *,
+        guard: PeerGuard | None = None,
         refuse: Refuse = _never_refuse,
         limits: Limits = lambda: UNCONFIGURED,
         on_refusal: Callable[[Reason], None] = lambda _: None,
@@ -149,6 +170,7 @@
             waiting=self._waiting,
             limits=limits,
             on_refusal=on_refusal,
+            guard=guard or PeerGuard(PeerLimits(), SystemClock(), Metrics()),
         )
         self._runner = web.ServerRunner(self._server, shutdown_timeout=0.2)
         self._sites: list[web.SockSite] = []
@@ -157,6 +179,8 @@
         """Bind the socket and start accepting connections."""
         await self._runner.setup()
         with socket.create_server((listen.ip, listen.port), backlog=BACKLOG) as sock:
+            # Accepted sockets inherit it.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
             self._sites = [
                 web.SockSite(self._runner, sock.dup(), backlog=BACKLOG)
                 for _ in range(ACCEPTORS)
@@ -224,14 +248,20 @@
 
     Args:
         readiness: Returns why the process is not ready, or an empty string if it is.
-
     """
 
     def __init__(self, readiness: Callable[[], str]) -> None:
         self._readiness = readiness
         app = web.Application()
         app.router.add_get(names.READY_PATH, self._ready)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+        self._runner = HeldAppRunner(
+            app,
+            # Callers must not be able to shut the checks out.
+            PeerGuard(ADMIN_LIMITS, SystemClock(), Metrics()),
+            max_body=MAX_ADMIN_BODY,
+            access_log=None,
+            shutdown_timeout=0.2,
+        )
 
     async def start(self, listen: Endpoint) -> None:
         """Bind the socket."""
--- a/src/leadseam/platform/settings.py
+++ b/src/leadseam/platform/settings.py
@@ -20,6 +20,8 @@
     from leadseam.clock import Millis
 
 MILLIS_PER_SECOND = 1_000
+FILE_DESCRIPTORS = 200
+"""Descriptors that the platform keeps for files; sockets share the others."""
 METRICS_OFFSET = 1
 """Offset of the metrics port in the range of internal ports that the platform gives."""
 
@@ -48,6 +50,7 @@
         retry_limits: Fleet-wide limits on retries.
         processor_share: Share of a core that the process may use; 0 if not stated.
         memory_mb: Memory that the process may use, in MB; 0 if not stated.
+        max_sockets: Sockets that the process may have open; 0 if not stated.
     """
 
     node: str
@@ -69,6 +72,7 @@
     retry_limits: RetryLimits
     processor_share: float = 0.0
     memory_mb: int = 0
+    max_sockets: int = 0
 
     @classmethod
     def parse(cls, text: str, name: str) -> NodeSettings:
@@ -104,6 +108,7 @@
             retry_limits=fields.retry_limits(),
             processor_share=fields.number("limits.cpuShare", 0.0),
             memory_mb=fields.integer("limits.memoryMb", 0),
+            max_sockets=max(fields.integer("limits.maxFds", 0) - FILE_DESCRIPTORS, 0),
         )
 
     def internal_endpoint(self, ip: str) -> Endpoint:
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 from contextlib import nullcontext
 from dataclasses import replace
@@ -11,6 +12,7 @@
 
 from leadseam.answer_end import Close, Framing, read_framing
 from leadseam.answer_head import HeadFault
+from leadseam.clock import seconds
 from leadseam.entry.error_responses import error_response
 from leadseam.outcome import NotRun, Reason
 from leadseam.routing.admitted import AdmittedRequest
@@ -44,6 +46,11 @@
 from leadseam.routing.scope import allowed_regions
 from leadseam.routing.unconfirmed import NEVER
 from leadseam.routing.usage import Standing
+from leadseam.runtime.held_connection import (
+    BodyTimeoutError,
+    MalformedBodyError,
+    RequestShedError,
+)
 from leadseam.runtime.tasks import spawn
 
 if TYPE_CHECKING:
@@ -88,6 +95,8 @@
 END_CHECK_TIMEOUT: Millis = 300
 """Longest time for which the end of an answer is held back while it is checked; all
 events have been passed on by then."""
+SHED_PAUSE: Millis = 2_000
+"""Retry-After pause while the entry holds too much for its callers."""
 UNDECIDED_PAUSE: Millis = 1_000
 """Retry-After pause while it is undecided whether a request has crashed an upstream:
 twice the interval at which registrations are checked."""
@@ -277,12 +286,11 @@
         limit = http.client_max_size
         if limit and announced > limit:
             return self.error(NotRun(Reason.BODY_TOO_LARGE))
-        try:
-            body = await http.read()
-        except web.HTTPRequestEntityTooLarge:
-            return self.error(NotRun(Reason.BODY_TOO_LARGE))
         if not self.stopping:
             await self._first_configuration.wait(req.max_wait)
+        body = await self._read_body(http, req)
+        if isinstance(body, NotRun):
+            return self._refuse(Sender(req.request_id, req.key), body, arrived)
         admitted = self._admit(req, body, arrived)
         if isinstance(admitted, AdmittedRequest) and admitted.resumes_stream:
             admitted = await self._origins.bind(admitted, now=self.now())
@@ -290,6 +298,31 @@
             return self._refuse(Sender(req.request_id, req.key), admitted, arrived)
         return await self._run(http, admitted)
 
+    async def _read_body(
+        self, http: web.BaseRequest, req: RoutedRequest
+    ) -> bytes | NotRun:
+        """Read the body of a request that may be served as far as its head tells."""
+        route = self._find_route(req)
+        if isinstance(route, NotRun):
+            return route
+        account = self._authenticate(req, route)
+        if isinstance(account, NotRun):
+            return account
+        limit = route.time_limit
+        if req.max_wait is not None:
+            limit = min(limit, req.max_wait)
+        try:
+            async with asyncio.timeout(seconds(limit)):
+                return await http.read()
+        except web.HTTPRequestEntityTooLarge:
+            return NotRun(Reason.BODY_TOO_LARGE)
+        except MalformedBodyError:
+            return NotRun(Reason.MALFORMED_BODY)
+        except RequestShedError:
+            return NotRun(Reason.MEMORY_FULL, self.jitter(SHED_PAUSE))
+        except (BodyTimeoutError, TimeoutError):
+            return NotRun(Reason.BODY_TIMEOUT)
+
     def _refuse(self, sender: Sender, refusal: NotRun, arrived: Millis) -> web.Response:
         self._note_refusal(sender, refusal, arrived)
         return self.error(refusal)
@@ -322,9 +355,9 @@
     def _admit(
         self, req: RoutedRequest, body: bytes, arrived: Millis
     ) -> AdmittedRequest | NotRun:
-        route = self._router.match(req.host, req.path)
-        if route is None:
-            return self._not_configured(Reason.UNKNOWN_ROUTE)
+        route = self._find_route(req)
+        if isinstance(route, NotRun):
+            return route
         account = self._authenticate(req, route)
         if isinstance(account, NotRun):
             return account
@@ -446,6 +479,10 @@
         account = self._router.account(sender.key)
         return account.name if account is not None else None
 
+    def _find_route(self, req: RoutedRequest) -> Route | NotRun:
+        route = self._router.match(req.host, req.path)
+        return route or self._not_configured(Reason.UNKNOWN_ROUTE)
+
     def _authenticate(
         self, req: RoutedRequest, route: Route
     ) -> Account | NotRun | None:
