Charge operators' documents to the account of a control process

A control box read documents of up to 16 MB without a sum over connections: 24 that stopped one byte short of 8 MB took 398 MB where the box has 128. Its connections are charged to an account now, as callers' are.

--- a/src/leadseam/platform/control_node.py
+++ b/src/leadseam/platform/control_node.py
@@ -22,11 +22,15 @@
 from leadseam.feed.verdict_routes import verdict_routes
 from leadseam.membership.registry import Registry
 from leadseam.membership.version_file import VersionFile
-from leadseam.platform.control_api import ControlApi
+from leadseam.peers.limits import PeerLimits
+from leadseam.platform.control_api import MAX_DOCUMENT_BYTES, ControlApi
 from leadseam.platform.engine_cache import EngineCacheCalls
 from leadseam.platform.watch import SettingsWatch
 from leadseam.runtime.admin import serve_admin
+from leadseam.runtime.entry_room import resident_bytes
+from leadseam.runtime.held_connection import HeldAppRunner
 from leadseam.runtime.metrics import ControlMetrics, Metrics
+from leadseam.runtime.peer_guard import PeerGuard
 from leadseam.runtime.suspension import SuspensionWatch
 from leadseam.wire.link import listen
 
@@ -123,6 +127,15 @@
             min_voters=2 * settings.loss_tolerance + 1,
         )
         self._api = ControlApi(self._service)
+        self._guard = PeerGuard(
+            PeerLimits.of_box(
+                memory_mb=settings.memory_mb,
+                resident=resident_bytes(),
+                sockets=settings.max_sockets,
+            ),
+            clock,
+            self._metrics,
+        )
         self._watch = SettingsWatch(path, settings, self._on_settings)
         # No callback: leases and ages use a clock that includes suspended time.
         self._suspension = SuspensionWatch(clock, self._metrics)
@@ -138,7 +151,13 @@
             settings.ip, settings.internal_port, self._feed.serve, self._metrics.traffic
         )
         app = self._api.application()
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.2)
+        self._runner = HeldAppRunner(
+            app,
+            self._guard,
+            max_body=MAX_DOCUMENT_BYTES,
+            access_log=None,
+            shutdown_timeout=0.2,
+        )
         await self._runner.setup()
         await web.TCPSite(
             self._runner, settings.control.ip, settings.control.port
@@ -163,6 +182,7 @@
         """
         async with asyncio.TaskGroup() as group:
             group.create_task(self.replica.run())
+            group.create_task(self._guard.run())
             group.create_task(self._feed.run())
             group.create_task(self._watch.run())
             group.create_task(self._raise_on_failure())
