Charge what callers send to the account of an entry with sidecars

`waiting_bytes` limited bodies that wait for a grant, but not those that are still read: 40 unfinished bodies of 4 MB took 232 to 412 MB with 24 MB allowed to wait. Connections are charged to an account of that size now.

--- a/src/leadseam/entry/program.py
+++ b/src/leadseam/entry/program.py
@@ -13,8 +13,10 @@
 from leadseam.entry.http import Frontend
 from leadseam.feed.client import FeedClient
 from leadseam.feed.staleness import Staleness
+from leadseam.peers.limits import PeerLimits
 from leadseam.runtime.admin import admin_routes, serve_http
 from leadseam.runtime.metrics import EntryMetrics, Metrics
+from leadseam.runtime.peer_guard import PeerGuard
 from leadseam.runtime.suspension import SuspensionWatch
 
 if TYPE_CHECKING:
@@ -67,6 +69,9 @@
         self._suspension = SuspensionWatch(
             clock, self._metrics, on_resume=self._on_resume
         )
+        self._guard = PeerGuard(
+            PeerLimits(max_bytes=settings.limits.waiting_bytes), clock, self._metrics
+        )
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> None:
@@ -79,13 +84,20 @@
         app.add_routes(admin_routes(self._metrics, self._readiness))
         app.on_response_prepare.append(self._frontend.on_prepare)
         listen = self._settings.listen
-        self._runner = await serve_http(listen.ip, listen.port, app)
+        self._runner = await serve_http(
+            listen.ip,
+            listen.port,
+            app,
+            guard=self._guard,
+            max_body=self._settings.limits.body_bytes,
+        )
 
     async def run(self) -> None:
         """Serve until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self.dispatcher.run())
             group.create_task(self._feed.run())
+            group.create_task(self._guard.run())
             group.create_task(self._suspension.run())
 
     async def drain(self) -> None:
