Bound bodies that come in one read, and end requests whose caller is gone

A body a little above the limit was taken if its end came in the same read as the byte that exceeded it. A control box that does not cancel requests kept one whose connection was closed before the end of its body, for good.

--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -169,6 +169,11 @@
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Return all that is held for the connection."""
+        payload = self._payload
+        if payload is not None:
+            # Neither the request nor the library waits for the rest of the body.
+            self.fail_body(MalformedBodyError("the connection was closed"))
+            payload.feed_eof()
         self.drop()
         if self._holding is not None:
             self._guard.close(self._holding)
@@ -433,14 +438,15 @@
         excess = max(self._body_price - price, 0)
         self._guard.give_back(self._holding, excess)
         self._body_price -= excess
+        self._check_body_size()
         if payload.is_eof():
             self._end_body()
         elif self._framing > MAX_FRAMING:
             self.fail_body(MalformedBodyError())
-        else:
-            self._check_body_size()
 
     def _end_body(self) -> None:
+        if self._dropping:
+            return
         self._payload = None
         self._body_left = None
         self._last_bytes = b""
@@ -601,7 +607,7 @@
             loop=plain._loop,
             guard=self._guard,
             max_body=self._max_body,
-            **plain._kwargs,
+            **{"lingering_time": LINGERING_S, **plain._kwargs},
         )
 
 
