--- a/tests/crowds/test_entry_memory.py
+++ b/tests/crowds/test_entry_memory.py
@@ -12,8 +12,8 @@
 import pytest
 
 from leadseam.platform import names
-from tests.crowds.ways import BODY_BYTES, CROWDED_WAYS, HEADER_BYTES, WAYS, close_after
 from tools.crowd import Crowd, Member
+from tools.crowd_ways import BODY_BYTES, CROWDED_WAYS, HEADER_BYTES, WAYS, close_after
 from tools.platform.nodes import HOST, KEY, Platform, document
 from tools.process_usage import open_sockets, peak_memory
 from tools.raw_http import exchange
--- a/tests/crowds/test_gateway_memory.py
+++ b/tests/crowds/test_gateway_memory.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from tests.crowds.ways import BODY_BYTES, WAYS, close_after
 from tools.crowd import Crowd, Member
+from tools.crowd_ways import BODY_BYTES, WAYS, close_after
 from tools.ports import LOOPBACK
 from tools.process_usage import peak_memory
 from tools.raw_http import exchange
--- a/tests/soak/test_short.py
+++ b/tests/soak/test_short.py
@@ -81,6 +81,16 @@
     assert summary.resumed["finished"] > 0
 
 
+@pytest.mark.parametrize("seed", [901, 902])
+async def test_promises_are_kept_beside_crowds_of_unfinished_requests(
+    tmp_path: Path, seed: int
+) -> None:
+    summary = await run_seed(tmp_path, seed, replace(OPTIONS, crowds=True))
+    assert not summary.broken, str(summary)
+    assert summary.checked["crowd survived"] > 0
+    assert summary.checked["recovered"] == 2
+
+
 @pytest.mark.parametrize("seed", [801, 802])
 async def test_promises_are_kept_where_answers_end_with_their_connection(
     tmp_path: Path, seed: int
--- a/tools/crowd.py
+++ b/tools/crowd.py
@@ -106,6 +106,7 @@
         for task in self._readers:
             task.cancel()
         await asyncio.gather(*self._readers, return_exceptions=True)
+        await asyncio.sleep(0)
 
 
 async def _send(
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -26,6 +26,7 @@
   --unframed     Half of the answers end with their connection, without a length or
                  chunks; servers break some off inside an event.
   --spoil        Servers mutate one answer in five.
+  --crowds       Crowds of clients leave large or odd requests unfinished at entries.
   --beside DIR   Each second process runs the sources of another build in this folder.
   --versions V   Software versions of the model servers, whose streams callers resume
                  [default: 1].
@@ -70,6 +71,7 @@
         refusals=args["--refusals"],
         unframed=args["--unframed"],
         spoil=args["--spoil"],
+        crowds=args["--crowds"],
         other_sources=args["--beside"] or "",
         versions=int(args["--versions"]),
     )
--- a/tools/soak/run.py
+++ b/tools/soak/run.py
@@ -9,6 +9,7 @@
 
 from tools.platform.nodes import document
 from tools.soak.callers import CALL_PREFIX, Callers
+from tools.soak.crowds import DESCRIPTORS, LIMITS, MEMORY_MB, Crowds
 from tools.soak.deadly import DeadlyCallers
 from tools.soak.deadly_parts import DeadlyPartCallers
 from tools.soak.evacuations import Evacuations
@@ -64,6 +65,7 @@
             series.
         unframed: Whether answers without a length or chunks are sent and broken off.
         spoil: Whether servers mutate some of their answers.
+        crowds: Whether crowds of clients leave their requests unfinished at entries.
         other_sources: Folder with the sources of another build that runs beside this
             one; empty for none.
     """
@@ -82,6 +84,7 @@
     refusals: bool = False
     unframed: bool = False
     spoil: bool = False
+    crowds: bool = False
     other_sources: str = ""
 
 
@@ -172,6 +175,9 @@
         pauses = ServerPauses(platform, self._seed, promises)
         if self._options.pauses:
             background_tasks.append(asyncio.create_task(pauses.run()))
+        if self._options.crowds:
+            crowds = Crowds(platform, self._seed, promises)
+            background_tasks.append(asyncio.create_task(crowds.run()))
         if self._options.refusals:
             refusals = Refusals(platform, self._injector, self._seed)
             background_tasks.append(asyncio.create_task(refusals.run()))
@@ -221,7 +227,10 @@
         """Repeatedly change the configuration and read it back."""
         while True:
             self._sent_version += self._rng.randint(1, 5)
-            status = await self._platform.operator.replace(document(self._sent_version))
+            changes = {"limits": LIMITS} if self._options.crowds else {}
+            status = await self._platform.operator.replace(
+                document(self._sent_version, **changes)
+            )
             if status == 200:
                 self._acknowledged_version = self._sent_version
             else:
@@ -328,6 +337,11 @@
     )
     if options.refusals:
         platform.retry_slack = RETRY_SLACK
+    if options.crowds:
+        platform.limits = {
+            "limits.memoryMb": MEMORY_MB,
+            "limits.maxFds": DESCRIPTORS,
+        }
     try:
         return await SoakRun(platform, seed, options).run()
     finally:
