Read a body that arrives during a planned stop, and compare charges with memory

A planned stop told the HTTP library to close a connection whose request was still arriving; the library then ignored the rest of the body, and the caller waited for an answer until its deadline. The connection closes after the response now.

A further test compares what an entry has charged to 15 unfinished requests with the growth of its resident memory.

--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -37,7 +37,7 @@
 complete, and once more on its way to an upstream."""
 TURN_BYTES = 4_096
 """Bytes of heads and chunks that are parsed before other connections get their turn."""
-LARGE_HEAD = 65_536
+LARGE_HEAD = 131_072
 """Price of a head above which its connection closes with the response: the library
 keeps the head until the next request."""
 MAX_FRAMING = 16_384
@@ -131,6 +131,7 @@
         self._guard = guard
         self._holding = holding
         self._dropping = False
+        self._closes = False
         # Bytes that have been read and not parsed, and the parsed part of them.
         self._unparsed = b""
         self._parsed = 0
@@ -216,6 +217,13 @@
             self.drop()
             self.refuse_shed()
 
+    def close(self) -> None:
+        """Close after the current request, whose body is still read."""
+        if self.awaits_body:
+            self._closes = True
+        else:
+            super().close()
+
     def refuse_shed(self) -> None:
         """Refuse a request whose head has not arrived completely."""
         self.force_close()
@@ -244,7 +252,7 @@
     @property
     def closes(self) -> bool:
         """Whether the connection closes with the response."""
-        return self._dropping or self._head_price > LARGE_HEAD
+        return self._closes or self._dropping or self._head_price > LARGE_HEAD
 
     async def read_body(self, payload: StreamReader, limit: int) -> bytes:
         """Return the body of the request that runs, once it is complete.
--- a/tests/crowds/test_entry_memory.py
+++ b/tests/crowds/test_entry_memory.py
@@ -15,7 +15,7 @@
 from tools.crowd import Crowd, Member
 from tools.crowd_ways import BODY_BYTES, CROWDED_WAYS, HEADER_BYTES, WAYS, close_after
 from tools.platform.nodes import HOST, KEY, Platform, document
-from tools.process_usage import open_sockets, peak_memory
+from tools.process_usage import open_sockets, peak_memory, resident_memory
 from tools.raw_http import exchange
 from tools.waiting import CONDITION_TIMEOUT, wait_until
 
@@ -36,6 +36,8 @@
     "headerTimeoutMs": 3_000,
     "idleTimeoutMs": 15_000,
 }
+COVERED_MEMBERS = 15
+"""Members of a crowd that fits into the default account."""
 REFUSALS = (408, 421, 429, 503)
 """Statuses that promise that a request has not run and never will."""
 
@@ -119,3 +121,47 @@
     assert not refused & runs
     assert sockets <= DESCRIPTORS - FILE_DESCRIPTORS
     assert peak_memory(process.pid) <= MEMORY_BYTES
+
+
+@pytest.mark.parametrize(
+    "name", ["large bodies in pieces", "short header lines", "odd header lines"]
+)
+async def test_the_account_covers_what_a_crowd_takes(tmp_path: Path, name: str) -> None:
+    """A price that is too low would let the sum outgrow the box after all."""
+    platform = Platform(tmp_path, entries=1)
+    try:
+        await platform.start_all()
+        assert await platform.operator.replace(document(2, limits=LIMITS)) == 200
+        await wait_until(
+            lambda: takes_large_bodies(platform), "the limits are in force"
+        )
+        ip = platform.entry_ips[0]
+        process = platform.processes[ip]
+        before = resident_memory(process.pid)
+        way = WAYS[name]
+        ids = [f"crowd-{number}" for number in range(COVERED_MEMBERS)]
+        unfinished = [[*way.pieces(start_of(one))[:-1], b""] for one in ids]
+        members = [
+            Member(one, pieces) for one, pieces in zip(ids, unfinished, strict=True)
+        ]
+        crowd = Crowd((ip, platform.front_port), members, pause=way.pause)
+        await crowd.send()
+
+        async def charged() -> bool:
+            arriving = await charged_bytes(platform)
+            return 0 < resident_memory(process.pid) - before <= arriving
+
+        await wait_until(charged, "the charge covers the resident memory")
+        await crowd.leave()
+    finally:
+        await platform.close()
+
+
+async def charged_bytes(platform: Platform) -> float:
+    """Return the bytes that an entry has charged to unfinished requests."""
+    url = f"http://{platform.metrics_address(platform.entry_ips[0])}/metrics"
+    async with platform.http.get(url) as resp:
+        for line in (await resp.text()).splitlines():
+            if "peer_bytes{" in line and "arriving" in line:
+                return float(line.rsplit(" ", 1)[1])
+    return 0.0
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -32,6 +32,8 @@
 
     async def _handle(self, http: web.BaseRequest) -> web.StreamResponse:
         self.paths.append(http.raw_path)
+        if http.can_read_body:
+            assert await http.read() == b"done"
         if http.raw_path == "/slow":
             await self.release.wait()
         return web.Response(body=b"done")
@@ -95,3 +97,18 @@
     await server.front._handle(cast("web.BaseRequest", late))
     assert server.paths == []
     writer.close()
+
+
+async def test_a_body_that_arrives_during_a_planned_stop_is_read(
+    server: ControlledServer,
+) -> None:
+    reader, writer = await server.connect()
+    head = b"POST /body HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n"
+    writer.write(head + b"do")
+    while "/body" not in server.paths:
+        await asyncio.sleep(0)
+    await server.front.close_idle()
+    writer.write(b"ne")
+    assert await answer(reader) == b"done"
+    assert await reader.read() == b""
+    writer.close()
--- a/tools/process_usage.py
+++ b/tools/process_usage.py
@@ -16,6 +16,12 @@
     raise ProcessLookupError(pid)
 
 
+def resident_memory(pid: int) -> int:
+    """Return the resident memory of a process, in bytes."""
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
 def open_sockets(pid: int) -> int:
     """Return the number of sockets and pipes that a process has open."""
     count = 0
