Test limits on bodies in time and without a key, and six broken variants

A caller whose key nobody holds gets its 401 before its body comes, and a body that stops is answered 408 after the idle time, however far off the deadline is that the caller states.

--- a/tests/platform/test_caller_limits.py
+++ b/tests/platform/test_caller_limits.py
@@ -133,6 +133,26 @@
     assert runs(platform) == before + 1
 
 
+async def test_a_caller_without_a_key_is_refused_before_its_body_comes(
+    callers: list[Caller],
+) -> None:
+    for caller in callers:
+        anonymous = head("Content-Length: 9").replace(KEY.encode(), b"nobody")
+        caller.writer.write(anonymous)
+        assert await caller.read_status() == 401
+
+
+async def test_a_body_that_stops_is_refused_after_the_idle_time(
+    callers: list[Caller],
+) -> None:
+    """The deadline that a caller states may be far off."""
+    caller = callers[0]
+    far = head("Content-Length: 9").replace(b": 5000", b": 900000")
+    caller.writer.write(far + b"1234")
+    assert await caller.read_status() == 408
+    await caller.wait_closed()
+
+
 @pytest.mark.parametrize("size", [HEADER_BYTES // 4, HEADER_BYTES, 100_000])
 @pytest.mark.parametrize("lines", [1, 10])
 async def test_heads_above_the_limit_are_refused(
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -45,6 +45,7 @@
 FLEET_BOUND = "test_the_fleet_keeps_its_bound_whoever_ends_restarts_joins_or_is_cut_off"
 RESUMED_STREAMS = "tests/platform/test_resumed_streams.py"
 ANSWER_ENDS = "tests/platform/test_answer_ends.py"
+CROWD = "tests/crowds/test_entry_memory.py::test_an_entry_survives_a_crowd"
 SPOILT_EVENTS = "tests/platform/test_spoilt_events.py"
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
@@ -928,4 +929,50 @@
         "        if not head.request_id:\n",
         "tests/routing/test_exchange.py",
     ),
+    Variant(
+        "bytes of callers are parsed though the account is full",
+        "runtime/held_connection.py",
+        "        if not self._take(price):\n            return False\n",
+        "        self._take(price)\n",
+        f"{CROWD}[unfinished heads]",
+    ),
+    Variant(
+        "trailers are not charged",
+        "runtime/held_connection.py",
+        "            self._framing_price += _price_of_lines(fed)\n",
+        "            self._framing_price += 0\n",
+        f"{CROWD}[trailers]",
+    ),
+    Variant(
+        "requests behind the one that runs are parsed",
+        "runtime/held_connection.py",
+        "        return self._payload is not None or not self._unfinished\n",
+        "        return True\n",
+        "tests/runtime/test_held_connection.py",
+    ),
+    Variant(
+        "all that was read is parsed at once",
+        "runtime/held_connection.py",
+        "TURN_BYTES = 4_096\n",
+        "TURN_BYTES = 1_000_000_000\n",
+        "tests/crowds/test_entry_memory.py::test_one_request_of_any_form_is_served"
+        "[tiny chunks]",
+    ),
+    Variant(
+        "the account does not look at what a request has used",
+        "peers/account.py",
+        "            if found >= excess + spare or victim.cost(now) <= own_cost:\n",
+        "            if found >= excess + spare:\n",
+        "tests/peers/test_account.py",
+    ),
+    Variant(
+        "a body is read before route and key are known",
+        "routing/gateway.py",
+        "        account = self._authenticate(req, route)\n"
+        "        if isinstance(account, NotRun):\n"
+        "            return account\n"
+        "        limit = route.time_limit\n",
+        "        limit = route.time_limit\n",
+        "tests/platform/test_caller_limits.py",
+    ),
 )
