Ignore the rest of a body without reading it twice, and share turns by pieces

Found by reading the connection. A caller that got an early response, and then sent a part of its body without data, lost its connection: the library waited for data on the reader that the connection read too. A connection that had to go for a new one was no longer counted, but stayed open, if the new one did not fit after all. Bytes that look like the ends of bodies are parsed in pieces of two bytes; a turn of 4 KB of them held up the loop for 20 ms (worked out, not measured), so that each piece counts as 256 bytes of a turn at least. The first two have a test each that failed before.

--- a/src/leadseam/peers/account.py
+++ b/src/leadseam/peers/account.py
@@ -133,20 +133,20 @@
             price: Bytes that an open connection takes.
             now: Current time.
         """
-        shed: list[Holding] = []
+        victim: Holding | None = None
         if len(self._holdings) >= self.max_connections:
-            victims = self._unused() or self._by_cost(now)
-            if not victims:
+            victim = next(iter(self._unused() or self._by_cost(now)), None)
+            if victim is None:
                 return Full(Shortage.CONNECTIONS)
-            shed.append(victims[0])
-            self.close(victims[0])
         self._holdings.add(holding)
-        match self.take(holding, price, now):
-            case Granted(shed=more):
-                return Granted((*shed, *more)) if shed or more else GRANTED
-            case full:
-                self.close(holding)
-                return full
+        found = self.take(holding, price, now)
+        if isinstance(found, Full):
+            self.close(holding)
+            return found
+        if victim is None:
+            return found
+        self.close(victim)
+        return Granted((victim, *(one for one in found.shed if one is not victim)))
 
     def take(self, holding: Holding, size: int, now: Millis) -> Granted | Full:
         """Charge bytes to a holding that are about to be kept or parsed."""
--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -37,6 +37,8 @@
 complete, and once more on its way to an upstream."""
 TURN_BYTES = 4_096
 """Bytes of heads and chunks that are parsed before other connections get their turn."""
+MIN_PIECE_COST = 256
+"""Bytes of a turn that a shorter piece counts as, for the work that it takes."""
 LARGE_HEAD = 131_072
 """Price of a head above which its connection closes with the response: the library
 keeps the head until the next request."""
@@ -343,7 +345,7 @@
                 break
             self._parsed += len(piece)
             if self._body_left is None:
-                left -= len(piece)
+                left -= max(len(piece), MIN_PIECE_COST)
             self.feed(piece)
         if self._dropping:
             return
@@ -393,6 +395,8 @@
         was_head = payload is None
         if was_head:
             self._set_stage(Stage.ARRIVING)
+        if payload is not None and self._body_left is not None:
+            self._body_left -= len(piece)
         super().data_received(piece)
         new = len(self._messages) - before
         if new > 0 and payload is None:
@@ -430,11 +434,14 @@
         if payload.exception() is not None:
             self.fail_body(MalformedBodyError())
             return
+        if self._discarding:
+            # The library reads what still comes, and ignores it.
+            self._return_body()
+            if payload.is_eof():
+                self._end_body()
+            return
         data = payload.read_nowait(-1) if payload.total_bytes else b""
-        if not self._discarding:
-            self._body += data
-        if self._body_left is not None:
-            self._body_left -= len(data)
+        self._body += data
         if data:
             self._framing = 0
             self._framing_price = 0
--- a/tests/peers/test_account.py
+++ b/tests/peers/test_account.py
@@ -78,6 +78,16 @@
     assert len(account) == MAX_CONNECTIONS
 
 
+def test_no_connection_is_closed_for_one_that_does_not_fit() -> None:
+    account = make_account()
+    for number in range(MAX_CONNECTIONS - 1):
+        open_holding(account, Stage.RUNNING, 0, number)
+    idle = open_holding(account, Stage.IDLE, 0, 0)
+    found = account.open(Holding("10.0.0.2", 100), 2 * MAX_BYTES, 100)
+    assert found == Full(Shortage.BYTES)
+    assert (len(account), idle.stage) == (MAX_CONNECTIONS, Stage.IDLE)
+
+
 def test_limits_follow_from_the_box() -> None:
     limits = PeerLimits.of_box(memory_mb=150, resident=50_000_000, sockets=2_000)
     assert limits == PeerLimits(max_bytes=50_000_000, max_connections=1_500)
--- a/tests/runtime/test_held_connection.py
+++ b/tests/runtime/test_held_connection.py
@@ -257,3 +257,17 @@
         return server.account.held > CONNECTION_PRICE
 
     return has_connection
+
+
+async def test_the_rest_of_a_body_is_ignored_behind_an_early_response(
+    server: EchoServer,
+) -> None:
+    """Also pieces without data, while the library waits for some."""
+    client = await Client(server).connect()
+    head = HEAD.format(name="early", framing="Transfer-Encoding: chunked").encode()
+    await client.send(head + b"3\r\nabc\r\n")
+    assert (await client.receive())[0] == 401
+    rest = b"3\r\nabc\r\n0\r\n\r\n"
+    await client.send(rest + whole(b"next"), list(range(1, len(rest))))
+    assert await client.receive() == (200, b"next")
+    client.writer.close()
