--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -139,8 +139,7 @@
         self._parsed = 0
         self._unparsed_price = 0
         self._waits_for_turn = False
-        # Requests that were parsed and have not ended; more than one only if they
-        # could not be told apart before they were parsed.
+        # Requests that were parsed and have not ended.
         self._unfinished = 0
         # The request whose body arrives.
         self._payload: StreamReader | None = None
@@ -155,8 +154,11 @@
         # Bytes since the last data of a body, and their price.
         self._framing = 0
         self._framing_price = 0
+        # Prices of the head that arrives or runs, and of the last one, which the
+        # library keeps.
         self._head_price = 0
         self._kept_price = 0
+        # The last parsed bytes, among which a terminator may begin.
         self._last_bytes = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/leadseam/settings/models.py
+++ b/src/leadseam/settings/models.py
@@ -42,7 +42,8 @@
 
     Args:
         body_bytes: Maximum size of a request body.
-        waiting_bytes: Maximum total size of the bodies of waiting requests.
+        waiting_bytes: Maximum bytes held for callers: their connections, heads, and
+            bodies, waiting or still being read.
         default_deadline: Deadline in milliseconds for callers that set none.
         max_attempts: Maximum attempts at one request, including the first.
         window_bytes: Maximum bytes of a response in flight to a slow caller.
