Cancel requests of callers who have left, also on charged connections

Callers of an entry with sidecars who left kept their place: their requests went on waiting and running, so that others of the account got 429. Cause: the library keeps the option to cancel apart from those that HeldAppRunner hands to its server.

--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -622,6 +622,7 @@
             self.app._handle,
             request_factory=partial(self.app._make_request, _cls=HeldRequest),
             loop=plain._loop,
+            handler_cancellation=plain.handler_cancellation,
             guard=self._guard,
             max_body=self._max_body,
             **{"lingering_time": LINGERING_S, **plain._kwargs},
--- a/tests/runtime/test_held_connection.py
+++ b/tests/runtime/test_held_connection.py
@@ -271,3 +271,39 @@
     await client.send(rest + whole(b"next"), list(range(1, len(rest))))
     assert await client.receive() == (200, b"next")
     client.writer.close()
+
+
+async def test_a_request_is_cancelled_when_its_caller_leaves() -> None:
+    """The runner's option must reach the server that takes the connections."""
+    cancelled = asyncio.Event()
+
+    async def wait(_: web.Request) -> web.Response:
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            cancelled.set()
+            raise
+        return web.Response()
+
+    app = web.Application()
+    app.add_routes([web.post("/{_}", wait)])
+    guard = PeerGuard(PeerLimits(), SystemClock(), Metrics())
+    runner = HeldAppRunner(app, guard, max_body=MAX_BODY, handler_cancellation=True)
+    await runner.setup()
+    with socket.create_server((LOOPBACK, 0)) as sock:
+        port = sock.getsockname()[1]
+        await web.SockSite(runner, sock.dup()).start()
+    _, writer = await asyncio.open_connection(LOOPBACK, port)
+    writer.write(whole(b"x"))
+    await wait_until(_holds_more(guard), "the request runs")
+    writer.close()
+    async with asyncio.timeout(CONDITION_TIMEOUT):
+        await cancelled.wait()
+    await runner.cleanup()
+
+
+def _holds_more(guard: PeerGuard) -> Condition:
+    async def holds_more() -> bool:
+        return guard._account.held > CONNECTION_PRICE
+
+    return holds_more
