Tell what an entry does with its processor time, and where a short account's requests arrive

Cause: lines told what an account asked, got and was refused for, but not at which entry, and nothing of what that entry spent its processor time on. Result: tests of both, run; no decision was touched.

--- a/src/leadseam/explain/accounts.py
+++ b/src/leadseam/explain/accounts.py
@@ -16,6 +16,8 @@
     from collections.abc import Iterable, Iterator, Sequence
 
 LOG_MESSAGE = "accounts refused"
+BUSY_REASON = "entry_busy"
+"""Reason of refusals for want of an entry's processor time."""
 HEADINGS = (
     "second",
     "account",
@@ -29,6 +31,42 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class EntrySecond:
+    """One entry in one second.
+
+    Args:
+        node: Name of the entry.
+        sums_age: Age of the sums that it used, in milliseconds.
+        largest_lag: Largest lag of its event loop, in milliseconds.
+        processor_time: Processor time that it used, in milliseconds.
+        is_busy: Whether it refused requests for want of processor time.
+    """
+
+    node: str
+    sums_age: int = 0
+    largest_lag: int = 0
+    processor_time: int = 0
+    is_busy: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AccountAtEntry:
+    """One account in one second, at one entry.
+
+    Args:
+        entry: The entry in that second.
+        requested: Requested service in tokens; repeated requests count each time.
+        placed: Service of the requests that were sent to an upstream.
+        refused: Number of requests that did not run, by reason.
+    """
+
+    entry: EntrySecond
+    requested: int
+    placed: int
+    refused: Counter[str]
+
+
 @dataclass(slots=True)
 class AccountSecond:
     """One account in one second, over all entries that wrote a line about it.
@@ -43,6 +81,7 @@
         served: Highest recent service of the account that an entry had recorded.
         standings: Number of entries by the standing that they assigned to the account.
         sums_age: Age of the oldest sums that an entry used, in milliseconds.
+        at_entries: What happened at each entry.
     """
 
     second: int
@@ -54,22 +93,26 @@
     served: int = 0
     standings: Counter[str] = field(default_factory=Counter)
     sums_age: int = 0
+    at_entries: list[AccountAtEntry] = field(default_factory=list)
 
-    def add(self, row: dict[str, Any], sums_age: int) -> None:
-        """Add the row that one entry logged for this account."""
-        self.requested += row.get("asked", 0)
-        self.placed += row.get("placed", 0)
-        self.largest = max(self.largest, row.get("largest", 0))
-        self.refused.update(row.get("refused", {}))
-        self.served = max(self.served, row.get("served_of_late", 0))
-        self.standings[row.get("standing", "")] += 1
-        self.sums_age = max(self.sums_age, sums_age)
+    def add(self, row: dict[str, Any], entry: EntrySecond) -> None:
+        """Add the row that one entry logged for this account.
 
-    def add_service(self, requested: int, placed: int, largest: int) -> None:
-        """Add what one entry logged of an account that it hardly refused."""
+        Args:
+            row: The row; it names no standing if the account was hardly refused.
+            entry: The entry in the second of the row.
+        """
+        requested, placed = row.get("asked", 0), row.get("placed", 0)
+        refused = Counter(row.get("refused", {}))
         self.requested += requested
         self.placed += placed
-        self.largest = max(self.largest, largest)
+        self.largest = max(self.largest, row.get("largest", 0))
+        self.refused.update(refused)
+        self.at_entries.append(AccountAtEntry(entry, requested, placed, refused))
+        if "standing" in row:
+            self.served = max(self.served, row.get("served_of_late", 0))
+            self.standings[row["standing"]] += 1
+            self.sums_age = max(self.sums_age, entry.sums_age)
 
 
 def read_accounts(lines: Iterable[str]) -> list[AccountSecond]:
@@ -82,22 +125,33 @@
     for fields in _read_messages(lines):
         # A line is written at the end of the second that it counts.
         second = round(fields.get("time", 0) / MILLIS_PER_SECOND) - 1
-
-        def find(account: str, second: int = second) -> AccountSecond:
-            key = (second, account)
-            return seconds.setdefault(key, AccountSecond(second, account))
-
-        for row in fields.get("accounts", ()):
-            account = row.get("account", "")
-            find(account).add(row, fields.get("sums_age_ms", 0))
-        for account, counts in fields.get("served", {}).items():
-            find(account).add_service(*counts)
+        rows = _read_rows(fields)
+        entry = EntrySecond(
+            fields.get("node", ""),
+            sums_age=fields.get("sums_age_ms", 0),
+            largest_lag=fields.get("lag_ms", 0),
+            processor_time=fields.get("processor_ms", 0),
+            is_busy=any(BUSY_REASON in row.get("refused", {}) for row in rows.values()),
+        )
+        for account, row in rows.items():
+            summary = seconds.setdefault(
+                (second, account), AccountSecond(second, account)
+            )
+            summary.add(row, entry)
     return sorted(
         seconds.values(),
         key=lambda summary: (summary.second, -summary.refused.total(), summary.account),
     )
 
 
+def _read_rows(fields: dict[str, Any]) -> dict[str, dict[str, Any]]:
+    """Return the rows of a line by account, those with service only among them."""
+    rows = {row.get("account", ""): row for row in fields.get("accounts", ())}
+    for account, counts in fields.get("served", {}).items():
+        rows[account] = dict(zip(("asked", "placed", "largest"), counts, strict=True))
+    return rows
+
+
 def render_accounts(rows: Sequence[AccountSecond], *, max_rows: int) -> str:
     """Return a table as text.
 
--- a/src/leadseam/explain/shares.py
+++ b/src/leadseam/explain/shares.py
@@ -16,13 +16,25 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Sequence
 
-    from leadseam.explain.accounts import AccountSecond
+    from leadseam.explain.accounts import AccountAtEntry, AccountSecond
 
+ENTRY_HEADINGS = (
+    "account",
+    "second",
+    "entry",
+    "asked",
+    "got",
+    "lag ms",
+    "processor ms/s",
+    "refused",
+)
 SPAN = 6
 """Length of a compared span in seconds."""
 TOLERATED_REQUESTS = 3
 """Largest requests by which the service of an account may fall short."""
 TOLERATED_PART = 0.5
+MAX_ENTRIES = 4
+"""Entries that are shown of each shortfall, those that it requested most of first."""
 HEADINGS = (
     "part",
     "tolerant",
@@ -32,10 +44,32 @@
     "due",
     "best",
     "its got",
+    "elsewhere",
     "refused",
 )
 
 
+@dataclass(frozen=True, slots=True)
+class EntryPart:
+    """What an account requested and got at one entry in a span.
+
+    Args:
+        node: Name of the entry.
+        requested: Requested service in tokens.
+        got: Service of its requests that were sent to an upstream, in tokens.
+        refused: Number of refused requests by reason.
+        largest_lag: Largest lag of the entry's event loop, in milliseconds.
+        processor_time: Processor time that the entry used, in milliseconds a second.
+    """
+
+    node: str
+    requested: int
+    got: int
+    refused: Counter[str]
+    largest_lag: int
+    processor_time: int
+
+
 @dataclass(frozen=True, slots=True)
 class Shortfall:
     """What an account got in a span in which it was refused in each second.
@@ -50,6 +84,9 @@
         best: Name of the account that got most in the span.
         best_got: Service that this account got.
         refused: Number of refused requests by reason.
+        elsewhere: Service that it would have got if it had been served as all accounts
+            were, on average, at the entries with processor time; at most its due.
+        entries: The entries that its requests arrived at, by requested service.
     """
 
     first: int
@@ -60,6 +97,8 @@
     best: str
     best_got: int
     refused: Counter[str]
+    elsewhere: int = 0
+    entries: tuple[EntryPart, ...] = ()
 
     @property
     def part(self) -> float:
@@ -98,6 +137,7 @@
     if not got:
         return
     best, best_got = got.most_common(1)[0]
+    placed_part = _placed_part_with_processor_time(span)
     for account in got.keys() - {best}:
         rows = [second.get(account) for second in span]
         refused = [row for row in rows if row is not None and row.refused]
@@ -116,9 +156,42 @@
             best,
             best_got,
             sum((row.refused for row in refused), Counter()),
+            round(min(placed_part, 1.0) * due),
+            _entry_parts(refused),
         )
 
 
+def _placed_part_with_processor_time(span: Sequence[dict[str, AccountSecond]]) -> float:
+    """Return the placed part of what was requested at entries that were not busy."""
+    requested = placed = 0
+    for second in span:
+        for row in second.values():
+            for one in row.at_entries:
+                if not one.entry.is_busy:
+                    requested += one.requested
+                    placed += one.placed
+    return placed / requested if requested else 0.0
+
+
+def _entry_parts(rows: Sequence[AccountSecond]) -> tuple[EntryPart, ...]:
+    by_node: dict[str, list[AccountAtEntry]] = defaultdict(list)
+    for row in rows:
+        for one in row.at_entries:
+            by_node[one.entry.node].append(one)
+    parts = [
+        EntryPart(
+            node,
+            sum(one.requested for one in found),
+            sum(one.placed for one in found),
+            sum((one.refused for one in found), Counter()),
+            max(one.entry.largest_lag for one in found),
+            sum(one.entry.processor_time for one in found) // len(found),
+        )
+        for node, found in by_node.items()
+    ]
+    return tuple(sorted(parts, key=lambda part: (-part.requested, part.node)))
+
+
 def render_shortfalls(found: Sequence[Shortfall], *, max_rows: int) -> str:
     """Return the distribution of the parts, and a table of the least as text.
 
@@ -136,13 +209,39 @@
     least: dict[str, Shortfall] = {}
     for one in found:
         least.setdefault(one.account, one)
-    texts = [list(HEADINGS), *map(_row_texts, list(least.values())[:max_rows])]
+    shown = list(least.values())[:max_rows]
+    texts = [list(HEADINGS), *map(_row_texts, shown)]
     head = f"{len(parts)} spans, {broken} below {TOLERATED_PART}; tolerant part: "
-    return "\n".join([head + summary, *render_columns(texts)])
+    lines = [head + summary, *render_columns(texts)]
+    if any(one.entries for one in shown):
+        lines += ["", *_entry_lines(shown)]
+    return "\n".join(lines)
+
+
+def _entry_lines(shortfalls: Sequence[Shortfall]) -> list[str]:
+    """Return a table of the entries that the requests of the accounts arrived at."""
+    texts = [
+        [
+            one.account,
+            str(one.first),
+            part.node or "-",
+            str(part.requested),
+            str(part.got),
+            str(part.largest_lag),
+            str(part.processor_time),
+            _reasons(part.refused),
+        ]
+        for one in shortfalls
+        for part in one.entries[:MAX_ENTRIES]
+    ]
+    return render_columns([list(ENTRY_HEADINGS), *texts])
+
+
+def _reasons(refused: Counter[str]) -> str:
+    return " ".join(f"{name}:{count}" for name, count in refused.most_common())
 
 
 def _row_texts(one: Shortfall) -> list[str]:
-    reasons = " ".join(f"{name}:{count}" for name, count in one.refused.most_common())
     return [
         f"{one.part:.2f}",
         f"{one.tolerant_part:.2f}",
@@ -152,5 +251,6 @@
         str(one.due),
         one.best,
         str(one.best_got),
-        reasons,
+        str(one.elsewhere),
+        _reasons(one.refused),
     ]
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -274,6 +274,8 @@
     def _record_lag(self, lag: Millis) -> None:
         self._routing_metrics.lag.set({}, lag)
         self._room.record_lag(lag)
+        if self._gateway is not None:
+            self._gateway.placer.account_log.record_lag(lag)
 
     def _apply_sums(self, included: int, sums: LoadSums) -> None:
         assert self._gateway is not None
--- a/src/leadseam/routing/account_log.py
+++ b/src/leadseam/routing/account_log.py
@@ -2,20 +2,24 @@
 
 Log lines about single requests are limited in number. Those of a busy entry are a
 sample and do not show what an account requested and received. These lines do, together
-with the limits that applied to the account. While capacity is short, all entries write
-them, so that their sums show what each account received of the fleet.
+with the limits that applied to the account, and what the entry spent its processor
+time on. While capacity is short, all entries write them, so that their sums show what
+each account received of the fleet.
 """
 
 from __future__ import annotations
 
 import logging
+import time
 from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from leadseam.clock import Clock, Millis, sleep
+from leadseam.clock import MILLIS_PER_SECOND, Clock, Millis, sleep
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from leadseam.outcome import Reason
     from leadseam.routing.usage import UsageTable
 
@@ -48,18 +52,42 @@
     refused: Counter[str] = field(default_factory=Counter)
 
 
+@dataclass(slots=True)
+class _EntryWork:
+    """What the entry did since the last line.
+
+    Args:
+        largest_lag: Largest lag of the event loop.
+        connections: New connections whose first request has arrived.
+        refused_unread: First requests that were refused by their head alone.
+    """
+
+    largest_lag: Millis = 0
+    connections: int = 0
+    refused_unread: int = 0
+
+
 class AccountLog:
     """Counts by client account, written and reset each second.
 
     Args:
         usage: Source of the standings and shares on the lines.
         clock: Source of time.
+        processor_time: Returns the seconds of processor time that the process has used.
     """
 
-    def __init__(self, usage: UsageTable, clock: Clock) -> None:
+    def __init__(
+        self,
+        usage: UsageTable,
+        clock: Clock,
+        processor_time: Callable[[], float] = time.process_time,
+    ) -> None:
         self._usage = usage
         self._clock = clock
+        self._processor_time = processor_time
+        self._processor_used = processor_time()
         self._accounts: dict[str, _AccountCounts] = {}
+        self._work = _EntryWork()
 
     def __repr__(self) -> str:
         return f"AccountLog(accounts={len(self._accounts)})"
@@ -78,6 +106,19 @@
         """Count a request that was refused."""
         self._counts(account).refused[reason.value] += 1
 
+    def record_connection(self, *, refused: bool) -> None:
+        """Count the first request of a connection.
+
+        Args:
+            refused: Whether it was refused by its head alone.
+        """
+        self._work.connections += 1
+        self._work.refused_unread += refused
+
+    def record_lag(self, lag: Millis) -> None:
+        """Record a measurement of the event loop's lag."""
+        self._work.largest_lag = max(self._work.largest_lag, lag)
+
     async def run(self) -> None:
         """Write a line at each whole second of the wall clock until cancelled."""
         while True:
@@ -90,6 +131,12 @@
         The counts are reset in any case.
         """
         accounts, self._accounts = self._accounts, {}
+        work, self._work = self._work, _EntryWork()
+        used_before, self._processor_used = (
+            self._processor_used,
+            self._processor_time(),
+        )
+        processor_used = self._processor_used - used_before
         is_short = self._usage.shares.even != float("inf")
         if not accounts or not (
             is_short or any(one.refused for one in accounts.values())
@@ -112,6 +159,10 @@
             "even_level": _level(shares.even),
             "stop_level": _level(shares.stop),
             "engines_used": round(self._usage.used_part, 2),
+            "lag_ms": work.largest_lag,
+            "processor_ms": round(processor_used * MILLIS_PER_SECOND),
+            "connections": work.connections,
+            "refused_unread": work.refused_unread,
             "accounts": [
                 self._row(name, accounts[name], now) for name in names[:MAX_ACCOUNTS]
             ],
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -215,6 +215,11 @@
         it may be within its share is counted as requested, unless the caller is
         redirected: then the entry that it reaches counts it.
         """
+        refusal = self._decide_early(sender)
+        self.placer.account_log.record_connection(refused=refusal is not None)
+        return refusal
+
+    def _decide_early(self, sender: Sender) -> NotRun | None:
         lag = self._lag.millis
         account = self._account_of(sender) if lag > EXCESS_LAG else None
         if account is None:
--- a/tests/explain/test_shares.py
+++ b/tests/explain/test_shares.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 
-from leadseam.explain.accounts import AccountSecond
+from leadseam.explain.accounts import AccountSecond, read_accounts
 from leadseam.explain.shares import find_shortfalls, render_shortfalls
 
 
@@ -53,3 +54,52 @@
     )
     assert titles.split()[:3] == ["part", "tolerant", "second"]
     assert row.split()[:6] == ["0.30", "0.33", "0", "a", "360", "1200"]
+
+
+def make_line(
+    node: str, accounts: dict[str, tuple[int, int, int]], *, second: int
+) -> str:
+    """Return an entry's line of one second: service asked, placed, and refusals."""
+    rows = [
+        {
+            "account": name,
+            "asked": asked,
+            "placed": placed,
+            "largest": 10,
+            "refused": {"entry_busy": refused} if refused else {},
+            "standing": "within",
+        }
+        for name, (asked, placed, refused) in accounts.items()
+    ]
+    fields = {
+        "time": (second + 1) * 1_000,
+        "node": node,
+        "message": "accounts refused",
+        "lag_ms": 300 if node == "small" else 5,
+        "processor_ms": 290 if node == "small" else 60,
+        "accounts": rows,
+    }
+    return json.dumps(fields)
+
+
+def test_a_shortfall_names_the_entries_that_lacked_processor_time() -> None:
+    lines = [
+        line
+        for second in range(6)
+        for line in (
+            make_line("small", {"short": (900, 40, 30)}, second=second),
+            make_line("idle", {"best": (250, 200, 0)}, second=second),
+        )
+    ]
+    found = find_shortfalls(read_accounts(lines))
+    (short,) = found
+    # Of 250 asked in each second at the entry with processor time, 200 were placed.
+    assert (short.due, short.elsewhere) == (1_200, 960)
+    (entry,) = short.entries
+    assert (entry.node, entry.requested, entry.got) == ("small", 5_400, 240)
+    assert entry.refused == {"entry_busy": 180}
+    assert (entry.largest_lag, entry.processor_time) == (300, 290)
+    last = render_shortfalls(found, max_rows=5).splitlines()[-1]
+    assert last.split() == [
+        *("short", "0", "small", "5400", "240", "300", "290", "entry_busy:180")
+    ]
--- a/tests/routing/test_account_log.py
+++ b/tests/routing/test_account_log.py
@@ -31,7 +31,12 @@
     usage = UsageTable()
     rows = (UsageRow("menus", 900, 2_000), UsageRow("pay", 100, 1_000))
     usage.apply_sums(LoadSums((), rows), None, capacity=1_000, now=100, used_part=0.617)
-    account_log = AccountLog(usage, ManualClock(140))
+    processor_times = iter((1.0, 1.25, 1.5))
+    account_log = AccountLog(usage, ManualClock(140), lambda: next(processor_times))
+    account_log.record_lag(320)
+    account_log.record_lag(20)
+    account_log.record_connection(refused=True)
+    account_log.record_connection(refused=False)
     account_log.record_requested("menus", 300)
     account_log.record_placed("menus", 200)
     account_log.record_refusal("menus", Reason.UPSTREAM_FULL)
@@ -42,6 +47,8 @@
     assert line["message"] == "accounts refused"
     assert (line["sums_age_ms"], line["stated_level"]) == (40, 500)
     assert line["engines_used"] == 0.62
+    assert (line["lag_ms"], line["processor_ms"]) == (320, 250)
+    assert (line["connections"], line["refused_unread"]) == (2, 1)
     assert line["accounts"] == [
         {
             "account": "menus",
