Hand connections over to entries with room

Cause: an entry refuses by the lag of its event loop, and refusals themselves are what makes it lag. Callers come back to the same entry, so pauses and redirects do not help. Change: a busy entry hands the connection of a request that may be served over to an entry of its failure domain that offers room in the load sums, by its first bytes and unparsed; the other entry serves it as an own connection and its response comes back, collected for 20 ms. The target is the one with the fewest connections from here for its processor share. One request a connection; nothing is handed on; a lost link is 502 unknown, or a reset if the response has begun; what was not taken over is not run. Entries of earlier versions offer nothing, and get nothing. Why it works: passing bytes on takes about what a refusal takes, and a tenth of serving.

--- a/src/leadseam/feed/load_aggregator.py
+++ b/src/leadseam/feed/load_aggregator.py
@@ -5,9 +5,19 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from msgspec import structs
+
 from leadseam.feed.domain_sums import merge_sums
+from leadseam.handover.targets import MAX_OFFERS
 from leadseam.wire.codec import encode
-from leadseam.wire.feed import DomainRoom, LoadRow, LoadSums, LoadTotals, UsageRow
+from leadseam.wire.feed import (
+    DomainRoom,
+    LoadRow,
+    LoadSums,
+    LoadTotals,
+    RoomOffer,
+    UsageRow,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -38,6 +48,7 @@
         self._reports: dict[int, _StoredReport] = {}
         self._held_back: dict[int, _StoredReport] = {}
         self._probes: dict[int, int] = {}
+        self._first_offer = 0
 
     def __repr__(self) -> str:
         return f"LoadAggregator(reports={len(self._reports)})"
@@ -110,7 +121,11 @@
                     del reports[subscriber]
 
     def sums(self) -> LoadSums:
-        """Return the sums of the reports that count."""
+        """Return the sums of the reports that count, without offers of room.
+
+        Connections are handed over within a failure domain, whose entries report to
+        one replica.
+        """
         return LoadSums(self._rows(), self._usage(), self._rooms())
 
     def totals(
@@ -126,7 +141,10 @@
             others: Sums of the entries that report to other replicas.
         """
         self.expire(now)
-        data = encode(merge_sums((self.sums(), *others)))
+        sums = structs.replace(
+            merge_sums((self.sums(), *others)), offers=self._next_offers()
+        )
+        data = encode(sums)
         reports = self._reports | self._held_back
         numbers = self._probes | {
             subscriber: stored.report.sequence for subscriber, stored in reports.items()
@@ -156,6 +174,23 @@
                 counts[1] += row.requested
         return tuple(UsageRow(name, *counts) for name, counts in sums.items())
 
+    def _next_offers(self) -> tuple[RoomOffer, ...]:
+        """Return up to `MAX_OFFERS` offers of each failure domain."""
+        by_domain: dict[str, list[RoomOffer]] = {}
+        for stored in self._reports.values():
+            room = stored.report.room
+            if room is not None and room.has_room and room.address:
+                offer = RoomOffer(
+                    room.failure_domain, room.address, room.processor_share
+                )
+                by_domain.setdefault(room.failure_domain, []).append(offer)
+        self._first_offer += MAX_OFFERS
+        found: list[RoomOffer] = []
+        for offers in by_domain.values():
+            first = self._first_offer % len(offers)
+            found += (offers[first:] + offers[:first])[:MAX_OFFERS]
+        return tuple(found)
+
     def _rooms(self) -> tuple[DomainRoom, ...]:
         counts: dict[str, list[int]] = {}
         for stored in self._reports.values():
--- /dev/null
+++ b/src/leadseam/handover/__init__.py
@@ -0,0 +1,1 @@
+"""Connections that a busy entry hands over to entries with room."""
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -12,11 +12,15 @@
 from leadseam.feed.client import FeedClient
 from leadseam.feed.report_interval import MIN_INTERVAL, interval_for, report_size
 from leadseam.feed.staleness import Staleness
+from leadseam.handover.receiver import HandOverReceiver
+from leadseam.handover.sender import HandOverSender
+from leadseam.handover.targets import HandOverTargets
 from leadseam.membership.versions import stream_lifetime
 from leadseam.membership.view import UpstreamView
 from leadseam.peers.limits import PeerLimits
 from leadseam.platform.front import ACCEPTORS, UNCONFIGURED, FrontServer, ReadyServer
 from leadseam.platform.headers import PlatformDialect
+from leadseam.platform.refusal import encode_refusal
 from leadseam.platform.watch import SettingsWatch
 from leadseam.routing.client import UpstreamClient
 from leadseam.routing.entry_room import EntryRooms
@@ -29,12 +33,14 @@
 from leadseam.runtime.peer_guard import PeerGuard
 from leadseam.runtime.suspension import SuspensionWatch
 from leadseam.wire.feed import EntryRoom, PartInterest
+from leadseam.wire.link import listen
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
     from pathlib import Path
 
     from aiohttp.web import AppRunner
+    from websockets.asyncio.server import Server
 
     from leadseam.control.configuration import Configuration
     from leadseam.control.routes import CallerLimits
@@ -56,6 +62,8 @@
 STOP_RESERVE: Millis = 700
 """Time reserved for an orderly shutdown before the platform kills the process."""
 DRAIN_POLL: Millis = 50
+MILLICORES = 1_000
+"""Thousandths of a core."""
 
 log = logging.getLogger(__name__)
 
@@ -113,6 +121,17 @@
         )
         self._staleness = Staleness(self._feed, self._clock)
         self._watch = SettingsWatch(path, settings, self._on_settings)
+        internal = settings.internal_endpoint(settings.ip)
+        self._address = f"{internal.ip}:{internal.port}"
+        self._targets = HandOverTargets(settings.failure_domain, self._address)
+        self._sender = HandOverSender(
+            self._targets,
+            guard=self._guard,
+            clock=self._clock,
+            metrics=self._metrics,
+            encode=encode_refusal,
+        )
+        self._links: Server | None = None
         self._client: UpstreamClient | None = None
         self._gateway: Gateway | None = None
         self._front: FrontServer | None = None
@@ -143,14 +162,24 @@
                 settings.failure_domain,
                 enabled=settings.processor_share > 0 and settings.memory_mb > 0,
             ),
+            targets=self._targets,
         )
         self._front = FrontServer(
             self._gateway.handle,
             guard=self._guard,
-            refuse=self._gateway.refuse_early,
+            decide=self._gateway.decide_early,
+            pass_on=self._sender.hand_over,
             limits=self._caller_limits,
             on_refusal=self._gateway.count_refusal,
         )
+        receiver = HandOverReceiver(
+            self._front.make_handed_connection,
+            lambda: not self._readiness(),
+            self._metrics,
+        )
+        self._links = await listen(
+            settings.ip, settings.internal_port, receiver.serve, self._metrics.traffic
+        )
         await self._front.start(settings.front)
         await self._ready.start(settings.ready)
         self._admin = await serve_admin(
@@ -166,6 +195,7 @@
             group.create_task(self._watch.run())
             group.create_task(self._sweep())
             group.create_task(self._report_load())
+            group.create_task(self._sender.run())
             group.create_task(self._send_part_interest())
             group.create_task(self._lag.run())
             group.create_task(self._guard.run())
@@ -184,17 +214,23 @@
         deadline = started + self._settings.grace - STOP_RESERVE
         await sleep(STOP_NOTICE)
         await self._front.close_idle()
-        while self._gateway.in_flight and self._clock.now() < deadline:
+        while self._in_flight() and self._clock.now() < deadline:
             await sleep(DRAIN_POLL)
         extra = {
-            "in_flight": self._gateway.in_flight,
+            "in_flight": self._in_flight(),
             "ms": self._clock.now() - started,
         }
         log.info("drained", extra=extra)
 
+    def _in_flight(self) -> int:
+        """Return the number of callers' requests that have not ended."""
+        assert self._gateway is not None
+        return self._gateway.in_flight + self._sender.handed
+
     async def stop(self) -> None:
         """Close all sockets."""
-
+        if self._links is not None:
+            self._links.close()
         if self._front is not None:
             await self._front.stop()
         if self._client is not None:
@@ -257,7 +293,12 @@
         # After a long iteration of the loop, this may run before the measurement.
         self._room.record_lag(self._lag.millis)
         has_room = self._room.has_room() and not self._readiness()
-        return EntryRoom(self._settings.failure_domain, has_room)
+        return EntryRoom(
+            self._settings.failure_domain,
+            has_room,
+            self._address if self._links is not None else "",
+            round(self._settings.processor_share * MILLICORES),
+        )
 
     def _caller_limits(self) -> CallerLimits:
         configuration = self._feed.configuration
@@ -281,7 +322,10 @@
         assert self._gateway is not None
         own = self._gateway.placer.apply_sums(included, sums)
         own_room = own.room if own is not None else None
-        self._gateway.rooms.apply(sums.rooms, own_room, self._clock.now())
+        now = self._clock.now()
+        self._gateway.rooms.apply(sums.rooms, own_room, now)
+        if self._gateway.rooms.enabled:
+            self._targets.apply(sums.offers, now)
 
     def _end_attempts(self, ended_incarnations: Iterable[Incarnation]) -> None:
         assert self._gateway is not None
--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -1,10 +1,11 @@
-"""Early refusal of the first request of a connection, from its raw bytes.
+"""Early decision on the first request of a connection, from its raw bytes.
 
 A busy entry refuses many requests. Answering one through the HTTP library takes a task,
 a parser and a response object, which costs twice as much as searching the head for a
 few fields. At hundreds of refusals a second, little processor time would be left for
 the requests that the entry can serve. So the first request of a connection may be
-refused from its bytes; every other request goes to the library unchanged.
+refused from its bytes, or its connection handed over to another entry; every other
+request goes to the library unchanged.
 """
 
 from __future__ import annotations
@@ -14,6 +15,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
 
+from leadseam.handover.targets import HandOver
+from leadseam.outcome import NotRun
 from leadseam.platform import names
 from leadseam.platform.headers import read_key, read_number, read_tokens
 from leadseam.platform.refusal import encode_refusal
@@ -25,11 +28,14 @@
 
     from aiohttp.web_protocol import RequestHandler
 
-    from leadseam.outcome import NotRun
+    from leadseam.clock import Millis
     from leadseam.peers.account import Holding, Shortage
     from leadseam.runtime.peer_guard import PeerGuard
 
-    Refuse = Callable[[Sender], NotRun | None]
+    Decide = Callable[[Sender], NotRun | HandOver | None]
+    PassOn = Callable[
+        [HandOver, asyncio.Transport, Holding, bytes, Millis | None], bool
+    ]
 
 HEAD_TERMINATOR = b"\r\n\r\n"
 _FIELD = re.compile(
@@ -85,10 +91,10 @@
     length = fields.get(b"content-length", "0")
     if not _LENGTH.fullmatch(length) or len(body) > int(length):
         return None
-    return FirstHead(_sender(fields), int(length) - len(body))
+    return FirstHead(_sender(fields, int(length)), int(length) - len(body))
 
 
-def _sender(fields: dict[bytes, str]) -> Sender:
+def _sender(fields: dict[bytes, str], body_size: int) -> Sender:
     def field(name: str) -> str:
         return fields.get(name.lower().encode(), "")
 
@@ -99,18 +105,24 @@
         tokens_in=tokens_in,
         tokens_out=tokens_out,
         max_wait=read_number(field(names.DEADLINE) or None),
+        body_size=body_size,
     )
 
 
 class FirstBytes(asyncio.Protocol):
-    """Refuses the first request of a connection, or hands it over to the HTTP library.
+    """Refuses the first request of a connection, or passes the connection on.
+
+    It goes to the HTTP library, or to another entry.
 
     Args:
         make_handler: Creates the library's protocol for the holding of a connection.
         guard: Account of the process.
-        refuse: Returns the refusal of a request, or None if it is to be served.
+        decide: Returns the refusal of a request, where to hand its connection over, or
+            None if it is to be served.
+        pass_on: Hands a connection over with the first bytes of its request; returns
+            whether it did.
         waiting: Set that holds this connection until its first request is refused or
-            handed over.
+            passed on.
 
     Attributes:
         since: When the connection was opened, by the event loop's time in seconds.
@@ -120,13 +132,15 @@
         self,
         make_handler: Callable[[Holding], RequestHandler],
         guard: PeerGuard,
-        refuse: Refuse,
+        decide: Decide,
+        pass_on: PassOn,
         waiting: set[FirstBytes],
     ) -> None:
         self._make_handler = make_handler
         self._guard = guard
         self._holding: Holding | None = None
-        self._refuse = refuse
+        self._decide = decide
+        self._pass_on = pass_on
         self._waiting = waiting
         self._transport: asyncio.Transport | None = None
         self.since = asyncio.get_running_loop().time()
@@ -153,7 +167,7 @@
         self.close()
 
     def data_received(self, data: bytes) -> None:
-        """Refuse the request, drain its body, or hand the connection over."""
+        """Refuse the request, drain its body, or pass the connection on."""
         if self._holding is None:
             return
         if self._response:
@@ -163,13 +177,18 @@
             self._respond_if_read()
             return
         head = read_first_head(data)
-        refusal = self._refuse(head.sender) if head is not None else None
-        if head is None or refusal is None:
-            self._hand_over(data)
-            return
-        self._response = encode_refusal(refusal)
-        self._body_left = head.body_left
-        self._respond_if_read()
+        decision = self._decide(head.sender) if head is not None else None
+        match decision:
+            case NotRun():
+                assert head is not None
+                self._response = encode_refusal(decision)
+                self._body_left = head.body_left
+                self._respond_if_read()
+            case HandOver():
+                assert head is not None
+                self._to_other_entry(decision, head.sender, data)
+            case None:
+                self._to_library(data)
 
     def close(self) -> None:
         """Close the connection."""
@@ -182,7 +201,17 @@
             self._transport.write(self._response)
             self.close()
 
-    def _hand_over(self, data: bytes) -> None:
+    def _to_other_entry(self, decision: HandOver, sender: Sender, data: bytes) -> None:
+        assert self._transport is not None
+        assert self._holding is not None
+        if self._pass_on(
+            decision, self._transport, self._holding, data, sender.max_wait
+        ):
+            self._stop_waiting()
+        else:
+            self._to_library(data)
+
+    def _to_library(self, data: bytes) -> None:
         assert self._transport is not None
         assert self._holding is not None
         self._stop_waiting()
--- a/src/leadseam/platform/front.py
+++ b/src/leadseam/platform/front.py
@@ -32,10 +32,9 @@
     from aiohttp.streams import StreamReader
     from aiohttp.web_protocol import RequestHandler
 
-    from leadseam.outcome import NotRun, Reason
+    from leadseam.outcome import Reason
     from leadseam.peers.account import Holding
-    from leadseam.platform.first_bytes import Refuse
-    from leadseam.routing.dialect import Sender
+    from leadseam.platform.first_bytes import Decide, PassOn
     from leadseam.settings.models import Endpoint
 
     Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -64,18 +63,15 @@
 flood opens 1,000 connections a second."""
 
 
-def _never_refuse(_: Sender) -> NotRun | None:
-    return None
-
-
-class _EarlyRefusalServer(web.Server):
-    """HTTP server that can refuse the first request of a connection early."""
+class _EarlyDecisionServer(web.Server):
+    """HTTP server that can refuse or pass on the first request of a connection."""
 
     def __init__(
         self,
         handler: Handler,
         *,
-        refuse: Refuse,
+        decide: Decide,
+        pass_on: PassOn,
         waiting: set[FirstBytes],
         limits: Limits,
         on_refusal: Callable[[Reason], None],
@@ -94,7 +90,8 @@
             access_log=None,
             lingering_time=0.5,
         )
-        self._refuse = refuse
+        self._decide = decide
+        self._pass_on = pass_on
         self._waiting = waiting
         self._limits = limits
         self._on_refusal = on_refusal
@@ -102,10 +99,22 @@
 
     def __call__(self) -> FirstBytes:  # type: ignore[override]
         return FirstBytes(
-            self._make_connection, self._guard, self._refuse, self._waiting
+            self.make_connection,
+            self._guard,
+            self._decide,
+            self._pass_on,
+            self._waiting,
         )
 
-    def _make_connection(self, holding: Holding) -> CallerConnection:
+    def make_connection(
+        self, holding: Holding | None, *, is_handed: bool = False
+    ) -> CallerConnection:
+        """Return the protocol of a connection.
+
+        Args:
+            holding: Its holding, or None to open one.
+            is_handed: Whether another entry hands it over, with one request.
+        """
         return CallerConnection(
             self,
             loop=self._loop,
@@ -114,6 +123,7 @@
             max_body=self._limits().body_bytes,
             limits=self._limits,
             on_refusal=self._on_refusal,
+            is_handed=is_handed,
             **self._kwargs,
         )
 
@@ -141,8 +151,9 @@
 
     Args:
         handler: Serves a request.
-        refuse: Returns the refusal of the first request of a connection, or None if it
-            is to be served. By default nothing is refused.
+        decide: Returns the refusal of the first request of a connection, where to hand
+            the connection over, or None if it is to be served. By default all are.
+        pass_on: Hands a connection over to another entry. By default it does not.
         limits: Returns the limits in force, of which each may be 0 for none.
         on_refusal: Called with the reason of each refusal by these limits.
         guard: Account of the process that connections are charged to. Defaults to one
@@ -154,7 +165,8 @@
         handler: Handler,
         *,
         guard: PeerGuard | None = None,
-        refuse: Refuse = _never_refuse,
+        decide: Decide = lambda _: None,
+        pass_on: PassOn = lambda *_: False,
         limits: Limits = lambda: UNCONFIGURED,
         on_refusal: Callable[[Reason], None] = lambda _: None,
     ) -> None:
@@ -164,9 +176,10 @@
         self._closed: set[object] = set()
         self._limits = limits
         self._sweeper: asyncio.Task[None] | None = None
-        self._server = _EarlyRefusalServer(
+        self._server = _EarlyDecisionServer(
             self._handle,
-            refuse=refuse,
+            decide=decide,
+            pass_on=pass_on,
             waiting=self._waiting,
             limits=limits,
             on_refusal=on_refusal,
@@ -208,6 +221,10 @@
         """Open connections of callers."""
         return [*self._waiting, *self._server.connections]
 
+    def make_handed_connection(self) -> RequestHandler:
+        """Return the protocol of a connection that another entry hands over."""
+        return self._server.make_connection(None, is_handed=True)
+
     async def close_idle(self) -> None:
         """Stop accepting, and close each connection after its current request."""
         for site in self._sites:
--- a/src/leadseam/routing/account_log.py
+++ b/src/leadseam/routing/account_log.py
@@ -44,12 +44,15 @@
         placed: Service of the requests that were sent to an upstream, in tokens.
         largest: Service of the largest request that arrived, in tokens.
         refused: Number of refused requests by reason.
+        handed: Number of requests that were handed over to other entries, which count
+            their service.
     """
 
     requested: int = 0
     placed: int = 0
     largest: int = 0
     refused: Counter[str] = field(default_factory=Counter)
+    handed: int = 0
 
 
 @dataclass(slots=True)
@@ -106,6 +109,10 @@
         """Count a request that was refused."""
         self._counts(account).refused[reason.value] += 1
 
+    def record_handed(self, account: str) -> None:
+        """Count a request that was handed over to another entry."""
+        self._counts(account).handed += 1
+
     def record_connection(self, *, refused: bool) -> None:
         """Count the first request of a connection.
 
@@ -185,6 +192,7 @@
             "placed": counts.placed,
             "largest": counts.largest,
             "refused": dict(counts.refused),
+            "handed": counts.handed,
             "served_of_late": self._usage.recent_service(name, now),
             "asked_of_late": self._usage.recently_requested(name, now),
             "standing": self._usage.standing(name, now).name.lower(),
--- a/src/leadseam/routing/dialect.py
+++ b/src/leadseam/routing/dialect.py
@@ -42,6 +42,7 @@
         tokens_out: Maximum number of tokens to generate; 0 if not read.
         max_wait: Milliseconds that the caller waits for an answer, or None if not
             stated.
+        body_size: Announced size of the body in bytes; 0 if not read.
     """
 
     request_id: str
@@ -49,6 +50,7 @@
     tokens_in: int = 0
     tokens_out: int = 0
     max_wait: Millis | None = None
+    body_size: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/leadseam/routing/gateway.py
+++ b/src/leadseam/routing/gateway.py
@@ -14,6 +14,7 @@
 from leadseam.answer_head import HeadFault
 from leadseam.clock import seconds
 from leadseam.entry.error_responses import error_response
+from leadseam.handover.targets import MAX_HANDED_BODY, HandOver, HandOverTargets
 from leadseam.outcome import NotRun, Reason
 from leadseam.routing.admitted import AdmittedRequest
 from leadseam.routing.attempt import (
@@ -48,6 +49,7 @@
 from leadseam.routing.usage import Standing
 from leadseam.runtime.held_connection import (
     BodyTimeoutError,
+    HeldBaseRequest,
     MalformedBodyError,
     RequestShedError,
 )
@@ -124,6 +126,7 @@
         failure_domain: Failure domain of this entry, or an empty string.
         holders: Prompt parts that engines hold. Defaults to an empty table.
         rooms: Which entries have room for callers of this one. By default none.
+        targets: Entries that connections may be handed over to. By default none.
     """
 
     def __init__(
@@ -142,6 +145,7 @@
         failure_domain: str = "",
         holders: PartHolders | None = None,
         rooms: EntryRooms | None = None,
+        targets: HandOverTargets | None = None,
     ) -> None:
         self.dialect = dialect
         self.client = client
@@ -155,6 +159,7 @@
         self._lag = lag
         self._busy_period = BusyPeriod()
         self.rooms = rooms or EntryRooms()
+        self._targets = targets or HandOverTargets()
         self._connections = connections
         self._first_configuration = FirstConfiguration(feed)
         self.restarts = Restarts()
@@ -208,30 +213,40 @@
         self.set_keep_alive(response)
         return response
 
-    def refuse_early(self, sender: Sender) -> NotRun | None:
-        """Refuse a request by its head alone, if the event loop lags too much.
+    def decide_early(self, sender: Sender) -> NotRun | HandOver | None:
+        """Decide on a request by its head alone, if the event loop lags too much.
 
-        The rules are those of `_serve`. The work of an account that is refused although
-        it may be within its share is counted as requested, unless the caller is
-        redirected: then the entry that it reaches counts it.
+        A request that may be served is handed over if another entry has room. Else the
+        rules are those of `_serve`. The work of an account that is refused although it
+        may be within its share is counted as requested, unless the caller is redirected
+        or handed over: then the entry that serves it counts it.
+
+        Returns:
+            The refusal, where to hand the connection over, or None to serve it here.
         """
-        refusal = self._decide_early(sender)
-        self.placer.account_log.record_connection(refused=refusal is not None)
-        return refusal
+        decision = self._decide_early(sender)
+        refused = isinstance(decision, NotRun)
+        self.placer.account_log.record_connection(refused=refused)
+        return decision
 
-    def _decide_early(self, sender: Sender) -> NotRun | None:
+    def _decide_early(self, sender: Sender) -> NotRun | HandOver | None:
         lag = self._lag.millis
         account = self._account_of(sender) if lag > EXCESS_LAG else None
         if account is None:
             return None
         now = self.now()
         exceeds_share = self._exceeds_share(account, now)
+        service = expected_service_of_tokens(sender.tokens_in, sender.tokens_out)
+        if not exceeds_share and sender.body_size <= MAX_HANDED_BODY:
+            handed = self._targets.choose(now)
+            if handed is not None:
+                self.placer.record_handed(account, service, now)
+                return handed
         redirects = self._redirects(account, now)
         busy = redirects or self._is_too_busy_for(account, now)
         if not exceeds_share and not busy:
             return None
         if not exceeds_share and not redirects:
-            service = expected_service_of_tokens(sender.tokens_in, sender.tokens_out)
             self.placer.record_requested_service(account, service, now)
         refusal = self._busy_refusal(account, sender.max_wait, redirects=redirects)
         self._note_refusal(sender, refusal, now)
@@ -279,7 +294,7 @@
             sender = self.dialect.read_sender(http)
             account = self._account_of(sender)
             if self._exceeds_share(account, arrived):
-                redirects = self._redirects(account, arrived)
+                redirects = not _is_handed(http) and self._redirects(account, arrived)
                 refusal = self._busy_refusal(
                     account, sender.max_wait, redirects=redirects
                 )
@@ -296,7 +311,7 @@
         body = await self._read_body(http, req)
         if isinstance(body, NotRun):
             return self._refuse(Sender(req.request_id, req.key), body, arrived)
-        admitted = self._admit(req, body, arrived)
+        admitted = self._admit(req, body, arrived, is_handed=_is_handed(http))
         if isinstance(admitted, AdmittedRequest) and admitted.resumes_stream:
             admitted = await self._origins.bind(admitted, now=self.now())
         if isinstance(admitted, NotRun):
@@ -358,7 +373,12 @@
     # Admission
 
     def _admit(
-        self, req: RoutedRequest, body: bytes, arrived: Millis
+        self,
+        req: RoutedRequest,
+        body: bytes,
+        arrived: Millis,
+        *,
+        is_handed: bool = False,
     ) -> AdmittedRequest | NotRun:
         route = self._find_route(req)
         if isinstance(route, NotRun):
@@ -374,7 +394,12 @@
         name = admitted.account
         # Reading the body may have taken long, so rooms are judged now.
         now = self.now()
-        redirects = self._lag.millis > EXCESS_LAG and self._redirects(name, now)
+        # The caller of a handed request would return to the entry that handed it over.
+        redirects = (
+            not is_handed
+            and self._lag.millis > EXCESS_LAG
+            and self._redirects(name, now)
+        )
         busy = redirects or self._is_too_busy_for(name, now)
         if name is not None and not redirects:
             self.placer.record_request(name, req, arrived)
@@ -654,3 +679,8 @@
         if isinstance(outcome, NotRun) and outcome.retry_after is not None:
             response.headers.update(self.dialect.retry_after(outcome.retry_after))
         return response
+
+
+def _is_handed(http: web.BaseRequest) -> bool:
+    """Return whether another entry has handed the connection of a request over."""
+    return isinstance(http, HeldBaseRequest) and http.is_handed
--- a/src/leadseam/routing/placer.py
+++ b/src/leadseam/routing/placer.py
@@ -175,6 +175,11 @@
         self._usage.record_requested(account, service, now)
         self.account_log.record_requested(account, service)
 
+    def record_handed(self, account: str, service: int, now: Millis) -> None:
+        """Count a request of a client account that is handed over to another entry."""
+        self._usage.record_handed(account, service, now)
+        self.account_log.record_handed(account)
+
     def standing(self, account: str, now: Millis) -> Standing:
         """Return the standing of a client account, which limits what it may claim."""
         return self._usage.standing(account, now)
--- a/src/leadseam/routing/usage.py
+++ b/src/leadseam/routing/usage.py
@@ -132,6 +132,7 @@
 class _Account:
     served: _DecayingSum = field(default_factory=_DecayingSum)
     requested: _DecayingSum = field(default_factory=_DecayingSum)
+    handed: _DecayingSum = field(default_factory=_DecayingSum)
 
 
 @dataclass(slots=True)
@@ -213,6 +214,10 @@
         """Count the service of a request that arrived."""
         self._account(account).requested.add(service, now)
 
+    def record_handed(self, account: str, service: int, now: Millis) -> None:
+        """Count the service of a request that another entry counts as requested."""
+        self._account(account).handed.add(service, now)
+
     def record_served(self, account: str, service: int, now: Millis) -> None:
         """Count the service of a request that was sent to an upstream."""
         self._account(account).served.add(service, now)
@@ -229,13 +234,16 @@
     def uses_other_entries(self, account: str, now: Millis) -> bool:
         """Return whether other entries get a fair part of an account's requests.
 
-        All callers of some accounts use one entry, and retry there.
+        All callers of some accounts use one entry, and retry there. Requests that this
+        entry hands over are its own.
         """
         others = self._others.get(account) if self._has_current_totals(now) else None
         if others is None:
             return False
-        own = self._account(account).requested.value_at(now)
-        return others.requested >= MIN_ELSEWHERE_PART * (own + others.requested)
+        handed = self._account(account).handed.value_at(now)
+        elsewhere = max(others.requested - handed, 0)
+        own = self._requested_here(account, now)
+        return elsewhere >= MIN_ELSEWHERE_PART * (own + elsewhere)
 
     def is_within_entry_share(self, account: str, now: Millis) -> bool:
         """Return whether others use up this entry, and not this account.
@@ -246,7 +254,7 @@
         level = self._current_entry_level(now)
         if level == float("inf"):
             return False
-        return self._account(account).requested.value_at(now) <= level
+        return self._requested_here(account, now) <= level
 
     def recently_requested(self, account: str, now: Millis) -> int:
         """Return the service that an account recently requested, as far as is known."""
@@ -281,7 +289,7 @@
             requested = round(account.requested.value_at(now))
             if served or requested:
                 rows.append(UsageRow(name, served, requested))
-            else:
+            elif not round(account.handed.value_at(now)):
                 del self._own[name]
         return tuple(rows)
 
@@ -321,9 +329,15 @@
             self._entry_level_at = now
             rows = self.rows(now)
             served = sum(row.served for row in rows)
-            self._entry_level = fair_level((row.requested for row in rows), served)
+            requested = [round(self._requested_here(row.account, now)) for row in rows]
+            self._entry_level = fair_level(requested, served)
         return self._entry_level
 
+    def _requested_here(self, account: str, now: Millis) -> float:
+        """Return the recent service that callers requested at this entry."""
+        found = self._account(account)
+        return found.requested.value_at(now) + found.handed.value_at(now)
+
     def _account(self, name: str) -> _Account:
         return self._own.setdefault(name, _Account())
 
--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -84,6 +84,11 @@
         """Whether the connection may be used again."""
         return super().keep_alive and not self._held.closes
 
+    @property
+    def is_handed(self) -> bool:
+        """Whether another entry accepted the connection and hands it over."""
+        return self._held.is_handed
+
     @property
     def _held(self) -> HeldConnection:
         assert isinstance(self._protocol, HeldConnection)
@@ -118,6 +123,7 @@
         guard: Account of the process.
         holding: Holding of the connection, or None to open one.
         max_body: Largest body that is collected, in bytes; 0 for no limit.
+        is_handed: Whether another entry hands the connection over, with one request.
     """
 
     def __init__(
@@ -126,10 +132,12 @@
         guard: PeerGuard,
         holding: Holding | None = None,
         max_body: int = 0,
+        is_handed: bool = False,
         **kwargs: Any,
     ) -> None:
         super().__init__(*args, **kwargs)
         self.max_body = max_body
+        self.is_handed = is_handed
         self._guard = guard
         self._holding = holding
         self._dropping = False
@@ -256,7 +264,12 @@
     @property
     def closes(self) -> bool:
         """Whether the connection closes with the response."""
-        return self._closes or self._dropping or self._head_price > LARGE_HEAD
+        return (
+            self._closes
+            or self.is_handed
+            or self._dropping
+            or self._head_price > LARGE_HEAD
+        )
 
     async def read_body(self, payload: StreamReader, limit: int) -> bytes:
         """Return the body of the request that runs, once it is complete.
--- a/src/leadseam/runtime/sockets.py
+++ b/src/leadseam/runtime/sockets.py
@@ -11,6 +11,8 @@
 
 _LINGER_NONE = struct.pack("ii", 1, 0)
 """`SO_LINGER` with a time of zero, with which a close resets the connection."""
+RESET = "reset"
+"""Extra information of a transport without a socket: a function that resets it."""
 
 
 def reset_connection(transport: asyncio.Transport) -> None:
@@ -18,6 +20,10 @@
 
     Bytes that have not been delivered yet may be lost.
     """
+    reset = transport.get_extra_info(RESET)
+    if reset is not None:
+        reset()
+        return
     sock = transport.get_extra_info("socket")
     if sock is not None:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
--- a/src/leadseam/wire/feed.py
+++ b/src/leadseam/wire/feed.py
@@ -229,10 +229,29 @@
     Args:
         failure_domain: Failure domain of its box.
         has_room: Whether it can take more requests than it gets.
+        address: Internal address at which it takes connections over, as "IP:PORT";
+            empty if it takes none.
+        processor_share: Processor time that it may use, in thousandths of a core.
     """
 
     failure_domain: str
     has_room: bool
+    address: str = ""
+    processor_share: int = 0
+
+
+class RoomOffer(Record, frozen=True, array_like=True):
+    """An entry with room that takes over connections of busy ones.
+
+    Args:
+        failure_domain: Failure domain of its box.
+        address: Its internal address, as "IP:PORT".
+        processor_share: Processor time that it may use, in thousandths of a core.
+    """
+
+    failure_domain: str
+    address: str
+    processor_share: int
 
 
 class DomainRoom(Record, frozen=True, array_like=True):
@@ -275,11 +294,14 @@
         rows: Upstreams with requests in flight.
         usage: Client accounts with recent requests.
         rooms: Failure domains with entries that report their room.
+        offers: Some of the entries with room that take connections over, of those that
+            report to the sending replica.
     """
 
     rows: tuple[LoadRow, ...]
     usage: tuple[UsageRow, ...]
     rooms: tuple[DomainRoom, ...] = ()
+    offers: tuple[RoomOffer, ...] = ()
 
 
 class LoadTotals(Message, frozen=True, array_like=True, tag=44):
--- a/src/leadseam/wire/messages.py
+++ b/src/leadseam/wire/messages.py
@@ -54,6 +54,7 @@
     Snapshot,
     Subscribe,
 )
+from leadseam.wire.handover import ConnectionRows
 from leadseam.wire.record import Message
 from leadseam.wire.versions import FindStream, StreamFound, StreamsBegan, Versions
 
@@ -126,4 +127,5 @@
     | Join
     | Forward
     | ForwardReply
+    | ConnectionRows
 )
--- a/tests/feed/test_load_aggregator.py
+++ b/tests/feed/test_load_aggregator.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from leadseam.feed.load_aggregator import LoadAggregator
+from leadseam.handover.targets import MAX_OFFERS
 from leadseam.wire.codec import decode
 from leadseam.wire.feed import DomainRoom, EntryRoom, LoadReport, LoadSums
 
@@ -43,3 +44,35 @@
 
 def test_a_report_of_an_entry_of_an_earlier_version_has_no_room() -> None:
     assert decode(b"\x84\x18\x27\x01\x80\x80", LoadReport).room is None
+
+
+def offers_of(aggregator: LoadAggregator) -> list[str]:
+    """Return the addresses of the entries that the next totals name."""
+    totals = next(iter(aggregator.totals(0).values()))
+    return [offer.address for offer in decode(totals.data, LoadSums).offers]
+
+
+def test_totals_name_entries_with_room_that_take_connections_over() -> None:
+    aggregator = LoadAggregator()
+    rooms = [
+        EntryRoom("a", True, "10.0.0.1:7000", 300),
+        EntryRoom("a", False, "10.0.0.2:7000", 300),
+        EntryRoom("b", True, "10.0.0.3:7000", 900),
+        # Entries of an earlier version take none over.
+        EntryRoom("a", True),
+    ]
+    for number, room in enumerate(rooms):
+        aggregator.update(number, report(room), 0)
+    assert offers_of(aggregator) == ["10.0.0.1:7000", "10.0.0.3:7000"]
+    # Other domains get the rooms only.
+    assert aggregator.sums().offers == ()
+
+
+def test_totals_name_the_entries_of_a_large_domain_in_turn() -> None:
+    aggregator = LoadAggregator()
+    for number in range(3 * MAX_OFFERS):
+        room = EntryRoom("a", True, f"10.0.0.{number}:7000", 300)
+        aggregator.update(number, report(room), 0)
+    named = [offers_of(aggregator) for _ in range(3)]
+    assert {len(offers) for offers in named} == {MAX_OFFERS}
+    assert len({address for offers in named for address in offers}) == 3 * MAX_OFFERS
--- a/tests/platform/test_first_bytes.py
+++ b/tests/platform/test_first_bytes.py
@@ -12,6 +12,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
@@ -44,7 +45,8 @@
 
 def test_a_head_yields_sender_and_token_counts() -> None:
     assert head_of() == FirstHead(SENDER, 0)
-    assert head_of(b"Content-Length: 12", body=b"12345") == FirstHead(SENDER, 7)
+    expected = FirstHead(replace(SENDER, body_size=12), 7)
+    assert head_of(b"Content-Length: 12", body=b"12345") == expected
 
 
 @pytest.mark.parametrize(
@@ -79,7 +81,7 @@
         self.is_busy = True
         self.seen: list[Sender] = []
         self.served: list[bytes] = []
-        self.front = FrontServer(self._handle, refuse=self._refuse)
+        self.front = FrontServer(self._handle, decide=self._refuse)
         ports = PortPool()
         self.port = ports.reserve()
         ports.release(self.port)
@@ -130,7 +132,7 @@
     assert json.loads(body)["error"]["outcome"] == "not_run"
     assert f"Content-Length: {len(body)}".encode() in head
     assert server.served == []
-    assert server.seen == [SENDER]
+    assert server.seen == [replace(SENDER, body_size=6)]
     assert server.front.connections == []
     writer.close()
 
--- a/tests/platform/test_flooded_entry.py
+++ b/tests/platform/test_flooded_entry.py
@@ -16,6 +16,7 @@
 import time
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -158,7 +159,7 @@
         assert await platform.operator.replace(document(2, tenants=accounts)) == 200
         for ip in platform.entry_ips:
             await wait_until(
-                lambda ip=ip: _is_known(platform, ip), "both accounts are known"
+                partial(_is_known, platform, ip), "both accounts are known"
             )
         yield platform
     finally:
--- a/tests/routing/busy_entries.py
+++ b/tests/routing/busy_entries.py
@@ -21,6 +21,7 @@
 from leadseam.feed.entry_count import EntryCount
 from leadseam.feed.load_aggregator import LoadAggregator
 from leadseam.membership.view import UpstreamView
+from leadseam.outcome import NotRun
 from leadseam.routing.balance import expected_service_of_tokens
 from leadseam.routing.dialect import Sender
 from leadseam.routing.entry_room import LAST_PAUSE, EntryRooms
@@ -37,7 +38,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from leadseam.outcome import NotRun
 
 DOMAIN = "a"
 ENTRIES = 8
@@ -242,8 +242,9 @@
             return 0
         now = self.clock.now()
         sender = Sender("r", account, tokens_in=TOKENS, tokens_out=0)
-        refusal: NotRun | None = entry.gateway.refuse_early(sender)
+        refusal = entry.gateway.decide_early(sender)
         if refusal is not None:
+            assert isinstance(refusal, NotRun)
             await entry.processor.work(REFUSE_COST)
             assert refusal.retry_after is not None
             self.refusals.append(Refusal(now, refusal.retry_after))
--- a/tests/routing/test_account_log.py
+++ b/tests/routing/test_account_log.py
@@ -38,6 +38,7 @@
     account_log.record_connection(refused=True)
     account_log.record_connection(refused=False)
     account_log.record_requested("menus", 300)
+    account_log.record_handed("menus")
     account_log.record_placed("menus", 200)
     account_log.record_refusal("menus", Reason.UPSTREAM_FULL)
     account_log.record_refusal("menus", Reason.ENTRY_BUSY)
@@ -56,6 +57,7 @@
             "placed": 200,
             "largest": 300,
             "refused": {"upstream_full": 1, "entry_busy": 1},
+            "handed": 1,
             "served_of_late": 900,
             "asked_of_late": 2_000,
             "standing": "stopped",
--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -116,8 +116,8 @@
 
     def early_pause(self, account: str) -> int | None:
         """Return the pause of an early refusal, or None if there is none."""
-        refusal = self.gateway.refuse_early(Sender("r-1", account))
-        return refusal.retry_after if refusal is not None else None
+        refusal = self.gateway.decide_early(Sender("r-1", account))
+        return refusal.retry_after if isinstance(refusal, NotRun) else None
 
     async def serve(self, account: str) -> web.StreamResponse:
         """Serve a request of an account."""
@@ -283,7 +283,7 @@
     req = replace(make_request("system", "own"), key="small")
     assert isinstance(entry.gateway._admit(req, b"", 1_000), NotRun)
     sender = Sender("r-1", "small", tokens_in=100, tokens_out=50)
-    assert entry.gateway.refuse_early(sender) is not None
+    assert entry.gateway.decide_early(sender) is not None
     assert entry.gateway.placer.load_report().usage == ()
 
 
