--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -21,7 +21,7 @@
 from leadseam.platform.headers import read_key, read_number, read_tokens
 from leadseam.platform.refusal import encode_refusal
 from leadseam.routing.dialect import Sender
-from leadseam.runtime.held_connection import open_holding
+from leadseam.runtime.held_connection import CONNECTION_PRICE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -150,7 +150,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the first bytes, or close if there is no room for a connection."""
         self._transport = cast("asyncio.Transport", transport)
-        self._holding = open_holding(self._guard, self, transport)
+        self._holding = self._guard.open(self, "", CONNECTION_PRICE)
         if self._holding is None:
             self._transport.close()
             return
--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -175,6 +175,8 @@
         if self._holding is None:
             self._holding = open_holding(self._guard, self, transport)
         else:
+            # The address is only looked up of connections that stay.
+            self._holding.address = _address(transport)
             self._guard.hand_over(self._holding, self)
         if self._holding is None:
             self.drop()
@@ -605,9 +607,12 @@
     guard: PeerGuard, conn: Any, transport: asyncio.BaseTransport
 ) -> Holding | None:
     """Charge a new connection; return None if it has to be closed."""
+    return guard.open(conn, _address(transport), CONNECTION_PRICE)
+
+
+def _address(transport: asyncio.BaseTransport) -> str:
     peer = transport.get_extra_info("peername")
-    address = str(peer[0]) if peer else ""
-    return guard.open(conn, address, CONNECTION_PRICE)
+    return str(peer[0]) if peer else ""
 
 
 class HeldAppRunner(web.AppRunner):
