Test whom a busy entry hands over, and whose requests these are; three broken variants

Handing over replaces refusals of requests that may be served only: accounts beyond their share, large bodies and entries without lag stay as they were.

--- a/tests/routing/test_gateway.py
+++ b/tests/routing/test_gateway.py
@@ -18,6 +18,7 @@
 from leadseam.control.configuration import Account, Configuration
 from leadseam.event_sequence import EventFault, SpoiltEvent
 from leadseam.feed.entry_count import EntryCount
+from leadseam.handover.targets import MAX_HANDED_BODY, HandOver, HandOverTargets
 from leadseam.incarnation import Incarnation
 from leadseam.membership.view import UpstreamView
 from leadseam.outcome import NotRun, Reason
@@ -37,7 +38,7 @@
 from leadseam.routing.usage import Standing
 from leadseam.runtime.logs import MAX_LINES_PER_SECOND
 from leadseam.runtime.metrics import Metrics, RoutingMetrics
-from leadseam.wire.feed import DomainRoom, EntryRoom, LoadSums, UsageRow
+from leadseam.wire.feed import DomainRoom, EntryRoom, LoadSums, RoomOffer, UsageRow
 from tests.routing.samples import (
     make_admitted,
     make_head,
@@ -93,6 +94,7 @@
         self.connections = 0
         self.clock = ManualClock(1_000)
         self.rooms = EntryRooms("a", enabled=True)
+        self.targets = HandOverTargets("a", "own")
         self.gateway = Gateway(
             feed=cast("Any", feed),
             dialect=cast("Any", self.dialect),
@@ -104,8 +106,17 @@
             lag=cast("Any", self.lag),
             connections=lambda: self.connections,
             rooms=self.rooms,
+            targets=self.targets,
         )
 
+    def learn_target(self, address: str) -> None:
+        """Apply sums with an entry that offers room, and open a link to it."""
+        now = self.clock.now()
+        self.targets.apply([RoomOffer("a", address, 300)], now)
+        self.targets.choose(now)
+        for unlinked in self.targets.links_to_open(now):
+            self.targets.linked(unlinked)
+
     def learn_rooms(self, entries: int, with_room: int) -> None:
         """Apply sums that state the rooms of the entry's domain."""
         row = DomainRoom("a", entries, with_room)
@@ -408,3 +419,32 @@
     broken = Broken(Reason.UPSTREAM_BROKEN, head=HeadFault.OTHER_REQUEST)
     entry.gateway.note_ending(row, broken)
     assert entry.gateway.placer._candidates(Scope("p", version="v1")) == []
+
+
+def test_a_busy_entry_hands_over_what_may_be_served(entry: Entry) -> None:
+    entry.learn_rooms(8, 7)
+    entry.learn_target("other")
+    small = Sender("r-1", "small", tokens_in=100, tokens_out=50)
+    assert entry.gateway.decide_early(small) is None
+    entry.lag.millis = 11
+    assert entry.gateway.decide_early(small) == HandOver("other")
+    # The entry that serves the request counts it as requested.
+    assert entry.gateway.placer.load_report().usage == ()
+    large = entry.gateway.decide_early(replace(small, key="large"))
+    assert isinstance(large, NotRun)
+    # A caller is redirected if its body is too large to hand over.
+    body = entry.gateway.decide_early(replace(small, body_size=MAX_HANDED_BODY + 1))
+    assert isinstance(body, NotRun)
+
+
+def test_a_handed_request_is_not_redirected(entry: Entry) -> None:
+    # Its caller would come back to the entry that has handed it over.
+    entry.gateway._router = Router(
+        Configuration(accounts=ACCOUNTS, routes={"r": make_route("r", "/chat/", "p")})
+    )
+    req = replace(make_request("own"), key="small")
+    entry.lag.millis = 11
+    entry.learn_rooms(8, 7)
+    assert isinstance(entry.gateway._admit(req, b"", 0), NotRun)
+    handed = entry.gateway._admit(req, b"", 0, is_handed=True)
+    assert not isinstance(handed, NotRun)
--- a/tests/routing/test_usage.py
+++ b/tests/routing/test_usage.py
@@ -226,3 +226,20 @@
     used_part: float, reachable: int
 ) -> None:
     assert actual_capacity(FLOOD, 400, used_part) == reachable
+
+
+def test_handed_requests_are_those_of_the_entry_that_hands_them_over() -> None:
+    # An account whose callers use one entry only would seem to use others too, and its
+    # callers would be redirected, to the same entry.
+    table = UsageTable()
+    table.record_handed("flood", 1_000, 0)
+    table.apply_sums(
+        LoadSums((), (UsageRow("flood", 900, 1_000),)), None, capacity=0, now=0
+    )
+    assert not table.uses_other_entries("flood", 0)
+    # It still uses up this entry, although that counts nothing as requested.
+    table.record_requested("small", 50, 0)
+    table.record_served("flood", 120, 0)
+    assert table.is_within_entry_share("small", 0)
+    assert not table.is_within_entry_share("flood", 0)
+    assert table.rows(0) == (UsageRow("flood", 120, 0), UsageRow("small", 0, 50))
--- a/tools/mechanisms.py
+++ b/tools/mechanisms.py
@@ -50,6 +50,27 @@
 ANNOUNCEMENTS = "tests/routing/test_upstream_announcements.py"
 
 VARIANTS = (
+    Variant(
+        "a busy entry hands no connection over",
+        "handover/targets.py",
+        "        return HandOver(min(usable, key=self._crowding))",
+        "        return None",
+        "tests/platform/test_flooded_entry.py",
+    ),
+    Variant(
+        "a handed request on a lost link counts as not run",
+        "handover/sender.py",
+        "        self._answer(Unknown(Reason.LINK_LOST))",
+        "        self._answer(NotRun(Reason.ENTRY_BUSY, 1))",
+        "tests/handover/test_connections.py",
+    ),
+    Variant(
+        "a caller that has left is served on at the other entry",
+        "handover/receiver.py",
+        "        if row.event == ConnectionEvent.CLOSED:\n            self.lost()",
+        "        if row.event == ConnectionEvent.CLOSED:\n            pass",
+        "tests/handover/test_connections.py",
+    ),
     Variant(
         "requests on lost links are retried although they may run only once",
         "entry/retry.py",
