Bound what a handed connection passes on, and flush responses before an entry stops

Found by reading: bytes behind the announced body were passed on without a bound; a handed connection counted as idle in the account of the process, so that it was the first to be shed; an entry that stops could exit within the 20 ms for which parts of responses are collected, and its last responses were lost. Now only the announced body is passed on and is charged as a whole, the connection counts as one that runs, and links are flushed and closed in order.

--- a/src/leadseam/handover/receiver.py
+++ b/src/leadseam/handover/receiver.py
@@ -179,11 +179,19 @@
             "Connections that other entries wanted to hand over, by result.",
             "result",
         )
+        self._rows: dict[Link, RowSender] = {}
+
+    async def close(self) -> None:
+        """Send what was collected of responses, and close all links."""
+        for link, rows in list(self._rows.items()):
+            rows.flush()
+            await link.close()
 
     async def serve(self, link: Link) -> None:
         """Serve the connections of one link until it ends."""
         transports: dict[int, LinkTransport] = {}
         rows = RowSender(link, delay_s=COLLECT_S)
+        self._rows[link] = rows
         try:
             async for message in link.messages():
                 if not isinstance(message, ConnectionRows):
@@ -194,6 +202,7 @@
                     elif (transport := transports.get(row.number)) is not None:
                         transport.receive(row)
         finally:
+            del self._rows[link]
             rows.stop()
             for transport in list(transports.values()):
                 transport.lost()
--- a/src/leadseam/handover/sender.py
+++ b/src/leadseam/handover/sender.py
@@ -5,12 +5,14 @@
 import asyncio
 import contextlib
 import logging
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from leadseam.clock import Clock, Millis, seconds, sleep
 from leadseam.handover.rows import RowSender
 from leadseam.handover.targets import LOST_PAUSE
 from leadseam.outcome import NotRun, Reason, Unknown
+from leadseam.peers.account import Stage
 from leadseam.runtime.sockets import reset_connection
 from leadseam.runtime.tasks import spawn
 from leadseam.wire.handover import ConnectionEvent, ConnectionRow, ConnectionRows
@@ -41,6 +43,21 @@
 log = logging.getLogger(__name__)
 
 
+@dataclass(frozen=True, slots=True)
+class FirstRequest:
+    """The first request of a connection, as far as it has arrived.
+
+    Args:
+        data: Its bytes.
+        body_left: Bytes of its body that have not arrived.
+        max_wait: Milliseconds that the caller waits, or None if it states none.
+    """
+
+    data: bytes
+    body_left: int
+    max_wait: Millis | None
+
+
 class HandedConnection(asyncio.Protocol):
     """A caller's connection whose bytes are passed on to another entry.
 
@@ -52,7 +69,7 @@
         holding: Holding of the connection.
         peer: Link to the other entry.
         encode: Encodes the response to a request that the other entry does not answer.
-        max_wait: Milliseconds that the caller waits, or None if it states none.
+        first: The request that is handed over.
     """
 
     def __init__(
@@ -62,7 +79,7 @@
         holding: Holding,
         peer: PeerLink,
         encode: EncodeOutcome,
-        max_wait: Millis | None,
+        first: FirstRequest,
     ) -> None:
         self._transport = transport
         self._guard = guard
@@ -74,20 +91,21 @@
         self._passed_on = 0
         self._is_paused = False
         self._timer: asyncio.TimerHandle | None = None
+        self._body_left = first.body_left
         guard.hand_over(holding, self)
+        guard.set_stage(holding, Stage.RUNNING)
         self._number = peer.add(self)
-        if max_wait is not None:
+        peer.send(ConnectionRow(self._number, first.data, ConnectionEvent.OPENED))
+        if first.max_wait is not None:
             loop = asyncio.get_running_loop()
-            delay = seconds(max_wait + DEADLINE_GRACE)
+            delay = seconds(first.max_wait + DEADLINE_GRACE)
             self._timer = loop.call_later(delay, self._give_up)
 
-    def begin(self, data: bytes) -> None:
-        """Hand the connection over with the first bytes of its request."""
-        self._peer.send(ConnectionRow(self._number, data, ConnectionEvent.OPENED))
-
     def data_received(self, data: bytes) -> None:
-        """Pass on further bytes of the request."""
-        if not self._is_done:
+        """Pass on further bytes of the request; those behind it are ignored."""
+        data = data[: self._body_left]
+        self._body_left -= len(data)
+        if data and not self._is_done:
             self._peer.send(ConnectionRow(self._number, data))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -274,22 +292,21 @@
         decision: HandOver,
         transport: asyncio.Transport,
         holding: Holding,
-        data: bytes,
-        max_wait: Millis | None,
+        first: FirstRequest,
     ) -> bool:
-        """Hand a connection over with the first bytes of its request.
+        """Hand a connection over with its first request.
 
         Returns:
             Whether it was handed over; nothing was sent if not.
         """
         peer = self._links.get(decision.target)
-        if peer is None or not self._guard.take(holding, len(data)):
+        size = len(first.data) + first.body_left
+        if peer is None or not self._guard.take(holding, size):
             return False
         conn = HandedConnection(
-            transport, self._guard, holding, peer, self._encode, max_wait
+            transport, self._guard, holding, peer, self._encode, first
         )
         transport.set_protocol(conn)
-        conn.begin(data)
         return True
 
     async def run(self) -> None:
--- a/src/leadseam/platform/entry_node.py
+++ b/src/leadseam/platform/entry_node.py
@@ -131,6 +131,7 @@
             metrics=self._metrics,
             encode=encode_refusal,
         )
+        self._receiver: HandOverReceiver | None = None
         self._links: Server | None = None
         self._client: UpstreamClient | None = None
         self._gateway: Gateway | None = None
@@ -172,13 +173,16 @@
             limits=self._caller_limits,
             on_refusal=self._gateway.count_refusal,
         )
-        receiver = HandOverReceiver(
+        self._receiver = HandOverReceiver(
             self._front.make_handed_connection,
             lambda: not self._readiness(),
             self._metrics,
         )
         self._links = await listen(
-            settings.ip, settings.internal_port, receiver.serve, self._metrics.traffic
+            settings.ip,
+            settings.internal_port,
+            self._receiver.serve,
+            self._metrics.traffic,
         )
         await self._front.start(settings.front)
         await self._ready.start(settings.ready)
@@ -229,6 +233,8 @@
 
     async def stop(self) -> None:
         """Close all sockets."""
+        if self._receiver is not None:
+            await self._receiver.close()
         if self._links is not None:
             self._links.close()
         if self._front is not None:
--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
 
+from leadseam.handover.sender import FirstRequest
 from leadseam.handover.targets import HandOver
 from leadseam.outcome import NotRun
 from leadseam.platform import names
@@ -28,14 +29,11 @@
 
     from aiohttp.web_protocol import RequestHandler
 
-    from leadseam.clock import Millis
     from leadseam.peers.account import Holding, Shortage
     from leadseam.runtime.peer_guard import PeerGuard
 
     Decide = Callable[[Sender], NotRun | HandOver | None]
-    PassOn = Callable[
-        [HandOver, asyncio.Transport, Holding, bytes, Millis | None], bool
-    ]
+    PassOn = Callable[[HandOver, asyncio.Transport, Holding, FirstRequest], bool]
 
 HEAD_TERMINATOR = b"\r\n\r\n"
 _FIELD = re.compile(
@@ -119,8 +117,7 @@
         guard: Account of the process.
         decide: Returns the refusal of a request, where to hand its connection over, or
             None if it is to be served.
-        pass_on: Hands a connection over with the first bytes of its request; returns
-            whether it did.
+        pass_on: Hands a connection over with its first request; returns whether it did.
         waiting: Set that holds this connection until its first request is refused or
             passed on.
 
@@ -186,7 +183,7 @@
                 self._respond_if_read()
             case HandOver():
                 assert head is not None
-                self._to_other_entry(decision, head.sender, data)
+                self._to_other_entry(decision, head, data)
             case None:
                 self._to_library(data)
 
@@ -201,12 +198,11 @@
             self._transport.write(self._response)
             self.close()
 
-    def _to_other_entry(self, decision: HandOver, sender: Sender, data: bytes) -> None:
+    def _to_other_entry(self, decision: HandOver, head: FirstHead, data: bytes) -> None:
         assert self._transport is not None
         assert self._holding is not None
-        if self._pass_on(
-            decision, self._transport, self._holding, data, sender.max_wait
-        ):
+        first = FirstRequest(data, head.body_left, head.sender.max_wait)
+        if self._pass_on(decision, self._transport, self._holding, first):
             self._stop_waiting()
         else:
             self._to_library(data)
--- a/tests/feed/test_load_aggregator.py
+++ b/tests/feed/test_load_aggregator.py
@@ -5,7 +5,15 @@
 from leadseam.feed.load_aggregator import LoadAggregator
 from leadseam.handover.targets import MAX_OFFERS
 from leadseam.wire.codec import decode
-from leadseam.wire.feed import DomainRoom, EntryRoom, LoadReport, LoadSums
+from leadseam.wire.feed import (
+    DomainRoom,
+    EntryRoom,
+    LoadReport,
+    LoadRow,
+    LoadSums,
+    UsageRow,
+)
+from leadseam.wire.record import Record
 
 
 def rooms_of(aggregator: LoadAggregator, now: int) -> dict[str, DomainRoom]:
@@ -76,3 +84,18 @@
     named = [offers_of(aggregator) for _ in range(3)]
     assert {len(offers) for offers in named} == {MAX_OFFERS}
     assert len({address for offers in named for address in offers}) == 3 * MAX_OFFERS
+
+
+class EarlierSums(Record, frozen=True, array_like=True):
+    """`LoadSums` as an entry of an earlier version knows them."""
+
+    rows: tuple[LoadRow, ...]
+    usage: tuple[UsageRow, ...]
+    rooms: tuple[DomainRoom, ...] = ()
+
+
+def test_an_entry_of_an_earlier_version_understands_totals_with_offers() -> None:
+    aggregator = LoadAggregator()
+    aggregator.update(0, report(EntryRoom("a", True, "10.0.0.1:7000", 300)), 0)
+    totals = next(iter(aggregator.totals(0).values()))
+    assert decode(totals.data, EarlierSums).rooms == (DomainRoom("a", 1, 1),)
--- a/tests/handover/test_connections.py
+++ b/tests/handover/test_connections.py
@@ -11,7 +11,7 @@
 
 from leadseam.clock import SystemClock
 from leadseam.handover.receiver import WINDOW, HandOverReceiver
-from leadseam.handover.sender import HandOverSender
+from leadseam.handover.sender import FirstRequest, HandOverSender
 from leadseam.handover.targets import HandOver, HandOverTargets
 from leadseam.peers.limits import PeerLimits
 from leadseam.platform.refusal import encode_refusal
@@ -29,6 +29,7 @@
     from websockets.asyncio.server import Server
 
 REQUEST = b"POST / HTTP/1.1\r\n\r\n"
+BODY_REST = b"rest of the body"
 RESPONSE = b"HTTP/1.1 200 OK\r\n\r\nwhole"
 
 
@@ -92,7 +93,10 @@
         assert holding is not None
         assert decision is not None
         assert entries.sender.hand_over(
-            decision, self._transport, holding, data, entries.max_wait
+            decision,
+            self._transport,
+            holding,
+            FirstRequest(data, len(BODY_REST), entries.max_wait),
         )
 
 
@@ -112,6 +116,7 @@
     guard: PeerGuard
     targets: HandOverTargets
     sender: HandOverSender
+    receiver: HandOverReceiver = field(init=False)
     links: Server = field(init=False)
     front: asyncio.Server = field(init=False)
     served: list[Serving] = field(default_factory=list)
@@ -162,8 +167,10 @@
         targets, guard=guard, clock=clock, metrics=metrics, encode=encode_refusal
     )
     entries = Entries(guard, targets, sender)
-    receiver = HandOverReceiver(entries.serve, lambda: entries.accepts, Metrics())
-    entries.links = await listen(LOOPBACK, 0, receiver.serve, metrics.traffic)
+    entries.receiver = HandOverReceiver(
+        entries.serve, lambda: entries.accepts, Metrics()
+    )
+    entries.links = await listen(LOOPBACK, 0, entries.receiver.serve, metrics.traffic)
     loop = asyncio.get_running_loop()
     entries.front = await loop.create_server(lambda: Accepting(entries), LOOPBACK, 0)
     task = asyncio.create_task(sender.run())
@@ -177,8 +184,9 @@
 
 async def test_a_response_of_another_entry_reaches_the_caller(entries: Entries) -> None:
     serving, reader, writer = await entries.call_served()
-    writer.write(b"rest of the body")
+    writer.write(BODY_REST + b"bytes behind the request")
     await wait_for(lambda: serving.received.endswith(b"body"), "the body is there")
+    assert serving.received == REQUEST + BODY_REST
     serving.transport.write(RESPONSE)
     serving.transport.close()
     assert await reader.read() == RESPONSE
@@ -186,6 +194,16 @@
     await wait_for(lambda: serving.is_lost, "the protocol is told")
 
 
+async def test_a_response_reaches_the_caller_although_its_entry_stops_behind_it(
+    entries: Entries,
+) -> None:
+    serving, reader, _ = await entries.call_served()
+    serving.transport.write(RESPONSE)
+    serving.transport.close()
+    await entries.receiver.close()
+    assert await reader.read() == RESPONSE
+
+
 async def test_a_caller_that_leaves_ends_its_request_at_the_other_entry(
     entries: Entries,
 ) -> None:
