Test cancelled requests on a link that stays open

The link of the tests was closed as unused after 10 s, which ends the request too, and the tests waited for that long. Now the link is kept in use while they wait.

--- a/tests/handover/test_connections.py
+++ b/tests/handover/test_connections.py
@@ -138,6 +138,10 @@
         self.served.append(Serving())
         return self.served[-1]
 
+    def ended_on_an_open_link(self, serving: Serving) -> bool:
+        """Return whether a request has ended; the link is kept open meanwhile."""
+        return self.choose() is not None and serving.is_lost
+
     async def call(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection and send a request."""
         port = self.front.sockets[0].getsockname()[1]
@@ -209,7 +213,9 @@
 ) -> None:
     serving, _, writer = await entries.call_served()
     writer.close()
-    await wait_for(lambda: serving.is_lost, "the request is cancelled")
+    await wait_for(
+        lambda: entries.ended_on_an_open_link(serving), "the request is cancelled"
+    )
     assert entries.sender.handed == 0
 
 
@@ -293,4 +299,6 @@
     serving, reader, _ = await entries.call_served()
     response = await reader.read()
     assert response.startswith(b"HTTP/1.1 504 ")
-    await wait_for(lambda: serving.is_lost, "the request is cancelled")
+    await wait_for(
+        lambda: entries.ended_on_an_open_link(serving), "the request is cancelled"
+    )
