Know connections that send nothing by their address again

What on-call saw: nobody yet; a crowd of connections that send nothing would have been logged, when shed, with an empty `largest_address`. Cause: looks the address up only of connections that the HTTP library serves, and these never get there.

--- a/src/leadseam/platform/first_bytes.py
+++ b/src/leadseam/platform/first_bytes.py
@@ -22,7 +22,7 @@
 from leadseam.platform.headers import read_key, read_number, read_tokens
 from leadseam.platform.refusal import encode_refusal
 from leadseam.routing.dialect import Sender
-from leadseam.runtime.held_connection import CONNECTION_PRICE
+from leadseam.runtime.held_connection import CONNECTION_PRICE, peer_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -187,6 +187,12 @@
             case None:
                 self._to_library(data)
 
+    def note_address(self) -> None:
+        """Look up the address of the peer; refused connections do without."""
+        holding, transport = self._holding, self._transport
+        if holding is not None and transport is not None and not holding.address:
+            holding.address = peer_address(transport)
+
     def close(self) -> None:
         """Close the connection."""
         self._stop_waiting()
--- a/src/leadseam/platform/front.py
+++ b/src/leadseam/platform/front.py
@@ -210,6 +210,7 @@
             now = loop.time()
             idle_timeout = self._limits().idle_timeout
             for first in list(self._waiting):
+                first.note_address()
                 if idle_timeout and now - first.since > seconds(idle_timeout):
                     first.close()
             for conn in list(self._server.connections):
--- a/src/leadseam/runtime/held_connection.py
+++ b/src/leadseam/runtime/held_connection.py
@@ -176,7 +176,7 @@
             self._holding = open_holding(self._guard, self, transport)
         else:
             # The address is only looked up of connections that stay.
-            self._holding.address = _address(transport)
+            self._holding.address = peer_address(transport)
             self._guard.hand_over(self._holding, self)
         if self._holding is None:
             self.drop()
@@ -607,10 +607,11 @@
     guard: PeerGuard, conn: Any, transport: asyncio.BaseTransport
 ) -> Holding | None:
     """Charge a new connection; return None if it has to be closed."""
-    return guard.open(conn, _address(transport), CONNECTION_PRICE)
+    return guard.open(conn, peer_address(transport), CONNECTION_PRICE)
 
 
-def _address(transport: asyncio.BaseTransport) -> str:
+def peer_address(transport: asyncio.BaseTransport) -> str:
+    """Return the IP address of a connection's peer, or an empty string."""
     peer = transport.get_extra_info("peername")
     return str(peer[0]) if peer else ""
 
--- a/tests/platform/test_first_bytes.py
+++ b/tests/platform/test_first_bytes.py
@@ -18,12 +18,17 @@
 import pytest
 from aiohttp import web
 
+from leadseam.clock import SystemClock
 from leadseam.outcome import NotRun, Reason
+from leadseam.peers.limits import PeerLimits
 from leadseam.platform.first_bytes import FirstHead, read_first_head
 from leadseam.platform.front import FrontServer
 from leadseam.routing.dialect import Sender
+from leadseam.runtime.metrics import Metrics
+from leadseam.runtime.peer_guard import PeerGuard
 from leadseam.settings.models import Endpoint
 from tools.ports import LOOPBACK, PortPool
+from tools.waiting import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -81,7 +86,8 @@
         self.is_busy = True
         self.seen: list[Sender] = []
         self.served: list[bytes] = []
-        self.front = FrontServer(self._handle, decide=self._refuse)
+        self.guard = PeerGuard(PeerLimits(), SystemClock(), Metrics())
+        self.front = FrontServer(self._handle, guard=self.guard, decide=self._refuse)
         ports = PortPool()
         self.port = ports.reserve()
         ports.release(self.port)
@@ -170,3 +176,16 @@
     await reader.readuntil(b"\r\n\r\n")
     assert server.served == [b""]
     writer.close()
+
+
+async def test_a_connection_that_sends_nothing_is_known_by_its_address(
+    server: RefusingServer,
+) -> None:
+    # A crowd of these was logged without an address when it was shed.
+    _, writer = await server.connect()
+
+    async def is_known() -> bool:
+        return server.guard._account.largest()[0] == LOOPBACK
+
+    await wait_until(is_known, "the account knows the address", timeout=5)
+    writer.close()
