--- a/review/support2/fleet.py
+++ b/review/support2/fleet.py
@@ -152,7 +152,7 @@
         return "".join(f"{key}={value}\n" for key, value in lines.items())
 
     async def begin(self, manifest: dict[str, Any]) -> None:
-        """Start all machines, send the first manifest, and wait until it is in force."""
+        """Start all machines, send a manifest, and wait until it is in force."""
         for ip in (*CONTROLS, *ENTRIES):
             self.start(ip)
         await self.replace(manifest)
@@ -317,7 +317,9 @@
         request_id = fields.get("leadseam-request-id", "")
         common = f"Leadseam-Request-Id: {request_id}\r\n" if request_id else ""
         if fields.get("leadseam-expect-instance", self.instance) != self.instance:
-            writer.write(f"HTTP/1.1 421 No\r\n{common}Content-Length: 0\r\n\r\n".encode())
+            writer.write(
+                f"HTTP/1.1 421 No\r\n{common}Content-Length: 0\r\n\r\n".encode()
+            )
             await writer.drain()
             return True
         if head.split(" ")[1] == "/healthz":
@@ -329,8 +331,8 @@
         await asyncio.sleep(self.work_s)
         writer.write(
             f"HTTP/1.1 200 OK\r\n{common}Leadseam-Response-Signature: s.{request_id}"
-            "\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
-            .encode()
+            "\r\nContent-Type: application/json"
+            "\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
         )
         for start in range(0, len(self.body), self.chunk_bytes):
             part = self.body[start : start + self.chunk_bytes]
