--- a/review/support2/fleet.py
+++ b/review/support2/fleet.py
@@ -237,7 +237,7 @@
         service: Service that it registers for.
         body: Body of its answers.
         work_s: Seconds for which it works on a request.
-        chunk_bytes: Bytes of each chunk of an answer.
+        chunk_bytes: Bytes of each chunk of an answer; 0 for a body with a length.
         pause_s: Seconds between two chunks.
         runs: Ids of the requests that it ran, with the time at which it had sent all
             of its answer, or 0.
@@ -248,7 +248,7 @@
     service: str
     body: bytes = b"done"
     work_s: float = 0.02
-    chunk_bytes: int = 100_000
+    chunk_bytes: int = 0
     pause_s: float = 0.0
     runs: dict[str, float] = field(default_factory=dict)
 
@@ -329,11 +329,25 @@
             return True
         self.runs[request_id] = 0.0
         await asyncio.sleep(self.work_s)
+        framing = (
+            "Transfer-Encoding: chunked\r\n"
+            if self.chunk_bytes
+            else f"Content-Length: {len(self.body)}\r\n"
+        )
         writer.write(
             f"HTTP/1.1 200 OK\r\n{common}Leadseam-Response-Signature: s.{request_id}"
-            "\r\nContent-Type: application/json"
-            "\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+            f"\r\nContent-Type: application/json\r\n{framing}\r\n".encode()
         )
+        await self.send_body(writer)
+        self.runs[request_id] = time.monotonic()
+        return True
+
+    async def send_body(self, writer: asyncio.StreamWriter) -> None:
+        """Send the body, in chunks if it has any."""
+        if not self.chunk_bytes:
+            writer.write(self.body)
+            await writer.drain()
+            return
         for start in range(0, len(self.body), self.chunk_bytes):
             part = self.body[start : start + self.chunk_bytes]
             writer.write(b"%x\r\n%b\r\n" % (len(part), part))
@@ -341,8 +355,6 @@
             await asyncio.sleep(self.pause_s)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        self.runs[request_id] = time.monotonic()
-        return True
 
 
 def manifest(version: int, *, kind: str = "unsafe", timeout_ms: int = 15_000) -> Any:
