--- a/review/support2/fleet.py
+++ b/review/support2/fleet.py
@@ -329,18 +329,24 @@
             return True
         self.runs[request_id] = 0.0
         await asyncio.sleep(self.work_s)
+        await self.respond(writer, fields, common)
+        self.runs[request_id] = time.monotonic()
+        return True
+
+    async def respond(
+        self, writer: asyncio.StreamWriter, fields: dict[str, str], common: str
+    ) -> None:
+        """Send the answer to a request with some header fields."""
         framing = (
             "Transfer-Encoding: chunked\r\n"
             if self.chunk_bytes
             else f"Content-Length: {len(self.body)}\r\n"
         )
         writer.write(
-            f"HTTP/1.1 200 OK\r\n{common}Leadseam-Response-Signature: s.{request_id}"
+            f"HTTP/1.1 200 OK\r\n{common}Leadseam-Response-Signature: s.{self.instance}"
             f"\r\nContent-Type: application/json\r\n{framing}\r\n".encode()
         )
         await self.send_body(writer)
-        self.runs[request_id] = time.monotonic()
-        return True
 
     async def send_body(self, writer: asyncio.StreamWriter) -> None:
         """Send the body, in chunks if it has any."""
